--- /dev/null
+++ b/packages/core/src/__tests__/unit/core.test.ts
@@ -0,0 +1,78 @@
+import test from 'ava';
+import {
+	CommandPriority, createCommandRegistry, createId, createManualClock, createTask, rankByRendezvous, readIdTimeMs,
+} from '../../index.js';
+
+test('a message sent while another is handled waits its turn', t => {
+	const seen: string[] = [];
+	const task = createTask<number, number, number>({
+		initial: 0,
+		clock: createManualClock(),
+		transition: (state, message) => ({state: state + 1, effects: [message]}),
+		perform(effect) {
+			seen.push(`start ${effect}`);
+
+			if (effect === 1) {
+				task.send(2);
+			}
+
+			seen.push(`end ${effect}`);
+		},
+		onFailure(error) {
+			throw error as Error;
+		},
+	});
+	task.send(1);
+	t.deepEqual(seen, ['start 1', 'end 1', 'start 2', 'end 2']);
+	t.is(task.getState(), 2);
+});
+
+test('a failing transition ends the task and is reported once', async t => {
+	const error = await new Promise(resolve => {
+		const task = createTask<number, number, number>({
+			initial: 0,
+			clock: createManualClock(),
+			transition() {
+				throw new Error('defect');
+			},
+			perform: () => undefined,
+			onFailure: resolve,
+		});
+		task.send(1);
+	});
+	t.is((error as Error).message, 'defect');
+});
+
+test('handlers run by priority until one deals with the command, and can be undone', t => {
+	const registry = createCommandRegistry<{kind: 'a'; id: number}>();
+	const seen: string[] = [];
+	registry.registerCommand('a', () => {
+		seen.push('low');
+
+		return true;
+	}, CommandPriority.Low);
+	const unregister = registry.registerCommand('a', () => {
+		seen.push('high');
+
+		return true;
+	}, CommandPriority.High);
+	registry.dispatchCommand({kind: 'a', id: 1});
+	unregister();
+	registry.dispatchCommand({kind: 'a', id: 1});
+	t.deepEqual(seen, ['high', 'low']);
+});
+
+test('the loss of a name moves only the keys it held', t => {
+	const names = ['a', 'b', 'c', 'd'];
+
+	for (let index = 0; index < 200; index++) {
+		const before = rankByRendezvous(`key-${index}`, names);
+		const after = rankByRendezvous(`key-${index}`, names.filter(name => name !== before[3]));
+		t.deepEqual(after, before.slice(0, 3));
+	}
+});
+
+test('an identifier carries its time', t => {
+	t.is(readIdTimeMs(createId('r', 1_796_000_000_123)), 1_796_000_000_123);
+	t.is(readIdTimeMs('r-short'), undefined);
+});
--- /dev/null
+++ b/packages/core/src/commands.ts
@@ -0,0 +1,54 @@
+/** Handlers of a higher priority run first. */
+export enum CommandPriority {
+	Low = 0,
+	Normal = 1,
+	High = 2,
+}
+
+/** Handles a command; returns whether it has dealt with it, which ends the dispatch. */
+export type CommandHandler<Command> = (command: Command) => boolean;
+
+/** Handlers of typed commands, run in priority order. */
+export type CommandRegistry<Command extends {readonly kind: string}> = {
+	readonly registerCommand: <Kind extends Command['kind']>(
+		kind: Kind,
+		handler: CommandHandler<Extract<Command, {readonly kind: Kind}>>,
+		priority?: CommandPriority,
+	) => () => void;
+	readonly dispatchCommand: (command: Command) => boolean;
+};
+
+type Registration<Command> = {
+	readonly kind: string;
+	readonly priority: CommandPriority;
+	readonly handler: CommandHandler<Command>;
+};
+
+/**
+Creates a registry of command handlers. Each registration returns its undo.
+
+@example
+```
+const registry = createCommandRegistry<{kind: 'ping'; id: number}>();
+const unregister = registry.registerCommand('ping', command => command.id > 0);
+registry.dispatchCommand({kind: 'ping', id: 1}); //=> true
+unregister();
+```
+*/
+export function createCommandRegistry<Command extends {readonly kind: string}>(): CommandRegistry<Command> {
+	let registrations: ReadonlyArray<Registration<Command>> = [];
+
+	return {
+		registerCommand(kind, handler, priority = CommandPriority.Normal) {
+			const registration = {kind, priority, handler: handler as CommandHandler<Command>};
+			registrations = [...registrations, registration].toSorted((a, b) => b.priority - a.priority);
+
+			return () => {
+				registrations = registrations.filter(other => other !== registration);
+			};
+		},
+		dispatchCommand(command) {
+			return registrations.some(registration => registration.kind === command.kind && registration.handler(command));
+		},
+	};
+}
--- /dev/null
+++ b/packages/core/src/hash.ts
@@ -0,0 +1,27 @@
+import xxhash from 'xxhash-wasm';
+
+const hasher = await xxhash();
+
+/**
+Computes a 64-bit xxHash of a text. Not for secrets.
+
+@example
+```
+computeHash('entry-1'); //=> 64-bit bigint
+```
+*/
+export function computeHash(text: string, seed = 0n): bigint {
+	return hasher.h64(text, seed);
+}
+
+/**
+Computes a 64-bit xxHash of a text as 16 hexadecimal digits.
+
+@example
+```
+computeHashHex('piece').length; //=> 16
+```
+*/
+export function computeHashHex(text: string, seed = 0n): string {
+	return hasher.h64ToString(text, seed);
+}
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,18 @@
+export {
+	type Clock, createSystemClock, createManualClock, type ManualClock,
+} from './clock.js';
+export {
+	createCommandRegistry, type CommandRegistry, type CommandHandler, CommandPriority,
+} from './commands.js';
+export {BaseError, InvariantError} from './errors.js';
+export {
+	createFinding, formatFindings, FindingsError, type Finding,
+} from './findings.js';
+export {computeHash, computeHashHex} from './hash.js';
+export {createId, readIdTimeMs} from './ids.js';
+export {invariant} from './invariant.js';
+export {rankByRendezvous} from './rendezvous.js';
+export {createSubject, type Subject} from './subject.js';
+export {
+	createTask, type Step, type Task, type TaskOptions,
+} from './task.js';
--- /dev/null
+++ b/packages/core/src/subject.ts
@@ -0,0 +1,47 @@
+import {Stream, type Sink} from 'most';
+
+/** A `most` stream that is fed by calls of `push`. */
+export type Subject<T> = {
+	readonly stream: Stream<T>;
+	readonly push: (value: T) => void;
+	readonly end: () => void;
+};
+
+/**
+Creates a stream that is fed by hand; values pushed before anyone observes are dropped.
+
+@example
+```
+const subject = createSubject<number>();
+void subject.stream.observe(value => console.log(value));
+subject.push(1);
+```
+*/
+export function createSubject<T>(): Subject<T> {
+	const sinks = new Set<Sink<T>>();
+	const stream = new Stream<T>({
+		run(sink) {
+			sinks.add(sink);
+
+			return {
+				dispose() {
+					sinks.delete(sink);
+				},
+			};
+		},
+	});
+
+	return {
+		stream,
+		push(value) {
+			for (const sink of sinks) {
+				sink.event(Date.now(), value);
+			}
+		},
+		end() {
+			for (const sink of sinks) {
+				sink.end(Date.now());
+			}
+		},
+	};
+}
--- /dev/null
+++ b/scripts/check-layers.mjs
@@ -0,0 +1,63 @@
+// Fails when a package depends on one that its layer may not see.
+import fs from 'node:fs';
+import process from 'node:process';
+
+const layerOf = {
+	core: 0,
+	storage: 1,
+	state: 1,
+	protocol: 1,
+	fates: 2,
+	agreement: 2,
+	membership: 2,
+	routing: 2,
+	limits: 2,
+	transport: 2,
+	control: 3,
+	entry: 3,
+	daemon: 4,
+	cli: 4,
+	standins: 4,
+	demo: 5,
+	bench: 5,
+};
+
+const findings = [];
+
+for (const name of fs.readdirSync('packages')) {
+	const manifest = JSON.parse(fs.readFileSync(`packages/${name}/package.json`, 'utf8'));
+	const own = Object.keys(manifest.dependencies ?? {}).filter(dependency => dependency.startsWith('@fescuestair/'));
+
+	if (layerOf[name] === undefined) {
+		findings.push(`packages/${name}: has no layer in scripts/check-layers.mjs`);
+	}
+
+	for (const dependency of own) {
+		const target = dependency.slice('@fescuestair/'.length);
+
+		if (layerOf[target] >= layerOf[name]) {
+			findings.push(`packages/${name}/package.json: may not depend on ${target}`);
+		}
+	}
+
+	for (const file of fs.readdirSync(`packages/${name}/src`, {recursive: true})) {
+		if (!file.endsWith('.ts')) {
+			continue;
+		}
+
+		const text = fs.readFileSync(`packages/${name}/src/${file}`, 'utf8');
+
+		for (const match of text.matchAll(/from '(@fescuestair\/[a-z]+)/gu)) {
+			if (!own.includes(match[1])) {
+				findings.push(`packages/${name}/src/${file}: imports ${match[1]}, which its package does not declare`);
+			}
+		}
+	}
+}
+
+for (const finding of findings) {
+	console.error(finding);
+}
+
+console.log(`${findings.length} findings on layers`);
+process.exitCode = findings.length === 0 ? 0 : 1;
--- /dev/null
+++ b/xo.config.js
@@ -0,0 +1,43 @@
+/** Linter settings; each rule that is set aside says why. */
+const settings = [
+	{
+		ignores: ['**/dist/**', '.data/**'],
+	},
+	{
+		files: ['**/*.ts'],
+		rules: {
+			// Retries, log appends and resumes are sequences by nature.
+			'no-await-in-loop': 'off',
+			// Decoded messages are checked by schema at the boundary, then asserted once.
+			'@typescript-eslint/no-unsafe-type-assertion': 'off',
+			// Numbers appear in log lines and messages.
+			'@typescript-eslint/restrict-template-expressions': ['error', {allowNumber: true}],
+			// Node's APIs take async listeners whose errors are handled inside.
+			'@typescript-eslint/strict-void-return': 'off',
+		},
+	},
+	{
+		// Field names of the public wire format are snake case.
+		files: ['packages/protocol/src/openai/**/*.ts', 'packages/standins/src/**/*.ts'],
+		rules: {
+			'@typescript-eslint/naming-convention': 'off',
+		},
+	},
+	{
+		// The test runner stands at the root of the workspace and runs the built files.
+		files: ['**/__tests__/**/*.ts'],
+		rules: {
+			'ava/no-ignored-test-files': 'off',
+			'import-x/no-extraneous-dependencies': 'off',
+			'n/no-extraneous-import': 'off',
+		},
+	},
+	{
+		files: ['packages/*/src/main.ts'],
+		rules: {
+			'unicorn/no-process-exit': 'off',
+		},
+	},
+];
+
+export default settings;
