Add agreement among replicas as a pure function

Cause: the durable state needs one order of changes that survives the loss of replicas, and no ready-made consensus is allowed. Weighed: one sync per entry against one for a whole step; the leader may send entries before its own sync, since nothing it sends promises its own disk. Ruled out: voting by a wiped replica under its old identity (ids are new with each disk); changing two members at once (majorities may not meet).

--- /dev/null
+++ b/packages/agreement/src/index.ts
@@ -0,0 +1,10 @@
+export {createReplica, type ReplicaOptions} from './create.js';
+export {
+	countVoters, findMember, isVoter, type Member,
+} from './members.js';
+export {
+	EffectKind, EntryKind, MessageKind, PeerMessageKind, ReplicaRole, type AppendMessage, type Effect, type Entry, type EntryPayload, type LogView,
+	type Message, type PeerMessage, type Progress, type ReplicaState, type SnapshotMark, type Timing,
+} from './types.js';
+export {createMark, isLeaseHeld, stepReplica} from './step.js';
+export {getLastIndex, getTermAt} from './log.js';
--- a/packages/storage/src/__tests__/unit/log-store.test.ts
+++ b/packages/storage/src/__tests__/unit/log-store.test.ts
@@ -15,10 +15,10 @@
 
 	try {
 		await store.load();
-		await store.persist({hardState: {term: 1, votedFor: 'a'}});
+		await store.persist([{hardState: {term: 1, votedFor: 'a'}}]);
 
 		for (let index = 1; index <= count; index++) {
-			await store.persist({entries: [{index, term: 1, payload: `value ${index}`}]});
+			await store.persist([{entries: [{index, term: 1, payload: `value ${index}`}]}]);
 		}
 	} finally {
 		await store.close();
@@ -37,8 +37,8 @@
 	const folder = await makeFolder();
 	const store = createLogStore({folder});
 	await store.load();
-	await store.persist({hardState: {term: 2, votedFor: 'b'}, entries: [1, 2, 3].map(index => ({index, term: 1, payload: index}))});
-	await store.persist({truncateFrom: 2, entries: [{index: 2, term: 2, payload: 'new'}]});
+	await store.persist([{hardState: {term: 2, votedFor: 'b'}, entries: [1, 2, 3].map(index => ({index, term: 1, payload: index}))}]);
+	await store.persist([{truncateFrom: 2, entries: [{index: 2, term: 2, payload: 'new'}]}]);
 	await store.close();
 	const loaded = await loadFolder(folder);
 	t.deepEqual(loaded.hardState, {term: 2, votedFor: 'b'});
@@ -97,7 +97,7 @@
 	const {hardState, entries} = await store.load();
 	const oldLog = await fs.readFile(path.join(folder, 'log-000000000000'));
 	await store.saveSnapshot({index: 8, term: 1, data: {sum: 36}}, hardState, entries.slice(8));
-	await store.persist({entries: [{index: 11, term: 1, payload: 'after'}]});
+	await store.persist([{entries: [{index: 11, term: 1, payload: 'after'}]}]);
 	await store.close();
 	const loaded = await loadFolder(folder);
 	t.is(loaded.snapshot?.index, 8);
--- a/packages/storage/src/log-store.ts
+++ b/packages/storage/src/log-store.ts
@@ -27,8 +27,8 @@
 /** The files of one replica: one snapshot, and one log of what came after it. */
 export type LogStore = {
 	readonly load: () => Promise<LoadedLog>;
-	/** Resolves once the batch is synced. */
-	readonly persist: (batch: PersistBatch) => Promise<void>;
+	/** Resolves once all batches are synced, with one sync for all. */
+	readonly persist: (batches: readonly PersistBatch[]) => Promise<void>;
 	/** Replaces all entries up to the snapshot's index; `rest` are the entries kept after it. */
 	readonly saveSnapshot: (snapshot: Snapshot, hardState: HardState, rest: readonly LogEntry[]) => Promise<void>;
 	readonly close: () => Promise<void>;
@@ -44,7 +44,7 @@
 ```
 const store = createLogStore({folder: '/data/agreement'});
 const {entries} = await store.load();
-await store.persist({entries: [{index: 1, term: 1, payload: {kind: 'noop'}}]});
+await store.persist([{entries: [{index: 1, term: 1, payload: {kind: 'noop'}}]}]);
 ```
 */
 export function createLogStore(options: LogStoreOptions): LogStore {
@@ -89,20 +89,19 @@
 				findings: log.findings,
 			};
 		},
-		async persist(batch) {
+		async persist(batches) {
 			invariant(handle !== undefined, 'the store must be loaded before it is written');
 			const current = handle;
-			const frame = encodeFrame(batch);
-			const file = folder;
+			const frame = encodeFrame(batches);
 
-			await runDisk(file, 'append', async () => fileSystem.write(current, frame, size));
-			await runDisk(file, 'sync', async () => fileSystem.sync(current));
+			await runDisk(folder, 'append', async () => fileSystem.write(current, frame, size));
+			await runDisk(folder, 'sync', async () => fileSystem.sync(current));
 			size += frame.length;
 		},
 		async saveSnapshot(snapshot, hardState, rest) {
 			const frame = encodeFrame(snapshot);
 			await writeFileDurably(fileSystem, nameSnapshot(folder, snapshot.index), frame);
-			const batch = encodeFrame({hardState, entries: rest});
+			const batch = encodeFrame([{hardState, entries: rest}] satisfies PersistBatch[]);
 			await writeFileDurably(fileSystem, nameLog(folder, snapshot.index), batch);
 			await openLog(snapshot.index, batch.length);
 			await removeOthers(snapshot.index);
@@ -164,7 +163,7 @@
 		baseIndex: readIndex(name),
 		goodBytes: scan.goodBytes,
 		isTorn,
-		...replayBatches(scan.payloads as readonly PersistBatch[]),
+		...replayBatches((scan.payloads as ReadonlyArray<readonly PersistBatch[]>).flat()),
 		findings: isTorn ? [createFinding(`${file} at byte ${scan.goodBytes}`, `cut off ${tornBytes} bytes of an unfinished write`)] : [],
 	};
 }
