Test that a restarted replica waits before it votes

Cause: the test left the pause at start unproved: restarts every 100 ms never met a request for votes. Restarting at every step fails without the pause.

--- a/packages/agreement/src/__tests__/unit/lease.test.ts
+++ b/packages/agreement/src/__tests__/unit/lease.test.ts
@@ -31,11 +31,8 @@
 	for (let step = 0; step < 300; step++) {
 		runGroup(group, {forMs: 20, isCut});
 		t.true(group.findLeaseHolders().length <= 1, `at ${group.nowMs}`);
-
-		if (step % 5 === 0) {
-			group.crash(between);
-			group.restart(between);
-		}
+		group.crash(between);
+		group.restart(between);
 	}
 });
 
