Add the replicated state, membership by gossip, links and the protocol's types

Cause: entries, control replicas and upstreams need names for what they say. Weighed: the socket's idle timeout against own receive times for silent links. Ruled out: the idle timeout, which counts what is written as activity; a test with a forwarder that stops passing bytes never ended with it, and ends in 2.5 s with the receive time watched.

--- /dev/null
+++ b/packages/membership/src/__tests__/unit/membership.test.ts
@@ -0,0 +1,155 @@
+import test from 'ava';
+import {
+	createMembership, InputKind, isNewer, listServing, MemberStatus, OutputKind, RecordKind, stepMembership, type Input, type MemberRecord, type Membership,
+} from '../../index.js';
+
+type Network = {
+	readonly nodes: Map<string, Membership>;
+	nowMs: number;
+	/** Messages sent, to count what spreading costs. */
+	sent: number;
+};
+
+const tickMs = 50;
+
+function createRecord(id: string, extra: Partial<MemberRecord> = {}): MemberRecord {
+	return {
+		id, kind: RecordKind.Entry, incarnation: 1, version: 1, status: MemberStatus.Alive, address: id, availabilityZone: 'north', details: {}, ...extra,
+	};
+}
+
+function createNetwork(count: number): Network {
+	const nodes = new Map<string, Membership>();
+
+	for (let index = 0; index < count; index++) {
+		const self = createRecord(`n${index}`);
+		nodes.set(self.id, createMembership({self, seeds: ['n0', 'n1'], nowMs: 0}));
+	}
+
+	return {nodes, nowMs: 0, sent: 0};
+}
+
+function send(network: Network, id: string, input: Input, isCut: (from: string, to: string) => boolean): void {
+	const node = network.nodes.get(id);
+
+	if (node === undefined) {
+		return;
+	}
+
+	const step = stepMembership(node, input, network.nowMs);
+	network.nodes.set(id, step.state);
+
+	for (const effect of step.effects) {
+		if (effect.kind === OutputKind.Send && !isCut(id, effect.address)) {
+			network.sent++;
+			send(network, effect.address, {
+				kind: InputKind.Gossip, fromId: id, fromAddress: id, gossip: effect.gossip,
+			}, isCut);
+		}
+	}
+}
+
+function run(network: Network, forMs: number, isCut: (from: string, to: string) => boolean = () => false): void {
+	const endMs = network.nowMs + forMs;
+
+	while (network.nowMs < endMs) {
+		network.nowMs += tickMs;
+
+		for (const id of network.nodes.keys()) {
+			send(network, id, {kind: InputKind.Tick}, isCut);
+		}
+	}
+}
+
+function countSeen(network: Network, id: string, status: MemberStatus): number {
+	return [...network.nodes.values()].filter(node => node.held.get(id)?.record.status === status).length;
+}
+
+test('all daemons learn of each other from a seed', t => {
+	const network = createNetwork(30);
+	run(network, 10_000);
+	t.true([...network.nodes.values()].every(node => listServing(node, RecordKind.Entry).length === 30));
+});
+
+test('a dead daemon is known dead everywhere in a few seconds, and a live one nowhere', t => {
+	const network = createNetwork(20);
+	run(network, 10_000);
+	network.nodes.delete('n7');
+	run(network, 8000);
+	t.is(countSeen(network, 'n7', MemberStatus.Dead), 19);
+	t.is([...network.nodes.values()].reduce((sum, node) => sum + listServing(node, RecordKind.Entry).length, 0), 19 * 19);
+});
+
+test('a daemon that one other cannot reach is kept alive by relays', t => {
+	const network = createNetwork(10);
+	run(network, 10_000);
+	run(network, 20_000, (from, to) => (from === 'n3' && to === 'n4') || (from === 'n4' && to === 'n3'));
+	t.is(countSeen(network, 'n4', MemberStatus.Alive), 10);
+});
+
+test('an upstream that leaves is known everywhere within two seconds', t => {
+	const network = createNetwork(20);
+	run(network, 10_000);
+	const record = createRecord('engine-1', {kind: RecordKind.Upstream, sponsorId: 'n5'});
+	const never = () => false;
+	send(network, 'n5', {kind: InputKind.Publish, record}, never);
+	run(network, 10_000);
+	t.true([...network.nodes.values()].every(node => listServing(node, RecordKind.Upstream).length === 1));
+	send(network, 'n5', {kind: InputKind.Publish, record: {...record, version: 2, status: MemberStatus.Leaving}}, never);
+	run(network, 2000);
+	t.true([...network.nodes.values()].every(node => listServing(node, RecordKind.Upstream).length === 0));
+});
+
+test('an upstream whose sponsor died stays if another takes it over, and goes otherwise', t => {
+	const network = createNetwork(6);
+	run(network, 5000);
+	const never = () => false;
+	const adopted = createRecord('engine-1', {kind: RecordKind.Upstream, sponsorId: 'n5'});
+	const orphan = createRecord('engine-2', {kind: RecordKind.Upstream, sponsorId: 'n5'});
+	send(network, 'n5', {kind: InputKind.Publish, record: adopted}, never);
+	send(network, 'n5', {kind: InputKind.Publish, record: orphan}, never);
+	run(network, 5000);
+	network.nodes.delete('n5');
+	run(network, 3000);
+	send(network, 'n2', {kind: InputKind.Publish, record: {...adopted, version: 2, sponsorId: 'n2'}}, never);
+	run(network, 12_000);
+	t.is(countSeen(network, 'engine-1', MemberStatus.Alive), 5);
+	t.is(countSeen(network, 'engine-2', MemberStatus.Dead), 5);
+});
+
+test('a daemon wrongly called dead refutes it', t => {
+	const network = createNetwork(8);
+	run(network, 8000);
+	run(network, 6000, (from, to) => from === 'n3' || to === 'n3');
+	t.is(countSeen(network, 'n3', MemberStatus.Dead), 7);
+	run(network, 15_000);
+	t.is(countSeen(network, 'n3', MemberStatus.Alive), 8);
+});
+
+test('two halves that took each other for dead join again', t => {
+	const network = createNetwork(8);
+	run(network, 8000);
+	const side = (id: string) => Number(id.slice(1)) % 2;
+	run(network, 20_000, (from, to) => side(from) !== side(to));
+	t.is(countSeen(network, 'n1', MemberStatus.Dead), 4);
+	run(network, 60_000);
+	t.true([...network.nodes.values()].every(node => listServing(node, RecordKind.Entry).length === 8));
+});
+
+test('a restarted daemon wins over news of its earlier life', t => {
+	const old = createRecord('n1', {incarnation: 1, version: 9, status: MemberStatus.Dead});
+	t.true(isNewer(createRecord('n1', {incarnation: 2, version: 1}), old));
+	t.false(isNewer(createRecord('n1', {incarnation: 1, version: 8}), old));
+});
+
+test('what a daemon sends a second does not grow with the number of daemons', t => {
+	const rates = [10, 40].map(count => {
+		const network = createNetwork(count);
+		run(network, 20_000);
+		network.sent = 0;
+		run(network, 20_000);
+
+		return network.sent / count / 20;
+	});
+	t.true(rates[1]! < rates[0]! * 1.5, `${rates.join(' and ')} messages a second`);
+});
--- /dev/null
+++ b/packages/membership/src/index.ts
@@ -0,0 +1,8 @@
+export {
+	createMembership, listRecords, listServing, type MembershipOptions,
+} from './create.js';
+export {stepMembership} from './step.js';
+export {
+	GossipKind, InputKind, MemberStatus, OutputKind, RecordKind, type Gossip, type Input, type Membership, type Output, type Timing, type MemberRecord,
+} from './types.js';
+export {isNewer} from './records.js';
--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,23 @@
+export {
+	type AnnounceMessage, announceSchema, engineLoadSchema, type EngineLoad, UpstreamKind, type UpstreamDetails,
+} from './upstream.js';
+export {
+	EventIdError, formatEventId, parseEventId, type EventId,
+} from './event-id.js';
+export {
+	AttemptEnd, type Candidate, FateEventKind, FateOutcome, type FateEvent, type Fate,
+} from './fate.js';
+export {describeFate} from './describe-fate.js';
+export {
+	LinkKind, type LinkMessage, type LinkReply, ProposalError,
+} from './link-messages.js';
+export {
+	type ChatRequest, chatRequestSchema, type CompletionRequest, completionRequestSchema, createChunk, createCompletion,
+} from './openai/completions.js';
+export {
+	Ran, RefusalCode, RefusalError, formatRefusal, type Refusal, getRefusalStatus,
+} from './refusal.js';
+export {headerNames} from './headers.js';
+export {
+	defineSetting, readSettings, type SettingDefinition, type SettingValues,
+} from './settings.js';
--- /dev/null
+++ b/packages/protocol/src/link-messages.ts
@@ -0,0 +1,52 @@
+import {BaseError} from '@fescuestair/core';
+import {type FateEvent} from './fate.js';
+
+/** Kinds of messages between the system's own processes. */
+export enum LinkKind {
+	Agreement = 'agreement',
+	Gossip = 'gossip',
+	Propose = 'propose',
+	PollState = 'poll_state',
+	RecordFates = 'record_fates',
+	FindFates = 'find_fates',
+	FindPieces = 'find_pieces',
+	NotePieces = 'note_pieces',
+	Join = 'join',
+}
+
+/** Messages; the parts typed as unknown belong to the packages that read them. */
+export type LinkMessage
+	= | {readonly kind: LinkKind.Agreement; readonly groupId: string; readonly fromId: string; readonly fromAddress: string; readonly toId: string; readonly message: unknown}
+		| {readonly kind: LinkKind.Gossip; readonly fromId: string; readonly fromAddress: string; readonly gossip: unknown}
+	/** `timeFields` name the fields in which the leader turns milliseconds from now into group time. */
+		| {readonly kind: LinkKind.Propose; readonly command: unknown}
+		| {readonly kind: LinkKind.PollState; readonly publicVersion: number}
+		| {readonly kind: LinkKind.RecordFates; readonly events: readonly FateEvent[]}
+		| {readonly kind: LinkKind.FindFates; readonly requestId: string}
+		| {readonly kind: LinkKind.FindPieces; readonly hashes: readonly string[]}
+		| {readonly kind: LinkKind.NotePieces; readonly upstreamId: string; readonly hashes: readonly string[]; readonly isHeld: boolean}
+		| {readonly kind: LinkKind.Join; readonly id: string; readonly name: string; readonly address: string};
+
+export type LinkReply
+	= | {readonly kind: 'answer'; readonly answer: unknown}
+		| {readonly kind: 'not_leader'; readonly leaderAddress: string | undefined}
+		| {
+			readonly kind: 'state';
+			/** How old the knowledge may be at most; absent where the replica cannot tell. */
+			readonly ageMs: number | undefined;
+			readonly publicVersion: number;
+			readonly changes: readonly unknown[] | undefined;
+			readonly items: ReadonlyArray<readonly [string, unknown]> | undefined;
+			readonly leaderAddress: string | undefined;
+			readonly controlAddresses: readonly string[];
+		}
+		| {readonly kind: 'fates'; readonly events: readonly FateEvent[]}
+		| {readonly kind: 'pieces'; readonly holders: ReadonlyArray<readonly string[]>}
+		| {readonly kind: 'error'; readonly message: string};
+
+/** A proposal's fate: whether it may still be carried out. */
+export class ProposalError extends BaseError {
+	constructor(readonly isCertainlyLost: boolean, message: string) {
+		super('proposal', message);
+	}
+}
--- /dev/null
+++ b/packages/protocol/src/refusal.ts
@@ -0,0 +1,102 @@
+import {BaseError} from '@fescuestair/core';
+
+/** Whether a refused request ran at an upstream. */
+export enum Ran {
+	NotRun = 'not_run',
+	Ran = 'ran',
+	Unknown = 'unknown',
+}
+
+export enum RefusalCode {
+	BadRequest = 'bad_request',
+	BadJson = 'bad_json',
+	TooLarge = 'too_large',
+	TooSlow = 'too_slow',
+	Unauthorized = 'unauthorized',
+	NotFound = 'not_found',
+	MethodNotAllowed = 'method_not_allowed',
+	UnknownModel = 'unknown_model',
+	UnknownService = 'unknown_service',
+	KeyRequired = 'idempotency_key_required',
+	KeyReused = 'idempotency_key_reused',
+	LimitReached = 'limit_reached',
+	Overloaded = 'overloaded',
+	DeadlineTooShort = 'deadline_too_short',
+	DeadlinePassed = 'deadline_passed',
+	NoUpstream = 'no_upstream',
+	UpstreamFailed = 'upstream_failed',
+	Quarantined = 'quarantined',
+	OutcomeUnknown = 'outcome_unknown',
+	NotFresh = 'configuration_not_fresh',
+	NoQuorum = 'no_quorum',
+	NoPreset = 'no_preset',
+	ResumeGone = 'resume_gone',
+	Stopping = 'stopping',
+	Internal = 'internal',
+}
+
+const statuses: Readonly<Record<RefusalCode, number>> = {
+	[RefusalCode.BadRequest]: 400,
+	[RefusalCode.BadJson]: 400,
+	[RefusalCode.TooLarge]: 413,
+	[RefusalCode.TooSlow]: 408,
+	[RefusalCode.Unauthorized]: 401,
+	[RefusalCode.NotFound]: 404,
+	[RefusalCode.MethodNotAllowed]: 405,
+	[RefusalCode.UnknownModel]: 404,
+	[RefusalCode.UnknownService]: 404,
+	[RefusalCode.KeyRequired]: 400,
+	[RefusalCode.KeyReused]: 422,
+	[RefusalCode.LimitReached]: 429,
+	[RefusalCode.Overloaded]: 503,
+	[RefusalCode.DeadlineTooShort]: 503,
+	[RefusalCode.DeadlinePassed]: 504,
+	[RefusalCode.NoUpstream]: 503,
+	[RefusalCode.UpstreamFailed]: 502,
+	[RefusalCode.Quarantined]: 422,
+	[RefusalCode.OutcomeUnknown]: 504,
+	[RefusalCode.NotFresh]: 503,
+	[RefusalCode.NoQuorum]: 503,
+	[RefusalCode.NoPreset]: 503,
+	[RefusalCode.ResumeGone]: 410,
+	[RefusalCode.Stopping]: 503,
+	[RefusalCode.Internal]: 500,
+};
+
+/** The final answer to a request that is not served. */
+export type Refusal = {
+	readonly code: RefusalCode;
+	readonly message: string;
+	readonly ran: Ran;
+	/** Seconds after which asking again makes sense; absent where it never does. */
+	readonly retryAfterSeconds?: number;
+};
+
+/** Thrown where a request is given up; carries the final answer. */
+export class RefusalError extends BaseError {
+	constructor(readonly refusal: Refusal, options?: ErrorOptions) {
+		super(refusal.code, refusal.message, options);
+	}
+}
+
+/** Gets the HTTP status of a refusal. */
+export function getRefusalStatus(refusal: Refusal): number {
+	return statuses[refusal.code];
+}
+
+/**
+Formats a refusal as the JSON body that callers get; the shape is that of OpenAI's errors, with more fields.
+
+@example
+```
+formatRefusal({code: RefusalCode.Overloaded, message: 'all places are taken', ran: Ran.NotRun, retryAfterSeconds: 2}, 'r-1');
+```
+*/
+export function formatRefusal(refusal: Refusal, requestId: string): string {
+	const {code, message, ran, retryAfterSeconds} = refusal;
+	const error = {
+		message, type: 'refusal', code, ran, request_id: requestId, retry_after_seconds: retryAfterSeconds,
+	};
+
+	return JSON.stringify({error});
+}
--- /dev/null
+++ b/packages/state/src/index.ts
@@ -0,0 +1,16 @@
+export {applyCommand, createReplicatedState, type Applied} from './apply.js';
+export {countBucketMap, createBucketMap, type BucketMap} from './bucket-map.js';
+export {encodeClaimKey, maxClaimsPerOrganisation} from './claims.js';
+export {
+	ItemKind, itemSchemas, RequestClass, type ConfigItem, type ModelItem, type OrganisationItem, type PresetItem, type ServiceItem, type UpstreamPolicyItem,
+} from './config-items.js';
+export {parseDeclarations, type DeclarationFile, type Declarations} from './declarations.js';
+export {diffItems, formatDiff, type ItemDiff} from './diff.js';
+export {
+	applyPublicChange, createPublicState, findItem, getInForceName, getPresetInForce, inForceKey, isQuarantined, listItems, listPublicChanges, type PublicChange,
+	type PublicState,
+} from './public-state.js';
+export {decodeState, encodeState, type EncodedState} from './encode.js';
+export {
+	AnswerKind, ClaimPhase, CommandKind, type Answer, type Claim, type ClaimOutcome, type Command, type HistoryEntry, type ReplicatedState,
+} from './types.js';
--- /dev/null
+++ b/packages/transport/src/http.ts
@@ -0,0 +1,96 @@
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {Buffer} from 'node:buffer';
+import {
+	formatRefusal, getRefusalStatus, headerNames, Ran, RefusalCode, RefusalError, type Refusal,
+} from '@fescuestair/protocol';
+
+export type BodyLimits = {
+	readonly maxBytes: number;
+	/** Time for the whole body to arrive. */
+	readonly timeoutMs: number;
+};
+
+function createBodyError(code: RefusalCode, message: string): RefusalError {
+	return new RefusalError({code, message, ran: Ran.NotRun});
+}
+
+/**
+Reads a whole body within its limits; throws a `RefusalError` past them.
+
+@example
+```
+const body = await readBody(request, {maxBytes: 1_000_000, timeoutMs: 10_000});
+```
+*/
+export async function readBody(request: IncomingMessage, {maxBytes, timeoutMs}: BodyLimits): Promise<Uint8Array> {
+	const declared = Number(request.headers['content-length'] ?? 0);
+
+	if (declared > maxBytes) {
+		throw createBodyError(RefusalCode.TooLarge, `the body may have at most ${maxBytes} bytes`);
+	}
+
+	return new Promise((resolve, reject) => {
+		const chunks: Uint8Array[] = [];
+		let size = 0;
+
+		const finish = (error?: Error) => {
+			clearTimeout(timer);
+			request.off('data', onData);
+
+			if (error === undefined) {
+				resolve(Buffer.concat(chunks));
+			} else {
+				reject(error);
+			}
+		};
+
+		const onData = (chunk: Uint8Array) => {
+			size += chunk.length;
+			chunks.push(chunk);
+
+			if (size > maxBytes) {
+				finish(createBodyError(RefusalCode.TooLarge, `the body may have at most ${maxBytes} bytes`));
+			}
+		};
+
+		const timer = setTimeout(() => {
+			finish(createBodyError(RefusalCode.TooSlow, `the body did not arrive within ${timeoutMs} ms`));
+		}, timeoutMs);
+
+		request.on('data', onData);
+		request.once('end', () => {
+			finish();
+		});
+		request.once('error', finish);
+		request.once('close', () => {
+			finish(createBodyError(RefusalCode.BadRequest, 'the connection closed before the body had arrived'));
+		});
+	});
+}
+
+/** Sends a JSON answer. */
+export function sendJson(response: ServerResponse, status: number, value: unknown, headers: Readonly<Record<string, string>> = {}): void {
+	const body = Buffer.from(JSON.stringify(value));
+	response.writeHead(status, {'content-type': 'application/json', 'content-length': body.length, ...headers});
+	response.end(body);
+}
+
+/** Sends a refusal; closes the connection where the body was not read to its end. */
+export function sendRefusal(response: ServerResponse, refusal: Refusal, requestId: string): void {
+	if (response.headersSent || response.destroyed) {
+		response.destroy();
+
+		return;
+	}
+
+	const body = Buffer.from(formatRefusal(refusal, requestId));
+	response.writeHead(getRefusalStatus(refusal), {
+		'content-type': 'application/json',
+		'content-length': body.length,
+		[headerNames.requestId]: requestId,
+		[headerNames.ran]: refusal.ran,
+		...(refusal.retryAfterSeconds !== undefined && {'retry-after': String(refusal.retryAfterSeconds)}),
+		...(!response.req.complete && {connection: 'close'}),
+	});
+	response.end(body);
+}
--- /dev/null
+++ b/packages/transport/src/index.ts
@@ -0,0 +1,13 @@
+export {loadClusterKeys, parseClusterKeys, type ClusterKeys} from './cluster-keys.js';
+export {
+	createLinkServer, type LinkHandler, type LinkServer, type LinkServerOptions,
+} from './link-server.js';
+export {
+	createLinks, LinkLostError, type Links, type LinksOptions,
+} from './links.js';
+export {parseAddress, type Address} from './address.js';
+export {
+	readBody, sendJson, sendRefusal, type BodyLimits,
+} from './http.js';
+export {createKeyRing, digestKey, type KeyRing} from './key-ring.js';
+export {createEventReader, type ServerSentEvent} from './event-reader.js';
--- /dev/null
+++ b/packages/transport/src/link-server.ts
@@ -0,0 +1,84 @@
+import tls, {type TLSSocket} from 'node:tls';
+import {once} from 'node:events';
+import {FrameKind, openFrameChannel, type Frame} from './link-frames.js';
+import {keepAlive} from './link-liveness.js';
+import {linkCiphers} from './link-timing.js';
+import {type Address} from './address.js';
+import {type ClusterKeys} from './cluster-keys.js';
+
+/** Handles a message; `reply` is absent where no answer is awaited. */
+export type LinkHandler = (message: unknown, reply: ((answer: unknown) => void) | undefined) => void;
+
+export type LinkServerOptions = {
+	readonly listen: Address;
+	/** Read at each handshake, so that keys can be rotated without a stop. */
+	readonly getKeys: () => ClusterKeys;
+	readonly onMessage: LinkHandler;
+	readonly onError?: (error: Error) => void;
+};
+
+export type LinkServer = {
+	readonly port: number;
+	readonly close: () => Promise<void>;
+};
+
+/**
+Creates the listener for links from the system's other processes. Both sides prove that they hold a cluster key.
+
+@example
+```
+const server = await createLinkServer({listen, getKeys: () => keys, onMessage: (message, reply) => reply?.('pong')});
+```
+*/
+export async function createLinkServer(options: LinkServerOptions): Promise<LinkServer> {
+	const {listen, getKeys, onMessage, onError = () => undefined} = options;
+	const sockets = new Set<TLSSocket>();
+	const server = tls.createServer({
+		ciphers: linkCiphers,
+		maxVersion: 'TLSv1.2',
+
+		pskCallback: (_socket, identity) => (getKeys().keys.get(identity) ?? null),
+	});
+
+	server.on('secureConnection', socket => {
+		sockets.add(socket);
+		serveSocket(socket, onMessage);
+		socket.on('close', () => {
+			sockets.delete(socket);
+		});
+		socket.on('error', onError);
+	});
+	server.on('tlsClientError', onError);
+	server.listen(listen.port, listen.host);
+	await once(server, 'listening');
+	const address = server.address();
+
+	return {
+		port: typeof address === 'object' && address !== null ? address.port : listen.port,
+		async close() {
+			const closed = once(server, 'close');
+			server.close();
+
+			for (const socket of sockets) {
+				socket.destroy();
+			}
+
+			await closed;
+		},
+	};
+}
+
+function serveSocket(socket: TLSSocket, onMessage: LinkHandler): void {
+	socket.setNoDelay(true);
+	const channel = openFrameChannel(socket, ([kind, callId, body]: Frame) => {
+		if (kind === FrameKind.Call) {
+			onMessage(body, answer => {
+				channel.write([FrameKind.Reply, callId, answer]);
+			});
+		} else if (kind === FrameKind.OneWay) {
+			onMessage(body, undefined);
+		}
+	});
+
+	keepAlive(socket, channel);
+}
