--- /dev/null
+++ b/packages/cli/src/declaration-files.ts
@@ -0,0 +1,39 @@
+import fs from 'node:fs/promises';
+import path from 'node:path';
+import {createFinding, FindingsError} from '@fescuestair/core';
+import {parseDeclarations, type ConfigItem, type DeclarationFile} from '@fescuestair/state';
+
+/** Loads declarations from files and folders; throws a `FindingsError` with everything wrong in any of them. */
+export async function loadDeclarations(paths: readonly string[]): Promise<ReadonlyMap<string, ConfigItem>> {
+	const names = await Promise.all(paths.map(async one => listFiles(one)));
+	const files = await Promise.all(names.flat().map(async file => readDeclarationFile(file)));
+	const {items, findings} = parseDeclarations(files);
+
+	if (findings.length > 0) {
+		throw new FindingsError(findings);
+	}
+
+	return items;
+}
+
+async function listFiles(target: string): Promise<string[]> {
+	try {
+		const names = await fs.readdir(target);
+
+		return names.filter(name => /\.(?:ya?ml|json)$/v.test(name)).toSorted().map(name => path.join(target, name));
+	} catch (error) {
+		if ((error as NodeJS.ErrnoException).code === 'ENOTDIR') {
+			return [target];
+		}
+
+		throw new FindingsError([createFinding(target, 'cannot be read')]);
+	}
+}
+
+async function readDeclarationFile(file: string): Promise<DeclarationFile> {
+	try {
+		return {path: file, text: await fs.readFile(file, 'utf8')};
+	} catch {
+		throw new FindingsError([createFinding(file, 'cannot be read')]);
+	}
+}
--- /dev/null
+++ b/packages/cli/src/format-fate.ts
@@ -0,0 +1,64 @@
+import {
+	FateEventKind, type Candidate, type Fate, type FateEvent,
+} from '@fescuestair/protocol';
+
+/** Formats the fate of a request for people. */
+export function formatFate(fate: Fate): string {
+	const startMs = fate.events[0]?.atMs ?? 0;
+	const lines = fate.events.map(event => `  ${formatTime(event.atMs, startMs)}  ${describeEvent(event)}`);
+
+	return [
+		`request       ${fate.requestId}`,
+		`organisation  ${fate.organisation ?? 'unknown'}`,
+		`outcome       ${fate.summary}`,
+		...lines,
+	].join('\n');
+}
+
+function formatTime(atMs: number, startMs: number): string {
+	return `${new Date(atMs).toISOString()} +${String(atMs - startMs).padStart(6)} ms`;
+}
+
+function describeEvent(event: FateEvent): string {
+	switch (event.kind) {
+		case FateEventKind.Begun: {
+			return `begun at ${event.entryId}: ${event.requestClass} ${event.target}, ${event.promptTokens} prompt tokens, preset ${event.preset}`;
+		}
+
+		case FateEventKind.Planned: {
+			const weighed = event.candidates.map(candidate => describeCandidate(candidate));
+
+			return `planned for ${event.chosenId}, ${event.reason}: ${weighed.join('; ')}`;
+		}
+
+		case FateEventKind.Claimed: {
+			return `claimed at a majority under fencing token ${event.token}`;
+		}
+
+		case FateEventKind.Dispatched: {
+			return `attempt ${event.attempt} sent to ${event.upstreamId}`;
+		}
+
+		case FateEventKind.FirstToken: {
+			return `attempt ${event.attempt} gave its first token`;
+		}
+
+		case FateEventKind.AttemptEnded: {
+			const detail = event.detail === '' ? '' : `: ${event.detail}`;
+
+			return `attempt ${event.attempt} ended: ${event.end} after ${event.offset} tokens${detail}`;
+		}
+
+		case FateEventKind.Finished: {
+			const code = event.code === undefined ? '' : ` ${event.code}`;
+
+			return `finished: ${event.outcome}${code}, status ${event.status}, ${event.ran}, ${event.tokens} tokens`;
+		}
+	}
+}
+
+function describeCandidate({upstreamId, cost, queueMs, fetchMs, prefillMs, recomputedTokens}: Candidate): string {
+	const times = `queue ${Math.round(queueMs)} ms, fetch ${Math.round(fetchMs)} ms, prefill ${Math.round(prefillMs)} ms`;
+
+	return `${upstreamId} ${cost.toFixed(3)} (${times}, recompute ${recomputedTokens} tokens)`;
+}
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,2 @@
+export {createProgram} from './program.js';
+export {ExitCode} from './exit-codes.js';
--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import {createProgram} from './program.js';
+
+await createProgram().parseAsync();
--- /dev/null
+++ b/packages/cli/src/program.ts
@@ -0,0 +1,31 @@
+import {Command} from 'commander';
+import {addConfigCommands} from './config-commands.js';
+import {addControlCommands} from './control-commands.js';
+import {addPresetCommands} from './preset-commands.js';
+import {addTraceCommands} from './trace-commands.js';
+
+const version = '0.1.0';
+
+const examples = `
+Examples:
+  fescuestair config apply declarations/ --dry-run
+  fescuestair preset apply peak
+  fescuestair trace r-0mabcdefg-9f86d081884c7d65
+  fescuestair status --json
+
+--control and --key may be given as FESCUESTAIR_CONTROL and FESCUESTAIR_OPERATOR_KEY.
+Exit codes: 0 done, 1 failed, 2 wrong flags or declarations, 3 another change came first, 4 not found.`;
+
+/** Creates the program with all its commands. */
+export function createProgram(): Command {
+	const program = new Command('fescuestair')
+		.description('Operators\' and support engineers\' command line of fescuestair')
+		.version(version)
+		.addHelpText('after', examples);
+	addPresetCommands(program);
+	addConfigCommands(program);
+	addControlCommands(program);
+	addTraceCommands(program);
+
+	return program;
+}
--- /dev/null
+++ b/packages/cli/src/run-command.ts
@@ -0,0 +1,51 @@
+import process from 'node:process';
+import {type Command, Option} from 'commander';
+import {BaseError, FindingsError, formatFindings} from '@fescuestair/core';
+import {type ClientOptions} from './client.js';
+import {ExitCode} from './exit-codes.js';
+
+type CommonFlags = {readonly control: string; readonly key?: string; readonly json?: boolean};
+
+/** What a command returns: text for people, a value for programs, and its exit code. */
+export type CommandResult = {
+	readonly text: string;
+	readonly value: unknown;
+	readonly exitCode?: ExitCode;
+};
+
+/** Adds the flags that reach the system. */
+export function addCommonOptions(command: Command): Command {
+	return command
+		.addOption(new Option('--control <addresses>', 'operator listeners of control replicas, separated by commas').env('FESCUESTAIR_CONTROL').default('127.0.0.1:7300'))
+		.addOption(new Option('--key <key>', 'operator key').env('FESCUESTAIR_OPERATOR_KEY'))
+		.option('--json', 'print one JSON value for programs');
+}
+
+/** Runs a command, prints its result and sets the exit code. */
+export async function runCommand(command: Command, run: (options: ClientOptions) => Promise<CommandResult>): Promise<void> {
+	const {control, key, json = false} = command.optsWithGlobals<CommonFlags>();
+
+	if (key === undefined) {
+		console.error('an operator key is needed: --key or FESCUESTAIR_OPERATOR_KEY');
+		process.exitCode = ExitCode.Usage;
+
+		return;
+	}
+
+	try {
+		const result = await run({addresses: control.split(','), key});
+		console.log(json ? JSON.stringify(result.value) : result.text);
+		process.exitCode = result.exitCode ?? ExitCode.Done;
+	} catch (error) {
+		console.error(describeError(error));
+		process.exitCode = error instanceof FindingsError ? ExitCode.Usage : ExitCode.Failed;
+	}
+}
+
+function describeError(error: unknown): string {
+	if (error instanceof FindingsError) {
+		return formatFindings(error.findings);
+	}
+
+	return error instanceof BaseError ? error.message : String(error);
+}
--- /dev/null
+++ b/packages/control/src/index.ts
@@ -0,0 +1,3 @@
+export {createControl, type Control, type ControlOptions} from './control.js';
+export {type OperatorRouter} from './operator-router.js';
+export {type InstanceRow, type StatusReport} from './reports.js';
--- /dev/null
+++ b/packages/control/src/leader-client.ts
@@ -0,0 +1,34 @@
+import {ProposalError, LinkKind, type LinkReply} from '@fescuestair/protocol';
+import {type Links} from '@fescuestair/transport';
+import {type Request} from '@fescuestair/state';
+
+type LeaderClientOptions = {
+	readonly links: Links;
+	readonly proposeHere: (request: Request) => Promise<unknown>;
+	readonly findLeaderAddress: () => string | undefined;
+};
+
+const callTimeoutMs = 5000;
+
+/** Proposes at the leader, wherever it is. */
+export async function proposeAtLeader(options: LeaderClientOptions, request: Request): Promise<unknown> {
+	const {links, proposeHere, findLeaderAddress} = options;
+
+	try {
+		return await proposeHere(request);
+	} catch (error) {
+		const address = findLeaderAddress();
+
+		if (!(error instanceof ProposalError && error.message === 'not_leader') || address === undefined) {
+			throw error;
+		}
+
+		const reply = await links.call(address, {kind: LinkKind.Propose, command: request}, callTimeoutMs) as LinkReply;
+
+		if (reply.kind !== 'answer') {
+			throw new ProposalError(reply.kind === 'not_leader', 'there is no leader now');
+		}
+
+		return reply.answer;
+	}
+}
--- /dev/null
+++ b/packages/control/src/link-handler.ts
@@ -0,0 +1,113 @@
+import {type PeerMessage} from '@fescuestair/agreement';
+import {
+	LinkKind, ProposalError, type LinkMessage, type LinkReply,
+} from '@fescuestair/protocol';
+import {type FateStore} from '@fescuestair/fates';
+import {type GossipHost} from '@fescuestair/runtime';
+import {type LinkHandler} from '@fescuestair/transport';
+import {listPublicChanges, type Request} from '@fescuestair/state';
+import {type ReplicaRunner} from './replica-runner.js';
+import {type StateHost} from './state-host.js';
+
+export type LinkHandlerOptions = {
+	readonly runner: ReplicaRunner;
+	readonly host: StateHost;
+	readonly gossip: GossipHost;
+	readonly fates: FateStore;
+	readonly propose: (request: Request) => Promise<unknown>;
+	readonly findLeaderAddress: () => string | undefined;
+	readonly acceptAgreement: (message: Extract<LinkMessage, {kind: LinkKind.Agreement}>) => boolean;
+	readonly noteJoin: (message: Extract<LinkMessage, {kind: LinkKind.Join}>) => void;
+};
+
+/** Creates the handler of messages from other processes. */
+export function createLinkHandler(options: LinkHandlerOptions): LinkHandler {
+	const {
+		runner, host, gossip, fates, propose, findLeaderAddress, acceptAgreement, noteJoin,
+	} = options;
+
+	const answerProposal = async (request: Request): Promise<LinkReply> => {
+		try {
+			return {kind: 'answer', answer: await propose(request)};
+		} catch (error) {
+			const isRefused = error instanceof ProposalError && error.isCertainlyLost;
+
+			return isRefused ? {kind: 'not_leader', leaderAddress: findLeaderAddress()} : {kind: 'error', message: String(error)};
+		}
+	};
+
+	const answerFates = async (requestId: string): Promise<LinkReply> => ({kind: 'fates', events: await fates.findEvents(requestId)});
+
+	const answerState = (publicVersion: number): LinkReply => {
+		const {publicState, recentChanges} = host.getState();
+		const changes = listPublicChanges(recentChanges, publicVersion, publicState.version);
+
+		return {
+			kind: 'state',
+			ageMs: runner.canServeReads() ? 0 : undefined,
+			publicVersion: publicState.version,
+			changes,
+			items: changes === undefined && publicState.version > publicVersion ? [...publicState.items] : undefined,
+			leaderAddress: findLeaderAddress(),
+			controlAddresses: runner.getState().members.map(member => member.address),
+		};
+	};
+
+	return (body, reply) => {
+		const message = body as LinkMessage;
+
+		switch (message.kind) {
+			case LinkKind.Agreement: {
+				if (acceptAgreement(message)) {
+					runner.receive(message.fromId, message.message as PeerMessage);
+				}
+
+				break;
+			}
+
+			case LinkKind.Gossip: {
+				gossip.receive(message);
+				break;
+			}
+
+			case LinkKind.Propose: {
+				void replyWith(reply, answerProposal(message.command as Request));
+				break;
+			}
+
+			case LinkKind.PollState: {
+				reply?.(answerState(message.publicVersion));
+				break;
+			}
+
+			case LinkKind.RecordFates: {
+				fates.append(message.events);
+				break;
+			}
+
+			case LinkKind.FindFates: {
+				void replyWith(reply, answerFates(message.requestId));
+				break;
+			}
+
+			case LinkKind.Join: {
+				noteJoin(message);
+				break;
+			}
+
+			case LinkKind.FindPieces:
+			case LinkKind.NotePieces: {
+				reply?.({kind: 'error', message: 'pieces are kept by entries'});
+				break;
+			}
+		}
+	};
+}
+
+async function replyWith(reply: ((answer: unknown) => void) | undefined, answer: Promise<LinkReply>): Promise<void> {
+	try {
+		reply?.(await answer);
+	} catch (error) {
+		reply?.({kind: 'error', message: String(error)});
+	}
+}
--- /dev/null
+++ b/packages/control/src/operator-server.ts
@@ -0,0 +1,43 @@
+import http from 'node:http';
+import {once} from 'node:events';
+import {createHTTPHandler} from '@trpc/server/adapters/standalone';
+import {sendJson, type Address, type KeyRing} from '@fescuestair/transport';
+import {createOperatorRouter, type OperatorBackend} from './operator-router.js';
+
+export type OperatorServerOptions = {
+	readonly listen: Address;
+	readonly getKeys: () => KeyRing;
+	readonly backend: OperatorBackend;
+	readonly isReady: () => boolean;
+};
+
+/** Creates the operators' listener. */
+export async function createOperatorServer(options: OperatorServerOptions) {
+	const {listen, getKeys, backend, isReady} = options;
+	const handle = createHTTPHandler({
+		router: createOperatorRouter(backend),
+		createContext: ({req}) => ({actor: getKeys().findOwner(req.headers.authorization) ?? ''}),
+	});
+	const server = http.createServer((request, response) => {
+		if (request.url === '/healthz') {
+			sendJson(response, 200, {status: 'alive'});
+		} else if (request.url === '/readyz') {
+			sendJson(response, isReady() ? 200 : 503, {ready: isReady()});
+		} else if (getKeys().findOwner(request.headers.authorization) === undefined) {
+			sendJson(response, 401, {error: {code: 'unauthorized', message: 'an operator key is needed'}});
+		} else {
+			handle(request, response);
+		}
+	});
+	server.listen(listen.port, listen.host);
+	await once(server, 'listening');
+
+	return {
+		async close() {
+			const closed = once(server, 'close');
+			server.close();
+			server.closeAllConnections();
+			await closed;
+		},
+	};
+}
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,1 @@
+export {settingDefinitions, checkSettings, type DaemonSettings} from './daemon-settings.js';
--- /dev/null
+++ b/packages/demo/src/system.ts
@@ -0,0 +1,326 @@
+import {createHash, randomBytes} from 'node:crypto';
+import fs from 'node:fs/promises';
+import net, {type AddressInfo} from 'node:net';
+import {once} from 'node:events';
+import os from 'node:os';
+import path from 'node:path';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {fileURLToPath} from 'node:url';
+import {request} from 'undici';
+import {startProcess, type ChildProcess} from './processes.js';
+
+export type SystemOptions = {
+	readonly entries?: number;
+	readonly controls?: number;
+	readonly engines?: number;
+	readonly services?: number;
+	readonly entryFlags?: readonly string[];
+	readonly controlFlags?: readonly string[];
+	readonly engineFlags?: readonly string[];
+};
+
+export type EntryProcess = {readonly process: ChildProcess; readonly address: string; readonly upstreamAddress: string; readonly peerAddress: string; readonly name: string};
+export type ControlProcess = {readonly process: ChildProcess; readonly operatorAddress: string; readonly peerAddress: string; readonly name: string; readonly dataFolder: string};
+export type UpstreamProcess = {readonly process: ChildProcess; readonly id: string; readonly address: string};
+
+/** A whole system of processes on this machine, for the demonstration and for tests of failures. */
+export type System = {
+	readonly folder: string;
+	readonly organisationKey: string;
+	readonly otherOrganisationKey: string;
+	readonly journal: string;
+	readonly entries: EntryProcess[];
+	readonly controls: ControlProcess[];
+	readonly engines: UpstreamProcess[];
+	readonly services: UpstreamProcess[];
+	readonly startEntry: (index: number) => Promise<EntryProcess>;
+	readonly startControl: (index: number) => Promise<ControlProcess>;
+	readonly startEngine: (index: number, flags?: readonly string[]) => Promise<UpstreamProcess>;
+	readonly runCli: (flags: readonly string[]) => Promise<{readonly code: number | undefined; readonly output: string}>;
+	readonly waitUntilReady: () => Promise<void>;
+	readonly stop: () => Promise<void>;
+};
+
+const zones = ['north', 'south', 'east'];
+const readyTimeoutMs = 20_000;
+const pollMs = 50;
+
+function resolveProgram(specifier: string): string {
+	return fileURLToPath(new URL('main.js', import.meta.resolve(specifier)));
+}
+
+async function findFreePort(): Promise<number> {
+	const server = net.createServer();
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const {port} = server.address() as AddressInfo;
+	server.close();
+	await once(server, 'close');
+
+	return port;
+}
+
+async function findAddress(): Promise<string> {
+	return `127.0.0.1:${await findFreePort()}`;
+}
+
+function createKey(): string {
+	return randomBytes(16).toString('hex');
+}
+
+function digest(key: string): string {
+	return createHash('sha256').update(key).digest('hex');
+}
+
+function createDeclarations(okahandjaKey: string, antioquiaKey: string): string {
+	const preset = (name: string, long: number, description: string) => `kind: preset
+name: ${name}
+description: ${description}
+weights: {firstToken: 1, recompute: 0.1, link: 0.02}
+limits:
+  short: {concurrent: 100, perSecond: 200}
+  long: {concurrent: ${long}, perSecond: 20}
+  service: {concurrent: 100, perSecond: 200}
+`;
+	const organisation = (name: string, key: string) => `kind: organisation
+name: ${name}
+keyDigests: [${digest(key)}]
+`;
+
+	return [
+		preset('ordinary', 20, 'an ordinary day'),
+		preset('peak', 8, 'fewer long prompts at once'),
+		preset('maintenance', 1, 'hardly any long prompts'),
+		organisation('okahandja', okahandjaKey),
+		organisation('antioquia', antioquiaKey),
+		'kind: model\nname: assistant\n',
+		'kind: service\nname: work-orders\n',
+	].join('---\n');
+}
+
+/**
+Starts control replicas, entries and stand-ins, opens the group, adds the replicas and applies a configuration.
+
+@example
+```
+const system = await startSystem({entries: 2, controls: 1});
+await system.stop();
+```
+*/
+export async function startSystem(options: SystemOptions = {}): Promise<System> {
+	const {
+		entries: entryCount = 2, controls: controlCount = 1, engines: engineCount = 1, services: serviceCount = 1, entryFlags = [], controlFlags = [], engineFlags = [],
+	} = options;
+	const folder = await fs.mkdtemp(path.join(os.tmpdir(), 'fescuestair-'));
+	const organisationKey = createKey();
+	const otherOrganisationKey = createKey();
+	const joinKey = createKey();
+	const operatorKey = createKey();
+	const files = {
+		cluster: path.join(folder, 'cluster.keys'),
+		join: path.join(folder, 'join.keys'),
+		operator: path.join(folder, 'operator.keys'),
+		declarations: path.join(folder, 'declarations.yaml'),
+		journal: path.join(folder, 'journal'),
+	};
+	await fs.writeFile(files.cluster, `k1:${createKey()}${createKey()}\n`);
+	await fs.writeFile(files.join, `standins:${digest(joinKey)}\n`);
+	await fs.writeFile(files.operator, `ana:${digest(operatorKey)}\n`);
+	await fs.writeFile(files.declarations, createDeclarations(organisationKey, otherOrganisationKey));
+	await fs.writeFile(files.journal, '');
+	const entryAddresses = await Promise.all(Array.from({length: entryCount}, async () => ({
+		address: await findAddress(), upstreamAddress: await findAddress(), peerAddress: await findAddress(),
+	})));
+	const controlAddresses = await Promise.all(Array.from({length: controlCount}, async () => ({operatorAddress: await findAddress(), peerAddress: await findAddress()})));
+	const engineAddresses = await Promise.all(Array.from({length: engineCount + 4}, findAddress));
+	const peerAddresses = controlAddresses.map(one => one.peerAddress).join(',');
+	const upstreamListeners = entryAddresses.map(one => one.upstreamAddress).join(',');
+	const entries: EntryProcess[] = [];
+	const controls: ControlProcess[] = [];
+	const engines: UpstreamProcess[] = [];
+	const services: UpstreamProcess[] = [];
+
+	const startControl = async (index: number): Promise<ControlProcess> => {
+		const addresses = controlAddresses[index]!;
+		const name = `control-${index + 1}`;
+		const dataFolder = path.join(folder, name);
+		await fs.mkdir(dataFolder, {recursive: true});
+		const child = startProcess(resolveProgram('@fescuestair/daemon'), [
+			'--role',
+			'control',
+			'--name',
+			name,
+			'--availability-zone',
+			zones[index % zones.length]!,
+			'--data-folder',
+			dataFolder,
+			'--peer-listen',
+			addresses.peerAddress,
+			'--operator-listen',
+			addresses.operatorAddress,
+			'--control',
+			peerAddresses,
+			'--cluster-keys-file',
+			files.cluster,
+			'--operator-keys-file',
+			files.operator,
+			...controlFlags,
+		]);
+		const started = {
+			...addresses, process: child, name, dataFolder,
+		};
+		controls[index] = started;
+
+		return started;
+	};
+
+	const startEntry = async (index: number): Promise<EntryProcess> => {
+		const addresses = entryAddresses[index]!;
+		const name = `entry-${index + 1}`;
+		const child = startProcess(resolveProgram('@fescuestair/daemon'), [
+			'--role',
+			'entry',
+			'--name',
+			name,
+			'--availability-zone',
+			zones[index % zones.length]!,
+			'--listen',
+			addresses.address,
+			'--upstream-listen',
+			addresses.upstreamAddress,
+			'--peer-listen',
+			addresses.peerAddress,
+			'--control',
+			peerAddresses,
+			'--cluster-keys-file',
+			files.cluster,
+			'--join-keys-file',
+			files.join,
+			'--keep-entries-ms',
+			'1000',
+			...entryFlags,
+		]);
+		const started = {...addresses, process: child, name};
+		entries[index] = started;
+
+		return started;
+	};
+
+	const startUpstream = (list: UpstreamProcess[], index: number, {id, flags, address}: {id: string; flags: readonly string[]; address: string}): UpstreamProcess => {
+		const child = startProcess(resolveProgram('@fescuestair/standins'), [
+			'--id', id, '--listen', address, '--zone', zones[index % zones.length]!, '--entries', upstreamListeners, '--join-key', joinKey, ...flags,
+		]);
+		const started = {process: child, id, address};
+		list[index] = started;
+
+		return started;
+	};
+
+	const startEngine = async (index: number, flags: readonly string[] = engineFlags) => startUpstream(engines, index, {
+		id: `engine-${index + 1}`, flags: ['--kind', 'engine', ...flags], address: engineAddresses[index]!,
+	});
+
+	const runCli = async (flags: readonly string[]) => {
+		const child = startProcess(resolveProgram('@fescuestair/cli'), flags, {
+			FESCUESTAIR_CONTROL: controlAddresses.map(one => one.operatorAddress).join(','), FESCUESTAIR_OPERATOR_KEY: operatorKey, // eslint-disable-line @typescript-eslint/naming-convention
+		});
+		const code = await child.waitForExit();
+		await sleep(pollMs);
+
+		return {code, output: child.readOutput().trim()};
+	};
+
+	const runCliUntilDone = async (flags: readonly string[]) => {
+		let last = {code: undefined as number | undefined, output: ''};
+
+		for (let turn = 0; turn < 40; turn++) {
+			last = await runCli(flags);
+
+			if (last.code === 0) {
+				return;
+			}
+
+			await sleep(pollMs);
+		}
+
+		throw new Error(`fescuestair ${flags.join(' ')}: ${last.output}`);
+	};
+
+	const isEntryReady = async ({address}: EntryProcess, upstreams: number) => {
+		try {
+			const ready = await request(`http://${address}/readyz`);
+			const body = await ready.body.json() as {readonly upstreams: number};
+
+			return ready.statusCode === 200 && body.upstreams >= upstreams;
+		} catch {
+			return false;
+		}
+	};
+
+	const waitUntilReady = async () => {
+		const deadlineMs = Date.now() + readyTimeoutMs;
+		const wanted = engines.length + services.length;
+
+		while (Date.now() < deadlineMs) {
+			const running = entries.filter(entry => entry.process.isRunning());
+			const ready = await Promise.all(running.map(async entry => isEntryReady(entry, wanted)));
+
+			if (ready.every(Boolean)) {
+				return;
+			}
+
+			await sleep(pollMs);
+		}
+
+		throw new Error(`the system was not ready within ${readyTimeoutMs} ms:\n${[...entries, ...controls].map(one => one.process.readOutput()).join('\n')}`);
+	};
+
+	for (let index = 0; index < controlCount; index++) {
+		await startControl(index);
+	}
+
+	await Promise.all(Array.from({length: entryCount}, async (_, index) => startEntry(index)));
+	await Promise.all(Array.from({length: engineCount}, async (_, index) => startEngine(index)));
+
+	for (let index = 0; index < serviceCount; index++) {
+		startUpstream(services, index, {
+			id: `service-${index + 1}`, flags: ['--kind', 'service', '--service', 'work-orders', '--journal', files.journal], address: await findAddress(),
+		});
+	}
+
+	await runCliUntilDone(['control', 'init', '--control', controlAddresses[0]!.operatorAddress]);
+
+	for (let index = 1; index < controlCount; index++) {
+		await runCliUntilDone(['control', 'add', `control-${index + 1}`, '--control', controlAddresses[0]!.operatorAddress]);
+	}
+
+	await runCliUntilDone(['config', 'apply', files.declarations, '--preset', 'ordinary']);
+	await waitUntilReady();
+
+	return {
+		folder,
+		organisationKey,
+		otherOrganisationKey,
+		journal: files.journal,
+		entries,
+		controls,
+		engines,
+		services,
+		startEntry,
+		startControl,
+		startEngine,
+		runCli,
+		waitUntilReady,
+		async stop() {
+			const all = [...entries, ...controls, ...engines, ...services].map(one => one.process).filter(child => child.isRunning());
+
+			for (const child of all) {
+				child.kill('SIGCONT');
+				child.kill('SIGKILL');
+			}
+
+			await Promise.all(all.map(async child => child.waitForExit()));
+			await fs.rm(folder, {recursive: true, force: true});
+		},
+	};
+}
--- /dev/null
+++ b/packages/entry/src/answer-writer.ts
@@ -0,0 +1,119 @@
+import {type ServerResponse} from 'node:http';
+import {once} from 'node:events';
+import {
+	createChunk, createCompletion, formatEventId, formatRefusal, headerNames, type Refusal,
+} from '@fescuestair/protocol';
+import {sendJson} from '@fescuestair/transport';
+import {type PromptEvent} from './prompt-run.js';
+
+/** Writes an answer to a caller. */
+export type AnswerWriter = {
+	readonly write: (event: PromptEvent) => Promise<void>;
+	readonly finish: () => void;
+	/** Ends an answer that has begun without pretending that it is whole. */
+	readonly abort: (refusal: Refusal) => void;
+	readonly hasBegun: () => boolean;
+};
+
+export type AnswerInput = {
+	readonly response: ServerResponse;
+	readonly requestId: string;
+	readonly model: string;
+	readonly isChat: boolean;
+	readonly promptTokens: number;
+	readonly createdSeconds: number;
+	readonly includesUsage: boolean;
+};
+
+/** Creates a writer of server-sent events, each with an id to resume from. */
+export function createStreamWriter(input: AnswerInput): AnswerWriter {
+	const {
+		response, requestId, model, isChat, createdSeconds, promptTokens, includesUsage,
+	} = input;
+	let isFirst = true;
+	let offset = 0;
+
+	return {
+		async write(event) {
+			if (isFirst) {
+				response.writeHead(200, {'content-type': 'text/event-stream', 'cache-control': 'no-store', [headerNames.requestId]: requestId});
+			}
+
+			const id = formatEventId({
+				requestId, upstreamId: event.upstreamId, attempt: event.attempt, offset: event.offset,
+			});
+			const chunk = createChunk({
+				requestId, model, isChat, createdSeconds, text: event.text, isFirst, finishReason: event.finishReason,
+			});
+			isFirst = false;
+			offset = event.offset;
+
+			if (!response.write(`id: ${id}\ndata: ${JSON.stringify(chunk)}\n\n`)) {
+				await Promise.race([once(response, 'drain'), once(response, 'close')]);
+			}
+		},
+		finish() {
+			if (includesUsage) {
+				const usage = createUsageChunk({
+					requestId, model, createdSeconds, isChat, promptTokens, completionTokens: offset,
+				});
+				response.write(`data: ${JSON.stringify(usage)}\n\n`);
+			}
+
+			response.end('data: [DONE]\n\n');
+		},
+		abort(refusal) {
+			// The error event says what became of it; the broken end keeps clients that pass over it from taking a part for the whole.
+			response.write(`event: error\ndata: ${formatRefusal(refusal, requestId)}\n\n`, () => {
+				response.destroy();
+			});
+		},
+		hasBegun: () => !isFirst,
+	};
+}
+
+type UsageInput = {
+	readonly requestId: string;
+	readonly model: string;
+	readonly createdSeconds: number;
+	readonly isChat: boolean;
+	readonly promptTokens: number;
+	readonly completionTokens: number;
+};
+
+function createUsageChunk(input: UsageInput): Record<string, unknown> {
+	const {choices: _choices, ...rest} = createChunk({
+		...input, text: '', isFirst: false, finishReason: undefined,
+	});
+	const whole = createCompletion({...input, text: '', finishReason: 'stop'});
+
+	return {...rest, choices: [], usage: whole.usage};
+}
+
+/** Creates a writer that sends the whole answer as one JSON body. */
+export function createWholeWriter(input: AnswerInput): AnswerWriter {
+	const {
+		response, requestId, model, isChat, createdSeconds, promptTokens,
+	} = input;
+	let text = '';
+	let offset = 0;
+	let finishReason = 'stop';
+
+	return {
+		async write(event) {
+			text += event.text;
+			offset = event.offset;
+			finishReason = event.finishReason ?? finishReason;
+		},
+		finish() {
+			const completion = createCompletion({
+				requestId, model, isChat, createdSeconds, text, finishReason, promptTokens, completionTokens: offset,
+			});
+			sendJson(response, 200, completion, {[headerNames.requestId]: requestId});
+		},
+		abort() {
+			response.destroy();
+		},
+		hasBegun: () => false,
+	};
+}
--- /dev/null
+++ b/packages/entry/src/caller-listener.ts
@@ -0,0 +1,155 @@
+import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import {once} from 'node:events';
+import {createId} from '@fescuestair/core';
+import {listServing, RecordKind} from '@fescuestair/membership';
+import {RefusalCode, RefusalError} from '@fescuestair/protocol';
+import {listItems, ItemKind, type PublicState} from '@fescuestair/state';
+import {
+	createKeyRing, sendJson, sendRefusal, type Address, type KeyRing,
+} from '@fescuestair/transport';
+import {handleCompletion} from './completions.js';
+import {handleService} from './services.js';
+import {handleFate} from './request-fate.js';
+import {createRefusal, type CallerRequest, type EntryServices} from './request-context.js';
+
+export type CallerListenerOptions = {
+	readonly listen: Address;
+	readonly services: EntryServices;
+	readonly listEntries: (caller: string, availabilityZone: string | undefined) => unknown;
+	readonly isReady: () => boolean;
+	/** Whether new requests are refused because the process is about to end. */
+	readonly isClosing: () => boolean;
+};
+
+export type CallerListener = {
+	readonly countRunning: () => number;
+	readonly close: () => Promise<void>;
+};
+
+const headersTimeoutMs = 10_000;
+const maxHeaderBytes = 16_384;
+
+/** Creates the listener for callers. */
+export async function createCallerListener(options: CallerListenerOptions): Promise<CallerListener> {
+	const {listen, services, isReady, isClosing} = options;
+	const findKeyRing = createKeyRingCache();
+	let running = 0;
+
+	const route = async (caller: CallerRequest) => {
+		const {request, response} = caller;
+		const {pathname} = new URL(request.url ?? '/', 'http://entry');
+		const service = /^\/v1\/services\/(?<name>[a-z0-9._\-]{1,63})(?<path>\/.*)?$/v.exec(pathname);
+		const fate = /^\/v1\/requests\/(?<id>[\w\-]{1,80})$/v.exec(pathname);
+
+		if (pathname === '/v1/chat/completions' || pathname === '/v1/completions') {
+			requireMethod(request, 'POST');
+			await handleCompletion(services, caller, pathname === '/v1/chat/completions');
+		} else if (service?.groups?.name !== undefined) {
+			const {search} = new URL(request.url ?? '/', 'http://entry');
+			await handleService(services, caller, {serviceName: service.groups.name, path: (service.groups.path ?? '/') + search});
+		} else if (fate?.groups?.id !== undefined) {
+			requireMethod(request, 'GET');
+			await handleFate(services, caller, fate.groups.id);
+		} else if (pathname === '/v1/models') {
+			requireMethod(request, 'GET');
+			sendJson(response, 200, listModels(services.follower.getState()));
+		} else {
+			throw createRefusal(RefusalCode.NotFound, `there is nothing at ${pathname}`);
+		}
+	};
+
+	const handle = async (request: IncomingMessage, response: ServerResponse, requestId: string) => {
+		const {pathname, searchParams} = new URL(request.url ?? '/', 'http://entry');
+
+		if (pathname === '/healthz') {
+			sendJson(response, 200, {status: 'alive'});
+
+			return;
+		}
+
+		if (pathname === '/readyz') {
+			sendJson(response, isReady() ? 200 : 503, {ready: isReady(), upstreams: listServing(services.gossip.getMembership(), RecordKind.Upstream).length});
+
+			return;
+		}
+
+		if (pathname === '/v1/entries') {
+			sendJson(response, 200, options.listEntries(request.socket.remoteAddress ?? '', searchParams.get('zone') ?? undefined), {'cache-control': 'private'});
+
+			return;
+		}
+
+		const organisation = findKeyRing(services.follower.getState()).findOwner(request.headers.authorization);
+
+		if (organisation === undefined) {
+			throw createRefusal(RefusalCode.Unauthorized, 'an organisation\'s key is needed');
+		}
+
+		if (isClosing()) {
+			throw createRefusal(RefusalCode.Stopping, 'this entry is stopping; use another', 1);
+		}
+
+		await route({
+			request, response, requestId, organisation, startedMs: services.clock.readMonotonicMs(),
+		});
+	};
+
+	const server = http.createServer({
+		maxHeaderSize: maxHeaderBytes, headersTimeout: headersTimeoutMs, requestTimeout: 0, connectionsCheckingInterval: 2000,
+	}, async (request, response) => {
+		const requestId = createId('r', services.clock.readWallMs());
+		running++;
+		response.once('close', () => {
+			running--;
+		});
+
+		try {
+			await handle(request, response, requestId);
+		} catch (error) {
+			const refusal = error instanceof RefusalError ? error.refusal : createRefusal(RefusalCode.Internal, 'internal error').refusal;
+
+			if (!(error instanceof RefusalError)) {
+				services.log.error('request failed', {requestId}, error);
+			}
+
+			sendRefusal(response, refusal, requestId);
+		}
+	});
+	server.listen(listen.port, listen.host);
+	await once(server, 'listening');
+
+	return {
+		countRunning: () => running,
+		async close() {
+			const closed = once(server, 'close');
+			server.close();
+			server.closeAllConnections();
+			await closed;
+		},
+	};
+}
+
+function requireMethod(request: IncomingMessage, method: string): void {
+	if (request.method !== method) {
+		throw createRefusal(RefusalCode.MethodNotAllowed, `only ${method} is served here`);
+	}
+}
+
+// The ring is built anew only when the configuration has changed.
+function createKeyRingCache(): (state: PublicState) => KeyRing {
+	let version = -1;
+	let ring = createKeyRing([]);
+
+	return state => {
+		if (state.version !== version) {
+			version = state.version;
+			ring = createKeyRing(listItems(state, ItemKind.Organisation).flatMap(item => item.keyDigests.map(digest => ({owner: item.name, digest}))));
+		}
+
+		return ring;
+	};
+}
+
+function listModels(state: PublicState) {
+	return {object: 'list', data: listItems(state, ItemKind.Model).map(item => ({id: item.name, object: 'model'}))};
+}
--- /dev/null
+++ b/packages/entry/src/control-client.ts
@@ -0,0 +1,73 @@
+import {type Clock} from '@fescuestair/core';
+import {
+	LinkKind, ProposalError, type LinkMessage, type LinkReply,
+} from '@fescuestair/protocol';
+import {type Answer, type Request} from '@fescuestair/state';
+import {type Links} from '@fescuestair/transport';
+import {type StateFollower} from './state-follower.js';
+
+/** Proposes commands at the control replicas. */
+export type ControlClient = {
+	/** Resolves with the committed answer; throws a `ProposalError` that says whether the command may still be carried out. */
+	readonly propose: (request: Request, deadlineMs: number) => Promise<Answer>;
+};
+
+const retryMs = 50;
+const callTimeoutMs = 1500;
+
+/**
+Creates the client.
+
+@example
+```
+const answer = await client.propose({kind: CommandKind.ClearSuspicion, fingerprint}, clock.readMonotonicMs() + 1000);
+```
+*/
+export function createControlClient({clock, links, follower}: {clock: Clock; links: Links; follower: StateFollower}): ControlClient {
+	return {
+		async propose(request, deadlineMs) {
+			const message: LinkMessage = {kind: LinkKind.Propose, command: request};
+			let address = follower.getLeaderAddress();
+			let wasSent = false;
+
+			for (let turn = 0; clock.readMonotonicMs() < deadlineMs; turn++) {
+				address ??= follower.listControlAddresses()[turn % Math.max(1, follower.listControlAddresses().length)];
+				const reply = await callOnce({
+					links, address, message, timeoutMs: Math.min(callTimeoutMs, deadlineMs - clock.readMonotonicMs()),
+				});
+
+				if (reply?.kind === 'answer') {
+					return reply.answer as Answer;
+				}
+
+				// Every command may be proposed twice: the state tells a resend by its key, token or request.
+				wasSent ||= reply?.kind !== 'not_leader';
+				address = reply?.kind === 'not_leader' ? reply.leaderAddress : undefined;
+				await new Promise(resolve => {
+					setTimeout(resolve, retryMs);
+				});
+			}
+
+			throw new ProposalError(!wasSent, 'no majority of control replicas answered in time');
+		},
+	};
+}
+
+type CallInput = {
+	readonly links: Links;
+	readonly address: string | undefined;
+	readonly message: LinkMessage;
+	readonly timeoutMs: number;
+};
+
+async function callOnce({links, address, message, timeoutMs}: CallInput): Promise<LinkReply | undefined> {
+	if (address === undefined) {
+		return undefined;
+	}
+
+	try {
+		return await links.call(address, message, timeoutMs) as LinkReply;
+	} catch {
+		return undefined;
+	}
+}
--- /dev/null
+++ b/packages/entry/src/entry.ts
@@ -0,0 +1,306 @@
+import {Agent} from 'undici';
+import {type Clock, createSystemClock, rankByRendezvous} from '@fescuestair/core';
+import {
+	admitRequest, createAdmission, createRetryBudget, depositSuccess, finishRequest, setShares, withdrawRetry,
+} from '@fescuestair/limits';
+import {
+	listServing, MemberStatus, RecordKind, type MemberRecord,
+} from '@fescuestair/membership';
+import {
+	LinkKind, RefusalCode, type LinkMessage, type LinkReply,
+} from '@fescuestair/protocol';
+import {createGossip, type Log, type Metrics} from '@fescuestair/runtime';
+import {createDirectory} from '@fescuestair/routing';
+import {findItem, ItemKind} from '@fescuestair/state';
+import {
+	createLinks, createLinkServer, parseAddress, type ClusterKeys, type KeyRing,
+} from '@fescuestair/transport';
+import {createCallerListener} from './caller-listener.js';
+import {createControlClient} from './control-client.js';
+import {createEngineTable} from './engine-table.js';
+import {createFateRecorder} from './fate-recorder.js';
+import {createFindFates} from './request-fate.js';
+import {createRefusal, type EntryServices} from './request-context.js';
+import {createStateFollower} from './state-follower.js';
+import {createUpstreamListener} from './upstream-listener.js';
+import {createUpstreamRegistry} from './upstream-registry.js';
+import {rankEntries} from './choose-address.js';
+
+export type EntryOptions = {
+	readonly name: string;
+	readonly incarnation: number;
+	readonly availabilityZone: string;
+	readonly listen: string;
+	readonly upstreamListen: string;
+	readonly peerListen: string;
+	/** Link addresses of any daemons. */
+	readonly seeds: readonly string[];
+	readonly controlSeeds: readonly string[];
+	readonly getClusterKeys: () => ClusterKeys;
+	readonly getJoinKeys: () => KeyRing;
+	/** How long callers may keep the answer of `/v1/entries`. */
+	readonly keepEntriesMs?: number;
+	readonly upstreamLeaseMs?: number;
+	readonly servesStale?: boolean;
+	readonly log: Log;
+	readonly metrics: Metrics;
+	readonly clock?: Clock;
+	readonly onFailure: (error: unknown) => void;
+};
+
+export type Entry = {
+	/** Ends gracefully: out of the list of entries first, then idle, then closed; at the latest at the deadline. */
+	readonly stop: (deadlineMs: number) => Promise<{readonly cut: number}>;
+	readonly countRunning: () => number;
+};
+
+const connectionsPerUpstream = 512;
+/** An upstream that sends neither tokens nor a heartbeat for this long is taken for silent. */
+const upstreamSilenceMs = 2500;
+const connectTimeoutMs = 1500;
+const maxDirectoryPieces = 100_000;
+const findPiecesTimeoutMs = 50;
+const stopPollMs = 50;
+const gossipSettleMs = 500;
+
+/**
+Creates an entry: listeners for callers, upstreams and the system's processes, and the tasks behind them.
+
+@example
+```
+const entry = await createEntry({name: 'entry-1', listen: '127.0.0.1:7000', ...settings, onFailure});
+await entry.stop(clock.readMonotonicMs() + 60_000);
+```
+*/
+export async function createEntry(options: EntryOptions): Promise<Entry> {
+	const {
+		name, incarnation, availabilityZone, log, metrics, clock = createSystemClock(), onFailure, keepEntriesMs = 5000, upstreamLeaseMs = 3000,
+		servesStale = false,
+	} = options;
+	const links = createLinks({getKeys: options.getClusterKeys});
+	const self: MemberRecord = {
+		id: name,
+		kind: RecordKind.Entry,
+		incarnation,
+		version: 1,
+		status: MemberStatus.Alive,
+		address: options.peerListen,
+		availabilityZone,
+		details: {callerAddress: options.listen, upstreamAddress: options.upstreamListen},
+	};
+	const gossip = createGossip({
+		self, seeds: [...new Set([...options.seeds, ...options.controlSeeds])], clock, links, onFailure,
+	});
+	const listEntryRecords = () => listServing(gossip.getMembership(), RecordKind.Entry);
+	const follower = createStateFollower({
+		clock,
+		links,
+		controlSeeds: options.controlSeeds,
+		listPeerAddresses: () => listEntryRecords().filter(record => record.id !== name).map(record => record.address),
+	});
+	const control = createControlClient({clock, links, follower});
+	const fateRecorder = createFateRecorder({gossip, links});
+	const directory = createDirectory({maxPieces: maxDirectoryPieces});
+	const agent = new Agent({
+		connections: connectionsPerUpstream, headersTimeout: upstreamSilenceMs, bodyTimeout: upstreamSilenceMs, connectTimeout: connectTimeoutMs,
+	});
+	const freshAgent = new Agent({connections: connectionsPerUpstream, pipelining: 0, connectTimeout: connectTimeoutMs});
+	let admission = createAdmission(1);
+	let retryBudget = createRetryBudget();
+	let isLeaving = false;
+	let isClosing = false;
+
+	const isDrained = () => findItem(follower.getState(), ItemKind.Drain, name) !== undefined;
+
+	// The home of a prompt's pieces is found by its first piece, within the availability zone where there are several entries.
+	const findHome = (hashes: readonly string[]): MemberRecord | undefined => {
+		const records = listEntryRecords();
+		const near = records.filter(record => record.availabilityZone === availabilityZone);
+		const homes = near.length > 1 ? near : records;
+		const [homeId] = rankByRendezvous(hashes[0]!, homes.map(record => record.id));
+
+		return homes.find(record => record.id === homeId);
+	};
+
+	const findPieces = async (hashes: readonly string[]): Promise<ReadonlyMap<string, number>> => {
+		const home = hashes.length === 0 ? undefined : findHome(hashes);
+
+		if (home === undefined || home.id === name) {
+			return directory.countHeld(hashes);
+		}
+
+		try {
+			const reply = await links.call(home.address, {kind: LinkKind.FindPieces, hashes} satisfies LinkMessage, findPiecesTimeoutMs) as LinkReply;
+
+			return reply.kind === 'pieces' ? new Map(reply.held) : new Map();
+		} catch {
+			// A directory out of reach costs a recompute, not the request.
+			return new Map();
+		}
+	};
+
+	const notePieces = (upstreamId: string, hashes: readonly string[]) => {
+		const home = hashes.length === 0 ? undefined : findHome(hashes);
+
+		if (home === undefined || home.id === name) {
+			directory.note(upstreamId, hashes, true);
+		} else {
+			links.send(home.address, {
+				kind: LinkKind.NotePieces, upstreamId, hashes, isHeld: true,
+			} satisfies LinkMessage);
+		}
+	};
+
+	const services: EntryServices = {
+		name,
+		incarnation,
+		availabilityZone,
+		clock,
+		log,
+		metrics,
+		agent,
+		freshAgent,
+		gossip,
+		follower,
+		control,
+		table: createEngineTable(),
+		servesStale,
+		recordFate: fateRecorder.record,
+		admit(organisation, requestClass, limit) {
+			admission = setShares(admission, 1 / Math.max(1, listEntryRecords().length));
+			const admitted = admitRequest(admission, {
+				organisation, requestClass, limit, nowMs: clock.readMonotonicMs(),
+			});
+			admission = admitted.admission;
+
+			if (!admitted.answer.isAdmitted) {
+				const seconds = Math.ceil(admitted.answer.retryAfterMs / 1000);
+				throw createRefusal(RefusalCode.LimitReached, `the limit of ${organisation} for ${requestClass} requests is reached`, seconds);
+			}
+
+			return () => {
+				admission = finishRequest(admission, organisation, requestClass);
+			};
+		},
+		withdrawRetry() {
+			const withdrawn = withdrawRetry(retryBudget);
+			retryBudget = withdrawn.budget;
+
+			return withdrawn.isAllowed;
+		},
+		depositSuccess() {
+			retryBudget = depositSuccess(retryBudget);
+		},
+		findFates: createFindFates({gossip}, links),
+		findPieces,
+		notePieces,
+	};
+
+	const handleMessage = (message: LinkMessage, reply: ((answer: LinkReply) => void) | undefined) => {
+		switch (message.kind) {
+			case LinkKind.Gossip: {
+				gossip.receive(message);
+				break;
+			}
+
+			case LinkKind.PollState: {
+				reply?.(follower.answerPoll(message.publicVersion));
+				break;
+			}
+
+			case LinkKind.FindPieces: {
+				reply?.({kind: 'pieces', held: [...directory.countHeld(message.hashes)]});
+				break;
+			}
+
+			case LinkKind.NotePieces: {
+				directory.note(message.upstreamId, message.hashes, message.isHeld);
+				break;
+			}
+
+			default: {
+				reply?.({kind: 'error', message: 'an entry does not serve this'});
+			}
+		}
+	};
+
+	const linkServer = await createLinkServer({
+		listen: parseAddress(options.peerListen),
+		getKeys: options.getClusterKeys,
+		onMessage(message, reply) {
+			handleMessage(message as LinkMessage, reply);
+		},
+		onError(error) {
+			log.debug('link refused', error);
+		},
+	});
+	const registry = createUpstreamRegistry({
+		entryId: name, clock, gossip, leaseMs: upstreamLeaseMs,
+	});
+	const upstreamListener = await createUpstreamListener({
+		listen: parseAddress(options.upstreamListen), getJoinKeys: options.getJoinKeys, registry, log,
+	});
+
+	const listEntries = (caller: string, wantedZone: string | undefined) => {
+		const ranked = rankEntries(listEntryRecords(), {availabilityZone: wantedZone ?? availabilityZone, caller});
+
+		return {
+			entries: ranked.map(record => ({id: record.id, address: record.details.callerAddress, availabilityZone: record.availabilityZone})),
+			keepUntil: new Date(clock.readWallMs() + keepEntriesMs).toISOString(),
+			keepMs: keepEntriesMs,
+		};
+	};
+
+	const listener = await createCallerListener({
+		listen: parseAddress(options.listen),
+		services,
+		listEntries,
+		isReady: () => !isLeaving && !isDrained() && (follower.isFresh() || servesStale),
+		isClosing: () => isClosing,
+	});
+
+	// A daemon out of touch with the configuration, or drained, takes itself out of the list that callers get.
+	const statusTimer = setInterval(() => {
+		const wanted = isLeaving || isDrained() || !(follower.isFresh() || servesStale) ? MemberStatus.Leaving : MemberStatus.Alive;
+
+		if (gossip.getMembership().held.get(name)!.record.status !== wanted) {
+			gossip.publishSelf({status: wanted});
+		}
+	}, stopPollMs);
+
+	log.info('entry started', {listen: options.listen, upstreamListen: options.upstreamListen, peerListen: options.peerListen});
+
+	return {
+		countRunning: listener.countRunning,
+		async stop(deadlineMs) {
+			isLeaving = true;
+			gossip.publishSelf({status: MemberStatus.Leaving});
+			const keptUntilMs = clock.readMonotonicMs() + keepEntriesMs + gossipSettleMs;
+
+			while (clock.readMonotonicMs() < deadlineMs && (clock.readMonotonicMs() < keptUntilMs || listener.countRunning() > 0)) {
+				await new Promise(resolve => {
+					setTimeout(resolve, stopPollMs);
+				});
+			}
+
+			isClosing = true;
+			const cut = listener.countRunning();
+			clearInterval(statusTimer);
+			registry.stop();
+			await listener.close();
+			await upstreamListener.close();
+			follower.stop();
+			gossip.publishSelf({status: MemberStatus.Dead});
+			await new Promise(resolve => {
+				setTimeout(resolve, gossipSettleMs);
+			});
+			gossip.stop();
+			await linkServer.close();
+			links.close();
+			await agent.close();
+			await freshAgent.close();
+
+			return {cut};
+		},
+	};
+}
--- /dev/null
+++ b/packages/entry/src/request-context.ts
@@ -0,0 +1,128 @@
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type Agent} from 'undici';
+import {type Clock} from '@fescuestair/core';
+import {type Metrics, type GossipHost, type Log} from '@fescuestair/runtime';
+import {type ClassLimit} from '@fescuestair/limits';
+import {
+	FateEventKind, type FateOutcome, Ran, RefusalCode, RefusalError, type FateEvent, type Refusal,
+} from '@fescuestair/protocol';
+import {
+	findItem, getPresetInForce, ItemKind, type PresetItem, type RequestClass,
+} from '@fescuestair/state';
+import {type ControlClient} from './control-client.js';
+import {type EngineTable} from './engine-table.js';
+import {type StateFollower} from './state-follower.js';
+
+/** What the handlers of an entry share. */
+export type EntryServices = {
+	readonly name: string;
+	readonly incarnation: number;
+	readonly availabilityZone: string;
+	readonly clock: Clock;
+	readonly log: Log;
+	readonly metrics: Metrics;
+	readonly agent: Agent;
+	/** Opens a new connection for each call, so that no call is sent into one that has gone silent. */
+	readonly freshAgent: Agent;
+	readonly gossip: GossipHost;
+	readonly follower: StateFollower;
+	readonly control: ControlClient;
+	readonly table: EngineTable;
+	readonly servesStale: boolean;
+	readonly recordFate: (event: FateEvent) => void;
+	/** Throws a `RefusalError` past the limit; the returned function ends the request. */
+	readonly admit: (organisation: string, requestClass: RequestClass, limit: ClassLimit) => () => void;
+	readonly withdrawRetry: () => boolean;
+	readonly depositSuccess: () => void;
+	readonly findFates: (requestId: string) => Promise<readonly FateEvent[]>;
+	readonly findPieces: (hashes: readonly string[]) => Promise<ReadonlyMap<string, number>>;
+	readonly notePieces: (upstreamId: string, hashes: readonly string[]) => void;
+};
+
+/** One request of a caller. */
+export type CallerRequest = {
+	readonly request: IncomingMessage;
+	readonly response: ServerResponse;
+	readonly requestId: string;
+	readonly organisation: string;
+	/** Monotonic. */
+	readonly startedMs: number;
+};
+
+/** Creates the error for a request that provably did not run. */
+export function createRefusal(code: RefusalCode, message: string, retryAfterSeconds?: number): RefusalError {
+	return new RefusalError({
+		code, message, ran: Ran.NotRun, retryAfterSeconds,
+	});
+}
+
+const staleRetrySeconds = 2;
+
+/** Gets the preset in force, or refuses where it is not known for certain which one that is. */
+export function requirePreset(services: EntryServices): PresetItem {
+	const {follower, servesStale} = services;
+
+	if (!follower.isFresh() && !servesStale) {
+		throw createRefusal(RefusalCode.NotFresh, 'this entry cannot tell whether its preset is still in force; use another', staleRetrySeconds);
+	}
+
+	const preset = getPresetInForce(follower.getState());
+
+	if (preset === undefined) {
+		throw createRefusal(RefusalCode.NoPreset, 'no preset is in force yet', staleRetrySeconds);
+	}
+
+	return preset;
+}
+
+type BegunInput = {
+	readonly requestClass: string;
+	readonly target: string;
+	readonly promptTokens: number;
+	readonly preset: string;
+};
+
+/** Records that a request has begun. */
+export function recordBegun(services: EntryServices, {requestId, organisation}: CallerRequest, input: BegunInput): void {
+	services.recordFate({
+		kind: FateEventKind.Begun,
+		requestId,
+		organisation,
+		atMs: services.clock.readWallMs(),
+		entryId: services.name,
+		entryIncarnation: services.incarnation,
+		...input,
+	});
+}
+
+type FinishedInput = {
+	readonly outcome: FateOutcome;
+	readonly ran: Ran;
+	readonly status: number;
+	readonly tokens?: number;
+	readonly code?: RefusalCode;
+};
+
+/** Records how a request ended. */
+export function recordFinished(services: EntryServices, requestId: string, {tokens = 0, ...rest}: FinishedInput): void {
+	services.recordFate({
+		kind: FateEventKind.Finished, requestId, atMs: services.clock.readWallMs(), tokens, ...rest,
+	});
+}
+
+/** Turns any error into the refusal that the caller gets. */
+export function toRefusal(error: unknown): Refusal {
+	if (error instanceof RefusalError) {
+		return error.refusal;
+	}
+
+	return {code: RefusalCode.Internal, message: 'internal error', ran: Ran.Unknown};
+}
+
+/** The preset's limit of a class, scaled by the organisation's share. */
+export function scaleLimit(services: EntryServices, organisation: string, preset: PresetItem, requestClass: RequestClass) {
+	const {concurrent, perSecond} = preset.limits[requestClass];
+	const share = findItem(services.follower.getState(), ItemKind.Organisation, organisation)?.share ?? 1;
+
+	return {concurrent: concurrent * share, perSecond: perSecond * share};
+}
--- /dev/null
+++ b/packages/entry/src/upstream-listener.ts
@@ -0,0 +1,73 @@
+import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import {once} from 'node:events';
+import {createId} from '@fescuestair/core';
+import {
+	announceSchema, checkShape, parseJsonBody, Ran, RefusalCode, RefusalError, type Refusal,
+} from '@fescuestair/protocol';
+import {
+	readBody, sendJson, sendRefusal, type Address, type KeyRing,
+} from '@fescuestair/transport';
+import {type Log} from '@fescuestair/runtime';
+import {type UpstreamRegistry} from './upstream-registry.js';
+
+export type UpstreamListenerOptions = {
+	readonly listen: Address;
+	readonly getJoinKeys: () => KeyRing;
+	readonly registry: UpstreamRegistry;
+	readonly log: Log;
+};
+
+const bodyLimits = {maxBytes: 65_536, timeoutMs: 5000};
+
+/** Creates the listener at which upstreams announce, renew and withdraw. */
+export async function createUpstreamListener(options: UpstreamListenerOptions) {
+	const {listen, getJoinKeys, registry, log} = options;
+
+	const handle = async (request: IncomingMessage, response: ServerResponse) => {
+		if (getJoinKeys().findOwner(request.headers.authorization) === undefined) {
+			throw refuse(RefusalCode.Unauthorized, 'a join key is needed');
+		}
+
+		const withdrawn = /^\/v1\/upstreams\/(?<id>[\w.\-]{1,63})$/v.exec(request.url ?? '')?.groups?.id;
+
+		if (request.method === 'POST' && request.url === '/v1/upstreams') {
+			const message = checkShape(announceSchema.safeParse(parseJsonBody(await readBody(request, bodyLimits))));
+			sendJson(response, 200, registry.announce(message));
+		} else if (request.method === 'DELETE' && withdrawn !== undefined) {
+			sendJson(response, registry.withdraw(withdrawn) ? 200 : 404, {id: withdrawn});
+		} else {
+			throw refuse(RefusalCode.NotFound, 'there is POST /v1/upstreams and DELETE /v1/upstreams/{id}');
+		}
+	};
+
+	const server = http.createServer(async (request, response) => {
+		try {
+			await handle(request, response);
+		} catch (error) {
+			if (!(error instanceof RefusalError)) {
+				log.error('announcement failed', error);
+			}
+
+			const refusal = error instanceof RefusalError ? error.refusal : refuse(RefusalCode.Internal, 'internal error').refusal;
+			sendRefusal(response, refusal, createId('r', Date.now()));
+		}
+	});
+	server.listen(listen.port, listen.host);
+	await once(server, 'listening');
+
+	return {
+		async close() {
+			const closed = once(server, 'close');
+			server.close();
+			server.closeAllConnections();
+			await closed;
+		},
+	};
+}
+
+function refuse(code: RefusalCode, message: string): RefusalError {
+	const refusal: Refusal = {code, message, ran: Ran.NotRun};
+
+	return new RefusalError(refusal);
+}
+
--- /dev/null
+++ b/packages/fates/src/__tests__/unit/fate-store.test.ts
@@ -0,0 +1,70 @@
+import fs from 'node:fs/promises';
+import os from 'node:os';
+import path from 'node:path';
+import test from 'ava';
+import {createId} from '@fescuestair/core';
+import {
+	describeFate, FateEventKind, FateOutcome, Ran, type FateEvent,
+} from '@fescuestair/protocol';
+import {createFateStore} from '../../index.js';
+
+const startMs = 1_796_000_000_000;
+
+function createEvents(requestId: string): FateEvent[] {
+	return [
+		{
+			kind: FateEventKind.Begun, requestId, atMs: startMs, organisation: 'okahandja', requestClass: 'short', target: 'assistant', entryId: 'entry-1',
+			entryIncarnation: 4, promptTokens: 9, preset: 'ordinary',
+		},
+		{
+			kind: FateEventKind.Dispatched, requestId, atMs: startMs + 5, attempt: 1, upstreamId: 'engine-1',
+		},
+	];
+}
+
+async function openStore(folder: string) {
+	return createFateStore({
+		folder,
+		readWallMs: () => startMs,
+		onError(error) {
+			throw error as Error;
+		},
+	});
+}
+
+test('events of a request are found after a restart, hours later', async t => {
+	const folder = await fs.mkdtemp(path.join(os.tmpdir(), 'fescuestair-fates-'));
+	const store = await openStore(folder);
+	const requestId = createId('r', startMs);
+	store.append(createEvents(requestId));
+	store.append(createEvents(createId('r', startMs)));
+	await store.close();
+	const reopened = await openStore(folder);
+	t.deepEqual(await reopened.findEvents(requestId), createEvents(requestId));
+	t.deepEqual(await reopened.findEvents(createId('r', startMs)), []);
+	t.deepEqual(await reopened.findEvents('nonsense'), []);
+	await reopened.close();
+});
+
+test('a torn last batch hides no earlier one', async t => {
+	const folder = await fs.mkdtemp(path.join(os.tmpdir(), 'fescuestair-fates-'));
+	const store = await openStore(folder);
+	const requestId = createId('r', startMs);
+	store.append(createEvents(requestId));
+	await store.close();
+	const [name] = await fs.readdir(folder);
+	await fs.appendFile(path.join(folder, name!), new Uint8Array([200, 0, 0, 0, 1, 2]));
+	const reopened = await openStore(folder);
+	const found = await reopened.findEvents(requestId);
+	t.is(found.length, 2);
+	await reopened.close();
+});
+
+test('a request whose entry died is told as lost, and one still served as running', t => {
+	const events = createEvents('r-1');
+	t.is(describeFate(events, () => false)?.outcome, FateOutcome.EntryLost);
+	t.is(describeFate(events, () => false)?.ran, Ran.Unknown);
+	t.is(describeFate([...events, ...events], (entryId, incarnation) => entryId === 'entry-1' && incarnation === 4)?.outcome, FateOutcome.Running);
+	t.is(describeFate(events, () => true)?.events.length, 2);
+	t.is(describeFate([], () => true), undefined);
+});
--- /dev/null
+++ b/packages/fates/src/index.ts
@@ -0,0 +1,1 @@
+export {createFateStore, type FateStore, type FateStoreOptions} from './fate-store.js';
--- /dev/null
+++ b/packages/limits/src/admission.ts
@@ -0,0 +1,110 @@
+import {createTokenBucket, takeTokens, type TokenBucket} from './token-bucket.js';
+
+/** Limit of one organisation and class in the whole system. */
+export type ClassLimit = {
+	readonly concurrent: number;
+	readonly perSecond: number;
+};
+
+type Account = {
+	readonly running: number;
+	readonly bucket: TokenBucket;
+};
+
+/** What one entry admits: its share of each organisation's limits. */
+export type Admission = {
+	readonly accounts: ReadonlyMap<string, Account>;
+	/** Share of the whole system's limits that this entry hands out. */
+	readonly share: number;
+};
+
+export type AdmissionAnswer = {
+	readonly isAdmitted: boolean;
+	/** When to come back; 0 where the request is admitted. */
+	readonly retryAfterMs: number;
+};
+
+const secondsOfBurst = 2;
+const busyRetryMs = 1000;
+
+/**
+Creates the admission of an entry.
+
+@example
+```
+const admission = createAdmission(1 / 5);
+```
+*/
+export function createAdmission(share: number): Admission {
+	return {accounts: new Map(), share};
+}
+
+/** Sets the share, as entries come and go. */
+export function setShares(admission: Admission, share: number): Admission {
+	return admission.share === share ? admission : {...admission, share};
+}
+
+type AdmitInput = {
+	readonly organisation: string;
+	readonly requestClass: string;
+	readonly limit: ClassLimit;
+	readonly nowMs: number;
+};
+
+/**
+Admits a request within its organisation's limit, or says when to come back. No message to another entry is needed:
+each hands out its share.
+
+@example
+```
+const {admission, answer} = admitRequest(before, {organisation: 'okahandja', requestClass: 'short', limit, nowMs});
+```
+*/
+export function admitRequest(admission: Admission, input: AdmitInput): {readonly admission: Admission; readonly answer: AdmissionAnswer} {
+	const {limit, nowMs} = input;
+	const key = formatKey(input.organisation, input.requestClass);
+	// Each entry lets at least one request through, however many entries share the limit.
+	const concurrent = Math.max(1, Math.ceil(limit.concurrent * admission.share));
+	const perSecond = limit.perSecond * admission.share;
+	const account = findAccount(admission, key, {perSecond, nowMs});
+
+	if (account.running >= concurrent) {
+		return {admission, answer: {isAdmitted: false, retryAfterMs: busyRetryMs}};
+	}
+
+	const taken = takeTokens(account.bucket, 1, nowMs);
+	const running = taken.waitMs === 0 ? account.running + 1 : account.running;
+	const accounts = new Map(admission.accounts).set(key, {running, bucket: taken.bucket});
+
+	return {admission: {...admission, accounts}, answer: {isAdmitted: taken.waitMs === 0, retryAfterMs: taken.waitMs}};
+}
+
+/** Ends a request that was admitted. */
+export function finishRequest(admission: Admission, organisation: string, requestClass: string): Admission {
+	const key = formatKey(organisation, requestClass);
+	const account = admission.accounts.get(key);
+
+	if (account === undefined) {
+		return admission;
+	}
+
+	const accounts = new Map(admission.accounts).set(key, {...account, running: Math.max(0, account.running - 1)});
+
+	return {...admission, accounts};
+}
+
+function formatKey(organisation: string, requestClass: string): string {
+	return `${organisation}/${requestClass}`;
+}
+
+function findAccount(admission: Admission, key: string, {perSecond, nowMs}: {perSecond: number; nowMs: number}): Account {
+	const account = admission.accounts.get(key);
+
+	if (account?.bucket.perSecond === perSecond) {
+		return account;
+	}
+
+	const bucket = createTokenBucket({perSecond, capacity: Math.max(1, perSecond * secondsOfBurst), nowMs});
+
+	return {running: account?.running ?? 0, bucket};
+}
--- /dev/null
+++ b/packages/limits/src/index.ts
@@ -0,0 +1,7 @@
+export {
+	createRetryBudget, depositSuccess, withdrawRetry, type RetryBudget,
+} from './retry-budget.js';
+export {createTokenBucket, takeTokens, type TokenBucket} from './token-bucket.js';
+export {
+	admitRequest, createAdmission, finishRequest, setShares, type Admission, type AdmissionAnswer, type ClassLimit,
+} from './admission.js';
--- a/packages/membership/src/step.ts
+++ b/packages/membership/src/step.ts
@@ -32,6 +32,10 @@
 			return toStep(mergeRecords(membership, [input.record], nowMs));
 		}
 
+		case InputKind.PublishSelf: {
+			return publishSelf(membership, input.record);
+		}
+
 		case InputKind.Gossip: {
 			const merged = mergeRecords(membership, input.gossip.records, nowMs);
 			const answered = answerGossip(merged.membership, input, nowMs);
@@ -41,6 +45,13 @@
 	}
 }
 
+function publishSelf(membership: Membership, record: MemberRecord): MembershipStep {
+	const held = new Map(membership.held).set(record.id, {record, deadlineMs: undefined});
+	const rumours = new Map(membership.rumours).set(record.id, 0);
+
+	return {state: {...membership, held, rumours}, effects: [{kind: OutputKind.Changed, record}]};
+}
+
 function toStep(merged: {membership: Membership; outputs: readonly Output[]}): MembershipStep {
 	return {state: merged.membership, effects: merged.outputs};
 }
--- a/packages/membership/src/types.ts
+++ b/packages/membership/src/types.ts
@@ -96,14 +96,16 @@
 export enum InputKind {
 	Tick = 'tick',
 	Gossip = 'gossip',
-	/** Sets this daemon's own record, or that of an upstream it sponsors. */
+	/** Sets the record of an upstream that this daemon sponsors. */
 	Publish = 'publish',
+	/** Sets this daemon's own record. */
+	PublishSelf = 'publish_self',
 }
 
 export type Input
 	= | {readonly kind: InputKind.Tick}
 		| {readonly kind: InputKind.Gossip; readonly fromId: string; readonly fromAddress: string; readonly gossip: Gossip}
-		| {readonly kind: InputKind.Publish; readonly record: MemberRecord};
+		| {readonly kind: InputKind.Publish | InputKind.PublishSelf; readonly record: MemberRecord};
 
 export enum OutputKind {
 	Send = 'send',
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -11,9 +11,10 @@
 export {
 	LinkKind, type LinkMessage, type LinkReply, ProposalError,
 } from './link-messages.js';
+export {createChunk, createCompletion} from './openai/completions.js';
 export {
-	type ChatRequest, chatRequestSchema, type CompletionRequest, completionRequestSchema, createChunk, createCompletion,
-} from './openai/completions.js';
+	checkShape, parseJsonBody, parsePrompt, type ParsedPrompt,
+} from './openai/parse.js';
 export {
 	Ran, RefusalCode, RefusalError, formatRefusal, type Refusal, getRefusalStatus,
 } from './refusal.js';
--- a/packages/protocol/src/link-messages.ts
+++ b/packages/protocol/src/link-messages.ts
@@ -18,7 +18,6 @@
 export type LinkMessage
 	= | {readonly kind: LinkKind.Agreement; readonly groupId: string; readonly fromId: string; readonly fromAddress: string; readonly toId: string; readonly message: unknown}
 		| {readonly kind: LinkKind.Gossip; readonly fromId: string; readonly fromAddress: string; readonly gossip: unknown}
-	/** `timeFields` name the fields in which the leader turns milliseconds from now into group time. */
 		| {readonly kind: LinkKind.Propose; readonly command: unknown}
 		| {readonly kind: LinkKind.PollState; readonly publicVersion: number}
 		| {readonly kind: LinkKind.RecordFates; readonly events: readonly FateEvent[]}
@@ -41,7 +40,7 @@
 			readonly controlAddresses: readonly string[];
 		}
 		| {readonly kind: 'fates'; readonly events: readonly FateEvent[]}
-		| {readonly kind: 'pieces'; readonly holders: ReadonlyArray<readonly string[]>}
+		| {readonly kind: 'pieces'; readonly held: ReadonlyArray<readonly [upstreamId: string, pieces: number]>}
 		| {readonly kind: 'error'; readonly message: string};
 
 /** A proposal's fate: whether it may still be carried out. */
--- /dev/null
+++ b/packages/routing/src/choose.ts
@@ -0,0 +1,97 @@
+import {pieceTokens} from './pieces.js';
+import {
+	Priority, type EngineCandidate, type EngineView, type PromptPlan, type StoreView, type Weights,
+} from './types.js';
+
+export type ChooseOptions = {
+	readonly plan: PromptPlan;
+	readonly engines: readonly EngineView[];
+	/** Pieces each engine holds, counted from the first. */
+	readonly heldByEngine: ReadonlyMap<string, number>;
+	readonly stores: readonly StoreView[];
+	readonly weights: Weights;
+	readonly bytesPerPiece: number;
+};
+
+export type Choice = {
+	/** The cheapest first. */
+	readonly candidates: readonly EngineCandidate[];
+	readonly chosen: EngineCandidate | undefined;
+};
+
+const msPerSecond = 1000;
+const bytesPerMegabyte = 1_000_000;
+/** Time that a request in a place is taken to need until it frees it, for those that wait behind it. */
+const meanPlaceMs = 2000;
+const otherZoneMs = 2;
+
+/**
+Chooses the engine with the least weighted sum of time to first token, recomputed tokens and link bytes.
+
+@example
+```
+const {chosen, candidates} = chooseEngine({plan, engines, heldByEngine, stores, weights, bytesPerPiece});
+```
+*/
+export function chooseEngine(options: ChooseOptions): Choice {
+	const candidates = options.engines
+		.map(engine => estimateCandidate(engine, options))
+		.toSorted((a, b) => a.cost - b.cost || (a.upstreamId < b.upstreamId ? -1 : 1));
+
+	return {candidates, chosen: candidates[0]};
+}
+
+/** Estimates what a prompt costs on one engine: computing all it lacks, or fetching from the store that does best. */
+export function estimateCandidate(engine: EngineView, options: ChooseOptions): EngineCandidate {
+	const held = options.heldByEngine.get(engine.id) ?? 0;
+	let best = estimateWith(engine, held, undefined, options);
+
+	for (const store of options.stores) {
+		if (store.heldPieces > held) {
+			const fetched = estimateWith(engine, held, store, options);
+			best = fetched.cost < best.cost ? fetched : best;
+		}
+	}
+
+	return best;
+}
+
+function estimateWith(engine: EngineView, held: number, store: StoreView | undefined, options: ChooseOptions): EngineCandidate {
+	const {plan, weights, bytesPerPiece} = options;
+	const fetchPieces = store === undefined ? 0 : store.heldPieces - held;
+	const linkBytes = fetchPieces * bytesPerPiece;
+	const recomputedTokens = Math.max(0, plan.tokens - ((held + fetchPieces) * pieceTokens));
+	const queueMs = estimateQueueMs(engine, plan);
+	const fetchMs = store === undefined ? 0 : (store.queuedBytes + linkBytes) / store.freeBytesPerSecond * msPerSecond;
+	const prefillMs = recomputedTokens / engine.prefillTokensPerSecond * msPerSecond;
+	const firstTokenSeconds = (queueMs + fetchMs + prefillMs) / msPerSecond;
+
+	return {
+		upstreamId: engine.id,
+		queueMs,
+		fetchMs,
+		prefillMs,
+		recomputedTokens,
+		linkBytes,
+		cost: (weights.firstToken * firstTokenSeconds)
+			+ (weights.recompute * recomputedTokens / pieceTokens)
+			+ (weights.link * linkBytes / bytesPerMegabyte),
+		storeId: store?.id,
+		fetchPieces,
+	};
+}
+
+// Prefill is served one request after another, short ones first; places free up as requests end.
+function estimateQueueMs(engine: EngineView, plan: PromptPlan): number {
+	const queuedTokens = engine.queuedPrefillTokens + engine.ownPrefillTokens;
+	const share = plan.priority === Priority.Short ? shortQueueShare : 1;
+	const prefillQueueMs = share * queuedTokens / engine.prefillTokensPerSecond * msPerSecond;
+	const ahead = engine.running + engine.waiting + engine.ownRequests - engine.slots + 1;
+	const placeMs = Math.max(0, ahead) * meanPlaceMs / engine.slots;
+	const zoneMs = engine.availabilityZone === plan.availabilityZone ? 0 : otherZoneMs;
+
+	return prefillQueueMs + placeMs + zoneMs;
+}
+
+/** Part of the queued prefill that a short prompt still waits for: the chunk that runs, not those behind it. */
+const shortQueueShare = 0.2;
--- /dev/null
+++ b/packages/routing/src/index.ts
@@ -0,0 +1,10 @@
+export {
+	chooseEngine, estimateCandidate, type Choice, type ChooseOptions,
+} from './choose.js';
+export {
+	computePieces, countTokens, pieceTokens, type PieceScope,
+} from './pieces.js';
+export {createDirectory, type Directory, type DirectoryOptions} from './directory.js';
+export {
+	Priority, type EngineCandidate, type EngineView, type PromptPlan, type StoreView, type Weights,
+} from './types.js';
--- /dev/null
+++ b/packages/runtime/src/gossip.ts
@@ -0,0 +1,86 @@
+import {type Clock, createTask} from '@fescuestair/core';
+import {
+	createMembership, InputKind, OutputKind, stepMembership, type Gossip, type Input, type MemberRecord, type Membership, type Output,
+} from '@fescuestair/membership';
+import {LinkKind, type LinkMessage} from '@fescuestair/protocol';
+import {type Links} from '@fescuestair/transport';
+
+export type GossipOptions = {
+	readonly self: MemberRecord;
+	readonly seeds: readonly string[];
+	readonly clock: Clock;
+	readonly links: Links;
+	readonly onChanged?: (record: MemberRecord) => void;
+	readonly onFailure: (error: unknown) => void;
+};
+
+/** The task that keeps this daemon's view of the members. */
+export type GossipHost = {
+	readonly receive: (message: Extract<LinkMessage, {kind: LinkKind.Gossip}>) => void;
+	readonly publish: (record: MemberRecord) => void;
+	/** Changes this daemon's own record. */
+	readonly publishSelf: (change: Partial<Pick<MemberRecord, 'status' | 'details'>>) => void;
+	readonly getMembership: () => Membership;
+	readonly stop: () => void;
+};
+
+const tickMs = 50;
+
+/**
+Creates the gossip task of a daemon.
+
+@example
+```
+const gossip = createGossip({self, seeds: ['10.0.0.1:7200'], clock, links, onFailure});
+gossip.publishSelf({status: MemberStatus.Leaving});
+```
+*/
+export function createGossip(options: GossipOptions): GossipHost {
+	const {
+		self, seeds, clock, links, onChanged = () => undefined, onFailure,
+	} = options;
+
+	const perform = (output: Output) => {
+		if (output.kind === OutputKind.Changed) {
+			onChanged(output.record);
+
+			return;
+		}
+
+		const message: LinkMessage = {
+			kind: LinkKind.Gossip, fromId: self.id, fromAddress: self.address, gossip: output.gossip,
+		};
+		links.send(output.address, message);
+	};
+
+	const task = createTask<Membership, Input, Output>({
+		initial: createMembership({self, seeds, nowMs: clock.readMonotonicMs()}),
+		clock,
+		transition: stepMembership,
+		perform,
+		onFailure,
+	});
+	const timer = setInterval(() => {
+		task.send({kind: InputKind.Tick});
+	}, tickMs);
+
+	return {
+		receive({fromId, fromAddress, gossip}) {
+			task.send({
+				kind: InputKind.Gossip, fromId, fromAddress, gossip: gossip as Gossip,
+			});
+		},
+		publish(record) {
+			task.send({kind: InputKind.Publish, record});
+		},
+		publishSelf(change) {
+			const own = task.getState().held.get(self.id)!.record;
+			task.send({kind: InputKind.PublishSelf, record: {...own, ...change, version: own.version + 1}});
+		},
+		getMembership: task.getState,
+		stop() {
+			clearInterval(timer);
+			task.stop();
+		},
+	};
+}
--- /dev/null
+++ b/packages/runtime/src/index.ts
@@ -0,0 +1,3 @@
+export {createGossip, type GossipHost, type GossipOptions} from './gossip.js';
+export {createLog, type Log} from './log.js';
+export {createMetrics, type Metrics, type MetricsOptions} from './metrics.js';
--- /dev/null
+++ b/packages/standins/src/engine-server.ts
@@ -0,0 +1,107 @@
+import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import {once} from 'node:events';
+import {type AddressInfo} from 'node:net';
+import {headerNames} from '@fescuestair/protocol';
+import {readBody, sendJson} from '@fescuestair/transport';
+import {type Engine, type Run, type RunInput} from './engine.js';
+
+export type EngineServerOptions = {
+	readonly host: string;
+	readonly port: number;
+	readonly engine: Engine;
+	readonly getWeightVersion: () => string;
+};
+
+const bodyLimits = {maxBytes: 64_000_000, timeoutMs: 10_000};
+const heartbeatMs = 500;
+
+/** Creates the engine's HTTP listener: start, resume and cancel a run, read cache events. */
+export async function createEngineServer(options: EngineServerOptions) {
+	const {host, port, engine, getWeightVersion} = options;
+
+	const handle = async (request: IncomingMessage, response: ServerResponse) => {
+		const {pathname, searchParams} = new URL(request.url ?? '/', 'http://engine');
+		const requestId = /^\/v1\/generate\/(?<id>[\w\-]+)$/v.exec(pathname)?.groups?.id;
+
+		if (request.method === 'POST' && pathname === '/v1/generate') {
+			const body = await readBody(request, bodyLimits);
+			const input = JSON.parse(new TextDecoder().decode(body)) as RunInput;
+
+			if (input.weightVersion !== getWeightVersion()) {
+				sendJson(response, 409, {code: 'other_weight_version'});
+
+				return;
+			}
+
+			streamRun(response, engine.start(input), input.fromOffset);
+		} else if (requestId !== undefined) {
+			const run = engine.findRun(requestId);
+
+			if (run === undefined || run.input.organisation !== request.headers[headerNames.organisation]) {
+				sendJson(response, 404, {code: 'no_such_run'});
+			} else if (request.method === 'DELETE') {
+				engine.cancel(requestId);
+				sendJson(response, 200, {requestId});
+			} else {
+				streamRun(response, run, Number(searchParams.get('from') ?? 0));
+			}
+		} else if (pathname === '/v1/cache-events') {
+			sendJson(response, 200, {events: engine.listCacheEvents(Number(searchParams.get('after') ?? 0))});
+		} else {
+			sendJson(response, 404, {code: 'not_found'});
+		}
+	};
+
+	const server = http.createServer(async (request, response) => {
+		try {
+			await handle(request, response);
+		} catch (error) {
+			response.destroy(error as Error);
+		}
+	});
+	server.listen(port, host);
+	await once(server, 'listening');
+
+	return {
+		port: (server.address() as AddressInfo).port,
+		async close() {
+			const closed = once(server, 'close');
+			server.close();
+			server.closeAllConnections();
+			await closed;
+		},
+	};
+}
+
+function streamRun(response: ServerResponse, run: Run, fromOffset: number): void {
+	let sent = fromOffset;
+	response.writeHead(200, {'content-type': 'text/event-stream'});
+	response.flushHeaders();
+
+	const send = () => {
+		const start = run.input.fromOffset;
+		const end = start + run.tokens.length;
+
+		while (sent < end) {
+			const text = run.tokens[sent - start]!;
+			sent++;
+			const isLast = run.isDone && sent === end;
+			const finishReason = isLast ? (sent >= run.input.maxTokens ? 'length' : 'stop') : undefined;
+			response.write(`id: ${sent}\ndata: ${JSON.stringify({text, finishReason})}\n\n`);
+		}
+
+		if (run.isDone) {
+			response.end();
+		}
+	};
+
+	const heartbeat = setInterval(() => {
+		response.write(': heartbeat\n\n');
+	}, heartbeatMs);
+	run.listeners.add(send);
+	response.on('close', () => {
+		clearInterval(heartbeat);
+		run.listeners.delete(send);
+	});
+	send();
+}
--- /dev/null
+++ b/packages/standins/src/main.ts
@@ -0,0 +1,91 @@
+import process from 'node:process';
+import {Command} from 'commander';
+import {UpstreamKind} from '@fescuestair/protocol';
+import {announce} from './announcer.js';
+import {createEngine} from './engine.js';
+import {createEngineServer} from './engine-server.js';
+import {createServiceServer} from './service-server.js';
+
+type Flags = {
+	readonly kind: UpstreamKind;
+	readonly id: string;
+	readonly listen: string;
+	readonly zone: string;
+	readonly entries: string;
+	readonly joinKey: string;
+	readonly model: string;
+	readonly weightVersion: string;
+	readonly service: string;
+	readonly journal: string;
+	readonly prefillRate: string;
+	readonly decodeMs: string;
+	readonly slots: string;
+	readonly cachePieces: string;
+};
+
+const program = new Command('standin')
+	.requiredOption('--kind <kind>', 'engine or service')
+	.requiredOption('--id <id>')
+	.requiredOption('--listen <ip:port>')
+	.requiredOption('--entries <ip:port,...>', 'upstream listeners of entries')
+	.requiredOption('--join-key <key>')
+	.option('--zone <zone>', 'availability zone', 'north')
+	.option('--model <model>', 'model of an engine', 'assistant')
+	.option('--weight-version <version>', 'weights of an engine', '1')
+	.option('--service <service>', 'name of a service', 'work-orders')
+	.option('--journal <file>', 'where a service notes bookings', '/dev/null')
+	.option('--prefill-rate <tokens>', 'prompt tokens a second', '20000')
+	.option('--decode-ms <ms>', 'time between tokens', '15')
+	.option('--slots <count>', 'requests at once', '16')
+	.option('--cache-pieces <count>', 'cached pieces', '200');
+
+program.parse();
+const flags = program.opts<Flags>();
+const [host = '127.0.0.1', port = '0'] = flags.listen.split(':');
+const abort = new AbortController();
+const base = {
+	id: flags.id, incarnation: Date.now(), availabilityZone: flags.zone, kind: flags.kind,
+};
+
+async function startEngine(): Promise<() => Record<string, unknown>> {
+	const engine = createEngine({
+		prefillTokensPerSecond: Number(flags.prefillRate),
+		decodeMs: Number(flags.decodeMs),
+		slots: Number(flags.slots),
+		cachePieces: Number(flags.cachePieces),
+		onCrash() {
+			process.exit(1);
+		},
+	});
+	const server = await createEngineServer({
+		host, port: Number(port), engine, getWeightVersion: () => flags.weightVersion,
+	});
+
+	return () => ({
+		...base,
+		address: `${host}:${server.port}`,
+		models: [flags.model],
+		weightVersion: flags.weightVersion,
+		prefillTokensPerSecond: Number(flags.prefillRate),
+		load: engine.getLoad(),
+	});
+}
+
+async function startService(): Promise<() => Record<string, unknown>> {
+	const server = await createServiceServer({host, port: Number(port), journal: flags.journal});
+
+	return () => ({...base, address: `${host}:${server.port}`, service: flags.service});
+}
+
+const createMessage = flags.kind === UpstreamKind.Engine ? await startEngine() : await startService();
+
+for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+	process.on(signal, () => {
+		abort.abort();
+	});
+}
+
+await announce({
+	entries: flags.entries.split(','), joinKey: flags.joinKey, id: flags.id, createMessage, signal: abort.signal,
+});
+process.exit(0);
--- /dev/null
+++ b/packages/standins/src/service-server.ts
@@ -0,0 +1,56 @@
+import fs from 'node:fs/promises';
+import http from 'node:http';
+import {once} from 'node:events';
+import {type AddressInfo} from 'node:net';
+import {headerNames} from '@fescuestair/protocol';
+import {readBody, sendJson} from '@fescuestair/transport';
+
+export type ServiceServerOptions = {
+	readonly host: string;
+	readonly port: number;
+	/** Each booking that runs adds a line here. */
+	readonly journal: string;
+};
+
+const bodyLimits = {maxBytes: 1_000_000, timeoutMs: 10_000};
+
+/** Creates a plain service: POST books, GET looks up; `?delayMs=` makes it slow, `?tooLate=1` breaks the connection after booking. */
+export async function createServiceServer({host, port, journal}: ServiceServerOptions) {
+	const bookings = new Map<string, number>();
+
+	const server = http.createServer(async (request, response) => {
+		const {searchParams} = new URL(request.url ?? '/', 'http://service');
+		await readBody(request, bodyLimits);
+		const key = String(request.headers[headerNames.idempotencyKey] ?? 'none');
+
+		if (request.method === 'GET') {
+			sendJson(response, 200, {bookings: bookings.size});
+
+			return;
+		}
+
+		bookings.set(key, (bookings.get(key) ?? 0) + 1);
+		await fs.appendFile(journal, `${key}\n`);
+		await new Promise(resolve => {
+			setTimeout(resolve, Number(searchParams.get('delayMs') ?? 0));
+		});
+
+		if (searchParams.has('tooLate')) {
+			response.destroy();
+		} else {
+			sendJson(response, 201, {booked: key, number: bookings.size});
+		}
+	});
+	server.listen(port, host);
+	await once(server, 'listening');
+
+	return {
+		port: (server.address() as AddressInfo).port,
+		async close() {
+			const closed = once(server, 'close');
+			server.close();
+			server.closeAllConnections();
+			await closed;
+		},
+	};
+}
--- a/packages/state/src/config-items.ts
+++ b/packages/state/src/config-items.ts
@@ -16,6 +16,8 @@
 	Model = 'model',
 	Service = 'service',
 	UpstreamPolicy = 'upstream_policy',
+	/** Takes an instance out of service until it is removed again; not part of the declarations. */
+	Drain = 'drain',
 }
 
 const nameSchema = z.string().regex(/^[a-z0-9][a-z0-9._\-]{0,62}$/v, 'must be 1 to 63 of a-z, 0-9, dot, dash and underscore');
@@ -89,6 +91,12 @@
 	roles: z.record(z.string(), z.enum(['mixed', 'short_only', 'long_only'])).default({}),
 });
 
+const drainSchema = z.strictObject({
+	kind: z.literal(ItemKind.Drain),
+	/** An upstream or an entry. */
+	name: nameSchema,
+});
+
 /** The schema of each kind of declaration. */
 export const itemSchemas = {
 	[ItemKind.Preset]: presetSchema,
@@ -96,6 +104,7 @@
 	[ItemKind.Model]: modelSchema,
 	[ItemKind.Service]: serviceSchema,
 	[ItemKind.UpstreamPolicy]: upstreamPolicySchema,
+	[ItemKind.Drain]: drainSchema,
 };
 
 export type PresetItem = z.infer<typeof presetSchema>;
@@ -103,4 +112,5 @@
 export type ModelItem = z.infer<typeof modelSchema>;
 export type ServiceItem = z.infer<typeof serviceSchema>;
 export type UpstreamPolicyItem = z.infer<typeof upstreamPolicySchema>;
-export type ConfigItem = PresetItem | OrganisationItem | ModelItem | ServiceItem | UpstreamPolicyItem;
+export type DrainItem = z.infer<typeof drainSchema>;
+export type ConfigItem = PresetItem | OrganisationItem | ModelItem | ServiceItem | UpstreamPolicyItem | DrainItem;
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -10,6 +10,7 @@
 	applyPublicChange, createPublicState, findItem, getInForceName, getPresetInForce, inForceKey, isQuarantined, listItems, listPublicChanges, type PublicChange,
 	type PublicState,
 } from './public-state.js';
+export {stampRequest, type Request} from './stamp.js';
 export {decodeState, encodeState, type EncodedState} from './encode.js';
 export {
 	AnswerKind, ClaimPhase, CommandKind, type Answer, type Claim, type ClaimOutcome, type Command, type HistoryEntry, type ReplicatedState,
--- a/scripts/check-layers.mjs
+++ b/scripts/check-layers.mjs
@@ -13,13 +13,14 @@
 	routing: 2,
 	limits: 2,
 	transport: 2,
-	control: 3,
-	entry: 3,
-	daemon: 4,
-	cli: 4,
-	standins: 4,
-	demo: 5,
-	bench: 5,
+	runtime: 3,
+	control: 4,
+	entry: 4,
+	daemon: 5,
+	cli: 5,
+	standins: 5,
+	demo: 6,
+	bench: 6,
 };
 
 const findings = [];
@@ -47,7 +48,7 @@
 
 		const text = fs.readFileSync(`packages/${name}/src/${file}`, 'utf8');
 
-		for (const match of text.matchAll(/from '(@fescuestair\/[a-z]+)/gu)) {
+		for (const match of text.matchAll(/from '(@fescuestair\/[a-z]+)/gv)) {
 			if (!own.includes(match[1])) {
 				findings.push(`packages/${name}/src/${file}: imports ${match[1]}, which its package does not declare`);
 			}
--- a/xo.config.js
+++ b/xo.config.js
@@ -12,6 +12,8 @@
 			'@typescript-eslint/no-unsafe-type-assertion': 'off',
 			// Numbers appear in log lines and messages.
 			'@typescript-eslint/restrict-template-expressions': ['error', {allowNumber: true}],
+			// A default branch deals with every kind that is not named.
+			'@typescript-eslint/switch-exhaustiveness-check': ['error', {considerDefaultExhaustiveForUnions: true}],
 			// Node's APIs take async listeners whose errors are handled inside.
 			'@typescript-eslint/strict-void-return': 'off',
 		},
@@ -33,7 +35,8 @@
 		},
 	},
 	{
-		files: ['packages/*/src/main.ts'],
+		// Programs end themselves with an exit code.
+		files: ['packages/*/src/main.ts', 'packages/daemon/src/run-daemon.ts'],
 		rules: {
 			'unicorn/no-process-exit': 'off',
 		},
