Keep gossip's cost level: watch eight daemons, and let idle links be quiet

Cause: each daemon probed all others in turn, so that it held a link to each, and each link said twice a second that it lived: 80 daemons in one process did not join in 10 minutes; at 400 daemons the heartbeats alone were worked out at about 48 KB/s against a budget of 10.

--- a/packages/bench/src/membership.ts
+++ b/packages/bench/src/membership.ts
@@ -13,6 +13,8 @@
 const keys = parseClusterKeys(`k:${'a'.repeat(64)}`, 'keys');
 const firstPort = 30_100;
 const settleMs = 4000;
+const pollMs = 20;
+const waitLimitMs = 30_000;
 const measureMs = 4000;
 /** Budget of a daemon for control. */
 const maxBytesPerSecond = 10_000;
@@ -60,13 +62,19 @@
 	return bytes;
 }
 
+async function waitUntil(check: () => boolean): Promise<void> {
+	const deadlineMs = clock.readMonotonicMs() + waitLimitMs;
+
+	while (!check() && clock.readMonotonicMs() < deadlineMs) {
+		await sleep(pollMs);
+	}
+}
+
 async function measureSize(size: number, report: Report): Promise<void> {
 	const daemons = await Promise.all(Array.from({length: size}, async (_, index) => startDaemon(index)));
 	const joinedAtMs = clock.readMonotonicMs();
 
-	while (daemons.some(daemon => listServing(daemon.gossip.getMembership(), RecordKind.Entry).length < size)) {
-		await sleep(50);
-	}
+	await waitUntil(() => daemons.every(daemon => listServing(daemon.gossip.getMembership(), RecordKind.Entry).length === size));
 
 	report({bench: `membership.join_all.${size}`, value: clock.readMonotonicMs() - joinedAtMs, unit: 'ms'});
 	await sleep(settleMs);
@@ -96,17 +104,13 @@
 	const isKnown = (daemon: Daemon) => listServing(daemon.gossip.getMembership(), RecordKind.Upstream).length === 1;
 	const announcedAtMs = clock.readMonotonicMs();
 
-	while (!daemons.every(daemon => isKnown(daemon))) {
-		await sleep(20);
-	}
+	await waitUntil(() => daemons.every(daemon => isKnown(daemon)));
 
 	report({bench: `membership.announce_everywhere.${size}`, value: clock.readMonotonicMs() - announcedAtMs, unit: 'ms'});
 	daemons[1]!.gossip.publish({...record, version: 2, status: MemberStatus.Leaving});
 	const leftAtMs = clock.readMonotonicMs();
 
-	while (daemons.some(daemon => isKnown(daemon))) {
-		await sleep(20);
-	}
+	await waitUntil(() => !daemons.some(daemon => isKnown(daemon)));
 
 	report({bench: `membership.leave_everywhere.${size}`, value: clock.readMonotonicMs() - leftAtMs, unit: 'ms', bound: 2000});
 }
--- a/packages/membership/src/step.ts
+++ b/packages/membership/src/step.ts
@@ -1,4 +1,4 @@
-import {computeHash, type Step} from '@fescuestair/core';
+import {computeHash, rankByRendezvous, type Step} from '@fescuestair/core';
 import {
 	computeDigests, listOverdue, listParts, mergeRecords, tidyRecords,
 } from './records.js';
@@ -9,6 +9,8 @@
 type MembershipStep = Step<Membership, Output>;
 
 const relays = 2;
+/** Daemons that one daemon watches. */
+const watchedPeers = 8;
 /** Records that ride on one message. */
 const maxRumoursPerMessage = 24;
 /** Each record is passed on this many times the logarithm of the number of daemons. */
@@ -112,8 +114,22 @@
 	return sendGossip({...membership, sequence, probe}, target.address, {kind: GossipKind.Ping, sequence, records: []});
 }
 
+// Each daemon watches and talks to a few others only, so that its cost does not grow with their number; who watches
+// whom follows from the names, and the graph they make is connected.
+function listWatched(membership: Membership): readonly MemberRecord[] {
+	const peers = listPeers(membership);
+
+	if (peers.length <= watchedPeers) {
+		return peers;
+	}
+
+	const chosen = new Set(rankByRendezvous(membership.selfId, peers.map(record => record.id)).slice(0, watchedPeers));
+
+	return peers.filter(record => chosen.has(record.id));
+}
+
 function shufflePeers(membership: Membership): readonly string[] {
-	return listPeers(membership)
+	return listWatched(membership)
 		.map(record => ({id: record.id, weight: computeHash(`${membership.selfId}/${membership.sequence}/${record.id}`)}))
 		.toSorted((a, b) => a.weight < b.weight ? -1 : 1)
 		.map(entry => entry.id);
@@ -222,7 +238,7 @@
 	const peers = listPeers(membership);
 	// Alone, a daemon keeps knocking at its seeds, more often than it would sync.
 	const isAlone = peers.length === 0;
-	const addresses = isAlone ? membership.seeds : [pickSyncPeer(membership, peers, nowMs).address];
+	const addresses = isAlone ? membership.seeds : [pickSyncPeer(membership, listWatched(membership), nowMs).address];
 	const waitMs = isAlone ? membership.timing.probeMs : membership.timing.syncMs;
 	const gossip: Gossip = {kind: GossipKind.Sync, digests: computeDigests(membership), records: [membership.held.get(membership.selfId)!.record]};
 
--- a/packages/transport/src/link-server.ts
+++ b/packages/transport/src/link-server.ts
@@ -1,7 +1,7 @@
 import tls, {type TLSSocket} from 'node:tls';
 import {once} from 'node:events';
 import {FrameKind, openFrameChannel, type Frame} from './link-frames.js';
-import {keepAlive} from './link-liveness.js';
+import {endWhenIdle} from './link-liveness.js';
 import {linkCiphers} from './link-timing.js';
 import {type Address} from './address.js';
 import {type ClusterKeys} from './cluster-keys.js';
@@ -77,8 +77,10 @@
 			});
 		} else if (kind === FrameKind.OneWay) {
 			onMessage(body, undefined);
+		} else if (kind === FrameKind.Heartbeat) {
+			channel.write([FrameKind.Heartbeat, 0, undefined]);
 		}
 	});
 
-	keepAlive(socket, channel);
+	endWhenIdle(socket);
 }
--- a/packages/transport/src/links.ts
+++ b/packages/transport/src/links.ts
@@ -3,7 +3,7 @@
 import {
 	FrameKind, openFrameChannel, type Frame, type FrameChannel,
 } from './link-frames.js';
-import {keepAlive} from './link-liveness.js';
+import {watchSilence, type WatchedChannel} from './link-liveness.js';
 import {linkCiphers, maxBacklogBytes} from './link-timing.js';
 import {parseAddress} from './address.js';
 import {type ClusterKeys} from './cluster-keys.js';
@@ -129,7 +129,8 @@
 	const waiting = new Map<number, Waiting>();
 	socket.setNoDelay(true);
 
-	const channel = openFrameChannel(socket, ([kind, callId, body]: Frame) => {
+	const channel: WatchedChannel = watchSilence(socket, openFrameChannel(socket, ([kind, callId, body]: Frame) => {
+		channel.noteReceived();
 		const call = kind === FrameKind.Reply ? waiting.get(callId) : undefined;
 
 		if (call !== undefined) {
@@ -137,8 +138,7 @@
 			clearTimeout(call.timer);
 			call.resolve(body);
 		}
-	});
-	keepAlive(socket, channel);
+	}));
 	let reason = 'closed';
 
 	socket.on('error', (error: Error) => {
