--- a/packages/bench/src/benchmarks.ts
+++ b/packages/bench/src/benchmarks.ts
@@ -1,5 +1,10 @@
 import {type Benchmark} from './report.js';
 import {membershipBenchmark, membershipLargeBenchmark} from './membership.js';
+import {pathBenchmark} from './path.js';
+import {routingBenchmark, routingFullBenchmark} from './routing.js';
+import {stateBenchmark} from './state.js';
 
 /** All benchmarks. */
-export const benchmarks: readonly Benchmark[] = [membershipBenchmark, membershipLargeBenchmark];
+export const benchmarks: readonly Benchmark[] = [
+	routingBenchmark, membershipBenchmark, stateBenchmark, pathBenchmark, membershipLargeBenchmark, routingFullBenchmark,
+];
--- a/packages/bench/src/membership.ts
+++ b/packages/bench/src/membership.ts
@@ -12,9 +12,9 @@
 const clock = createSystemClock();
 const keys = parseClusterKeys(`k:${'a'.repeat(64)}`, 'keys');
 const firstPort = 30_100;
-const settleMs = 4000;
+const settleMs = 500;
 const pollMs = 20;
-const waitLimitMs = 30_000;
+const waitLimitMs = 45_000;
 const measureMs = 4000;
 /** Budget of a daemon for control. */
 const maxBytesPerSecond = 10_000;
@@ -77,6 +77,8 @@
 	await waitUntil(() => daemons.every(daemon => listServing(daemon.gossip.getMembership(), RecordKind.Entry).length === size));
 
 	report({bench: `membership.join_all.${size}`, value: clock.readMonotonicMs() - joinedAtMs, unit: 'ms'});
+	// News of the join itself is not part of the steady cost.
+	await waitUntil(() => daemons.every(daemon => daemon.gossip.getMembership().rumours.size === 0));
 	await sleep(settleMs);
 	const cpuBefore = process.cpuUsage();
 	const bytesBefore = sumBytes(daemons);
--- a/packages/control/src/replica-runner.ts
+++ b/packages/control/src/replica-runner.ts
@@ -66,6 +66,7 @@
 	let appliedIndex = loaded.snapshot?.index ?? 0;
 	let queue: Message[] = [];
 	let isDraining = false;
+	let draining = Promise.resolve();
 	let isStopped = false;
 
 	if (snapshotData !== undefined) {
@@ -103,10 +104,6 @@
 
 	// All messages that came while the last batch was being synced make the next batch: they share one sync.
 	const drain = async () => {
-		if (isDraining || isStopped) {
-			return;
-		}
-
 		isDraining = true;
 
 		try {
@@ -133,7 +130,10 @@
 		}
 
 		queue.push(message);
-		void drain();
+
+		if (!isDraining) {
+			draining = drain();
+		}
 	};
 
 	const carryOut = async (batch: readonly Effect[]) => {
@@ -308,6 +308,8 @@
 			clearInterval(timer);
 			isStopped = true;
 			rejectAll(new ProposalError(false, 'the replica stops'));
+			// A write or a snapshot under way is finished first.
+			await draining;
 			await store.close();
 		},
 	};
