--- a/packages/bench/src/membership.ts
+++ b/packages/bench/src/membership.ts
@@ -1,7 +1,9 @@
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {createSystemClock} from '@fescuestair/core';
-import {listServing, MemberStatus, RecordKind, type MemberRecord} from '@fescuestair/membership';
+import {
+	listServing, MemberStatus, RecordKind, type MemberRecord,
+} from '@fescuestair/membership';
 import {type LinkMessage} from '@fescuestair/protocol';
 import {createGossip, type GossipHost} from '@fescuestair/runtime';
 import {
@@ -114,7 +116,9 @@
 
 	await waitUntil(() => !daemons.some(daemon => isKnown(daemon)));
 
-	report({bench: `membership.leave_everywhere.${size}`, value: clock.readMonotonicMs() - leftAtMs, unit: 'ms', bound: 2000});
+	report({
+		bench: `membership.leave_everywhere.${size}`, value: clock.readMonotonicMs() - leftAtMs, unit: 'ms', bound: 2000,
+	});
 }
 
 export const membershipBenchmark: Benchmark = {
--- a/packages/bench/src/model/engine-model.ts
+++ b/packages/bench/src/model/engine-model.ts
@@ -178,7 +178,7 @@
 			const long = waiting.filter(one => one.job.priority === Priority.Long);
 			const short = waiting.filter(one => one.job.priority === Priority.Short);
 			const placedLong = [...placed].filter(one => one.job.priority === Priority.Long).length;
-			const sum = (list: readonly Running[]) => list.reduce((total, one) => total + one.prefillLeft, 0); // eslint-disable-line unicorn/no-array-reduce
+			const sum = (list: readonly Running[]) => list.reduce((total, one) => total + one.prefillLeft, 0);
 
 			return {
 				running: placed.size, waitingShort: short.length, waitingLong: long.length, longInProgress: long.length + placedLong, slots,
--- a/packages/bench/src/model/simulate.ts
+++ b/packages/bench/src/model/simulate.ts
@@ -1,4 +1,3 @@
-import {createHistogram, type Histogram} from './histogram.js';
 import {createEngineView, sumDispatches, type Dispatch} from '@fescuestair/entry';
 import {rankByRendezvous} from '@fescuestair/core';
 import {type EngineLoad} from '@fescuestair/protocol';
@@ -8,6 +7,7 @@
 import {
 	createDirectory, pieceTokens, Priority, type StoreView, type Weights,
 } from '@fescuestair/routing';
+import {createHistogram, type Histogram} from './histogram.js';
 import {createEngineModel, type EngineModel} from './engine-model.js';
 import {createScheduler} from './scheduler.js';
 import {createStoreModel, type StoreModel} from './store-model.js';
@@ -361,6 +361,6 @@
 	const linkCapacity = scenario.linkBytesPerSecond * (scenario.forMs - scenario.warmupMs) / 1000;
 
 	return {
-		...totals, shortFirstToken, longFirstToken, goodByOrganisation, linkBytes: moved.reduce((sum, bytes) => sum + bytes, 0), linkShare: Math.max(0, ...moved) / linkCapacity, // eslint-disable-line unicorn/no-array-reduce
+		...totals, shortFirstToken, longFirstToken, goodByOrganisation, linkBytes: moved.reduce((sum, bytes) => sum + bytes, 0), linkShare: Math.max(0, ...moved) / linkCapacity,
 	};
 }
--- a/packages/bench/src/model/workload.ts
+++ b/packages/bench/src/model/workload.ts
@@ -67,7 +67,9 @@
 
 		const isCrash = priority === Priority.Short && atMs >= nextCrashMs;
 		nextCrashMs = isCrash ? nextCrashMs + (crashEveryMs ?? 0) : nextCrashMs;
-		items.push(createItem(options, {random, priority, atMs, isCrash}), ...createFlood(options, {random, priority, atMs}));
+		items.push(createItem(options, {
+			random, priority, atMs, isCrash,
+		}), ...createFlood(options, {random, priority, atMs}));
 	}
 }
 
--- a/packages/bench/src/path.ts
+++ b/packages/bench/src/path.ts
@@ -79,7 +79,7 @@
 
 async function measureLoad(system: System, idleStreams: number, report: Report): Promise<void> {
 	const histogram = createHistogram();
-	const pid = system.entries[0]!.process.pid;
+	const {pid} = system.entries[0]!.process;
 	const running: Array<Promise<void>> = [];
 	const endMs = clock.readMonotonicMs() + warmupMs + loadMs;
 	let before = await readProcessUsage(pid);
@@ -104,7 +104,9 @@
 		bench: `path.entry_core_share.25_requests_8000_tokens_${idleStreams}_idle`, value: (after.cpuSeconds - before.cpuSeconds) / seconds, unit: 'core', bound: maxCoreShare,
 	});
 	report({bench: `path.entry_resident_memory.${idleStreams}_idle`, value: after.residentBytes / 1e6, unit: 'MB'});
-	report({bench: `path.first_token_p95.${idleStreams}_idle`, value: histogram.getPercentile(95), unit: 'ms', bound: 340});
+	report({
+		bench: `path.first_token_p95.${idleStreams}_idle`, value: histogram.getPercentile(95), unit: 'ms', bound: 340,
+	});
 }
 
 async function runPath(report: Report): Promise<void> {
--- a/packages/bench/src/routing.ts
+++ b/packages/bench/src/routing.ts
@@ -190,7 +190,7 @@
 		const flooded = runCase(deployment, {
 			name: 'flood', load: 0.6, change: {}, workload: {floodFactor: 3},
 		}).outcome;
-		const sumOthers = (outcome: Outcome) => [...outcome.goodByOrganisation].filter(([name]) => name !== 'o1').reduce((sum, [, count]) => sum + count, 0); // eslint-disable-line unicorn/no-array-reduce
+		const sumOthers = (outcome: Outcome) => [...outcome.goodByOrganisation].filter(([name]) => name !== 'o1').reduce((sum, [, count]) => sum + count, 0);
 		report({
 			bench: `limits.${deployment.name}.others_goodput_under_flood`, value: sumOthers(flooded) / sumOthers(calm), unit: 'ratio', bound: 0.9, isFloor: true,
 		});
--- a/packages/bench/src/state.ts
+++ b/packages/bench/src/state.ts
@@ -8,7 +8,9 @@
 import {createStateFollower} from '@fescuestair/entry';
 import {startSystem, type System} from '@fescuestair/demo';
 import {LinkKind, type LinkReply} from '@fescuestair/protocol';
-import {AnswerKind, CommandKind, type Answer, type Request} from '@fescuestair/state';
+import {
+	AnswerKind, CommandKind, type Answer, type Request,
+} from '@fescuestair/state';
 import {createLogStore} from '@fescuestair/storage';
 import {createLinks, loadClusterKeys, type Links} from '@fescuestair/transport';
 import {createHistogram} from './model/histogram.js';
@@ -95,11 +97,11 @@
 	const leader = await findLeader(system);
 	let lastMs = clock.readMonotonicMs();
 	let longestMs = 0;
-	let isRunning = true;
+	const run = {isRunning: true};
 	let number = 0;
 
 	const work = async () => {
-		while (isRunning) {
+		while (run.isRunning) {
 			await propose({...createClaim(number), key: `${name}/${number++}`} as Request);
 			longestMs = Math.max(longestMs, clock.readMonotonicMs() - lastMs);
 			lastMs = clock.readMonotonicMs();
@@ -110,7 +112,7 @@
 	await sleep(300);
 	leader.process.kill(signal);
 	await sleep(4000);
-	isRunning = false;
+	run.isRunning = false;
 	await working;
 	report({
 		bench: `state.failover_gap.${name}`, value: longestMs, unit: 'ms', bound: 3000,
--- a/packages/entry/src/answer-writer.ts
+++ b/packages/entry/src/answer-writer.ts
@@ -4,11 +4,11 @@
 	createChunk, createCompletion, formatEventId, formatRefusal, headerNames, type Refusal,
 } from '@fescuestair/protocol';
 import {sendJson} from '@fescuestair/transport';
-import {type PromptEvent} from './prompt-run.js';
+import {type TakePromptEvent} from './prompt-run.js';
 
 /** Writes an answer to a caller. */
 export type AnswerWriter = {
-	readonly write: (event: PromptEvent) => Promise<void>;
+	readonly write: TakePromptEvent;
 	readonly finish: () => void;
 	/** Ends an answer that has begun without pretending that it is whole. */
 	readonly abort: (refusal: Refusal) => void;
@@ -48,9 +48,7 @@
 			isFirst = false;
 			offset = event.offset;
 
-			if (!response.write(`id: ${id}\ndata: ${JSON.stringify(chunk)}\n\n`)) {
-				await Promise.race([once(response, 'drain'), once(response, 'close')]);
-			}
+			return response.write(`id: ${id}\ndata: ${JSON.stringify(chunk)}\n\n`) ? undefined : waitForDrain(response);
 		},
 		finish() {
 			if (includesUsage) {
@@ -72,6 +70,10 @@
 	};
 }
 
+async function waitForDrain(response: ServerResponse): Promise<void> {
+	await Promise.race([once(response, 'drain'), once(response, 'close')]);
+}
+
 type UsageInput = {
 	readonly requestId: string;
 	readonly model: string;
@@ -100,10 +102,12 @@
 	let finishReason = 'stop';
 
 	return {
-		async write(event) {
+		write(event) {
 			text += event.text;
 			offset = event.offset;
 			finishReason = event.finishReason ?? finishReason;
+
+			return undefined;
 		},
 		finish() {
 			const completion = createCompletion({
--- a/packages/entry/src/completions.ts
+++ b/packages/entry/src/completions.ts
@@ -1,6 +1,6 @@
 import {createHash} from 'node:crypto';
 import {
-	FateEventKind, FateOutcome, getRefusalStatus, headerNames, parseEventId, parsePrompt, Ran, RefusalCode, RefusalError, type Candidate, type EventId,
+	AttemptEnd, FateEventKind, FateOutcome, getRefusalStatus, headerNames, parseEventId, parsePrompt, Ran, RefusalCode, RefusalError, type Candidate, type EventId,
 	type ParsedPrompt,
 } from '@fescuestair/protocol';
 import {
@@ -16,7 +16,7 @@
 	createStreamWriter, createWholeWriter, type AnswerWriter,
 } from './answer-writer.js';
 import {
-	runPrompt, type Plan, type PromptEvent, type PromptJob,
+	runPrompt, type Plan, type PromptEvent, type PromptJob, type TakePromptEvent,
 } from './prompt-run.js';
 import {
 	createRefusal, recordBegun, recordFinished, requirePreset, scaleLimit, toRefusal, type CallerRequest, type EntryServices,
@@ -102,20 +102,21 @@
 		signal: abort.signal,
 	};
 	const suspicion = {isSuspect: false};
-	const events = lastEventId === undefined
-		? runPrompt(createRunOptions(services, caller, {preset, fingerprint, suspicion}), job)
-		: resumeAnswer(services, job, lastEventId);
 	let tokens = 0;
 
-	for await (const event of events) {
+	const takeEvent = async (event: PromptEvent) => {
 		if (tokens === 0) {
 			metrics.observe('first_token_ms', clock.readMonotonicMs() - caller.startedMs, {organisation: caller.organisation, class: requestClass});
 		}
 
 		tokens = event.offset;
-		await writer.write(event);
-	}
 
+		return writer.write(event);
+	};
+
+	await (lastEventId === undefined
+		? runPrompt(createRunOptions(services, caller, {preset, fingerprint, suspicion}), job, takeEvent)
+		: resumeAnswer(services, job, {eventId: lastEventId, takeEvent}));
 	writer.finish();
 	services.depositSuccess();
 	recordFinished(services, caller.requestId, {
@@ -266,7 +267,10 @@
 	}
 }
 
-async function * resumeAnswer(services: EntryServices, job: PromptJob, {upstreamId, offset, attempt}: EventId): AsyncGenerator<PromptEvent> {
+type ResumeAnswerInput = {readonly eventId: EventId; readonly takeEvent: TakePromptEvent};
+
+async function resumeAnswer(services: EntryServices, job: PromptJob, {eventId, takeEvent}: ResumeAnswerInput): Promise<void> {
+	const {upstreamId, offset, attempt} = eventId;
 	const record = services.gossip.getMembership().held.get(upstreamId)?.record;
 	const gone = new RefusalError({
 		code: RefusalCode.ResumeGone, message: 'the answer is no longer kept; ask anew without Last-Event-ID', ran: Ran.Ran,
@@ -277,15 +281,11 @@
 	}
 
 	try {
-		const events = resume({agent: services.agent, address: record.address, signal: job.signal}, {
+		await resume({agent: services.agent, address: record.address, signal: job.signal}, {
 			requestId: job.requestId, organisation: job.organisation, fromOffset: offset,
-		});
-
-		for await (const event of events) {
-			yield {...event, upstreamId, attempt};
-		}
+		}, async event => takeEvent({...event, upstreamId, attempt}));
 	} catch (error) {
-		throw error instanceof AttemptError && error.message !== 'cancelled' ? gone : error;
+		throw error instanceof AttemptError && error.end !== AttemptEnd.Cancelled ? gone : error;
 	}
 }
 
--- a/packages/entry/src/engine-client.ts
+++ b/packages/entry/src/engine-client.ts
@@ -16,7 +16,7 @@
 
 /** An attempt at an engine ended without the whole answer. */
 export class AttemptError extends BaseError {
-	constructor(readonly end: AttemptEnd, detail: string, readonly ran = Ran.Unknown, readonly refusedWith?: RefusalCode) {
+	constructor(readonly end: AttemptEnd, detail: string, readonly ran = Ran.Unknown) {
 		super('attempt', detail);
 	}
 }
@@ -41,20 +41,20 @@
 	readonly signal: AbortSignal;
 };
 
+const okStatus = 200;
 const connectCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
 
-/** Starts a run and reads its events. */
-export async function * generate({agent, address, signal}: Call, input: GenerateInput): AsyncGenerator<EngineEvent> {
-	const body = JSON.stringify(input);
+/** Takes an event; a returned promise holds the stream back until it settles. */
+export type TakeEvent = (event: EngineEvent) => Promise<void> | undefined;
 
-	yield * readRun(async () => agent.request({
-		origin: `http://${address}`,
+/** Starts a run and reads its events; resolves once the last has been taken. */
+export async function generate(call: Call, input: GenerateInput, takeEvent: TakeEvent): Promise<void> {
+	await readRun(call, {
 		path: '/v1/generate',
 		method: 'POST',
 		headers: {'content-type': 'application/json', [headerNames.requestId]: input.requestId, [headerNames.organisation]: input.organisation},
-		body,
-		signal,
-	}), input.fromOffset);
+		body: JSON.stringify(input),
+	}, createEventTaker(input.fromOffset, takeEvent));
 }
 
 type ResumeInput = {
@@ -64,15 +64,13 @@
 };
 
 /** Reads on in a run that the engine still has, over a new connection. */
-export async function * resume({agent, address, signal}: Call, {requestId, organisation, fromOffset}: ResumeInput): AsyncGenerator<EngineEvent> {
-	yield * readRun(async () => agent.request({
-		origin: `http://${address}`,
+export async function resume(call: Call, {requestId, organisation, fromOffset}: ResumeInput, takeEvent: TakeEvent): Promise<void> {
+	await readRun(call, {
 		path: `/v1/generate/${requestId}?from=${fromOffset}`,
 		method: 'GET',
 		headers: {[headerNames.organisation]: organisation},
-		signal,
 		reset: true,
-	}), fromOffset);
+	}, createEventTaker(fromOffset, takeEvent));
 }
 
 /** Ends a run that nobody waits for any more. Not awaited by callers: the engine ends it by itself before long. */
@@ -87,50 +85,119 @@
 	}
 }
 
-type EngineResponse = Awaited<ReturnType<Agent['request']>>;
+type RunRequest = {
+	readonly path: string;
+	readonly method: 'GET' | 'POST';
+	readonly headers: Record<string, string>;
+	readonly body?: string;
+	readonly reset?: boolean;
+};
 
-async function * readRun(open: () => Promise<EngineResponse>, fromOffset: number): AsyncGenerator<EngineEvent> {
-	let isOpen = false;
+/** Takes pieces of the stream; tells whether the last event has come. */
+type EventTaker = {
+	readonly takeText: (text: string) => Promise<void> | undefined;
+	readonly isWhole: () => boolean;
+};
 
-	try {
-		const response = await open();
-		isOpen = true;
+function createEventTaker(fromOffset: number, takeEvent: TakeEvent): EventTaker {
+	const read = createEventReader();
+	let offset = fromOffset;
+	let isWhole = false;
 
-		if (response.statusCode !== 200) {
-			throw await describeRefusal(response);
+	const takeOne = (event: EngineEvent | undefined): Promise<void> | undefined => {
+		// Late and repeated events end where an earlier one already did.
+		if (event === undefined || isWhole || (event.offset <= offset && event.finishReason === undefined)) {
+			return undefined;
 		}
 
-		yield * readEvents(response.body, fromOffset);
-	} catch (error) {
-		throw describeFailure(error, isOpen);
-	}
-}
+		offset = event.offset;
+		isWhole = event.finishReason !== undefined;
 
-async function * readEvents(body: AsyncIterable<Uint8Array>, fromOffset: number): AsyncGenerator<EngineEvent> {
-	const decoder = new TextDecoder();
-	const read = createEventReader();
-	let offset = fromOffset;
+		return takeEvent(event);
+	};
 
-	for await (const chunk of body) {
-		for (const {id, data} of read(decoder.decode(chunk, {stream: true}))) {
-			const event = parseEvent(id, data);
+	return {
+		async takeText(text) {
+			let last: Promise<void> | undefined;
 
-			// Late and repeated events end where an earlier one already did.
-			if (event === undefined || (event.offset <= offset && event.finishReason === undefined)) {
-				continue;
+			for (const {id, data} of read(text)) {
+				last = takeOne(parseEvent(id, data)) ?? last;
 			}
 
-			offset = event.offset;
+			return last;
+		},
+		isWhole: () => isWhole,
+	};
+}
+
+// By the dispatcher's own callbacks and not by a stream's iterator: an entry passes thousands of tokens a second.
+async function readRun({agent, address, signal}: Call, request: RunRequest, taker: EventTaker): Promise<void> {
+	const decoder = new TextDecoder();
+	let isOpen = false;
+	let status = 0;
+	let refusal = '';
+	let abort: () => void = () => undefined;
+
+	try {
+		await new Promise<void>((resolve, reject) => {
+			agent.dispatch({...request, origin: `http://${address}`}, {
+				onRequestStart(controller) {
+					abort = () => {
+						controller.abort(new AttemptError(AttemptEnd.Cancelled, 'cancelled'));
+					};
+
+					signal.addEventListener('abort', abort);
+
+					if (signal.aborted) {
+						abort();
+					}
+				},
+				onResponseStart(_controller, statusCode) {
+					isOpen = true;
+					status = statusCode;
+				},
+				onResponseData(controller, chunk) {
+					const text = decoder.decode(chunk, {stream: true});
+
+					if (status !== okStatus) {
+						refusal += text;
+
+						return;
+					}
+
+					const taken = taker.takeText(text);
+
+					if (taken !== undefined) {
+						controller.pause();
+						void resumeAfter(taken, controller);
+					}
+				},
+				onResponseEnd() {
+					resolve();
+				},
+				onResponseError(_controller, error) {
+					reject(error);
+				},
+			});
+		});
+	} catch (error) {
+		throw describeFailure(error, isOpen);
+	} finally {
+		signal.removeEventListener('abort', abort);
+	}
 
-			yield event;
+	if (status !== okStatus) {
+		throw describeRefusal(status, refusal);
+	}
 
-			if (event.finishReason !== undefined) {
-				return;
-			}
-		}
+	if (!taker.isWhole()) {
+		throw new AttemptError(AttemptEnd.ConnectionLost, 'the stream ended before the answer was whole');
 	}
+}
 
-	throw new AttemptError(AttemptEnd.ConnectionLost, 'the stream ended before the answer was whole');
+async function resumeAfter(taken: Promise<void>, controller: {readonly resume: () => void}): Promise<void> {
+	await taken;
+	controller.resume();
 }
 
 function parseEvent(id: string | undefined, data: string): EngineEvent | undefined {
@@ -143,11 +210,8 @@
 	return {offset: Number(id), text: value.text ?? '', finishReason: value.finishReason};
 }
 
-async function describeRefusal(response: EngineResponse): Promise<AttemptError> {
-	const text = await response.body.text();
-	const code = readCode(text);
-
-	return new AttemptError(AttemptEnd.Refused, `status ${response.statusCode} ${code}`, Ran.NotRun, response.statusCode === 409 ? RefusalCode.NoUpstream : undefined);
+function describeRefusal(status: number, text: string): AttemptError {
+	return new AttemptError(AttemptEnd.Refused, `status ${status} ${readCode(text)}`, Ran.NotRun);
 }
 
 function readCode(text: string): string {
--- a/packages/entry/src/fate-recorder.ts
+++ b/packages/entry/src/fate-recorder.ts
@@ -1,6 +1,8 @@
 import {rankByRendezvous} from '@fescuestair/core';
 import {listRecords, MemberStatus, RecordKind} from '@fescuestair/membership';
-import {LinkKind, type FateEvent, type LinkMessage} from '@fescuestair/protocol';
+import {
+	FateEventKind, LinkKind, type FateEvent, type LinkMessage,
+} from '@fescuestair/protocol';
 import {type GossipHost} from '@fescuestair/runtime';
 import {type Links} from '@fescuestair/transport';
 
@@ -13,8 +15,8 @@
 const maxHeld = 20_000;
 
 /**
-Creates the recorder. Events leave in the turn of the event loop in which they arise, one message for each home, so
-that a process that is killed has already handed them to the operating system.
+Creates the recorder. Events leave in the turn of the event loop in which they arise, one message for each home, and all
+that stand before a dispatch leave ahead of it: a process that is killed has already handed them to the operating system.
 
 @example
 ```
@@ -58,9 +60,11 @@
 		record(event) {
 			held.push(event);
 
-			if (!isScheduled) {
+			if (event.kind === FateEventKind.Dispatched) {
+				flush();
+			} else if (!isScheduled) {
 				isScheduled = true;
-				queueMicrotask(flush);
+				setImmediate(flush);
 			}
 		},
 	};
--- a/packages/entry/src/prompt-run.ts
+++ b/packages/entry/src/prompt-run.ts
@@ -6,7 +6,7 @@
 	AttemptEnd, FateEventKind, Ran, RefusalCode, RefusalError, type Candidate, type FateEvent,
 } from '@fescuestair/protocol';
 import {
-	AttemptError, cancel, generate, resume, type EngineEvent,
+	AttemptError, cancel, generate, resume, type EngineEvent, type TakeEvent,
 } from './engine-client.js';
 import {type EngineTable} from './engine-table.js';
 
@@ -45,6 +45,9 @@
 /** An event of the answer, with the attempt it came from. */
 export type PromptEvent = EngineEvent & {readonly upstreamId: string; readonly attempt: number};
 
+/** Takes an event; a returned promise holds the answer back until it settles. */
+export type TakePromptEvent = (event: PromptEvent) => Promise<void> | undefined;
+
 const maxAttempts = 4;
 const overloadRetrySeconds = 1;
 
@@ -56,12 +59,10 @@
 
 @example
 ```
-for await (const event of runPrompt(options, job)) {
-	write(event.text);
-}
+await runPrompt(options, job, event => writer.write(event));
 ```
 */
-export async function * runPrompt(options: PromptRunOptions, job: PromptJob): AsyncGenerator<PromptEvent> {
+export async function runPrompt(options: PromptRunOptions, job: PromptJob, takeEvent: TakePromptEvent): Promise<void> {
 	const progress: Progress = {
 		text: '', offset: 0, attempt: 0, hasFirst: false,
 	};
@@ -74,7 +75,7 @@
 		progress.attempt++;
 
 		try {
-			yield * runAttempt(options, job, {plan, progress});
+			await runAttempt(options, job, {plan, progress, takeEvent});
 
 			return;
 		} catch (error) {
@@ -87,10 +88,10 @@
 	throw giveUp(last);
 }
 
-type AttemptInput = {readonly plan: Plan; readonly progress: Progress};
+type AttemptInput = {readonly plan: Plan; readonly progress: Progress; readonly takeEvent: TakePromptEvent};
 
-async function * runAttempt(options: PromptRunOptions, job: PromptJob, {plan, progress}: AttemptInput): AsyncGenerator<PromptEvent> {
-	const {record, prefillTokens} = plan;
+async function runAttempt(options: PromptRunOptions, job: PromptJob, input: AttemptInput): Promise<void> {
+	const {plan: {record, prefillTokens}, progress} = input;
 	const {attempt} = progress;
 	const base = {requestId: job.requestId, attempt};
 	options.recordFate({
@@ -101,18 +102,7 @@
 	let detail = '';
 
 	try {
-		for await (const event of readWithResume(options, job, {plan, progress})) {
-			if (!progress.hasFirst) {
-				progress.hasFirst = true;
-				options.recordFate({...base, kind: FateEventKind.FirstToken, atMs: options.clock.readWallMs()});
-			}
-
-			progress.text += event.text;
-			progress.offset = event.offset;
-
-			yield {...event, upstreamId: record.id, attempt};
-		}
-
+		await readWithResume(options, job, input);
 		end = AttemptEnd.Complete;
 	} catch (error) {
 		if (error instanceof AttemptError) {
@@ -127,18 +117,39 @@
 			...base, kind: FateEventKind.AttemptEnded, atMs: options.clock.readWallMs(), end, detail, offset: progress.offset,
 		});
 
-		// Also where the consumer stopped reading: the engine shall not go on for nobody.
+		// The engine shall not go on for nobody.
 		if (end !== AttemptEnd.Complete && end !== AttemptEnd.NotSent) {
 			void cancel({agent: options.agent, address: record.address}, job.requestId, job.organisation);
 		}
 	}
 }
 
-async function * readWithResume(options: PromptRunOptions, job: PromptJob, {plan, progress}: AttemptInput): AsyncGenerator<EngineEvent> {
+function createTaker(options: PromptRunOptions, job: PromptJob, {plan, progress, takeEvent}: AttemptInput): TakeEvent {
+	const {attempt} = progress;
+	const upstreamId = plan.record.id;
+
+	return async event => {
+		if (!progress.hasFirst) {
+			progress.hasFirst = true;
+			options.recordFate({
+				kind: FateEventKind.FirstToken, requestId: job.requestId, attempt, atMs: options.clock.readWallMs(),
+			});
+		}
+
+		progress.text += event.text;
+		progress.offset = event.offset;
+
+		return takeEvent({...event, upstreamId, attempt});
+	};
+}
+
+async function readWithResume(options: PromptRunOptions, job: PromptJob, input: AttemptInput): Promise<void> {
+	const {plan, progress} = input;
 	const call = {agent: options.agent, address: plan.record.address, signal: job.signal};
+	const takeEvent = createTaker(options, job, input);
 
 	try {
-		yield * generate(call, {
+		await generate(call, {
 			requestId: job.requestId,
 			attempt: progress.attempt,
 			organisation: job.organisation,
@@ -149,7 +160,7 @@
 			priority: job.priority,
 			continueText: progress.text,
 			fromOffset: progress.offset,
-		});
+		}, takeEvent);
 
 		return;
 	} catch (error) {
@@ -161,7 +172,7 @@
 	}
 
 	// Something between the two ends may have lost the connection while the run goes on.
-	yield * resume(call, {requestId: job.requestId, organisation: job.organisation, fromOffset: progress.offset});
+	await resume(call, {requestId: job.requestId, organisation: job.organisation, fromOffset: progress.offset}, takeEvent);
 }
 
 async function decideRetry(options: PromptRunOptions, job: PromptJob, {plan, error}: {plan: Plan; error: AttemptError}): Promise<void> {
--- a/packages/transport/src/link-server.ts
+++ b/packages/transport/src/link-server.ts
@@ -71,14 +71,27 @@
 function serveSocket(socket: TLSSocket, onMessage: LinkHandler): void {
 	socket.setNoDelay(true);
 	const channel = openFrameChannel(socket, ([kind, callId, body]: Frame) => {
-		if (kind === FrameKind.Call) {
-			onMessage(body, answer => {
-				channel.write([FrameKind.Reply, callId, answer]);
-			});
-		} else if (kind === FrameKind.OneWay) {
-			onMessage(body, undefined);
-		} else if (kind === FrameKind.Heartbeat) {
-			channel.write([FrameKind.Heartbeat, 0, undefined]);
+		switch (kind) {
+			case FrameKind.Call: {
+				onMessage(body, answer => {
+					channel.write([FrameKind.Reply, callId, answer]);
+				});
+
+				break;
+			}
+
+			case FrameKind.OneWay: {
+				onMessage(body, undefined);
+
+				break;
+			}
+
+			case FrameKind.Heartbeat: {
+				channel.write([FrameKind.Heartbeat, 0, undefined]);
+
+				break;
+			}
+		// No default
 		}
 	});
 
