Order engines to load weights, with fencing numbers and two loads at a time

Cause: a change of a model's weight version reached no engine. Weighed: entries ordering against the leader alone. Only the leader orders, while it holds its lease and after the longest flight of an earlier leader's orders; engines that ignore numbers are compared anew each round and corrected. Seen failing first: engines that check who orders answered 403, since the test system passed no key; a refused order held its place for ten seconds. Shown: four engines change over, the third order waits for a load to end; a foreign order is refused by those that check, and corrected at those that do not.

--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -18,6 +18,7 @@
 	createLinks, createLinkServer, parseAddress, type ClusterKeys, type KeyRing,
 } from '@fescuestair/transport';
 import {countSpareVoters, listInstanceRows, listReplicaRows} from './reports.js';
+import {createOrderGiver, createOrderSender} from './order-giver.js';
 import {createLinkHandler} from './link-handler.js';
 import {createOperatorServer} from './operator-server.js';
 import {createReplicaRunner} from './replica-runner.js';
@@ -39,6 +40,8 @@
 	readonly log: Log;
 	readonly clock?: Clock;
 	readonly snapshotEvery?: number;
+	/** Shown to upstreams that check who orders. */
+	readonly orderKey?: string;
 	/** The process must end: its disk failed, or a defect showed. */
 	readonly onFailure: (error: unknown) => void;
 };
@@ -277,6 +280,16 @@
 		listen: parseAddress(options.operatorListen), getKeys: options.getOperatorKeys, backend, isReady: () => runner.getState().leaderId !== undefined,
 	});
 
+	const orders = createOrderGiver({
+		clock,
+		log,
+		getState: () => host.getState().publicState,
+		getMembership: gossip.getMembership,
+		isLeading: runner.canServeReads,
+		propose: async request => await proposeHere(request) as Answer,
+		sendOrder: createOrderSender({orderKey: options.orderKey ?? ''}),
+	});
+
 	const announceJoin = () => {
 		if (runner.getState().members.length > 0) {
 			return;
@@ -315,6 +328,7 @@
 				clearInterval(timer);
 			}
 
+			orders.stop();
 			runner.transferLeadership();
 			gossip.publishSelf({status: MemberStatus.Leaving});
 			await new Promise(resolve => {
--- a/packages/daemon/src/daemon-settings.ts
+++ b/packages/daemon/src/daemon-settings.ts
@@ -31,6 +31,7 @@
 	readonly statsd: string | undefined;
 	readonly logLevel: number;
 	readonly snapshotEvery: number;
+	readonly orderKeyFile: string | undefined;
 };
 
 const addressSchema = z.string('is missing').refine(text => isAddress(text), 'must be an IP address and a port, such as 127.0.0.1:7000');
@@ -54,6 +55,7 @@
 	defineSetting('cluster-keys-file', {description: 'lines of id:hexkey by which the processes prove themselves; read again on SIGHUP', schema: z.string('is missing').min(1)}),
 	defineSetting('join-keys-file', {description: 'lines of name:sha256 of the keys with which upstreams announce (entry); read again on SIGHUP', schema: optionalPath}),
 	defineSetting('operator-keys-file', {description: 'lines of name:sha256 of the operators\' keys (control); read again on SIGHUP', schema: optionalPath}),
+	defineSetting('order-key-file', {description: 'key shown to upstreams that check who orders (control)', schema: optionalPath}),
 	defineSetting('keep-entries-ms', {description: 'how long callers may keep the list of entries', schema: msSchema, defaultValue: '5000'}),
 	defineSetting('upstream-lease-ms', {description: 'an upstream that has not renewed for this long is dead', schema: msSchema, defaultValue: '3000'}),
 	defineSetting('stop-timeout-ms', {description: 'a graceful stop ends at the latest after this', schema: msSchema, defaultValue: '120000'}),
--- a/packages/daemon/src/key-files.ts
+++ b/packages/daemon/src/key-files.ts
@@ -37,3 +37,14 @@
 
 	return createKeyRing(keys);
 }
+
+/** Loads a file that holds one key. */
+export async function loadSecret(path: string): Promise<string> {
+	try {
+		const text = await fs.readFile(path, 'utf8');
+
+		return text.trim();
+	} catch (error) {
+		throw new FindingsError([createFinding(path, `cannot be read: ${(error as NodeJS.ErrnoException).code ?? 'unknown'}`)]);
+	}
+}
--- a/packages/daemon/src/run-daemon.ts
+++ b/packages/daemon/src/run-daemon.ts
@@ -4,7 +4,7 @@
 import {createEntry} from '@fescuestair/entry';
 import {createLog, createMetrics, type Metrics} from '@fescuestair/runtime';
 import {createKeyRing, loadClusterKeys, parseAddress} from '@fescuestair/transport';
-import {loadKeyRing} from './key-files.js';
+import {loadKeyRing, loadSecret} from './key-files.js';
 import {Role, type DaemonSettings} from './daemon-settings.js';
 
 type Running = {readonly stop: (deadlineMs: number) => Promise<{readonly cut: number}>};
@@ -78,6 +78,7 @@
 		operatorListen: settings.operatorListen,
 		getOperatorKeys: keys.getOperatorKeys,
 		snapshotEvery: settings.snapshotEvery,
+		orderKey: settings.orderKeyFile === undefined ? undefined : await loadSecret(settings.orderKeyFile),
 	});
 
 	return {
--- a/packages/demo/src/__tests__/integration/state.test.ts
+++ b/packages/demo/src/__tests__/integration/state.test.ts
@@ -265,6 +265,57 @@
 	});
 });
 
+test.serial('new weights are loaded two at a time by fenced orders, and an old or foreign order is refused', async t => {
+	await withSystem({
+		entries: 1, controls: 3, engines: 4, engineFlags: ['--load-ms', '1500'],
+	}, async system => {
+		const declarations = await fs.readFile(`${system.folder}/declarations.yaml`, 'utf8');
+		const file = `${system.folder}/next.yaml`;
+		await fs.writeFile(file, declarations.replace('name: assistant', 'name: assistant\nweightVersion: "2"'));
+		const applied = await system.runCli(['config', 'apply', file]);
+		t.is(applied.code, 0);
+		const listVersions = async () => {
+			const {output} = await system.runCli(['upstreams', '--json']);
+			const rows = JSON.parse(output) as ReadonlyArray<{id: string; details: {weightVersion?: string; kind: string}}>;
+
+			return rows.filter(row => row.details.kind === 'engine').map(row => row.details.weightVersion);
+		};
+
+		await waitFor(async () => {
+			const versions = await listVersions();
+
+			return versions.every(version => version === '2');
+		});
+		const answer = await ask(system, 'x', {tokens: 3});
+		t.is(joinStream(answer.text), expectAnswer('x', 3));
+		const orderTimes = system.controls
+			.flatMap(control => control.process.readOutput().split('\n'))
+			.filter(line => line.includes('order given'))
+			.map(line => Date.parse((JSON.parse(line) as {time: string}).time))
+			.toSorted((a, b) => a - b);
+		t.is(orderTimes.length, 4);
+		t.true(orderTimes[2]! - orderTimes[0]! >= 1400, 'a third load waits for one of the first two');
+		const sendOrder = async (engine: number, key: string) => call(`http://${system.engines[engine]!.address}/v1/orders`, {
+			method: 'POST', key, headers: {'x-fencing-token': '1'}, body: {kind: 'load', weightVersion: '1'},
+		});
+		const foreign = await sendOrder(0, 'foreign');
+		t.is(foreign.status, 403);
+		const unchecked = await sendOrder(1, 'foreign');
+		t.is(unchecked.status, 202, 'an engine that checks nothing obeys anyone');
+		await waitFor(async () => {
+			const versions = await listVersions();
+
+			return versions.includes('1');
+		});
+		// What an old order undid is corrected.
+		await waitFor(async () => {
+			const versions = await listVersions();
+
+			return versions.every(version => version === '2');
+		});
+	});
+});
+
 test.serial('operators who race under equal numbers are told, and wrong declarations are refused with all places', async t => {
 	await withSystem({entries: 1, controls: 1}, async system => {
 		const file = `${system.folder}/bad.yaml`;
--- a/packages/demo/src/system.ts
+++ b/packages/demo/src/system.ts
@@ -137,16 +137,19 @@
 	const otherOrganisationKey = createKey();
 	const joinKey = createKey();
 	const operatorKey = createKey();
+	const orderKey = createKey();
 	const files = {
 		cluster: path.join(folder, 'cluster.keys'),
 		join: path.join(folder, 'join.keys'),
 		operator: path.join(folder, 'operator.keys'),
+		order: path.join(folder, 'order.key'),
 		declarations: path.join(folder, 'declarations.yaml'),
 		journal: path.join(folder, 'journal'),
 	};
 	await fs.writeFile(files.cluster, `k1:${createKey()}${createKey()}\n`);
 	await fs.writeFile(files.join, `standins:${digest(joinKey)}\n`);
 	await fs.writeFile(files.operator, `ana:${digest(operatorKey)}\n`);
+	await fs.writeFile(files.order, `${orderKey}\n`);
 	await fs.writeFile(files.declarations, createDeclarations(organisationKey, otherOrganisationKey));
 	await fs.writeFile(files.journal, '');
 	const entryAddresses = await Promise.all(Array.from({length: entryCount}, async () => ({
@@ -185,6 +188,8 @@
 			files.cluster,
 			'--operator-keys-file',
 			files.operator,
+			'--order-key-file',
+			files.order,
 			...controlFlags,
 		]);
 		const started = {
@@ -238,7 +243,7 @@
 	};
 
 	const startEngine = async (index: number, flags: readonly string[] = engineFlags) => startUpstream(engines, index, {
-		id: `engine-${index + 1}`, flags: ['--kind', 'engine', ...flags], address: engineAddresses[index]!,
+		id: `engine-${index + 1}`, flags: ['--kind', 'engine', ...flags, ...(index % 2 === 0 ? ['--checks-fencing', '--order-key', orderKey] : [])], address: engineAddresses[index]!,
 	});
 
 	const runCli = async (flags: readonly string[]) => {
--- a/packages/standins/src/engine-server.ts
+++ b/packages/standins/src/engine-server.ts
@@ -4,12 +4,13 @@
 import {headerNames} from '@fescuestair/protocol';
 import {readBody, sendJson} from '@fescuestair/transport';
 import {type Engine, type Run, type RunInput} from './engine.js';
+import {type Weights} from './weights.js';
 
 export type EngineServerOptions = {
 	readonly host: string;
 	readonly port: number;
 	readonly engine: Engine;
-	readonly getWeightVersion: () => string;
+	readonly weights: Weights;
 };
 
 const bodyLimits = {maxBytes: 64_000_000, timeoutMs: 10_000};
@@ -17,7 +18,7 @@
 
 /** Creates the engine's HTTP listener: start, resume and cancel a run, read cache events. */
 export async function createEngineServer(options: EngineServerOptions) {
-	const {host, port, engine, getWeightVersion} = options;
+	const {host, port, engine, weights} = options;
 
 	const handle = async (request: IncomingMessage, response: ServerResponse) => {
 		const {pathname, searchParams} = new URL(request.url ?? '/', 'http://engine');
@@ -27,7 +28,7 @@
 			const body = await readBody(request, bodyLimits);
 			const input = JSON.parse(new TextDecoder().decode(body)) as RunInput;
 
-			if (input.weightVersion !== getWeightVersion()) {
+			if (input.weightVersion !== weights.getVersion()) {
 				sendJson(response, 409, {code: 'other_weight_version'});
 
 				return;
@@ -45,6 +46,14 @@
 			} else {
 				streamRun(response, run, Number(searchParams.get('from') ?? 0));
 			}
+		} else if (request.method === 'POST' && pathname === '/v1/orders') {
+			const order = JSON.parse(new TextDecoder().decode(await readBody(request, bodyLimits))) as {readonly weightVersion: string};
+			const status = weights.order({
+				weightVersion: order.weightVersion,
+				fencingNumber: Number(request.headers[headerNames.fencingToken] ?? 0),
+				key: request.headers.authorization?.slice('Bearer '.length),
+			});
+			sendJson(response, status, {weightVersion: weights.getVersion()});
 		} else if (pathname === '/v1/cache-events') {
 			sendJson(response, 200, {events: engine.listCacheEvents(Number(searchParams.get('after') ?? 0))});
 		} else {
--- a/packages/standins/src/engine.ts
+++ b/packages/standins/src/engine.ts
@@ -47,6 +47,8 @@
 	readonly cancel: (requestId: string) => void;
 	readonly getLoad: () => EngineLoad;
 	readonly listCacheEvents: (afterSequence: number) => readonly CacheEvent[];
+	/** Frees all cached pieces: they belong to other weights. */
+	readonly clearCache: () => void;
 	readonly stop: () => void;
 };
 
@@ -212,6 +214,13 @@
 			};
 		},
 		listCacheEvents: afterSequence => events.filter(event => event.sequence > afterSequence),
+		clearCache() {
+			for (const hash of cache.keys()) {
+				noteEvent(hash, false);
+			}
+
+			cache.clear();
+		},
 		stop() {
 			clearInterval(decodeTimer);
 		},
--- a/packages/standins/src/main.ts
+++ b/packages/standins/src/main.ts
@@ -4,6 +4,7 @@
 import {announce} from './announcer.js';
 import {createEngine} from './engine.js';
 import {createEngineServer} from './engine-server.js';
+import {createWeights} from './weights.js';
 import {createServiceServer} from './service-server.js';
 
 type Flags = {
@@ -21,6 +22,9 @@
 	readonly decodeMs: string;
 	readonly slots: string;
 	readonly cachePieces: string;
+	readonly loadMs: string;
+	readonly checksFencing?: boolean;
+	readonly orderKey?: string;
 };
 
 const program = new Command('standin')
@@ -37,7 +41,10 @@
 	.option('--prefill-rate <tokens>', 'prompt tokens a second', '20000')
 	.option('--decode-ms <ms>', 'time between tokens', '15')
 	.option('--slots <count>', 'requests at once', '16')
-	.option('--cache-pieces <count>', 'cached pieces', '200');
+	.option('--cache-pieces <count>', 'cached pieces', '200')
+	.option('--load-ms <ms>', 'time to load weights', '500')
+	.option('--checks-fencing', 'refuses orders with an old fencing number')
+	.option('--order-key <key>', 'refuses orders without this key');
 
 program.parse();
 const flags = program.opts<Flags>();
@@ -57,15 +64,24 @@
 			process.exit(1);
 		},
 	});
+	const weights = createWeights({
+		initialVersion: flags.weightVersion,
+		loadMs: Number(flags.loadMs),
+		checksFencing: flags.checksFencing ?? false,
+		orderKey: flags.orderKey,
+		onLoaded: engine.clearCache,
+	});
 	const server = await createEngineServer({
-		host, port: Number(port), engine, getWeightVersion: () => flags.weightVersion,
+		host, port: Number(port), engine, weights,
 	});
 
 	return () => ({
 		...base,
 		address: `${host}:${server.port}`,
 		models: [flags.model],
-		weightVersion: flags.weightVersion,
+		weightVersion: weights.getVersion(),
+		checksFencing: flags.checksFencing ?? false,
+		checksGiver: flags.orderKey !== undefined,
 		prefillTokensPerSecond: Number(flags.prefillRate),
 		load: engine.getLoad(),
 	});
