--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -1,31 +1,28 @@
 import fs from 'node:fs/promises';
 import path from 'node:path';
-import {findMember, type Member, type PeerMessage} from '@fescuestair/agreement';
-import {type Clock, createSystemClock, rankByRendezvous} from '@fescuestair/core';
+import {findMember, type PeerMessage} from '@fescuestair/agreement';
+import {type Clock, createSystemClock} from '@fescuestair/core';
 import {createFateStore} from '@fescuestair/fates';
 import {
 	listRecords, MemberStatus, RecordKind, type MemberRecord,
 } from '@fescuestair/membership';
-import {
-	describeFate, LinkKind, ProposalError, type Fate, type FateEvent, type LinkMessage, type LinkReply,
-} from '@fescuestair/protocol';
+import {LinkKind, type LinkMessage} from '@fescuestair/protocol';
 import {createGossip, type Log} from '@fescuestair/runtime';
 import {createLogStore} from '@fescuestair/storage';
 import {
-	CommandKind, countBucketMap, getInForceName, stampRequest, type Answer, type ConfigItem, type Request, inForceKey, ItemKind,
+	CommandKind, stampRequest, type Answer, type Request,
 } from '@fescuestair/state';
 import {
 	createLinks, createLinkServer, parseAddress, type ClusterKeys, type KeyRing,
 } from '@fescuestair/transport';
-import {countSpareVoters, listInstanceRows, listReplicaRows} from './reports.js';
 import {createOrderGiver, createOrderSender} from './order-giver.js';
 import {createLinkHandler} from './link-handler.js';
 import {createOperatorServer} from './operator-server.js';
 import {createReplicaRunner} from './replica-runner.js';
 import {createStateHost} from './state-host.js';
-import {loadIdentity, saveIdentity, type Identity} from './identity.js';
+import {createGroupDoor} from './group-door.js';
 import {proposeAtLeader} from './leader-client.js';
-import {type OperatorBackend} from './operator-router.js';
+import {createOperatorBackend} from './operator-backend.js';
 
 export type ControlOptions = {
 	readonly name: string;
@@ -52,9 +49,8 @@
 };
 
 const joinMs = 1000;
-const candidateMs = 5000;
 const expireMs = 60_000;
-const fateTimeoutMs = 3000;
+const handoverMs = 300;
 
 /**
 Creates a control replica: state, agreement, fates and the operators' listener.
@@ -70,24 +66,25 @@
 		name, incarnation, availabilityZone, dataFolder, peerListen, seeds, getClusterKeys, log, clock = createSystemClock(), snapshotEvery, onFailure,
 	} = options;
 	const folders = await prepareFolders(dataFolder);
-	let identity = await loadIdentity(dataFolder, name);
+	const door = await createGroupDoor({
+		dataFolder, name, clock, log,
+	});
 	const links = createLinks({getKeys: getClusterKeys});
 	const host = createStateHost(clock);
-	const learnedAddresses = new Map<string, string>();
-	const candidates = new Map<string, {readonly member: Member; readonly deadlineMs: number}>();
 
 	const sendAgreement = (toId: string, message: PeerMessage) => {
-		const address = findMember(runner.getState().members, toId)?.address ?? learnedAddresses.get(toId);
+		const address = findMember(runner.getState().members, toId)?.address ?? door.findAddress(toId);
+		const {id: fromId, groupId} = door.getIdentity();
 
-		if (address !== undefined && identity.groupId !== undefined) {
+		if (address !== undefined && groupId !== undefined) {
 			links.send(address, {
-				kind: LinkKind.Agreement, groupId: identity.groupId, fromId: identity.id, fromAddress: peerListen, toId, message,
+				kind: LinkKind.Agreement, groupId, fromId, fromAddress: peerListen, toId, message,
 			} satisfies LinkMessage);
 		}
 	};
 
 	const runner = await createReplicaRunner({
-		id: identity.id,
+		id: door.getIdentity().id,
 		clock,
 		store: createLogStore({folder: folders.agreement}),
 		machine: host,
@@ -105,30 +102,6 @@
 	const proposeHere = async (request: Request) => runner.propose(stampRequest(request, {atMs: host.readGroupMs(), wallMs: clock.readWallMs()}));
 	const propose = async (request: Request) => proposeAtLeader({links, proposeHere, findLeaderAddress}, request);
 
-	// A first message takes an unassigned replica into the group; it must be addressed to this very identity.
-	const acceptAgreement = (message: Extract<LinkMessage, {kind: LinkKind.Agreement}>) => {
-		if (message.toId !== identity.id) {
-			return false;
-		}
-
-		if (identity.groupId === undefined) {
-			void joinGroup(message.groupId);
-
-			return false;
-		}
-
-		learnedAddresses.set(message.fromId, message.fromAddress);
-
-		return message.groupId === identity.groupId;
-	};
-
-	const joinGroup = async (groupId: string) => {
-		const joined: Identity = {...identity, groupId};
-		await saveIdentity(dataFolder, joined);
-		identity = joined;
-		log.info('joined a group', {groupId, replicaId: identity.id});
-	};
-
 	const self: MemberRecord = {
 		id: name,
 		kind: RecordKind.Control,
@@ -150,127 +123,14 @@
 		},
 	});
 
-	const noteJoin = ({id, name: memberName, address}: Extract<LinkMessage, {kind: LinkKind.Join}>) => {
-		candidates.set(id, {
-			member: {
-				id, name: memberName, address, isVoter: false,
-			},
-			deadlineMs: clock.readMonotonicMs() + candidateMs,
-		});
-	};
-
-	const listCandidates = () => {
-		const memberIds = new Set(runner.getState().members.map(member => member.id));
-
-		return [...candidates.values()]
-			.filter(candidate => candidate.deadlineMs > clock.readMonotonicMs() && !memberIds.has(candidate.member.id))
-			.map(candidate => candidate.member);
-	};
-
-	const findCandidate = (memberName: string) => {
-		const found = listCandidates().find(candidate => candidate.name === memberName);
-
-		if (found === undefined) {
-			throw new ProposalError(true, `no replica ${memberName} waits to be added`);
-		}
-
-		return found;
-	};
-
-	const isEntryAlive = (entryId: string, entryIncarnation: number) => {
-		const record = gossip.getMembership().held.get(entryId)?.record;
-
-		return record?.incarnation === entryIncarnation && record.status !== MemberStatus.Dead;
-	};
-
-	const findFatesAt = async (record: MemberRecord, requestId: string): Promise<readonly FateEvent[]> => {
-		if (record.id === name) {
-			return fates.findEvents(requestId);
-		}
-
-		try {
-			const reply = await links.call(record.address, {kind: LinkKind.FindFates, requestId}, fateTimeoutMs) as LinkReply;
-
-			return reply.kind === 'fates' ? reply.events : [];
-		} catch {
-			return [];
-		}
-	};
-
-	const backend: OperatorBackend = {
-		getStatus() {
-			const state = runner.getState();
-			const rows = listReplicaRows(state, gossip.getMembership());
-			const replicated = host.getState();
-
-			return {
-				replicaId: identity.id,
-				groupId: identity.groupId,
-				leaderName: state.members.find(member => member.id === state.leaderId)?.name,
-				isServing: runner.canServeReads(),
-				replicas: rows,
-				waiting: listCandidates().map(candidate => candidate.name),
-				canLose: countSpareVoters(rows),
-				configVersion: replicated.configVersion,
-				presetInForce: getInForceName(replicated.publicState),
-				claims: countBucketMap(replicated.claims),
-				term: state.term,
-				commitIndex: state.commitIndex,
-			};
-		},
-		listInstances: () => listInstanceRows(gossip.getMembership()),
-		getConfig() {
-			const {configVersion, publicState} = host.getState();
-			const items = [...publicState.items].filter(([key]) => isItemKey(key)).map(([, item]) => item as ConfigItem);
-
-			return {version: configVersion, inForce: getInForceName(publicState), items};
-		},
-		getHistory: () => host.getState().history,
-		propose: async request => await propose(request) as Answer,
-		// Every replica is asked: the two that hold a request's fate may be others by now, or be gone.
-		async traceRequest(requestId): Promise<Fate | undefined> {
-			const records = listRecords(gossip.getMembership(), RecordKind.Control).filter(record => record.status !== MemberStatus.Dead);
-			const found = await Promise.all(records.map(async record => findFatesAt(record, requestId)));
-
-			return describeFate(found.flat(), isEntryAlive);
-		},
-		async initialize() {
-			if (identity.groupId !== undefined || runner.getState().members.length > 0) {
-				throw new ProposalError(true, 'this replica already belongs to a group');
-			}
-
-			await joinGroup(`g-${identity.id}`);
-			await runner.changeMembers([{
-				id: identity.id, name, address: peerListen, isVoter: true,
-			}]);
-		},
-		async addReplica(memberName, replacesName) {
-			const {members} = runner.getState();
-			const candidate = findCandidate(memberName);
-			const replaced = replacesName === undefined ? undefined : members.find(member => member.name === replacesName);
-
-			if (replacesName !== undefined && replaced === undefined) {
-				throw new ProposalError(true, `no replica ${replacesName} belongs to the group`);
-			}
-
-			await runner.changeMembers([...members, {...candidate, replaces: replaced?.id}]);
-		},
-		async removeReplica(memberName) {
-			const {members} = runner.getState();
-
-			if (!members.some(member => member.name === memberName)) {
-				throw new ProposalError(true, `no replica ${memberName} belongs to the group`);
-			}
-
-			await runner.changeMembers(members.filter(member => member.name !== memberName));
-		},
-	};
-
+	const backend = createOperatorBackend({
+		name, peerListen, door, runner, host, gossip, fates, links, propose,
+	});
 	const linkServer = await createLinkServer({
 		listen: parseAddress(peerListen),
 		getKeys: getClusterKeys,
 		onMessage: createLinkHandler({
-			runner, host, gossip, fates, propose: proposeHere, findLeaderAddress, acceptAgreement, noteJoin,
+			runner, host, gossip, fates, propose: proposeHere, findLeaderAddress, acceptAgreement: door.accept, noteJoin: door.noteCandidate,
 		}),
 		onError(error) {
 			log.debug('link refused', error);
@@ -297,7 +157,7 @@
 
 		for (const record of listRecords(gossip.getMembership(), RecordKind.Control)) {
 			links.send(record.address, {
-				kind: LinkKind.Join, id: identity.id, name, address: peerListen,
+				kind: LinkKind.Join, id: door.getIdentity().id, name, address: peerListen,
 			} satisfies LinkMessage);
 		}
 	};
@@ -319,7 +179,7 @@
 		}, expireMs),
 	];
 	log.info('control replica started', {
-		replicaId: identity.id, groupId: identity.groupId, peerListen, operatorListen: options.operatorListen,
+		...door.getIdentity(), peerListen, operatorListen: options.operatorListen,
 	});
 
 	return {
@@ -344,12 +204,6 @@
 	};
 }
 
-const handoverMs = 300;
-
-function isItemKey(key: string): boolean {
-	return key !== inForceKey && Object.values(ItemKind).some(kind => key.startsWith(`${kind}/`));
-}
-
 async function prepareFolders(dataFolder: string): Promise<{readonly agreement: string; readonly fates: string}> {
 	const folders = {agreement: path.join(dataFolder, 'agreement'), fates: path.join(dataFolder, 'fates')};
 
@@ -359,10 +213,3 @@
 
 	return folders;
 }
-
-/** Chooses the replicas that keep the fate of a request: two where there are two. */
-export function chooseFateHomes(requestId: string, names: readonly string[]): readonly string[] {
-	return rankByRendezvous(requestId, names).slice(0, fateCopies);
-}
-
-const fateCopies = 2;
--- /dev/null
+++ b/packages/entry/src/service-attempt.ts
@@ -0,0 +1,65 @@
+import {type MemberRecord} from '@fescuestair/membership';
+import {AttemptEnd, FateEventKind, UpstreamKind} from '@fescuestair/protocol';
+import {Priority} from '@fescuestair/routing';
+import {type ServiceItem} from '@fescuestair/state';
+import {type AttemptError} from './engine-client.js';
+import {callService, type ServiceAnswer, type ServiceCall} from './service-call.js';
+import {chooseServiceUpstream} from './choose-address.js';
+import {listUsableUpstreams} from './engine-table.js';
+import {type EntryServices} from './request-context.js';
+
+/** A call and the service it is meant for. */
+export type ServiceTarget = {
+	readonly service: ServiceItem;
+	readonly call: ServiceCall;
+	/** Monotonic. */
+	readonly deadlineMs: number;
+};
+
+/** A whole answer, and whether it was recorded earlier. */
+export type Answered = ServiceAnswer & {readonly isReplay: boolean};
+
+/** Chooses an instance of a service. */
+export function chooseInstance(services: EntryServices, serviceName: string, excludedIds: ReadonlySet<string>): MemberRecord | undefined {
+	const query = {membership: services.gossip.getMembership(), state: services.follower.getState()};
+	const records = listUsableUpstreams(query, details => details.kind === UpstreamKind.Service && details.service === serviceName);
+
+	return chooseServiceUpstream(records, {
+		availabilityZone: services.availabilityZone, countRunning: services.table.countRunning, excludedIds,
+	});
+}
+
+type AttemptInput = {
+	readonly record: MemberRecord;
+	readonly attempt: number;
+	readonly call: ServiceCall;
+	readonly timeoutMs: number;
+	readonly isOnce: boolean;
+};
+
+/** Calls one instance once, and records the attempt. */
+export async function attemptCall(services: EntryServices, requestId: string, input: AttemptInput): Promise<ServiceAnswer> {
+	const {record, attempt, call, timeoutMs, isOnce} = input;
+	const {clock, recordFate, table} = services;
+	recordFate({
+		kind: FateEventKind.Dispatched, requestId, atMs: clock.readWallMs(), attempt, upstreamId: record.id,
+	});
+	const endDispatch = table.beginDispatch(record.id, Priority.Short, 0);
+	let end = AttemptEnd.Complete;
+	let detail = '';
+
+	try {
+		return await callService({agent: isOnce ? services.freshAgent : services.agent, address: record.address, timeoutMs}, call);
+	} catch (error) {
+		end = (error as AttemptError).end;
+		detail = (error as AttemptError).message;
+
+		throw error;
+	} finally {
+		endDispatch();
+		recordFate({
+			kind: FateEventKind.AttemptEnded, requestId, atMs: clock.readWallMs(), attempt, end, detail, offset: 0,
+		});
+	}
+}
+
