--- a/packages/entry/src/claimed-call.ts
+++ b/packages/entry/src/claimed-call.ts
@@ -38,7 +38,7 @@
 		}
 
 		case AnswerKind.Running: {
-			return awaitOther(services, caller, {target, claimKey});
+			return waitForOther(services, caller, {target, claimKey});
 		}
 
 		default: {
@@ -163,7 +163,7 @@
 }
 
 // Another attempt under this key is live: wait for its outcome, and declare it unknown once it is overdue.
-async function awaitOther(services: EntryServices, caller: CallerRequest, {target, claimKey}: ClaimInput): Promise<Answered> {
+async function waitForOther(services: EntryServices, caller: CallerRequest, {target, claimKey}: ClaimInput): Promise<Answered> {
 	const {clock, control} = services;
 
 	while (clock.readMonotonicMs() < target.deadlineMs) {
--- /dev/null
+++ b/scripts/check-verbs.mjs
@@ -0,0 +1,35 @@
+// Fails when a function's name does not begin with a verb of the list in CONTRIBUTING.md.
+import fs from 'node:fs';
+import process from 'node:process';
+
+const text = fs.readFileSync('CONTRIBUTING.md', 'utf8');
+const section = /## Verbs that functions begin with\n\n(?<list>[^#]+)/v.exec(text)?.groups?.list ?? '';
+const verbs = new Set(section.split(/[\s,.]+/v).filter(Boolean));
+const findings = [];
+const used = new Set();
+
+for (const file of fs.readdirSync('packages', {recursive: true}).map(name => `packages/${name}`)) {
+	if (!/^packages\/[a-z]+\/src\/.*\.ts$/v.test(file) || file.includes('__tests__')) {
+		continue;
+	}
+
+	for (const match of fs.readFileSync(file, 'utf8').matchAll(/\bfunction\s*\*?\s*(?<name>[a-z]\w*)\s*[<\(]/gv)) {
+		const verb = /^[a-z]+/v.exec(match.groups.name)[0];
+		used.add(verb);
+
+		if (!verbs.has(verb)) {
+			findings.push(`${file}: ${match.groups.name} does not begin with a verb of the list`);
+		}
+	}
+}
+
+if (process.argv.includes('--list')) {
+	console.log([...used].toSorted().join(', '));
+}
+
+for (const finding of findings) {
+	console.error(finding);
+}
+
+console.log(`${findings.length} findings on verbs`);
+process.exitCode = findings.length === 0 ? 0 : 1;
