Keep suspects' retries apart, and follow a new leader at once

Cause 1: two suspects retried on one engine could not be told apart, so that an innocent one could be quarantined; the state now gives each retry an upstream that no other suspect's retry uses meanwhile. It now asks a newly named leader in the same round, polls four times as often while none answers, and requests wait up to 1.5 s for a change of leaders.

--- a/packages/entry/src/completions.ts
+++ b/packages/entry/src/completions.ts
@@ -4,7 +4,7 @@
 	type ParsedPrompt,
 } from '@fescuestair/protocol';
 import {
-	AnswerKind, CommandKind, findItem, isQuarantined, ItemKind, RequestClass, type PresetItem,
+	AnswerKind, CommandKind, findItem, isQuarantined, ItemKind, RequestClass, type Answer, type PresetItem, type Request,
 } from '@fescuestair/state';
 import {
 	chooseEngine, computePieces, countTokens, Priority, type EngineCandidate,
@@ -39,7 +39,7 @@
 export async function handleCompletion(services: EntryServices, caller: CallerRequest, isChat: boolean): Promise<void> {
 	const {request, response} = caller;
 	const parsed = parsePrompt(await readBody(request, {maxBytes: maxBodyBytes, timeoutMs: bodyTimeoutMs}), isChat);
-	const preset = requirePreset(services);
+	const preset = await requirePreset(services);
 	const promptTokens = countTokens(parsed.prompt);
 	const requestClass = promptTokens > preset.longFromTokens ? RequestClass.Long : RequestClass.Short;
 	recordBegun(services, caller, {
@@ -101,7 +101,7 @@
 		deadlineMs: caller.startedMs + readTimeoutMs(caller),
 		signal: abort.signal,
 	};
-	const suspicion = {isSuspect: false};
+	const suspicion: Suspect = {isSuspect: false};
 	let tokens = 0;
 
 	const takeEvent = async (event: PromptEvent) => {
@@ -128,10 +128,13 @@
 	}
 }
 
+/** Whether an upstream has crashed under a prompt. */
+type Suspect = {isSuspect: boolean};
+
 type RunInput = {
 	readonly preset: PresetItem;
 	readonly fingerprint: string;
-	readonly suspicion: {isSuspect: boolean};
+	readonly suspicion: Suspect;
 };
 
 function createRunOptions(services: EntryServices, caller: CallerRequest, {preset, fingerprint, suspicion}: RunInput) {
@@ -139,7 +142,9 @@
 		agent: services.agent,
 		clock: services.clock,
 		table: services.table,
-		plan: async (job: PromptJob, excludedIds: ReadonlySet<string>) => planPrompt(services, {job, excludedIds, preset}),
+		plan: async (job: PromptJob, excludedIds: ReadonlySet<string>) => planPrompt(services, {
+			job, excludedIds, preset, fingerprint, isSuspect: suspicion.isSuspect,
+		}),
 		mayRetry: services.withdrawRetry,
 		async onCrash(job: PromptJob, upstreamId: string) {
 			suspicion.isSuspect = true;
@@ -154,6 +159,8 @@
 	readonly job: PromptJob;
 	readonly excludedIds: ReadonlySet<string>;
 	readonly preset: PresetItem;
+	readonly fingerprint: string;
+	readonly isSuspect: boolean;
 };
 
 // A long prompt that finds all its places taken waits here, where it blocks no short one, as long as others wait in bounds.
@@ -190,7 +197,7 @@
 	}
 }
 
-async function tryPlan(services: EntryServices, {job, excludedIds, preset}: PlanInput): Promise<Plan | undefined> {
+async function tryPlan(services: EntryServices, {job, excludedIds, preset, fingerprint, isSuspect}: PlanInput): Promise<Plan | undefined> {
 	const {gossip, follower, table, clock} = services;
 	const query = {membership: gossip.getMembership(), state: follower.getState()};
 	const records = listEngines(query, job.model, job.weightVersion).filter(record => !excludedIds.has(record.id));
@@ -198,7 +205,7 @@
 		organisation: job.organisation, model: job.model, adapter: '', weightVersion: job.weightVersion,
 	}, job.prompt);
 	const heldByEngine = await services.findPieces(hashes);
-	const {candidates, chosen} = chooseEngine({
+	const {candidates, chosen: cheapest} = chooseEngine({
 		plan: {
 			tokens: job.promptTokens, pieces: hashes.length, availabilityZone: services.availabilityZone, priority: job.priority, reservedShortShare: preset.reservedShortShare,
 		},
@@ -209,6 +216,8 @@
 		bytesPerPiece,
 	});
 
+	const chosen = isSuspect ? await chooseForSuspect(services, {fingerprint, candidates}) : cheapest;
+
 	if (records.length > 0 && chosen === undefined) {
 		return undefined;
 	}
@@ -231,6 +240,27 @@
 	return {record: records.find(record => record.id === chosen.upstreamId)!, candidates, prefillTokens: chosen.recomputedTokens};
 }
 
+type SuspectInput = {readonly fingerprint: string; readonly candidates: readonly EngineCandidate[]};
+
+// No other suspect runs there meanwhile, at whichever entry.
+async function chooseForSuspect(services: EntryServices, {fingerprint, candidates}: SuspectInput): Promise<EngineCandidate | undefined> {
+	const answer = await proposeOrRefuse(services, {
+		kind: CommandKind.AssignRetry, fingerprint, candidateIds: candidates.map(candidate => candidate.upstreamId), retryMs: defaultTimeoutMs,
+	});
+
+	return answer.kind === AnswerKind.Assigned ? candidates.find(candidate => candidate.upstreamId === answer.upstreamId) : undefined;
+}
+
+async function proposeOrRefuse({control, clock}: EntryServices, request: Request): Promise<Answer> {
+	try {
+		return await control.propose(request, clock.readMonotonicMs() + reportTimeoutMs);
+	} catch (error) {
+		throw new RefusalError({
+			code: RefusalCode.NoQuorum, message: 'an upstream crashed and no majority could be asked where to try again', ran: Ran.Ran, retryAfterSeconds: 1,
+		}, {cause: error});
+	}
+}
+
 // What cannot meet its deadline is refused on arrival and not after waiting.
 function checkReachable(chosen: EngineCandidate, job: PromptJob, nowMs: number): void {
 	const firstTokenMs = chosen.queueMs + chosen.fetchMs + chosen.prefillMs;
--- a/packages/entry/src/request-context.ts
+++ b/packages/entry/src/request-context.ts
@@ -1,4 +1,5 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {type Agent} from 'undici';
 import {type Clock} from '@fescuestair/core';
 import {type Metrics, type GossipHost, type Log} from '@fescuestair/runtime';
@@ -57,10 +58,20 @@
 }
 
 const staleRetrySeconds = 2;
-
-/** Gets the preset in force, or refuses where it is not known for certain which one that is. */
-export function requirePreset(services: EntryServices): PresetItem {
-	const {follower, servesStale} = services;
+const freshWaitMs = 1500;
+const freshPollMs = 20;
+
+/**
+Gets the preset in force, or refuses where it is not known for certain which one that is. A change of leaders is waited
+out: it takes about a second.
+*/
+export async function requirePreset(services: EntryServices): Promise<PresetItem> {
+	const {follower, servesStale, clock} = services;
+	const waitDeadlineMs = clock.readMonotonicMs() + freshWaitMs;
+
+	while (!follower.isFresh() && !servesStale && clock.readMonotonicMs() < waitDeadlineMs) {
+		await sleep(freshPollMs);
+	}
 
 	if (!follower.isFresh() && !servesStale) {
 		throw createRefusal(RefusalCode.NotFresh, 'this entry cannot tell whether its preset is still in force; use another', staleRetrySeconds);
--- a/packages/entry/src/services.ts
+++ b/packages/entry/src/services.ts
@@ -26,7 +26,7 @@
 export async function handleService(services: EntryServices, caller: CallerRequest, {serviceName, path}: {serviceName: string; path: string}): Promise<void> {
 	const {request, response, requestId, organisation} = caller;
 	const body = await readBody(request, {maxBytes: maxBodyBytes, timeoutMs: bodyTimeoutMs});
-	const preset = requirePreset(services);
+	const preset = await requirePreset(services);
 	recordBegun(services, caller, {
 		requestClass: RequestClass.Service, target: `${request.method} ${serviceName}${path}`, promptTokens: 0, preset: preset.name,
 	});
--- a/packages/entry/src/state-follower.ts
+++ b/packages/entry/src/state-follower.ts
@@ -33,6 +33,8 @@
 
 const maxRecentChanges = 512;
 const minPauseMs = 10;
+/** Polls come this many times as often while no leader answers. */
+const hurry = 4;
 
 /**
 Creates the follower of an entry. The age of knowledge is measured from when a poll was sent, by the asker's own
@@ -102,12 +104,14 @@
 		}
 	};
 
-	// The leader first; else each replica in turn for word of a leader; and a peer, which may be fresh where no replica is.
-	const pollRound = async () => {
-		const first = leaderAddress === undefined ? undefined : await pollOne(leaderAddress);
+	// The leader first; else a replica in turn for word of a leader, who is then asked at once; and a peer, which may be
+	// fresh where no replica is. Tells whether the knowledge was renewed.
+	const pollRound = async (): Promise<boolean> => {
+		const asked = leaderAddress;
+		const first = asked === undefined ? undefined : await pollOne(asked);
 
 		if (first?.ageMs !== undefined) {
-			return;
+			return true;
 		}
 
 		turn++;
@@ -117,11 +121,16 @@
 		if (first === undefined && replies.every(reply => reply?.leaderAddress === undefined)) {
 			leaderAddress = undefined;
 		}
+
+		const fresh = leaderAddress === undefined || leaderAddress === asked ? undefined : await pollOne(leaderAddress);
+
+		return fresh?.ageMs !== undefined;
 	};
 
 	const run = async () => {
-		const nextAtMs = clock.readMonotonicMs() + pollMs;
-		await pollRound();
+		const startedMs = clock.readMonotonicMs();
+		const wasRenewed = await pollRound();
+		const nextAtMs = startedMs + (wasRenewed ? pollMs : pollMs / hurry);
 
 		if (!isStopped) {
 			setTimeout(run, Math.max(minPauseMs, nextAtMs - clock.readMonotonicMs()));
--- a/packages/state/src/__tests__/unit/state.test.ts
+++ b/packages/state/src/__tests__/unit/state.test.ts
@@ -183,6 +183,34 @@
 	t.false(isQuarantined(run(twice, {kind: CommandKind.Expire, atMs: 2000}).state.publicState, 'f'));
 });
 
+test('retries of suspects never share an upstream, until one is cleared or its time is up', t => {
+	let state = createReplicatedState();
+	const assign = (fingerprint: string, atMs = 0) => {
+		const applied = run(state, {
+			kind: CommandKind.AssignRetry, atMs, fingerprint, candidateIds: ['engine-2', 'engine-3'], retryDeadlineMs: atMs + 1000,
+		});
+		state = applied.state;
+
+		return applied.answer.kind === AnswerKind.Assigned ? applied.answer.upstreamId : 'no assignment';
+	};
+
+	for (const fingerprint of ['a', 'b', 'c']) {
+		state = run(state, {
+			kind: CommandKind.ReportCrash, atMs: 0, fingerprint, organisation: 'o', requestId: fingerprint, upstreamId: 'engine-1', keepDeadlineMs: 1e6,
+		}).state;
+	}
+
+	t.deepEqual([assign('a'), assign('b'), assign('c')], ['engine-2', 'engine-3', undefined]);
+	state = run(state, {kind: CommandKind.ClearSuspicion, atMs: 10, fingerprint: 'a'}).state;
+	t.is(assign('c', 20), 'engine-2');
+	t.is(assign('a', 30), 'engine-2', 'one that is no suspect any more is free');
+	state = run(state, {
+		kind: CommandKind.ReportCrash, atMs: 40, fingerprint: 'd', organisation: 'o', requestId: 'd', upstreamId: 'engine-1', keepDeadlineMs: 1e6,
+	}).state;
+	t.is(assign('d', 50), undefined);
+	t.is(assign('d', 5000), 'engine-2');
+});
+
 test('a snapshot restores the same state', t => {
 	let {state} = run(createReplicatedState(), change({changeId: 'c1', expectedVersion: 0, presetInForce: 'ordinary'}, declare(presetText('ordinary'))));
 	state = run(state, claim('r1')).state;
--- a/packages/state/src/apply.ts
+++ b/packages/state/src/apply.ts
@@ -1,7 +1,9 @@
 import {
 	applyAbandon, applyClaim, applyRelease, applySettle, countClaims,
 } from './claims.js';
-import {applyClearSuspicion, applyCrashReport, expireSuspicions} from './suspicions.js';
+import {
+	applyClearSuspicion, applyCrashReport, applyRetryAssignment, expireSuspicions,
+} from './suspicions.js';
 import {applyConfigChange} from './config.js';
 import {createBucketMap, filterBucketMap} from './bucket-map.js';
 import {createPublicState} from './public-state.js';
@@ -64,6 +66,10 @@
 			return applyCrashReport(state, command);
 		}
 
+		case CommandKind.AssignRetry: {
+			return applyRetryAssignment(state, command);
+		}
+
 		case CommandKind.ClearSuspicion: {
 			return applyClearSuspicion(state, command);
 		}
--- a/packages/state/src/stamp.ts
+++ b/packages/state/src/stamp.ts
@@ -25,7 +25,8 @@
 			readonly upstreamId: string;
 			readonly keepMs: number;
 		}
-		| {readonly kind: CommandKind.ClearSuspicion; readonly fingerprint: string}
+		| {readonly kind: CommandKind.AssignRetry; readonly fingerprint: string; readonly candidateIds: readonly string[]; readonly retryMs: number}
+	| {readonly kind: CommandKind.ClearSuspicion; readonly fingerprint: string}
 		| {readonly kind: CommandKind.TakeFencingNumber}
 		| {readonly kind: CommandKind.Expire};
 
@@ -57,6 +58,12 @@
 			return {...rest, atMs, keepDeadlineMs: atMs + keepMs};
 		}
 
+		case CommandKind.AssignRetry: {
+			const {retryMs, ...rest} = request;
+
+			return {...rest, atMs, retryDeadlineMs: atMs + retryMs};
+		}
+
 		case CommandKind.Settle:
 		case CommandKind.Release:
 		case CommandKind.Abandon:
--- a/packages/state/src/suspicions.ts
+++ b/packages/state/src/suspicions.ts
@@ -6,6 +6,7 @@
 
 type Applied = {readonly state: ReplicatedState; readonly answer: Answer};
 type CrashCommand = Extract<Command, {kind: CommandKind.ReportCrash}>;
+type AssignCommand = Extract<Command, {kind: CommandKind.AssignRetry}>;
 type ClearCommand = Extract<Command, {kind: CommandKind.ClearSuspicion}>;
 
 const crashesToQuarantine = 2;
@@ -24,6 +25,8 @@
 		organisation: command.organisation,
 		crashes: [...before?.crashes ?? [], {requestId: command.requestId, upstreamId: command.upstreamId}],
 		keepDeadlineMs: command.keepDeadlineMs,
+		retryUpstreamId: undefined,
+		retryDeadlineMs: 0,
 	};
 	const suspected = {...state, suspicions: new Map(state.suspicions).set(command.fingerprint, suspicion)};
 	const count = suspicion.crashes.length;
@@ -34,6 +37,39 @@
 	return {state: quarantined, answer: {kind: AnswerKind.Done, value: count}};
 }
 
+/**
+Gives the retry of a suspect an upstream of its own: two suspects on one would not tell which of them crashed it, and an
+innocent one would be quarantined along with the other.
+*/
+export function applyRetryAssignment(state: ReplicatedState, command: AssignCommand): Applied {
+	const suspicion = state.suspicions.get(command.fingerprint);
+
+	if (suspicion === undefined) {
+		return {state, answer: {kind: AnswerKind.Assigned, upstreamId: command.candidateIds[0]}};
+	}
+
+	const taken = listTakenUpstreams(state, command.fingerprint);
+	const upstreamId = command.candidateIds.find(id => !taken.has(id));
+	const assigned = {...suspicion, retryUpstreamId: upstreamId, retryDeadlineMs: command.retryDeadlineMs};
+
+	return {
+		state: {...state, suspicions: new Map(state.suspicions).set(command.fingerprint, assigned)},
+		answer: {kind: AnswerKind.Assigned, upstreamId},
+	};
+}
+
+function listTakenUpstreams(state: ReplicatedState, exceptFingerprint: string): ReadonlySet<string> {
+	const taken = new Set<string>();
+
+	for (const [fingerprint, {retryUpstreamId, retryDeadlineMs}] of state.suspicions) {
+		if (fingerprint !== exceptFingerprint && retryUpstreamId !== undefined && retryDeadlineMs > state.timeMs) {
+			taken.add(retryUpstreamId);
+		}
+	}
+
+	return taken;
+}
+
 /** Clears a prompt that has finished elsewhere; one that is quarantined stays so until its time is up. */
 export function applyClearSuspicion(state: ReplicatedState, command: ClearCommand): Applied {
 	const suspicion = state.suspicions.get(command.fingerprint);
--- a/packages/state/src/types.ts
+++ b/packages/state/src/types.ts
@@ -9,6 +9,7 @@
 	Release = 'release',
 	Abandon = 'abandon',
 	ReportCrash = 'report_crash',
+	AssignRetry = 'assign_retry',
 	ClearSuspicion = 'clear_suspicion',
 	TakeFencingNumber = 'take_fencing_number',
 	Expire = 'expire',
@@ -25,6 +26,7 @@
 	KeyReused = 'key_reused',
 	TooManyClaims = 'too_many_claims',
 	StaleToken = 'stale_token',
+	Assigned = 'assigned',
 	Done = 'done',
 }
 
@@ -64,6 +66,9 @@
 	readonly organisation: string;
 	readonly crashes: ReadonlyArray<{readonly requestId: string; readonly upstreamId: string}>;
 	readonly keepDeadlineMs: number;
+	/** The one upstream that its retry may use, and no other suspect's meanwhile. */
+	readonly retryUpstreamId: string | undefined;
+	readonly retryDeadlineMs: number;
 };
 
 export type HistoryEntry = {
@@ -114,6 +119,8 @@
 		readonly upstreamId: string;
 		readonly keepDeadlineMs: number;
 	}
+	/** Asks for an upstream for the retry of a suspect; `candidateIds` stand in the order of preference. */
+	| {readonly kind: CommandKind.AssignRetry; readonly fingerprint: string; readonly candidateIds: readonly string[]; readonly retryDeadlineMs: number}
 	| {readonly kind: CommandKind.ClearSuspicion; readonly fingerprint: string}
 	| {readonly kind: CommandKind.TakeFencingNumber}
 	| {readonly kind: CommandKind.Expire}
@@ -130,7 +137,9 @@
 		| {readonly kind: AnswerKind.KeyReused}
 		| {readonly kind: AnswerKind.TooManyClaims}
 		| {readonly kind: AnswerKind.StaleToken}
-		| {readonly kind: AnswerKind.Done; readonly value: number};
+		/** Absent where all candidates are taken by other suspects: ask again. */
+	| {readonly kind: AnswerKind.Assigned; readonly upstreamId: string | undefined}
+	| {readonly kind: AnswerKind.Done; readonly value: number};
 
 /** All that must survive. Immutable: `applyCommand` makes the next one. */
 export type ReplicatedState = {
