Export what is likely to return, hold long prompts in one line, and cut the slopes of state

Cause 1: the model's estimate of returns began near zero, since nothing can have returned at first; exports were withheld and prompts recomputed. Cause 2: maps copied for each request. The entry used a copy of the hold queue; both use the pure one now.

--- a/packages/bench/src/benchmarks.ts
+++ b/packages/bench/src/benchmarks.ts
@@ -1,4 +1,5 @@
 import {type Benchmark} from './report.js';
+import {capacityBenchmark} from './capacity.js';
 import {membershipBenchmark, membershipLargeBenchmark} from './membership.js';
 import {pathBenchmark} from './path.js';
 import {routingBenchmark, routingFullBenchmark} from './routing.js';
@@ -6,5 +7,5 @@
 
 /** All benchmarks. */
 export const benchmarks: readonly Benchmark[] = [
-	routingBenchmark, membershipBenchmark, stateBenchmark, pathBenchmark, membershipLargeBenchmark, routingFullBenchmark,
+	routingBenchmark, membershipBenchmark, stateBenchmark, pathBenchmark, membershipLargeBenchmark, routingFullBenchmark, capacityBenchmark,
 ];
--- a/packages/bench/src/model/policies.ts
+++ b/packages/bench/src/model/policies.ts
@@ -28,6 +28,8 @@
 	readonly name: string;
 	readonly choose: (question: Question) => Decision | undefined;
 	readonly shouldExport: (question: ExportQuestion) => boolean;
+	/** Asked again about an export that it has declined. */
+	readonly exportsLater: boolean;
 	readonly quarantines: boolean;
 	readonly refusesHopeless: boolean;
 };
@@ -53,6 +55,7 @@
 	name: 'round_robin',
 	choose: ({engines, turn}) => ({engineId: engines[turn % engines.length]!.id, storeId: undefined, firstTokenMs: 0}),
 	shouldExport: never,
+	exportsLater: false,
 	quarantines: false,
 	refusesHopeless: false,
 };
@@ -62,6 +65,7 @@
 	name: 'least_load',
 	choose: ({engines}) => ({engineId: findLeast(engines, countQueue)!.id, storeId: undefined, firstTokenMs: 0}),
 	shouldExport: never,
+	exportsLater: false,
 	quarantines: false,
 	refusesHopeless: false,
 };
@@ -71,6 +75,7 @@
 	name: 'prefix_affinity',
 	choose: ({engines, prompt}) => ({engineId: rankByRendezvous(prompt, engines.map(engine => engine.id))[0]!, storeId: undefined, firstTokenMs: 0}),
 	shouldExport: never,
+	exportsLater: false,
 	quarantines: false,
 	refusesHopeless: false,
 };
@@ -86,6 +91,7 @@
 		return {engineId: best.id, storeId: isWorthwhile ? store.id : undefined, firstTokenMs: 0};
 	},
 	shouldExport: ({missingPieces}) => missingPieces > 0,
+	exportsLater: false,
 	quarantines: false,
 	refusesHopeless: false,
 };
@@ -99,6 +105,7 @@
 		return chosen && {engineId: chosen.upstreamId, storeId: chosen.storeId, firstTokenMs: chosen.queueMs + chosen.fetchMs + chosen.prefillMs};
 	},
 	shouldExport,
+	exportsLater: true,
 	quarantines: true,
 	refusesHopeless: true,
 };
--- a/packages/bench/src/model/simulate.ts
+++ b/packages/bench/src/model/simulate.ts
@@ -5,7 +5,7 @@
 	createHoldQueue, enterHold, estimateWaitMs, leaveHold,
 } from '@fescuestair/limits';
 import {
-	createDirectory, pieceTokens, Priority, type StoreView, type Weights,
+	createDirectory, estimateReturn, pieceTokens, Priority, type ReturnRecord, type StoreView, type Weights,
 } from '@fescuestair/routing';
 import {createHistogram, type Histogram} from './histogram.js';
 import {createEngineModel, type EngineModel} from './engine-model.js';
@@ -56,13 +56,14 @@
 	readonly crashes: number;
 };
 
-type Tracked = {readonly item: WorkItem; readonly pieces: readonly string[]; readonly entry: number; attempts: number; recomputed: number; timesSeen: number};
+type Tracked = {readonly item: WorkItem; readonly pieces: readonly string[]; readonly entry: number; attempts: number; recomputed: number; timesSeen: number; engineId: string};
 
 const reportEveryMs = 1000;
 const reportLagMs = 300;
 const cacheEventLagMs = 500;
 const holdMs = 50;
 const lossNoticeMs = 100;
+const exportRetryMs = 500;
 const maxAttempts = 3;
 
 /** Runs a workload through a policy in virtual time. */
@@ -75,6 +76,7 @@
 	const dispatches = Array.from({length: scenario.entries}, () => new Map<string, Set<Dispatch>>());
 	const turns = Array.from({length: scenario.entries}, () => 0);
 	const seen = new Map<string, number>();
+	let returns: ReturnRecord = {seenOnce: 0, returned: 0};
 	const crashesByPrompt = new Map<string, number>();
 	const goodByOrganisation = new Map<string, number>();
 	const shortFirstToken = createHistogram();
@@ -219,17 +221,21 @@
 	const dispatch = (tracked: Tracked, {engineId, storeId}: {engineId: string; storeId: string | undefined}) => {
 		const {item, pieces, entry} = tracked;
 		tracked.attempts++;
+		tracked.engineId = engineId;
 		const engine = engineById.get(engineId)!;
 		const believed = directory.countHeld(pieces).get(engineId) ?? 0;
 		const fetchable = storeId === undefined ? 0 : storeDirectory.countHeld(pieces).get(storeId) ?? 0;
 		const prefillTokens = Math.max(0, item.tokens - (Math.max(believed, fetchable) * pieceTokens));
-		const own: Dispatch = {priority: item.priority, prefillTokens, sentAtMs: scheduler.getNowMs()};
+		// No report shows it before the engine has it: what is fetched arrives later.
+		const own = {priority: item.priority, prefillTokens, sentAtMs: Number.POSITIVE_INFINITY};
 		const list = dispatches[entry]!.get(engineId) ?? new Set();
 		dispatches[entry]!.set(engineId, list.add(own));
 		directory.note(engineId, pieces, true);
 		const store = stores.find(one => one.id === storeId);
 
 		const start = (fetchedPieces: number) => {
+			own.sentAtMs = scheduler.getNowMs();
+
 			if (!engine.isUp()) {
 				list.delete(own);
 				retry(tracked);
@@ -289,24 +295,37 @@
 		exportPieces(tracked, pieces);
 	};
 
-	const exportPieces = ({item, timesSeen}: Tracked, pieces: readonly string[]) => {
+	// A policy that declines is asked again later, as long as the engine still holds the pieces.
+	const exportPieces = (tracked: Tracked, pieces: readonly string[]) => {
+		const {item, timesSeen, engineId} = tracked;
 		const up = stores.filter(store => store.isUp());
+		const isHeld = engineById.get(engineId)?.countHeld(pieces) === pieces.length;
 
-		if (pieces.length === 0 || up.length === 0) {
+		if (pieces.length === 0 || up.length === 0 || !isHeld) {
 			return;
 		}
 
 		const [homeId] = rankByRendezvous(item.prompt, up.map(store => store.id));
 		const home = up.find(store => store.id === homeId)!;
-		const missing = pieces.length - home.countHeld(pieces);
+		const missingPieces = pieces.length - home.countHeld(pieces);
+
+		if (missingPieces === 0) {
+			return;
+		}
+
+		const isChosen = policy.shouldExport({
+			...scenario, returnProbability: estimateReturn(returns, timesSeen), missingPieces, pieceTokens, queuedBytes: home.getQueuedBytes(),
+		});
 
-		if (policy.shouldExport({
-			timesSeen, missingPieces: missing, bytesPerPiece: scenario.bytesPerPiece, linkBytesPerSecond: scenario.linkBytesPerSecond, queuedBytes: home.getQueuedBytes(),
-		})) {
+		if (isChosen) {
 			home.put(pieces);
 			scheduler.schedule(cacheEventLagMs, () => {
 				storeDirectory.note(home.id, pieces, true);
 			});
+		} else if (policy.exportsLater) {
+			scheduler.schedule(exportRetryMs, () => {
+				exportPieces(tracked, pieces);
+			});
 		}
 	};
 
@@ -331,13 +350,22 @@
 		}
 	};
 
+	const noteSeen = (priority: Priority, timesSeen: number) => {
+		if (priority === Priority.Long) {
+			returns = {
+				seenOnce: returns.seenOnce + (timesSeen === 0 ? 1 : 0), returned: returns.returned + (timesSeen === 1 ? 1 : 0),
+			};
+		}
+	};
+
 	for (const [index, item] of workload.entries()) {
 		scheduler.schedule(item.atMs, () => {
 			const timesSeen = seen.get(item.prompt) ?? 0;
 			seen.set(item.prompt, timesSeen + 1);
+			noteSeen(item.priority, timesSeen);
 			const pieces = Array.from({length: Math.floor(item.tokens / pieceTokens)}, (_, piece) => `${item.organisation}/${item.prompt}/${piece}`);
 			route({
-				item, pieces, entry: index % scenario.entries, attempts: 0, recomputed: 0, timesSeen,
+				item, pieces, entry: index % scenario.entries, attempts: 0, recomputed: 0, timesSeen, engineId: '',
 			});
 		});
 	}
--- a/packages/control/src/operator-backend.ts
+++ b/packages/control/src/operator-backend.ts
@@ -1,3 +1,4 @@
+import {countBucketMap} from '@fescuestair/core';
 import {
 	listRecords, MemberStatus, RecordKind, type MemberRecord,
 } from '@fescuestair/membership';
@@ -7,7 +8,7 @@
 } from '@fescuestair/protocol';
 import {type GossipHost} from '@fescuestair/runtime';
 import {
-	countBucketMap, getInForceName, inForceKey, ItemKind, type Answer, type ConfigItem, type Request,
+	getInForceName, inForceKey, ItemKind, type Answer, type ConfigItem, type Request,
 } from '@fescuestair/state';
 import {type Links} from '@fescuestair/transport';
 import {countSpareVoters, listInstanceRows, listReplicaRows} from './reports.js';
--- a/packages/state/src/bucket-map.ts
+++ b/packages/core/src/bucket-map.ts
@@ -1,4 +1,4 @@
-import {computeHash} from '@fescuestair/core';
+import {computeHash} from './hash.js';
 
 /** An immutable map whose updates copy one bucket and not the whole map. */
 export type BucketMap<Value> = {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,3 +1,6 @@
+export {
+	buildBucketMap, countBucketMap, createBucketMap, filterBucketMap, getFromBucketMap, listBucketMap, setInBucketMap, type BucketMap,
+} from './bucket-map.js';
 export {
 	type Clock, createSystemClock, createManualClock, type ManualClock,
 } from './clock.js';
--- a/packages/entry/src/completions.ts
+++ b/packages/entry/src/completions.ts
@@ -1,4 +1,5 @@
 import {createHash} from 'node:crypto';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	AttemptEnd, FateEventKind, FateOutcome, getRefusalStatus, headerNames, parseEventId, parsePrompt, Ran, RefusalCode, RefusalError, type Candidate, type EventId,
 	type ParsedPrompt,
@@ -29,8 +30,7 @@
 const reportTimeoutMs = 2000;
 const bytesPerPiece = 32_000_000;
 const holdPollMs = 50;
-/** Long prompts that may wait at an entry for a place. */
-const heldLongs = 32;
+const msPerSecond = 1000;
 const overloadRetrySeconds = 5;
 /** Candidates that a trace keeps. */
 const tracedCandidates = 8;
@@ -163,37 +163,49 @@
 	readonly isSuspect: boolean;
 };
 
-// A long prompt that finds all its places taken waits here, where it blocks no short one, as long as others wait in bounds.
+// A long prompt that finds all its places taken waits here, where it blocks no short one, behind those that came before.
 async function planPrompt(services: EntryServices, input: PlanInput): Promise<Plan> {
-	const endHold = services.table.beginHold(input.job.priority);
+	const {holdLine} = services;
+	const mayTry = input.job.priority === Priority.Short || holdLine.isEmpty();
+	const plan = mayTry ? await tryPlan(services, input) : undefined;
 
-	try {
-		for (;;) {
-			const plan = await tryPlan(services, input);
+	if (plan !== undefined) {
+		return plan;
+	}
 
-			if (plan !== undefined) {
-				return plan;
-			}
+	checkWait(services, input);
+	const leave = holdLine.enter(input.job.requestId);
 
-			checkHold(services, input);
-			await new Promise(resolve => {
-				setTimeout(resolve, holdPollMs);
-			});
-		}
+	try {
+		return await waitForPlace(services, input);
 	} finally {
-		endHold();
+		leave();
 	}
 }
 
-function checkHold({table, clock}: EntryServices, {job, preset}: PlanInput): void {
-	const limit = preset.refuseFirst.includes(RequestClass.Long) ? heldLongs / 2 : heldLongs;
+async function waitForPlace(services: EntryServices, input: PlanInput): Promise<Plan> {
+	const {job} = input;
 
-	if (table.countHeld(job.priority) > limit || clock.readMonotonicMs() + holdPollMs >= job.deadlineMs) {
-		throw createRefusal(RefusalCode.Overloaded, 'all places for long prompts are taken', overloadRetrySeconds);
+	while (services.clock.readMonotonicMs() < job.deadlineMs && !job.signal.aborted) {
+		await sleep(holdPollMs);
+		const plan = services.holdLine.isFirst(job.requestId) ? await tryPlan(services, input) : undefined;
+
+		if (plan !== undefined) {
+			return plan;
+		}
 	}
 
-	if (job.signal.aborted) {
-		throw createRefusal(RefusalCode.Overloaded, 'the caller went away');
+	throw createRefusal(RefusalCode.Overloaded, 'no place for a long prompt came free in time', overloadRetrySeconds);
+}
+
+// Refused at once, and not after a wait that cannot end in time. Classes that the preset gives up first wait half as long.
+function checkWait({holdLine, clock}: EntryServices, {job, preset}: PlanInput): void {
+	const waitMs = holdLine.estimateWaitMs();
+	const isGivenUpFirst = preset.refuseFirst.includes(RequestClass.Long);
+	const patienceMs = (job.deadlineMs - clock.readMonotonicMs()) / (isGivenUpFirst ? 2 : 1);
+
+	if (waitMs > patienceMs) {
+		throw createRefusal(RefusalCode.Overloaded, 'all places for long prompts are taken', Math.ceil(waitMs / msPerSecond));
 	}
 }
 
--- a/packages/entry/src/engine-table.ts
+++ b/packages/entry/src/engine-table.ts
@@ -13,9 +13,6 @@
 	readonly beginDispatch: (upstreamId: string, priority: Priority, prefillTokens: number) => () => void;
 	readonly createView: (record: MemberRecord) => EngineView;
 	readonly countRunning: (upstreamId: string) => number;
-	/** Notes a request that waits for a place; the returned function ends the wait. */
-	readonly beginHold: (priority: Priority) => () => void;
-	readonly countHeld: (priority: Priority) => number;
 };
 
 type Row = {
@@ -41,12 +38,6 @@
 */
 export function createEngineTable(clock: Clock): EngineTable {
 	const rows = new Map<string, Row>();
-	const held = new Map<Priority, number>();
-
-	const changeHeld = (priority: Priority, by: number) => {
-		held.set(priority, (held.get(priority) ?? 0) + by);
-	};
-
 	const getRow = (upstreamId: string): Row => {
 		const row = rows.get(upstreamId) ?? {dispatches: new Set(), load: undefined, reportedAtMs: Number.NEGATIVE_INFINITY};
 		rows.set(upstreamId, row);
@@ -76,14 +67,6 @@
 			return createEngineView(record, {load: load ?? noLoad, prefillTokensPerSecond, own: sumDispatches(row.dispatches, row.reportedAtMs)});
 		},
 		countRunning: upstreamId => rows.get(upstreamId)?.dispatches.size ?? 0,
-		beginHold(priority) {
-			changeHeld(priority, 1);
-
-			return () => {
-				changeHeld(priority, -1);
-			};
-		},
-		countHeld: priority => held.get(priority) ?? 0,
 	};
 }
 
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -18,6 +18,7 @@
 import {createCallerListener} from './caller-listener.js';
 import {createControlClient} from './control-client.js';
 import {createEngineTable} from './engine-table.js';
+import {createHoldLine} from './hold-line.js';
 import {createFateRecorder} from './fate-recorder.js';
 import {createFindFates} from './request-fate.js';
 import {createRefusal, type EntryServices} from './request-context.js';
@@ -165,6 +166,7 @@
 		follower,
 		control,
 		table: createEngineTable(clock),
+		holdLine: createHoldLine(clock),
 		servesStale,
 		recordFate: fateRecorder.record,
 		admit(organisation, requestClass, limit) {
--- /dev/null
+++ b/packages/entry/src/hold-line.ts
@@ -0,0 +1,40 @@
+import {type Clock} from '@fescuestair/core';
+import {
+	createHoldQueue, enterHold, estimateWaitMs, leaveHold,
+} from '@fescuestair/limits';
+
+/** Requests of this entry that wait for a place, in order. */
+export type HoldLine = {
+	/** Returns the function that leaves again. */
+	readonly enter: (requestId: string) => () => void;
+	readonly isEmpty: () => boolean;
+	readonly isFirst: (requestId: string) => boolean;
+	/** How long one that enters now is expected to wait. */
+	readonly estimateWaitMs: () => number;
+};
+
+/**
+Creates the line of an entry.
+
+@example
+```
+const leave = line.enter(requestId);
+leave();
+```
+*/
+export function createHoldLine(clock: Clock): HoldLine {
+	let queue = createHoldQueue<string>();
+
+	return {
+		enter(requestId) {
+			queue = enterHold(queue, requestId, clock.readMonotonicMs());
+
+			return () => {
+				queue = leaveHold(queue, requestId, clock.readMonotonicMs());
+			};
+		},
+		isEmpty: () => queue.waiting.length === 0,
+		isFirst: requestId => queue.waiting[0] === requestId,
+		estimateWaitMs: () => estimateWaitMs(queue, clock.readMonotonicMs()),
+	};
+}
--- a/packages/entry/src/request-context.ts
+++ b/packages/entry/src/request-context.ts
@@ -12,6 +12,7 @@
 } from '@fescuestair/state';
 import {type ControlClient} from './control-client.js';
 import {type EngineTable} from './engine-table.js';
+import {type HoldLine} from './hold-line.js';
 import {type StateFollower} from './state-follower.js';
 
 /** What the handlers of an entry share. */
@@ -29,6 +30,7 @@
 	readonly follower: StateFollower;
 	readonly control: ControlClient;
 	readonly table: EngineTable;
+	readonly holdLine: HoldLine;
 	readonly servesStale: boolean;
 	readonly recordFate: (event: FateEvent) => void;
 	/** Throws a `RefusalError` past the limit; the returned function ends the request. */
@@ -68,12 +70,13 @@
 export async function requirePreset(services: EntryServices): Promise<PresetItem> {
 	const {follower, servesStale, clock} = services;
 	const waitDeadlineMs = clock.readMonotonicMs() + freshWaitMs;
+	const mayServe = () => servesStale || follower.isFresh();
 
-	while (!follower.isFresh() && !servesStale && clock.readMonotonicMs() < waitDeadlineMs) {
+	while (!mayServe() && clock.readMonotonicMs() < waitDeadlineMs) {
 		await sleep(freshPollMs);
 	}
 
-	if (!follower.isFresh() && !servesStale) {
+	if (!mayServe()) {
 		throw createRefusal(RefusalCode.NotFresh, 'this entry cannot tell whether its preset is still in force; use another', staleRetrySeconds);
 	}
 
--- a/packages/fates/src/fate-store.ts
+++ b/packages/fates/src/fate-store.ts
@@ -85,7 +85,9 @@
 				const segment = findSegment(event.requestId);
 
 				if (segment !== undefined) {
-					pending.set(segment, [...pending.get(segment) ?? [], event]);
+					const waiting = pending.get(segment) ?? [];
+					waiting.push(event);
+					pending.set(segment, waiting);
 				}
 			}
 		},
--- /dev/null
+++ b/packages/limits/src/__tests__/unit/limits.test.ts
@@ -0,0 +1,62 @@
+import test from 'ava';
+import {
+	admitRequest, createAdmission, createHoldQueue, createRetryBudget, createTokenBucket, depositSuccess, enterHold, estimateWaitMs, finishRequest, leaveHold,
+	takeTokens, withdrawRetry,
+} from '../../index.js';
+
+const limit = {concurrent: 10, perSecond: 10};
+
+test('an organisation that floods meets its own limit and costs the others nothing', t => {
+	let admission = createAdmission(0.5);
+	let admitted = 0;
+
+	for (let turn = 0; turn < 100; turn++) {
+		const step = admitRequest(admission, {
+			organisation: 'large', requestClass: 'short', limit, nowMs: 0,
+		});
+		admission = step.admission;
+		admitted += step.answer.isAdmitted ? 1 : 0;
+	}
+
+	t.is(admitted, 5, 'half of the limit, for this entry is one of two');
+	const other = admitRequest(admission, {
+		organisation: 'small', requestClass: 'short', limit, nowMs: 0,
+	});
+	t.true(other.answer.isAdmitted);
+	const later = admitRequest(finishRequest(admission, 'large', 'short'), {
+		organisation: 'large', requestClass: 'short', limit, nowMs: 1000,
+	});
+	t.true(later.answer.isAdmitted);
+});
+
+test('a refusal says when to come back', t => {
+	const empty = takeTokens(createTokenBucket({perSecond: 2, capacity: 1, nowMs: 0}), 1, 0).bucket;
+	t.is(takeTokens(empty, 1, 0).waitMs, 500);
+	t.is(takeTokens(empty, 1, 500).waitMs, 0);
+});
+
+test('retries are a share of successes', t => {
+	let budget = createRetryBudget({capacity: 2, sharePerSuccess: 0.5});
+	const allowed = [1, 2, 3].map(() => {
+		const step = withdrawRetry(budget);
+		budget = step.budget;
+
+		return step.isAllowed;
+	});
+	t.deepEqual(allowed, [true, true, false]);
+	budget = depositSuccess(depositSuccess(budget));
+	t.true(withdrawRetry(budget).isAllowed);
+});
+
+test('the expected wait follows the pace, and grows where the queue stands still', t => {
+	let queue = createHoldQueue<string>();
+
+	for (const item of ['a', 'b', 'c', 'd']) {
+		queue = enterHold(queue, item, 0);
+	}
+
+	queue = leaveHold(queue, 'a', 100);
+	queue = leaveHold(queue, 'b', 200);
+	t.is(estimateWaitMs(queue, 200), 300);
+	t.is(estimateWaitMs(queue, 5200), 15_000);
+});
--- a/packages/limits/src/admission.ts
+++ b/packages/limits/src/admission.ts
@@ -1,3 +1,6 @@
+import {
+	createBucketMap, getFromBucketMap, setInBucketMap, type BucketMap,
+} from '@fescuestair/core';
 import {createTokenBucket, takeTokens, type TokenBucket} from './token-bucket.js';
 
 /** Limit of one organisation and class in the whole system. */
@@ -13,7 +16,7 @@
 
 /** What one entry admits: its share of each organisation's limits. */
 export type Admission = {
-	readonly accounts: ReadonlyMap<string, Account>;
+	readonly accounts: BucketMap<Account>;
 	/** Share of the whole system's limits that this entry hands out. */
 	readonly share: number;
 };
@@ -36,7 +39,7 @@
 ```
 */
 export function createAdmission(share: number): Admission {
-	return {accounts: new Map(), share};
+	return {accounts: createBucketMap<Account>(), share};
 }
 
 /** Sets the share, as entries come and go. */
@@ -74,7 +77,7 @@
 
 	const taken = takeTokens(account.bucket, 1, nowMs);
 	const running = taken.waitMs === 0 ? account.running + 1 : account.running;
-	const accounts = new Map(admission.accounts).set(key, {running, bucket: taken.bucket});
+	const accounts = setInBucketMap(admission.accounts, key, {running, bucket: taken.bucket});
 
 	return {admission: {...admission, accounts}, answer: {isAdmitted: taken.waitMs === 0, retryAfterMs: taken.waitMs}};
 }
@@ -82,13 +85,13 @@
 /** Ends a request that was admitted. */
 export function finishRequest(admission: Admission, organisation: string, requestClass: string): Admission {
 	const key = formatKey(organisation, requestClass);
-	const account = admission.accounts.get(key);
+	const account = getFromBucketMap(admission.accounts, key);
 
 	if (account === undefined) {
 		return admission;
 	}
 
-	const accounts = new Map(admission.accounts).set(key, {...account, running: Math.max(0, account.running - 1)});
+	const accounts = setInBucketMap(admission.accounts, key, {...account, running: Math.max(0, account.running - 1)});
 
 	return {...admission, accounts};
 }
@@ -98,7 +101,7 @@
 }
 
 function findAccount(admission: Admission, key: string, {perSecond, nowMs}: {perSecond: number; nowMs: number}): Account {
-	const account = admission.accounts.get(key);
+	const account = getFromBucketMap(admission.accounts, key);
 
 	if (account?.bucket.perSecond === perSecond) {
 		return account;
--- /dev/null
+++ b/packages/routing/src/__tests__/unit/routing.test.ts
@@ -0,0 +1,98 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {
+	chooseEngine, computePieces, createDirectory, estimateCandidate, estimateReturn, Priority, shouldExport, type EngineView,
+} from '../../index.js';
+
+const scope = {
+	organisation: 'okahandja', model: 'assistant', adapter: '', weightVersion: '1',
+};
+const idle: EngineView = {
+	id: 'a', availabilityZone: 'north', running: 0, waitingShort: 0, waitingLong: 0, longInProgress: 0, slots: 8, queuedShortTokens: 0, queuedLongTokens: 0,
+	prefillTokensPerSecond: 8000,
+};
+const plan = {
+	tokens: 40_000, pieces: 40, availabilityZone: 'north', priority: Priority.Long, reservedShortShare: 0.25,
+};
+const options = {
+	plan, engines: [idle], heldByEngine: new Map<string, number>(), stores: [], weights: {firstToken: 1, recompute: 0.1, link: 0.0005}, bytesPerPiece: 32e6,
+};
+
+test('pieces of different organisations, models, weights or beginnings never meet', t => {
+	const prompt = 'x'.repeat(12_000);
+	const base = computePieces(scope, prompt);
+	t.is(base.length, 3);
+	const others = [
+		computePieces({...scope, organisation: 'antioquia'}, prompt),
+		computePieces({...scope, model: 'other'}, prompt),
+		computePieces({...scope, adapter: 'a'}, prompt),
+		computePieces({...scope, weightVersion: '2'}, prompt),
+		computePieces(scope, `y${prompt.slice(1)}`),
+	];
+	t.true(others.every(pieces => pieces.every(piece => !base.includes(piece))));
+	t.deepEqual(computePieces(scope, `${prompt}more`), base);
+});
+
+test('a directory counts pieces from the first only, and keeps within its bound', t => {
+	const directory = createDirectory({maxPieces: 4});
+	directory.note('a', ['p1', 'p2', 'p4'], true);
+	t.deepEqual([...directory.countHeld(['p1', 'p2', 'p3', 'p4'])], [['a', 2]]);
+	directory.note('b', ['q1', 'q2', 'q3', 'q4'], true);
+	t.is(directory.getSize(), 4);
+	directory.dropUpstream('b');
+	t.is(directory.getSize(), 0);
+});
+
+test('the engine that holds a prompt is chosen until its queue costs more than computing elsewhere', t => {
+	const busy = {...idle, id: 'b', queuedLongTokens: 8000};
+	const engines = [idle, busy];
+	t.is(chooseEngine({...options, engines, heldByEngine: new Map([['b', 40]])}).chosen?.upstreamId, 'b');
+	t.is(chooseEngine({...options, engines}).chosen?.upstreamId, 'a');
+});
+
+test('a store is used where its link is free and passed over where it is behind', t => {
+	const store = {
+		id: 's', heldPieces: 40, freeBytesPerSecond: 1.25e9, queuedBytes: 0,
+	};
+	t.is(estimateCandidate(idle, {...options, stores: [store]}).storeId, 's');
+	t.is(estimateCandidate(idle, {...options, stores: [{...store, queuedBytes: 20e9}]}).storeId, undefined);
+});
+
+test('a long prompt waits where all its places are taken, a short one never does', t => {
+	const full = {...idle, longInProgress: 6};
+	t.is(chooseEngine({...options, engines: [full]}).chosen, undefined);
+	t.is(chooseEngine({
+		...options, engines: [full], plan: {
+			...plan, tokens: 100, pieces: 0, priority: Priority.Short,
+		},
+	}).chosen?.upstreamId, 'a');
+	t.is(chooseEngine({...options, engines: [{...idle, queuedLongTokens: 20_000}]}).chosen, undefined);
+});
+
+test('whatever the engines, the chosen one is the cheapest and the candidates are in order', t => {
+	const engines = fc.array(fc.record({queued: fc.nat(10_000), held: fc.nat(40), running: fc.nat(12)}), {minLength: 1, maxLength: 40});
+	t.notThrows(() => {
+		fc.assert(fc.property(engines, drawn => {
+			const views = drawn.map(({queued, running}, index) => ({
+				...idle, id: `e${index}`, queuedLongTokens: queued, running,
+			}));
+			const heldByEngine = new Map(drawn.map(({held}, index) => [`e${index}`, held]));
+			const {candidates, chosen} = chooseEngine({...options, engines: views, heldByEngine});
+			const least = Math.min(...views.map(view => estimateCandidate(view, {...options, heldByEngine}).cost));
+
+			return chosen?.cost === least && candidates.every((one, index) => index === 0 || candidates[index - 1]!.cost <= one.cost);
+		}), {seed: 5});
+	});
+});
+
+test('a prompt is exported when its likely return saves more than the transfer costs, on an idle link', t => {
+	const question = {
+		returnProbability: 0.9, missingPieces: 40, pieceTokens: 1000, prefillTokensPerSecond: 8000, bytesPerPiece: 32e6, linkBytesPerSecond: 1.25e9, queuedBytes: 0,
+	};
+	t.true(shouldExport(question));
+	t.false(shouldExport({...question, returnProbability: 0.1}), 'a scan');
+	t.false(shouldExport({...question, queuedBytes: 10e9}), 'a busy link');
+	t.false(shouldExport({...question, missingPieces: 0}));
+	t.true(estimateReturn({seenOnce: 0, returned: 0}, 0) > 0.5, 'at first prompts are taken to return');
+	t.true(estimateReturn({seenOnce: 10_000, returned: 100}, 0) < 0.1, 'a stream of scans is learned');
+});
--- a/packages/routing/src/choose.ts
+++ b/packages/routing/src/choose.ts
@@ -14,18 +14,19 @@
 };
 
 export type Choice = {
-	/** The cheapest first. */
+	/** The few cheapest, the cheapest first. */
 	readonly candidates: readonly EngineCandidate[];
 	readonly chosen: EngineCandidate | undefined;
 };
 
+const keptCandidates = 8;
 const msPerSecond = 1000;
 const bytesPerMegabyte = 1_000_000;
 /** Time that a request in a place is taken to need until it frees it, for those that wait behind it. */
 const meanPlaceMs = 6000;
 const otherZoneMs = 2;
-/** Long requests that may wait at an engine beyond its places, so that it never idles. */
-const longQueuePlaces = 1;
+/** Long prompts wait at the entry, which may still choose, and not behind more prefill than this at an engine. */
+const maxLongQueueSeconds = 2;
 
 /**
 Chooses the engine with the least weighted sum of time to first token, recomputed tokens and link bytes. No engine is
@@ -38,22 +39,53 @@
 ```
 */
 export function chooseEngine(options: ChooseOptions): Choice {
-	const candidates = options.engines
-		.filter(engine => hasPlace(engine, options.plan))
-		.map(engine => estimateCandidate(engine, options))
-		.toSorted((a, b) => a.cost - b.cost || (a.upstreamId < b.upstreamId ? -1 : 1));
+	const best: EngineCandidate[] = [];
 
-	return {candidates, chosen: candidates[0]};
+	for (const engine of options.engines) {
+		if (hasPlace(engine, options.plan)) {
+			addCandidate(best, engine, options);
+		}
+	}
+
+	return {candidates: best, chosen: best[0]};
+}
+
+// Only the few cheapest are kept: a trace shows no more, and hundreds need neither sorting nor objects of their own.
+function addCandidate(best: EngineCandidate[], engine: EngineView, options: ChooseOptions): void {
+	const estimate = estimateBest(engine, options);
+	const last = best.at(-1);
+
+	if (best.length === keptCandidates && last !== undefined && estimate.cost >= last.cost) {
+		return;
+	}
+
+	const position = best.findIndex(other => estimate.cost < other.cost || (estimate.cost === other.cost && engine.id < other.upstreamId));
+	best.splice(position === -1 ? best.length : position, 0, {...estimate, upstreamId: engine.id});
+	best.length = Math.min(best.length, keptCandidates);
 }
 
-/** Estimates what a prompt costs on one engine: computing all it lacks, or fetching from the store that does best. */
+/**
+Estimates what a prompt costs on one engine: computing all it lacks, or fetching from the store that does best.
+
+@example
+```
+estimateCandidate(engine, options).cost;
+```
+*/
 export function estimateCandidate(engine: EngineView, options: ChooseOptions): EngineCandidate {
+	return {...estimateBest(engine, options), upstreamId: engine.id};
+}
+
+type Estimate = Omit<EngineCandidate, 'upstreamId'>;
+
+function estimateBest(engine: EngineView, options: ChooseOptions): Estimate {
 	const held = options.heldByEngine.get(engine.id) ?? 0;
-	let best = estimateWith(engine, held, undefined, options);
+	const queueMs = estimateQueueMs(engine, options.plan);
+	let best = estimateWith(engine, {held, queueMs, store: undefined}, options);
 
 	for (const store of options.stores) {
 		if (store.heldPieces > held) {
-			const fetched = estimateWith(engine, held, store, options);
+			const fetched = estimateWith(engine, {held, queueMs, store}, options);
 			best = fetched.cost < best.cost ? fetched : best;
 		}
 	}
@@ -61,18 +93,21 @@
 	return best;
 }
 
-function estimateWith(engine: EngineView, held: number, store: StoreView | undefined, options: ChooseOptions): EngineCandidate {
-	const {plan, weights, bytesPerPiece} = options;
+type EstimateInput = {
+	readonly held: number;
+	readonly queueMs: number;
+	readonly store: StoreView | undefined;
+};
+
+function estimateWith(engine: EngineView, {held, queueMs, store}: EstimateInput, {plan, weights, bytesPerPiece}: ChooseOptions): Estimate {
 	const fetchPieces = store === undefined ? 0 : store.heldPieces - held;
 	const linkBytes = fetchPieces * bytesPerPiece;
 	const recomputedTokens = Math.max(0, plan.tokens - ((held + fetchPieces) * pieceTokens));
-	const queueMs = estimateQueueMs(engine, plan);
 	const fetchMs = store === undefined ? 0 : (store.queuedBytes + linkBytes) / store.freeBytesPerSecond * msPerSecond;
 	const prefillMs = recomputedTokens / engine.prefillTokensPerSecond * msPerSecond;
 	const firstTokenSeconds = (queueMs + fetchMs + prefillMs) / msPerSecond;
 
 	return {
-		upstreamId: engine.id,
 		queueMs,
 		fetchMs,
 		prefillMs,
@@ -93,7 +128,7 @@
 
 	const places = Math.max(1, Math.floor(engine.slots * (1 - plan.reservedShortShare)));
 
-	return engine.longInProgress < places + longQueuePlaces;
+	return engine.longInProgress < places && engine.queuedLongTokens < engine.prefillTokensPerSecond * maxLongQueueSeconds;
 }
 
 // Prefill is served in chunks, short prompts first; places free up as requests end.
--- a/packages/routing/src/export.ts
+++ b/packages/routing/src/export.ts
@@ -1,30 +1,60 @@
 /** What is known when a prompt has been computed and might be kept in a store. */
 export type ExportQuestion = {
-	/** How often the prompt has been seen before. */
-	readonly timesSeen: number;
+	/** How likely the prompt is to return; for one seen once, the share of such prompts that did. */
+	readonly returnProbability: number;
 	/** Pieces that no store holds yet. */
 	readonly missingPieces: number;
+	readonly pieceTokens: number;
+	readonly prefillTokensPerSecond: number;
 	readonly bytesPerPiece: number;
 	readonly linkBytesPerSecond: number;
 	readonly queuedBytes: number;
 };
 
 const msPerSecond = 1000;
+/** An export begins only on a link that is this near to idle. */
 const maxQueueMs = 2000;
-const maxQueueForFirstMs = 1000;
 
 /**
-Decides whether a prompt is worth its export. One that has returned will return; one seen for the first time may be part
-of a scan, and goes only over a link that is idle. A busy link is left to the fetches, which somebody waits for.
+Decides whether a prompt is worth its export: whether the prefill time that its return would save, times how likely the
+return is, exceeds the time of the transfer. Scans seldom return, so they keep themselves out. A link in use is left to
+the fetches, which somebody waits for: ask again while the engine still holds the pieces.
 
 @example
 ```
-shouldExport({timesSeen: 1, missingPieces: 20, bytesPerPiece, linkBytesPerSecond, queuedBytes: 0}); //=> true
+shouldExport({returnProbability: 0.8, missingPieces: 20, ...link}); //=> true while the link is idle
 ```
 */
 export function shouldExport(question: ExportQuestion): boolean {
-	const {timesSeen, missingPieces, queuedBytes, linkBytesPerSecond} = question;
+	const {
+		returnProbability, missingPieces, pieceTokens, prefillTokensPerSecond, bytesPerPiece, linkBytesPerSecond, queuedBytes,
+	} = question;
+	const savedMs = missingPieces * pieceTokens / prefillTokensPerSecond * msPerSecond;
+	const transferMs = missingPieces * bytesPerPiece / linkBytesPerSecond * msPerSecond;
 	const queueMs = queuedBytes / linkBytesPerSecond * msPerSecond;
 
-	return missingPieces > 0 && queueMs < (timesSeen > 0 ? maxQueueMs : maxQueueForFirstMs);
+	return missingPieces > 0 && queueMs < maxQueueMs && returnProbability * savedMs > transferMs;
+}
+
+/** How often prompts have returned so far. */
+export type ReturnRecord = {
+	readonly seenOnce: number;
+	readonly returned: number;
+};
+
+const likelyReturn = 0.95;
+/** Assumed until enough prompts have had the time to return. */
+const priorReturn = 0.8;
+const priorWeight = 200;
+
+/**
+Estimates how likely a prompt is to return, from how often it has been seen before and how often others did.
+
+@example
+```
+estimateReturn({seenOnce: 200, returned: 40}, 0); //=> 0.5
+```
+*/
+export function estimateReturn({seenOnce, returned}: ReturnRecord, timesSeen: number): number {
+	return timesSeen > 0 ? likelyReturn : (returned + (priorReturn * priorWeight)) / (seenOnce + priorWeight);
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,4 +1,6 @@
-export {shouldExport, type ExportQuestion} from './export.js';
+export {
+	estimateReturn, shouldExport, type ExportQuestion, type ReturnRecord,
+} from './export.js';
 export {
 	chooseEngine, estimateCandidate, type Choice, type ChooseOptions,
 } from './choose.js';
--- a/packages/state/src/apply.ts
+++ b/packages/state/src/apply.ts
@@ -1,3 +1,4 @@
+import {createBucketMap, filterBucketMap} from '@fescuestair/core';
 import {
 	applyAbandon, applyClaim, applyRelease, applySettle, countClaims,
 } from './claims.js';
@@ -5,7 +6,6 @@
 	applyClearSuspicion, applyCrashReport, applyRetryAssignment, expireSuspicions,
 } from './suspicions.js';
 import {applyConfigChange} from './config.js';
-import {createBucketMap, filterBucketMap} from './bucket-map.js';
 import {createPublicState} from './public-state.js';
 import {
 	AnswerKind, CommandKind, type Answer, type Claim, type Command, type ReplicatedState,
@@ -31,7 +31,7 @@
 		history: [],
 		changeAnswers: new Map(),
 		claims: createBucketMap<Claim>(),
-		claimCounts: new Map(),
+		claimCounts: createBucketMap<number>(),
 		suspicions: new Map(),
 		nextNumber: 1,
 	};
--- a/packages/state/src/claims.ts
+++ b/packages/state/src/claims.ts
@@ -1,9 +1,9 @@
+import {
+	buildBucketMap, getFromBucketMap, listBucketMap, setInBucketMap, type BucketMap,
+} from '@fescuestair/core';
 import {
 	AnswerKind, ClaimPhase, type Answer, type Claim, type Command, type CommandKind, type ReplicatedState,
 } from './types.js';
-import {
-	getFromBucketMap, listBucketMap, setInBucketMap, type BucketMap,
-} from './bucket-map.js';
 
 type Applied = {readonly state: ReplicatedState; readonly answer: Answer};
 type ClaimCommand = Extract<Command, {kind: CommandKind.Claim}>;
@@ -27,14 +27,14 @@
 }
 
 /** Counts the claims of each organisation. */
-export function countClaims(claims: BucketMap<Claim>): ReadonlyMap<string, number> {
+export function countClaims(claims: BucketMap<Claim>): BucketMap<number> {
 	const counts = new Map<string, number>();
 
 	for (const [, claim] of listBucketMap(claims)) {
 		counts.set(claim.organisation, (counts.get(claim.organisation) ?? 0) + 1);
 	}
 
-	return counts;
+	return buildBucketMap(counts);
 }
 
 /** Grants a claim to the first who asks; everyone later learns how the call stands. */
@@ -45,7 +45,7 @@
 		return {state, answer: describeClaim(state, existing, command.bodyDigest)};
 	}
 
-	const count = state.claimCounts.get(command.organisation) ?? 0;
+	const count = getFromBucketMap(state.claimCounts, command.organisation) ?? 0;
 
 	if (count >= maxClaimsPerOrganisation) {
 		return {state, answer: {kind: AnswerKind.TooManyClaims}};
@@ -66,7 +66,7 @@
 		state: {
 			...state,
 			claims: setInBucketMap(state.claims, command.key, claim),
-			claimCounts: new Map(state.claimCounts).set(command.organisation, count + 1),
+			claimCounts: setInBucketMap(state.claimCounts, command.organisation, count + 1),
 			nextNumber: state.nextNumber + 1,
 		},
 		answer: {kind: AnswerKind.Granted, token: claim.token},
@@ -125,13 +125,13 @@
 		return {state, answer: {kind: AnswerKind.StaleToken}};
 	}
 
-	const count = state.claimCounts.get(claim.organisation) ?? 1;
+	const count = getFromBucketMap(state.claimCounts, claim.organisation) ?? 1;
 
 	return {
 		state: {
 			...state,
 			claims: setInBucketMap(state.claims, command.key, undefined),
-			claimCounts: new Map(state.claimCounts).set(claim.organisation, count - 1),
+			claimCounts: setInBucketMap(state.claimCounts, claim.organisation, count - 1),
 		},
 		answer: {kind: AnswerKind.Done, value: command.token},
 	};
--- a/packages/state/src/encode.ts
+++ b/packages/state/src/encode.ts
@@ -1,4 +1,4 @@
-import {buildBucketMap, listBucketMap} from './bucket-map.js';
+import {buildBucketMap, listBucketMap} from '@fescuestair/core';
 import {countClaims} from './claims.js';
 import {
 	type Answer, type Claim, type ReplicatedState, type Suspicion,
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -1,5 +1,4 @@
 export {applyCommand, createReplicatedState, type Applied} from './apply.js';
-export {countBucketMap, createBucketMap, type BucketMap} from './bucket-map.js';
 export {encodeClaimKey, maxClaimsPerOrganisation} from './claims.js';
 export {
 	ItemKind, itemSchemas, RequestClass, type ConfigItem, type ModelItem, type OrganisationItem, type PresetItem, type ServiceItem, type UpstreamPolicyItem,
--- a/packages/state/src/stamp.ts
+++ b/packages/state/src/stamp.ts
@@ -26,7 +26,7 @@
 			readonly keepMs: number;
 		}
 		| {readonly kind: CommandKind.AssignRetry; readonly fingerprint: string; readonly candidateIds: readonly string[]; readonly retryMs: number}
-	| {readonly kind: CommandKind.ClearSuspicion; readonly fingerprint: string}
+		| {readonly kind: CommandKind.ClearSuspicion; readonly fingerprint: string}
 		| {readonly kind: CommandKind.TakeFencingNumber}
 		| {readonly kind: CommandKind.Expire};
 
--- a/packages/state/src/types.ts
+++ b/packages/state/src/types.ts
@@ -1,4 +1,4 @@
-import {type BucketMap} from './bucket-map.js';
+import {type BucketMap} from '@fescuestair/core';
 import {type ConfigItem} from './config-items.js';
 import {type PublicChange, type PublicState} from './public-state.js';
 
@@ -138,8 +138,8 @@
 		| {readonly kind: AnswerKind.TooManyClaims}
 		| {readonly kind: AnswerKind.StaleToken}
 		/** Absent where all candidates are taken by other suspects: ask again. */
-	| {readonly kind: AnswerKind.Assigned; readonly upstreamId: string | undefined}
-	| {readonly kind: AnswerKind.Done; readonly value: number};
+		| {readonly kind: AnswerKind.Assigned; readonly upstreamId: string | undefined}
+		| {readonly kind: AnswerKind.Done; readonly value: number};
 
 /** All that must survive. Immutable: `applyCommand` makes the next one. */
 export type ReplicatedState = {
@@ -155,7 +155,7 @@
 	/** First answers by change id, oldest first. */
 	readonly changeAnswers: ReadonlyMap<string, Answer>;
 	readonly claims: BucketMap<Claim>;
-	readonly claimCounts: ReadonlyMap<string, number>;
+	readonly claimCounts: BucketMap<number>;
 	readonly suspicions: ReadonlyMap<string, Suspicion>;
 	readonly nextNumber: number;
 };
