Dispatch link messages to registered handlers, share the HTTP listener, test without waits

Cause: reading as a newcomer found two switches over message kinds, five copies of opening and closing an HTTP server, a copy of withSystem, and tests that waited fixed times for a change to spread; these now wait for what they need. A system that fails to start leaves no processes behind.

--- a/packages/control/src/link-handler.ts
+++ b/packages/control/src/link-handler.ts
@@ -1,6 +1,7 @@
 import {type PeerMessage} from '@fescuestair/agreement';
+import {CommandPriority} from '@fescuestair/core';
 import {
-	LinkKind, ProposalError, type LinkMessage, type LinkReply,
+	createLinkCommands, dispatchLinkMessage, LinkKind, ProposalError, type LinkMessage, type LinkReply,
 } from '@fescuestair/protocol';
 import {type FateStore} from '@fescuestair/fates';
 import {type GossipHost} from '@fescuestair/runtime';
@@ -53,58 +54,51 @@
 		};
 	};
 
-	return (body, reply) => {
-		const message = body as LinkMessage;
-
-		switch (message.kind) {
-			case LinkKind.Agreement: {
-				if (acceptAgreement(message)) {
-					runner.receive(message.fromId, message.message as PeerMessage);
-				}
-
-				break;
-			}
-
-			case LinkKind.Gossip: {
-				gossip.receive(message);
-				break;
-			}
-
-			case LinkKind.Propose: {
-				void replyWith(reply, answerProposal(message.command as Request));
-				break;
-			}
-
-			case LinkKind.PollState: {
-				reply?.(answerState(message.publicVersion));
-				break;
-			}
-
-			case LinkKind.RecordFates: {
-				fates.append(message.events);
-				break;
-			}
-
-			case LinkKind.FindFates: {
-				void replyWith(reply, answerFates(message.requestId));
-				break;
-			}
-
-			case LinkKind.Join: {
-				noteJoin(message);
-				break;
-			}
-
-			case LinkKind.FindPieces:
-			case LinkKind.NotePieces: {
-				reply?.({kind: 'error', message: 'pieces are kept by entries'});
-				break;
-			}
+	const commands = createLinkCommands();
+	commands.registerCommand(LinkKind.Agreement, command => {
+		if (acceptAgreement(command)) {
+			runner.receive(command.fromId, command.message as PeerMessage);
 		}
+
+		return true;
+	}, CommandPriority.High);
+	commands.registerCommand(LinkKind.Gossip, command => {
+		gossip.receive(command);
+
+		return true;
+	});
+	commands.registerCommand(LinkKind.Propose, ({command, reply}) => {
+		void replyWith(reply, answerProposal(command as Request));
+
+		return true;
+	});
+	commands.registerCommand(LinkKind.PollState, ({publicVersion, reply}) => {
+		reply?.(answerState(publicVersion));
+
+		return true;
+	});
+	commands.registerCommand(LinkKind.RecordFates, ({events}) => {
+		fates.append(events);
+
+		return true;
+	});
+	commands.registerCommand(LinkKind.FindFates, ({requestId, reply}) => {
+		void replyWith(reply, answerFates(requestId));
+
+		return true;
+	});
+	commands.registerCommand(LinkKind.Join, command => {
+		noteJoin(command);
+
+		return true;
+	});
+
+	return (message, reply) => {
+		dispatchLinkMessage(commands, message, reply);
 	};
 }
 
-async function replyWith(reply: ((answer: unknown) => void) | undefined, answer: Promise<LinkReply>): Promise<void> {
+async function replyWith(reply: ((answer: LinkReply) => void) | undefined, answer: Promise<LinkReply>): Promise<void> {
 	try {
 		reply?.(await answer);
 	} catch (error) {
--- a/packages/control/src/operator-server.ts
+++ b/packages/control/src/operator-server.ts
@@ -1,7 +1,8 @@
 import http from 'node:http';
-import {once} from 'node:events';
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
-import {sendJson, type Address, type KeyRing} from '@fescuestair/transport';
+import {
+	openHttpListener, sendJson, type Address, type KeyRing,
+} from '@fescuestair/transport';
 import {createOperatorRouter, type OperatorBackend} from './operator-router.js';
 
 export type OperatorServerOptions = {
@@ -29,15 +30,6 @@
 			handle(request, response);
 		}
 	});
-	server.listen(listen.port, listen.host);
-	await once(server, 'listening');
 
-	return {
-		async close() {
-			const closed = once(server, 'close');
-			server.close();
-			server.closeAllConnections();
-			await closed;
-		},
-	};
+	return openHttpListener(server, listen);
 }
--- a/packages/demo/src/__tests__/integration/calls.ts
+++ b/packages/demo/src/__tests__/integration/calls.ts
@@ -3,7 +3,7 @@
 import {request} from 'undici';
 import {createAnswerText} from '@fescuestair/standins';
 import {type Fate} from '@fescuestair/protocol';
-import {type System} from '../../index.js';
+import {startSystem, type System, type SystemOptions} from '../../index.js';
 
 /** Calls that the tests of failures make as a caller would. */
 export type Answer = {readonly status: number; readonly text: string; readonly requestId: string; readonly headers: Readonly<Record<string, unknown>>};
@@ -84,3 +84,21 @@
 		await sleep(50);
 	}
 }
+
+/** Version of the public state that an entry holds. */
+export async function readVersion(system: System, entry: number): Promise<number> {
+	const ready = await call(`http://${system.entries[entry]!.address}/readyz`);
+
+	return (JSON.parse(ready.text) as {readonly configuration: number}).configuration;
+}
+
+/** Runs a test with a system of its own, and stops all its processes. */
+export async function withSystem(options: SystemOptions, run: (system: System) => Promise<void>): Promise<void> {
+	const system = await startSystem(options);
+
+	try {
+		await run(system);
+	} finally {
+		await system.stop();
+	}
+}
--- a/packages/demo/src/__tests__/integration/state.test.ts
+++ b/packages/demo/src/__tests__/integration/state.test.ts
@@ -1,23 +1,13 @@
 import fs from 'node:fs/promises';
 import {setTimeout as sleep} from 'node:timers/promises';
 import test from 'ava';
-import {FateOutcome, Ran} from '@fescuestair/protocol';
+import {FateEventKind, FateOutcome, Ran} from '@fescuestair/protocol';
 import {type StatusReport} from '@fescuestair/control';
-import {startSystem, type System} from '../../index.js';
+import {type System} from '../../index.js';
 import {
-	ask, book, call, countRuns, expectAnswer, joinStream, traceRequest, waitFor,
+	ask, book, call, countRuns, expectAnswer, joinStream, readVersion, traceRequest, waitFor, withSystem,
 } from './calls.js';
 
-async function withSystem(options: Parameters<typeof startSystem>[0], run: (system: System) => Promise<void>): Promise<void> {
-	const system = await startSystem(options);
-
-	try {
-		await run(system);
-	} finally {
-		await system.stop();
-	}
-}
-
 async function getStatus(system: System): Promise<StatusReport> {
 	const {output} = await system.runCli(['status', '--json']);
 
@@ -125,10 +115,8 @@
 			return begun !== undefined && 'preset' in begun ? begun.preset : undefined;
 		};
 
-		await sleep(1500);
-
 		for (const entry of [0, 1, 2]) {
-			t.is(await readPreset(entry), 'peak');
+			await waitFor(async () => await readPreset(entry) === 'peak');
 		}
 
 		for (const control of system.controls) {
@@ -245,23 +233,34 @@
 
 test.serial('an upstream that leaves or is drained gets no new work within seconds', async t => {
 	await withSystem({entries: 2, engines: 2}, async system => {
+		const findChosen = async (entry: number) => {
+			const answer = await ask(system, 'x', {entry, tokens: 2});
+			const fate = await traceRequest(system, answer.requestId);
+			const planned = fate.events.find(event => event.kind === FateEventKind.Planned);
+
+			return planned?.kind === FateEventKind.Planned ? planned.candidates.map(candidate => candidate.upstreamId).toSorted() : [];
+		};
+
+		const before = await readVersion(system, 0);
 		const drained = await system.runCli(['drain', 'engine-1']);
 		t.is(drained.code, 0);
-		await sleep(1500);
 
 		for (const entry of [0, 1]) {
-			const answer = await ask(system, 'x', {entry, tokens: 2});
-			const fate = await traceRequest(system, answer.requestId);
-			t.true(fate.events.some(event => 'chosenId' in event && event.chosenId === 'engine-2'));
+			await waitFor(async () => await readVersion(system, entry) > before);
+			t.deepEqual(await findChosen(entry), ['engine-2']);
 		}
 
 		await system.runCli(['drain', 'engine-1', '--undo']);
-		await sleep(1500);
+		await waitFor(async () => await readVersion(system, 1) > before + 1);
+		t.deepEqual(await findChosen(1), ['engine-1', 'engine-2']);
 		system.engines[1]!.process.kill('SIGTERM');
-		await sleep(2000);
-		const answer = await ask(system, 'x', {entry: 1, tokens: 2});
-		const fate = await traceRequest(system, answer.requestId);
-		t.true(fate.events.some(event => 'chosenId' in event && event.chosenId === 'engine-1'));
+		await system.engines[1]!.process.waitForExit();
+		await waitFor(async () => {
+			const candidates = await findChosen(1);
+
+			return !candidates.includes('engine-2');
+		});
+		t.deepEqual(await findChosen(1), ['engine-1']);
 	});
 });
 
--- a/packages/demo/src/__tests__/integration/streams.test.ts
+++ b/packages/demo/src/__tests__/integration/streams.test.ts
@@ -1,25 +1,14 @@
-import {setTimeout as sleep} from 'node:timers/promises';
 import test from 'ava';
 import OpenAI from 'openai';
 import {request} from 'undici';
 import {AttemptEnd, FateEventKind, FateOutcome} from '@fescuestair/protocol';
-import {startSystem, type System} from '../../index.js';
+import {type System} from '../../index.js';
 import {
-	ask, call, type Answer, createPromptBody, expectAnswer, joinStream, traceRequest, waitFor,
+	ask, call, type Answer, createPromptBody, expectAnswer, joinStream, readVersion, traceRequest, waitFor, withSystem,
 } from './calls.js';
 
 const question = 'Which oil does a rickshaw take?';
 
-async function withSystem(options: Parameters<typeof startSystem>[0], run: (system: System) => Promise<void>): Promise<void> {
-	const system = await startSystem(options);
-
-	try {
-		await run(system);
-	} finally {
-		await system.stop();
-	}
-}
-
 /** Begins a streamed answer and gives back control after some tokens. */
 async function beginStream(system: System, content: string, {tokens, entry = 0}: {tokens: number; entry?: number}) {
 	const response = await request(`http://${system.entries[entry]!.address}/v1/chat/completions`, {
@@ -156,6 +145,7 @@
 test.serial('a prompt that crashes engines is quarantined by the second crash everywhere, and an innocent one is answered', async t => {
 	await withSystem({entries: 2, engines: 3, engineFlags: ['--decode-ms', '20']}, async system => {
 		const innocent = await beginStream(system, question, {tokens: 200});
+		const before = await readVersion(system, 1);
 		const crash = await ask(system, 'CRASH-THE-ENGINE');
 		t.is(crash.status, 422);
 		t.true(crash.text.includes('quarantined'));
@@ -163,7 +153,7 @@
 		const {text, isWhole} = await innocent.waitForEnd();
 		t.true(isWhole);
 		t.is(joinStream(text), expectAnswer(question, 200));
-		await sleep(1000);
+		await waitFor(async () => await readVersion(system, 1) > before);
 		const again = await ask(system, 'CRASH-THE-ENGINE', {entry: 1});
 		t.is(again.status, 422);
 		t.true(again.text.includes('not_run'));
--- a/packages/demo/src/system.ts
+++ b/packages/demo/src/system.ts
@@ -301,27 +301,46 @@
 		throw new Error(`the system was not ready within ${readyTimeoutMs} ms:\n${[...entries, ...controls].map(one => one.process.readOutput()).join('\n')}`);
 	};
 
-	for (let index = 0; index < controlCount; index++) {
-		await startControl(index);
-	}
+	const stop = async () => {
+		const all = [...entries, ...controls, ...engines, ...services].map(one => one.process).filter(child => child.isRunning());
 
-	await Promise.all(Array.from({length: entryCount}, async (_, index) => startEntry(index)));
-	await Promise.all(Array.from({length: engineCount}, async (_, index) => startEngine(index)));
+		for (const child of all) {
+			child.kill('SIGCONT');
+			child.kill('SIGKILL');
+		}
 
-	for (let index = 0; index < serviceCount; index++) {
-		startUpstream(services, index, {
-			id: `service-${index + 1}`, flags: ['--kind', 'service', '--service', 'work-orders', '--journal', files.journal], address: await findAddress(),
-		});
-	}
+		await Promise.all(all.map(async child => child.waitForExit()));
+		await fs.rm(folder, {recursive: true, force: true});
+	};
 
-	await runCliUntilDone(['control', 'init', '--control', controlAddresses[0]!.operatorAddress]);
+	// A start that fails leaves no processes behind.
+	try {
+		for (let index = 0; index < controlCount; index++) {
+			await startControl(index);
+		}
 
-	for (let index = 1; index < controlCount; index++) {
-		await runCliUntilDone(['control', 'add', `control-${index + 1}`, '--control', controlAddresses[0]!.operatorAddress]);
-	}
+		await Promise.all(Array.from({length: entryCount}, async (_, index) => startEntry(index)));
+		await Promise.all(Array.from({length: engineCount}, async (_, index) => startEngine(index)));
+
+		for (let index = 0; index < serviceCount; index++) {
+			startUpstream(services, index, {
+				id: `service-${index + 1}`, flags: ['--kind', 'service', '--service', 'work-orders', '--journal', files.journal], address: await findAddress(),
+			});
+		}
+
+		await runCliUntilDone(['control', 'init', '--control', controlAddresses[0]!.operatorAddress]);
 
-	await runCliUntilDone(['config', 'apply', files.declarations, '--preset', 'ordinary']);
-	await waitUntilReady();
+		for (let index = 1; index < controlCount; index++) {
+			await runCliUntilDone(['control', 'add', `control-${index + 1}`, '--control', controlAddresses[0]!.operatorAddress]);
+		}
+
+		await runCliUntilDone(['config', 'apply', files.declarations, '--preset', 'ordinary']);
+		await waitUntilReady();
+	} catch (error) {
+		await stop();
+
+		throw error;
+	}
 
 	return {
 		folder,
@@ -337,16 +356,6 @@
 		startEngine,
 		runCli,
 		waitUntilReady,
-		async stop() {
-			const all = [...entries, ...controls, ...engines, ...services].map(one => one.process).filter(child => child.isRunning());
-
-			for (const child of all) {
-				child.kill('SIGCONT');
-				child.kill('SIGKILL');
-			}
-
-			await Promise.all(all.map(async child => child.waitForExit()));
-			await fs.rm(folder, {recursive: true, force: true});
-		},
+		stop,
 	};
 }
--- a/packages/entry/src/caller-listener.ts
+++ b/packages/entry/src/caller-listener.ts
@@ -1,11 +1,10 @@
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
-import {once} from 'node:events';
 import {createId} from '@fescuestair/core';
 import {listServing, RecordKind} from '@fescuestair/membership';
 import {RefusalCode, RefusalError} from '@fescuestair/protocol';
 import {listItems, ItemKind, type PublicState} from '@fescuestair/state';
 import {
-	createKeyRing, sendJson, sendRefusal, type Address, type KeyRing,
+	createKeyRing, openHttpListener, sendJson, sendRefusal, type Address, type KeyRing,
 } from '@fescuestair/transport';
 import {handleCompletion} from './completions.js';
 import {handleService} from './services.js';
@@ -68,7 +67,7 @@
 		}
 
 		if (pathname === '/readyz') {
-			sendJson(response, isReady() ? 200 : 503, {ready: isReady(), upstreams: listServing(services.gossip.getMembership(), RecordKind.Upstream).length});
+			sendJson(response, isReady() ? 200 : 503, describeReadiness(services, isReady()));
 
 			return;
 		}
@@ -115,17 +114,16 @@
 			sendRefusal(response, refusal, requestId);
 		}
 	});
-	server.listen(listen.port, listen.host);
-	await once(server, 'listening');
+	const opened = await openHttpListener(server, listen);
 
+	return {countRunning: () => running, close: opened.close};
+}
+
+function describeReadiness({gossip, follower}: EntryServices, isReady: boolean) {
 	return {
-		countRunning: () => running,
-		async close() {
-			const closed = once(server, 'close');
-			server.close();
-			server.closeAllConnections();
-			await closed;
-		},
+		ready: isReady,
+		configuration: follower.getState().version,
+		upstreams: listServing(gossip.getMembership(), RecordKind.Upstream).length,
 	};
 }
 
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -7,7 +7,7 @@
 	listServing, MemberStatus, RecordKind, type MemberRecord,
 } from '@fescuestair/membership';
 import {
-	LinkKind, RefusalCode, type LinkMessage, type LinkReply,
+	createLinkCommands, dispatchLinkMessage, LinkKind, RefusalCode, type LinkMessage, type LinkReply,
 } from '@fescuestair/protocol';
 import {createGossip, type Log, type Metrics} from '@fescuestair/runtime';
 import {createDirectory} from '@fescuestair/routing';
@@ -199,39 +199,33 @@
 		notePieces,
 	};
 
-	const handleMessage = (message: LinkMessage, reply: ((answer: LinkReply) => void) | undefined) => {
-		switch (message.kind) {
-			case LinkKind.Gossip: {
-				gossip.receive(message);
-				break;
-			}
+	const commands = createLinkCommands();
+	commands.registerCommand(LinkKind.Gossip, command => {
+		gossip.receive(command);
 
-			case LinkKind.PollState: {
-				reply?.(follower.answerPoll(message.publicVersion));
-				break;
-			}
+		return true;
+	});
+	commands.registerCommand(LinkKind.PollState, ({publicVersion, reply}) => {
+		reply?.(follower.answerPoll(publicVersion));
 
-			case LinkKind.FindPieces: {
-				reply?.({kind: 'pieces', held: [...directory.countHeld(message.hashes)]});
-				break;
-			}
+		return true;
+	});
+	commands.registerCommand(LinkKind.FindPieces, ({hashes, reply}) => {
+		reply?.({kind: 'pieces', held: [...directory.countHeld(hashes)]});
 
-			case LinkKind.NotePieces: {
-				directory.note(message.upstreamId, message.hashes, message.isHeld);
-				break;
-			}
+		return true;
+	});
+	commands.registerCommand(LinkKind.NotePieces, ({upstreamId, hashes, isHeld}) => {
+		directory.note(upstreamId, hashes, isHeld);
 
-			default: {
-				reply?.({kind: 'error', message: 'an entry does not serve this'});
-			}
-		}
-	};
+		return true;
+	});
 
 	const linkServer = await createLinkServer({
 		listen: parseAddress(options.peerListen),
 		getKeys: options.getClusterKeys,
 		onMessage(message, reply) {
-			handleMessage(message as LinkMessage, reply);
+			dispatchLinkMessage(commands, message, reply);
 		},
 		onError(error) {
 			log.debug('link refused', error);
--- a/packages/entry/src/upstream-listener.ts
+++ b/packages/entry/src/upstream-listener.ts
@@ -1,11 +1,10 @@
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
-import {once} from 'node:events';
 import {createId} from '@fescuestair/core';
 import {
 	announceSchema, checkShape, parseJsonBody, Ran, RefusalCode, RefusalError, type Refusal,
 } from '@fescuestair/protocol';
 import {
-	readBody, sendJson, sendRefusal, type Address, type KeyRing,
+	openHttpListener, readBody, sendJson, sendRefusal, type Address, type KeyRing,
 } from '@fescuestair/transport';
 import {type Log} from '@fescuestair/runtime';
 import {type UpstreamRegistry} from './upstream-registry.js';
@@ -52,17 +51,8 @@
 			sendRefusal(response, refusal, createId('r', Date.now()));
 		}
 	});
-	server.listen(listen.port, listen.host);
-	await once(server, 'listening');
 
-	return {
-		async close() {
-			const closed = once(server, 'close');
-			server.close();
-			server.closeAllConnections();
-			await closed;
-		},
-	};
+	return openHttpListener(server, listen);
 }
 
 function refuse(code: RefusalCode, message: string): RefusalError {
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -18,6 +18,9 @@
 export {
 	Ran, RefusalCode, RefusalError, formatRefusal, type Refusal, getRefusalStatus,
 } from './refusal.js';
+export {
+	createLinkCommands, dispatchLinkMessage, type LinkCommand, type LinkCommands,
+} from './link-commands.js';
 export {headerNames} from './headers.js';
 export {
 	defineSetting, readSettings, type SettingDefinition, type SettingValues,
--- a/packages/runtime/src/metrics.ts
+++ b/packages/runtime/src/metrics.ts
@@ -11,7 +11,6 @@
 export type Metrics = {
 	readonly count: (name: string, tags: Readonly<Record<string, string>>) => void;
 	readonly observe: (name: string, value: number, tags: Readonly<Record<string, string>>) => void;
-	readonly gauge: (name: string, value: number) => void;
 	readonly close: () => void;
 };
 
@@ -26,38 +25,36 @@
 ```
 */
 export function createMetrics({host, port, instance}: MetricsOptions): Metrics {
+	if (host === undefined) {
+		return silentMetrics;
+	}
+
 	const client = new StatsD({
-		host: host ?? '127.0.0.1',
+		host,
 		port,
 		prefix: 'fescuestair.',
 		globalTags: {instance},
-		mock: host === undefined,
 		maxBufferSize: 1400,
 		bufferFlushInterval: flushMs,
+		// A lost datagram is no reason to fail.
 		errorHandler: () => undefined,
 	});
 
-	// In a mock every call would be kept in memory.
-	const isSending = host !== undefined;
-
 	return {
 		count(name, tags) {
-			if (isSending) {
-				client.increment(name, 1, {...tags});
-			}
+			client.increment(name, 1, {...tags});
 		},
 		observe(name, value, tags) {
-			if (isSending) {
-				client.histogram(name, value, {...tags});
-			}
-		},
-		gauge(name, value) {
-			if (isSending) {
-				client.gauge(name, value);
-			}
+			client.histogram(name, value, {...tags});
 		},
 		close() {
 			client.close();
 		},
 	};
 }
+
+const silentMetrics: Metrics = {
+	count: () => undefined,
+	observe: () => undefined,
+	close: () => undefined,
+};
--- a/packages/standins/src/engine-server.ts
+++ b/packages/standins/src/engine-server.ts
@@ -1,8 +1,6 @@
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
-import {once} from 'node:events';
-import {type AddressInfo} from 'node:net';
 import {headerNames} from '@fescuestair/protocol';
-import {readBody, sendJson} from '@fescuestair/transport';
+import {openHttpListener, readBody, sendJson} from '@fescuestair/transport';
 import {type Engine, type Run, type RunInput} from './engine.js';
 import {type Weights} from './weights.js';
 
@@ -68,18 +66,8 @@
 			response.destroy(error as Error);
 		}
 	});
-	server.listen(port, host);
-	await once(server, 'listening');
-
-	return {
-		port: (server.address() as AddressInfo).port,
-		async close() {
-			const closed = once(server, 'close');
-			server.close();
-			server.closeAllConnections();
-			await closed;
-		},
-	};
+
+	return openHttpListener(server, {host, port});
 }
 
 function streamRun(response: ServerResponse, run: Run, fromOffset: number): void {
--- a/packages/standins/src/service-server.ts
+++ b/packages/standins/src/service-server.ts
@@ -1,9 +1,7 @@
 import fs from 'node:fs/promises';
 import http from 'node:http';
-import {once} from 'node:events';
-import {type AddressInfo} from 'node:net';
 import {headerNames} from '@fescuestair/protocol';
-import {readBody, sendJson} from '@fescuestair/transport';
+import {openHttpListener, readBody, sendJson} from '@fescuestair/transport';
 
 export type ServiceServerOptions = {
 	readonly host: string;
@@ -41,16 +39,6 @@
 			sendJson(response, 201, {booked: key, number: bookings.size});
 		}
 	});
-	server.listen(port, host);
-	await once(server, 'listening');
-
-	return {
-		port: (server.address() as AddressInfo).port,
-		async close() {
-			const closed = once(server, 'close');
-			server.close();
-			server.closeAllConnections();
-			await closed;
-		},
-	};
+
+	return openHttpListener(server, {host, port});
 }
--- /dev/null
+++ b/packages/transport/src/http-listener.ts
@@ -0,0 +1,34 @@
+import {type Server} from 'node:http';
+import {once} from 'node:events';
+import {type Address} from './address.js';
+
+/** An HTTP server that listens. */
+export type HttpListener = {
+	readonly port: number;
+	/** Closes all connections, in use or not. */
+	readonly close: () => Promise<void>;
+};
+
+/**
+Starts to listen.
+
+@example
+```
+const listener = await openHttpListener(http.createServer(handle), {host: '127.0.0.1', port: 0});
+```
+*/
+export async function openHttpListener(server: Server, {host, port}: Address): Promise<HttpListener> {
+	server.listen(port, host);
+	await once(server, 'listening');
+	const address = server.address();
+
+	return {
+		port: typeof address === 'object' && address !== null ? address.port : port,
+		async close() {
+			const closed = once(server, 'close');
+			server.close();
+			server.closeAllConnections();
+			await closed;
+		},
+	};
+}
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -11,3 +11,4 @@
 } from './http.js';
 export {createKeyRing, digestKey, type KeyRing} from './key-ring.js';
 export {createEventReader, type ServerSentEvent} from './event-reader.js';
+export {openHttpListener, type HttpListener} from './http-listener.js';
