--- a/packages/state/src/config-items.ts
+++ b/packages/state/src/config-items.ts
@@ -51,8 +51,6 @@
 	reservedShortShare: shareSchema.default(0.25),
 	/** Classes refused first when not all can be served. */
 	refuseFirst: z.array(z.enum(RequestClass)).default([RequestClass.Long]),
-	/** Bytes a second that KV transfers may take of each store's link. */
-	linkBytesPerSecond: z.number().positive().default(50_000_000),
 });
 
 const organisationSchema = z.strictObject({
@@ -87,8 +85,6 @@
 	name: nameSchema,
 	/** How many instances may load weights at once. */
 	maxConcurrentLoads: z.number().int().positive().default(2),
-	/** Role ordered for each instance. */
-	roles: z.record(z.string(), z.enum(['mixed', 'short_only', 'long_only'])).default({}),
 });
 
 const drainSchema = z.strictObject({
