--- a/packages/bench/src/membership.ts
+++ b/packages/bench/src/membership.ts
@@ -121,6 +121,58 @@
 	});
 }
 
+// Each upstream reports another load to its sponsor, which spreads it as often as an entry does.
+async function measureLoadReports(upstreams: number, report: Report): Promise<void> {
+	const daemons = await Promise.all(Array.from({length: loadDaemons}, async (_, index) => startDaemon(index)));
+	await waitUntil(() => daemons.every(daemon => listServing(daemon.gossip.getMembership(), RecordKind.Entry).length === loadDaemons));
+	let round = 0;
+
+	const publishAll = () => {
+		round++;
+
+		for (let index = 0; index < upstreams; index++) {
+			daemons[index % loadDaemons]!.gossip.publish({
+				id: `engine-${index}`, kind: RecordKind.Upstream, incarnation: 1, version: round, status: MemberStatus.Alive, address: '127.0.0.1:1',
+				availabilityZone: 'z', sponsorId: `d${index % loadDaemons}`,
+				details: {
+					kind: 'engine', models: ['assistant'], weightVersion: '1', load: {...exampleLoad, queuedLongTokens: round * 1000},
+				},
+			});
+		}
+	};
+
+	publishAll();
+	const timer = setInterval(publishAll, loadSpreadMs);
+	await sleep(loadSpreadMs);
+	const bytesBefore = sumBytes(daemons);
+	await sleep(2 * loadSpreadMs);
+	report({
+		bench: `membership.load_reports_bytes_per_daemon.${upstreams}_upstreams`,
+		value: 2 * (sumBytes(daemons) - bytesBefore) / (2 * loadSpreadMs / 1000) / loadDaemons,
+		unit: 'B/s',
+		bound: maxBytesPerSecond,
+	});
+	clearInterval(timer);
+	await Promise.all(daemons.map(async daemon => daemon.close()));
+}
+
+const loadDaemons = 5;
+const loadSpreadMs = 10_000;
+const exampleLoad = {
+	running: 4, waitingShort: 0, waitingLong: 1, longInProgress: 3, slots: 8, queuedShortTokens: 200, queuedLongTokens: 0,
+};
+
+export const membershipLoadsBenchmark: Benchmark = {
+	area: 'membership-loads',
+	isDefault: false,
+	description: 'bytes that reports of load cost each of 5 daemons, with 12, 120 and 680 upstreams',
+	async run(report) {
+		for (const upstreams of [12, 120, 680]) {
+			await measureLoadReports(upstreams, report);
+		}
+	},
+};
+
 export const membershipBenchmark: Benchmark = {
 	area: 'membership',
 	isDefault: true,
--- a/packages/entry/src/engine-client.ts
+++ b/packages/entry/src/engine-client.ts
@@ -39,6 +39,8 @@
 	readonly agent: Agent;
 	readonly address: string;
 	readonly signal: AbortSignal;
+	/** Told of the load that came with the response. */
+	readonly noteLoad?: (load: EngineLoad) => void;
 };
 
 const okStatus = 200;
@@ -131,7 +133,7 @@
 }
 
 // By the dispatcher's own callbacks and not by a stream's iterator: an entry passes thousands of tokens a second.
-async function readRun({agent, address, signal}: Call, request: RunRequest, taker: EventTaker): Promise<void> {
+async function readRun({agent, address, signal, noteLoad}: Call, request: RunRequest, taker: EventTaker): Promise<void> {
 	const decoder = new TextDecoder();
 	let isOpen = false;
 	let status = 0;
@@ -152,9 +154,14 @@
 						abort();
 					}
 				},
-				onResponseStart(_controller, statusCode) {
+				onResponseStart(_controller, statusCode, headers) {
 					isOpen = true;
 					status = statusCode;
+					const load = parseLoad(headers[headerNames.load]);
+
+					if (load !== undefined) {
+						noteLoad?.(load);
+					}
 				},
 				onResponseData(controller, chunk) {
 					const text = decoder.decode(chunk, {stream: true});
@@ -195,6 +202,18 @@
 	}
 }
 
+function parseLoad(header: string | string[] | undefined): EngineLoad | undefined {
+	if (typeof header !== 'string') {
+		return undefined;
+	}
+
+	try {
+		return engineLoadSchema.safeParse(JSON.parse(header)).data;
+	} catch {
+		return undefined;
+	}
+}
+
 async function resumeAfter(taken: Promise<void>, controller: {readonly resume: () => void}): Promise<void> {
 	await taken;
 	controller.resume();
--- a/packages/entry/src/engine-table.ts
+++ b/packages/entry/src/engine-table.ts
@@ -11,12 +11,16 @@
 export type EngineTable = {
 	/** Notes a dispatch; the returned function ends it. */
 	readonly beginDispatch: (upstreamId: string, priority: Priority, prefillTokens: number) => () => void;
+	/** Takes a load that came with an engine's response. */
+	readonly noteLoad: (upstreamId: string, load: EngineLoad) => void;
 	readonly createView: (record: MemberRecord) => EngineView;
 	readonly countRunning: (upstreamId: string) => number;
 };
 
 type Row = {
 	readonly dispatches: Set<Dispatch>;
+	/** As last announced; a new one replaces what responses told. */
+	announced: EngineLoad | undefined;
 	load: EngineLoad | undefined;
 	reportedAtMs: number;
 };
@@ -39,7 +43,9 @@
 export function createEngineTable(clock: Clock): EngineTable {
 	const rows = new Map<string, Row>();
 	const getRow = (upstreamId: string): Row => {
-		const row = rows.get(upstreamId) ?? {dispatches: new Set(), load: undefined, reportedAtMs: Number.NEGATIVE_INFINITY};
+		const row = rows.get(upstreamId) ?? {
+			dispatches: new Set(), announced: undefined, load: undefined, reportedAtMs: Number.NEGATIVE_INFINITY,
+		};
 		rows.set(upstreamId, row);
 
 		return row;
@@ -55,16 +61,22 @@
 				dispatches.delete(dispatch);
 			};
 		},
+		noteLoad(upstreamId, load) {
+			const row = getRow(upstreamId);
+			row.load = load;
+			row.reportedAtMs = clock.readMonotonicMs();
+		},
 		createView(record) {
 			const {load, prefillTokensPerSecond} = record.details as UpstreamDetails;
 			const row = getRow(record.id);
 
-			if (row.load !== load) {
+			if (row.announced !== load) {
+				row.announced = load;
 				row.load = load;
 				row.reportedAtMs = clock.readMonotonicMs() - reportLagMs;
 			}
 
-			return createEngineView(record, {load: load ?? noLoad, prefillTokensPerSecond, own: sumDispatches(row.dispatches, row.reportedAtMs)});
+			return createEngineView(record, {load: row.load ?? noLoad, prefillTokensPerSecond, own: sumDispatches(row.dispatches, row.reportedAtMs)});
 		},
 		countRunning: upstreamId => rows.get(upstreamId)?.dispatches.size ?? 0,
 	};
--- a/packages/entry/src/prompt-run.ts
+++ b/packages/entry/src/prompt-run.ts
@@ -3,7 +3,7 @@
 import {type Priority} from '@fescuestair/routing';
 import {type MemberRecord} from '@fescuestair/membership';
 import {
-	AttemptEnd, FateEventKind, Ran, RefusalCode, RefusalError, type Candidate, type FateEvent,
+	AttemptEnd, FateEventKind, Ran, RefusalCode, RefusalError, type Candidate, type EngineLoad, type FateEvent,
 } from '@fescuestair/protocol';
 import {
 	AttemptError, cancel, generate, resume, type EngineEvent, type TakeEvent,
@@ -145,7 +145,14 @@
 
 async function readWithResume(options: PromptRunOptions, job: PromptJob, input: AttemptInput): Promise<void> {
 	const {plan, progress} = input;
-	const call = {agent: options.agent, address: plan.record.address, signal: job.signal};
+	const call = {
+		agent: options.agent,
+		address: plan.record.address,
+		signal: job.signal,
+		noteLoad(load: EngineLoad) {
+			options.table.noteLoad(plan.record.id, load);
+		},
+	};
 	const takeEvent = createTaker(options, job, input);
 
 	try {
--- a/packages/entry/src/upstream-registry.ts
+++ b/packages/entry/src/upstream-registry.ts
@@ -20,9 +20,12 @@
 
 const sweepMs = 200;
 const renewalsPerLease = 3;
+/** A change of nothing but load spreads at most this often. */
+const loadSpreadMs = 10_000;
 
 /**
-Creates the registry of an entry. A renewal spreads only where it changes something.
+Creates the registry of an entry. A renewal spreads only where it changes something, and a mere change of load seldom: an
+entry learns the loads of the engines that it uses from their responses.
 
 @example
 ```
@@ -31,6 +34,7 @@
 */
 export function createUpstreamRegistry({entryId, clock, gossip, leaseMs}: UpstreamRegistryOptions): UpstreamRegistry {
 	const deadlines = new Map<string, number>();
+	const spreadDeadlines = new Map<string, number>();
 
 	const publishStatus = (id: string, status: MemberStatus) => {
 		const record = gossip.getMembership().held.get(id)?.record;
@@ -47,6 +51,7 @@
 			}
 
 			deadlines.delete(id);
+			spreadDeadlines.delete(id);
 
 			// Another entry may have taken it over.
 			if (gossip.getMembership().held.get(id)?.record.sponsorId === entryId) {
@@ -63,7 +68,10 @@
 			const known = gossip.getMembership().held.get(message.id)?.record;
 			const record = createRecord(message, entryId, known);
 
-			if (known === undefined || isChanged(known, record)) {
+			const isDue = clock.readMonotonicMs() >= (spreadDeadlines.get(message.id) ?? 0);
+
+			if (known === undefined || isChanged(known, record) || (isDue && hasOtherLoad(known, record))) {
+				spreadDeadlines.set(message.id, clock.readMonotonicMs() + loadSpreadMs);
 				gossip.publish(record);
 			}
 
@@ -106,5 +114,9 @@
 		|| known.status !== record.status
 		|| known.sponsorId !== record.sponsorId
 		|| known.address !== record.address
-		|| JSON.stringify(known.details) !== JSON.stringify(record.details);
+		|| JSON.stringify({...known.details, load: undefined}) !== JSON.stringify({...record.details, load: undefined});
+}
+
+function hasOtherLoad(known: MemberRecord, record: MemberRecord): boolean {
+	return JSON.stringify(known.details.load) !== JSON.stringify(record.details.load);
 }
--- a/packages/standins/src/engine-server.ts
+++ b/packages/standins/src/engine-server.ts
@@ -32,7 +32,9 @@
 				return;
 			}
 
-			streamRun(response, engine.start(input), input.fromOffset);
+			const run = engine.start(input);
+			response.setHeader(headerNames.load, JSON.stringify(engine.getLoad()));
+			streamRun(response, run, input.fromOffset);
 		} else if (requestId !== undefined) {
 			const run = engine.findRun(requestId);
 
