--- a/packages/entry/src/engine-client.ts
+++ b/packages/entry/src/engine-client.ts
@@ -1,6 +1,6 @@
 import {errors, type Agent} from 'undici';
 import {
-	AttemptEnd, Ran, RefusalCode, headerNames,
+	AttemptEnd, engineLoadSchema, headerNames, Ran, type EngineLoad,
 } from '@fescuestair/protocol';
 import {BaseError} from '@fescuestair/core';
 import {createEventReader} from '@fescuestair/transport';
