--- a/packages/demo/src/__tests__/integration/state.test.ts
+++ b/packages/demo/src/__tests__/integration/state.test.ts
@@ -221,6 +221,7 @@
 		const names = await fs.readdir(folder);
 		const file = `${folder}/${names.find(name => name.startsWith('log-'))!}`;
 		const bytes = await fs.readFile(file);
+		t.true(bytes.length > 40, 'there is something to damage');
 		bytes[40]! ^= 1; // eslint-disable-line no-bitwise
 		await fs.writeFile(file, bytes);
 		const restarted = await system.startControl(system.controls.indexOf(damaged));
--- a/packages/demo/src/system.ts
+++ b/packages/demo/src/system.ts
@@ -8,6 +8,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 import {request} from 'undici';
+import {type StatusReport} from '@fescuestair/control';
 import {startProcess, type ChildProcess} from './processes.js';
 
 export type SystemOptions = {
@@ -272,6 +273,26 @@
 		throw new Error(`fescuestair ${flags.join(' ')}: ${last.output}`);
 	};
 
+	// A replica that was added votes only once it has caught up.
+	const waitForVoters = async () => {
+		const deadlineMs = Date.now() + readyTimeoutMs;
+		let last = '';
+
+		while (Date.now() < deadlineMs) {
+			const {code, output} = await runCli(['status', '--json', '--control', controlAddresses[0]!.operatorAddress]);
+			last = output;
+			const replicas = code === 0 ? (JSON.parse(output) as StatusReport).replicas : [];
+
+			if (replicas.length === controlCount && replicas.every(replica => replica.role !== 'learner')) {
+				return;
+			}
+
+			await sleep(pollMs);
+		}
+
+		throw new Error(`not all replicas vote: ${last}`);
+	};
+
 	const isEntryReady = async ({address}: EntryProcess, upstreams: number) => {
 		try {
 			const ready = await request(`http://${address}/readyz`);
@@ -334,6 +355,7 @@
 			await runCliUntilDone(['control', 'add', `control-${index + 1}`, '--control', controlAddresses[0]!.operatorAddress]);
 		}
 
+		await waitForVoters();
 		await runCliUntilDone(['config', 'apply', files.declarations, '--preset', 'ordinary']);
 		await waitUntilReady();
 	} catch (error) {
