Find out a daemon that dies while it is leaving

Cause: an entry calls itself leaving until it holds a preset. One that was killed right after it became ready, before its news had spread, was still leaving to all others, and a suspicion ranks below leaving at equal numbers: nobody ever declared it dead. Its requests were traced as running for ever, and its claims were held. A graceful stop that is cut short was the same case.

Ruled out: the resumed stream and the fate store (the trace of a hanging run shows every step done and the fate complete but for the death of its entry, 59 looks in 60 s).

New test in membership, seen failing (0 of 5 knew) before.

A member suspected while leaving has a status of its own, so that it is not listed as serving in between. 'Alive in that incarnation' was written three times and is now one function of membership.

--- a/packages/control/src/operator-backend.ts
+++ b/packages/control/src/operator-backend.ts
@@ -1,6 +1,6 @@
 import {countBucketMap} from '@fescuestair/core';
 import {
-	listRecords, MemberStatus, RecordKind, type MemberRecord,
+	isAliveIn, listRecords, MemberStatus, RecordKind, type MemberRecord,
 } from '@fescuestair/membership';
 import {type FateStore} from '@fescuestair/fates';
 import {
@@ -37,11 +37,7 @@
 		name, peerListen, door, runner, host, gossip, fates, links, propose,
 	} = options;
 
-	const isEntryAlive = (entryId: string, incarnation: number) => {
-		const record = gossip.getMembership().held.get(entryId)?.record;
-
-		return record?.incarnation === incarnation && record.status !== MemberStatus.Dead;
-	};
+	const isEntryAlive = (entryId: string, incarnation: number) => isAliveIn(gossip.getMembership(), entryId, incarnation);
 
 	const findFatesAt = async (record: MemberRecord, requestId: string): Promise<readonly FateEvent[]> => {
 		if (record.id === name) {
--- a/packages/entry/src/claimed-call.ts
+++ b/packages/entry/src/claimed-call.ts
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {InvariantError} from '@fescuestair/core';
-import {MemberStatus} from '@fescuestair/membership';
+import {isAliveIn} from '@fescuestair/membership';
 import {
 	FateEventKind, headerNames, ProposalError, Ran, RefusalCode, RefusalError,
 } from '@fescuestair/protocol';
@@ -157,9 +157,8 @@
 
 function isHolderAlive({gossip}: EntryServices, holder: string): boolean {
 	const [name = '', incarnation] = holder.split('#');
-	const record = gossip.getMembership().held.get(name)?.record;
 
-	return record !== undefined && record.status !== MemberStatus.Dead && record.incarnation === Number(incarnation);
+	return isAliveIn(gossip.getMembership(), name, Number(incarnation));
 }
 
 // Another attempt under this key is live: wait for its outcome, and declare it unknown once it is overdue.
--- a/packages/entry/src/request-fate.ts
+++ b/packages/entry/src/request-fate.ts
@@ -1,4 +1,6 @@
-import {listRecords, MemberStatus, RecordKind} from '@fescuestair/membership';
+import {
+	isAliveIn, listRecords, MemberStatus, RecordKind,
+} from '@fescuestair/membership';
 import {
 	describeFate, LinkKind, RefusalCode, type FateEvent, type LinkReply,
 } from '@fescuestair/protocol';
@@ -31,11 +33,7 @@
 /** Serves `GET /v1/requests/{id}` to the organisation that sent the request. */
 export async function handleFate(services: EntryServices, {response, organisation}: CallerRequest, requestId: string): Promise<void> {
 	const events = await services.findFates(requestId);
-	const fate = describeFate(events, (entryId, incarnation) => {
-		const record = services.gossip.getMembership().held.get(entryId)?.record;
-
-		return record?.incarnation === incarnation && record.status !== MemberStatus.Dead;
-	});
+	const fate = describeFate(events, (entryId, incarnation) => isAliveIn(services.gossip.getMembership(), entryId, incarnation));
 
 	// Another organisation's request looks the same as one that never was.
 	if (fate?.organisation !== organisation) {
--- a/packages/membership/src/__tests__/unit/membership.test.ts
+++ b/packages/membership/src/__tests__/unit/membership.test.ts
@@ -80,6 +80,23 @@
 	t.is([...network.nodes.values()].reduce((sum, node) => sum + listServing(node, RecordKind.Entry).length, 0), 19 * 19);
 });
 
+test('a daemon that dies while it is leaving is known dead everywhere, and is never listed as serving', t => {
+	const network = createNetwork(6);
+	run(network, 5000);
+	const own = network.nodes.get('n4')!.held.get('n4')!.record;
+	send(network, 'n4', {kind: InputKind.PublishSelf, record: {...own, version: own.version + 1, status: MemberStatus.Leaving}}, () => false);
+	run(network, 3000);
+	t.is(countSeen(network, 'n4', MemberStatus.Leaving), 6);
+	network.nodes.delete('n4');
+
+	while (countSeen(network, 'n4', MemberStatus.Dead) < 5 && network.nowMs < 20_000) {
+		run(network, tickMs);
+		t.true([...network.nodes.values()].every(node => listServing(node, RecordKind.Entry).every(record => record.id !== 'n4')));
+	}
+
+	t.is(countSeen(network, 'n4', MemberStatus.Dead), 5);
+});
+
 test('a daemon that one other cannot reach is kept alive by relays', t => {
 	const network = createNetwork(10);
 	run(network, 10_000);
--- a/packages/membership/src/create.ts
+++ b/packages/membership/src/create.ts
@@ -50,6 +50,20 @@
 	return [...membership.held.values()].map(held => held.record).filter(record => record.kind === kind);
 }
 
+/**
+Tells whether a member still runs in the incarnation that something was begun in.
+
+@example
+```
+isAliveIn(membership, 'entry-1', 1_700_000_000_000); //=> false once it is dead, unknown or started anew
+```
+*/
+export function isAliveIn({held}: Membership, id: string, incarnation: number): boolean {
+	const record = held.get(id)?.record;
+
+	return record?.incarnation === incarnation && record.status !== MemberStatus.Dead;
+}
+
 /** Lists the records of a kind that take new work: a suspect still does, a leaving one does not. */
 export function listServing(membership: Membership, kind: RecordKind): readonly MemberRecord[] {
 	return listRecords(membership, kind).filter(record => record.status === MemberStatus.Alive || record.status === MemberStatus.Suspect);
--- a/packages/membership/src/records.ts
+++ b/packages/membership/src/records.ts
@@ -7,7 +7,8 @@
 	[MemberStatus.Alive]: 0,
 	[MemberStatus.Suspect]: 1,
 	[MemberStatus.Leaving]: 2,
-	[MemberStatus.Dead]: 3,
+	[MemberStatus.SuspectLeaving]: 3,
+	[MemberStatus.Dead]: 4,
 };
 
 /**
@@ -71,7 +72,8 @@
 	const {timing} = membership;
 
 	switch (record.status) {
-		case MemberStatus.Suspect: {
+		case MemberStatus.Suspect:
+		case MemberStatus.SuspectLeaving: {
 			return {record, deadlineMs: nowMs + timing.suspectMs};
 		}
 
--- a/packages/membership/src/step.ts
+++ b/packages/membership/src/step.ts
@@ -6,6 +6,12 @@
 	GossipKind, InputKind, MemberStatus, OutputKind, RecordKind, type Gossip, type Input, type MemberRecord, type Membership, type Output,
 } from './types.js';
 
+// A suspicion must not bring a leaving member back among those that serve.
+const suspectedAs: ReadonlyMap<MemberStatus, MemberStatus> = new Map([
+	[MemberStatus.Alive, MemberStatus.Suspect],
+	[MemberStatus.Leaving, MemberStatus.SuspectLeaving],
+]);
+
 type MembershipStep = Step<Membership, Output>;
 
 const relays = 2;
@@ -155,11 +161,11 @@
 function suspectTarget(membership: Membership, targetId: string, nowMs: number): MembershipStep {
 	const record = membership.held.get(targetId)?.record;
 
-	if (record === undefined || record.status === MemberStatus.Dead || record.status === MemberStatus.Suspect) {
-		return {state: membership, effects: []};
-	}
+	const status = record === undefined ? undefined : suspectedAs.get(record.status);
 
-	return toStep(mergeRecords(membership, [{...record, status: MemberStatus.Suspect}], nowMs));
+	return record === undefined || status === undefined
+		? {state: membership, effects: []}
+		: toStep(mergeRecords(membership, [{...record, status}], nowMs));
 }
 
 type GossipInput = Extract<Input, {kind: InputKind.Gossip}>;
--- a/packages/membership/src/types.ts
+++ b/packages/membership/src/types.ts
@@ -11,6 +11,8 @@
 	Leaving = 'leaving',
 	/** Did not answer; is declared dead unless it refutes in time. */
 	Suspect = 'suspect',
+	/** As a suspect, and takes no new work. */
+	SuspectLeaving = 'suspect_leaving',
 	Dead = 'dead',
 }
 
