Save the group that a replica joins once

Cause: each message of the leader that reached a replica outside its group started a save of its identity. Two saves at once use one temporary file, the second finds it renamed, and the process ends with a disk error.

Ruled out: a slow disk or catch-up (the log of the dead replica names the rename, 1 s after its start).

A second group cannot slip in while the first is being saved either.

--- a/packages/control/src/group-door.ts
+++ b/packages/control/src/group-door.ts
@@ -40,13 +40,22 @@
 	const addresses = new Map<string, string>();
 	const candidates = new Map<string, {readonly member: Member; readonly deadlineMs: number}>();
 
-	const join = async (groupId: string) => {
+	let joining: Promise<void> | undefined;
+
+	const saveGroup = async (groupId: string) => {
 		const joined: Identity = {...identity, groupId};
 		await saveIdentity(dataFolder, joined);
 		identity = joined;
 		log.info('joined a group', {groupId, replicaId: identity.id});
 	};
 
+	// Messages that arrive while the identity is being saved find it being saved, and neither save it again nor another group.
+	const join = async (groupId: string) => {
+		joining ??= saveGroup(groupId);
+
+		return joining;
+	};
+
 	const listCandidates = (members: readonly Member[]) => {
 		const memberIds = new Set(members.map(member => member.id));
 
