--- a/packages/cli/src/format-fate.ts
+++ b/packages/cli/src/format-fate.ts
@@ -35,6 +35,16 @@
 			return `claimed at a majority under fencing token ${event.token}`;
 		}
 
+		case FateEventKind.Fetched: {
+			const detail = event.detail === '' ? '' : `: ${event.detail}`;
+
+			return `attempt ${event.attempt} used ${event.used} of ${event.wanted} pieces from ${event.storeId} (${event.bytes} bytes)${detail}`;
+		}
+
+		case FateEventKind.Exported: {
+			return `kept ${event.kept} of ${event.wanted} pieces in ${event.storeId} (${event.bytes} bytes)`;
+		}
+
 		case FateEventKind.Dispatched: {
 			return `attempt ${event.attempt} sent to ${event.upstreamId}`;
 		}
--- a/packages/demo/src/system.ts
+++ b/packages/demo/src/system.ts
@@ -16,9 +16,11 @@
 	readonly controls?: number;
 	readonly engines?: number;
 	readonly services?: number;
+	readonly stores?: number;
 	readonly entryFlags?: readonly string[];
 	readonly controlFlags?: readonly string[];
 	readonly engineFlags?: readonly string[];
+	readonly storeFlags?: readonly string[];
 };
 
 export type EntryProcess = {readonly process: ChildProcess; readonly address: string; readonly upstreamAddress: string; readonly peerAddress: string; readonly name: string};
@@ -35,8 +37,10 @@
 	readonly controls: ControlProcess[];
 	readonly engines: UpstreamProcess[];
 	readonly services: UpstreamProcess[];
+	readonly stores: UpstreamProcess[];
 	readonly startEntry: (index: number) => Promise<EntryProcess>;
 	readonly startControl: (index: number) => Promise<ControlProcess>;
+	readonly startStore: (index: number, flags?: readonly string[]) => Promise<UpstreamProcess>;
 	readonly startEngine: (index: number, flags?: readonly string[]) => Promise<UpstreamProcess>;
 	readonly runCli: (flags: readonly string[]) => Promise<{readonly code: number | undefined; readonly output: string}>;
 	readonly waitUntilReady: () => Promise<void>;
@@ -131,7 +135,8 @@
 */
 export async function startSystem(options: SystemOptions = {}): Promise<System> {
 	const {
-		entries: entryCount = 2, controls: controlCount = 1, engines: engineCount = 1, services: serviceCount = 1, entryFlags = [], controlFlags = [], engineFlags = [],
+		entries: entryCount = 2, controls: controlCount = 1, engines: engineCount = 1, services: serviceCount = 1, stores: storeCount = 0,
+		entryFlags = [], controlFlags = [], engineFlags = [], storeFlags = [],
 	} = options;
 	const folder = await fs.mkdtemp(path.join(os.tmpdir(), 'fescuestair-'));
 	const organisationKey = createKey();
@@ -158,12 +163,14 @@
 	})));
 	const controlAddresses = await Promise.all(Array.from({length: controlCount}, async () => ({operatorAddress: await findAddress(), peerAddress: await findAddress()})));
 	const engineAddresses = await Promise.all(Array.from({length: engineCount + 4}, findAddress));
+	const storeAddresses = await Promise.all(Array.from({length: storeCount}, findAddress));
 	const peerAddresses = controlAddresses.map(one => one.peerAddress).join(',');
 	const upstreamListeners = entryAddresses.map(one => one.upstreamAddress).join(',');
 	const entries: EntryProcess[] = [];
 	const controls: ControlProcess[] = [];
 	const engines: UpstreamProcess[] = [];
 	const services: UpstreamProcess[] = [];
+	const stores: UpstreamProcess[] = [];
 
 	const startControl = async (index: number): Promise<ControlProcess> => {
 		const addresses = controlAddresses[index]!;
@@ -247,6 +254,14 @@
 		id: `engine-${index + 1}`, flags: ['--kind', 'engine', ...flags, ...(index % 2 === 0 ? ['--checks-fencing', '--order-key', orderKey] : [])], address: engineAddresses[index]!,
 	});
 
+	const startStore = async (index: number, flags: readonly string[] = storeFlags) => {
+		const id = `store-${index + 1}`;
+
+		return startUpstream(stores, index, {
+			id, flags: ['--kind', 'store', '--data-folder', path.join(folder, id), ...flags], address: storeAddresses[index]!,
+		});
+	};
+
 	const runCli = async (flags: readonly string[]) => {
 		const child = startProcess(resolveProgram('@fescuestair/cli'), flags, {
 			FESCUESTAIR_CONTROL: controlAddresses.map(one => one.operatorAddress).join(','), FESCUESTAIR_OPERATOR_KEY: operatorKey,
@@ -290,7 +305,7 @@
 			await sleep(pollMs);
 		}
 
-		throw new Error(`not all replicas vote: ${last}`);
+		throw new Error(`not all replicas vote: ${last}\n${controls.map(one => one.process.readOutput()).join('\n')}`);
 	};
 
 	const isEntryReady = async ({address}: EntryProcess, upstreams: number) => {
@@ -306,7 +321,7 @@
 
 	const waitUntilReady = async () => {
 		const deadlineMs = Date.now() + readyTimeoutMs;
-		const wanted = engines.length + services.length;
+		const wanted = engines.length + services.length + stores.length;
 
 		while (Date.now() < deadlineMs) {
 			const running = entries.filter(entry => entry.process.isRunning());
@@ -323,7 +338,7 @@
 	};
 
 	const stop = async () => {
-		const all = [...entries, ...controls, ...engines, ...services].map(one => one.process).filter(child => child.isRunning());
+		const all = [...entries, ...controls, ...engines, ...services, ...stores].map(one => one.process).filter(child => child.isRunning());
 
 		for (const child of all) {
 			child.kill('SIGCONT');
@@ -343,6 +358,8 @@
 		await Promise.all(Array.from({length: entryCount}, async (_, index) => startEntry(index)));
 		await Promise.all(Array.from({length: engineCount}, async (_, index) => startEngine(index)));
 
+		await Promise.all(Array.from({length: storeCount}, async (_, index) => startStore(index)));
+
 		for (let index = 0; index < serviceCount; index++) {
 			startUpstream(services, index, {
 				id: `service-${index + 1}`, flags: ['--kind', 'service', '--service', 'work-orders', '--journal', files.journal], address: await findAddress(),
@@ -373,9 +390,11 @@
 		controls,
 		engines,
 		services,
+		stores,
 		startEntry,
 		startControl,
 		startEngine,
+		startStore,
 		runCli,
 		waitUntilReady,
 		stop,
--- a/packages/entry/src/completions.ts
+++ b/packages/entry/src/completions.ts
@@ -10,6 +10,7 @@
 import {
 	checkQuarantine, clearSuspicion, computeFingerprint, reportCrash,
 } from './suspects.js';
+import {fetchPieces, type FetchInput} from './fetch-pieces.js';
 import {planPrompt} from './plan-prompt.js';
 import {
 	createStreamWriter, createWholeWriter, type AnswerWriter,
@@ -93,6 +94,7 @@
 	};
 	const suspicion: Suspect = {isSuspect: false};
 	let tokens = 0;
+	let upstreamId = '';
 
 	const takeEvent = async (event: PromptEvent) => {
 		if (tokens === 0) {
@@ -100,13 +102,15 @@
 		}
 
 		tokens = event.offset;
+		upstreamId = event.upstreamId;
 
 		return writer.write(event);
 	};
 
+	const hashes = hashPrompt(job);
 	await (lastEventId === undefined
 		? runPrompt(createRunOptions(services, caller, {
-			preset, fingerprint, suspicion, hashes: hashPrompt(job),
+			preset, fingerprint, suspicion, hashes,
 		}), job, takeEvent)
 		: resumeAnswer(services, job, {eventId: lastEventId, takeEvent}));
 	writer.finish();
@@ -115,11 +119,21 @@
 		outcome: FateOutcome.Complete, ran: Ran.Ran, status: 200, tokens,
 	});
 
+	considerExport(services, caller, {upstreamId, hashes});
+
 	if (suspicion.isSuspect) {
 		void clearSuspicion(services, fingerprint);
 	}
 }
 
+function considerExport({gossip, exporter}: EntryServices, {requestId}: CallerRequest, {upstreamId, hashes}: {upstreamId: string; hashes: readonly string[]}): void {
+	const engine = gossip.getMembership().held.get(upstreamId)?.record;
+
+	if (engine !== undefined) {
+		exporter.consider({requestId, engine, hashes});
+	}
+}
+
 /** Whether an upstream has crashed under a prompt. */
 type Suspect = {isSuspect: boolean};
 
@@ -138,6 +152,7 @@
 		plan: async (job: PromptJob, excludedIds: ReadonlySet<string>) => planPrompt(services, {
 			job, hashes, excludedIds, preset, fingerprint, isSuspect: suspicion.isSuspect,
 		}),
+		fetch: async (input: FetchInput) => fetchPieces(services, input),
 		mayRetry: services.withdrawRetry,
 		async onCrash(job: PromptJob, upstreamId: string) {
 			suspicion.isSuspect = true;
--- a/packages/entry/src/engine-client.ts
+++ b/packages/entry/src/engine-client.ts
@@ -4,6 +4,7 @@
 } from '@fescuestair/protocol';
 import {BaseError} from '@fescuestair/core';
 import {createEventReader} from '@fescuestair/transport';
+import {type Import} from './fetch-pieces.js';
 
 /** One piece of an engine's answer. */
 export type EngineEvent = {
@@ -33,6 +34,8 @@
 	/** Text that an earlier attempt has already produced; the answer goes on behind it. */
 	readonly continueText: string;
 	readonly fromOffset: number;
+	/** Verified pieces that the engine has imported for this run. */
+	readonly import: Import | undefined;
 };
 
 type Call = {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,5 +1,5 @@
 import {Agent} from 'undici';
-import {type Clock, createSystemClock, rankByRendezvous} from '@fescuestair/core';
+import {type Clock, createSystemClock} from '@fescuestair/core';
 import {
 	admitRequest, createAdmission, createRetryBudget, depositSuccess, finishRequest, setShares, withdrawRetry,
 } from '@fescuestair/limits';
@@ -7,10 +7,9 @@
 	listServing, MemberStatus, RecordKind, type MemberRecord,
 } from '@fescuestair/membership';
 import {
-	createLinkCommands, dispatchLinkMessage, LinkKind, RefusalCode, type LinkMessage, type LinkReply,
+	createLinkCommands, dispatchLinkMessage, LinkKind, RefusalCode,
 } from '@fescuestair/protocol';
 import {createGossip, type Log, type Metrics} from '@fescuestair/runtime';
-import {createDirectory} from '@fescuestair/routing';
 import {findItem, getPresetInForce, ItemKind} from '@fescuestair/state';
 import {
 	createLinks, createLinkServer, parseAddress, type ClusterKeys, type KeyRing,
@@ -18,6 +17,10 @@
 import {createCallerListener} from './caller-listener.js';
 import {createControlClient} from './control-client.js';
 import {createEngineTable} from './engine-table.js';
+import {createCacheFollower} from './cache-follower.js';
+import {createExporter} from './exporter.js';
+import {createLinkBudgets} from './link-budgets.js';
+import {createPieceHomes} from './piece-homes.js';
 import {createHoldLine} from './hold-line.js';
 import {createFateRecorder} from './fate-recorder.js';
 import {createFindFates} from './request-fate.js';
@@ -59,8 +62,6 @@
 /** An upstream that sends neither tokens nor a heartbeat for this long is taken for silent. */
 const upstreamSilenceMs = 2500;
 const connectTimeoutMs = 1500;
-const maxDirectoryPieces = 100_000;
-const findPiecesTimeoutMs = 50;
 const stopPollMs = 50;
 const gossipSettleMs = 500;
 
@@ -101,7 +102,6 @@
 	});
 	const control = createControlClient({clock, links, follower});
 	const fateRecorder = createFateRecorder({gossip, links});
-	const directory = createDirectory({maxPieces: maxDirectoryPieces});
 	const agent = new Agent({
 		connections: connectionsPerUpstream, headersTimeout: upstreamSilenceMs, bodyTimeout: upstreamSilenceMs, connectTimeout: connectTimeoutMs,
 	});
@@ -114,44 +114,20 @@
 	const isReady = () => !isLeaving && !isDrained() && (follower.isFresh() || servesStale) && getPresetInForce(follower.getState()) !== undefined;
 	const isDrained = () => findItem(follower.getState(), ItemKind.Drain, name) !== undefined;
 
-	// The home of a prompt's pieces is found by its first piece, within the availability zone where there are several entries.
-	const findHome = (hashes: readonly string[]): MemberRecord | undefined => {
-		const records = listEntryRecords();
-		const near = records.filter(record => record.availabilityZone === availabilityZone);
-		const homes = near.length > 1 ? near : records;
-		const [homeId] = rankByRendezvous(hashes[0]!, homes.map(record => record.id));
-
-		return homes.find(record => record.id === homeId);
-	};
-
-	const findPieces = async (hashes: readonly string[]): Promise<ReadonlyMap<string, number>> => {
-		const home = hashes.length === 0 ? undefined : findHome(hashes);
-
-		if (home === undefined || home.id === name) {
-			return directory.countHeld(hashes);
-		}
-
-		try {
-			const reply = await links.call(home.address, {kind: LinkKind.FindPieces, hashes} satisfies LinkMessage, findPiecesTimeoutMs) as LinkReply;
-
-			return reply.kind === 'pieces' ? new Map(reply.held) : new Map();
-		} catch {
-			// A directory out of reach costs a recompute, not the request.
-			return new Map();
-		}
-	};
-
-	const notePieces = (upstreamId: string, hashes: readonly string[]) => {
-		const home = hashes.length === 0 ? undefined : findHome(hashes);
-
-		if (home === undefined || home.id === name) {
-			directory.note(upstreamId, hashes, true);
-		} else {
-			links.send(home.address, {
-				kind: LinkKind.NotePieces, upstreamId, hashes, isHeld: true,
-			} satisfies LinkMessage);
-		}
-	};
+	const homes = createPieceHomes({
+		name, availabilityZone, gossip, links,
+	});
+	const budgets = createLinkBudgets({
+		clock,
+		countEntries: () => listEntryRecords().length,
+		getLinkShare: () => getPresetInForce(follower.getState())?.linkShare ?? 1,
+	});
+	const exporter = createExporter({
+		agent, budgets, clock, follower, gossip, homes, log, metrics, recordFate: fateRecorder.record,
+	});
+	const cacheFollower = createCacheFollower({
+		name, agent, gossip, homes, log,
+	});
 
 	const services: EntryServices = {
 		name,
@@ -195,8 +171,9 @@
 			retryBudget = depositSuccess(retryBudget);
 		},
 		findFates: createFindFates({gossip}, links),
-		findPieces,
-		notePieces,
+		homes,
+		budgets,
+		exporter,
 	};
 
 	const commands = createLinkCommands();
@@ -210,16 +187,7 @@
 
 		return true;
 	});
-	commands.registerCommand(LinkKind.FindPieces, ({hashes, reply}) => {
-		reply?.({kind: 'pieces', held: [...directory.countHeld(hashes)]});
-
-		return true;
-	});
-	commands.registerCommand(LinkKind.NotePieces, ({upstreamId, hashes, isHeld}) => {
-		directory.note(upstreamId, hashes, isHeld);
-
-		return true;
-	});
+	homes.registerCommands(commands);
 
 	const linkServer = await createLinkServer({
 		listen: parseAddress(options.peerListen),
@@ -281,6 +249,8 @@
 			}
 
 			isClosing = true;
+			exporter.stop();
+			cacheFollower.stop();
 			const cut = listener.countRunning();
 			clearInterval(statusTimer);
 			registry.stop();
--- /dev/null
+++ b/packages/entry/src/exporter.ts
@@ -0,0 +1,176 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {rankByRendezvous} from '@fescuestair/core';
+import {exportedSchema, manifestsSchema} from '@fescuestair/kv';
+import {type MemberRecord} from '@fescuestair/membership';
+import {FateEventKind, UpstreamKind, type UpstreamDetails} from '@fescuestair/protocol';
+import {
+	estimateReturn, pieceTokens, shouldExport, type ReturnAnswer,
+} from '@fescuestair/routing';
+import {listUsableUpstreams} from './engine-table.js';
+import {askKv} from './kv-client.js';
+import {type EntryServices} from './request-context.js';
+
+/** A prompt that an engine has computed. */
+export type ExportJob = {
+	readonly requestId: string;
+	readonly engine: MemberRecord;
+	readonly hashes: readonly string[];
+};
+
+/** Keeps computed prompts in stores where they are worth it. */
+export type Exporter = {
+	/** Considers a prompt, without anyone waiting for it. */
+	readonly consider: (job: ExportJob) => void;
+	readonly stop: () => void;
+};
+
+type ExporterServices = Pick<EntryServices, 'agent' | 'budgets' | 'clock' | 'follower' | 'gossip' | 'homes' | 'log' | 'metrics' | 'recordFate'>;
+
+enum Verdict {
+	Done = 'done',
+	/** The link is in use by those who wait. */
+	Later = 'later',
+}
+
+const maxJobs = 64;
+const retryMs = 500;
+const maxTurns = 40;
+const commitTimeoutMs = 2000;
+const transferMarginMs = 2000;
+const patienceFactor = 4;
+const msPerSecond = 1000;
+/** A store that was full is left alone for this long. */
+const fullMs = 5000;
+
+/**
+Creates the exporter of an entry.
+
+@example
+```
+exporter.consider({requestId, engine, hashes});
+```
+*/
+export function createExporter(services: ExporterServices): Exporter {
+	const {clock, gossip, follower, homes, budgets, log, metrics} = services;
+	const fullUntilMs = new Map<string, number>();
+	let jobs = 0;
+	const stopping = new AbortController();
+
+	// All pieces of a prompt go to one store, so that one transfer brings them back.
+	const chooseStore = (root: string): MemberRecord | undefined => {
+		const stores = listUsableUpstreams({membership: gossip.getMembership(), state: follower.getState()}, details => details.kind === UpstreamKind.Store)
+			.filter(store => clock.readMonotonicMs() >= (fullUntilMs.get(store.id) ?? 0));
+		const [id] = rankByRendezvous(root, stores.map(store => store.id));
+
+		return stores.find(store => store.id === id);
+	};
+
+	const exportOnce = async (job: ExportJob, {returns, isJustComputed}: {returns: ReturnAnswer; isJustComputed: boolean}): Promise<Verdict> => {
+		const store = chooseStore(job.hashes[0]!);
+		const held = await homes.findPieces(job.hashes);
+		const missing = store === undefined ? [] : job.hashes.slice(held.get(store.id) ?? 0);
+
+		// What the engine has just computed it holds, though its events may not have come yet; later it may have dropped it.
+		const isHeld = isJustComputed || held.get(job.engine.id) === job.hashes.length;
+
+		if (store === undefined || missing.length === 0 || !isHeld) {
+			return Verdict.Done;
+		}
+
+		const {kvBytesPerPiece, prefillTokensPerSecond} = job.engine.details as UpstreamDetails;
+		const isChosen = shouldExport({
+			returnProbability: estimateReturn(returns.returns, returns.timesSeen),
+			missingPieces: missing.length,
+			pieceTokens,
+			prefillTokensPerSecond,
+			bytesPerPiece: kvBytesPerPiece,
+			linkBytesPerSecond: budgets.getBytesPerSecond(store),
+			queuedBytes: budgets.countQueuedBytes(store),
+		});
+
+		if (!isChosen) {
+			return Verdict.Later;
+		}
+
+		const isFull = await transfer(services, job, {store, missing, bytesPerPiece: kvBytesPerPiece});
+
+		if (isFull) {
+			fullUntilMs.set(store.id, clock.readMonotonicMs() + fullMs);
+		}
+
+		return isFull ? Verdict.Later : Verdict.Done;
+	};
+
+	const runJob = async (job: ExportJob) => {
+		const returns = await homes.noteReturn(job.hashes[0]!);
+
+		if (returns === undefined) {
+			return;
+		}
+
+		for (let turn = 0; turn < maxTurns; turn++) {
+			if (stopping.signal.aborted || await exportOnce(job, {returns, isJustComputed: turn === 0}) === Verdict.Done) {
+				return;
+			}
+
+			await sleep(retryMs);
+		}
+	};
+
+	return {
+		consider(job) {
+			if (job.hashes.length === 0 || stopping.signal.aborted) {
+				return;
+			}
+
+			if (jobs >= maxJobs) {
+				metrics.count('exports_dropped', {});
+
+				return;
+			}
+
+			jobs++;
+			void (async () => {
+				try {
+					await runJob(job);
+				} catch (error) {
+					log.info('a prompt was not exported', {requestId: job.requestId, engineId: job.engine.id}, error);
+				} finally {
+					jobs--;
+				}
+			})();
+		},
+		stop() {
+			stopping.abort();
+		},
+	};
+}
+
+type TransferInput = {
+	readonly store: MemberRecord;
+	readonly missing: readonly string[];
+	readonly bytesPerPiece: number;
+};
+
+/** Writes the data, then the manifests that make it visible; tells whether the store was full. */
+async function transfer(services: ExporterServices, {requestId, engine, hashes}: ExportJob, {store, missing, bytesPerPiece}: TransferInput): Promise<boolean> {
+	const {agent, budgets, clock, homes, recordFate} = services;
+	const bytes = missing.length * bytesPerPiece;
+	const {startMs, release} = budgets.reserve(store, bytes);
+	await sleep(Math.max(0, startMs - clock.readMonotonicMs()));
+	const transferMs = bytes / budgets.getBytesPerSecond(store) * msPerSecond;
+	const written = await askKv({agent, address: engine.address, timeoutMs: (patienceFactor * transferMs) + transferMarginMs}, {
+		path: '/v1/kv/exports', body: {storeAddress: store.address, hashes: missing}, schema: exportedSchema,
+	});
+	release((missing.length - written.pieces.length) * bytesPerPiece);
+	const committed = await askKv({agent, address: store.address, timeoutMs: commitTimeoutMs}, {
+		path: '/v1/kv/manifests', body: {pieces: written.pieces}, schema: manifestsSchema,
+	});
+	const kept = committed.pieces.map(piece => piece.hash);
+	homes.notePrompt(store.id, hashes.filter(hash => kept.includes(hash)), true);
+	recordFate({
+		kind: FateEventKind.Exported, requestId, atMs: clock.readWallMs(), storeId: store.id, wanted: missing.length, kept: kept.length, bytes: written.pieces.length * bytesPerPiece,
+	});
+
+	return written.isFull;
+}
--- /dev/null
+++ b/packages/entry/src/fetch-pieces.ts
@@ -0,0 +1,108 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+	importedSchema, manifestsSchema, selectVerified, type PieceManifest,
+} from '@fescuestair/kv';
+import {type MemberRecord} from '@fescuestair/membership';
+import {FateEventKind} from '@fescuestair/protocol';
+import {type EntryServices} from './request-context.js';
+import {askKv} from './kv-client.js';
+
+/** Pieces that an engine shall get from a store before it runs a prompt. */
+export type FetchPlan = {
+	readonly store: MemberRecord;
+	/** In the order of the prompt, behind those that the engine holds. */
+	readonly hashes: readonly string[];
+	readonly bytesPerPiece: number;
+};
+
+/** Pieces that lie apart at an engine and that a run may use. */
+export type Import = {readonly id: string; readonly hashes: readonly string[]};
+
+export type FetchInput = {
+	readonly plan: FetchPlan;
+	readonly engine: MemberRecord;
+	readonly requestId: string;
+	readonly attempt: number;
+	readonly signal: AbortSignal;
+};
+
+const lookUpTimeoutMs = 500;
+const transferMarginMs = 1000;
+/** A transfer that takes this many times as long as planned is given up. */
+const patienceFactor = 2;
+const msPerSecond = 1000;
+
+/**
+Lets an engine fetch pieces from a store within this entry's share of the link, and verifies them after the last byte.
+`undefined` where none may be used: the engine then computes them, which costs time and is never wrong.
+*/
+export async function fetchPieces(services: EntryServices, input: FetchInput): Promise<Import | undefined> {
+	const {plan, requestId, attempt} = input;
+	const {clock, budgets, recordFate, metrics, log} = services;
+	const bytes = plan.hashes.length * plan.bytesPerPiece;
+	const {startMs, release} = budgets.reserve(plan.store, bytes);
+	let used: readonly string[] = [];
+	let detail = '';
+	let movedBytes = 0;
+
+	try {
+		await sleep(Math.max(0, startMs - clock.readMonotonicMs()), undefined, {signal: input.signal});
+		const before = await lookUp(services, input);
+		const received = before.length === 0 ? [] : await importPieces(services, input, before);
+		movedBytes = received.length * plan.bytesPerPiece;
+		const {hashes, faults} = selectVerified({before, received, after: before.length === 0 ? [] : await lookUp(services, input)});
+		used = hashes;
+		detail = faults.map(({hash, fault}) => `${hash.slice(0, 8)} ${fault}`).join(', ');
+	} catch (error) {
+		detail = (error as Error).message;
+	}
+
+	if (used.length < plan.hashes.length) {
+		release(Math.max(0, bytes - movedBytes));
+		forgetRest(services, input, used.length);
+		log.info('pieces were not fetched', {
+			requestId, storeId: plan.store.id, used: used.length, wanted: plan.hashes.length, detail,
+		});
+	}
+
+	metrics.count('fetched_pieces', {store: plan.store.id, result: used.length === plan.hashes.length ? 'whole' : 'part'});
+	recordFate({
+		kind: FateEventKind.Fetched, requestId, attempt, atMs: clock.readWallMs(), storeId: plan.store.id, wanted: plan.hashes.length, used: used.length, bytes: movedBytes, detail,
+	});
+
+	return used.length === 0 ? undefined : {id: createImportId(input), hashes: used};
+}
+
+function createImportId({requestId, attempt}: FetchInput): string {
+	return `${requestId}.${attempt}`;
+}
+
+// What a belief promised and the store did not have is not looked for again.
+function forgetRest({homes}: EntryServices, {plan}: FetchInput, used: number): void {
+	homes.notePrompt(plan.store.id, plan.hashes.slice(used), false);
+}
+
+async function lookUp({agent}: EntryServices, {plan, signal}: FetchInput): Promise<readonly PieceManifest[]> {
+	const {pieces} = await askKv({
+		agent, address: plan.store.address, timeoutMs: lookUpTimeoutMs, signal,
+	}, {path: '/v1/kv/lookup', body: {hashes: plan.hashes}, schema: manifestsSchema});
+	const byHash = new Map(pieces.map(piece => [piece.hash, piece]));
+	const firstMissing = plan.hashes.findIndex(hash => !byHash.has(hash));
+	const found = firstMissing === -1 ? plan.hashes : plan.hashes.slice(0, firstMissing);
+
+	return found.map(hash => byHash.get(hash)!);
+}
+
+async function importPieces({agent, budgets}: EntryServices, input: FetchInput, before: readonly PieceManifest[]) {
+	const {plan, engine, signal} = input;
+	const transferMs = before.length * plan.bytesPerPiece / budgets.getBytesPerSecond(plan.store) * msPerSecond;
+	const {pieces} = await askKv({
+		agent, address: engine.address, timeoutMs: (patienceFactor * transferMs) + transferMarginMs, signal,
+	}, {
+		path: '/v1/kv/imports',
+		body: {importId: createImportId(input), storeAddress: plan.store.address, pieces: before.map(({hash, generation}) => ({hash, generation}))},
+		schema: importedSchema,
+	});
+
+	return pieces;
+}
--- /dev/null
+++ b/packages/entry/src/kv-client.ts
@@ -0,0 +1,60 @@
+import {type Agent} from 'undici';
+import {type z} from 'zod';
+import {BaseError} from '@fescuestair/core';
+
+/** An engine or a store did not do what it was asked to with pieces. */
+export class KvError extends BaseError {
+	constructor(address: string, reason: string) {
+		super('kv', `${address}: ${reason}`);
+	}
+}
+
+export type KvCall = {
+	readonly agent: Agent;
+	/** `ip:port`. */
+	readonly address: string;
+	readonly timeoutMs: number;
+	readonly signal?: AbortSignal;
+};
+
+export type KvQuestion<Answer> = {
+	readonly path: string;
+	/** Sent by POST; a question without a body is a GET. */
+	readonly body?: unknown;
+	readonly schema: z.ZodType<Answer>;
+};
+
+/**
+Asks an engine or a store about pieces; throws a `KvError` where there is no answer of the right shape.
+
+@example
+```
+const {pieces} = await askKv({agent, address, timeoutMs: 500}, {path: '/v1/kv/lookup', body: {hashes}, schema: manifestsSchema});
+```
+*/
+export async function askKv<Answer>(call: KvCall, {path, body, schema}: KvQuestion<Answer>): Promise<Answer> {
+	const {agent, address, signal} = call;
+	const timeoutMs = Math.ceil(call.timeoutMs);
+
+	try {
+		const response = await agent.request({
+			origin: `http://${address}`,
+			path,
+			method: body === undefined ? 'GET' : 'POST',
+			headers: {'content-type': 'application/json'},
+			body: body === undefined ? undefined : JSON.stringify(body),
+			headersTimeout: timeoutMs,
+			bodyTimeout: timeoutMs,
+			signal: AbortSignal.any([AbortSignal.timeout(timeoutMs), ...(signal === undefined ? [] : [signal])]),
+		});
+		const value = await response.body.json();
+
+		if (response.statusCode !== 200) {
+			throw new KvError(address, `${path}: status ${response.statusCode}`);
+		}
+
+		return schema.parse(value);
+	} catch (error) {
+		throw error instanceof KvError ? error : new KvError(address, `${path}: ${(error as Error).message}`);
+	}
+}
--- /dev/null
+++ b/packages/entry/src/link-budgets.ts
@@ -0,0 +1,63 @@
+import {type Clock} from '@fescuestair/core';
+import {
+	countQueuedBytes, createLinkBudget, releaseLink, reserveLink, setLinkShare, shareLink, type LinkBudget,
+} from '@fescuestair/kv';
+import {type MemberRecord} from '@fescuestair/membership';
+import {type UpstreamDetails} from '@fescuestair/protocol';
+
+export type LinkBudgetsOptions = {
+	readonly clock: Clock;
+	/** Entries that share the links. */
+	readonly countEntries: () => number;
+	/** Share of each link that the preset in force lets the system use. */
+	readonly getLinkShare: () => number;
+};
+
+/** This entry's share of the links of stores. */
+export type LinkBudgets = {
+	readonly getBytesPerSecond: (store: MemberRecord) => number;
+	readonly countQueuedBytes: (store: MemberRecord) => number;
+	/** Plans a transfer; it may begin at `startMs`, monotonic. */
+	readonly reserve: (store: MemberRecord, bytes: number) => {readonly startMs: number; readonly release: (unusedBytes: number) => void};
+};
+
+/**
+Creates the budgets of an entry.
+
+@example
+```
+const {startMs, release} = budgets.reserve(store, 32_000_000);
+```
+*/
+export function createLinkBudgets({clock, countEntries, getLinkShare}: LinkBudgetsOptions): LinkBudgets {
+	const budgets = new Map<string, LinkBudget>();
+
+	const getBytesPerSecond = ({details}: MemberRecord) => {
+		const {linkBytesPerSecond} = details as UpstreamDetails;
+
+		return shareLink({linkBytesPerSecond, linkShare: getLinkShare(), entries: countEntries()});
+	};
+
+	const getBudget = (store: MemberRecord): LinkBudget => {
+		const bytesPerSecond = getBytesPerSecond(store);
+		const budget = budgets.get(store.id) ?? createLinkBudget(bytesPerSecond);
+
+		return budget.bytesPerSecond === bytesPerSecond ? budget : setLinkShare(budget, bytesPerSecond, clock.readMonotonicMs());
+	};
+
+	return {
+		getBytesPerSecond,
+		countQueuedBytes: store => countQueuedBytes(getBudget(store), clock.readMonotonicMs()),
+		reserve(store, bytes) {
+			const {budget, startMs} = reserveLink(getBudget(store), bytes, clock.readMonotonicMs());
+			budgets.set(store.id, budget);
+
+			return {
+				startMs,
+				release(unusedBytes) {
+					budgets.set(store.id, releaseLink(budgets.get(store.id)!, unusedBytes));
+				},
+			};
+		},
+	};
+}
--- a/packages/entry/src/plan-prompt.ts
+++ b/packages/entry/src/plan-prompt.ts
@@ -1,13 +1,17 @@
 import {setTimeout as sleep} from 'node:timers/promises';
-import {FateEventKind, RefusalCode, type Candidate} from '@fescuestair/protocol';
+import {type MemberRecord} from '@fescuestair/membership';
+import {
+	FateEventKind, RefusalCode, UpstreamKind, type Candidate, type UpstreamDetails,
+} from '@fescuestair/protocol';
 import {RequestClass, type PresetItem} from '@fescuestair/state';
-import {chooseEngine, Priority, type EngineCandidate} from '@fescuestair/routing';
-import {listEngines} from './engine-table.js';
+import {
+	chooseEngine, Priority, type EngineCandidate, type StoreView,
+} from '@fescuestair/routing';
+import {listEngines, listUsableUpstreams} from './engine-table.js';
 import {chooseForSuspect} from './suspects.js';
 import {createRefusal, type EntryServices} from './request-context.js';
 import {type Plan, type PromptJob} from './prompt-run.js';
 
-const bytesPerPiece = 32_000_000;
 const holdPollMs = 50;
 const msPerSecond = 1000;
 const overloadRetrySeconds = 5;
@@ -76,14 +80,16 @@
 	const {gossip, follower, table, clock} = services;
 	const query = {membership: gossip.getMembership(), state: follower.getState()};
 	const records = listEngines(query, job.model, job.weightVersion).filter(record => !excludedIds.has(record.id));
-	const heldByEngine = await services.findPieces(hashes);
+	const held = await services.homes.findPieces(hashes);
+	const stores = listUsableUpstreams(query, details => details.kind === UpstreamKind.Store);
+	const bytesPerPiece = readBytesPerPiece(records);
 	const {candidates, chosen: cheapest} = chooseEngine({
 		plan: {
 			tokens: job.promptTokens, pieces: hashes.length, availabilityZone: services.availabilityZone, priority: job.priority, reservedShortShare: preset.reservedShortShare,
 		},
 		engines: records.map(record => table.createView(record)),
-		heldByEngine,
-		stores: [],
+		heldByEngine: held,
+		stores: stores.map(store => createStoreView(services, store, held.get(store.id) ?? 0)),
 		weights: preset.weights,
 		bytesPerPiece,
 	});
@@ -107,9 +113,29 @@
 		chosenId: chosen.upstreamId,
 		reason: `least cost of ${records.length} under preset ${preset.name}`,
 	});
-	services.notePieces(chosen.upstreamId, hashes);
+	services.homes.notePrompt(chosen.upstreamId, hashes, true);
+	const store = stores.find(one => one.id === chosen.storeId);
+	const heldPieces = held.get(chosen.upstreamId) ?? 0;
+
+	return {
+		record: records.find(record => record.id === chosen.upstreamId)!,
+		candidates,
+		prefillTokens: chosen.recomputedTokens,
+		fetch: store === undefined ? undefined : {store, hashes: hashes.slice(heldPieces, heldPieces + chosen.fetchPieces), bytesPerPiece},
+	};
+}
+
+// Engines of one model keep pieces of one size.
+function readBytesPerPiece(records: readonly MemberRecord[]): number {
+	const [first] = records;
+
+	return first === undefined ? 0 : (first.details as UpstreamDetails).kvBytesPerPiece;
+}
 
-	return {record: records.find(record => record.id === chosen.upstreamId)!, candidates, prefillTokens: chosen.recomputedTokens};
+function createStoreView({budgets}: EntryServices, store: MemberRecord, heldPieces: number): StoreView {
+	return {
+		id: store.id, heldPieces, freeBytesPerSecond: budgets.getBytesPerSecond(store), queuedBytes: budgets.countQueuedBytes(store),
+	};
 }
 
 // What cannot meet its deadline is refused on arrival and not after waiting.
--- a/packages/entry/src/prompt-run.ts
+++ b/packages/entry/src/prompt-run.ts
@@ -8,6 +8,7 @@
 import {
 	AttemptError, cancel, generate, resume, type EngineEvent, type TakeEvent,
 } from './engine-client.js';
+import {type FetchInput, type FetchPlan, type Import} from './fetch-pieces.js';
 import {type EngineTable} from './engine-table.js';
 
 /** A prompt on its way through one or more attempts. */
@@ -29,6 +30,8 @@
 	readonly record: MemberRecord;
 	readonly candidates: readonly Candidate[];
 	readonly prefillTokens: number;
+	/** Pieces to bring to the engine first. */
+	readonly fetch: FetchPlan | undefined;
 };
 
 export type PromptRunOptions = {
@@ -36,6 +39,8 @@
 	readonly clock: Clock;
 	readonly table: EngineTable;
 	readonly plan: (job: PromptJob, excludedIds: ReadonlySet<string>) => Promise<Plan>;
+	/** Brings pieces to an engine; `undefined` where none may be used. */
+	readonly fetch: (input: FetchInput) => Promise<Import | undefined>;
 	readonly mayRetry: () => boolean;
 	/** Told when an upstream is gone during the run; answers whether the prompt may be tried again. */
 	readonly onCrash: (job: PromptJob, upstreamId: string) => Promise<boolean>;
@@ -91,18 +96,23 @@
 type AttemptInput = {readonly plan: Plan; readonly progress: Progress; readonly takeEvent: TakePromptEvent};
 
 async function runAttempt(options: PromptRunOptions, job: PromptJob, input: AttemptInput): Promise<void> {
-	const {plan: {record, prefillTokens}, progress} = input;
+	const {plan: {record, prefillTokens, fetch}, progress} = input;
 	const {attempt} = progress;
 	const base = {requestId: job.requestId, attempt};
+	const endDispatch = options.table.beginDispatch(record.id, job.priority, prefillTokens);
+	const imported = fetch === undefined
+		? undefined
+		: await options.fetch({
+			plan: fetch, engine: record, requestId: job.requestId, attempt, signal: job.signal,
+		});
 	options.recordFate({
 		...base, kind: FateEventKind.Dispatched, atMs: options.clock.readWallMs(), upstreamId: record.id,
 	});
-	const endDispatch = options.table.beginDispatch(record.id, job.priority, prefillTokens);
 	let end = AttemptEnd.Cancelled;
 	let detail = '';
 
 	try {
-		await readWithResume(options, job, input);
+		await readWithResume(options, job, {...input, imported});
 		end = AttemptEnd.Complete;
 	} catch (error) {
 		if (error instanceof AttemptError) {
@@ -143,7 +153,7 @@
 	};
 }
 
-async function readWithResume(options: PromptRunOptions, job: PromptJob, input: AttemptInput): Promise<void> {
+async function readWithResume(options: PromptRunOptions, job: PromptJob, input: AttemptInput & {readonly imported: Import | undefined}): Promise<void> {
 	const {plan, progress} = input;
 	const call = {
 		agent: options.agent,
@@ -167,6 +177,7 @@
 			priority: job.priority,
 			continueText: progress.text,
 			fromOffset: progress.offset,
+			import: input.imported,
 		}, takeEvent);
 
 		return;
--- a/packages/entry/src/request-context.ts
+++ b/packages/entry/src/request-context.ts
@@ -12,6 +12,9 @@
 } from '@fescuestair/state';
 import {type ControlClient} from './control-client.js';
 import {type EngineTable} from './engine-table.js';
+import {type Exporter} from './exporter.js';
+import {type LinkBudgets} from './link-budgets.js';
+import {type PieceHomes} from './piece-homes.js';
 import {type HoldLine} from './hold-line.js';
 import {type StateFollower} from './state-follower.js';
 
@@ -38,8 +41,9 @@
 	readonly withdrawRetry: () => boolean;
 	readonly depositSuccess: () => void;
 	readonly findFates: (requestId: string) => Promise<readonly FateEvent[]>;
-	readonly findPieces: (hashes: readonly string[]) => Promise<ReadonlyMap<string, number>>;
-	readonly notePieces: (upstreamId: string, hashes: readonly string[]) => void;
+	readonly homes: PieceHomes;
+	readonly budgets: LinkBudgets;
+	readonly exporter: Exporter;
 };
 
 /** One request of a caller. */
--- /dev/null
+++ b/packages/kv/src/index.ts
@@ -0,0 +1,14 @@
+export {findHome, listHomes, type Home} from './homes.js';
+export {
+	takeEvents, takeSnapshot, type EventPosition, type EventStep, type PieceChange,
+} from './follow-events.js';
+export {
+	countQueuedBytes, createLinkBudget, releaseLink, reserveLink, setLinkShare, shareLink, type LinkBudget, type LinkShareInput,
+} from './link-budget.js';
+export {
+	cacheEventsSchema, cacheSnapshotSchema, exportedSchema, importedSchema, manifestsSchema, pieceManifestSchema, receivedPieceSchema, type CacheEvent,
+	type CacheEvents, type CacheSnapshot, type PieceManifest, type ReceivedPiece,
+} from './messages.js';
+export {
+	PieceFault, selectVerified, type Verified, type VerifyInput,
+} from './verify.js';
--- a/packages/protocol/src/fate.ts
+++ b/packages/protocol/src/fate.ts
@@ -4,10 +4,14 @@
 	Begun = 'begun',
 	Planned = 'planned',
 	Claimed = 'claimed',
+	/** Cached pieces were fetched from a store. */
+	Fetched = 'fetched',
 	Dispatched = 'dispatched',
 	FirstToken = 'first_token',
 	AttemptEnded = 'attempt_ended',
 	Finished = 'finished',
+	/** Cached pieces were kept in a store, after the answer. */
+	Exported = 'exported',
 }
 
 export enum AttemptEnd {
@@ -61,6 +65,19 @@
 	}
 	| {readonly kind: FateEventKind.Planned; readonly candidates: readonly Candidate[]; readonly chosenId: string; readonly reason: string}
 	| {readonly kind: FateEventKind.Claimed; readonly token: number}
+	| {
+		readonly kind: FateEventKind.Fetched;
+		readonly attempt: number;
+		readonly storeId: string;
+		/** Pieces asked for. */
+		readonly wanted: number;
+		/** Pieces that were verified and used. */
+		readonly used: number;
+		readonly bytes: number;
+		/** Why the rest was not used. */
+		readonly detail: string;
+	}
+	| {readonly kind: FateEventKind.Exported; readonly storeId: string; readonly wanted: number; readonly kept: number; readonly bytes: number}
 	| {readonly kind: FateEventKind.Dispatched; readonly attempt: number; readonly upstreamId: string}
 	| {readonly kind: FateEventKind.FirstToken; readonly attempt: number}
 	| {readonly kind: FateEventKind.AttemptEnded; readonly attempt: number; readonly end: AttemptEnd; readonly detail: string; readonly offset: number}
--- a/packages/protocol/src/link-messages.ts
+++ b/packages/protocol/src/link-messages.ts
@@ -11,6 +11,7 @@
 	FindFates = 'find_fates',
 	FindPieces = 'find_pieces',
 	NotePieces = 'note_pieces',
+	NoteReturn = 'note_return',
 	Join = 'join',
 }
 
@@ -23,7 +24,13 @@
 		| {readonly kind: LinkKind.RecordFates; readonly events: readonly FateEvent[]}
 		| {readonly kind: LinkKind.FindFates; readonly requestId: string}
 		| {readonly kind: LinkKind.FindPieces; readonly hashes: readonly string[]}
-		| {readonly kind: LinkKind.NotePieces; readonly upstreamId: string; readonly hashes: readonly string[]; readonly isHeld: boolean}
+		| {
+			readonly kind: LinkKind.NotePieces;
+			readonly upstreamId: string;
+			readonly isReset: boolean;
+			readonly changes: ReadonlyArray<{readonly root: string; readonly hashes: readonly string[]; readonly isHeld: boolean}>;
+		}
+		| {readonly kind: LinkKind.NoteReturn; readonly root: string}
 		| {readonly kind: LinkKind.Join; readonly id: string; readonly name: string; readonly address: string};
 
 export type LinkReply
@@ -41,6 +48,8 @@
 		}
 		| {readonly kind: 'fates'; readonly events: readonly FateEvent[]}
 		| {readonly kind: 'pieces'; readonly held: ReadonlyArray<readonly [upstreamId: string, pieces: number]>}
+		| {readonly kind: 'noted'}
+		| {readonly kind: 'returns'; readonly timesSeen: number; readonly returns: {readonly seenOnce: number; readonly returned: number}}
 		| {readonly kind: 'error'; readonly message: string};
 
 /** A proposal's fate: whether it may still be carried out. */
--- a/packages/protocol/src/upstream.ts
+++ b/packages/protocol/src/upstream.ts
@@ -40,6 +40,10 @@
 	weightVersion: z.string().max(64).default('1'),
 	load: engineLoadSchema.optional(),
 	prefillTokensPerSecond: z.number().positive().default(8000),
+	/** Size of one piece of cached prompt of an engine. */
+	kvBytesPerPiece: z.number().int().positive().default(32_000_000),
+	/** Speed of a store's link. */
+	linkBytesPerSecond: z.number().positive().default(1_000_000_000),
 	checksFencing: z.boolean().default(false),
 	checksGiver: z.boolean().default(false),
 	isLeaving: z.boolean().default(false),
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -7,6 +7,7 @@
 export {
 	computePieces, countTokens, pieceTokens, type PieceScope,
 } from './pieces.js';
+export {createReturnTable, type ReturnAnswer, type ReturnTable} from './return-table.js';
 export {createDirectory, type Directory, type DirectoryOptions} from './directory.js';
 export {
 	Priority, type EngineCandidate, type EngineView, type PromptPlan, type StoreView, type Weights,
--- a/packages/standins/src/engine-server.ts
+++ b/packages/standins/src/engine-server.ts
@@ -1,7 +1,9 @@
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import {headerNames} from '@fescuestair/protocol';
-import {openHttpListener, readBody, sendJson} from '@fescuestair/transport';
+import {openHttpListener, sendJson} from '@fescuestair/transport';
 import {type Engine, type Run, type RunInput} from './engine.js';
+import {handlePieces} from './engine-pieces.js';
+import {readJson} from './read-json.js';
 import {type Weights} from './weights.js';
 
 export type EngineServerOptions = {
@@ -11,10 +13,9 @@
 	readonly weights: Weights;
 };
 
-const bodyLimits = {maxBytes: 64_000_000, timeoutMs: 10_000};
 const heartbeatMs = 500;
 
-/** Creates the engine's HTTP listener: start, resume and cancel a run, read cache events. */
+/** Creates the engine's HTTP listener: start, resume and cancel a run, move pieces, read cache events. */
 export async function createEngineServer(options: EngineServerOptions) {
 	const {host, port, engine, weights} = options;
 
@@ -23,8 +24,7 @@
 		const requestId = /^\/v1\/generate\/(?<id>[\w\-]+)$/v.exec(pathname)?.groups?.id;
 
 		if (request.method === 'POST' && pathname === '/v1/generate') {
-			const body = await readBody(request, bodyLimits);
-			const input = JSON.parse(new TextDecoder().decode(body)) as RunInput;
+			const input = await readJson(request) as RunInput;
 
 			if (input.weightVersion !== weights.getVersion()) {
 				sendJson(response, 409, {code: 'other_weight_version'});
@@ -47,16 +47,16 @@
 				streamRun(response, run, Number(searchParams.get('from') ?? 0));
 			}
 		} else if (request.method === 'POST' && pathname === '/v1/orders') {
-			const order = JSON.parse(new TextDecoder().decode(await readBody(request, bodyLimits))) as {readonly weightVersion: string};
+			const order = await readJson(request) as {readonly weightVersion: string};
 			const status = weights.order({
 				weightVersion: order.weightVersion,
 				fencingNumber: Number(request.headers[headerNames.fencingToken] ?? 0),
 				key: request.headers.authorization?.slice('Bearer '.length),
 			});
 			sendJson(response, status, {weightVersion: weights.getVersion()});
-		} else if (pathname === '/v1/cache-events') {
-			sendJson(response, 200, {events: engine.listCacheEvents(Number(searchParams.get('after') ?? 0))});
-		} else {
+		} else if (pathname === '/v1/stats') {
+			sendJson(response, 200, {prefilledTokens: engine.countPrefilled()});
+		} else if (!await handlePieces(engine, request, response)) {
 			sendJson(response, 404, {code: 'not_found'});
 		}
 	};
--- a/packages/standins/src/engine.ts
+++ b/packages/standins/src/engine.ts
@@ -3,6 +3,8 @@
 	computePieces, countTokens, pieceTokens, Priority,
 } from '@fescuestair/routing';
 import {createAnswerToken} from './answer.js';
+import {createEngineCache, type EngineCache} from './engine-cache.js';
+import {createEngineTransfers, type EngineTransfers} from './engine-transfers.js';
 
 export type EngineOptions = {
 	readonly prefillTokensPerSecond: number;
@@ -11,6 +13,10 @@
 	readonly slots: number;
 	/** Pieces of cached prompt that fit into memory. */
 	readonly cachePieces: number;
+	/** Size of one cached piece. */
+	readonly pieceBytes?: number;
+	/** Events kept for those who follow the cache. */
+	readonly maxEvents?: number;
 	/** Called when a prompt that crashes engines reaches its first token. */
 	readonly onCrash: () => void;
 	/** Runs without a reader are kept this long. */
@@ -27,6 +33,8 @@
 	readonly priority: Priority;
 	readonly continueText: string;
 	readonly fromOffset: number;
+	/** Pieces of an import that the run may use. */
+	readonly import?: {readonly id: string; readonly hashes: readonly string[]};
 };
 
 /** A run and what it has produced. */
@@ -35,18 +43,21 @@
 	readonly tokens: string[];
 	readonly listeners: Set<() => void>;
 	prefillLeft: number;
+	/** Whether all cached pieces that it uses are those of its prompt. */
+	isSound: boolean;
 	isDone: boolean;
 };
 
-export type CacheEvent = {readonly sequence: number; readonly hash: string; readonly isHeld: boolean};
-
 /** A small engine: prefill one request after another in chunks, decode in a batch, a cache of limited size. */
 export type Engine = {
 	readonly start: (input: RunInput) => Run;
 	readonly findRun: (requestId: string) => Run | undefined;
 	readonly cancel: (requestId: string) => void;
 	readonly getLoad: () => EngineLoad;
-	readonly listCacheEvents: (afterSequence: number) => readonly CacheEvent[];
+	readonly cache: Pick<EngineCache, 'log' | 'takeSnapshot'>;
+	readonly transfers: EngineTransfers;
+	/** Prompt tokens computed since the start. */
+	readonly countPrefilled: () => number;
 	/** Frees all cached pieces: they belong to other weights. */
 	readonly clearCache: () => void;
 	readonly stop: () => void;
@@ -54,8 +65,11 @@
 
 /** Prompt that makes an engine crash. */
 const crashMarker = 'CRASH-THE-ENGINE';
+/** Given in place of each token by a run that reads a wrong piece. */
+const wrongToken = 'WRONG ';
 const chunkTokens = 1000;
-const maxEvents = 10_000;
+const defaultMaxEvents = 10_000;
+const defaultPieceBytes = 65_536;
 
 /**
 Creates an engine stand-in.
@@ -67,47 +81,23 @@
 */
 export function createEngine(options: EngineOptions): Engine {
 	const {
-		prefillTokensPerSecond, decodeMs, slots, cachePieces, onCrash, keepMs = 10_000,
+		prefillTokensPerSecond, decodeMs, slots, cachePieces, onCrash, keepMs = 10_000, maxEvents = defaultMaxEvents, pieceBytes = defaultPieceBytes,
 	} = options;
 	const runs = new Map<string, Run>();
-	const cache = new Map<string, true>();
-	const events: CacheEvent[] = [];
+	const cache = createEngineCache(cachePieces, maxEvents);
+	const transfers = createEngineTransfers({cache, pieceBytes});
 	let waiting: Run[] = [];
 	let running: Run[] = [];
-	let sequence = 0;
+	let prefilledTokens = 0;
 	let isPrefilling = false;
 
-	const noteEvent = (hash: string, isHeld: boolean) => {
-		sequence++;
-		events.push({sequence, hash, isHeld});
-		events.splice(0, Math.max(0, events.length - maxEvents));
-	};
-
-	const cachePrompt = (hashes: readonly string[]) => {
-		for (const hash of hashes) {
-			const wasHeld = cache.delete(hash);
-			cache.set(hash, true);
-
-			if (!wasHeld) {
-				noteEvent(hash, true);
-			}
-		}
-
-		while (cache.size > cachePieces) {
-			const oldest = cache.keys().next().value!;
-			cache.delete(oldest);
-			noteEvent(oldest, false);
-		}
-	};
-
 	const hashPrompt = (input: RunInput) => computePieces({
 		organisation: input.organisation, model: input.model, adapter: '', weightVersion: input.weightVersion,
 	}, input.prompt);
 
-	const countCached = (hashes: readonly string[]) => {
-		const firstMissing = hashes.findIndex(hash => !cache.has(hash));
-
-		return firstMissing === -1 ? hashes.length : firstMissing;
+	const cachePrompt = ({input, isSound}: Run) => {
+		const hashes = hashPrompt(input);
+		cache.add(hashes.map(hash => cache.findPiece(hash) ?? {hash, root: hashes[0]!, isSound}));
 	};
 
 	// Short requests go before long ones between two chunks.
@@ -125,11 +115,12 @@
 		setTimeout(() => {
 			isPrefilling = false;
 			run.prefillLeft -= chunk;
+			prefilledTokens += chunk;
 
 			if (run.prefillLeft <= 0 && waiting.includes(run)) {
 				waiting = waiting.filter(other => other !== run);
 				running.push(run);
-				cachePrompt(hashPrompt(run.input));
+				cachePrompt(run);
 				emitToken(run);
 			}
 
@@ -144,7 +135,8 @@
 			return;
 		}
 
-		run.tokens.push(createAnswerToken(run.input.prompt, run.input.fromOffset + run.tokens.length));
+		const token = createAnswerToken(run.input.prompt, run.input.fromOffset + run.tokens.length);
+		run.tokens.push(run.isSound ? token : wrongToken);
 
 		if (run.input.fromOffset + run.tokens.length >= run.input.maxTokens) {
 			finishRun(run);
@@ -175,12 +167,18 @@
 	return {
 		start(input) {
 			const hashes = hashPrompt(input);
-			const known = countCached(hashes) * pieceTokens;
+
+			if (input.import !== undefined) {
+				transfers.useImport(input.import.id, hashes[0]!, input.import.hashes);
+			}
+
+			const held = cache.takePrefix(hashes);
 			const run: Run = {
 				input,
 				tokens: [],
 				listeners: new Set(),
-				prefillLeft: Math.max(1, countTokens(input.prompt + input.continueText) - known),
+				prefillLeft: Math.max(1, countTokens(input.prompt + input.continueText) - (held.length * pieceTokens)),
+				isSound: held.every(piece => piece.isSound),
 				isDone: false,
 			};
 			runs.set(input.requestId, run);
@@ -213,14 +211,10 @@
 				queuedLongTokens: sumPrefill(waitingLong),
 			};
 		},
-		listCacheEvents: afterSequence => events.filter(event => event.sequence > afterSequence),
-		clearCache() {
-			for (const hash of cache.keys()) {
-				noteEvent(hash, false);
-			}
-
-			cache.clear();
-		},
+		cache,
+		transfers,
+		countPrefilled: () => prefilledTokens,
+		clearCache: cache.clear,
 		stop() {
 			clearInterval(decodeTimer);
 		},
--- a/packages/standins/src/main.ts
+++ b/packages/standins/src/main.ts
@@ -5,6 +5,8 @@
 import {createEngine} from './engine.js';
 import {createEngineServer} from './engine-server.js';
 import {createWeights} from './weights.js';
+import {openStore, type ReadFault} from './store.js';
+import {createStoreServer} from './store-server.js';
 import {createServiceServer} from './service-server.js';
 
 type Flags = {
@@ -25,10 +27,18 @@
 	readonly loadMs: string;
 	readonly checksFencing?: boolean;
 	readonly orderKey?: string;
+	readonly pieceBytes: string;
+	readonly maxEvents: string;
+	readonly dataFolder: string;
+	readonly memoryPieces: string;
+	readonly diskPieces: string;
+	readonly linkRate: string;
+	readonly fault: ReadFault;
+	readonly dieAtTransfer: string;
 };
 
 const program = new Command('standin')
-	.requiredOption('--kind <kind>', 'engine or service')
+	.requiredOption('--kind <kind>', 'engine, store or service')
 	.requiredOption('--id <id>')
 	.requiredOption('--listen <ip:port>')
 	.requiredOption('--entries <ip:port,...>', 'upstream listeners of entries')
@@ -42,6 +52,14 @@
 	.option('--decode-ms <ms>', 'time between tokens', '15')
 	.option('--slots <count>', 'requests at once', '16')
 	.option('--cache-pieces <count>', 'cached pieces', '200')
+	.option('--piece-bytes <bytes>', 'size of a cached piece', '65536')
+	.option('--max-events <count>', 'cache events that are kept', '10000')
+	.option('--data-folder <folder>', 'disk tier of a store', '.data/store')
+	.option('--memory-pieces <count>', 'pieces in the memory of a store', '1000')
+	.option('--disk-pieces <count>', 'pieces on the disk of a store', '10000')
+	.option('--link-rate <bytes>', 'bytes a second over the link of a store', '100000000')
+	.option('--fault <fault>', 'what goes wrong while pieces are read: freed, torn or flipped', 'none')
+	.option('--die-at-transfer <number>', 'a store ends in the middle of this transfer', '0')
 	.option('--load-ms <ms>', 'time to load weights', '500')
 	.option('--checks-fencing', 'refuses orders with an old fencing number')
 	.option('--order-key <key>', 'refuses orders without this key');
@@ -60,6 +78,8 @@
 		decodeMs: Number(flags.decodeMs),
 		slots: Number(flags.slots),
 		cachePieces: Number(flags.cachePieces),
+		pieceBytes: Number(flags.pieceBytes),
+		maxEvents: Number(flags.maxEvents),
 		onCrash() {
 			process.exit(1);
 		},
@@ -83,6 +103,7 @@
 		checksFencing: flags.checksFencing ?? false,
 		checksGiver: flags.orderKey !== undefined,
 		prefillTokensPerSecond: Number(flags.prefillRate),
+		kvBytesPerPiece: Number(flags.pieceBytes),
 		load: engine.getLoad(),
 	});
 }
@@ -93,7 +114,34 @@
 	return () => ({...base, address: `${host}:${server.port}`, service: flags.service});
 }
 
-const createMessage = flags.kind === UpstreamKind.Engine ? await startEngine() : await startService();
+async function startStore(): Promise<() => Record<string, unknown>> {
+	const store = await openStore({
+		dataFolder: flags.dataFolder,
+		memoryPieces: Number(flags.memoryPieces),
+		diskPieces: Number(flags.diskPieces),
+		fault: flags.fault,
+		firstGeneration: base.incarnation,
+	});
+	const server = await createStoreServer({
+		host,
+		port: Number(port),
+		store,
+		linkBytesPerSecond: Number(flags.linkRate),
+		dieAtTransfer: Number(flags.dieAtTransfer),
+		onDie() {
+			process.exit(1);
+		},
+	});
+
+	return () => ({...base, address: `${host}:${server.port}`, linkBytesPerSecond: Number(flags.linkRate)});
+}
+
+const starters = {
+	[UpstreamKind.Engine]: startEngine,
+	[UpstreamKind.Store]: startStore,
+	[UpstreamKind.Service]: startService,
+};
+const createMessage = await starters[flags.kind]();
 
 for (const signal of ['SIGTERM', 'SIGINT'] as const) {
 	process.on(signal, () => {
--- a/packages/state/src/config-items.ts
+++ b/packages/state/src/config-items.ts
@@ -49,6 +49,8 @@
 	longFromTokens: z.number().int().positive().default(2000),
 	/** Share of each worker's places that long prompts never take. */
 	reservedShortShare: shareSchema.default(0.25),
+	/** Share of each store's link that moving cached prompts may use. */
+	linkShare: z.number().min(0.01).max(1).default(1),
 	/** Classes refused first when not all can be served. */
 	refuseFirst: z.array(z.enum(RequestClass)).default([RequestClass.Long]),
 });
--- a/scripts/check-layers.mjs
+++ b/scripts/check-layers.mjs
@@ -11,6 +11,7 @@
 	agreement: 2,
 	membership: 2,
 	routing: 2,
+	kv: 2,
 	limits: 2,
 	transport: 2,
 	runtime: 3,
