--- a/packages/bench/src/benchmarks.ts
+++ b/packages/bench/src/benchmarks.ts
@@ -4,8 +4,9 @@
 import {pathBenchmark} from './path.js';
 import {routingBenchmark, routingFullBenchmark} from './routing.js';
 import {stateBenchmark} from './state.js';
+import {storesBenchmark} from './stores.js';
 
 /** All benchmarks. */
 export const benchmarks: readonly Benchmark[] = [
-	routingBenchmark, membershipBenchmark, stateBenchmark, pathBenchmark, membershipLargeBenchmark, membershipLoadsBenchmark, routingFullBenchmark, capacityBenchmark,
+	routingBenchmark, membershipBenchmark, stateBenchmark, pathBenchmark, storesBenchmark, membershipLargeBenchmark, membershipLoadsBenchmark, routingFullBenchmark, capacityBenchmark,
 ];
--- a/packages/bench/src/model/simulate.ts
+++ b/packages/bench/src/model/simulate.ts
@@ -1,4 +1,4 @@
-import {createEngineView, sumDispatches, type Dispatch} from '@fescuestair/entry';
+import {createEngineView, estimateBacklog, type Dispatch} from '@fescuestair/entry';
 import {rankByRendezvous} from '@fescuestair/core';
 import {type EngineLoad} from '@fescuestair/protocol';
 import {
@@ -115,11 +115,14 @@
 
 	const viewEngines = (entry: number) => engines.filter(engine => engine.isUp()).map(engine => {
 		const known = reports.get(engine.id) ?? {load: engine.getLoad(), madeAtMs: 0};
-		const own = sumDispatches(dispatches[entry]!.get(engine.id) ?? [], known.madeAtMs);
+		const {prefillTokensPerSecond} = scenario;
+		const backlog = estimateBacklog({
+			...known.load, reportedAtMs: known.madeAtMs, dispatches: dispatches[entry]!.get(engine.id) ?? [], prefillTokensPerSecond, nowMs: scheduler.getNowMs(),
+		});
 		const number = Number(engine.id.slice(1));
 
 		return createEngineView({id: engine.id, availabilityZone: zones[number % zones.length]!}, {
-			load: known.load, prefillTokensPerSecond: scenario.prefillTokensPerSecond, own,
+			load: known.load, prefillTokensPerSecond, backlog,
 		});
 	});
 
--- a/packages/demo/src/index.ts
+++ b/packages/demo/src/index.ts
@@ -1,2 +1,4 @@
 export {startProcess, type ChildProcess} from './processes.js';
-export {startSystem, type System, type SystemOptions} from './system.js';
+export {
+	startSystem, type System, type SystemOptions, type UpstreamProcess,
+} from './system.js';
