Take old reports of load to be worked off

Cause: a load that came with a response, this very request included, stood until the next report, up to 10 s later: traces showed 105 ms of queue at idle engines. Prompts fled from engines that held their pieces. An announcement seen late also replaced a fresher load from a response.

Tried first and dropped: working off every report from its first moment.

Now reports stand for 1.5 s and are worked off at the engine's rate after that; own requests that have ended leave their report.

Unit test added.

--- a/packages/entry/src/__tests__/unit/upstream-load.test.ts
+++ b/packages/entry/src/__tests__/unit/upstream-load.test.ts
@@ -70,3 +70,28 @@
 	t.is(view.running, 3);
 	t.is(view.queuedLongTokens, 2000);
 });
+
+test('what was reported or sent is taken for computed after the time it needs, though no new report comes', t => {
+	const clock = createManualClock(1000);
+	const table = createEngineTable(clock);
+	const record = {
+		...self, id: 'engine-1', kind: RecordKind.Upstream, details: {load: idle, prefillTokensPerSecond: 8000},
+	};
+	t.is(table.createView(record).running, 0);
+	const end = table.beginDispatch('engine-1', Priority.Long, 4000);
+	clock.advance(10);
+	table.noteLoad('engine-1', {
+		...idle, running: 1, longInProgress: 1, queuedShortTokens: 400, queuedLongTokens: 4000,
+	});
+	clock.advance(1500);
+	t.is(table.createView(record).queuedLongTokens, 4000, 'a fresh report stands');
+	clock.advance(100);
+	const early = table.createView(record);
+	t.deepEqual([early.queuedShortTokens, early.queuedLongTokens], [0, 3600], 'short prompts are computed first');
+	table.beginDispatch('engine-1', Priority.Long, 1000);
+	t.is(table.createView(record).queuedLongTokens, 4600);
+	clock.advance(1000);
+	end();
+	const late = table.createView(record);
+	t.deepEqual([late.queuedLongTokens, late.running, late.longInProgress], [1000, 0, 1], 'the second is still in progress');
+});
--- a/packages/entry/src/engine-table.ts
+++ b/packages/entry/src/engine-table.ts
@@ -4,8 +4,8 @@
 } from '@fescuestair/membership';
 import {UpstreamKind, type EngineLoad, type UpstreamDetails} from '@fescuestair/protocol';
 import {findItem, ItemKind, type PublicState} from '@fescuestair/state';
-import {type EngineView, type Priority} from '@fescuestair/routing';
-import {sumDispatches, type Dispatch} from './own-dispatches.js';
+import {Priority, type EngineView} from '@fescuestair/routing';
+import {estimateBacklog, type Backlog, type Dispatch} from './own-dispatches.js';
 
 /** Own dispatches to upstreams, which their lagging reports do not show yet. */
 export type EngineTable = {
@@ -23,6 +23,9 @@
 	announced: EngineLoad | undefined;
 	load: EngineLoad | undefined;
 	reportedAtMs: number;
+	/** Own requests that stand in the report and have ended since. */
+	endedShort: number;
+	endedLong: number;
 };
 
 const noLoad: EngineLoad = {
@@ -44,7 +47,7 @@
 	const rows = new Map<string, Row>();
 	const getRow = (upstreamId: string): Row => {
 		const row = rows.get(upstreamId) ?? {
-			dispatches: new Set(), announced: undefined, load: undefined, reportedAtMs: Number.NEGATIVE_INFINITY,
+			dispatches: new Set(), announced: undefined, load: undefined, reportedAtMs: Number.NEGATIVE_INFINITY, endedShort: 0, endedLong: 0,
 		};
 		rows.set(upstreamId, row);
 
@@ -53,18 +56,21 @@
 
 	return {
 		beginDispatch(upstreamId, priority, prefillTokens) {
-			const {dispatches} = getRow(upstreamId);
+			const row = getRow(upstreamId);
 			const dispatch = {priority, prefillTokens, sentAtMs: clock.readMonotonicMs()};
-			dispatches.add(dispatch);
+			row.dispatches.add(dispatch);
 
 			return () => {
-				dispatches.delete(dispatch);
+				row.dispatches.delete(dispatch);
+
+				if (dispatch.sentAtMs <= row.reportedAtMs) {
+					row.endedShort += priority === Priority.Short ? 1 : 0;
+					row.endedLong += priority === Priority.Long ? 1 : 0;
+				}
 			};
 		},
 		noteLoad(upstreamId, load) {
-			const row = getRow(upstreamId);
-			row.load = load;
-			row.reportedAtMs = clock.readMonotonicMs();
+			takeReport(getRow(upstreamId), load, clock.readMonotonicMs());
 		},
 		createView(record) {
 			const {load, prefillTokensPerSecond} = record.details as UpstreamDetails;
@@ -72,34 +78,56 @@
 
 			if (row.announced !== load) {
 				row.announced = load;
-				row.load = load;
-				row.reportedAtMs = clock.readMonotonicMs() - reportLagMs;
+				const announcedAtMs = clock.readMonotonicMs() - reportLagMs;
+
+				// A response may have told of a later load than the announcement that arrives after it.
+				if (announcedAtMs > row.reportedAtMs) {
+					takeReport(row, load, announcedAtMs);
+				}
 			}
 
-			return createEngineView(record, {load: row.load ?? noLoad, prefillTokensPerSecond, own: sumDispatches(row.dispatches, row.reportedAtMs)});
+			const known = withoutEnded(row.load ?? noLoad, row);
+			const backlog = estimateBacklog({
+				...known, reportedAtMs: Math.max(0, row.reportedAtMs), dispatches: row.dispatches, prefillTokensPerSecond, nowMs: clock.readMonotonicMs(),
+			});
+
+			return createEngineView(record, {load: known, prefillTokensPerSecond, backlog});
 		},
 		countRunning: upstreamId => rows.get(upstreamId)?.dispatches.size ?? 0,
 	};
 }
 
+function takeReport(row: Row, load: EngineLoad | undefined, atMs: number): void {
+	row.load = load;
+	row.reportedAtMs = atMs;
+	row.endedShort = 0;
+	row.endedLong = 0;
+}
+
+function withoutEnded(load: EngineLoad, {endedShort, endedLong}: Row): EngineLoad {
+	return {
+		...load, running: Math.max(0, load.running - endedShort - endedLong), longInProgress: Math.max(0, load.longInProgress - endedLong),
+	};
+}
+
 type ViewInput = {
 	readonly load: EngineLoad;
 	readonly prefillTokensPerSecond: number;
-	readonly own: ReturnType<typeof sumDispatches>;
+	readonly backlog: Backlog;
 };
 
-/** Adds own dispatches to a report. */
-export function createEngineView({id, availabilityZone}: Pick<MemberRecord, 'id' | 'availabilityZone'>, {load, prefillTokensPerSecond, own}: ViewInput): EngineView {
+/** Describes an engine as a plan sees it. */
+export function createEngineView({id, availabilityZone}: Pick<MemberRecord, 'id' | 'availabilityZone'>, {load, prefillTokensPerSecond, backlog}: ViewInput): EngineView {
 	return {
 		id,
 		availabilityZone,
 		running: load.running,
 		slots: load.slots,
-		waitingShort: load.waitingShort + own.shortRequests,
-		waitingLong: load.waitingLong + own.longRequests,
-		longInProgress: load.longInProgress + own.longRequests,
-		queuedShortTokens: load.queuedShortTokens + own.shortTokens,
-		queuedLongTokens: load.queuedLongTokens + own.longTokens,
+		waitingShort: load.waitingShort + backlog.shortRequests,
+		waitingLong: load.waitingLong + backlog.longRequests,
+		longInProgress: load.longInProgress + backlog.longRequests,
+		queuedShortTokens: backlog.shortTokens,
+		queuedLongTokens: backlog.longTokens,
 		prefillTokensPerSecond,
 	};
 }
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -2,4 +2,4 @@
 export {createStateFollower, type StateFollower} from './state-follower.js';
 export {chooseServiceUpstream, rankEntries} from './choose-address.js';
 export {createEngineView} from './engine-table.js';
-export {sumDispatches, type Dispatch} from './own-dispatches.js';
+export {estimateBacklog, type Backlog, type Dispatch} from './own-dispatches.js';
--- a/packages/entry/src/own-dispatches.ts
+++ b/packages/entry/src/own-dispatches.ts
@@ -8,27 +8,47 @@
 	readonly sentAtMs: number;
 };
 
-/** What own dispatches add to a report that does not show them yet. */
-export type OwnLoad = {
+/** An engine's report, and what this entry has sent it. */
+export type BacklogInput = {
+	readonly queuedShortTokens: number;
+	readonly queuedLongTokens: number;
+	readonly reportedAtMs: number;
+	readonly dispatches: Iterable<Dispatch>;
+	readonly prefillTokensPerSecond: number;
+	readonly nowMs: number;
+};
+
+/** What is taken to wait at an engine now. */
+export type Backlog = {
+	/** Own dispatches that the report does not show. */
 	readonly shortRequests: number;
 	readonly longRequests: number;
+	/** Prompt tokens still to be computed. */
 	readonly shortTokens: number;
 	readonly longTokens: number;
 };
 
+const msPerSecond = 1000;
+/** Younger reports stand as they are. */
+const freshMs = 1500;
+
 /**
-Sums the dispatches that left after a report was made. Older ones stand in the report.
+Estimates what waits at an engine: what it reported, with the own dispatches that left after the report. An old report
+would stand for as long as no new one comes, though its work is long done: it is taken to be worked off.
 
 @example
 ```
-sumDispatches(dispatches, reportedAtMs).longTokens;
+estimateBacklog({...load, reportedAtMs, dispatches, prefillTokensPerSecond: 8000, nowMs}).longTokens;
 ```
 */
-export function sumDispatches(dispatches: Iterable<Dispatch>, reportedAtMs: number): OwnLoad {
+export function estimateBacklog(input: BacklogInput): Backlog {
+	const {queuedShortTokens, queuedLongTokens, dispatches, reportedAtMs, prefillTokensPerSecond, nowMs} = input;
+	const computed = Math.max(0, nowMs - reportedAtMs - freshMs) * prefillTokensPerSecond / msPerSecond;
+	// Short prompts are computed first.
+	let shortTokens = Math.max(0, queuedShortTokens - computed);
+	let longTokens = Math.max(0, queuedLongTokens - Math.max(0, computed - queuedShortTokens));
 	let shortRequests = 0;
 	let longRequests = 0;
-	let shortTokens = 0;
-	let longTokens = 0;
 
 	for (const {priority, prefillTokens, sentAtMs} of dispatches) {
 		if (sentAtMs <= reportedAtMs) {
