End only the attempt when an engine sends what is no event

Now the sink says whether it has room, and a stream waits only when it has not; an event of another shape ends the attempt, which goes on elsewhere. Five unit tests against a small HTTP engine: repeated and late events, a cut answer, a reader without room, broken JSON, wrong types.

--- a/packages/bench/src/stores.ts
+++ b/packages/bench/src/stores.ts
@@ -57,7 +57,7 @@
 type AskInput = {readonly content: string; readonly entry: number; readonly histogram: Histogram};
 
 /** Sends a prompt and records its first token; tells whether the answer came whole. */
-async function ask(system: System, {content, entry, histogram}: AskInput): Promise<boolean> {
+async function sendPrompt(system: System, {content, entry, histogram}: AskInput): Promise<boolean> {
 	const startedMs = clock.readMonotonicMs();
 	const response = await agent.request({
 		origin: `http://${system.entries[entry % system.entries.length]!.address}`,
@@ -104,7 +104,7 @@
 	const short = createHistogram();
 
 	for (let index = 0; index < prompts; index++) {
-		await ask(system, {content: createPrompt(index), entry: index, histogram: createHistogram()});
+		await sendPrompt(system, {content: createPrompt(index), entry: index, histogram: createHistogram()});
 	}
 
 	await sleep(warmupSettleMs);
@@ -115,8 +115,8 @@
 
 	for (let index = 0; index < returns; index++) {
 		answers.push(
-			ask(system, {content: createPrompt(Math.floor(random() * prompts)), entry: index, histogram: long}),
-			ask(system, {content: `question ${index}`, entry: index + 1, histogram: short}),
+			sendPrompt(system, {content: createPrompt(Math.floor(random() * prompts)), entry: index, histogram: long}),
+			sendPrompt(system, {content: `question ${index}`, entry: index + 1, histogram: short}),
 		);
 		await sleep(gapMs * 2 * random());
 
--- /dev/null
+++ b/packages/entry/src/__tests__/unit/engine-client.test.ts
@@ -0,0 +1,86 @@
+import http, {type ServerResponse} from 'node:http';
+import test from 'ava';
+import {Agent} from 'undici';
+import {AttemptEnd} from '@fescuestair/protocol';
+import {openHttpListener} from '@fescuestair/transport';
+import {AttemptError, generate, type EngineEvent} from '../../engine-client.js';
+
+const input = {
+	requestId: 'r-1', attempt: 1, organisation: 'okahandja', model: 'assistant', weightVersion: '1', prompt: 'x', maxTokens: 3, priority: 'short', continueText: '',
+	fromOffset: 0, import: undefined,
+};
+
+/** Runs a generation against an engine that answers as given, and gives back the events and how it ended. */
+async function runAgainst(answer: (response: ServerResponse) => void, take: (event: EngineEvent) => boolean = () => true) {
+	const server = http.createServer((request, response) => {
+		request.resume();
+		response.writeHead(200, {'content-type': 'text/event-stream'});
+		answer(response);
+	});
+	const listener = await openHttpListener(server, {host: '127.0.0.1', port: 0});
+	const agent = new Agent();
+	const events: EngineEvent[] = [];
+	let waits = 0;
+
+	try {
+		await generate({agent, address: `127.0.0.1:${listener.port}`, signal: new AbortController().signal}, input, {
+			take(event) {
+				events.push(event);
+
+				return take(event);
+			},
+			async waitForRoom() {
+				waits++;
+			},
+		});
+
+		return {end: AttemptEnd.Complete, texts: events.map(event => event.text), waits};
+	} catch (error) {
+		return {end: error instanceof AttemptError ? error.end : error, texts: events.map(event => event.text), waits};
+	} finally {
+		await agent.destroy();
+		server.closeAllConnections();
+		await listener.close();
+	}
+}
+
+function formatEvent(offset: number, text: string, finishReason?: string): string {
+	return `id: ${offset}\ndata: ${JSON.stringify({text, finishReason})}\n\n`;
+}
+
+const whole = formatEvent(1, 'a') + formatEvent(2, 'b') + formatEvent(3, 'c', 'length');
+
+test('an answer is whole only with its last event, and events that come again are dropped', async t => {
+	t.deepEqual(await runAgainst(response => response.end(whole)), {end: AttemptEnd.Complete, texts: ['a', 'b', 'c'], waits: 0});
+	const repeated = formatEvent(1, 'a') + formatEvent(2, 'b') + formatEvent(1, 'a') + formatEvent(2, 'b') + formatEvent(3, 'c', 'length') + formatEvent(4, 'd');
+	t.deepEqual(await runAgainst(response => response.end(repeated)), {end: AttemptEnd.Complete, texts: ['a', 'b', 'c'], waits: 0});
+	t.deepEqual(await runAgainst(response => response.end(formatEvent(1, 'a'))), {end: AttemptEnd.ConnectionLost, texts: ['a'], waits: 0});
+});
+
+test('a reader without room holds the stream back and loses nothing', async t => {
+	const parts = [formatEvent(1, 'a'), formatEvent(2, 'b'), formatEvent(3, 'c', 'length')];
+	const answer = (response: ServerResponse) => {
+		const sendNext = () => {
+			const part = parts.shift();
+
+			if (part === undefined) {
+				response.end();
+			} else {
+				response.write(part);
+				setTimeout(sendNext, 20);
+			}
+		};
+
+		sendNext();
+	};
+
+	t.deepEqual(await runAgainst(answer, () => false), {end: AttemptEnd.Complete, texts: ['a', 'b', 'c'], waits: 3});
+});
+
+for (const [description, text] of [
+	['broken JSON', 'id: 1\ndata: {"text": \n\n'], ['another type', 'id: 1\ndata: {"text": 5}\n\n'], ['an offset that is no number', 'id: x\ndata: {"text": "a"}\n\n'],
+] as const) {
+	test(`an engine that sends ${description} ends its attempt and nothing else`, async t => {
+		t.deepEqual(await runAgainst(response => response.end(text + whole)), {end: AttemptEnd.ConnectionLost, texts: [], waits: 0});
+	});
+}
--- a/packages/entry/src/answer-writer.ts
+++ b/packages/entry/src/answer-writer.ts
@@ -4,11 +4,13 @@
 	createChunk, createCompletion, formatEventId, formatRefusal, headerNames, type Refusal,
 } from '@fescuestair/protocol';
 import {sendJson} from '@fescuestair/transport';
-import {type TakePromptEvent} from './prompt-run.js';
+import {type PromptEvent} from './prompt-run.js';
 
 /** Writes an answer to a caller. */
 export type AnswerWriter = {
-	readonly write: TakePromptEvent;
+	/** Tells whether there is room for more. */
+	readonly write: (event: PromptEvent) => boolean;
+	readonly waitForRoom: () => Promise<void>;
 	readonly finish: () => void;
 	/** Ends an answer that has begun without pretending that it is whole. */
 	readonly abort: (refusal: Refusal) => void;
@@ -34,7 +36,7 @@
 	let offset = 0;
 
 	return {
-		async write(event) {
+		write(event) {
 			if (isFirst) {
 				response.writeHead(200, {'content-type': 'text/event-stream', 'cache-control': 'no-store', [headerNames.requestId]: requestId});
 			}
@@ -48,8 +50,9 @@
 			isFirst = false;
 			offset = event.offset;
 
-			return response.write(`id: ${id}\ndata: ${JSON.stringify(chunk)}\n\n`) ? undefined : waitForDrain(response);
+			return response.write(`id: ${id}\ndata: ${JSON.stringify(chunk)}\n\n`);
 		},
+		waitForRoom: async () => waitForDrain(response),
 		finish() {
 			if (includesUsage) {
 				const usage = createUsageChunk({
@@ -107,8 +110,9 @@
 			offset = event.offset;
 			finishReason = event.finishReason ?? finishReason;
 
-			return undefined;
+			return true;
 		},
+		waitForRoom: async () => undefined,
 		finish() {
 			const completion = createCompletion({
 				requestId, model, isChat, createdSeconds, text, finishReason, promptTokens, completionTokens: offset,
--- a/packages/entry/src/cache-follower.ts
+++ b/packages/entry/src/cache-follower.ts
@@ -7,7 +7,7 @@
 import {UpstreamKind, type UpstreamDetails} from '@fescuestair/protocol';
 import {type GossipHost, type Log} from '@fescuestair/runtime';
 import {type Agent} from 'undici';
-import {askKv, type KvQuestion} from './kv-client.js';
+import {callKv, type KvQuestion} from './kv-client.js';
 import {type PieceHomes} from './piece-homes.js';
 
 export type CacheFollowerOptions = {
@@ -50,7 +50,7 @@
 	const followed = new Map<string, Followed>();
 	const listEntries = () => listServing(gossip.getMembership(), RecordKind.Entry);
 
-	const ask = async <Answer>({address}: MemberRecord, question: KvQuestion<Answer>) => askKv({agent, address, timeoutMs: askTimeoutMs}, question);
+	const ask = async <Answer>({address}: MemberRecord, question: KvQuestion<Answer>) => callKv({agent, address, timeoutMs: askTimeoutMs}, question);
 
 	const tell = async (upstreamId: string, {changes, isReset, getTargets}: TellInput) => {
 		const byHome = groupByHome(changes, getTargets);
--- a/packages/entry/src/completions.ts
+++ b/packages/entry/src/completions.ts
@@ -16,7 +16,7 @@
 	createStreamWriter, createWholeWriter, type AnswerWriter,
 } from './answer-writer.js';
 import {
-	runPrompt, type PromptEvent, type PromptJob, type TakePromptEvent,
+	runPrompt, type PromptJob, type PromptSink,
 } from './prompt-run.js';
 import {
 	createRefusal, recordBegun, recordFinished, requirePreset, scaleLimit, toRefusal, type CallerRequest, type EntryServices,
@@ -96,37 +96,40 @@
 	let tokens = 0;
 	let upstreamId = '';
 
-	const takeEvent = async (event: PromptEvent) => {
-		if (tokens === 0) {
-			metrics.observe('first_token_ms', clock.readMonotonicMs() - caller.startedMs, {organisation: caller.organisation, class: requestClass});
-		}
+	const sink: PromptSink = {
+		take(event) {
+			if (tokens === 0) {
+				metrics.observe('first_token_ms', clock.readMonotonicMs() - caller.startedMs, {organisation: caller.organisation, class: requestClass});
+			}
 
-		tokens = event.offset;
-		upstreamId = event.upstreamId;
+			tokens = event.offset;
+			upstreamId = event.upstreamId;
 
-		return writer.write(event);
+			return writer.write(event);
+		},
+		waitForRoom: writer.waitForRoom,
 	};
 
 	const hashes = hashPrompt(job);
 	await (lastEventId === undefined
 		? runPrompt(createRunOptions(services, caller, {
 			preset, fingerprint, suspicion, hashes,
-		}), job, takeEvent)
-		: resumeAnswer(services, job, {eventId: lastEventId, takeEvent}));
+		}), job, sink)
+		: resumeAnswer(services, job, {eventId: lastEventId, sink}));
 	writer.finish();
 	services.depositSuccess();
 	recordFinished(services, caller.requestId, {
 		outcome: FateOutcome.Complete, ran: Ran.Ran, status: 200, tokens,
 	});
 
-	considerExport(services, caller, {upstreamId, hashes});
+	requestExport(services, caller, {upstreamId, hashes});
 
 	if (suspicion.isSuspect) {
 		void clearSuspicion(services, fingerprint);
 	}
 }
 
-function considerExport({gossip, exporter}: EntryServices, {requestId}: CallerRequest, {upstreamId, hashes}: {upstreamId: string; hashes: readonly string[]}): void {
+function requestExport({gossip, exporter}: EntryServices, {requestId}: CallerRequest, {upstreamId, hashes}: {upstreamId: string; hashes: readonly string[]}): void {
 	const engine = gossip.getMembership().held.get(upstreamId)?.record;
 
 	if (engine !== undefined) {
@@ -169,9 +172,9 @@
 	}, prompt);
 }
 
-type ResumeAnswerInput = {readonly eventId: EventId; readonly takeEvent: TakePromptEvent};
+type ResumeAnswerInput = {readonly eventId: EventId; readonly sink: PromptSink};
 
-async function resumeAnswer(services: EntryServices, job: PromptJob, {eventId, takeEvent}: ResumeAnswerInput): Promise<void> {
+async function resumeAnswer(services: EntryServices, job: PromptJob, {eventId, sink}: ResumeAnswerInput): Promise<void> {
 	const {upstreamId, offset, attempt} = eventId;
 	const record = services.gossip.getMembership().held.get(upstreamId)?.record;
 	const gone = new RefusalError({
@@ -185,7 +188,7 @@
 	try {
 		await resume({agent: services.agent, address: record.address, signal: job.signal}, {
 			requestId: job.requestId, organisation: job.organisation, fromOffset: offset,
-		}, async event => takeEvent({...event, upstreamId, attempt}));
+		}, {take: event => sink.take({...event, upstreamId, attempt}), waitForRoom: sink.waitForRoom});
 	} catch (error) {
 		throw error instanceof AttemptError && error.end !== AttemptEnd.Cancelled ? gone : error;
 	}
--- a/packages/entry/src/engine-client.ts
+++ b/packages/entry/src/engine-client.ts
@@ -49,17 +49,21 @@
 const okStatus = 200;
 const connectCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
 
-/** Takes an event; a returned promise holds the stream back until it settles. */
-export type TakeEvent = (event: EngineEvent) => Promise<void> | undefined;
+/** Takes the events of an answer. No promise for each: an entry passes thousands a second. */
+export type EventSink<Event> = {
+	/** Tells whether there is room for more; if not, the stream is held back. */
+	readonly take: (event: Event) => boolean;
+	readonly waitForRoom: () => Promise<void>;
+};
 
 /** Starts a run and reads its events; resolves once the last has been taken. */
-export async function generate(call: Call, input: GenerateInput, takeEvent: TakeEvent): Promise<void> {
+export async function generate(call: Call, input: GenerateInput, sink: EventSink<EngineEvent>): Promise<void> {
 	await readRun(call, {
 		path: '/v1/generate',
 		method: 'POST',
 		headers: {'content-type': 'application/json', [headerNames.requestId]: input.requestId, [headerNames.organisation]: input.organisation},
 		body: JSON.stringify(input),
-	}, createEventTaker(input.fromOffset, takeEvent));
+	}, createEventTaker(input.fromOffset, sink));
 }
 
 type ResumeInput = {
@@ -69,13 +73,13 @@
 };
 
 /** Reads on in a run that the engine still has, over a new connection. */
-export async function resume(call: Call, {requestId, organisation, fromOffset}: ResumeInput, takeEvent: TakeEvent): Promise<void> {
+export async function resume(call: Call, {requestId, organisation, fromOffset}: ResumeInput, sink: EventSink<EngineEvent>): Promise<void> {
 	await readRun(call, {
 		path: `/v1/generate/${requestId}?from=${fromOffset}`,
 		method: 'GET',
 		headers: {[headerNames.organisation]: organisation},
 		reset: true,
-	}, createEventTaker(fromOffset, takeEvent));
+	}, createEventTaker(fromOffset, sink));
 }
 
 /** Ends a run that nobody waits for any more. Not awaited by callers: the engine ends it by itself before long. */
@@ -100,37 +104,40 @@
 
 /** Takes pieces of the stream; tells whether the last event has come. */
 type EventTaker = {
-	readonly takeText: (text: string) => Promise<void> | undefined;
+	/** Tells whether there is room for more. */
+	readonly takeText: (text: string) => boolean;
+	readonly waitForRoom: () => Promise<void>;
 	readonly isWhole: () => boolean;
 };
 
-function createEventTaker(fromOffset: number, takeEvent: TakeEvent): EventTaker {
+function createEventTaker(fromOffset: number, {take, waitForRoom}: EventSink<EngineEvent>): EventTaker {
 	const read = createEventReader();
 	let offset = fromOffset;
 	let isWhole = false;
 
-	const takeOne = (event: EngineEvent | undefined): Promise<void> | undefined => {
+	const takeOne = (event: EngineEvent | undefined): boolean => {
 		// Late and repeated events end where an earlier one already did.
 		if (event === undefined || isWhole || (event.offset <= offset && event.finishReason === undefined)) {
-			return undefined;
+			return true;
 		}
 
 		offset = event.offset;
 		isWhole = event.finishReason !== undefined;
 
-		return takeEvent(event);
+		return take(event);
 	};
 
 	return {
-		async takeText(text) {
-			let last: Promise<void> | undefined;
+		takeText(text) {
+			let hasRoom = true;
 
 			for (const {id, data} of read(text)) {
-				last = takeOne(parseEvent(id, data)) ?? last;
+				hasRoom = takeOne(parseEvent(id, data));
 			}
 
-			return last;
+			return hasRoom;
 		},
+		waitForRoom,
 		isWhole: () => isWhole,
 	};
 }
@@ -175,11 +182,9 @@
 						return;
 					}
 
-					const taken = taker.takeText(text);
-
-					if (taken !== undefined) {
+					if (!taker.takeText(text)) {
 						controller.pause();
-						void resumeAfter(taken, controller);
+						void resumeAfter(taker.waitForRoom(), controller);
 					}
 				},
 				onResponseEnd() {
@@ -206,19 +211,11 @@
 }
 
 function parseLoad(header: string | string[] | undefined): EngineLoad | undefined {
-	if (typeof header !== 'string') {
-		return undefined;
-	}
-
-	try {
-		return engineLoadSchema.safeParse(JSON.parse(header)).data;
-	} catch {
-		return undefined;
-	}
+	return typeof header === 'string' ? engineLoadSchema.safeParse(parseJson(header)).data : undefined;
 }
 
-async function resumeAfter(taken: Promise<void>, controller: {readonly resume: () => void}): Promise<void> {
-	await taken;
+async function resumeAfter(room: Promise<void>, controller: {readonly resume: () => void}): Promise<void> {
+	await room;
 	controller.resume();
 }
 
@@ -227,9 +224,35 @@
 		return undefined;
 	}
 
-	const value = JSON.parse(data) as {readonly text?: string; readonly finishReason?: string};
+	const offset = Number(id);
+	const value = parseJson(data);
+
+	if (!isEventData(value) || !Number.isSafeInteger(offset)) {
+		throw new AttemptError(AttemptEnd.ConnectionLost, 'the engine sent what is no event');
+	}
+
+	return {offset, text: value.text ?? '', finishReason: value.finishReason};
+}
+
+type EventData = {readonly text?: string; readonly finishReason?: string};
+
+// By hand and not by schema: this runs for each token.
+function isEventData(value: unknown): value is EventData {
+	if (typeof value !== 'object' || value === null) {
+		return false;
+	}
+
+	const {text, finishReason} = value as Record<string, unknown>;
 
-	return {offset: Number(id), text: value.text ?? '', finishReason: value.finishReason};
+	return (text === undefined || typeof text === 'string') && (finishReason === undefined || typeof finishReason === 'string');
+}
+
+function parseJson(text: string): unknown {
+	try {
+		return JSON.parse(text) as unknown;
+	} catch {
+		return undefined;
+	}
 }
 
 function describeRefusal(status: number, text: string): AttemptError {
@@ -237,13 +260,9 @@
 }
 
 function readCode(text: string): string {
-	try {
-		const value = JSON.parse(text) as {readonly code?: unknown};
+	const value = parseJson(text) as {readonly code?: unknown} | undefined;
 
-		return typeof value.code === 'string' ? value.code : '';
-	} catch {
-		return '';
-	}
+	return typeof value?.code === 'string' ? value.code : '';
 }
 
 function describeFailure(error: unknown, isOpen: boolean): AttemptError {
--- a/packages/entry/src/exporter.ts
+++ b/packages/entry/src/exporter.ts
@@ -7,7 +7,7 @@
 	estimateReturn, pieceTokens, shouldExport, type ReturnAnswer,
 } from '@fescuestair/routing';
 import {listUsableUpstreams} from './engine-table.js';
-import {askKv} from './kv-client.js';
+import {callKv} from './kv-client.js';
 import {type EntryServices} from './request-context.js';
 
 /** A prompt that an engine has computed. */
@@ -159,11 +159,11 @@
 	const {startMs, release} = budgets.reserve(store, bytes);
 	await sleep(Math.max(0, startMs - clock.readMonotonicMs()));
 	const transferMs = bytes / budgets.getBytesPerSecond(store) * msPerSecond;
-	const written = await askKv({agent, address: engine.address, timeoutMs: (patienceFactor * transferMs) + transferMarginMs}, {
+	const written = await callKv({agent, address: engine.address, timeoutMs: (patienceFactor * transferMs) + transferMarginMs}, {
 		path: '/v1/kv/exports', body: {storeAddress: store.address, hashes: missing}, schema: exportedSchema,
 	});
 	release((missing.length - written.pieces.length) * bytesPerPiece);
-	const committed = await askKv({agent, address: store.address, timeoutMs: commitTimeoutMs}, {
+	const committed = await callKv({agent, address: store.address, timeoutMs: commitTimeoutMs}, {
 		path: '/v1/kv/manifests', body: {pieces: written.pieces}, schema: manifestsSchema,
 	});
 	const kept = committed.pieces.map(piece => piece.hash);
--- a/packages/entry/src/fetch-pieces.ts
+++ b/packages/entry/src/fetch-pieces.ts
@@ -1,11 +1,11 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	importedSchema, manifestsSchema, selectVerified, type PieceManifest,
+	importedSchema, manifestsSchema, filterVerified, type PieceManifest,
 } from '@fescuestair/kv';
 import {type MemberRecord} from '@fescuestair/membership';
 import {FateEventKind} from '@fescuestair/protocol';
 import {type EntryServices} from './request-context.js';
-import {askKv} from './kv-client.js';
+import {callKv} from './kv-client.js';
 
 /** Pieces that an engine shall get from a store before it runs a prompt. */
 export type FetchPlan = {
@@ -47,10 +47,10 @@
 
 	try {
 		await sleep(Math.max(0, startMs - clock.readMonotonicMs()), undefined, {signal: input.signal});
-		const before = await lookUp(services, input);
-		const received = before.length === 0 ? [] : await importPieces(services, input, before);
+		const before = await findManifests(services, input);
+		const received = before.length === 0 ? [] : await requestImport(services, input, before);
 		movedBytes = received.length * plan.bytesPerPiece;
-		const {hashes, faults} = selectVerified({before, received, after: before.length === 0 ? [] : await lookUp(services, input)});
+		const {hashes, faults} = filterVerified({before, received, after: before.length === 0 ? [] : await findManifests(services, input)});
 		used = hashes;
 		detail = faults.map(({hash, fault}) => `${hash.slice(0, 8)} ${fault}`).join(', ');
 	} catch (error) {
@@ -59,7 +59,7 @@
 
 	if (used.length < plan.hashes.length) {
 		release(Math.max(0, bytes - movedBytes));
-		forgetRest(services, input, used.length);
+		dropBeliefs(services, input, used.length);
 		log.info('pieces were not fetched', {
 			requestId, storeId: plan.store.id, used: used.length, wanted: plan.hashes.length, detail,
 		});
@@ -78,12 +78,12 @@
 }
 
 // What a belief promised and the store did not have is not looked for again.
-function forgetRest({homes}: EntryServices, {plan}: FetchInput, used: number): void {
+function dropBeliefs({homes}: EntryServices, {plan}: FetchInput, used: number): void {
 	homes.notePrompt(plan.store.id, plan.hashes.slice(used), false);
 }
 
-async function lookUp({agent}: EntryServices, {plan, signal}: FetchInput): Promise<readonly PieceManifest[]> {
-	const {pieces} = await askKv({
+async function findManifests({agent}: EntryServices, {plan, signal}: FetchInput): Promise<readonly PieceManifest[]> {
+	const {pieces} = await callKv({
 		agent, address: plan.store.address, timeoutMs: lookUpTimeoutMs, signal,
 	}, {path: '/v1/kv/lookup', body: {hashes: plan.hashes}, schema: manifestsSchema});
 	const byHash = new Map(pieces.map(piece => [piece.hash, piece]));
@@ -93,10 +93,10 @@
 	return found.map(hash => byHash.get(hash)!);
 }
 
-async function importPieces({agent, budgets}: EntryServices, input: FetchInput, before: readonly PieceManifest[]) {
+async function requestImport({agent, budgets}: EntryServices, input: FetchInput, before: readonly PieceManifest[]) {
 	const {plan, engine, signal} = input;
 	const transferMs = before.length * plan.bytesPerPiece / budgets.getBytesPerSecond(plan.store) * msPerSecond;
-	const {pieces} = await askKv({
+	const {pieces} = await callKv({
 		agent, address: engine.address, timeoutMs: (patienceFactor * transferMs) + transferMarginMs, signal,
 	}, {
 		path: '/v1/kv/imports',
--- a/packages/entry/src/kv-client.ts
+++ b/packages/entry/src/kv-client.ts
@@ -29,10 +29,10 @@
 
 @example
 ```
-const {pieces} = await askKv({agent, address, timeoutMs: 500}, {path: '/v1/kv/lookup', body: {hashes}, schema: manifestsSchema});
+const {pieces} = await callKv({agent, address, timeoutMs: 500}, {path: '/v1/kv/lookup', body: {hashes}, schema: manifestsSchema});
 ```
 */
-export async function askKv<Answer>(call: KvCall, {path, body, schema}: KvQuestion<Answer>): Promise<Answer> {
+export async function callKv<Answer>(call: KvCall, {path, body, schema}: KvQuestion<Answer>): Promise<Answer> {
 	const {agent, address, signal} = call;
 	const timeoutMs = Math.ceil(call.timeoutMs);
 
--- a/packages/entry/src/link-budgets.ts
+++ b/packages/entry/src/link-budgets.ts
@@ -1,6 +1,6 @@
 import {type Clock} from '@fescuestair/core';
 import {
-	countQueuedBytes, createLinkBudget, releaseLink, reserveLink, setLinkShare, shareLink, type LinkBudget,
+	countQueuedBytes, createLinkBudget, releaseLink, reserveLink, setLinkShare, computeLinkShare, type LinkBudget,
 } from '@fescuestair/kv';
 import {type MemberRecord} from '@fescuestair/membership';
 import {type UpstreamDetails} from '@fescuestair/protocol';
@@ -35,7 +35,7 @@
 	const getBytesPerSecond = ({details}: MemberRecord) => {
 		const {linkBytesPerSecond} = details as UpstreamDetails;
 
-		return shareLink({linkBytesPerSecond, linkShare: getLinkShare(), entries: countEntries()});
+		return computeLinkShare({linkBytesPerSecond, linkShare: getLinkShare(), entries: countEntries()});
 	};
 
 	const getBudget = (store: MemberRecord): LinkBudget => {
--- a/packages/entry/src/prompt-run.ts
+++ b/packages/entry/src/prompt-run.ts
@@ -6,7 +6,7 @@
 	AttemptEnd, FateEventKind, Ran, RefusalCode, RefusalError, type Candidate, type EngineLoad, type FateEvent,
 } from '@fescuestair/protocol';
 import {
-	AttemptError, cancel, generate, resume, type EngineEvent, type TakeEvent,
+	AttemptError, cancel, generate, resume, type EngineEvent, type EventSink,
 } from './engine-client.js';
 import {type FetchInput, type FetchPlan, type Import} from './fetch-pieces.js';
 import {type EngineTable} from './engine-table.js';
@@ -50,8 +50,8 @@
 /** An event of the answer, with the attempt it came from. */
 export type PromptEvent = EngineEvent & {readonly upstreamId: string; readonly attempt: number};
 
-/** Takes an event; a returned promise holds the answer back until it settles. */
-export type TakePromptEvent = (event: PromptEvent) => Promise<void> | undefined;
+/** Takes the events of a prompt's answer. */
+export type PromptSink = EventSink<PromptEvent>;
 
 const maxAttempts = 4;
 const overloadRetrySeconds = 1;
@@ -64,10 +64,10 @@
 
 @example
 ```
-await runPrompt(options, job, event => writer.write(event));
+await runPrompt(options, job, {take: event => writer.write(event), waitForRoom: writer.waitForRoom});
 ```
 */
-export async function runPrompt(options: PromptRunOptions, job: PromptJob, takeEvent: TakePromptEvent): Promise<void> {
+export async function runPrompt(options: PromptRunOptions, job: PromptJob, sink: PromptSink): Promise<void> {
 	const progress: Progress = {
 		text: '', offset: 0, attempt: 0, hasFirst: false,
 	};
@@ -80,7 +80,7 @@
 		progress.attempt++;
 
 		try {
-			await runAttempt(options, job, {plan, progress, takeEvent});
+			await runAttempt(options, job, {plan, progress, sink});
 
 			return;
 		} catch (error) {
@@ -93,7 +93,7 @@
 	throw giveUp(last);
 }
 
-type AttemptInput = {readonly plan: Plan; readonly progress: Progress; readonly takeEvent: TakePromptEvent};
+type AttemptInput = {readonly plan: Plan; readonly progress: Progress; readonly sink: PromptSink};
 
 async function runAttempt(options: PromptRunOptions, job: PromptJob, input: AttemptInput): Promise<void> {
 	const {plan: {record, prefillTokens, fetch}, progress} = input;
@@ -134,22 +134,25 @@
 	}
 }
 
-function createTaker(options: PromptRunOptions, job: PromptJob, {plan, progress, takeEvent}: AttemptInput): TakeEvent {
+function createSink(options: PromptRunOptions, job: PromptJob, {plan, progress, sink}: AttemptInput): EventSink<EngineEvent> {
 	const {attempt} = progress;
 	const upstreamId = plan.record.id;
 
-	return async event => {
-		if (!progress.hasFirst) {
-			progress.hasFirst = true;
-			options.recordFate({
-				kind: FateEventKind.FirstToken, requestId: job.requestId, attempt, atMs: options.clock.readWallMs(),
-			});
-		}
+	return {
+		take(event) {
+			if (!progress.hasFirst) {
+				progress.hasFirst = true;
+				options.recordFate({
+					kind: FateEventKind.FirstToken, requestId: job.requestId, attempt, atMs: options.clock.readWallMs(),
+				});
+			}
 
-		progress.text += event.text;
-		progress.offset = event.offset;
+			progress.text += event.text;
+			progress.offset = event.offset;
 
-		return takeEvent({...event, upstreamId, attempt});
+			return sink.take({...event, upstreamId, attempt});
+		},
+		waitForRoom: sink.waitForRoom,
 	};
 }
 
@@ -163,7 +166,7 @@
 			options.table.noteLoad(plan.record.id, load);
 		},
 	};
-	const takeEvent = createTaker(options, job, input);
+	const sink = createSink(options, job, input);
 
 	try {
 		await generate(call, {
@@ -178,7 +181,7 @@
 			continueText: progress.text,
 			fromOffset: progress.offset,
 			import: input.imported,
-		}, takeEvent);
+		}, sink);
 
 		return;
 	} catch (error) {
@@ -190,7 +193,7 @@
 	}
 
 	// Something between the two ends may have lost the connection while the run goes on.
-	await resume(call, {requestId: job.requestId, organisation: job.organisation, fromOffset: progress.offset}, takeEvent);
+	await resume(call, {requestId: job.requestId, organisation: job.organisation, fromOffset: progress.offset}, sink);
 }
 
 async function decideRetry(options: PromptRunOptions, job: PromptJob, {plan, error}: {plan: Plan; error: AttemptError}): Promise<void> {
--- a/packages/kv/src/__tests__/unit/kv.test.ts
+++ b/packages/kv/src/__tests__/unit/kv.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import fc from 'fast-check';
 import {
-	countQueuedBytes, createLinkBudget, findHome, listHomes, PieceFault, releaseLink, reserveLink, selectVerified, setLinkShare, shareLink, takeEvents, takeSnapshot,
+	countQueuedBytes, createLinkBudget, findHome, listHomes, PieceFault, releaseLink, reserveLink, filterVerified, setLinkShare, computeLinkShare, takeEvents, takeSnapshot,
 	type CacheEvent, type EventPosition,
 	type PieceChange, type PieceManifest,
 } from '../../index.js';
@@ -16,7 +16,7 @@
 
 test('only pieces that were the same before, during and after the read may be used, up to the first that was not', t => {
 	const before = [0, 1, 2, 3].map(index => createManifest(index));
-	t.is(selectVerified({before, received: before, after: before}).hashes.length, 4);
+	t.is(filterVerified({before, received: before, after: before}).hashes.length, 4);
 	const faults: ReadonlyArray<readonly [PieceFault, Partial<Record<'received' | 'after', Array<PieceManifest | undefined>>>]> = [
 		[PieceFault.NotRead, {received: [undefined]}],
 		[PieceFault.OtherGeneration, {received: [createManifest(2, {generation: 8})]}],
@@ -30,7 +30,7 @@
 		const replace = (pieces: Array<PieceManifest | undefined> | undefined) => pieces === undefined
 			? before
 			: [...before.slice(0, 2), ...pieces, before[3]!].filter(piece => piece !== undefined);
-		const verified = selectVerified({before, received: replace(change.received), after: replace(change.after)});
+		const verified = filterVerified({before, received: replace(change.received), after: replace(change.after)});
 		t.deepEqual(verified.hashes, before.slice(0, 2).map(piece => piece.hash));
 		t.deepEqual(verified.faults, [{hash: before[2]!.hash, fault}]);
 	}
@@ -117,7 +117,7 @@
 			fc.array(fc.record({entry: fc.nat(7), bytes: fc.integer({min: 1, max: 50_000}), gapMs: fc.nat(400)}), {maxLength: 60}),
 			(entries, wishes) => {
 				const rate = 100_000;
-				const budgets = Array.from({length: entries}, () => createLinkBudget(shareLink({linkBytesPerSecond: rate, linkShare: 0.5, entries})));
+				const budgets = Array.from({length: entries}, () => createLinkBudget(computeLinkShare({linkBytesPerSecond: rate, linkShare: 0.5, entries})));
 				let nowMs = 0;
 				let endMs = 0;
 				let bytes = 0;
--- a/packages/kv/src/index.ts
+++ b/packages/kv/src/index.ts
@@ -3,12 +3,12 @@
 	takeEvents, takeSnapshot, type EventPosition, type EventStep, type PieceChange,
 } from './follow-events.js';
 export {
-	countQueuedBytes, createLinkBudget, releaseLink, reserveLink, setLinkShare, shareLink, type LinkBudget, type LinkShareInput,
+	countQueuedBytes, createLinkBudget, releaseLink, reserveLink, setLinkShare, computeLinkShare, type LinkBudget, type LinkShareInput,
 } from './link-budget.js';
 export {
 	cacheEventsSchema, cacheSnapshotSchema, exportedSchema, importedSchema, manifestsSchema, pieceManifestSchema, receivedPieceSchema, type CacheEvent,
 	type CacheEvents, type CacheSnapshot, type PieceManifest, type ReceivedPiece,
 } from './messages.js';
 export {
-	PieceFault, selectVerified, type Verified, type VerifyInput,
+	PieceFault, filterVerified, type Verified, type VerifyInput,
 } from './verify.js';
--- a/packages/kv/src/link-budget.ts
+++ b/packages/kv/src/link-budget.ts
@@ -13,7 +13,7 @@
 
 @example
 ```
-const budget = createLinkBudget(shareLink({linkBytesPerSecond: 1e9, linkShare: 0.5, entries: 4}));
+const budget = createLinkBudget(computeLinkShare({linkBytesPerSecond: 1e9, linkShare: 0.5, entries: 4}));
 ```
 */
 export function createLinkBudget(bytesPerSecond: number): LinkBudget {
@@ -29,7 +29,7 @@
 };
 
 /** Computes the equal share of one entry, so that entries hold a budget together without asking each other. */
-export function shareLink({linkBytesPerSecond, linkShare, entries}: LinkShareInput): number {
+export function computeLinkShare({linkBytesPerSecond, linkShare, entries}: LinkShareInput): number {
 	return linkBytesPerSecond * linkShare / Math.max(1, entries);
 }
 
--- a/packages/kv/src/verify.ts
+++ b/packages/kv/src/verify.ts
@@ -33,10 +33,10 @@
 
 @example
 ```
-const {hashes, faults} = selectVerified({before, received, after});
+const {hashes, faults} = filterVerified({before, received, after});
 ```
 */
-export function selectVerified({before, received, after}: VerifyInput): Verified {
+export function filterVerified({before, received, after}: VerifyInput): Verified {
 	const receivedByHash = new Map(received.map(piece => [piece.hash, piece]));
 	const afterByHash = new Map(after.map(piece => [piece.hash, piece]));
 	const checked = before.map(manifest => ({
--- a/packages/standins/src/store.ts
+++ b/packages/standins/src/store.ts
@@ -142,14 +142,14 @@
 				block.manifest = {...block.manifest!, generation: nextGeneration++};
 			}
 
-			return damage(bytes, fault);
+			return applyFault(bytes, fault);
 		},
 		log,
 		listPieces: () => [...[...memory.values()].flatMap(block => block.manifest ?? []), ...disk.values()],
 	};
 }
 
-function damage(bytes: Uint8Array, fault: ReadFault): Uint8Array {
+function applyFault(bytes: Uint8Array, fault: ReadFault): Uint8Array {
 	switch (fault) {
 		case ReadFault.None: {
 			return bytes;
