Spread loads as small gauges beside the records

Now a load is seven small numbers under a version of its own. They spread only where they change, less often among many upstreams, and each daemon passes them on three times, on messages that go anyway. Records, and with them digests, no longer change with the load.

Ruled out: more tellings (a gauge that is missed is replaced by the next), and reports by zone only, which need more links a daemon.

Tests: a gauge reaches 36 of 40 daemons or more, outlasts a new version of its record and not a new incarnation, and is not told for ever; a load that is hardly another one is not spread.

--- a/packages/bench/src/membership.ts
+++ b/packages/bench/src/membership.ts
@@ -4,7 +4,8 @@
 import {
 	listServing, MemberStatus, RecordKind, type MemberRecord,
 } from '@fescuestair/membership';
-import {type LinkMessage} from '@fescuestair/protocol';
+import {computeLoadSpreadMs} from '@fescuestair/entry';
+import {encodeLoad, type LinkMessage} from '@fescuestair/protocol';
 import {createGossip, type GossipHost} from '@fescuestair/runtime';
 import {
 	createLinks, createLinkServer, parseClusterKeys, type Links,
@@ -64,8 +65,8 @@
 	return bytes;
 }
 
-async function waitUntil(check: () => boolean): Promise<void> {
-	const deadlineMs = clock.readMonotonicMs() + waitLimitMs;
+async function waitUntil(check: () => boolean, limitMs = waitLimitMs): Promise<void> {
+	const deadlineMs = clock.readMonotonicMs() + limitMs;
 
 	while (!check() && clock.readMonotonicMs() < deadlineMs) {
 		await sleep(pollMs);
@@ -121,34 +122,41 @@
 	});
 }
 
-// Each upstream reports another load to its sponsor, which spreads it as often as an entry does.
+// Each upstream has another load each time that its sponsor may spread one.
 async function measureLoadReports(upstreams: number, report: Report): Promise<void> {
 	const daemons = await Promise.all(Array.from({length: loadDaemons}, async (_, index) => startDaemon(index)));
 	await waitUntil(() => daemons.every(daemon => listServing(daemon.gossip.getMembership(), RecordKind.Entry).length === loadDaemons));
 	let round = 0;
 
+	for (let index = 0; index < upstreams; index++) {
+		daemons[index % loadDaemons]!.gossip.publish({
+			id: `engine-${index}`, kind: RecordKind.Upstream, incarnation: Date.now(), version: 1, status: MemberStatus.Alive, address: '127.0.0.1:1',
+			availabilityZone: 'z', sponsorId: `d${index % loadDaemons}`, details: {kind: 'engine', models: ['assistant'], weightVersion: '1'},
+		});
+	}
+
+	await waitUntil(() => daemons.every(daemon => listServing(daemon.gossip.getMembership(), RecordKind.Upstream).length === upstreams));
+	// The records themselves shall have been told before gauges are counted.
+	await waitUntil(() => daemons.every(daemon => daemon.gossip.getMembership().rumours.size === 0), drainLimitMs);
+
 	const publishAll = () => {
 		round++;
 
 		for (let index = 0; index < upstreams; index++) {
-			daemons[index % loadDaemons]!.gossip.publish({
-				id: `engine-${index}`, kind: RecordKind.Upstream, incarnation: 1, version: round, status: MemberStatus.Alive, address: '127.0.0.1:1',
-				availabilityZone: 'z', sponsorId: `d${index % loadDaemons}`,
-				details: {
-					kind: 'engine', models: ['assistant'], weightVersion: '1', load: {...exampleLoad, queuedLongTokens: round * 1000},
-				},
-			});
+			daemons[index % loadDaemons]!.gossip.publishGauge(`engine-${index}`, encodeLoad({...exampleLoad, running: round % exampleLoad.slots}));
 		}
 	};
 
+	const loadSpreadMs = computeLoadSpreadMs(upstreams);
 	publishAll();
 	const timer = setInterval(publishAll, loadSpreadMs);
-	await sleep(loadSpreadMs);
+	await sleep(Math.max(loadSpreadMs, minLoadMeasureMs));
 	const bytesBefore = sumBytes(daemons);
-	await sleep(2 * loadSpreadMs);
+	const measuredMs = Math.max(2 * loadSpreadMs, minLoadMeasureMs);
+	await sleep(measuredMs);
 	report({
 		bench: `membership.load_reports_bytes_per_daemon.${upstreams}_upstreams`,
-		value: 2 * (sumBytes(daemons) - bytesBefore) / (2 * loadSpreadMs / 1000) / loadDaemons,
+		value: 2 * (sumBytes(daemons) - bytesBefore) / (measuredMs / 1000) / loadDaemons,
 		unit: 'B/s',
 		bound: maxBytesPerSecond,
 	});
@@ -157,7 +165,8 @@
 }
 
 const loadDaemons = 5;
-const loadSpreadMs = 10_000;
+const minLoadMeasureMs = 15_000;
+const drainLimitMs = 120_000;
 const exampleLoad = {
 	running: 4, waitingShort: 0, waitingLong: 1, longInProgress: 3, slots: 8, queuedShortTokens: 200, queuedLongTokens: 0,
 };
--- a/packages/entry/src/__tests__/unit/upstream-load.test.ts
+++ b/packages/entry/src/__tests__/unit/upstream-load.test.ts
@@ -3,11 +3,13 @@
 import {
 	createMembership, InputKind, MemberStatus, RecordKind, stepMembership, type MemberRecord, type Membership,
 } from '@fescuestair/membership';
-import {announceSchema, UpstreamKind} from '@fescuestair/protocol';
+import {
+	announceSchema, encodeLoad, decodeLoad, UpstreamKind,
+} from '@fescuestair/protocol';
 import {Priority} from '@fescuestair/routing';
 import {type GossipHost} from '@fescuestair/runtime';
 import {createEngineTable} from '../../engine-table.js';
-import {createUpstreamRegistry} from '../../upstream-registry.js';
+import {computeLoadSpreadMs, createUpstreamRegistry} from '../../upstream-registry.js';
 
 const self: MemberRecord = {
 	id: 'entry-1', kind: RecordKind.Entry, incarnation: 1, version: 1, status: MemberStatus.Alive, address: 'a:1', availabilityZone: 'z', details: {},
@@ -22,16 +24,21 @@
 	});
 }
 
-test('a change of load spreads seldom, any other change at once', t => {
+test('a load spreads as a gauge, where it differs enough and not too often; any other change spreads at once', t => {
 	const clock = createManualClock();
 	let membership: Membership = createMembership({self, nowMs: 0});
 	let published = 0;
+	let gauges = 0;
 	const gossip: GossipHost = {
 		receive: () => undefined,
 		publish(record) {
 			published++;
 			membership = stepMembership(membership, {kind: InputKind.Publish, record}, clock.readMonotonicMs()).state;
 		},
+		publishGauge(id, values) {
+			gauges++;
+			membership = stepMembership(membership, {kind: InputKind.PublishGauge, id, values}, clock.readMonotonicMs()).state;
+		},
 		publishSelf: () => undefined,
 		getMembership: () => membership,
 		stop: () => undefined,
@@ -40,26 +47,40 @@
 		entryId: 'entry-1', clock, gossip, leaseMs: 3000,
 	});
 	registry.announce(createAnnouncement({}));
-
-	for (let running = 1; running <= 4; running++) {
-		clock.advance(1000);
-		registry.announce(createAnnouncement({load: {...idle, running}}));
-	}
-
-	t.is(published, 1);
-	registry.announce(createAnnouncement({load: {...idle, running: 5}, isLeaving: true}));
+	t.deepEqual([published, gauges], [1, 1]);
+	clock.advance(500);
+	registry.announce(createAnnouncement({load: {...idle, running: 4}}));
+	t.deepEqual([published, gauges], [1, 1], 'too early');
+	clock.advance(500);
+	registry.announce(createAnnouncement({load: {...idle, running: 4}}));
+	t.deepEqual([published, gauges], [1, 2]);
+	t.is(decodeLoad(membership.held.get('engine-1')!.record.gauge!.values).running, 4);
+	clock.advance(1000);
+	registry.announce(createAnnouncement({load: {...idle, running: 4, queuedLongTokens: 0.2}}));
+	t.deepEqual([published, gauges], [1, 2], 'hardly another load');
+	registry.announce(createAnnouncement({load: {...idle, running: 4}, isLeaving: true}));
 	t.is(published, 2, 'leaving does not wait');
-	clock.advance(10_000);
-	registry.announce(createAnnouncement({load: {...idle, running: 6}, isLeaving: true}));
-	t.is(published, 3);
+	t.is(decodeLoad(membership.held.get('engine-1')!.record.gauge!.values).running, 4, 'a new record keeps the gauge');
 	registry.stop();
 });
 
+test('a packed load is within a step of the load, and loads spread seldom among many upstreams', t => {
+	const load = {
+		running: 7, waitingShort: 3, waitingLong: 1, longInProgress: 5, slots: 12, queuedShortTokens: 900, queuedLongTokens: 40_000,
+	};
+	const told = decodeLoad(encodeLoad(load));
+	t.is(told.slots, 12);
+	t.true(Math.abs(told.running - load.running) <= 2 && Math.abs(told.longInProgress - load.longInProgress) <= 2);
+	t.true(told.queuedLongTokens / load.queuedLongTokens > 0.7 && told.queuedLongTokens / load.queuedLongTokens < 1.42);
+	t.deepEqual(decodeLoad(encodeLoad(idle)), idle);
+	t.deepEqual([1, 12, 120, 680, 5000].map(count => computeLoadSpreadMs(count)), [1000, 1000, 3000, 17_000, 20_000]);
+});
+
 test('a load that came with a response replaces the announced one, and own dispatches before it', t => {
 	const clock = createManualClock(1000);
 	const table = createEngineTable(clock);
 	const record = {
-		...self, id: 'engine-1', kind: RecordKind.Upstream, details: {load: idle, prefillTokensPerSecond: 8000},
+		...self, id: 'engine-1', kind: RecordKind.Upstream, details: {prefillTokensPerSecond: 8000}, gauge: {version: 1, values: encodeLoad(idle)},
 	};
 	t.is(table.createView(record).waitingLong, 0);
 	table.beginDispatch('engine-1', Priority.Long, 5000);
@@ -75,7 +96,7 @@
 	const clock = createManualClock(1000);
 	const table = createEngineTable(clock);
 	const record = {
-		...self, id: 'engine-1', kind: RecordKind.Upstream, details: {load: idle, prefillTokensPerSecond: 8000},
+		...self, id: 'engine-1', kind: RecordKind.Upstream, details: {prefillTokensPerSecond: 8000}, gauge: {version: 1, values: encodeLoad(idle)},
 	};
 	t.is(table.createView(record).running, 0);
 	const end = table.beginDispatch('engine-1', Priority.Long, 4000);
--- a/packages/entry/src/engine-table.ts
+++ b/packages/entry/src/engine-table.ts
@@ -1,8 +1,10 @@
 import {type Clock} from '@fescuestair/core';
 import {
-	listServing, RecordKind, type MemberRecord, type Membership,
+	listServing, RecordKind, type Gauge, type MemberRecord, type Membership,
 } from '@fescuestair/membership';
-import {UpstreamKind, type EngineLoad, type UpstreamDetails} from '@fescuestair/protocol';
+import {
+	decodeLoad, UpstreamKind, type EngineLoad, type UpstreamDetails,
+} from '@fescuestair/protocol';
 import {findItem, ItemKind, type PublicState} from '@fescuestair/state';
 import {Priority, type EngineView} from '@fescuestair/routing';
 import {estimateBacklog, type Backlog, type Dispatch} from './own-dispatches.js';
@@ -20,7 +22,7 @@
 type Row = {
 	readonly dispatches: Set<Dispatch>;
 	/** As last announced; a new one replaces what responses told. */
-	announced: EngineLoad | undefined;
+	announced: Gauge | undefined;
 	load: EngineLoad | undefined;
 	reportedAtMs: number;
 	/** Own requests that stand in the report and have ended since. */
@@ -73,20 +75,20 @@
 			takeReport(getRow(upstreamId), load, clock.readMonotonicMs());
 		},
 		createView(record) {
-			const {load, prefillTokensPerSecond} = record.details as UpstreamDetails;
+			const {prefillTokensPerSecond} = record.details as UpstreamDetails;
 			const row = getRow(record.id);
 
-			if (row.announced !== load) {
-				row.announced = load;
+			if (record.gauge !== undefined && row.announced?.version !== record.gauge.version) {
+				row.announced = record.gauge;
 				const announcedAtMs = clock.readMonotonicMs() - reportLagMs;
 
 				// A response may have told of a later load than the announcement that arrives after it.
 				if (announcedAtMs > row.reportedAtMs) {
-					takeReport(row, load, announcedAtMs);
+					takeReport(row, decodeLoad(record.gauge.values), announcedAtMs);
 				}
 			}
 
-			const known = withoutEnded(row.load ?? noLoad, row);
+			const known = dropEnded(row.load ?? noLoad, row);
 			const backlog = estimateBacklog({
 				...known, reportedAtMs: Math.max(0, row.reportedAtMs), dispatches: row.dispatches, prefillTokensPerSecond, nowMs: clock.readMonotonicMs(),
 			});
@@ -104,7 +106,7 @@
 	row.endedLong = 0;
 }
 
-function withoutEnded(load: EngineLoad, {endedShort, endedLong}: Row): EngineLoad {
+function dropEnded(load: EngineLoad, {endedShort, endedLong}: Row): EngineLoad {
 	return {
 		...load, running: Math.max(0, load.running - endedShort - endedLong), longInProgress: Math.max(0, load.longInProgress - endedLong),
 	};
--- a/packages/entry/src/upstream-registry.ts
+++ b/packages/entry/src/upstream-registry.ts
@@ -1,6 +1,8 @@
 import {type Clock} from '@fescuestair/core';
-import {MemberStatus, RecordKind, type MemberRecord} from '@fescuestair/membership';
-import {type AnnounceMessage, type UpstreamDetails} from '@fescuestair/protocol';
+import {
+	listServing, MemberStatus, RecordKind, type MemberRecord,
+} from '@fescuestair/membership';
+import {encodeLoad, type AnnounceMessage, type UpstreamDetails} from '@fescuestair/protocol';
 import {type GossipHost} from '@fescuestair/runtime';
 
 export type UpstreamRegistryOptions = {
@@ -20,12 +22,14 @@
 
 const sweepMs = 200;
 const renewalsPerLease = 3;
-/** A change of nothing but load spreads at most this often. */
-const loadSpreadMs = 10_000;
+/** Loads spread less often where there are more upstreams, so that what a daemon spends on them stays the same. */
+const loadSpreadMsPerUpstream = 25;
+const minLoadSpreadMs = 1000;
+const maxLoadSpreadMs = 20_000;
 
 /**
-Creates the registry of an entry. A renewal spreads only where it changes something, and a mere change of load seldom: an
-entry learns the loads of the engines that it uses from their responses.
+Creates the registry of an entry. A renewal spreads only where it changes something. A load spreads as a gauge, where it differs
+enough and not too often: an entry learns the loads of the engines that it uses from their responses.
 
 @example
 ```
@@ -60,6 +64,19 @@
 		}
 	};
 
+	const spreadLoad = ({id, load}: AnnounceMessage) => {
+		const membership = gossip.getMembership();
+		const values = load === undefined ? undefined : encodeLoad(load);
+		const isDue = clock.readMonotonicMs() >= (spreadDeadlines.get(id) ?? 0);
+
+		if (values === undefined || !isDue || isSame(values, membership.held.get(id)?.record.gauge?.values)) {
+			return;
+		}
+
+		spreadDeadlines.set(id, clock.readMonotonicMs() + computeLoadSpreadMs(listServing(membership, RecordKind.Upstream).length));
+		gossip.publishGauge(id, values);
+	};
+
 	const timer = setInterval(sweep, sweepMs);
 
 	return {
@@ -68,13 +85,12 @@
 			const known = gossip.getMembership().held.get(message.id)?.record;
 			const record = createRecord(message, entryId, known);
 
-			const isDue = clock.readMonotonicMs() >= (spreadDeadlines.get(message.id) ?? 0);
-
-			if (known === undefined || isChanged(known, record) || (isDue && hasOtherLoad(known, record))) {
-				spreadDeadlines.set(message.id, clock.readMonotonicMs() + loadSpreadMs);
+			if (known === undefined || isChanged(known, record)) {
 				gossip.publish(record);
 			}
 
+			spreadLoad(message);
+
 			return {renewWithinMs: Math.floor(leaseMs / renewalsPerLease)};
 		},
 		withdraw(id) {
@@ -92,7 +108,7 @@
 
 function createRecord(message: AnnounceMessage, sponsorId: string, known: MemberRecord | undefined): MemberRecord {
 	const {
-		id, incarnation, address, availabilityZone, isLeaving, ...details
+		id, incarnation, address, availabilityZone, isLeaving, load: _load, ...details
 	} = message;
 	const isSame = known?.incarnation === incarnation;
 
@@ -114,9 +130,21 @@
 		|| known.status !== record.status
 		|| known.sponsorId !== record.sponsorId
 		|| known.address !== record.address
-		|| JSON.stringify({...known.details, load: undefined}) !== JSON.stringify({...record.details, load: undefined});
+		|| JSON.stringify(known.details) !== JSON.stringify(record.details);
 }
 
-function hasOtherLoad(known: MemberRecord, record: MemberRecord): boolean {
-	return JSON.stringify(known.details.load) !== JSON.stringify(record.details.load);
+function isSame(values: readonly number[], known: readonly number[] | undefined): boolean {
+	return known?.length === values.length && values.every((value, index) => value === known[index]);
+}
+
+/**
+Computes how seldom a load spreads among a number of upstreams.
+
+@example
+```
+computeLoadSpreadMs(12); //=> 1000
+```
+*/
+export function computeLoadSpreadMs(upstreams: number): number {
+	return Math.min(maxLoadSpreadMs, Math.max(minLoadSpreadMs, upstreams * loadSpreadMsPerUpstream));
 }
--- a/packages/membership/src/__tests__/unit/membership.test.ts
+++ b/packages/membership/src/__tests__/unit/membership.test.ts
@@ -170,3 +170,33 @@
 	});
 	t.true(rates[1]! < rates[0]! * 1.5, `${rates.join(' and ')} messages a second`);
 });
+
+function countGauge(network: Network, id: string, value: number): number {
+	return [...network.nodes.values()].filter(node => node.held.get(id)?.record.gauge?.values[0] === value).length;
+}
+
+test('a gauge reaches nearly all daemons, the latest wins, and old records and other incarnations do not undo it', t => {
+	const network = createNetwork(40);
+	run(network, 10_000);
+	const never = () => false;
+	const record = createRecord('engine-1', {kind: RecordKind.Upstream, sponsorId: 'n5'});
+	send(network, 'n5', {kind: InputKind.Publish, record}, never);
+	run(network, 10_000);
+
+	for (const value of [3, 4]) {
+		send(network, 'n5', {kind: InputKind.PublishGauge, id: 'engine-1', values: [value]}, never);
+		run(network, 5000);
+		t.true(countGauge(network, 'engine-1', value) >= 36, `${countGauge(network, 'engine-1', value)} of 40 know ${value}`);
+	}
+
+	send(network, 'n5', {kind: InputKind.Publish, record: {...record, version: 2}}, never);
+	run(network, 5000);
+	t.true(countGauge(network, 'engine-1', 4) >= 36, 'a new version of the record keeps it');
+	send(network, 'n5', {kind: InputKind.Publish, record: {...record, incarnation: 2}}, never);
+	run(network, 5000);
+	t.is(countGauge(network, 'engine-1', 4), 0, 'a new incarnation does not');
+	const before = network.sent;
+	run(network, 5000);
+	t.true(network.sent > before);
+	t.true([...network.nodes.values()].every(node => node.gaugeRumours.size === 0), 'nothing is told for ever');
+});
--- a/packages/membership/src/create.ts
+++ b/packages/membership/src/create.ts
@@ -36,6 +36,7 @@
 		timing: {...defaultTiming, ...timing},
 		held: new Map([[self.id, {record: self, deadlineMs: undefined}]]),
 		rumours: new Map([[self.id, 0]]),
+		gaugeRumours: new Map(),
 		probe: undefined,
 		probeOrder: [],
 		nextProbeMs: nowMs,
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -3,6 +3,6 @@
 } from './create.js';
 export {stepMembership} from './step.js';
 export {
-	GossipKind, InputKind, MemberStatus, OutputKind, RecordKind, type Gossip, type Input, type Membership, type Output, type Timing, type MemberRecord,
+	GossipKind, InputKind, MemberStatus, OutputKind, RecordKind, type Gauge, type GaugeNote, type Gossip, type Input, type Membership, type Output, type Timing, type MemberRecord,
 } from './types.js';
 export {isNewer} from './records.js';
--- a/packages/membership/src/records.ts
+++ b/packages/membership/src/records.ts
@@ -48,7 +48,7 @@
 
 	for (const record of news) {
 		const kept = record.id === membership.selfId ? refute(held.get(record.id)!.record, record) : record;
-		held.set(kept.id, hold(membership, kept, nowMs));
+		held.set(kept.id, hold(membership, rememberGauge(kept, held.get(kept.id)?.record), nowMs));
 		rumours.set(kept.id, 0);
 		outputs.push({kind: OutputKind.Changed, record: kept});
 	}
@@ -56,6 +56,13 @@
 	return {membership: {...membership, held, rumours}, outputs};
 }
 
+// News about a member may have left before its latest gauge.
+function rememberGauge(record: MemberRecord, known: MemberRecord | undefined): MemberRecord {
+	const isOlder = known?.incarnation === record.incarnation && (known.gauge?.version ?? 0) > (record.gauge?.version ?? 0);
+
+	return isOlder ? {...record, gauge: known.gauge} : record;
+}
+
 function isNews(membership: Membership, record: MemberRecord): boolean {
 	const known = membership.held.get(record.id);
 
--- a/packages/membership/src/step.ts
+++ b/packages/membership/src/step.ts
@@ -1,4 +1,5 @@
 import {computeHash, rankByRendezvous, type Step} from '@fescuestair/core';
+import {mergeGauges, setGauge, takeGaugeNotes} from './gauges.js';
 import {
 	computeDigests, listOverdue, listParts, mergeRecords, tidyRecords,
 } from './records.js';
@@ -40,13 +41,18 @@
 			return toStep(mergeRecords(membership, [input.record], nowMs));
 		}
 
+		case InputKind.PublishGauge: {
+			return {state: setGauge(membership, input.id, input.values), effects: []};
+		}
+
 		case InputKind.PublishSelf: {
 			return publishSelf(membership, input.record);
 		}
 
 		case InputKind.Gossip: {
 			const merged = mergeRecords(membership, input.gossip.records, nowMs);
-			const answered = answerGossip(merged.membership, input, nowMs);
+			const measured = mergeGauges(merged.membership, input.gossip.gauges ?? []);
+			const answered = answerGossip(measured, input, nowMs);
 
 			return {state: answered.state, effects: [...merged.outputs, ...answered.effects]};
 		}
@@ -263,9 +269,12 @@
 }
 
 // Rumours ride on every message, the least told first, until each has been told often enough.
-function sendGossip(membership: Membership, address: string, gossip: Gossip): MembershipStep {
+function sendGossip(before: Membership, address: string, gossip: Gossip): MembershipStep {
+	const {membership, notes} = takeGaugeNotes(before);
+	const gauges = notes.length === 0 ? undefined : {gauges: notes};
+
 	if (membership.rumours.size === 0) {
-		return {state: membership, effects: [{kind: OutputKind.Send, address, gossip}]};
+		return {state: membership, effects: [{kind: OutputKind.Send, address, gossip: {...gossip, ...gauges}}]};
 	}
 
 	const limit = rumourFactor * Math.ceil(Math.log2(listPeers(membership).length + 2));
@@ -282,5 +291,5 @@
 
 	const records = chosen.flatMap(([id]) => membership.held.get(id)?.record ?? []);
 
-	return {state: {...membership, rumours}, effects: [{kind: OutputKind.Send, address, gossip: {...gossip, records}}]};
+	return {state: {...membership, rumours}, effects: [{kind: OutputKind.Send, address, gossip: {...gossip, ...gauges, records}}]};
 }
--- a/packages/membership/src/types.ts
+++ b/packages/membership/src/types.ts
@@ -16,6 +16,12 @@
 	Dead = 'dead',
 }
 
+/** A part of a record that changes often: it spreads by itself, in few bytes, and need not reach everyone. */
+export type Gauge = {readonly version: number; readonly values: readonly number[]};
+
+/** A gauge on its way; it is taken where its record is held in the same incarnation. */
+export type GaugeNote = readonly [id: string, incarnation: number, version: number, values: readonly number[]];
+
 /** One member as everyone knows it. The newest by incarnation, then version, wins everywhere. */
 export type MemberRecord = {
 	readonly id: string;
@@ -32,6 +38,7 @@
 	readonly sponsorId?: string;
 	/** What the kind needs beyond this; not read here. */
 	readonly details: Readonly<Record<string, unknown>>;
+	readonly gauge?: Gauge;
 };
 
 export type Timing = {
@@ -67,6 +74,8 @@
 	readonly held: ReadonlyMap<string, Held>;
 	/** Records still to be passed on, with how often they have been. */
 	readonly rumours: ReadonlyMap<string, number>;
+	/** Gauges still to be passed on, with how often they have been. */
+	readonly gaugeRumours: ReadonlyMap<string, number>;
 	readonly probe: Probe | undefined;
 	readonly probeOrder: readonly string[];
 	readonly nextProbeMs: number;
@@ -85,7 +94,7 @@
 	SyncReply = 'sync_reply',
 }
 
-type WithRumours = {readonly records: readonly MemberRecord[]};
+type WithRumours = {readonly records: readonly MemberRecord[]; readonly gauges?: readonly GaugeNote[]};
 
 export type Gossip = WithRumours & (
 	| {readonly kind: GossipKind.Ping; readonly sequence: number; readonly onBehalfOf?: string}
@@ -100,6 +109,8 @@
 	Gossip = 'gossip',
 	/** Sets the record of an upstream that this daemon sponsors. */
 	Publish = 'publish',
+	/** Sets the gauge of such an upstream. */
+	PublishGauge = 'publish_gauge',
 	/** Sets this daemon's own record. */
 	PublishSelf = 'publish_self',
 }
@@ -107,6 +118,7 @@
 export type Input
 	= | {readonly kind: InputKind.Tick}
 		| {readonly kind: InputKind.Gossip; readonly fromId: string; readonly fromAddress: string; readonly gossip: Gossip}
+		| {readonly kind: InputKind.PublishGauge; readonly id: string; readonly values: readonly number[]}
 		| {readonly kind: InputKind.Publish | InputKind.PublishSelf; readonly record: MemberRecord};
 
 export enum OutputKind {
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,5 +1,5 @@
 export {
-	type AnnounceMessage, announceSchema, engineLoadSchema, type EngineLoad, UpstreamKind, type UpstreamDetails,
+	type AnnounceMessage, announceSchema, encodeLoad, decodeLoad, engineLoadSchema, type EngineLoad, UpstreamKind, type UpstreamDetails,
 } from './upstream.js';
 export {
 	EventIdError, formatEventId, parseEventId, type EventId,
--- a/packages/protocol/src/upstream.ts
+++ b/packages/protocol/src/upstream.ts
@@ -51,5 +51,60 @@
 
 export type AnnounceMessage = z.infer<typeof announceSchema>;
 
-/** What spreads of an upstream beside its identity. */
-export type UpstreamDetails = Omit<AnnounceMessage, 'id' | 'incarnation' | 'address' | 'availabilityZone' | 'isLeaving'>;
+/** What spreads of an upstream beside its identity; its load spreads as a gauge. */
+export type UpstreamDetails = Omit<AnnounceMessage, 'id' | 'incarnation' | 'address' | 'availabilityZone' | 'isLeaving' | 'load'>;
+
+/** Steps of a full engine in which places in use are told. */
+const placeSteps = 8;
+
+/**
+Packs a load into a few small numbers: places in steps of an eighth, queues in powers of two. Small changes give the same
+numbers, and need not be told.
+
+@example
+```
+decodeLoad(encodeLoad(load)).queuedLongTokens; //=> 4095 for 4000
+```
+*/
+export function encodeLoad(load: EngineLoad): readonly number[] {
+	return [
+		load.slots,
+		toPlaceStep(load.running, load.slots),
+		toPlaceStep(load.longInProgress, load.slots),
+		toPowerOfTwo(load.waitingShort),
+		toPowerOfTwo(load.waitingLong),
+		toPowerOfTwo(load.queuedShortTokens),
+		toPowerOfTwo(load.queuedLongTokens),
+	];
+}
+
+/** Unpacks a load, as nearly as it was told. */
+export function decodeLoad(values: readonly number[]): EngineLoad {
+	const [slots = 1, running = 0, longInProgress = 0, waitingShort = 0, waitingLong = 0, queuedShortTokens = 0, queuedLongTokens = 0] = values;
+
+	return {
+		slots,
+		running: readPlaceStep(running, slots),
+		longInProgress: readPlaceStep(longInProgress, slots),
+		waitingShort: readPowerOfTwo(waitingShort),
+		waitingLong: readPowerOfTwo(waitingLong),
+		queuedShortTokens: readPowerOfTwo(queuedShortTokens),
+		queuedLongTokens: readPowerOfTwo(queuedLongTokens),
+	};
+}
+
+function toPlaceStep(places: number, slots: number): number {
+	return Math.ceil(places / slots * placeSteps);
+}
+
+function readPlaceStep(step: number, slots: number): number {
+	return Math.round(step * slots / placeSteps);
+}
+
+function toPowerOfTwo(count: number): number {
+	return Math.round(Math.log2(count + 1));
+}
+
+function readPowerOfTwo(power: number): number {
+	return (2 ** power) - 1;
+}
--- a/packages/runtime/src/gossip.ts
+++ b/packages/runtime/src/gossip.ts
@@ -18,6 +18,8 @@
 export type GossipHost = {
 	readonly receive: (message: Extract<LinkMessage, {kind: LinkKind.Gossip}>) => void;
 	readonly publish: (record: MemberRecord) => void;
+	/** Sets the gauge of a record that this daemon sponsors. */
+	readonly publishGauge: (id: string, values: readonly number[]) => void;
 	/** Changes this daemon's own record. */
 	readonly publishSelf: (change: Partial<Pick<MemberRecord, 'status' | 'details'>>) => void;
 	readonly getMembership: () => Membership;
@@ -73,6 +75,9 @@
 		publish(record) {
 			task.send({kind: InputKind.Publish, record});
 		},
+		publishGauge(id, values) {
+			task.send({kind: InputKind.PublishGauge, id, values});
+		},
 		publishSelf(change) {
 			const own = task.getState().held.get(self.id)!.record;
 			task.send({kind: InputKind.PublishSelf, record: {...own, ...change, version: own.version + 1}});
