Split files that had grown, and write once what stood twice

The engine client held its error, its events and its calls (288 lines): events and the error of an attempt have files of their own, and the list of connect errors, which the service client had too, is one function. Free ports and the demonstration's declarations leave the start of the system. The stand-ins' servers open in one place.

--- a/packages/demo/src/system.ts
+++ b/packages/demo/src/system.ts
@@ -1,7 +1,5 @@
-import {createHash, randomBytes} from 'node:crypto';
+import {randomBytes} from 'node:crypto';
 import fs from 'node:fs/promises';
-import net from 'node:net';
-import {once} from 'node:events';
 import os from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
@@ -9,6 +7,8 @@
 import {fileURLToPath} from 'node:url';
 import {request} from 'undici';
 import {type StatusReport} from '@fescuestair/control';
+import {createDeclarations, digestKey} from './declarations.js';
+import {findAddress} from './free-address.js';
 import {startProcess, type ChildProcess} from './processes.js';
 
 export type SystemOptions = {
@@ -55,75 +55,10 @@
 	return fileURLToPath(new URL('main.js', import.meta.resolve(specifier)));
 }
 
-// Below the range that the operating system takes for outgoing connections, which else may take a port before its listener does.
-const firstPort = 10_000;
-const portCount = 20_000;
-const portsPerProcess = 97;
-let nextPort = process.pid * portsPerProcess;
-
-async function findFreePort(): Promise<number> {
-	for (;;) {
-		const port = firstPort + (nextPort++ % portCount);
-
-		if (await isFree(port)) {
-			return port;
-		}
-	}
-}
-
-async function isFree(port: number): Promise<boolean> {
-	const server = net.createServer();
-
-	try {
-		server.listen(port, '127.0.0.1');
-		await once(server, 'listening');
-		server.close();
-		await once(server, 'close');
-
-		return true;
-	} catch {
-		return false;
-	}
-}
-
-async function findAddress(): Promise<string> {
-	return `127.0.0.1:${await findFreePort()}`;
-}
-
 function createKey(): string {
 	return randomBytes(16).toString('hex');
 }
 
-function digest(key: string): string {
-	return createHash('sha256').update(key).digest('hex');
-}
-
-function createDeclarations(okahandjaKey: string, antioquiaKey: string): string {
-	const preset = (name: string, long: number, description: string) => `kind: preset
-name: ${name}
-description: ${description}
-weights: {firstToken: 1, recompute: 0.1, link: 0.02}
-limits:
-  short: {concurrent: 100, perSecond: 200}
-  long: {concurrent: ${long}, perSecond: 20}
-  service: {concurrent: 100, perSecond: 200}
-`;
-	const organisation = (name: string, key: string) => `kind: organisation
-name: ${name}
-keyDigests: [${digest(key)}]
-`;
-
-	return [
-		preset('ordinary', 20, 'an ordinary day'),
-		preset('peak', 8, 'fewer long prompts at once'),
-		preset('maintenance', 1, 'hardly any long prompts'),
-		organisation('okahandja', okahandjaKey),
-		organisation('antioquia', antioquiaKey),
-		'kind: model\nname: assistant\n',
-		'kind: service\nname: work-orders\n',
-	].join('---\n');
-}
-
 /**
 Starts control replicas, entries and stand-ins, opens the group, adds the replicas and applies a configuration.
 
@@ -153,8 +88,8 @@
 		journal: path.join(folder, 'journal'),
 	};
 	await fs.writeFile(files.cluster, `k1:${createKey()}${createKey()}\n`);
-	await fs.writeFile(files.join, `standins:${digest(joinKey)}\n`);
-	await fs.writeFile(files.operator, `ana:${digest(operatorKey)}\n`);
+	await fs.writeFile(files.join, `standins:${digestKey(joinKey)}\n`);
+	await fs.writeFile(files.operator, `ana:${digestKey(operatorKey)}\n`);
 	await fs.writeFile(files.order, `${orderKey}\n`);
 	await fs.writeFile(files.declarations, createDeclarations(organisationKey, otherOrganisationKey));
 	await fs.writeFile(files.journal, '');
--- a/packages/entry/src/__tests__/unit/engine-client.test.ts
+++ b/packages/entry/src/__tests__/unit/engine-client.test.ts
@@ -3,7 +3,9 @@
 import {Agent} from 'undici';
 import {AttemptEnd} from '@fescuestair/protocol';
 import {openHttpListener} from '@fescuestair/transport';
-import {AttemptError, generate, type EngineEvent} from '../../engine-client.js';
+import {AttemptError} from '../../attempt-error.js';
+import {generate} from '../../engine-client.js';
+import {type EngineEvent} from '../../engine-events.js';
 
 const input = {
 	requestId: 'r-1', attempt: 1, organisation: 'okahandja', model: 'assistant', weightVersion: '1', prompt: 'x', maxTokens: 3, priority: 'short', continueText: '',
--- a/packages/entry/src/claimed-call.ts
+++ b/packages/entry/src/claimed-call.ts
@@ -9,7 +9,7 @@
 import {
 	AnswerKind, CommandKind, encodeClaimKey, type Answer, type ClaimOutcome,
 } from '@fescuestair/state';
-import {AttemptError} from './engine-client.js';
+import {AttemptError} from './attempt-error.js';
 import {
 	attemptCall, chooseInstance, type Answered, type ServiceTarget,
 } from './service-attempt.js';
--- a/packages/entry/src/completions.ts
+++ b/packages/entry/src/completions.ts
@@ -6,7 +6,8 @@
 } from '@fescuestair/state';
 import {computePieces, countTokens, Priority} from '@fescuestair/routing';
 import {readBody, sendRefusal} from '@fescuestair/transport';
-import {AttemptError, resume} from './engine-client.js';
+import {AttemptError} from './attempt-error.js';
+import {resume} from './engine-client.js';
 import {
 	checkQuarantine, clearSuspicion, computeFingerprint, reportCrash,
 } from './suspects.js';
--- a/packages/entry/src/engine-client.ts
+++ b/packages/entry/src/engine-client.ts
@@ -2,25 +2,12 @@
 import {
 	AttemptEnd, engineLoadSchema, headerNames, Ran, type EngineLoad,
 } from '@fescuestair/protocol';
-import {BaseError} from '@fescuestair/core';
-import {createEventReader} from '@fescuestair/transport';
+import {AttemptError, isConnectError} from './attempt-error.js';
+import {
+	createEventTaker, type EngineEvent, type EventSink, type EventTaker,
+} from './engine-events.js';
 import {type Import} from './fetch-pieces.js';
-
-/** One piece of an engine's answer. */
-export type EngineEvent = {
-	/** Tokens up to and including this event. */
-	readonly offset: number;
-	readonly text: string;
-	/** Set on the last event. */
-	readonly finishReason: string | undefined;
-};
-
-/** An attempt at an engine ended without the whole answer. */
-export class AttemptError extends BaseError {
-	constructor(readonly end: AttemptEnd, detail: string, readonly ran = Ran.Unknown) {
-		super('attempt', detail);
-	}
-}
+import {parseJson} from './parse-json.js';
 
 export type GenerateInput = {
 	readonly requestId: string;
@@ -47,14 +34,6 @@
 };
 
 const okStatus = 200;
-const connectCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
-
-/** Takes the events of an answer. No promise for each: an entry passes thousands a second. */
-export type EventSink<Event> = {
-	/** Tells whether there is room for more; if not, the stream is held back. */
-	readonly take: (event: Event) => boolean;
-	readonly waitForRoom: () => Promise<void>;
-};
 
 /** Starts a run and reads its events; resolves once the last has been taken. */
 export async function generate(call: Call, input: GenerateInput, sink: EventSink<EngineEvent>): Promise<void> {
@@ -102,46 +81,6 @@
 	readonly reset?: boolean;
 };
 
-/** Takes pieces of the stream; tells whether the last event has come. */
-type EventTaker = {
-	/** Tells whether there is room for more. */
-	readonly takeText: (text: string) => boolean;
-	readonly waitForRoom: () => Promise<void>;
-	readonly isWhole: () => boolean;
-};
-
-function createEventTaker(fromOffset: number, {take, waitForRoom}: EventSink<EngineEvent>): EventTaker {
-	const read = createEventReader();
-	let offset = fromOffset;
-	let isWhole = false;
-
-	const takeOne = (event: EngineEvent | undefined): boolean => {
-		// Late and repeated events end where an earlier one already did.
-		if (event === undefined || isWhole || (event.offset <= offset && event.finishReason === undefined)) {
-			return true;
-		}
-
-		offset = event.offset;
-		isWhole = event.finishReason !== undefined;
-
-		return take(event);
-	};
-
-	return {
-		takeText(text) {
-			let hasRoom = true;
-
-			for (const {id, data} of read(text)) {
-				hasRoom = takeOne(parseEvent(id, data));
-			}
-
-			return hasRoom;
-		},
-		waitForRoom,
-		isWhole: () => isWhole,
-	};
-}
-
 // By the dispatcher's own callbacks and not by a stream's iterator: an entry passes thousands of tokens a second.
 async function readRun({agent, address, signal, noteLoad}: Call, request: RunRequest, taker: EventTaker): Promise<void> {
 	const decoder = new TextDecoder();
@@ -219,42 +158,6 @@
 	controller.resume();
 }
 
-function parseEvent(id: string | undefined, data: string): EngineEvent | undefined {
-	if (id === undefined || data === '') {
-		return undefined;
-	}
-
-	const offset = Number(id);
-	const value = parseJson(data);
-
-	if (!isEventData(value) || !Number.isSafeInteger(offset)) {
-		throw new AttemptError(AttemptEnd.ConnectionLost, 'the engine sent what is no event');
-	}
-
-	return {offset, text: value.text ?? '', finishReason: value.finishReason};
-}
-
-type EventData = {readonly text?: string; readonly finishReason?: string};
-
-// By hand and not by schema: this runs for each token.
-function isEventData(value: unknown): value is EventData {
-	if (typeof value !== 'object' || value === null) {
-		return false;
-	}
-
-	const {text, finishReason} = value as Record<string, unknown>;
-
-	return (text === undefined || typeof text === 'string') && (finishReason === undefined || typeof finishReason === 'string');
-}
-
-function parseJson(text: string): unknown {
-	try {
-		return JSON.parse(text) as unknown;
-	} catch {
-		return undefined;
-	}
-}
-
 function describeRefusal(status: number, text: string): AttemptError {
 	return new AttemptError(AttemptEnd.Refused, `status ${status} ${readCode(text)}`, Ran.NotRun);
 }
@@ -276,7 +179,7 @@
 		return new AttemptError(AttemptEnd.Cancelled, 'cancelled');
 	}
 
-	if (!isOpen && connectCodes.has(code)) {
+	if (!isOpen && isConnectError(error)) {
 		return new AttemptError(AttemptEnd.NotSent, code, Ran.NotRun);
 	}
 
--- a/packages/entry/src/prompt-run.ts
+++ b/packages/entry/src/prompt-run.ts
@@ -5,9 +5,9 @@
 import {
 	AttemptEnd, FateEventKind, Ran, RefusalCode, RefusalError, type Candidate, type EngineLoad, type FateEvent,
 } from '@fescuestair/protocol';
-import {
-	AttemptError, cancel, generate, resume, type EngineEvent, type EventSink,
-} from './engine-client.js';
+import {AttemptError} from './attempt-error.js';
+import {cancel, generate, resume} from './engine-client.js';
+import {type EngineEvent, type EventSink} from './engine-events.js';
 import {type FetchInput, type FetchPlan, type Import} from './fetch-pieces.js';
 import {type EngineTable} from './engine-table.js';
 
--- a/packages/entry/src/service-attempt.ts
+++ b/packages/entry/src/service-attempt.ts
@@ -2,7 +2,7 @@
 import {AttemptEnd, FateEventKind, UpstreamKind} from '@fescuestair/protocol';
 import {Priority} from '@fescuestair/routing';
 import {type ServiceItem} from '@fescuestair/state';
-import {type AttemptError} from './engine-client.js';
+import {type AttemptError} from './attempt-error.js';
 import {callService, type ServiceAnswer, type ServiceCall} from './service-call.js';
 import {chooseServiceUpstream} from './choose-address.js';
 import {listUsableUpstreams} from './engine-table.js';
--- a/packages/entry/src/service-call.ts
+++ b/packages/entry/src/service-call.ts
@@ -1,7 +1,7 @@
 import {type IncomingHttpHeaders} from 'node:http';
 import {type Agent} from 'undici';
 import {AttemptEnd, headerNames, Ran} from '@fescuestair/protocol';
-import {AttemptError} from './engine-client.js';
+import {AttemptError, isConnectError} from './attempt-error.js';
 
 /** A call of a plain service, as it is passed on. */
 export type ServiceCall = {
@@ -25,7 +25,6 @@
 };
 
 const passedHeaders = ['content-type', 'accept', 'accept-language', headerNames.idempotencyKey];
-const connectCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
 
 /** Chooses the caller's headers that a service gets; the key of the caller is not among them. */
 export function pickHeaders(headers: IncomingHttpHeaders): Record<string, string> {
@@ -48,6 +47,7 @@
 */
 export async function callService({agent, address, timeoutMs: givenMs}: CallOptions, call: ServiceCall): Promise<ServiceAnswer> {
 	const timeoutMs = Math.ceil(givenMs);
+
 	try {
 		const response = await agent.request({
 			origin: `http://${address}`,
@@ -78,7 +78,7 @@
 
 	const {code = 'unknown', message, name} = error as NodeJS.ErrnoException;
 
-	if (connectCodes.has(code)) {
+	if (isConnectError(error)) {
 		return new AttemptError(AttemptEnd.NotSent, code, Ran.NotRun);
 	}
 
--- a/packages/entry/src/services.ts
+++ b/packages/entry/src/services.ts
@@ -7,7 +7,7 @@
 	findItem, ItemKind, RequestClass, type ServiceItem,
 } from '@fescuestair/state';
 import {readBody, sendRefusal} from '@fescuestair/transport';
-import {AttemptError} from './engine-client.js';
+import {AttemptError} from './attempt-error.js';
 import {callOnceEver} from './claimed-call.js';
 import {pickHeaders} from './service-call.js';
 import {
--- a/packages/standins/src/engine-server.ts
+++ b/packages/standins/src/engine-server.ts
@@ -1,8 +1,9 @@
-import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {headerNames} from '@fescuestair/protocol';
-import {openHttpListener, sendJson} from '@fescuestair/transport';
+import {sendJson} from '@fescuestair/transport';
 import {type Engine, type Run, type RunInput} from './engine.js';
 import {handlePieces} from './engine-pieces.js';
+import {openServer} from './open-server.js';
 import {readJson} from './read-json.js';
 import {type Weights} from './weights.js';
 
@@ -61,15 +62,7 @@
 		}
 	};
 
-	const server = http.createServer(async (request, response) => {
-		try {
-			await handle(request, response);
-		} catch (error) {
-			response.destroy(error as Error);
-		}
-	});
-
-	return openHttpListener(server, {host, port});
+	return openServer({host, port}, handle);
 }
 
 function streamRun(response: ServerResponse, run: Run, fromOffset: number): void {
--- a/packages/standins/src/store-server.ts
+++ b/packages/standins/src/store-server.ts
@@ -1,7 +1,8 @@
-import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type PieceManifest} from '@fescuestair/kv';
-import {openHttpListener, readBody, sendJson} from '@fescuestair/transport';
+import {readBody, sendJson} from '@fescuestair/transport';
+import {openServer} from './open-server.js';
 import {readJson} from './read-json.js';
 import {type Store} from './store.js';
 
@@ -100,13 +101,5 @@
 		}
 	};
 
-	const server = http.createServer(async (request, response) => {
-		try {
-			await handle(request, response);
-		} catch (error) {
-			response.destroy(error as Error);
-		}
-	});
-
-	return openHttpListener(server, {host, port});
+	return openServer({host, port}, handle);
 }
