Call no resend 'not run' that was turned away before its claim was looked up

Cause: a booking's resend refused before the handler of services began its own (an entry out of date, stopping, or asked with a revoked key; a body that came too slowly) was answered 'not run', though the first call under its key may have run: the caller would book again by other means. A test with a booking that had run, resent at an entry that could not tell its preset, showed it (not_run; it had run).

Requests that are turned away before their class is known (bad JSON, stale configuration, too large, cut connections) get a fate; before, they were only logged.

Ruled out: asking the claim first, since an entry out of date has no majority to ask.

Tests: the booking above and one under a revoked key are 'unknown', bad JSON can be traced, and slow headers, a cut body and broken UTF-8 end cleanly and leave the entry whole.

--- a/packages/demo/src/__tests__/integration/state.test.ts
+++ b/packages/demo/src/__tests__/integration/state.test.ts
@@ -141,11 +141,17 @@
 
 test.serial('an entry that cannot tell whether its preset is in force refuses as not run, and serves again afterwards', async t => {
 	await withSystem({entries: 1, controls: 3}, async system => {
+		const booked = await book(system, {idempotencyKey: 'earlier'});
+		t.is(booked.status, 201);
+
 		for (const control of system.controls) {
 			control.process.kill('SIGSTOP');
 		}
 
 		await waitFor(async () => !await isServing(system, 0));
+		const resent = await book(system, {idempotencyKey: 'earlier'});
+		t.is(resent.status, 503);
+		t.regex(resent.text, /"ran":"unknown"/v, 'the call under this key has run');
 		const refused = await ask(system, 'x');
 		t.is(refused.status, 503);
 		t.true(refused.text.includes('configuration_not_fresh'));
--- a/packages/demo/src/__tests__/integration/streams.test.ts
+++ b/packages/demo/src/__tests__/integration/streams.test.ts
@@ -1,3 +1,5 @@
+import {Buffer} from 'node:buffer';
+import net from 'node:net';
 import test from 'ava';
 import OpenAI from 'openai';
 import {request} from 'undici';
@@ -161,6 +163,56 @@
 	});
 });
 
+/** Opens a bare connection and sends some bytes; resolves with all that comes back once the other side has closed it. */
+function sendBytes(address: string, bytes: Uint8Array | string): {readonly socket: net.Socket; readonly received: Promise<string>} {
+	const {hostname, port} = new URL(`http://${address}`);
+	const socket = net.connect(Number(port), hostname);
+	socket.write(bytes);
+	let text = '';
+	socket.on('data', data => {
+		text += String(data);
+	});
+	// A reset is one way of closing.
+	socket.on('error', () => undefined);
+
+	return {
+		socket,
+		received: new Promise(resolve => {
+			socket.once('close', () => {
+				resolve(text);
+			});
+		}),
+	};
+}
+
+function createHead(system: System, length: number): string {
+	return [
+		'POST /v1/chat/completions HTTP/1.1',
+		'host: entry',
+		`authorization: Bearer ${system.organisationKey}`,
+		'content-type: application/json',
+		`content-length: ${length}`,
+		'connection: close',
+		'',
+		'',
+	].join('\r\n');
+}
+
+test.serial('slow headers, a cut body and broken UTF-8 end cleanly and leave the entry whole', async t => {
+	await withSystem({}, async system => {
+		const {address} = system.entries[0]!;
+		const slow = sendBytes(address, 'POST /v1/chat/completions HTTP/1.1\r\nhost: ent');
+		const cut = sendBytes(address, `${createHead(system, 1000)}{"model": "assis`);
+		setTimeout(() => cut.socket.destroy(), 200);
+		const broken = sendBytes(address, Buffer.concat([Buffer.from(createHead(system, 4)), Buffer.from([0x7B, 0xFF, 0xFE, 0x7D])]));
+		t.regex(await broken.received, /^HTTP\/1\.1 400 .*bad_json/sv);
+		t.is(await cut.received, '');
+		t.regex(await slow.received, /^(?:HTTP\/1\.1 408 .*)?$/sv);
+		const good = await ask(system, 'x', {tokens: 3});
+		t.is(joinStream(good.text), expectAnswer('x', 3));
+	});
+});
+
 test.serial('bad requests get clear errors and leave the entry whole', async t => {
 	await withSystem({}, async system => {
 		const url = `http://${system.entries[0]!.address}`;
@@ -199,6 +251,18 @@
 			t.regex(error.request_id, /^r-/v);
 		}
 
+		const badJson = await call(chat, {method: 'POST', key, body: '{'});
+		await waitFor(async () => {
+			const looked = await call(`${url}/v1/requests/${badJson.requestId}`, {key});
+
+			return looked.status === 200;
+		});
+		const fate = await traceRequest(system, badJson.requestId);
+		t.is(fate.summary, 'refused: bad_json, status 400, not_run');
+		const revoked = await call(`${url}/v1/services/work-orders/x`, {
+			method: 'POST', key: 'revoked', body: {}, idempotencyKey: 'earlier',
+		});
+		t.regex(revoked.text, /"ran":"unknown"/v, 'an earlier call under this key may have run');
 		const good = await ask(system, 'x', {tokens: 3});
 		t.is(joinStream(good.text), expectAnswer('x', 3));
 		const foreign = await call(`${url}/v1/requests/${good.requestId}`, {key: system.otherOrganisationKey});
--- a/packages/entry/src/caller-listener.ts
+++ b/packages/entry/src/caller-listener.ts
@@ -9,6 +9,8 @@
 import {handleCompletion} from './completions.js';
 import {handleService} from './services.js';
 import {handleFate} from './request-fate.js';
+import {qualifyRefusal, servicePathPattern} from './qualify-refusal.js';
+import {refuseEarly} from './refuse-early.js';
 import {createRefusal, type CallerRequest, type EntryServices} from './request-context.js';
 
 export type CallerListenerOptions = {
@@ -36,8 +38,13 @@
 
 	const route = async (caller: CallerRequest) => {
 		const {request, response} = caller;
+
+		if (isClosing()) {
+			throw createRefusal(RefusalCode.Stopping, 'this entry is stopping; use another', 1);
+		}
+
 		const {pathname} = new URL(request.url ?? '/', 'http://entry');
-		const service = /^\/v1\/services\/(?<name>[a-z0-9._\-]{1,63})(?<path>\/.*)?$/v.exec(pathname);
+		const service = servicePathPattern.exec(pathname);
 		const fate = /^\/v1\/requests\/(?<id>[\w\-]{1,80})$/v.exec(pathname);
 
 		if (pathname === '/v1/chat/completions' || pathname === '/v1/completions') {
@@ -84,13 +91,15 @@
 			throw createRefusal(RefusalCode.Unauthorized, 'an organisation\'s key is needed');
 		}
 
-		if (isClosing()) {
-			throw createRefusal(RefusalCode.Stopping, 'this entry is stopping; use another', 1);
-		}
-
-		await route({
+		const caller = {
 			request, response, requestId, organisation, startedMs: services.clock.readMonotonicMs(),
-		});
+		};
+
+		try {
+			await route(caller);
+		} catch (error) {
+			refuseEarly(services, caller, error);
+		}
 	};
 
 	const server = http.createServer({
@@ -111,7 +120,7 @@
 				services.log.error('request failed', {requestId}, error);
 			}
 
-			sendRefusal(response, refusal, requestId);
+			sendRefusal(response, qualifyRefusal(services, request, refusal), requestId);
 		}
 	});
 	const opened = await openHttpListener(server, listen);
--- a/packages/entry/src/services.ts
+++ b/packages/entry/src/services.ts
@@ -1,7 +1,6 @@
-import {type IncomingMessage} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	FateOutcome, getRefusalStatus, headerNames, Ran, RefusalCode, RefusalError, type Refusal,
+	FateOutcome, getRefusalStatus, headerNames, Ran, RefusalCode, RefusalError,
 } from '@fescuestair/protocol';
 import {
 	findItem, ItemKind, RequestClass, type ServiceItem,
@@ -9,6 +8,7 @@
 import {readBody, sendRefusal} from '@fescuestair/transport';
 import {AttemptError} from './attempt-error.js';
 import {callOnceEver} from './claimed-call.js';
+import {qualifyRefusal} from './qualify-refusal.js';
 import {pickHeaders} from './service-call.js';
 import {
 	attemptCall, chooseInstance, type Answered, type ServiceTarget,
@@ -58,7 +58,7 @@
 			finish();
 		}
 	} catch (error) {
-		const refusal = qualifyRefusal(services, request, {refusal: toRefusal(error), serviceName});
+		const refusal = qualifyRefusal(services, request, toRefusal(error));
 
 		if (!(error instanceof RefusalError)) {
 			services.log.error('service call failed', {requestId}, error);
@@ -85,29 +85,6 @@
 	};
 }
 
-/** Refusals that say of the call itself, and not only of this request, that it did not run. */
-const provenCodes = new Set([
-	RefusalCode.NoUpstream,
-	RefusalCode.KeyRequired,
-	RefusalCode.KeyReused,
-	RefusalCode.UnknownService,
-	RefusalCode.TooLarge,
-	RefusalCode.TooSlow,
-	RefusalCode.BadRequest,
-]);
-
-// A resend that is turned away before its claim has been looked up says nothing of the first: the call may have run.
-function qualifyRefusal(services: EntryServices, request: IncomingMessage, {refusal, serviceName}: {refusal: Refusal; serviceName: string}): Refusal {
-	const service = findItem(services.follower.getState(), ItemKind.Service, serviceName);
-	const isRepeatable = service?.repeatableMethods.includes(request.method as 'GET') ?? false;
-
-	if (isRepeatable || refusal.ran !== Ran.NotRun || provenCodes.has(refusal.code)) {
-		return refusal;
-	}
-
-	return {...refusal, ran: Ran.Unknown, message: `${refusal.message}; whether an earlier call under this key ran was not looked up`};
-}
-
 // A look-up may be repeated: it goes to other instances until one answers or the deadline passes.
 async function callUntilAnswered(services: EntryServices, {requestId}: CallerRequest, {service, call, deadlineMs}: ServiceTarget): Promise<Answered> {
 	const {clock} = services;
