Tell the right home of a change to later pieces of a prompt

Found on reading: a note about some pieces of a prompt took the first of these for the prompt's first piece, so that a belief in pieces that a store did not have was dropped at some other entry, and pieces exported behind others were noted there. The wrong belief stood, and each return tried the fetch again. A note now carries the prompt's first piece.

Also: bytes of an import that ended in an error count as moved until the engine says otherwise (before, their budget was given back), and a caller that goes away during a fetch no longer makes the store forgotten.

--- a/packages/entry/src/exporter.ts
+++ b/packages/entry/src/exporter.ts
@@ -167,7 +167,7 @@
 		path: '/v1/kv/manifests', body: {pieces: written.pieces}, schema: manifestsSchema,
 	});
 	const kept = committed.pieces.map(piece => piece.hash);
-	homes.notePrompt(store.id, hashes.filter(hash => kept.includes(hash)), true);
+	homes.notePrompt(store.id, {root: hashes[0]!, hashes: hashes.filter(hash => kept.includes(hash)), isHeld: true});
 	recordFate({
 		kind: FateEventKind.Exported, requestId, atMs: clock.readWallMs(), storeId: store.id, wanted: missing.length, kept: kept.length, bytes: written.pieces.length * bytesPerPiece,
 	});
--- a/packages/entry/src/fetch-pieces.ts
+++ b/packages/entry/src/fetch-pieces.ts
@@ -10,6 +10,8 @@
 /** Pieces that an engine shall get from a store before it runs a prompt. */
 export type FetchPlan = {
 	readonly store: MemberRecord;
+	/** The prompt's first piece. */
+	readonly root: string;
 	/** In the order of the prompt, behind those that the engine holds. */
 	readonly hashes: readonly string[];
 	readonly bytesPerPiece: number;
@@ -48,6 +50,8 @@
 	try {
 		await sleep(Math.max(0, startMs - clock.readMonotonicMs()), undefined, {signal: input.signal});
 		const before = await findManifests(services, input);
+		// Until the engine tells otherwise, all that it was asked to read counts as moved.
+		movedBytes = before.length * plan.bytesPerPiece;
 		const received = before.length === 0 ? [] : await requestImport(services, input, before);
 		movedBytes = received.length * plan.bytesPerPiece;
 		const {hashes, faults} = filterVerified({before, received, after: before.length === 0 ? [] : await findManifests(services, input)});
@@ -78,8 +82,13 @@
 }
 
 // What a belief promised and the store did not have is not looked for again.
-function dropBeliefs({homes}: EntryServices, {plan}: FetchInput, used: number): void {
-	homes.notePrompt(plan.store.id, plan.hashes.slice(used), false);
+function dropBeliefs({homes}: EntryServices, {plan, signal}: FetchInput, used: number): void {
+	// A caller that went away says nothing of the store.
+	if (signal.aborted) {
+		return;
+	}
+
+	homes.notePrompt(plan.store.id, {root: plan.root, hashes: plan.hashes.slice(used), isHeld: false});
 }
 
 async function findManifests({agent}: EntryServices, {plan, signal}: FetchInput): Promise<readonly PieceManifest[]> {
--- a/packages/entry/src/piece-homes.ts
+++ b/packages/entry/src/piece-homes.ts
@@ -28,7 +28,7 @@
 	/** For each upstream, how many pieces it is believed to hold, counted from the first. */
 	readonly findPieces: (hashes: readonly string[]) => Promise<ReadonlyMap<string, number>>;
 	/** Tells the homes of one prompt, without waiting: a belief that gets lost costs a recompute. */
-	readonly notePrompt: (upstreamId: string, hashes: readonly string[], isHeld: boolean) => void;
+	readonly notePrompt: (upstreamId: string, change: PieceChange) => void;
 	/** Tells one home and awaits that it has taken the note. */
 	readonly noteAt: (home: MemberRecord, note: PieceNote) => Promise<void>;
 	/** Counts a prompt as seen once more; `undefined` where its home does not answer. */
@@ -86,14 +86,14 @@
 				return new Map();
 			}
 		},
-		notePrompt(upstreamId, hashes, isHeld) {
-			if (hashes.length === 0) {
+		notePrompt(upstreamId, change) {
+			if (change.hashes.length === 0) {
 				return;
 			}
 
-			const note: PieceNote = {upstreamId, isReset: false, changes: [{root: hashes[0]!, hashes, isHeld}]};
+			const note: PieceNote = {upstreamId, isReset: false, changes: [change]};
 
-			for (const home of listHomes(listEntries(), hashes[0]!)) {
+			for (const home of listHomes(listEntries(), change.root)) {
 				if (home.id === name) {
 					takeNote(note);
 				} else {
--- a/packages/entry/src/plan-prompt.ts
+++ b/packages/entry/src/plan-prompt.ts
@@ -113,7 +113,8 @@
 		chosenId: chosen.upstreamId,
 		reason: `least cost of ${records.length} under preset ${preset.name}`,
 	});
-	services.homes.notePrompt(chosen.upstreamId, hashes, true);
+	const [root = ''] = hashes;
+	services.homes.notePrompt(chosen.upstreamId, {root, hashes, isHeld: true});
 	const store = stores.find(one => one.id === chosen.storeId);
 	const heldPieces = held.get(chosen.upstreamId) ?? 0;
 
@@ -121,7 +122,11 @@
 		record: records.find(record => record.id === chosen.upstreamId)!,
 		candidates,
 		prefillTokens: chosen.recomputedTokens,
-		fetch: store === undefined ? undefined : {store, hashes: hashes.slice(heldPieces, heldPieces + chosen.fetchPieces), bytesPerPiece},
+		fetch: store === undefined
+			? undefined
+			: {
+				store, root, hashes: hashes.slice(heldPieces, heldPieces + chosen.fetchPieces), bytesPerPiece,
+			},
 	};
 }
 
