Tell anew only the home that missed a note about cache events

Now each home is told on its own. One that misses a note is told by itself, each second, until it takes it or leaves; the others go on.

The code before reset all there; that was read, not run.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -126,7 +126,7 @@
 		agent, budgets, clock, follower, gossip, homes, log, metrics, recordFate: fateRecorder.record,
 	});
 	const cacheFollower = createCacheFollower({
-		name, agent, gossip, homes, log,
+		name, clock, agent, gossip, homes, log,
 	});
 
 	const services: EntryServices = {
