Let organisations take turns where long prompts wait

Cause: the queue of long prompts at an entry was in order of arrival.

Now the queue interleaves organisations, and the wait that decides on a refusal is that of the asker's own turn.

Unit test: the order of four organisations' requests, and the wait each would have.

--- a/packages/bench/src/model/simulate.ts
+++ b/packages/bench/src/model/simulate.ts
@@ -187,13 +187,13 @@
 		const queue = holds[tracked.entry]!;
 		const nowMs = scheduler.getNowMs();
 
-		if (policy.refusesHopeless && nowMs + estimateWaitMs(queue, nowMs) > tracked.item.deadlineMs) {
+		if (policy.refusesHopeless && nowMs + estimateWaitMs(queue, {owner: tracked.item.organisation, nowMs}) > tracked.item.deadlineMs) {
 			refuse(tracked, false);
 
 			return;
 		}
 
-		holds[tracked.entry] = enterHold(queue, tracked, nowMs);
+		holds[tracked.entry] = enterHold(queue, {item: tracked, owner: tracked.item.organisation}, nowMs);
 
 		if (queue.waiting.length === 0) {
 			pollHolds(tracked.entry);
@@ -202,7 +202,7 @@
 
 	const pollHolds = (entry: number) => {
 		scheduler.schedule(holdMs, () => {
-			const first = holds[entry]!.waiting[0];
+			const first = holds[entry]!.waiting[0]?.item;
 
 			if (first === undefined) {
 				return;
--- a/packages/entry/src/hold-line.ts
+++ b/packages/entry/src/hold-line.ts
@@ -6,11 +6,11 @@
 /** Requests of this entry that wait for a place, in order. */
 export type HoldLine = {
 	/** Returns the function that leaves again. */
-	readonly enter: (requestId: string) => () => void;
+	readonly enter: (requestId: string, organisation: string) => () => void;
 	readonly isEmpty: () => boolean;
 	readonly isFirst: (requestId: string) => boolean;
-	/** How long one that enters now is expected to wait. */
-	readonly estimateWaitMs: () => number;
+	/** How long one of an organisation that enters now is expected to wait. */
+	readonly estimateWaitMs: (organisation: string) => number;
 };
 
 /**
@@ -18,7 +18,7 @@
 
 @example
 ```
-const leave = line.enter(requestId);
+const leave = line.enter(requestId, organisation);
 leave();
 ```
 */
@@ -26,15 +26,15 @@
 	let queue = createHoldQueue<string>();
 
 	return {
-		enter(requestId) {
-			queue = enterHold(queue, requestId, clock.readMonotonicMs());
+		enter(requestId, organisation) {
+			queue = enterHold(queue, {item: requestId, owner: organisation}, clock.readMonotonicMs());
 
 			return () => {
 				queue = leaveHold(queue, requestId, clock.readMonotonicMs());
 			};
 		},
 		isEmpty: () => queue.waiting.length === 0,
-		isFirst: requestId => queue.waiting[0] === requestId,
-		estimateWaitMs: () => estimateWaitMs(queue, clock.readMonotonicMs()),
+		isFirst: requestId => queue.waiting[0]?.item === requestId,
+		estimateWaitMs: organisation => estimateWaitMs(queue, {owner: organisation, nowMs: clock.readMonotonicMs()}),
 	};
 }
--- a/packages/entry/src/plan-prompt.ts
+++ b/packages/entry/src/plan-prompt.ts
@@ -41,7 +41,7 @@
 	}
 
 	checkWait(services, input);
-	const leave = holdLine.enter(input.job.requestId);
+	const leave = holdLine.enter(input.job.requestId, input.job.organisation);
 
 	try {
 		return await waitForPlace(services, input);
@@ -67,7 +67,7 @@
 
 // Refused at once, and not after a wait that cannot end in time. Classes that the preset gives up first wait half as long.
 function checkWait({holdLine, clock}: EntryServices, {job, preset}: PlanInput): void {
-	const waitMs = holdLine.estimateWaitMs();
+	const waitMs = holdLine.estimateWaitMs(job.organisation);
 	const isGivenUpFirst = preset.refuseFirst.includes(RequestClass.Long);
 	const patienceMs = (job.deadlineMs - clock.readMonotonicMs()) / (isGivenUpFirst ? 2 : 1);
 
--- a/packages/limits/src/__tests__/unit/limits.test.ts
+++ b/packages/limits/src/__tests__/unit/limits.test.ts
@@ -52,11 +52,25 @@
 	let queue = createHoldQueue<string>();
 
 	for (const item of ['a', 'b', 'c', 'd']) {
-		queue = enterHold(queue, item, 0);
+		queue = enterHold(queue, {item, owner: 'o'}, 0);
 	}
 
 	queue = leaveHold(queue, 'a', 100);
 	queue = leaveHold(queue, 'b', 200);
-	t.is(estimateWaitMs(queue, 200), 300);
-	t.is(estimateWaitMs(queue, 5200), 15_000);
+	t.is(estimateWaitMs(queue, {owner: 'o', nowMs: 200}), 300);
+	t.is(estimateWaitMs(queue, {owner: 'o', nowMs: 5200}), 15_000);
+});
+
+test('organisations take turns in the queue, each in its own order, and know their wait', t => {
+	let queue = createHoldQueue<string>();
+
+	for (const item of ['large-1', 'large-2', 'large-3', 'large-4', 'small-1', 'other-1', 'small-2', 'large-5']) {
+		queue = enterHold(queue, {item, owner: item.split('-')[0]!}, 0);
+	}
+
+	t.deepEqual(queue.waiting.map(held => held.item), ['large-1', 'small-1', 'other-1', 'large-2', 'small-2', 'large-3', 'large-4', 'large-5']);
+	t.true(estimateWaitMs(queue, {owner: 'new', nowMs: 0}) < estimateWaitMs(queue, {owner: 'large', nowMs: 0}));
+	queue = leaveHold(queue, 'large-1', 0);
+	queue = enterHold(queue, {item: 'new-1', owner: 'new'}, 0);
+	t.deepEqual(queue.waiting.map(held => held.item).slice(0, 5), ['small-1', 'other-1', 'large-2', 'new-1', 'small-2']);
 });
--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -1,5 +1,5 @@
 export {
-	createHoldQueue, enterHold, estimateWaitMs, leaveHold, type HoldQueue,
+	createHoldQueue, enterHold, estimateWaitMs, leaveHold, type Held, type HoldQueue,
 } from './hold-queue.js';
 export {
 	createRetryBudget, depositSuccess, withdrawRetry, type RetryBudget,
