Derive requests from commands, and answer polls of the state once

Each request repeated the fields of its command; now it is the command without its stamp, with spans for deadlines. A replica and an entry worked out alike which changes, or whole state, a poller lacks; one function of state does. No change of behaviour: the unit tests of state, control and entry pass.

--- a/packages/control/src/link-handler.ts
+++ b/packages/control/src/link-handler.ts
@@ -6,7 +6,7 @@
 import {type FateStore} from '@fescuestair/fates';
 import {type GossipHost} from '@fescuestair/runtime';
 import {type LinkHandler} from '@fescuestair/transport';
-import {listPublicChanges, type Request} from '@fescuestair/state';
+import {listPublicNews, type Request} from '@fescuestair/state';
 import {type ReplicaRunner} from './replica-runner.js';
 import {type StateHost} from './state-host.js';
 
@@ -41,14 +41,11 @@
 
 	const answerState = (publicVersion: number): LinkReply => {
 		const {publicState, recentChanges} = host.getState();
-		const changes = listPublicChanges(recentChanges, publicVersion, publicState.version);
 
 		return {
 			kind: 'state',
 			ageMs: runner.canServeReads() ? 0 : undefined,
-			publicVersion: publicState.version,
-			changes,
-			items: changes === undefined && publicState.version > publicVersion ? [...publicState.items] : undefined,
+			...listPublicNews(publicState, recentChanges, publicVersion),
 			leaderAddress: findLeaderAddress(),
 			controlAddresses: runner.getState().members.map(member => member.address),
 		};
--- a/packages/entry/src/state-follower.ts
+++ b/packages/entry/src/state-follower.ts
@@ -1,6 +1,6 @@
 import {type Clock} from '@fescuestair/core';
 import {
-	applyPublicChange, createPublicState, listPublicChanges, type PublicChange, type PublicState,
+	applyPublicChange, createPublicState, listPublicNews, type PublicChange, type PublicState,
 } from '@fescuestair/state';
 import {LinkKind, type LinkMessage, type LinkReply} from '@fescuestair/protocol';
 import {type Links} from '@fescuestair/transport';
@@ -145,15 +145,12 @@
 		getLeaderAddress: () => leaderAddress,
 		listControlAddresses: () => controlAddresses,
 		answerPoll(publicVersion) {
-			const changes = listPublicChanges(recent, publicVersion, state.version);
 			const ageMs = clock.readMonotonicMs() - knownAtMs;
 
 			return {
 				kind: 'state',
 				ageMs: ageMs < freshMs ? ageMs : undefined,
-				publicVersion: state.version,
-				changes,
-				items: changes === undefined && state.version > publicVersion ? [...state.items] : undefined,
+				...listPublicNews(state, recent, publicVersion),
 				leaderAddress,
 				controlAddresses,
 			};
--- a/packages/state/src/claims.ts
+++ b/packages/state/src/claims.ts
@@ -12,7 +12,7 @@
 type AbandonCommand = Extract<Command, {kind: CommandKind.Abandon}>;
 
 /** Keys one organisation may have remembered at once. */
-export const maxClaimsPerOrganisation = 50_000;
+const maxClaimsPerOrganisation = 50_000;
 
 /**
 Encodes the name of a claim, so that one organisation's keys never meet another's.
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -1,13 +1,13 @@
 export {applyCommand, createReplicatedState, type Applied} from './apply.js';
-export {encodeClaimKey, maxClaimsPerOrganisation} from './claims.js';
+export {encodeClaimKey} from './claims.js';
 export {
 	ItemKind, itemSchemas, RequestClass, type ConfigItem, type ModelItem, type OrganisationItem, type PresetItem, type ServiceItem, type UpstreamPolicyItem,
 } from './config-items.js';
 export {parseDeclarations, type DeclarationFile, type Declarations} from './declarations.js';
 export {diffItems, formatDiff, type ItemDiff} from './diff.js';
 export {
-	applyPublicChange, createPublicState, findItem, getInForceName, getPresetInForce, inForceKey, isQuarantined, listItems, listPublicChanges, type PublicChange,
-	type PublicState,
+	applyPublicChange, createPublicState, findItem, getInForceName, getPresetInForce, inForceKey, isQuarantined, listItems, listPublicNews, type PublicChange,
+	type PublicNews, type PublicState,
 } from './public-state.js';
 export {stampRequest, type Request} from './stamp.js';
 export {decodeState, encodeState, type EncodedState} from './encode.js';
--- a/packages/state/src/public-state.ts
+++ b/packages/state/src/public-state.ts
@@ -49,11 +49,28 @@
 	return {version: change.version, items};
 }
 
-/** Lists the changes that lead on from a version; `undefined` where they no longer reach back to it. */
-export function listPublicChanges(changes: readonly PublicChange[], fromVersion: number, toVersion: number): readonly PublicChange[] | undefined {
-	const wanted = changes.filter(change => change.version > fromVersion);
+/** What leads on from a version that somebody holds. */
+export type PublicNews = {
+	readonly publicVersion: number;
+	/** Absent where the changes kept no longer reach back to that version. */
+	readonly changes: readonly PublicChange[] | undefined;
+	/** The whole state, where it is newer and changes do not lead to it. */
+	readonly items: ReadonlyArray<readonly [string, unknown]> | undefined;
+};
+
+/**
+Lists what somebody lacks who holds a version.
+
+@example
+```
+listPublicNews(state, recentChanges, 17).changes;
+```
+*/
+export function listPublicNews({version, items}: PublicState, recentChanges: readonly PublicChange[], fromVersion: number): PublicNews {
+	const wanted = recentChanges.filter(change => change.version > fromVersion);
+	const changes = wanted.length === version - fromVersion ? wanted : undefined;
 
-	return wanted.length === toVersion - fromVersion ? wanted : undefined;
+	return {publicVersion: version, changes, items: changes === undefined && version > fromVersion ? [...items] : undefined};
 }
 
 /**
--- a/packages/state/src/stamp.ts
+++ b/packages/state/src/stamp.ts
@@ -1,34 +1,23 @@
-import {CommandKind, type ClaimOutcome, type Command} from './types.js';
+import {CommandKind, type Command} from './types.js';
 
-/** A command as an entry or an operator sends it; the leader gives it its place in group time. */
+type CommandOf<Kind extends CommandKind> = Extract<Command, {readonly kind: Kind}>;
+
+/** Commands that hold no deadline of their own. */
+type PlainKind = CommandKind.Settle | CommandKind.Release | CommandKind.Abandon | CommandKind.ClearSuspicion | CommandKind.TakeFencingNumber | CommandKind.Expire;
+
+type Unstamped<Kind extends CommandKind> = Kind extends CommandKind ? Omit<CommandOf<Kind>, 'atMs'> : never;
+
+/** A command as an entry or an operator sends it; the leader gives it its place in group time, and makes deadlines of spans. */
 export type Request
-	= | Omit<Extract<Command, {kind: CommandKind.ChangeConfig}>, 'atMs' | 'wallMs'>
-		| {
-			readonly kind: CommandKind.Claim;
-			readonly organisation: string;
-			readonly key: string;
-			readonly bodyDigest: string;
-			readonly requestId: string;
-			readonly entryId: string;
+	= | Unstamped<PlainKind>
+		| Omit<Unstamped<CommandKind.ChangeConfig>, 'wallMs'>
+		| (Omit<Unstamped<CommandKind.Claim>, 'leaseDeadlineMs' | 'keepDeadlineMs'> & {
 			/** From when the leader takes it. */
 			readonly leaseMs: number;
 			readonly keepMs: number;
-		}
-		| {readonly kind: CommandKind.Settle; readonly key: string; readonly token: number; readonly outcome?: ClaimOutcome}
-		| {readonly kind: CommandKind.Release; readonly key: string; readonly token: number}
-		| {readonly kind: CommandKind.Abandon; readonly key: string; readonly token: number; readonly isHolderLost: boolean}
-		| {
-			readonly kind: CommandKind.ReportCrash;
-			readonly fingerprint: string;
-			readonly organisation: string;
-			readonly requestId: string;
-			readonly upstreamId: string;
-			readonly keepMs: number;
-		}
-		| {readonly kind: CommandKind.AssignRetry; readonly fingerprint: string; readonly candidateIds: readonly string[]; readonly retryMs: number}
-		| {readonly kind: CommandKind.ClearSuspicion; readonly fingerprint: string}
-		| {readonly kind: CommandKind.TakeFencingNumber}
-		| {readonly kind: CommandKind.Expire};
+		})
+		| (Omit<Unstamped<CommandKind.ReportCrash>, 'keepDeadlineMs'> & {readonly keepMs: number})
+		| (Omit<Unstamped<CommandKind.AssignRetry>, 'retryDeadlineMs'> & {readonly retryMs: number});
 
 /**
 Stamps a request with group time, turning spans into deadlines.
