--- a/packages/membership/src/gauges.ts
+++ b/packages/membership/src/gauges.ts
@@ -1,3 +1,4 @@
+import {takeRumours} from './rumours.js';
 import {type GaugeNote, type Membership} from './types.js';
 
 /** Gauges that ride on one message. */
@@ -44,23 +45,12 @@
 		return {membership, notes: []};
 	}
 
-	const chosen = [...membership.gaugeRumours].toSorted((a, b) => a[1] - b[1]).slice(0, maxGaugesPerMessage);
-	const gaugeRumours = new Map(membership.gaugeRumours);
-	const notes: GaugeNote[] = [];
-
-	for (const [id, count] of chosen) {
+	const {ids, rumours} = takeRumours(membership.gaugeRumours, {perMessage: maxGaugesPerMessage, tellings: gaugeTellings});
+	const notes = ids.flatMap((id): GaugeNote[] => {
 		const record = membership.held.get(id)?.record;
 
-		if (count + 1 >= gaugeTellings || record === undefined) {
-			gaugeRumours.delete(id);
-		} else {
-			gaugeRumours.set(id, count + 1);
-		}
-
-		if (record?.gauge !== undefined) {
-			notes.push([id, record.incarnation, record.gauge.version, record.gauge.values]);
-		}
-	}
+		return record?.gauge === undefined ? [] : [[id, record.incarnation, record.gauge.version, record.gauge.values]];
+	});
 
-	return {membership: {...membership, gaugeRumours}, notes};
+	return {membership: {...membership, gaugeRumours: rumours}, notes};
 }
--- a/packages/membership/src/step.ts
+++ b/packages/membership/src/step.ts
@@ -1,5 +1,6 @@
 import {computeHash, rankByRendezvous, type Step} from '@fescuestair/core';
 import {mergeGauges, setGauge, takeGaugeNotes} from './gauges.js';
+import {takeRumours} from './rumours.js';
 import {
 	computeDigests, listOverdue, listParts, mergeRecords, tidyRecords,
 } from './records.js';
@@ -277,19 +278,9 @@
 		return {state: membership, effects: [{kind: OutputKind.Send, address, gossip: {...gossip, ...gauges}}]};
 	}
 
-	const limit = rumourFactor * Math.ceil(Math.log2(listPeers(membership).length + 2));
-	const chosen = [...membership.rumours].toSorted((a, b) => a[1] - b[1]).slice(0, maxRumoursPerMessage);
-	const rumours = new Map(membership.rumours);
-
-	for (const [id, count] of chosen) {
-		if (count + 1 >= limit) {
-			rumours.delete(id);
-		} else {
-			rumours.set(id, count + 1);
-		}
-	}
-
-	const records = chosen.flatMap(([id]) => membership.held.get(id)?.record ?? []);
+	const tellings = rumourFactor * Math.ceil(Math.log2(listPeers(membership).length + 2));
+	const {ids, rumours} = takeRumours(membership.rumours, {perMessage: maxRumoursPerMessage, tellings});
+	const records = ids.flatMap(id => membership.held.get(id)?.record ?? []);
 
 	return {state: {...membership, rumours}, effects: [{kind: OutputKind.Send, address, gossip: {...gossip, ...gauges, records}}]};
 }
--- a/packages/membership/src/types.ts
+++ b/packages/membership/src/types.ts
@@ -1,3 +1,5 @@
+import {type Rumours} from './rumours.js';
+
 /** What a record stands for. */
 export enum RecordKind {
 	Entry = 'entry',
@@ -73,9 +75,9 @@
 	readonly timing: Timing;
 	readonly held: ReadonlyMap<string, Held>;
 	/** Records still to be passed on, with how often they have been. */
-	readonly rumours: ReadonlyMap<string, number>;
+	readonly rumours: Rumours;
 	/** Gauges still to be passed on, with how often they have been. */
-	readonly gaugeRumours: ReadonlyMap<string, number>;
+	readonly gaugeRumours: Rumours;
 	readonly probe: Probe | undefined;
 	readonly probeOrder: readonly string[];
 	readonly nextProbeMs: number;
