Look fates up, record refusals and wait by one function each

Entry and control asked the keepers of fates by the same code; refusals of services and early ones were counted and recorded by the same lines; waits were written as new promises beside a library call. The exporter no longer asks a prompt's home what it knows where no store could take the prompt. Tests close their servers by the listener alone, which does that already.

--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -1,3 +1,4 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import fs from 'node:fs/promises';
 import path from 'node:path';
 import {findMember, type PeerMessage} from '@fescuestair/agreement';
@@ -191,9 +192,7 @@
 			orders.stop();
 			runner.transferLeadership();
 			gossip.publishSelf({status: MemberStatus.Leaving});
-			await new Promise(resolve => {
-				setTimeout(resolve, handoverMs);
-			});
+			await sleep(handoverMs);
 			gossip.stop();
 			await operatorServer.close();
 			await linkServer.close();
--- a/packages/control/src/operator-backend.ts
+++ b/packages/control/src/operator-backend.ts
@@ -6,7 +6,7 @@
 import {
 	describeFate, LinkKind, ProposalError, type FateEvent, type LinkReply,
 } from '@fescuestair/protocol';
-import {type GossipHost} from '@fescuestair/runtime';
+import {createFindFates, type GossipHost} from '@fescuestair/runtime';
 import {
 	getInForceName, inForceKey, ItemKind, type Answer, type ConfigItem, type Request,
 } from '@fescuestair/state';
@@ -29,8 +29,6 @@
 	readonly propose: (request: Request) => Promise<unknown>;
 };
 
-const fateTimeoutMs = 3000;
-
 /** Creates what the operators' procedures call. */
 export function createOperatorBackend(options: OperatorBackendOptions): OperatorBackend {
 	const {
@@ -39,19 +37,7 @@
 
 	const isEntryAlive = (entryId: string, incarnation: number) => isAliveIn(gossip.getMembership(), entryId, incarnation);
 
-	const findFatesAt = async (record: MemberRecord, requestId: string): Promise<readonly FateEvent[]> => {
-		if (record.id === name) {
-			return fates.findEvents(requestId);
-		}
-
-		try {
-			const reply = await links.call(record.address, {kind: LinkKind.FindFates, requestId}, fateTimeoutMs) as LinkReply;
-
-			return reply.kind === 'fates' ? reply.events : [];
-		} catch {
-			return [];
-		}
-	};
+	const findFates = createFindFates({gossip, links, local: {name, findEvents: fates.findEvents}});
 
 	return {
 		getStatus() {
@@ -84,13 +70,7 @@
 		},
 		getHistory: () => host.getState().history,
 		propose: async request => await propose(request) as Answer,
-		// Every replica is asked: the two that hold a request's fate may be others by now, or be gone.
-		async traceRequest(requestId) {
-			const records = listRecords(gossip.getMembership(), RecordKind.Control).filter(record => record.status !== MemberStatus.Dead);
-			const found = await Promise.all(records.map(async record => findFatesAt(record, requestId)));
-
-			return describeFate(found.flat(), isEntryAlive);
-		},
+		traceRequest: async requestId => describeFate(await findFates(requestId), isEntryAlive),
 		async initialize() {
 			const {id, groupId} = door.getIdentity();
 
--- a/packages/entry/src/__tests__/unit/cache-follower.test.ts
+++ b/packages/entry/src/__tests__/unit/cache-follower.test.ts
@@ -52,7 +52,6 @@
 			firstKept = events.length;
 		},
 		async close() {
-			server.closeAllConnections();
 			await listener.close();
 		},
 	};
--- a/packages/entry/src/__tests__/unit/engine-client.test.ts
+++ b/packages/entry/src/__tests__/unit/engine-client.test.ts
@@ -41,7 +41,6 @@
 		return {end: error instanceof AttemptError ? error.end : error, texts: events.map(event => event.text), waits};
 	} finally {
 		await agent.destroy();
-		server.closeAllConnections();
 		await listener.close();
 	}
 }
--- a/packages/entry/src/control-client.ts
+++ b/packages/entry/src/control-client.ts
@@ -1,3 +1,4 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {type Clock} from '@fescuestair/core';
 import {
 	LinkKind, ProposalError, type LinkMessage, type LinkReply,
@@ -43,9 +44,7 @@
 				// Every command may be proposed twice: the state tells a resend by its key, token or request.
 				wasSent ||= reply?.kind !== 'not_leader';
 				address = reply?.kind === 'not_leader' ? reply.leaderAddress : undefined;
-				await new Promise(resolve => {
-					setTimeout(resolve, retryMs);
-				});
+				await sleep(retryMs);
 			}
 
 			throw new ProposalError(!wasSent, 'no majority of control replicas answered in time');
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,3 +1,4 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {Agent} from 'undici';
 import {type Clock, createSystemClock} from '@fescuestair/core';
 import {
@@ -9,7 +10,9 @@
 import {
 	createLinkCommands, dispatchLinkMessage, LinkKind, RefusalCode,
 } from '@fescuestair/protocol';
-import {createGossip, type Log, type Metrics} from '@fescuestair/runtime';
+import {
+	createFindFates, createGossip, type Log, type Metrics,
+} from '@fescuestair/runtime';
 import {findItem, getPresetInForce, ItemKind} from '@fescuestair/state';
 import {
 	createLinks, createLinkServer, parseAddress, type ClusterKeys, type KeyRing,
@@ -23,7 +26,6 @@
 import {createPieceHomes} from './piece-homes.js';
 import {createHoldLine} from './hold-line.js';
 import {createFateRecorder} from './fate-recorder.js';
-import {createFindFates} from './request-fate.js';
 import {createRefusal, type EntryServices} from './request-context.js';
 import {createStateFollower} from './state-follower.js';
 import {createUpstreamListener} from './upstream-listener.js';
@@ -170,7 +172,7 @@
 		depositSuccess() {
 			retryBudget = depositSuccess(retryBudget);
 		},
-		findFates: createFindFates({gossip}, links),
+		findFates: createFindFates({gossip, links}),
 		homes,
 		budgets,
 		exporter,
@@ -243,9 +245,7 @@
 			const keptUntilMs = clock.readMonotonicMs() + keepEntriesMs + gossipSettleMs;
 
 			while (clock.readMonotonicMs() < deadlineMs && (clock.readMonotonicMs() < keptUntilMs || listener.countRunning() > 0)) {
-				await new Promise(resolve => {
-					setTimeout(resolve, stopPollMs);
-				});
+				await sleep(stopPollMs);
 			}
 
 			isClosing = true;
@@ -258,9 +258,7 @@
 			await upstreamListener.close();
 			follower.stop();
 			gossip.publishSelf({status: MemberStatus.Dead});
-			await new Promise(resolve => {
-				setTimeout(resolve, gossipSettleMs);
-			});
+			await sleep(gossipSettleMs);
 			gossip.stop();
 			await linkServer.close();
 			links.close();
--- a/packages/entry/src/exporter.ts
+++ b/packages/entry/src/exporter.ts
@@ -67,13 +67,18 @@
 
 	const exportOnce = async (job: ExportJob, {returns, isJustComputed}: {returns: ReturnAnswer; isJustComputed: boolean}): Promise<Verdict> => {
 		const store = chooseStore(job.hashes[0]!);
+
+		if (store === undefined) {
+			return Verdict.Done;
+		}
+
 		const held = await homes.findPieces(job.hashes);
-		const missing = store === undefined ? [] : job.hashes.slice(held.get(store.id) ?? 0);
+		const missing = job.hashes.slice(held.get(store.id) ?? 0);
 
 		// What the engine has just computed it holds, though its events may not have come yet; later it may have dropped it.
 		const isHeld = isJustComputed || held.get(job.engine.id) === job.hashes.length;
 
-		if (store === undefined || missing.length === 0 || !isHeld) {
+		if (missing.length === 0 || !isHeld) {
 			return Verdict.Done;
 		}
 
--- a/packages/entry/src/refuse-early.ts
+++ b/packages/entry/src/refuse-early.ts
@@ -1,20 +1,21 @@
 import {
-	FateOutcome, getRefusalStatus, Ran, RefusalError,
+	FateOutcome, Ran, RefusalError,
 } from '@fescuestair/protocol';
 import {sendRefusal} from '@fescuestair/transport';
 import {qualifyRefusal} from './qualify-refusal.js';
 import {
-	recordBegun, recordFinished, toRefusal, type CallerRequest, type EntryServices,
+	recordBegun, recordFinished, recordRefused, toRefusal, type CallerRequest, type EntryServices,
 } from './request-context.js';
 
 const closedStatus = 499;
+const requestClass = 'unknown';
 
 /** Refuses a request that was turned away before its class was known, and keeps its fate. */
 export function refuseEarly(services: EntryServices, caller: CallerRequest, error: unknown): void {
 	const {request, response, requestId} = caller;
 	const refusal = qualifyRefusal(services, request, toRefusal(error));
 	recordBegun(services, caller, {
-		requestClass: 'unknown', target: `${request.method} ${new URL(request.url ?? '/', 'http://entry').pathname}`, promptTokens: 0, preset: 'unknown',
+		requestClass, target: `${request.method} ${new URL(request.url ?? '/', 'http://entry').pathname}`, promptTokens: 0, preset: 'unknown',
 	});
 
 	// The caller hung up before its request was whole.
@@ -28,9 +29,6 @@
 		services.log.error('request failed', {requestId}, error);
 	}
 
-	recordFinished(services, requestId, {
-		outcome: FateOutcome.Refused, ran: refusal.ran, code: refusal.code, status: getRefusalStatus(refusal),
-	});
-	services.metrics.count('refused', {organisation: caller.organisation, class: 'unknown', code: refusal.code});
+	recordRefused(services, caller, {refusal, requestClass});
 	sendRefusal(response, refusal, requestId);
 }
--- a/packages/entry/src/request-context.ts
+++ b/packages/entry/src/request-context.ts
@@ -5,7 +5,7 @@
 import {type Metrics, type GossipHost, type Log} from '@fescuestair/runtime';
 import {type ClassLimit} from '@fescuestair/limits';
 import {
-	FateEventKind, type FateOutcome, Ran, RefusalCode, RefusalError, type FateEvent, type Refusal,
+	FateEventKind, FateOutcome, getRefusalStatus, Ran, RefusalCode, RefusalError, type FateEvent, type Refusal,
 } from '@fescuestair/protocol';
 import {
 	findItem, getPresetInForce, ItemKind, type PresetItem, type RequestClass,
@@ -128,6 +128,14 @@
 	});
 }
 
+/** Records and counts that a request was refused. */
+export function recordRefused(services: EntryServices, {requestId, organisation}: CallerRequest, {refusal, requestClass}: {refusal: Refusal; requestClass: string}): void {
+	services.metrics.count('refused', {organisation, class: requestClass, code: refusal.code});
+	recordFinished(services, requestId, {
+		outcome: FateOutcome.Refused, ran: refusal.ran, code: refusal.code, status: getRefusalStatus(refusal),
+	});
+}
+
 /** Turns any error into the refusal that the caller gets. */
 export function toRefusal(error: unknown): Refusal {
 	if (error instanceof RefusalError) {
--- a/packages/entry/src/services.ts
+++ b/packages/entry/src/services.ts
@@ -1,6 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	FateOutcome, getRefusalStatus, headerNames, Ran, RefusalCode, RefusalError,
+	FateOutcome, headerNames, Ran, RefusalCode, RefusalError,
 } from '@fescuestair/protocol';
 import {
 	findItem, ItemKind, RequestClass, type ServiceItem,
@@ -14,7 +14,7 @@
 	attemptCall, chooseInstance, type Answered, type ServiceTarget,
 } from './service-attempt.js';
 import {
-	createRefusal, recordBegun, recordFinished, requirePreset, scaleLimit, toRefusal, type CallerRequest, type EntryServices,
+	createRefusal, recordBegun, recordFinished, recordRefused, requirePreset, scaleLimit, toRefusal, type CallerRequest, type EntryServices,
 } from './request-context.js';
 
 const maxBodyBytes = 1_000_000;
@@ -64,10 +64,7 @@
 			services.log.error('service call failed', {requestId}, error);
 		}
 
-		services.metrics.count('refused', {...tags, code: refusal.code});
-		recordFinished(services, requestId, {
-			outcome: FateOutcome.Refused, ran: refusal.ran, code: refusal.code, status: getRefusalStatus(refusal),
-		});
+		recordRefused(services, caller, {refusal, requestClass: RequestClass.Service});
 		sendRefusal(response, refusal, requestId);
 	}
 }
