--- a/packages/routing/src/choose.ts
+++ b/packages/routing/src/choose.ts
@@ -59,7 +59,7 @@
 
 	for (const store of stores) {
 		const linkBytes = store.heldPieces * bytesPerPiece;
-		floor = Math.min(floor, sumTerms(weights, {firstTokenMs: estimateFetchMs(store, linkBytes), recomputedTokens: 0, linkBytes}));
+		floor = Math.min(floor, sumTerms(weights, estimateFetchMs(store, linkBytes), 0, linkBytes));
 	}
 
 	return floor;
@@ -71,9 +71,9 @@
 		return 0;
 	}
 
-	const computeFloor = sumTerms(weights, {firstTokenMs: estimatePrefillMs(engine, plan.tokens), recomputedTokens: plan.tokens, linkBytes: 0});
+	const computeFloor = sumTerms(weights, estimatePrefillMs(engine, plan.tokens), plan.tokens, 0);
 
-	return sumTerms(weights, {firstTokenMs: estimateQueueMs(engine, plan), recomputedTokens: 0, linkBytes: 0}) + Math.min(computeFloor, fetchFloor);
+	return sumTerms(weights, estimateQueueMs(engine, plan), 0, 0) + Math.min(computeFloor, fetchFloor);
 }
 
 // Only the few cheapest are kept: a trace shows no more. Of all others nothing is made but a number.
@@ -140,13 +140,11 @@
 	const recomputedTokens = countRecomputed(plan, held + fetchPieces);
 	const firstTokenMs = queueMs + estimateFetchMs(store, linkBytes) + estimatePrefillMs(engine, recomputedTokens);
 
-	return sumTerms(weights, {firstTokenMs, recomputedTokens, linkBytes});
+	return sumTerms(weights, firstTokenMs, recomputedTokens, linkBytes);
 }
 
-type Terms = {readonly firstTokenMs: number; readonly recomputedTokens: number; readonly linkBytes: number};
-
-/** The three measures as one cost, by the preset in force. */
-function sumTerms(weights: Weights, {firstTokenMs, recomputedTokens, linkBytes}: Terms): number {
+// The three measures as one cost. Plain arguments: an object for each engine would cost more than the sum.
+function sumTerms(weights: Weights, firstTokenMs: number, recomputedTokens: number, linkBytes: number): number {
 	return (weights.firstToken * firstTokenMs / msPerSecond)
 		+ (weights.recompute * recomputedTokens / pieceTokens)
 		+ (weights.link * linkBytes / bytesPerMegabyte);
