--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -9,12 +9,15 @@
 import {
 	createLinkCommands, dispatchLinkMessage, LinkKind, ProposalError, type LinkMessage, type LinkReply,
 } from '@fescuestair/protocol';
+import {type PartsPoll} from '@fescuestair/parts';
 import {proposeAtLeader} from '@fescuestair/replication';
 import {type Log} from '@fescuestair/runtime';
+import {type StoreFigures, type TrafficConfig} from '@fescuestair/traffic';
 import {createLinks, createLinkServer, parseAddress} from '@fescuestair/transport';
 import {
 	describePublished, PublishKind, type PublishAnswer, type PublishCommand, type PublishedState,
 } from './published-state.js';
+import {createPartKeeper, type StoreClient} from './part-keeper.js';
 import {createReplicaHost} from './replica-host.js';
 import {createWeightOrders, type WeightOrdersOptions} from './weight-orders.js';
 
@@ -29,8 +32,9 @@
 	readonly getSeeds: () => readonly string[];
 	/** The whole system starts for the first time: the seeds begin the group. */
 	readonly isFirstStart: boolean;
-	/** Decodes a configuration; no findings mean that it may be in force. */
-	readonly checkConfig: (text: string) => {readonly version: number | undefined; readonly findings: readonly Finding[]};
+	/** Decodes a configuration; without findings it may be in force. */
+	readonly decodeConfig: (text: string) => {readonly config: TrafficConfig | undefined; readonly findings: readonly Finding[]};
+	readonly storeClient: StoreClient;
 	readonly sendOrder: WeightOrdersOptions['sendOrder'];
 	readonly fetchReport: WeightOrdersOptions['fetchReport'];
 	/** A new giver of orders waits this long after the one before may have given its last. */
@@ -95,7 +99,8 @@
 */
 export async function createCoordinator(options: CoordinatorOptions): Promise<Coordinator> {
 	const {
-		name, availabilityZone, linkAddress, serviceAddress, dataFolder, getSeeds, isFirstStart, checkConfig, orderHandoverMs,
+		name, availabilityZone, linkAddress, serviceAddress, dataFolder, getSeeds, isFirstStart, decodeConfig, orderHandoverMs,
+		storeClient,
 		voters = defaultVoters, clock = createSystemClock(), log,
 	} = options;
 	const links = createLinks({getKeys: undefined});
@@ -109,9 +114,12 @@
 	let leadingSinceMs: number | undefined;
 	/** For a coordinator without a place in the group. */
 	let hintedLeaderAddress: string | undefined;
+	let stores: readonly StoreFigures[] = [];
 	const seeds = getSeeds();
 
 	const onPublished = (state: PublishedState) => {
+		const config = state.configText === undefined ? undefined : decodeConfig(state.configText).config;
+		stores = (config?.services ?? []).flatMap(service => service.store?.isManaged === true ? [service.store] : []);
 		log.info('published', {revision: state.revision, configVersion: state.configVersion, weights: Object.fromEntries(state.weights)});
 
 		// The one that leads tells everyone; the others are asked by whoever missed it.
@@ -364,6 +372,21 @@
 		handoverMs: orderHandoverMs,
 	});
 
+	const keeper = createPartKeeper({
+		clock,
+		log,
+		client: storeClient,
+		listStores: () => stores,
+		getWeights: () => replica.getPublished().weights,
+		getLeadingTerm: replica.getLeadingTerm,
+	});
+	commands.registerCommand(LinkKind.PollParts, ({poll, reply}) => {
+		const parts = keeper.answer(poll as PartsPoll);
+		reply?.(parts === undefined ? {kind: 'error', message: 'does not keep the parts'} : {kind: 'parts', reply: parts});
+
+		return true;
+	});
+
 	const propose = async (command: PublishCommand): Promise<ChangeAnswer> => {
 		try {
 			await proposeAtLeader<PublishCommand>({
@@ -389,10 +412,11 @@
 
 	return {
 		async putConfig(text) {
-			const {version, findings} = checkConfig(text);
+			const {config, findings} = decodeConfig(text);
+			const version = config?.version;
 
 			if (version === undefined || findings.length > 0) {
-				log.warn('configuration refused', {version, findings: findings.map(finding => `${finding.place}: ${finding.message}`)});
+				log.warn('configuration refused', { findings: findings.map(finding => `${finding.place}: ${finding.message}`)});
 
 				return {outcome: ChangeOutcome.Invalid, findings};
 			}
@@ -450,6 +474,7 @@
 			}
 
 			orders.stop();
+			keeper.stop();
 			replica.getRunner()?.transferLeadership();
 			await sleep(handoverMs);
 			await server.close();
--- a/packages/coordinator/src/index.ts
+++ b/packages/coordinator/src/index.ts
@@ -4,6 +4,9 @@
 export {
 	createWeightOrders, OrderAnswer, type WeightOrderInput, type WeightOrdersOptions, type WeightReport,
 } from './weight-orders.js';
+export {
+	createPartKeeper, type PartKeeperOptions, type StoreClient, type StoreEvents, type StoreListing,
+} from './part-keeper.js';
 export {planWeightOrders, type WeightOrder, type WeightPlan} from './plan-weight-orders.js';
 export {
 	applyPublish, createPublishedState, decodePublishedState, describePublished, encodePublishedState, PublishKind, type PublishAnswer,
--- a/packages/gateway/src/codecs.ts
+++ b/packages/gateway/src/codecs.ts
@@ -47,6 +47,12 @@
 	/** Cached parts are found under the same text only: it keeps weight versions and isolated organisations apart. */
 	readonly salt: string;
 	readonly weightVersion: number;
+	/** For each part in order, the store to fetch it from. */
+	readonly fetchFrom: ReadonlyArray<string | undefined>;
+	/** A fetch that has not ended by then, on the upstreams' clock, is thrown away. */
+	readonly fetchUntilMs: number | undefined;
+	/** For each part in order, the store to save it to once it has been read. */
+	readonly saveTo: ReadonlyArray<string | undefined>;
 };
 
 /** What the headers of an instance's answer say. */
--- a/packages/gateway/src/coordinator-client.ts
+++ b/packages/gateway/src/coordinator-client.ts
@@ -25,6 +25,8 @@
 	/** Whether what is in force was learned from a coordinator that was current; or nobody is, for too long. */
 	readonly isCurrent: () => boolean;
 	readonly getGatewayCount: () => number;
+	/** Link address of the replica that leads, as far as is known. */
+	readonly getLeaderAddress: () => string | undefined;
 	/** Tells all coordinators at once, as when this daemon leaves. */
 	readonly sayHello: () => void;
 	readonly stop: () => void;
@@ -60,6 +62,7 @@
 	let configVersion = 0;
 	let hasCurrent = false;
 	let gatewayCount = 1;
+	let leaderAddress: string | undefined;
 
 	const takePublished = (published: Published) => {
 		const lacksText = published.configText === undefined && published.configVersion > configVersion;
@@ -102,6 +105,7 @@
 			takePublished(reply.published);
 		}
 
+		leaderAddress = reply.isCurrent ? reply.leaderAddress ?? leaderAddress : leaderAddress;
 		hasCurrent ||= reply.isCurrent && configVersion > 0;
 	};
 
@@ -152,6 +156,7 @@
 		takeNotes,
 		isCurrent: () => hasCurrent || (configVersion > 0 && clock.readMonotonicMs() - startedAtMs >= graceMs),
 		getGatewayCount: () => gatewayCount,
+		getLeaderAddress: () => leaderAddress,
 		sayHello,
 		stop() {
 			clearInterval(timer);
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -2,11 +2,14 @@
 import {type Clock} from '@fescuestair/core';
 import {withdrawRetry, type RetryBudget} from '@fescuestair/limits';
 import {
-	chooseInstance, HealthEvent, type Placement, type PromptSize,
+	chooseInstance, HealthEvent, type Placement, type PromptPart, type PromptSize,
 } from '@fescuestair/routing';
+import {
+	chooseStore, computeFetchUntil, findPlaces, formatSalt, type PartPlace,
+} from '@fescuestair/parts';
 import {type Log} from '@fescuestair/runtime';
 import {
-	CallKind, chooseTarget, type RouteTable, type Service,
+	CallKind, chooseTarget, type RouteTable, type Service, type StoreFigures,
 } from '@fescuestair/traffic';
 import {AttemptEnd, startAttempt, type Attempt, type AttemptHead, type AttemptResult} from './attempt.js';
 import {type CallerCodec, type CacheOrder, type UpstreamCodec} from './codecs.js';
@@ -14,6 +17,7 @@
 import {
 	filterHeaders, Outcome, sendOwnAnswer, type Exchange, type ExchangeEnd,
 } from './exchange.js';
+import {type PartsClient} from './parts-client.js';
 import {
 	describeOption, noteCached, type InstanceBook, type InstanceEntry, type Visit,
 } from './instance-book.js';
@@ -25,6 +29,7 @@
 	readonly callerCodec: CallerCodec;
 	readonly upstreamCodec: UpstreamCodec;
 	readonly book: InstanceBook;
+	readonly parts: PartsClient;
 	readonly getTable: () => RouteTable;
 	readonly getWeights: () => ReadonlyMap<string, number>;
 	/** Share of the system's repeats that this daemon may still make for a service. */
@@ -222,48 +227,92 @@
 	const {prompt} = exchange.caller;
 	const nowMs = clock.readMonotonicMs();
 	const open = book.listOpen(service.name).filter(entry => !progress.triedIds.has(entry.held.record.id));
-	const wanted = prompt === undefined ? undefined : getWeights().get(prompt.model);
-	const known = new Map(open.map(entry => [entry.held.record.id, findVersion(entry, prompt?.model)]));
+	const isEngine = service.engine !== undefined && prompt !== undefined;
+
+	if (!isEngine) {
+		const placement = chooseInstance({
+			options: open.map(entry => describeOption(entry, {nowMs, prompt: undefined})), nowMs, availabilityZone, prompt: undefined,
+		});
+
+		return placement && {
+			entry: book.get(placement.id)!, placement, cache: undefined, uncachedTokens: 0,
+		};
+	}
+
+	const wanted = getWeights().get(prompt.model) ?? 0;
+	const versions = new Map(open.map(entry => [entry.held.record.id, findVersion(entry, prompt.model)]));
 	// New requests go to the newest weights, as long as some instance has them.
-	const current = wanted === undefined ? open : open.filter(entry => (known.get(entry.held.record.id) ?? 0) >= wanted);
+	const current = open.filter(entry => (versions.get(entry.held.record.id) ?? 0) >= wanted);
 	const candidates = current.length > 0 ? current : open;
-	const isEngine = service.engine !== undefined && prompt !== undefined;
-	const describeCache = (entry: InstanceEntry): CacheOrder | undefined => {
-		const version = known.get(entry.held.record.id);
+	const orders = new Map<number | undefined, CacheOrder | undefined>();
+	const described = new Map(candidates.map(entry => {
+		const version = versions.get(entry.held.record.id);
 
-		return isEngine && version !== undefined ? createCacheOrder(exchange, version) : undefined;
-	};
+		if (!orders.has(version)) {
+			orders.set(version, version === undefined ? undefined : createCacheOrder(options, exchange, version));
+		}
 
-	const described = candidates.map(entry => {
-		const cache = describeCache(entry);
+		const cache = orders.get(version);
 
-		return describeOption(entry, {nowMs, prompt: cache === undefined ? undefined : {parts: prompt!.parts, salt: cache.salt}});
-	});
+		return [entry.held.record.id, {cache, option: describeOption(entry, {
+			nowMs, prompt: cache && {...cache, parts: prompt.parts, service, stores: listStores(options)},
+		})}];
+	}));
 	const placement = chooseInstance({
-		options: described, nowMs, availabilityZone, prompt: isEngine ? describePrompt(exchange, service) : undefined,
+		options: [...described.values()].map(one => one.option), nowMs, availabilityZone, prompt: describePrompt(exchange, service),
 	});
 
 	if (placement === undefined) {
 		return undefined;
 	}
 
-	const entry = book.get(placement.id)!;
-	const cachedTokens = described.find(option => option.id === placement.id)!.cachedTokens;
+	const {cache, option} = described.get(placement.id)!;
 
 	return {
-		entry, placement, cache: describeCache(entry), uncachedTokens: Math.max(0, (prompt?.promptTokens ?? 0) - cachedTokens),
+		entry: book.get(placement.id)!, placement, cache, uncachedTokens: Math.max(0, prompt.promptTokens - option.cachedTokens - option.fetchableTokens),
 	};
 }
 
-function findVersion(entry: InstanceEntry, model: string | undefined): number | undefined {
+function findVersion(entry: InstanceEntry, model: string): number | undefined {
 	return entry.held.record.models.find(one => one.name === model)?.version;
 }
 
+function listStores({getTable}: ForwardOptions): readonly StoreFigures[] {
+	return getTable().config.services.flatMap(service => service.store === undefined ? [] : [service.store]);
+}
+
 // The salt is the wall: an isolated organisation shares with nobody, and no version of the weights with another.
-function createCacheOrder({organisation, caller}: Exchange, weightVersion: number): CacheOrder {
-	const wall = organisation?.isIsolated === true ? `o-${organisation.name}` : 'shared';
+function createCacheOrder(options: ForwardOptions, {organisation, caller}: Exchange, weightVersion: number): CacheOrder {
+	const {model, parts} = caller.prompt!;
+	const salt = formatSalt({isolatedOrganisation: organisation?.isIsolated === true ? organisation.name : undefined, model, weightVersion});
+	const view = options.parts.getView();
+	const fetchUntilMs = computeFetchUntil(view, options.clock.readMonotonicMs());
+	const places = findPlaces(view, salt, parts);
+
+	return {
+		salt,
+		weightVersion,
+		fetchFrom: fetchUntilMs === undefined ? [] : places.map(place => place?.storeAddress),
+		fetchUntilMs,
+		saveTo: planSaves(options, {salt, parts, places}),
+	};
+}
+
+type SaveInput = {
+	readonly salt: string;
+	readonly parts: readonly PromptPart[];
+	readonly places: ReadonlyArray<PartPlace | undefined>;
+};
+
+// The last part belongs to this request alone and does not return.
+function planSaves(options: ForwardOptions, {salt, parts, places}: SaveInput): ReadonlyArray<string | undefined> {
+	const stores = listStores(options).map(store => ({address: store.address, capacityTokens: store.capacityTokens, firstByteMs: store.firstByteMs}));
 
-	return {salt: `${wall}/${caller.prompt!.model}/${weightVersion}`, weightVersion};
+	return parts.map((part, position) => {
+		const isShared = position < parts.length - 1;
+
+		return isShared && places[position] === undefined && !options.parts.isBeingSaved({salt, id: part.id}) ? chooseStore(stores, part)?.address : undefined;
+	});
 }
 
 function describePrompt({caller}: Exchange, {engine}: Service): PromptSize {
@@ -303,7 +352,8 @@
 	const startedAtMs = clock.readMonotonicMs();
 	const isStreaming = route.kind === CallKind.Streaming;
 	progress.triedIds.add(record.id);
-	let hasFirstPiece = false;
+	let firstPieceMs: number | undefined;
+	const loadBefore = entry.load;
 
 	const one: Visit = {
 		startedAtMs,
@@ -318,8 +368,8 @@
 	};
 
 	const noteFirstPiece = () => {
-		if (!hasFirstPiece) {
-			hasFirstPiece = true;
+		if (firstPieceMs === undefined) {
+			firstPieceMs = clock.readMonotonicMs() - startedAtMs;
 			book.noteFirstPiece(entry, one);
 		}
 	};
@@ -363,6 +413,15 @@
 	});
 	controls.attempt = attempt;
 	book.begin(entry, one);
+
+	for (const [position, part] of (cache === undefined ? [] : caller.prompt!.parts).entries()) {
+		options.parts.noteUse({salt: cache!.salt, id: part.id});
+
+		if (cache!.saveTo[position] !== undefined) {
+			options.parts.noteSave({salt: cache!.salt, id: part.id});
+		}
+	}
+
 	const result = await attempt.result;
 	noteFirstPiece();
 	book.end(entry, one);
@@ -382,9 +441,19 @@
 		...(result.reason !== '' && {reason: result.reason}),
 		...(result.head !== undefined && {status: result.head.status}),
 		expectedMs: Math.round(placement.expectedMs),
+		firstPieceMs: Math.round(firstPieceMs ?? 0),
 		tookMs: Math.round(clock.readMonotonicMs() - startedAtMs),
-		own: entry.load.own,
-		...(cache !== undefined && {weightVersion: cache.weightVersion, uncachedTokens}),
+		own: loadBefore.own,
+		pendingTokens: Math.round(loadBefore.ownPendingTokens),
+		...(loadBefore.report !== undefined && {
+			reported: `${loadBefore.report.running},${loadBefore.report.waiting}`, reportAgeMs: Math.round(startedAtMs - loadBefore.report.atMs),
+		}),
+		...(cache !== undefined && {
+			weightVersion: cache.weightVersion,
+			uncachedTokens,
+			fetched: cache.fetchFrom.filter(address => address !== undefined).length,
+			saved: cache.saveTo.filter(address => address !== undefined).length,
+		}),
 	});
 
 	return result;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,6 +18,7 @@
 import {Outcome, sendOwnAnswer, type ExchangeEnd} from './exchange.js';
 import {forwardExchange, type ForwardOptions} from './forward.js';
 import {createInstanceBook} from './instance-book.js';
+import {createPartsClient} from './parts-client.js';
 
 export type GatewayOptions = {
 	readonly name: string;
@@ -60,6 +61,10 @@
 /** Callers that are not told otherwise wait this long. */
 const defaultWaitMs = 30_000;
 const unreadyRetryMs = 500;
+/** A stopping gateway serves new requests for this long; later ones might not end in time and are sent elsewhere. */
+const lastAdmissionMs = 2500;
+/** Those are told to come back at once: other gateways take them. */
+const elsewhereRetryMs = 50;
 /** Callers keep an old list of addresses for a while: a stopping gateway serves them until no request came for this long. */
 const quietMs = 1500;
 const drainPollMs = 50;
@@ -87,6 +92,7 @@
 	let table: RouteTable | undefined;
 	let weights: ReadonlyMap<string, number> = new Map();
 	let isLeaving = false;
+	let admissionDeadlineMs = Number.POSITIVE_INFINITY;
 	let bodiesBytes = 0;
 	let running = 0;
 	let lastRequestAtMs = 0;
@@ -116,6 +122,10 @@
 
 	const isReady = () => !isLeaving && table !== undefined && client.isCurrent();
 
+	const parts = createPartsClient({
+		getKeeperAddress: () => client.getLeaderAddress(), links, clock, log,
+	});
+
 	const getCard = (): DaemonCard => ({
 		name, role: DaemonRole.Gateway, incarnation, linkAddress, serviceAddress: listen, availabilityZone, isReady: isReady(),
 	});
@@ -127,6 +137,7 @@
 		callerCodec,
 		upstreamCodec,
 		book,
+		parts,
 		getTable: () => table!,
 		getWeights: () => weights,
 		budgets,
@@ -172,6 +183,14 @@
 			return {...reject(response, 404, 'no route'), fields};
 		}
 
+		if (startedAtMs >= admissionDeadlineMs) {
+			sendOwnAnswer(response, {status: 503, message: 'this gateway stops', retryAfterMs: elsewhereRetryMs, isClosing: true});
+
+			return {
+				outcome: Outcome.Refused, status: 503, reason: 'this gateway stops', fields,
+			};
+		}
+
 		const organisation = caller.key === undefined ? undefined : table.organisationsByKey.get(caller.key);
 
 		if (table.config.organisations.length > 0 && !route.isPublic && organisation === undefined) {
@@ -294,6 +313,7 @@
 		async stop() {
 			const deadlineMs = clock.readMonotonicMs() + stopTimeoutMs;
 			isLeaving = true;
+			admissionDeadlineMs = clock.readMonotonicMs() + lastAdmissionMs;
 			lastRequestAtMs = Math.max(lastRequestAtMs, clock.readMonotonicMs());
 			client.sayHello();
 			log.info('gateway leaves', {running});
@@ -303,6 +323,7 @@
 			}
 
 			client.stop();
+			parts.stop();
 			server.close();
 			server.closeAllConnections();
 			book.stop();
--- a/packages/gateway/src/instance-book.ts
+++ b/packages/gateway/src/instance-book.ts
@@ -5,6 +5,7 @@
 	type InstanceHealth, type InstanceLoad, type InstanceOption, type PromptPart,
 } from '@fescuestair/routing';
 import {type Log} from '@fescuestair/runtime';
+import {type EngineFigures, type Service, type StoreFigures} from '@fescuestair/traffic';
 import {UpstreamAgent} from './upstream-agent.js';
 
 /** A request that is at an instance. */
@@ -194,8 +195,16 @@
 
 export type OptionInput = {
 	readonly nowMs: number;
-	/** Parts of the prompt and the salt under which they are cached. */
-	readonly prompt: {readonly parts: readonly PromptPart[]; readonly salt: string} | undefined;
+	readonly prompt: OptionPrompt | undefined;
+};
+
+/** The parts of a prompt, the salt under which they are cached, and where they can be fetched. */
+export type OptionPrompt = {
+	readonly parts: readonly PromptPart[];
+	readonly salt: string;
+	readonly fetchFrom: ReadonlyArray<string | undefined>;
+	readonly service: Service;
+	readonly stores: readonly StoreFigures[];
 };
 
 /** Describes an instance for the choice of where a request goes. */
@@ -209,10 +218,55 @@
 		load: entry.load,
 		failureShare: entry.health.failureShare,
 		isCold: record.coldLeftMs > 0 && nowMs - heardAtMs < Math.min(record.coldLeftMs, msPerSecond * 10),
-		cachedTokens: prompt !== undefined && entry.cached?.salt === prompt.salt ? entry.cached.parts.countCached(prompt.parts) : 0,
+		...describeCoverage(entry, prompt),
 	};
 }
 
+type Coverage = Pick<InstanceOption, 'cachedTokens' | 'fetchableTokens' | 'fetchMs'>;
+
+/** Transfers between availability zones take twice as long. */
+const otherZoneFactor = 2;
+const bitsPerByte = 8;
+const bitsPerMegabitMs = 1000;
+
+// A prompt is spared the reading of a part only where all parts before it are at hand too.
+function describeCoverage(entry: InstanceEntry, prompt: OptionPrompt | undefined): Coverage {
+	if (prompt === undefined) {
+		return {cachedTokens: 0, fetchableTokens: 0, fetchMs: 0};
+	}
+
+	const cachedTokens = entry.cached?.salt === prompt.salt ? entry.cached.parts.countCached(prompt.parts) : 0;
+	let passedTokens = 0;
+	let fetchableTokens = 0;
+	let fetchMs = 0;
+
+	for (const [position, part] of prompt.parts.entries()) {
+		passedTokens += part.tokens;
+
+		if (passedTokens <= cachedTokens) {
+			continue;
+		}
+
+		const store = prompt.stores.find(one => one.address === prompt.fetchFrom[position]);
+
+		if (store === undefined) {
+			break;
+		}
+
+		fetchableTokens += part.tokens;
+		fetchMs += estimateFetchMs(entry, store, {tokens: part.tokens, engine: prompt.service.engine!});
+	}
+
+	return {cachedTokens, fetchableTokens, fetchMs};
+}
+
+function estimateFetchMs(entry: InstanceEntry, store: StoreFigures, {tokens, engine}: {readonly tokens: number; readonly engine: EngineFigures}): number {
+	const megabits = Math.max(1, Math.min(store.linkMegabitsPerSecond, engine.linkMegabitsPerSecond));
+	const transferMs = tokens * engine.bytesPerToken * bitsPerByte / (megabits * bitsPerMegabitMs);
+
+	return store.firstByteMs + (transferMs * (store.availabilityZone === entry.held.record.availabilityZone ? 1 : otherZoneFactor));
+}
+
 /** Notes the parts that an instance has read under a salt; those of another version of the weights are gone. */
 export function noteCached(entry: InstanceEntry, parts: readonly PromptPart[], {salt, capacityTokens}: {readonly salt: string; readonly capacityTokens: number}): void {
 	if (entry.cached?.salt !== salt) {
--- /dev/null
+++ b/packages/gateway/src/parts-client.ts
@@ -0,0 +1,103 @@
+import {type Clock} from '@fescuestair/core';
+import {
+	createPartsView, deriveKey, takePartsReply, type PartsPoll, type PartsReply, type PartsView,
+} from '@fescuestair/parts';
+import {LinkKind, type LinkMessage, type LinkReply} from '@fescuestair/protocol';
+import {type Log} from '@fescuestair/runtime';
+import {type Links} from '@fescuestair/transport';
+
+export type PartsClientOptions = {
+	readonly getKeeperAddress: () => string | undefined;
+	readonly links: Links;
+	readonly clock: Clock;
+	readonly log: Log;
+};
+
+/** Keeps up with the keeper of stored parts. */
+export type PartsClient = {
+	readonly getView: () => PartsView;
+	/** Notes that a request asked for a part; the least recently used go first. */
+	readonly noteUse: (part: {readonly salt: string; readonly id: string}) => void;
+	/** Notes that a part is on its way to a store. */
+	readonly noteSave: (part: {readonly salt: string; readonly id: string}) => void;
+	/** Whether a part was sent to a store lately and may be there soon. */
+	readonly isBeingSaved: (part: {readonly salt: string; readonly id: string}) => boolean;
+	readonly stop: () => void;
+};
+
+const pollMs = 200;
+const callTimeoutMs = 700;
+/** A part that is not known to be in its store by then is sent again: it waits for its prompt to be read, and for the link. */
+const saveMs = 2500;
+/** Notes of use that wait while no keeper answers. */
+const maxUses = 5000;
+
+/** Creates the client of the keeper of stored parts. */
+export function createPartsClient({getKeeperAddress, links, clock, log}: PartsClientOptions): PartsClient {
+	let view = createPartsView();
+	let used = new Set<string>();
+	const saves = new Map<string, number>();
+	let isPolling = false;
+	let isLost = false;
+
+	const poll = async () => {
+		const address = getKeeperAddress();
+
+		if (isPolling || address === undefined) {
+			return;
+		}
+
+		isPolling = true;
+		const askedAtMs = clock.readMonotonicMs();
+		const question: PartsPoll = {epoch: view.epoch, revision: view.revision, used: [...used]};
+
+		try {
+			const answer = await links.call(address, {kind: LinkKind.PollParts, poll: question} satisfies LinkMessage, callTimeoutMs) as LinkReply;
+
+			if (answer.kind === 'parts') {
+				view = takePartsReply(view, answer.reply as PartsReply, askedAtMs);
+				used = new Set();
+			}
+
+			isLost = false;
+		} catch (error) {
+			if (!isLost) {
+				isLost = true;
+				log.warn('the keeper of stored parts does not answer', {address, reason: String(error)});
+			}
+		}
+
+		isPolling = false;
+	};
+
+	const tidySaves = () => {
+		const nowMs = clock.readMonotonicMs();
+
+		for (const [key, deadlineMs] of saves) {
+			if (nowMs >= deadlineMs) {
+				saves.delete(key);
+			}
+		}
+	};
+
+	const timer = setInterval(() => {
+		tidySaves();
+		void poll();
+	}, pollMs);
+
+	return {
+		getView: () => view,
+		noteUse(part) {
+			if (used.size < maxUses) {
+				used.add(deriveKey(part));
+			}
+		},
+		noteSave(part) {
+			saves.set(deriveKey(part), clock.readMonotonicMs() + saveMs);
+		},
+		isBeingSaved: part => saves.has(deriveKey(part)),
+		stop() {
+			clearInterval(timer);
+		},
+	};
+}
--- /dev/null
+++ b/packages/parts/src/choose-store.ts
@@ -0,0 +1,35 @@
+import {computeHash} from '@fescuestair/core';
+
+export type StoreChoice = {
+	readonly address: string;
+	readonly capacityTokens: number;
+	readonly firstByteMs: number;
+};
+
+/** A store takes parts up to this share of its room, so that a few large ones do not drive out all others. */
+const largestPartShare = 1 / 32;
+
+/**
+Chooses the store for a part: of those with room for its size the quickest, and among equals the same for all daemons.
+
+@example
+```
+chooseStore(stores, {id: '5c1e07a2', tokens: 246})?.address;
+```
+*/
+export function chooseStore(stores: readonly StoreChoice[], part: {readonly id: string; readonly tokens: number}): StoreChoice | undefined {
+	const fitting = stores.filter(store => part.tokens <= store.capacityTokens * largestPartShare);
+	const open = fitting.length > 0 ? fitting : stores.filter(store => part.tokens <= store.capacityTokens);
+	const quickestMs = Math.min(...open.map(store => store.firstByteMs));
+	let best: {readonly store: StoreChoice; readonly weight: bigint} | undefined;
+
+	for (const store of open) {
+		const weight = computeHash(`${part.id}/${store.address}`);
+
+		if (store.firstByteMs === quickestMs && (best === undefined || weight > best.weight)) {
+			best = {store, weight};
+		}
+	}
+
+	return best?.store;
+}
--- a/packages/protocol/src/link-messages.ts
+++ b/packages/protocol/src/link-messages.ts
@@ -20,6 +20,8 @@
 	/** A new version of the configuration or of the weights, told at once. */
 	Published = 'published',
 	ReadPublished = 'read_published',
+	/** A gateway asks the keeper of stored parts for news. */
+	PollParts = 'poll_parts',
 }
 
 /** Messages; the parts typed as unknown belong to the packages that read them. */
@@ -42,6 +44,7 @@
 		| {readonly kind: LinkKind.Instances; readonly notes: unknown}
 		| {readonly kind: LinkKind.Published; readonly published: unknown}
 		| {readonly kind: LinkKind.ReadPublished}
+		| {readonly kind: LinkKind.PollParts; readonly poll: unknown}
 		| {readonly kind: LinkKind.Join; readonly id: string; readonly name: string; readonly address: string};
 
 export type LinkReply
@@ -62,6 +65,7 @@
 		| {readonly kind: 'noted'}
 		| {readonly kind: 'hello'; readonly reply: unknown}
 		| {readonly kind: 'published'; readonly published: unknown}
+		| {readonly kind: 'parts'; readonly reply: unknown}
 		| {readonly kind: 'returns'; readonly timesSeen: number; readonly returns: {readonly seenOnce: number; readonly returned: number}}
 		| {readonly kind: 'error'; readonly message: string};
 
--- a/packages/routing/src/choose-instance.ts
+++ b/packages/routing/src/choose-instance.ts
@@ -13,6 +13,9 @@
 	readonly isCold: boolean;
 	/** Prompt tokens that it is believed to hold already. */
 	readonly cachedTokens: number;
+	/** Tokens after those that it can fetch, and how long that takes. */
+	readonly fetchableTokens: number;
+	readonly fetchMs: number;
 };
 
 export type PlacementQuestion = {
@@ -120,7 +123,7 @@
 export function estimateFirstPieceMs(option: InstanceOption, prompt: PromptSize, {nowMs, isPreferred}: FirstPieceInput): number {
 	const {load} = option;
 	const assumed = isPreferred ? prompt.sharedTokens * preferredShare : 0;
-	const uncached = Math.max(0, prompt.promptTokens - Math.max(option.cachedTokens, assumed));
+	const uncached = Math.max(0, prompt.promptTokens - Math.max(option.cachedTokens + option.fetchableTokens, assumed));
 	const others = estimateOthers(load, nowMs);
 	const meanOwnTokens = load.own === 0 ? 0 : load.ownHeldTokens / load.own;
 	const held = load.ownHeldTokens + (others * meanOwnTokens);
@@ -129,5 +132,5 @@
 	const placeMs = Math.max(0, load.own + others + 1 - option.slots) * memoryWaitMs / option.slots;
 	const prefillMs = (load.ownPendingTokens + uncached) / prompt.prefillTokensPerMs;
 
-	return prefillMs + memoryMs + placeMs + (stepMsPerRequest * (load.own + others));
+	return option.fetchMs + prefillMs + memoryMs + placeMs + (stepMsPerRequest * (load.own + others));
 }
--- a/scripts/check-layers.mjs
+++ b/scripts/check-layers.mjs
@@ -9,6 +9,7 @@
 	protocol: 1,
 	traffic: 1,
 	instances: 1,
+	parts: 1,
 	fates: 2,
 	agreement: 2,
 	membership: 2,
