Keep one queue of work for each engine, shared by all gateways

Cause: a gateway saw only its own prompts; shorts waited behind long prompts that others had just sent (252 of 318 late shorts had a long prompt of over 10,000 uncached tokens before them). Ruled out: polling reports (priced, and 200 ms late). Long prompts leave a fifth of the instances to short ones.

--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -182,7 +182,7 @@
 			instanceRevision: registry.revision,
 			notes: listNews(registry, {afterRevision, nowMs}),
 			coordinators: [self, ...listCards(daemons, {role: DaemonRole.Coordinator, nowMs, maxAgeMs: coordinatorAgeMs})],
-			gatewayCount: listCards(daemons, {role: DaemonRole.Gateway, nowMs, maxAgeMs: gatewayAgeMs}).length,
+			gateways: listCards(daemons, {role: DaemonRole.Gateway, nowMs, maxAgeMs: gatewayAgeMs}).map(card => card.linkAddress),
 			published: published.revision > hello.publishedRevision
 				? describePublished(published, {knownConfigVersion: hello.configVersion}) : undefined,
 			leaderAddress: replica.getLeadingTerm() === undefined ? replica.findLeaderAddress() : linkAddress,
--- a/packages/gateway/src/coordinator-client.ts
+++ b/packages/gateway/src/coordinator-client.ts
@@ -24,7 +24,8 @@
 	readonly takeNotes: (notes: readonly InstanceNote[]) => void;
 	/** Whether what is in force was learned from a coordinator that was current; or nobody is, for too long. */
 	readonly isCurrent: () => boolean;
-	readonly getGatewayCount: () => number;
+	/** Link addresses of all gateways, this one too. */
+	readonly getGateways: () => readonly string[];
 	/** Link address of the replica that leads, as far as is known. */
 	readonly getLeaderAddress: () => string | undefined;
 	/** Tells all coordinators at once, as when this daemon leaves. */
@@ -61,7 +62,7 @@
 	let revision = 0;
 	let configVersion = 0;
 	let hasCurrent = false;
-	let gatewayCount = 1;
+	let gateways: readonly string[] = [];
 	let leaderAddress: string | undefined;
 
 	const takePublished = (published: Published) => {
@@ -93,7 +94,7 @@
 		takeNotes(reply.notes);
 		cursors.set(address, {bootId: reply.bootId, revision: reply.instanceRevision});
 		heard.set(address, nowMs);
-		gatewayCount = Math.max(1, reply.gatewayCount);
+		gateways = reply.gateways;
 
 		for (const card of reply.coordinators) {
 			if (!heard.has(card.linkAddress)) {
@@ -155,7 +156,7 @@
 		takePublished,
 		takeNotes,
 		isCurrent: () => hasCurrent || (configVersion > 0 && clock.readMonotonicMs() - startedAtMs >= graceMs),
-		getGatewayCount: () => gatewayCount,
+		getGateways: () => gateways,
 		getLeaderAddress: () => leaderAddress,
 		sayHello,
 		stop() {
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -2,7 +2,7 @@
 import {type Clock} from '@fescuestair/core';
 import {withdrawRetry, type RetryBudget} from '@fescuestair/limits';
 import {
-	chooseInstance, HealthEvent, type Placement, type PromptPart, type PromptSize,
+	chooseInstance, computeWaitMs, HealthEvent, type Placement, type PromptPart, type PromptSize,
 } from '@fescuestair/routing';
 import {
 	chooseStore, computeFetchUntil, findPlaces, formatSalt, type PartPlace,
@@ -38,8 +38,6 @@
 	readonly isLeaving: () => boolean;
 };
 
-/** Prompt tokens that an engine reads in a ms, until answers have told. */
-const defaultPrefillTokensPerMs = 50;
 /** Sendings that were not run cost little; past this many the service is taken to be full. */
 const maxRefusedSendings = 4;
 /** Time below which a request has no chance to be answered. */
@@ -239,6 +237,7 @@
 		};
 	}
 
+	const prefillTokensPerMs = book.getPrefillTokensPerMs(service.name);
 	const wanted = getWeights().get(prompt.model) ?? 0;
 	const versions = new Map(open.map(entry => [entry.held.record.id, findVersion(entry, prompt.model)]));
 	// New requests go to the newest weights, as long as some instance has them.
@@ -259,7 +258,7 @@
 		})}];
 	}));
 	const placement = chooseInstance({
-		options: [...described.values()].map(one => one.option), nowMs, availabilityZone, prompt: describePrompt(exchange, service),
+		options: [...described.values()].map(one => one.option), nowMs, availabilityZone, prompt: describePrompt(exchange, {service, prefillTokensPerMs}),
 	});
 
 	if (placement === undefined) {
@@ -315,7 +314,7 @@
 	});
 }
 
-function describePrompt({caller}: Exchange, {engine}: Service): PromptSize {
+function describePrompt({caller}: Exchange, {service, prefillTokensPerMs}: {readonly service: Service; readonly prefillTokensPerMs: number}): PromptSize {
 	const {promptTokens, maxOutputTokens, expectedOutputTokens, parts} = caller.prompt!;
 	const shared = parts.slice(0, -1);
 	let sharedTokens = 0;
@@ -327,8 +326,8 @@
 	return {
 		promptTokens,
 		outputTokens: expectedOutputTokens ?? maxOutputTokens,
-		cacheTokens: engine!.cacheTokens,
-		prefillTokensPerMs: defaultPrefillTokensPerMs,
+		cacheTokens: service.engine!.cacheTokens,
+		prefillTokensPerMs,
 		affinityKey: shared.at(-1)?.id,
 		sharedTokens,
 	};
@@ -358,6 +357,7 @@
 	const one: Visit = {
 		startedAtMs,
 		uncachedTokens,
+		workMs: cache === undefined ? 0 : uncachedTokens / book.getPrefillTokensPerMs(service.name),
 		heldTokens: caller.prompt === undefined ? 0 : caller.prompt.promptTokens + caller.prompt.maxOutputTokens,
 		silenceMs: Math.max(isStreaming ? silenceFloorMs : plainSilenceFloorMs, silenceFactor * placement.expectedMs),
 		onSilent() {
@@ -444,7 +444,7 @@
 		firstPieceMs: Math.round(firstPieceMs ?? 0),
 		tookMs: Math.round(clock.readMonotonicMs() - startedAtMs),
 		own: loadBefore.own,
-		pendingTokens: Math.round(loadBefore.ownPendingTokens),
+		waitMs: Math.round(computeWaitMs(loadBefore.work, startedAtMs)),
 		...(loadBefore.report !== undefined && {
 			reported: `${loadBefore.report.running},${loadBefore.report.waiting}`, reportAgeMs: Math.round(startedAtMs - loadBefore.report.atMs),
 		}),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,6 +18,7 @@
 import {Outcome, sendOwnAnswer, type ExchangeEnd} from './exchange.js';
 import {forwardExchange, type ForwardOptions} from './forward.js';
 import {createInstanceBook} from './instance-book.js';
+import {createLoadShare, type LoadNote} from './load-share.js';
 import {createPartsClient} from './parts-client.js';
 
 export type GatewayOptions = {
@@ -98,13 +99,15 @@
 	let lastRequestAtMs = 0;
 	const budgets = new Map<string, RetryBudget>();
 
+	const countGateways = () => Math.max(1, client.getGateways().length);
+
 	const book = createInstanceBook({
 		clock,
 		log,
 		getMaxConnections(service) {
 			const most = table?.services.get(service)?.maxConnections ?? leastConnections;
 
-			return Math.max(leastConnections, Math.floor(most * usedConnectionShare / client.getGatewayCount()));
+			return Math.max(leastConnections, Math.floor(most * usedConnectionShare / countGateways()));
 		},
 	});
 
@@ -142,7 +145,7 @@
 		getWeights: () => weights,
 		budgets,
 		createBudget: () => createRetryBudget({
-			capacity: Math.max(1, repeats.slack * usedBudgetShare / client.getGatewayCount()), sharePerSuccess: repeats.perRequest * usedBudgetShare,
+			capacity: Math.max(1, repeats.slack * usedBudgetShare / countGateways()), sharePerSuccess: repeats.perRequest * usedBudgetShare,
 		}),
 		isLeaving: () => isLeaving,
 	};
@@ -284,7 +287,15 @@
 		},
 	});
 
+	const loadShare = createLoadShare({
+		linkAddress, links, clock, book, getGateways: () => client.getGateways(),
+	});
 	const commands = createLinkCommands();
+	commands.registerCommand(LinkKind.Loads, ({from, loads}) => {
+		loadShare.take(from, loads as LoadNote);
+
+		return true;
+	});
 	commands.registerCommand(LinkKind.Published, ({published}) => {
 		client.takePublished(published as Published);
 
@@ -324,6 +335,7 @@
 
 			client.stop();
 			parts.stop();
+			loadShare.stop();
 			server.close();
 			server.closeAllConnections();
 			book.stop();
--- a/packages/gateway/src/instance-book.ts
+++ b/packages/gateway/src/instance-book.ts
@@ -1,18 +1,27 @@
 import {type Clock} from '@fescuestair/core';
 import {InstanceStage, type HeldInstance, type InstanceRegistry} from '@fescuestair/instances';
 import {
-	canTakeRequests, createCachedParts, createInstanceHealth, createInstanceLoad, HealthEvent, judgeInstance, mergeSample, type CachedParts,
-	type InstanceHealth, type InstanceLoad, type InstanceOption, type PromptPart,
+	addWork, canTakeRequests, computeCorrectionMs, computeWaitMs, correctClock, createCachedParts, createInstanceHealth, createInstanceLoad, HealthEvent, estimateWork, isOverdue, judgeInstance, mergeSample, noPeerLoad,
+	type CachedParts, type InstanceHealth, type InstanceLoad, type InstanceOption, type PeerLoad, type PromptPart,
+	type WorkEstimate as PlainWorkEstimate,
 } from '@fescuestair/routing';
 import {type Log} from '@fescuestair/runtime';
 import {type EngineFigures, type Service, type StoreFigures} from '@fescuestair/traffic';
+import {type InstanceShare, type WorkShare} from './load-share.js';
 import {UpstreamAgent} from './upstream-agent.js';
 
+type WorkEstimate = PlainWorkEstimate & {
+	/** Nothing was to be read before it: its time tells the rate. */
+	readonly wasIdle: boolean;
+};
+
 /** A request that is at an instance. */
 export type Visit = {
 	readonly startedAtMs: number;
 	/** Prompt tokens that no cache was believed to hold. */
 	readonly uncachedTokens: number;
+	/** What reading them is expected to take; 0 for a plain call. */
+	readonly workMs: number;
 	readonly heldTokens: number;
 	/** Longest time for which a sound instance says nothing. */
 	readonly silenceMs: number;
@@ -28,7 +37,9 @@
 	readonly agent: UpstreamAgent;
 	/** Parts believed to be cached, by salt. */
 	cached: {readonly salt: string; readonly parts: CachedParts} | undefined;
-	readonly visits: Set<Visit>;
+	readonly visits: Map<Visit, WorkEstimate | undefined>;
+	/** Work added since the other gateways were told. */
+	untoldWorkMs: number;
 	lastByteAtMs: number;
 	/** Weight versions seen in answers go before those announced. */
 	readonly refusedVersions: Map<string, number>;
@@ -52,13 +63,33 @@
 	readonly noteFirstPiece: (entry: InstanceEntry, visit: Visit) => void;
 	readonly noteBytes: (entry: InstanceEntry) => void;
 	readonly end: (entry: InstanceEntry, visit: Visit) => void;
+	/** Lists what this daemon has at each instance. */
+	readonly listShares: () => readonly InstanceShare[];
+	/** Takes the work that the others were not told of yet. */
+	readonly takeUntoldWork: () => readonly WorkShare[];
+	readonly sumUntoldWorkMs: () => number;
+	readonly addPeerWork: (shares: readonly WorkShare[]) => void;
+	/** Prompt tokens that engines of a service read in a ms, as their answers have told. */
+	readonly getPrefillTokensPerMs: (service: string) => number;
+	/** Sets what the others have there. */
+	readonly setPeers: (peers: ReadonlyMap<string, PeerLoad>) => void;
 	readonly judge: (entry: InstanceEntry, event: HealthEvent) => void;
 	readonly stop: () => void;
 };
 
 /** An instance that said nothing of itself for this long, and answered nothing either, is taken for lost: four announcements. */
 const lostMs = 5500;
-const watchMs = 100;
+const watchMs = 50;
+/** Prompts that take longer to read than this are watched for being late. */
+const longWorkMs = 40;
+/** By how much a late one is taken to be later still; more than the watch lasts. */
+const overdueStepMs = 80;
+/** Prompt tokens that an engine reads in a ms, until answers have told. */
+const defaultPrefillTokensPerMs = 40;
+/** Shorter prompts tell more of fixed costs than of the rate. */
+const rateSampleTokens = 2000;
+/** Weight of the newest sample: about twenty prompts are looked at. */
+const rateSampleShare = 0.05;
 /** An instance that announced itself as cold is not loaded evenly before it is warm. */
 const msPerSecond = 1000;
 
@@ -72,6 +103,17 @@
 */
 export function createInstanceBook({clock, log, getMaxConnections}: InstanceBookOptions): InstanceBook {
 	const entries = new Map<string, InstanceEntry>();
+	const rates = new Map<string, number>();
+
+	const shiftWork = (entry: InstanceEntry, workMs: number) => {
+		entry.load = {...entry.load, work: addWork(entry.load.work, workMs, clock.readMonotonicMs())};
+		entry.untoldWorkMs += workMs;
+	};
+
+	const learnRate = (service: string, sample: number) => {
+		const before = rates.get(service) ?? defaultPrefillTokensPerMs;
+		rates.set(service, before + (rateSampleShare * (sample - before)));
+	};
 
 	const judge = (entry: InstanceEntry, event: HealthEvent) => {
 		const before = entry.health;
@@ -90,12 +132,25 @@
 		&& nowMs - Math.max(held.heardAtMs, lastByteAtMs) < lostMs
 		&& canTakeRequests(health, load.own, nowMs);
 
+	// An instance that is late with a long prompt is still reading it: until its first piece comes, it stays busy.
+	const extendOverdue = (entry: InstanceEntry, nowMs: number) => {
+		for (const estimate of entry.visits.values()) {
+			if (estimate !== undefined && estimate.workMs >= longWorkMs && isOverdue(entry.load.work, estimate, nowMs)) {
+				entry.load = {...entry.load, work: correctClock(entry.load.work, overdueStepMs, nowMs)};
+				entry.untoldWorkMs += overdueStepMs;
+
+				return;
+			}
+		}
+	};
+
 	// What is awaited from an instance that says nothing at all any more may go on elsewhere.
 	const watch = () => {
 		const nowMs = clock.readMonotonicMs();
 
 		for (const entry of entries.values()) {
-			const silentVisits = [...entry.visits].filter(visit => nowMs - Math.max(visit.startedAtMs, entry.lastByteAtMs) >= visit.silenceMs);
+			extendOverdue(entry, nowMs);
+			const silentVisits = [...entry.visits.keys()].filter(visit => nowMs - Math.max(visit.startedAtMs, entry.lastByteAtMs) >= visit.silenceMs);
 
 			if (silentVisits.length === 0) {
 				continue;
@@ -142,33 +197,94 @@
 		},
 		countKnown: service => [...entries.values()].filter(entry => entry.held.record.service === service).length,
 		begin(entry, visit) {
-			entry.visits.add(visit);
+			const nowMs = clock.readMonotonicMs();
+			const wasIdle = computeWaitMs(entry.load.work, nowMs) === 0;
+			shiftWork(entry, visit.workMs);
+			entry.visits.set(visit, visit.workMs === 0 ? undefined : {...estimateWork(entry.load.work, visit.workMs), wasIdle});
 			entry.load = {
 				...entry.load,
 				own: entry.load.own + 1,
-				ownPendingTokens: entry.load.ownPendingTokens + visit.uncachedTokens,
 				ownHeldTokens: entry.load.ownHeldTokens + visit.heldTokens,
 			};
 		},
 		noteFirstPiece(entry, visit) {
-			entry.load = {
-				...entry.load,
-				ownPendingTokens: Math.max(0, entry.load.ownPendingTokens - visit.uncachedTokens),
-				meanMs: mergeSample(entry.load.meanMs, clock.readMonotonicMs() - visit.startedAtMs),
-			};
+			const nowMs = clock.readMonotonicMs();
+			const estimate = entry.visits.get(visit);
+			entry.load = {...entry.load, meanMs: mergeSample(entry.load.meanMs, nowMs - visit.startedAtMs)};
+
+			if (estimate === undefined) {
+				return;
+			}
+
+			entry.visits.set(visit, undefined);
+			const correctionMs = computeCorrectionMs(entry.load.work, estimate, nowMs);
+			entry.load = {...entry.load, work: correctClock(entry.load.work, correctionMs, nowMs)};
+			entry.untoldWorkMs += correctionMs;
+
+			if (estimate.wasIdle && visit.uncachedTokens >= rateSampleTokens) {
+				learnRate(entry.held.record.service, visit.uncachedTokens / Math.max(1, nowMs - visit.startedAtMs));
+			}
 		},
 		noteBytes(entry) {
 			entry.lastByteAtMs = clock.readMonotonicMs();
 		},
 		end(entry, visit) {
+			// What ends before its first piece is not read to its end.
+			const estimate = entry.visits.get(visit);
+
+			if (estimate !== undefined) {
+				shiftWork(entry, -Math.max(0, Math.min(estimate.workMs, estimate.doneAtMs - clock.readMonotonicMs())));
+			}
+
 			entry.visits.delete(visit);
 			entry.load = {
 				...entry.load,
 				own: Math.max(0, entry.load.own - 1),
 				ownHeldTokens: Math.max(0, entry.load.ownHeldTokens - visit.heldTokens),
-				ownPendingTokens: entry.visits.size === 0 ? 0 : entry.load.ownPendingTokens,
 			};
 		},
+		listShares: () => [...entries].filter(([, {load}]) => load.own > 0)
+			.map(([id, {load}]) => [id, load.own, Math.round(load.ownHeldTokens)]),
+		takeUntoldWork() {
+			const untold: WorkShare[] = [];
+
+			for (const [id, entry] of entries) {
+				if (Math.abs(entry.untoldWorkMs) >= 1) {
+					untold.push([id, Math.round(entry.untoldWorkMs)]);
+					entry.untoldWorkMs = 0;
+				}
+			}
+
+			return untold;
+		},
+		sumUntoldWorkMs() {
+			let sum = 0;
+
+			for (const entry of entries.values()) {
+				sum += Math.abs(entry.untoldWorkMs);
+			}
+
+			return sum;
+		},
+		addPeerWork(shares) {
+			for (const [id, workMs] of shares) {
+				const entry = entries.get(id);
+
+				if (entry !== undefined) {
+					entry.load = {...entry.load, work: addWork(entry.load.work, workMs, clock.readMonotonicMs())};
+				}
+			}
+		},
+		getPrefillTokensPerMs: service => rates.get(service) ?? defaultPrefillTokensPerMs,
+		setPeers(peers) {
+			for (const [id, entry] of entries) {
+				const next = peers.get(id) ?? noPeerLoad;
+
+				if (next !== entry.load.peers) {
+					entry.load = {...entry.load, peers: next};
+				}
+			}
+		},
 		judge,
 		stop() {
 			clearInterval(timer);
@@ -187,7 +303,8 @@
 		health: createInstanceHealth(),
 		agent: new UpstreamAgent({maxConnections, readNowMs: clock.readMonotonicMs}),
 		cached: undefined,
-		visits: new Set(),
+		visits: new Map(),
+		untoldWorkMs: 0,
 		lastByteAtMs: Number.NEGATIVE_INFINITY,
 		refusedVersions: new Map(),
 	};
--- /dev/null
+++ b/packages/gateway/src/load-share.ts
@@ -0,0 +1,115 @@
+import {type Clock} from '@fescuestair/core';
+import {LinkKind, type LinkMessage} from '@fescuestair/protocol';
+import {type PeerLoad} from '@fescuestair/routing';
+import {type Links} from '@fescuestair/transport';
+import {type InstanceBook} from './instance-book.js';
+
+/** What one gateway has at one instance. */
+export type InstanceShare = readonly [instanceId: string, requests: number, heldTokens: number];
+
+/** Work that a gateway sent to an instance, or found to take more or less than was told. */
+export type WorkShare = readonly [instanceId: string, workMs: number];
+
+/** What a gateway tells the others. */
+export type LoadNote = {
+	readonly shares: readonly InstanceShare[];
+	/** Since the note before. */
+	readonly work: readonly WorkShare[];
+};
+
+export type LoadShareOptions = {
+	readonly linkAddress: string;
+	readonly links: Links;
+	readonly clock: Clock;
+	readonly book: InstanceBook;
+	/** Link addresses of all gateways. */
+	readonly getGateways: () => readonly string[];
+};
+
+/** Tells the other gateways what this one has at each instance, and takes what they say. */
+export type LoadShare = {
+	readonly take: (from: string, note: LoadNote) => void;
+	readonly stop: () => void;
+};
+
+/** Shortest time between two tellings: a short prompt is read within it. */
+const tellMs = 10;
+/** Work that the others should know of at once: more than a short prompt makes. */
+const urgentWorkMs = 20;
+const slowTellMs = 100;
+/** Also what did not change is told this often, so that the share of a gateway that died fades. */
+const refreshMs = 300;
+const staleMs = 900;
+
+/**
+Creates the exchange of loads. Answers the load pattern of many gateways that each send a long prompt to the same idle instance: without
+it each sees only its own.
+
+@example
+```
+const share = createLoadShare({linkAddress, links, clock, book, getGateways});
+```
+*/
+export function createLoadShare({linkAddress, links, clock, book, getGateways}: LoadShareOptions): LoadShare {
+	const heard = new Map<string, {readonly shares: readonly InstanceShare[]; readonly atMs: number}>();
+	let toldText = '';
+	let toldAtMs = Number.NEGATIVE_INFINITY;
+
+	const sumPeers = (nowMs: number) => {
+		const peers = new Map<string, PeerLoad>();
+
+		for (const [from, {shares, atMs}] of heard) {
+			if (nowMs - atMs >= staleMs) {
+				heard.delete(from);
+				continue;
+			}
+
+			for (const [id, requests, heldTokens] of shares) {
+				const sum = peers.get(id);
+				peers.set(id, {requests: (sum?.requests ?? 0) + requests, heldTokens: (sum?.heldTokens ?? 0) + heldTokens});
+			}
+		}
+
+		return peers;
+	};
+
+	const tell = () => {
+		const nowMs = clock.readMonotonicMs();
+		const sinceMs = nowMs - toldAtMs;
+
+		if (sinceMs < slowTellMs && book.sumUntoldWorkMs() < urgentWorkMs) {
+			return;
+		}
+
+		book.setPeers(sumPeers(nowMs));
+		const shares = book.listShares();
+		const work = book.takeUntoldWork();
+		const text = JSON.stringify(shares);
+
+		if (work.length === 0 && text === toldText && sinceMs < refreshMs) {
+			return;
+		}
+
+		toldText = text;
+		toldAtMs = nowMs;
+
+		for (const address of getGateways()) {
+			if (address !== linkAddress) {
+				links.send(address, {kind: LinkKind.Loads, from: linkAddress, loads: {shares, work} satisfies LoadNote} satisfies LinkMessage);
+			}
+		}
+	};
+
+	const timer = setInterval(tell, tellMs);
+
+	return {
+		take(from, {shares, work}) {
+			heard.set(from, {shares, atMs: clock.readMonotonicMs()});
+			book.addPeerWork(work);
+			book.setPeers(sumPeers(clock.readMonotonicMs()));
+		},
+		stop() {
+			clearInterval(timer);
+		},
+	};
+}
--- a/packages/instances/src/daemons.ts
+++ b/packages/instances/src/daemons.ts
@@ -47,8 +47,8 @@
 	readonly instanceRevision: number;
 	readonly notes: readonly InstanceNote[];
 	readonly coordinators: readonly DaemonCard[];
-	/** Gateways that were heard lately, ready or not. */
-	readonly gatewayCount: number;
+	/** Link addresses of the gateways that were heard lately, ready or not. */
+	readonly gateways: readonly string[];
 	readonly published: Published | undefined;
 	/** The replica that leads, as far as the coordinator knows. */
 	readonly leaderAddress: string | undefined;
--- a/packages/protocol/src/link-messages.ts
+++ b/packages/protocol/src/link-messages.ts
@@ -22,6 +22,8 @@
 	ReadPublished = 'read_published',
 	/** A gateway asks the keeper of stored parts for news. */
 	PollParts = 'poll_parts',
+	/** A gateway tells the others what it has at each instance. */
+	Loads = 'loads',
 }
 
 /** Messages; the parts typed as unknown belong to the packages that read them. */
@@ -44,6 +46,7 @@
 		| {readonly kind: LinkKind.Instances; readonly notes: unknown}
 		| {readonly kind: LinkKind.Published; readonly published: unknown}
 		| {readonly kind: LinkKind.ReadPublished}
+		| {readonly kind: LinkKind.Loads; readonly from: string; readonly loads: unknown}
 		| {readonly kind: LinkKind.PollParts; readonly poll: unknown}
 		| {readonly kind: LinkKind.Join; readonly id: string; readonly name: string; readonly address: string};
 
--- a/packages/routing/src/choose-instance.ts
+++ b/packages/routing/src/choose-instance.ts
@@ -1,5 +1,6 @@
 import {computeHash} from '@fescuestair/core';
 import {estimateOthers, type InstanceLoad} from './instance-load.js';
+import {computeWaitMs} from './work-clock.js';
 
 /** One instance as a request may go there. */
 export type InstanceOption = {
@@ -44,6 +45,11 @@
 	readonly cost: number;
 };
 
+/** Reading that lasts longer than this delays short prompts noticeably. */
+const longWorkMs = 60;
+/** Share of the instances that is left to short prompts; where there are fewer than the least, none can be spared. */
+const reservedShare = 0.2;
+const leastForReserve = 3;
 /** An instance in another availability zone costs its round trip, and a price for bytes between them. */
 const otherZoneMs = 3;
 /** What each failure in ten costs: a request that fails is sent again or lost. */
@@ -71,8 +77,13 @@
 export function chooseInstance(question: PlacementQuestion): Placement | undefined {
 	let best: Placement | undefined;
 	const preferredId = findPreferred(question);
+	const reservedIds = listReserved(question);
 
 	for (const option of question.options) {
+		if (reservedIds.has(option.id)) {
+			continue;
+		}
+
 		const expectedMs = question.prompt === undefined
 			? estimateCallMs(option, question.nowMs)
 			: estimateFirstPieceMs(option, question.prompt, {nowMs: question.nowMs, isPreferred: option.id === preferredId});
@@ -89,6 +100,25 @@
 	return best;
 }
 
+// A prompt that takes long to read delays every short one behind it. Some instances, those that are free first, are left to short ones;
+// on the others long prompts wait for each other.
+function listReserved({options, prompt, nowMs}: PlacementQuestion): ReadonlySet<string> {
+	if (prompt === undefined || options.length < leastForReserve) {
+		return new Set();
+	}
+
+	const leastWorkMs = Math.min(...options.map(option => (prompt.promptTokens - option.cachedTokens - option.fetchableTokens) / prompt.prefillTokensPerMs));
+
+	if (leastWorkMs < longWorkMs) {
+		return new Set();
+	}
+
+	const count = Math.max(1, Math.round(options.length * reservedShare));
+	const ranked = options.toSorted((a, b) => computeWaitMs(a.load.work, nowMs) - computeWaitMs(b.load.work, nowMs) || (a.id < b.id ? -1 : 1));
+
+	return new Set(ranked.slice(0, count).map(option => option.id));
+}
+
 // All daemons rank the instances alike for the same shared part, without a message.
 function findPreferred({options, prompt}: PlacementQuestion): string | undefined {
 	if (prompt?.affinityKey === undefined) {
@@ -125,12 +155,11 @@
 	const assumed = isPreferred ? prompt.sharedTokens * preferredShare : 0;
 	const uncached = Math.max(0, prompt.promptTokens - Math.max(option.cachedTokens + option.fetchableTokens, assumed));
 	const others = estimateOthers(load, nowMs);
-	const meanOwnTokens = load.own === 0 ? 0 : load.ownHeldTokens / load.own;
-	const held = load.ownHeldTokens + (others * meanOwnTokens);
+	const held = load.ownHeldTokens + load.peers.heldTokens;
 	const overflow = Math.max(0, held + prompt.promptTokens + prompt.outputTokens - prompt.cacheTokens);
 	const memoryMs = overflow / Math.max(1, prompt.promptTokens + prompt.outputTokens) * memoryWaitMs;
 	const placeMs = Math.max(0, load.own + others + 1 - option.slots) * memoryWaitMs / option.slots;
-	const prefillMs = (load.ownPendingTokens + uncached) / prompt.prefillTokensPerMs;
+	const waitMs = Math.max(option.fetchMs, computeWaitMs(load.work, nowMs));
 
-	return option.fetchMs + prefillMs + memoryMs + placeMs + (stepMsPerRequest * (load.own + others));
+	return waitMs + (uncached / prompt.prefillTokensPerMs) + memoryMs + placeMs + (stepMsPerRequest * (load.own + others));
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -13,7 +13,7 @@
 	Priority, type EngineCandidate, type EngineView, type PromptPlan, type StoreView, type Weights,
 } from './types.js';
 export {
-	createInstanceLoad, estimateOthers, mergeSample, type InstanceLoad, type LoadReport,
+	createInstanceLoad, estimateOthers, mergeSample, noPeerLoad, type InstanceLoad, type LoadReport, type PeerLoad,
 } from './instance-load.js';
 export {
 	canTakeRequests, createInstanceHealth, HealthEvent, judgeInstance, type InstanceHealth,
@@ -21,4 +21,7 @@
 export {
 	chooseInstance, estimateFirstPieceMs, type InstanceOption, type Placement, type PlacementQuestion, type PromptSize,
 } from './choose-instance.js';
+export {
+	addWork, computeCorrectionMs, computeWaitMs, correctClock, createWorkClock, estimateWork, isOverdue, type WorkClock, type WorkEstimate,
+} from './work-clock.js';
 export {createCachedParts, type CachedParts, type PromptPart} from './cached-parts.js';
--- a/packages/routing/src/instance-load.ts
+++ b/packages/routing/src/instance-load.ts
@@ -1,3 +1,5 @@
+import {createWorkClock, type WorkClock} from './work-clock.js';
+
 /** What an instance told of its load with a response. */
 export type LoadReport = {
 	readonly running: number;
@@ -8,15 +10,22 @@
 	readonly ownAtReport: number;
 };
 
+/** Requests that other daemons have at an instance. */
+export type PeerLoad = {readonly requests: number; readonly heldTokens: number};
+
+export const noPeerLoad: PeerLoad = {requests: 0, heldTokens: 0};
+
 /** What one daemon knows of the load of one instance: its own requests exactly, those of others from reports. Immutable. */
 export type InstanceLoad = {
 	/** Own requests in progress. */
 	readonly own: number;
-	/** Prompt tokens of own requests that gave no first piece yet and that no cache holds. */
-	readonly ownPendingTokens: number;
+	/** When it will have read all prompts sent to it, by any daemon. */
+	readonly work: WorkClock;
 	/** Tokens of own requests in progress, read and to be made. */
 	readonly ownHeldTokens: number;
 	readonly report: LoadReport | undefined;
+	/** What the other gateways say that they have there. */
+	readonly peers: PeerLoad;
 	/** Mean time from sending to the first piece, or to the whole answer where there are no pieces. */
 	readonly meanMs: number | undefined;
 };
@@ -29,26 +38,26 @@
 /** Creates the load of an instance that got nothing from here yet. */
 export function createInstanceLoad(): InstanceLoad {
 	return {
-		own: 0, ownPendingTokens: 0, ownHeldTokens: 0, report: undefined, meanMs: undefined,
+		own: 0, work: createWorkClock(), ownHeldTokens: 0, report: undefined, peers: noPeerLoad, meanMs: undefined,
 	};
 }
 
 /**
-Estimates the requests that others have at an instance; it fades as the report ages.
+Estimates the requests that others have at an instance: what they say, or more where a report told of more; a report fades as it ages.
 
 @example
 ```
 estimateOthers(load, nowMs); //=> 3.5
 ```
 */
-export function estimateOthers({report}: InstanceLoad, nowMs: number): number {
+export function estimateOthers({report, peers}: InstanceLoad, nowMs: number): number {
 	if (report === undefined || nowMs - report.atMs >= reportMs) {
-		return 0;
+		return peers.requests;
 	}
 
 	const others = Math.max(0, report.running + report.waiting - report.ownAtReport);
 
-	return others * (1 - ((nowMs - report.atMs) / reportMs));
+	return Math.max(peers.requests, others * (1 - ((nowMs - report.atMs) / reportMs)));
 }
 
 /** Takes a sample into a mean. */
