Recover in one second from an outage, and let late long prompts wait at the gateway

Cause: after all machines lost power, gateways refused for two seconds (elections waited 1 to 2 s; hello every 400 ms), then held 4 connections an instance (the bound was set before the configuration was known), then 40 long prompts that came back within 0.8 s filled every engine.

--- a/packages/agreement/src/create.ts
+++ b/packages/agreement/src/create.ts
@@ -31,6 +31,7 @@
 	} = options;
 	invariant(timing.leaseMs < timing.electionMs, 'the lease must end before another replica may be elected');
 	const log = {snapshot, entries};
+	const startElectionMs = timing.startElectionMs ?? timing.electionMs;
 
 	return {
 		id,
@@ -43,10 +44,10 @@
 		log,
 		commitIndex: snapshot.index,
 		electionDeadlineMs: computeElectionDeadline({
-			id, term: hardState.term, timing, nowMs,
+			id, term: hardState.term, timing: {...timing, electionMs: startElectionMs}, nowMs,
 		}),
 		// Before its restart this replica may have heard from a leader whose lease still runs.
-		voteDeadlineMs: nowMs + timing.electionMs,
+		voteDeadlineMs: nowMs + startElectionMs,
 		heartbeatDeadlineMs: 0,
 		votes: new Set(),
 		progress: new Map(),
--- a/packages/agreement/src/types.ts
+++ b/packages/agreement/src/types.ts
@@ -54,6 +54,8 @@
 	readonly electionMs: number;
 	/** A leader may answer as leader this long after a majority has last answered it; less than `electionMs`. */
 	readonly leaseMs: number;
+	/** As `electionMs`, right after a start; shorter only where nothing rests on a lease that an earlier leader may still hold. */
+	readonly startElectionMs?: number;
 };
 
 export type ReplicaState = {
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -85,8 +85,13 @@
 const handoverMs = 200;
 const defaultVoters = 5;
 const bootBytes = 6;
-/** Slow enough for small instances, quick enough that a lost leader is replaced within 2.5 s. */
-const timing: Timing = {heartbeatMs: 200, electionMs: 1000, leaseMs: 800};
+/**
+Slow enough for small instances, quick enough that a lost leader is replaced within 1.5 s. Reads and orders are confirmed by a majority and
+wait out their own spans, so that nothing rests on the lease of a leader before a restart.
+*/
+const timing: Timing = {
+	heartbeatMs: 150, electionMs: 700, leaseMs: 550, startElectionMs: 150,
+};
 
 /**
 Creates a coordinator: one replica of the durable state, the registry of instances and the directory of gateways.
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import http, {type IncomingHttpHeaders, type IncomingMessage} from 'node:http';
 import {type Socket} from 'node:net';
+import {performance} from 'node:perf_hooks';
 import {parseAddress} from '@fescuestair/transport';
 import {type UpstreamAnswer, type UpstreamCodec} from './codecs.js';
 import {type UpstreamAgent} from './upstream-agent.js';
@@ -32,6 +33,8 @@
 	readonly body: Buffer;
 	/** No connection could be made. */
 	readonly isUnreachable: boolean;
+	/** Time for which a new connection was awaited; `undefined` where one was at hand. */
+	readonly connectMs: number | undefined;
 };
 
 export type AttemptOptions = {
@@ -58,7 +61,7 @@
 	readonly resume: () => void;
 };
 
-/** A connection that is not made within this is given up: some hundred times the way there and back. */
+/** A connection to a silent instance that is not made within this is given up: some hundred times the way there and back. */
 const connectTimeoutMs = 400;
 /** The answers of plain calls are awaited whole up to this size. */
 const maxBufferedBytes = 4_194_304;
@@ -85,6 +88,7 @@
 	let incoming: IncomingMessage | undefined;
 	let settle: (result: AttemptResult) => void;
 	let isSettled = false;
+	let connectMs: number | undefined;
 	const result = new Promise<AttemptResult>(resolve => {
 		settle = resolve;
 	});
@@ -97,7 +101,7 @@
 		isSettled = true;
 		clearTimeout(connectTimer);
 		settle({
-			end, reason, head, body: Buffer.concat(chunks), isUnreachable,
+			end, reason, head, body: Buffer.concat(chunks), isUnreachable, connectMs,
 		});
 	};
 
@@ -122,7 +126,12 @@
 
 	request.on('socket', (socket: Socket) => {
 		if (socket.connecting) {
-			socket.once('connect', noteSent);
+			const startedAtMs = performance.now();
+			connectMs = 0;
+			socket.once('connect', () => {
+				connectMs = performance.now() - startedAtMs;
+				noteSent();
+			});
 		} else {
 			noteSent();
 		}
--- a/packages/gateway/src/coordinator-client.ts
+++ b/packages/gateway/src/coordinator-client.ts
@@ -36,6 +36,8 @@
 type Cursor = {readonly bootId: string; readonly revision: number};
 
 const helloMs = 400;
+/** As long as nothing is known, coordinators are asked more often: callers are turned away meanwhile. */
+const firstHelloMs = 100;
 const callTimeoutMs = 1200;
 /** A coordinator that did not answer for this long is forgotten, but for the seeds. */
 const forgetMs = 30_000;
@@ -149,8 +151,14 @@
 		}
 	};
 
-	const timer = setInterval(sayHello, helloMs);
-	sayHello();
+	let timer: NodeJS.Timeout;
+
+	const sayHelloAgain = () => {
+		sayHello();
+		timer = setTimeout(sayHelloAgain, configVersion === 0 ? firstHelloMs : helloMs);
+	};
+
+	sayHelloAgain();
 
 	return {
 		takePublished,
@@ -160,7 +168,7 @@
 		getLeaderAddress: () => leaderAddress,
 		sayHello,
 		stop() {
-			clearInterval(timer);
+			clearTimeout(timer);
 		},
 	};
 }
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -1,8 +1,9 @@
 import {Buffer} from 'node:buffer';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {type Clock} from '@fescuestair/core';
 import {withdrawRetry, type RetryBudget} from '@fescuestair/limits';
 import {
-	chooseInstance, computeWaitMs, HealthEvent, type Placement, type PromptPart, type PromptSize,
+	chooseInstance, computeWaitMs, decideWait, HealthEvent, WaitDecision, type Placement, type PromptPart, type PromptSize,
 } from '@fescuestair/routing';
 import {
 	chooseStore, computeFetchUntil, findPlaces, formatSalt, type PartPlace,
@@ -36,6 +37,9 @@
 	readonly budgets: Map<string, RetryBudget>;
 	readonly createBudget: (service: string) => RetryBudget;
 	readonly isLeaving: () => boolean;
+	/** Work in ms of the requests that wait here for an instance, by service, in the order in which they came. */
+	readonly waiting: Map<Exchange, {readonly service: string; readonly workMs: number}>;
+	readonly countGateways: () => number;
 };
 
 /** Sendings that were not run cost little; past this many the service is taken to be full. */
@@ -50,12 +54,16 @@
 const longestRetryAfterMs = 2000;
 const retrySpreadMs = 400;
 const fullStatus = 503;
+/** How often a request that waits looks for a free instance, at most; each looks at its own moments. */
+const pollMs = 25;
 
 /** The tries of one request so far. */
 type Progress = {
 	/** Instances that it may have run on. */
 	sent: number;
 	refused: number;
+	/** How often it was looked whether an instance is free. */
+	waits: number;
 	readonly triedIds: Set<string>;
 	readonly story: Array<Readonly<Record<string, unknown>>>;
 };
@@ -74,7 +82,7 @@
 	const {route, response} = exchange;
 	const service = getTable().services.get(chooseTarget(route.targets, Math.random()).service);
 	const progress: Progress = {
-		sent: 0, refused: 0, triedIds: new Set(), story: [],
+		sent: 0, refused: 0, waits: 0, triedIds: new Set(), story: [],
 	};
 	const stream = createCallerStream(options, exchange);
 	const isRepeatable = route.kind === CallKind.Safe || (route.kind === CallKind.Streaming && route.isResumable);
@@ -96,6 +104,7 @@
 	}, Math.max(0, exchange.deadlineMs - clock.readMonotonicMs()));
 
 	const end = (outcome: Outcome, status: number, reason: string) => {
+		options.waiting.delete(exchange);
 		clearTimeout(timer);
 		response.off('close', onClose);
 
@@ -144,10 +153,26 @@
 			return refuse('no instance of the service takes requests now');
 		}
 
-		if (found.placement.expectedMs > timeLeftMs) {
-			return refuse('all instances are too busy to answer in time', found.placement.expectedMs - timeLeftMs);
+		const decision = decideWait({
+			...found.placement,
+			waitedMs: clock.readMonotonicMs() - exchange.startedAtMs,
+			aheadMs: sumAhead(options, exchange, service),
+			targetMs: route.targetMs,
+			patienceMs: Math.min(exchange.deadlineMs - exchange.startedAtMs, route.patienceMs ?? Number.POSITIVE_INFINITY),
+		});
+
+		if (decision === WaitDecision.Refuse) {
+			return refuse('all instances are too busy to answer in time', found.placement.queueMs);
+		}
+
+		if (decision === WaitDecision.Wait) {
+			progress.waits++;
+			options.waiting.set(exchange, {service: service.name, workMs: found.placement.workMs});
+			await sleep(pollMs * (1 + Math.random()));
+			continue;
 		}
 
+		options.waiting.delete(exchange);
 		const result = await visit(options, exchange, {
 			...found, service, progress, stream, isRepeatable, controls,
 		});
@@ -201,6 +226,21 @@
 	return end(Outcome.Failed, 200, 'the stream broke off');
 }
 
+// The other gateways have as many waiting; free instances are shared by all.
+function sumAhead({waiting, book, countGateways}: ForwardOptions, exchange: Exchange, service: Service): number {
+	let workMs = 0;
+
+	for (const [one, {service: name, workMs: oneMs}] of waiting) {
+		if (one === exchange) {
+			break;
+		}
+
+		workMs += name === service.name ? oneMs : 0;
+	}
+
+	return workMs * countGateways() / Math.max(1, book.listOpen(service.name).length);
+}
+
 function spreadRetry(retryAfterMs: number): number {
 	return Math.min(longestRetryAfterMs, Math.max(leastRetryAfterMs, retryAfterMs)) + (Math.random() * retrySpreadMs);
 }
@@ -440,10 +480,12 @@
 		end: result.end,
 		...(result.reason !== '' && {reason: result.reason}),
 		...(result.head !== undefined && {status: result.head.status}),
+		...(progress.waits > 0 && {waits: progress.waits}),
 		expectedMs: Math.round(placement.expectedMs),
 		firstPieceMs: Math.round(firstPieceMs ?? 0),
 		tookMs: Math.round(clock.readMonotonicMs() - startedAtMs),
 		own: loadBefore.own,
+		...(result.connectMs !== undefined && {connectMs: Math.round(result.connectMs)}),
 		waitMs: Math.round(computeWaitMs(loadBefore.work, startedAtMs)),
 		...(loadBefore.report !== undefined && {
 			reported: `${loadBefore.report.running},${loadBefore.report.waiting}`, reportAgeMs: Math.round(startedAtMs - loadBefore.report.atMs),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -118,6 +118,7 @@
 			table = buildRouteTable(decodeConfig(published.configText));
 			server.headersTimeout = table.config.limits.headerTimeoutMs;
 			server.keepAliveTimeout = table.config.limits.idleTimeoutMs;
+			book.applyLimits();
 		}
 
 		log.info('configuration in force', {version: published.configVersion, revision: published.revision, weights: Object.fromEntries(weights)});
@@ -148,6 +149,8 @@
 			capacity: Math.max(1, repeats.slack * usedBudgetShare / countGateways()), sharePerSuccess: repeats.perRequest * usedBudgetShare,
 		}),
 		isLeaving: () => isLeaving,
+		waiting: new Map(),
+		countGateways,
 	};
 
 	const depositRequest = (service: string) => {
@@ -284,6 +287,7 @@
 		getCard, getSeeds, links, clock, log, onPublished,
 		onInstances(registry) {
 			book.applyRegistry(registry);
+			book.applyLimits();
 		},
 	});
 
--- a/packages/gateway/src/instance-book.ts
+++ b/packages/gateway/src/instance-book.ts
@@ -1,7 +1,7 @@
 import {type Clock} from '@fescuestair/core';
 import {InstanceStage, type HeldInstance, type InstanceRegistry} from '@fescuestair/instances';
 import {
-	addWork, canTakeRequests, computeCorrectionMs, computeWaitMs, correctClock, createCachedParts, createInstanceHealth, createInstanceLoad, HealthEvent, estimateWork, isOverdue, judgeInstance, mergeSample, noPeerLoad,
+	addWork, canTakeRequests, computeCorrectionMs, computeWaitMs, correctClock, createCachedParts, createInstanceHealth, createInstanceLoad, HealthEvent, estimateWork, isOverdue, judgeInstance, resetClock, mergeSample, noPeerLoad,
 	type CachedParts, type InstanceHealth, type InstanceLoad, type InstanceOption, type PeerLoad, type PromptPart,
 	type WorkEstimate as PlainWorkEstimate,
 } from '@fescuestair/routing';
@@ -38,8 +38,9 @@
 	/** Parts believed to be cached, by salt. */
 	cached: {readonly salt: string; readonly parts: CachedParts} | undefined;
 	readonly visits: Map<Visit, WorkEstimate | undefined>;
-	/** Work added since the other gateways were told. */
+	/** Work added, and corrections made, since the other gateways were told. */
 	untoldWorkMs: number;
+	untoldCorrectionMs: number;
 	lastByteAtMs: number;
 	/** Weight versions seen in answers go before those announced. */
 	readonly refusedVersions: Map<string, number>;
@@ -54,6 +55,8 @@
 
 export type InstanceBook = {
 	readonly applyRegistry: (registry: InstanceRegistry) => void;
+	/** Sets the bounds on connections anew: the configuration, or the number of gateways, changed. */
+	readonly applyLimits: () => void;
 	readonly get: (id: string) => InstanceEntry | undefined;
 	/** Instances of a service that may take a request now. */
 	readonly listOpen: (service: string) => readonly InstanceEntry[];
@@ -137,7 +140,7 @@
 		for (const estimate of entry.visits.values()) {
 			if (estimate !== undefined && estimate.workMs >= longWorkMs && isOverdue(entry.load.work, estimate, nowMs)) {
 				entry.load = {...entry.load, work: correctClock(entry.load.work, overdueStepMs, nowMs)};
-				entry.untoldWorkMs += overdueStepMs;
+				entry.untoldCorrectionMs += overdueStepMs;
 
 				return;
 			}
@@ -189,6 +192,11 @@
 				}
 			}
 		},
+		applyLimits() {
+			for (const {agent, held} of entries.values()) {
+				agent.setMaxConnections(getMaxConnections(held.record.service));
+			}
+		},
 		get: id => entries.get(id),
 		listOpen(service) {
 			const nowMs = clock.readMonotonicMs();
@@ -219,7 +227,7 @@
 			entry.visits.set(visit, undefined);
 			const correctionMs = computeCorrectionMs(entry.load.work, estimate, nowMs);
 			entry.load = {...entry.load, work: correctClock(entry.load.work, correctionMs, nowMs)};
-			entry.untoldWorkMs += correctionMs;
+			entry.untoldCorrectionMs += correctionMs;
 
 			if (estimate.wasIdle && visit.uncachedTokens >= rateSampleTokens) {
 				learnRate(entry.held.record.service, visit.uncachedTokens / Math.max(1, nowMs - visit.startedAtMs));
@@ -249,9 +257,10 @@
 			const untold: WorkShare[] = [];
 
 			for (const [id, entry] of entries) {
-				if (Math.abs(entry.untoldWorkMs) >= 1) {
-					untold.push([id, Math.round(entry.untoldWorkMs)]);
+				if (Math.abs(entry.untoldWorkMs) >= 1 || Math.abs(entry.untoldCorrectionMs) >= 1) {
+					untold.push([id, Math.round(entry.untoldWorkMs), Math.round(entry.untoldCorrectionMs)]);
 					entry.untoldWorkMs = 0;
+					entry.untoldCorrectionMs = 0;
 				}
 			}
 
@@ -261,17 +270,18 @@
 			let sum = 0;
 
 			for (const entry of entries.values()) {
-				sum += Math.abs(entry.untoldWorkMs);
+				sum += Math.abs(entry.untoldWorkMs) + Math.abs(entry.untoldCorrectionMs);
 			}
 
 			return sum;
 		},
 		addPeerWork(shares) {
-			for (const [id, workMs] of shares) {
+			for (const [id, workMs, correctionMs] of shares) {
 				const entry = entries.get(id);
 
 				if (entry !== undefined) {
-					entry.load = {...entry.load, work: addWork(entry.load.work, workMs, clock.readMonotonicMs())};
+					const nowMs = clock.readMonotonicMs();
+					entry.load = {...entry.load, work: correctClock(addWork(entry.load.work, workMs, nowMs), correctionMs, nowMs)};
 				}
 			}
 		},
@@ -280,9 +290,12 @@
 			for (const [id, entry] of entries) {
 				const next = peers.get(id) ?? noPeerLoad;
 
-				if (next !== entry.load.peers) {
-					entry.load = {...entry.load, peers: next};
-				}
+				entry.load = {
+					...entry.load,
+					peers: next,
+					// Where nobody has anything, nothing is left to read, whatever was added and taken back.
+					work: entry.load.own === 0 && next.requests === 0 ? resetClock(entry.load.work) : entry.load.work,
+				};
 			}
 		},
 		judge,
@@ -305,6 +318,7 @@
 		cached: undefined,
 		visits: new Map(),
 		untoldWorkMs: 0,
+		untoldCorrectionMs: 0,
 		lastByteAtMs: Number.NEGATIVE_INFINITY,
 		refusedVersions: new Map(),
 	};
--- a/packages/gateway/src/load-share.ts
+++ b/packages/gateway/src/load-share.ts
@@ -7,8 +7,8 @@
 /** What one gateway has at one instance. */
 export type InstanceShare = readonly [instanceId: string, requests: number, heldTokens: number];
 
-/** Work that a gateway sent to an instance, or found to take more or less than was told. */
-export type WorkShare = readonly [instanceId: string, workMs: number];
+/** Work that a gateway sent to an instance, and by how much it found the instance's queue to be longer or shorter than was told. */
+export type WorkShare = readonly [instanceId: string, workMs: number, correctionMs: number];
 
 /** What a gateway tells the others. */
 export type LoadNote = {
--- a/packages/gateway/src/upstream-agent.ts
+++ b/packages/gateway/src/upstream-agent.ts
@@ -28,6 +28,12 @@
 		this.#readNowMs = readNowMs;
 	}
 
+	/** Sets how many connections may be open; the bound changes with the configuration and the number of gateways. */
+	setMaxConnections(maxConnections: number): void {
+		this.maxSockets = maxConnections;
+		this.maxFreeSockets = maxConnections;
+	}
+
 	/** Notes how long the instance keeps idle connections. */
 	noteIdleMs(idleMs: number): void {
 		this.#idleMs = idleMs * idleShare;
--- a/packages/routing/src/choose-instance.ts
+++ b/packages/routing/src/choose-instance.ts
@@ -42,6 +42,10 @@
 	readonly id: string;
 	/** Expected time to the first piece, or until a place is free. */
 	readonly expectedMs: number;
+	/** Of that, the time before it is read. */
+	readonly queueMs: number;
+	/** Time that reading it takes. */
+	readonly workMs: number;
 	readonly cost: number;
 };
 
@@ -61,8 +65,10 @@
 const defaultCallMs = 60;
 /** Share of a shared part that the instance preferred by all daemons is taken to hold without having been seen to. */
 const preferredShare = 0.7;
-/** Time for which a running prompt holds memory, where another waits for it. */
-const memoryWaitMs = 500;
+/** Time in which running prompts give all of an engine's memory back: a few long ones, read and answered. */
+const memoryTurnMs = 1500;
+/** Time for which a running request holds a place, where another waits for it. */
+const placeTurnMs = 500;
 
 /**
 Chooses the instance with the least expected cost in ms. Prompts go where their shared part is, unless the wait there costs more than
@@ -93,7 +99,13 @@
 			+ (option.availabilityZone === question.availabilityZone ? 0 : otherZoneMs);
 
 		if (best === undefined || cost < best.cost) {
-			best = {id: option.id, expectedMs, cost};
+			best = {
+				id: option.id,
+				expectedMs,
+				queueMs: question.prompt === undefined ? 0 : computeWaitMs(option.load.work, question.nowMs),
+				workMs: question.prompt === undefined ? 0 : computeWorkMs(option, question.prompt),
+				cost,
+			};
 		}
 	}
 
@@ -107,7 +119,7 @@
 		return new Set();
 	}
 
-	const leastWorkMs = Math.min(...options.map(option => (prompt.promptTokens - option.cachedTokens - option.fetchableTokens) / prompt.prefillTokensPerMs));
+	const leastWorkMs = Math.min(...options.map(option => computeWorkMs(option, prompt)));
 
 	if (leastWorkMs < longWorkMs) {
 		return new Set();
@@ -138,6 +150,10 @@
 	return best?.id;
 }
 
+function computeWorkMs({cachedTokens, fetchableTokens}: InstanceOption, {promptTokens, prefillTokensPerMs}: PromptSize): number {
+	return Math.max(0, promptTokens - cachedTokens - fetchableTokens) / prefillTokensPerMs;
+}
+
 function estimateCallMs({load, slots}: InstanceOption, nowMs: number): number {
 	const callMs = load.meanMs ?? defaultCallMs;
 	const total = load.own + estimateOthers(load, nowMs);
@@ -157,8 +173,8 @@
 	const others = estimateOthers(load, nowMs);
 	const held = load.ownHeldTokens + load.peers.heldTokens;
 	const overflow = Math.max(0, held + prompt.promptTokens + prompt.outputTokens - prompt.cacheTokens);
-	const memoryMs = overflow / Math.max(1, prompt.promptTokens + prompt.outputTokens) * memoryWaitMs;
-	const placeMs = Math.max(0, load.own + others + 1 - option.slots) * memoryWaitMs / option.slots;
+	const memoryMs = overflow / prompt.cacheTokens * memoryTurnMs;
+	const placeMs = Math.max(0, load.own + others + 1 - option.slots) * placeTurnMs / option.slots;
 	const waitMs = Math.max(option.fetchMs, computeWaitMs(load.work, nowMs));
 
 	return waitMs + (uncached / prompt.prefillTokensPerMs) + memoryMs + placeMs + (stepMsPerRequest * (load.own + others));
--- /dev/null
+++ b/packages/routing/src/decide-wait.ts
@@ -0,0 +1,52 @@
+/** What a gateway does with a request that an instance could take now. */
+export enum WaitDecision {
+	Send = 'send',
+	/** It is asked again soon: instances free up. */
+	Wait = 'wait',
+	/** It cannot be answered before its caller gives up. */
+	Refuse = 'refuse',
+}
+
+export type WaitQuestion = {
+	/** Expected time to the first piece, where it would be sent now. */
+	readonly expectedMs: number;
+	/** Time that the instance needs before it begins to read it. */
+	readonly queueMs: number;
+	/** Time that it takes an engine by itself. */
+	readonly workMs: number;
+	readonly waitedMs: number;
+	/** Time after which those that wait before it will have been sent. */
+	readonly aheadMs: number;
+	/** An answer within this is worth most. */
+	readonly targetMs: number;
+	/** The caller leaves without a first piece after this. */
+	readonly patienceMs: number;
+};
+
+/** Shorter ones delay nobody and are sent on at once. */
+const longWorkMs = 60;
+/** An instance whose queue is shorter than this is taken to be free. */
+const freeQueueMs = 80;
+/**
+Decides about a request that takes an engine long. One that will be late anyway waits here and not in the engine, where it would make
+those late that come after it; it is sent as soon as an instance is free. One whose turn would come too late is refused at once. Answers the load pattern of all callers that come back at once
+after an outage, and of bursts: the work of some seconds arrives within one.
+
+@example
+```
+decideWait({expectedMs: 2400, queueMs: 1900, workMs: 480, waitedMs: 0, aheadMs: 0, targetMs: 800, patienceMs: 3200}); //=> WaitDecision.Wait
+```
+*/
+export function decideWait({expectedMs, queueMs, workMs, waitedMs, aheadMs, targetMs, patienceMs}: WaitQuestion): WaitDecision {
+	const isInTime = waitedMs + expectedMs <= targetMs;
+
+	if (isInTime || (queueMs < freeQueueMs && waitedMs + expectedMs < patienceMs)) {
+		return WaitDecision.Send;
+	}
+
+	if (workMs >= longWorkMs) {
+		return waitedMs + aheadMs + workMs < patienceMs ? WaitDecision.Wait : WaitDecision.Refuse;
+	}
+
+	return waitedMs + expectedMs < patienceMs ? WaitDecision.Send : WaitDecision.Refuse;
+}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -22,6 +22,7 @@
 	chooseInstance, estimateFirstPieceMs, type InstanceOption, type Placement, type PlacementQuestion, type PromptSize,
 } from './choose-instance.js';
 export {
-	addWork, computeCorrectionMs, computeWaitMs, correctClock, createWorkClock, estimateWork, isOverdue, type WorkClock, type WorkEstimate,
+	addWork, computeCorrectionMs, computeWaitMs, correctClock, createWorkClock, estimateWork, isOverdue, resetClock, type WorkClock, type WorkEstimate,
 } from './work-clock.js';
+export {decideWait, WaitDecision, type WaitQuestion} from './decide-wait.js';
 export {createCachedParts, type CachedParts, type PromptPart} from './cached-parts.js';
--- a/packages/routing/src/work-clock.ts
+++ b/packages/routing/src/work-clock.ts
@@ -58,6 +58,11 @@
 	return nowMs > estimate.doneAtMs + (clock.correctedMs - estimate.correctedMs);
 }
 
+/** Resets the clock of an instance that has nothing to read. */
+export function resetClock(clock: WorkClock): WorkClock {
+	return {...clock, busyUntilMs: Number.NEGATIVE_INFINITY};
+}
+
 /** Corrects the clock. */
 export function correctClock(clock: WorkClock, correctionMs: number, nowMs: number): WorkClock {
 	return {busyUntilMs: Math.max(nowMs, clock.busyUntilMs) + correctionMs, correctedMs: clock.correctedMs + correctionMs};
--- a/packages/traffic/src/__tests__/unit/traffic.test.ts
+++ b/packages/traffic/src/__tests__/unit/traffic.test.ts
@@ -15,6 +15,7 @@
 	maxAttempts: 2,
 	isPublic: false,
 	isResumable: false,
+	patienceMs: undefined,
 	targetGapMs: undefined,
 	...overrides,
 });
--- a/packages/traffic/src/types.ts
+++ b/packages/traffic/src/types.ts
@@ -29,6 +29,8 @@
 	/** Needs no key. */
 	readonly isPublic: boolean;
 	readonly isResumable: boolean;
+	/** Callers of a stream leave after so long a pause, also before the first event; absent where they do not. */
+	readonly patienceMs: number | undefined;
 	/** Longest pause between events for which a stream is on time. */
 	readonly targetGapMs: number | undefined;
 };
