--- /dev/null
+++ b/packages/coordinator/src/__tests__/unit/published-state.test.ts
@@ -0,0 +1,30 @@
+import test from 'ava';
+import {
+	applyPublish, createPublishedState, decodePublishedState, describePublished, encodePublishedState, PublishKind,
+} from '../../index.js';
+
+const put = (version: number, text = `v${version}`) => ({kind: PublishKind.PutConfig as const, version, text});
+
+test('the highest version is in force, whatever comes later with the same or a lower one', t => {
+	let {state} = applyPublish(createPublishedState(), put(7));
+	const same = applyPublish(state, put(7, 'other'));
+	t.false(same.isNew);
+	t.is(same.state.configText, 'v7');
+	t.false(applyPublish(state, put(3)).isNew);
+	state = applyPublish(state, put(9)).state;
+	t.is(state.configText, 'v9');
+	t.is(state.revision, 2);
+});
+
+test('weights grow by model, and a snapshot holds them', t => {
+	let {state} = applyPublish(createPublishedState(), {kind: PublishKind.NameWeights, model: 'a', version: 2});
+	t.false(applyPublish(state, {kind: PublishKind.NameWeights, model: 'a', version: 2}).isNew);
+	state = applyPublish(state, {kind: PublishKind.NameWeights, model: 'b', version: 1}).state;
+	t.deepEqual(decodePublishedState(structuredClone(encodePublishedState(state))), state);
+});
+
+test('who has the configuration is told the rest', t => {
+	const {state} = applyPublish(createPublishedState(), put(7));
+	t.is(describePublished(state, {knownConfigVersion: 7}).configText, undefined);
+	t.is(describePublished(state, {knownConfigVersion: 6}).configText, 'v7');
+});
