Use older weights for a bounded time, and leave an instance that turned a request away alone for a moment

Cause: as soon as one engine had new weights, all requests went to it. Ruled out: barring older weights at once.

--- a/packages/coordinator/src/__tests__/unit/published-state.test.ts
+++ b/packages/coordinator/src/__tests__/unit/published-state.test.ts
@@ -25,6 +25,6 @@
 
 test('who has the configuration is told the rest', t => {
 	const {state} = applyPublish(createPublishedState(), put(7));
-	t.is(describePublished(state, {knownConfigVersion: 7}).configText, undefined);
-	t.is(describePublished(state, {knownConfigVersion: 6}).configText, 'v7');
+	t.is(describePublished(state, {knownConfigVersion: 7, getWeightsAgeMs: () => 0}).configText, undefined);
+	t.is(describePublished(state, {knownConfigVersion: 6, getWeightsAgeMs: () => 0}).configText, 'v7');
 });
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -83,6 +83,10 @@
 /** A leader is heard at least this often where this replica is current. */
 const currentMs = 1500;
 const handoverMs = 200;
+/** Age of weights of which it is not known when they were named: older than any bound on their use. */
+const unknownAgeMs = 60_000;
+/** What is published sooner after a start comes from before it. */
+const replayMs = 3000;
 const defaultVoters = 5;
 const bootBytes = 6;
 /**
@@ -113,6 +117,8 @@
 	const self: DaemonCard = {
 		name, role: DaemonRole.Coordinator, incarnation: clock.readWallMs(), linkAddress, serviceAddress, availabilityZone, isReady: true,
 	};
+	const namedWeights = new Map<string, number>();
+	const startedAtMs = clock.readMonotonicMs();
 	let registry = createInstanceRegistry();
 	let daemons: DaemonTable = new Map();
 	let leaderHeardAtMs = Number.NEGATIVE_INFINITY;
@@ -122,7 +128,29 @@
 	let stores: readonly StoreFigures[] = [];
 	const seeds = getSeeds();
 
+	const describe = (state: PublishedState, knownConfigVersion: number) => describePublished(state, {
+		knownConfigVersion,
+		// What was found on the disk may have been named at any time.
+		getWeightsAgeMs: (model, version) => {
+			const namedAtMs = namedWeights.get(`${model} ${version}`);
+
+			return namedAtMs === undefined ? unknownAgeMs : clock.readMonotonicMs() - namedAtMs;
+		},
+	});
+
+	const noteNamedWeights = (state: PublishedState) => {
+		for (const [model, version] of state.weights) {
+			const key = `${model} ${version}`;
+
+			if (!namedWeights.has(key)) {
+				// Right after a start this replays what was named long before.
+				namedWeights.set(key, clock.readMonotonicMs() - startedAtMs < replayMs ? clock.readMonotonicMs() - unknownAgeMs : clock.readMonotonicMs());
+			}
+		}
+	};
+
 	const onPublished = (state: PublishedState) => {
+		noteNamedWeights(state);
 		const config = state.configText === undefined ? undefined : decodeConfig(state.configText).config;
 		stores = (config?.services ?? []).flatMap(service => service.store?.isManaged === true ? [service.store] : []);
 		log.info('published', {revision: state.revision, configVersion: state.configVersion, weights: Object.fromEntries(state.weights)});
@@ -131,7 +159,7 @@
 		if (replica?.getState()?.role === ReplicaRole.Leader) {
 			for (const card of listOthers()) {
 				links.send(card.linkAddress, {
-					kind: LinkKind.Published, published: describePublished(state, {knownConfigVersion: -1}),
+					kind: LinkKind.Published, published: describe(state, -1),
 				} satisfies LinkMessage);
 			}
 		}
@@ -189,7 +217,7 @@
 			coordinators: [self, ...listCards(daemons, {role: DaemonRole.Coordinator, nowMs, maxAgeMs: coordinatorAgeMs})],
 			gateways: listCards(daemons, {role: DaemonRole.Gateway, nowMs, maxAgeMs: gatewayAgeMs}).map(card => card.linkAddress),
 			published: published.revision > hello.publishedRevision
-				? describePublished(published, {knownConfigVersion: hello.configVersion})
+				? describe(published, hello.configVersion)
 				: undefined,
 			leaderAddress: replica.getLeadingTerm() === undefined ? replica.findLeaderAddress() : linkAddress,
 			isCurrent: isCurrent(),
@@ -214,7 +242,7 @@
 		try {
 			await replica.confirmRead();
 
-			return {kind: 'published', published: describePublished(replica.getPublished(), {knownConfigVersion: -1})};
+			return {kind: 'published', published: describe(replica.getPublished(), -1)};
 		} catch (error) {
 			return {kind: 'error', message: String(error)};
 		}
@@ -442,7 +470,7 @@
 			if (leaderAddress === undefined) {
 				await replica.confirmRead();
 
-				return describePublished(replica.getPublished(), {knownConfigVersion: -1});
+				return describe(replica.getPublished(), -1);
 			}
 
 			const answer = await links.call(leaderAddress, {kind: LinkKind.ReadPublished} satisfies LinkMessage, callTimeoutMs) as LinkReply;
--- a/packages/coordinator/src/published-state.ts
+++ b/packages/coordinator/src/published-state.ts
@@ -74,18 +74,23 @@
 
 @example
 ```
-describePublished(state, {knownConfigVersion: 7}).configText; //=> undefined where 7 is in force
+describePublished(state, {knownConfigVersion: 7, getWeightsAgeMs: () => 0}).configText; //=> undefined where 7 is in force
 ```
 */
-export function describePublished(state: PublishedState, {knownConfigVersion}: {readonly knownConfigVersion: number}): Published {
+export function describePublished(state: PublishedState, {knownConfigVersion, getWeightsAgeMs}: DescribeOptions): Published {
 	return {
 		revision: state.revision,
 		configVersion: state.configVersion,
 		configText: state.configVersion === knownConfigVersion ? undefined : state.configText,
-		weights: [...state.weights],
+		weights: [...state.weights].map(([model, version]) => [model, version, Math.round(getWeightsAgeMs(model, version))]),
 	};
 }
 
+type DescribeOptions = {
+	readonly knownConfigVersion: number;
+	readonly getWeightsAgeMs: (model: string, version: number) => number;
+};
+
 type EncodedState = Omit<PublishedState, 'weights'> & {readonly weights: ReadonlyArray<readonly [string, number]>};
 
 /** Encodes the state for a snapshot. */
--- a/packages/coordinator/src/weight-orders.ts
+++ b/packages/coordinator/src/weight-orders.ts
@@ -111,7 +111,7 @@
 	const awaitLoad = async (order: WeightOrder, term: number, deadlineMs: number) => {
 		while (clock.readMonotonicMs() < deadlineMs && mayOrder(term)) {
 			await new Promise(resolve => {
-				setTimeout(resolve, 2 * roundMs);
+				setTimeout(resolve, roundMs);
 			});
 			const report = await fetchReport({id: order.instanceId, address: order.address});
 
--- a/packages/gateway/src/choose-place.ts
+++ b/packages/gateway/src/choose-place.ts
@@ -9,6 +9,7 @@
 import {type Exchange} from './exchange.js';
 import {type ForwardOptions, type Progress} from './forward-options.js';
 import {describeOption, type InstanceEntry} from './instance-book.js';
+import {WeightsUse} from './named-weights.js';
 
 /** An instance chosen for a request. */
 export type Place = {
@@ -42,14 +43,12 @@
 type EngineCandidates = {readonly open: readonly InstanceEntry[]; readonly service: Service; readonly prompt: PromptDescription};
 
 function chooseEnginePlace(options: ForwardOptions, exchange: Exchange, {service, open, prompt}: EngineCandidates): Place | undefined {
-	const {clock, book, availabilityZone, getWeights} = options;
+	const {clock, book, availabilityZone, judgeWeights} = options;
 	const nowMs = clock.readMonotonicMs();
 	const prefillTokensPerMs = book.getPrefillTokensPerMs(service.name);
-	const wanted = getWeights().get(prompt.model) ?? 0;
 	const versions = new Map(open.map(entry => [entry.held.record.id, findVersion(entry, prompt.model)]));
-	// New requests go to the newest weights, as long as some instance has them.
-	const current = open.filter(entry => (versions.get(entry.held.record.id) ?? 0) >= wanted);
-	const candidates = current.length > 0 ? current : open;
+	const uses = new Map(open.map(entry => [entry.held.record.id, judgeWeights(prompt.model, versions.get(entry.held.record.id))]));
+	const candidates = open.filter(entry => uses.get(entry.held.record.id) !== WeightsUse.Barred);
 	const orders = new Map<number | undefined, CacheOrder | undefined>();
 	const described = new Map(candidates.map(entry => {
 		const version = versions.get(entry.held.record.id);
--- a/packages/gateway/src/forward-options.ts
+++ b/packages/gateway/src/forward-options.ts
@@ -4,6 +4,7 @@
 import {type RouteTable} from '@fescuestair/traffic';
 import {type CallerCodec, type UpstreamCodec} from './codecs.js';
 import {type Exchange} from './exchange.js';
+import {type WeightsUse} from './named-weights.js';
 import {type InstanceBook} from './instance-book.js';
 import {type PartsClient} from './parts-client.js';
 
@@ -17,7 +18,8 @@
 	readonly book: InstanceBook;
 	readonly parts: PartsClient;
 	readonly getTable: () => RouteTable;
-	readonly getWeights: () => ReadonlyMap<string, number>;
+	/** Tells whether new requests may begin on a version of a model's weights. */
+	readonly judgeWeights: (model: string, version: number | undefined) => WeightsUse;
 	/** Share of the system's repeats that this daemon may still make for a service. */
 	readonly budgets: Map<string, RetryBudget>;
 	readonly createBudget: (service: string) => RetryBudget;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -21,6 +21,7 @@
 import {forwardExchange} from './forward.js';
 import {type ForwardOptions} from './forward-options.js';
 import {createInstanceBook} from './instance-book.js';
+import {createNamedWeights, judgeWeights, nameWeights} from './named-weights.js';
 import {createLoadShare, type LoadNote} from './load-share.js';
 import {createPartsClient} from './parts-client.js';
 
@@ -37,6 +38,8 @@
 	readonly callerCodec: CallerCodec;
 	readonly upstreamCodec: UpstreamCodec;
 	readonly repeats: RepeatShare;
+	/** Requests may begin on older weights for this long after newer ones were named. */
+	readonly oldWeightsMs: number;
 	/** By when a stop ends, whatever still runs. */
 	readonly stopTimeoutMs: number;
 	readonly clock?: Clock;
@@ -88,13 +91,13 @@
 */
 export async function createGateway(options: GatewayOptions): Promise<Gateway> {
 	const {
-		name, availabilityZone, linkAddress, listen, getSeeds, decodeConfig, callerCodec, upstreamCodec, repeats, stopTimeoutMs,
+		name, availabilityZone, linkAddress, listen, getSeeds, decodeConfig, callerCodec, upstreamCodec, repeats, stopTimeoutMs, oldWeightsMs,
 		clock = createSystemClock(), log,
 	} = options;
 	const links = createLinks({getKeys: undefined});
 	const incarnation = clock.readWallMs();
 	let table: RouteTable | undefined;
-	let weights: ReadonlyMap<string, number> = new Map();
+	let weights = createNamedWeights();
 	let isLeaving = false;
 	let admissionDeadlineMs = Number.POSITIVE_INFINITY;
 	let bodiesBytes = 0;
@@ -115,7 +118,7 @@
 	});
 
 	const onPublished = (published: Published) => {
-		weights = new Map(published.weights);
+		weights = nameWeights(weights, published.weights, clock.readMonotonicMs());
 
 		if (published.configText !== undefined) {
 			table = buildRouteTable(decodeConfig(published.configText));
@@ -124,7 +127,7 @@
 			book.applyLimits();
 		}
 
-		log.info('configuration in force', {version: published.configVersion, revision: published.revision, weights: Object.fromEntries(weights)});
+		log.info('configuration in force', {version: published.configVersion, revision: published.revision, weights: published.weights});
 	};
 
 	const isReady = () => !isLeaving && table !== undefined && client.isCurrent();
@@ -146,7 +149,9 @@
 		book,
 		parts,
 		getTable: () => table!,
-		getWeights: () => weights,
+		judgeWeights: (model, version) => judgeWeights(weights, {
+			model, version, nowMs: clock.readMonotonicMs(), oldWeightsMs,
+		}),
 		budgets,
 		createBudget: () => createRetryBudget({
 			capacity: Math.max(1, repeats.slack * usedBudgetShare / countGateways()), sharePerSuccess: repeats.perRequest * usedBudgetShare,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -11,3 +11,6 @@
 	createGateway, type Gateway, type GatewayOptions, type RepeatShare,
 } from './gateway.js';
 export {UpstreamAgent, type UpstreamAgentOptions} from './upstream-agent.js';
+export {
+	createNamedWeights, judgeWeights, nameWeights, WeightsUse, type NamedWeights, type WeightsQuestion,
+} from './named-weights.js';
--- a/packages/gateway/src/instance-book.ts
+++ b/packages/gateway/src/instance-book.ts
@@ -43,6 +43,8 @@
 	untoldWorkMs: number;
 	untoldCorrectionMs: number;
 	lastByteAtMs: number;
+	/** It turned a request away and takes none before this. */
+	fullDeadlineMs: number;
 	/** Weight versions seen in answers go before those announced. */
 	readonly refusedVersions: Map<string, number>;
 };
@@ -65,6 +67,8 @@
 	readonly begin: (entry: InstanceEntry, visit: Visit) => void;
 	/** The first piece came: its prompt has been read. */
 	readonly noteFirstPiece: (entry: InstanceEntry, visit: Visit) => void;
+	/** It turned a request away: it is full, or loads other weights. */
+	readonly noteRefused: (entry: InstanceEntry) => void;
 	readonly noteBytes: (entry: InstanceEntry) => void;
 	readonly end: (entry: InstanceEntry, visit: Visit) => void;
 	/** Lists what this daemon has at each instance. */
@@ -83,6 +87,8 @@
 
 /** An instance that said nothing of itself for this long, and answered nothing either, is taken for lost: four announcements. */
 const lostMs = 5500;
+/** An instance that turned a request away is left alone for a moment: a place frees up about as often. */
+const fullMs = 150;
 const watchMs = 50;
 /** Prompts that take longer to read than this are watched for being late. */
 const longWorkMs = 40;
@@ -202,7 +208,10 @@
 		listOpen(service) {
 			const nowMs = clock.readMonotonicMs();
 
-			return [...entries.values()].filter(entry => entry.held.record.service === service && isOpen(entry, nowMs));
+			const open = [...entries.values()].filter(entry => entry.held.record.service === service && isOpen(entry, nowMs));
+			const free = open.filter(entry => entry.fullDeadlineMs <= nowMs);
+
+			return free.length > 0 ? free : open;
 		},
 		countKnown: service => [...entries.values()].filter(entry => entry.held.record.service === service).length,
 		begin(entry, visit) {
@@ -234,6 +243,9 @@
 				learnRate(entry.held.record.service, visit.uncachedTokens / Math.max(1, nowMs - visit.startedAtMs));
 			}
 		},
+		noteRefused(entry) {
+			entry.fullDeadlineMs = clock.readMonotonicMs() + fullMs;
+		},
 		noteBytes(entry) {
 			entry.lastByteAtMs = clock.readMonotonicMs();
 		},
@@ -321,6 +333,7 @@
 		untoldWorkMs: 0,
 		untoldCorrectionMs: 0,
 		lastByteAtMs: Number.NEGATIVE_INFINITY,
+		fullDeadlineMs: Number.NEGATIVE_INFINITY,
 		refusedVersions: new Map(),
 	};
 }
@@ -328,6 +341,8 @@
 export type OptionInput = {
 	readonly nowMs: number;
 	readonly prompt: OptionPrompt | undefined;
+	/** Newer weights than its own were named some time ago. */
+	readonly isOutdated?: boolean;
 };
 
 /** The parts of a prompt, the salt under which they are cached, and where they can be fetched. */
@@ -340,7 +355,7 @@
 };
 
 /** Describes an instance for the choice of where a request goes. */
-export function describeOption(entry: InstanceEntry, {nowMs, prompt}: OptionInput): InstanceOption {
+export function describeOption(entry: InstanceEntry, {nowMs, prompt, isOutdated = false}: OptionInput): InstanceOption {
 	const {record, heardAtMs} = entry.held;
 
 	return {
@@ -349,6 +364,7 @@
 		slots: Math.max(1, record.slots),
 		load: entry.load,
 		failureShare: entry.health.failureShare,
+		isOutdated,
 		isCold: record.coldLeftMs > 0 && nowMs - heardAtMs < Math.min(record.coldLeftMs, msPerSecond * 10),
 		...describeCoverage(entry, prompt),
 	};
--- a/packages/gateway/src/send-visit.ts
+++ b/packages/gateway/src/send-visit.ts
@@ -112,7 +112,9 @@
 
 // A refusal for want of room is no fault of the instance; a cancel from here says nothing of it.
 function recordResult({book}: ForwardOptions, entry: InstanceEntry, result: AttemptResult): void {
-	if (result.isUnreachable) {
+	if (result.end === AttemptEnd.NotRun && !result.isUnreachable) {
+		book.noteRefused(entry);
+	} else if (result.isUnreachable) {
 		book.judge(entry, HealthEvent.Unreachable);
 	} else if (result.end === AttemptEnd.Complete) {
 		book.judge(entry, result.head!.status >= 500 ? HealthEvent.Failed : HealthEvent.Answered);
--- a/packages/instances/src/daemons.ts
+++ b/packages/instances/src/daemons.ts
@@ -28,8 +28,8 @@
 	readonly configVersion: number;
 	/** The configuration as it was accepted; absent where the receiver has it. */
 	readonly configText: string | undefined;
-	/** The weights named last, by model. */
-	readonly weights: ReadonlyArray<readonly [model: string, version: number]>;
+	/** The weights named last, by model, and how long ago as far as is known; longer where it is not. */
+	readonly weights: ReadonlyArray<readonly [model: string, version: number, ageMs: number]>;
 };
 
 /** What a daemon says to each coordinator, at intervals and on changes. */
--- a/packages/routing/src/choose-instance.ts
+++ b/packages/routing/src/choose-instance.ts
@@ -12,6 +12,8 @@
 	readonly failureShare: number;
 	/** Still slow after its start, or at work on something that slows it. */
 	readonly isCold: boolean;
+	/** Its answers are worth less: newer weights were named some time ago. */
+	readonly isOutdated: boolean;
 	/** Prompt tokens that it is believed to hold already. */
 	readonly cachedTokens: number;
 	/** Tokens after those that it can fetch, and how long that takes. */
@@ -59,6 +61,8 @@
 /** What each failure in ten costs: a request that fails is sent again or lost. */
 const failureMs = 400;
 const coldMs = 150;
+/** What an answer on older weights loses of its worth, as the lateness that would lose as much: a fifth of a usual target. */
+const outdatedMs = 150;
 /** Slowdown of a step by each further request that runs. */
 const stepMsPerRequest = 0.4;
 /** Mean time for which a request of a plain service holds its place, where none was measured yet. */
@@ -96,6 +100,7 @@
 		const cost = expectedMs
 			+ (option.failureShare * failureMs * 10 * option.failureShare)
 			+ (option.isCold ? coldMs : 0)
+			+ (option.isOutdated ? outdatedMs : 0)
 			+ (option.availabilityZone === question.availabilityZone ? 0 : otherZoneMs);
 
 		if (best === undefined || cost < best.cost) {
