--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -11,7 +11,7 @@
 } from '@fescuestair/protocol';
 import {type PartsPoll} from '@fescuestair/parts';
 import {proposeAtLeader} from '@fescuestair/replication';
-import {type Log} from '@fescuestair/runtime';
+import {type Log, type ServedMetrics} from '@fescuestair/runtime';
 import {type StoreFigures, type TrafficConfig} from '@fescuestair/traffic';
 import {createLinks, createLinkServer, parseAddress} from '@fescuestair/transport';
 import {
@@ -43,6 +43,7 @@
 	readonly voters?: number;
 	readonly clock?: Clock;
 	readonly log: Log;
+	readonly metrics: ServedMetrics;
 };
 
 export enum ChangeOutcome {
@@ -110,7 +111,7 @@
 	const {
 		name, availabilityZone, linkAddress, serviceAddress, dataFolder, getSeeds, isFirstStart, decodeConfig, orderHandoverMs,
 		storeClient,
-		voters = defaultVoters, clock = createSystemClock(), log,
+		voters = defaultVoters, clock = createSystemClock(), log, metrics,
 	} = options;
 	const links = createLinks({getKeys: undefined});
 	const bootId = randomBytes(bootBytes).toString('hex');
@@ -131,7 +132,7 @@
 	const describe = (state: PublishedState, knownConfigVersion: number) => describePublished(state, {
 		knownConfigVersion,
 		// What was found on the disk may have been named at any time.
-		getWeightsAgeMs: (model, version) => {
+		getWeightsAgeMs(model, version) {
 			const namedAtMs = namedWeights.get(`${model} ${version}`);
 
 			return namedAtMs === undefined ? unknownAgeMs : clock.readMonotonicMs() - namedAtMs;
@@ -437,6 +438,14 @@
 		}
 	};
 
+	metrics.registerGauge('published_revision', 'Changes that were agreed on', () => replica.getPublished().revision);
+	metrics.registerGauge('config_version', 'Version of the configuration in force', () => replica.getPublished().configVersion);
+	metrics.registerGauge('leads', 'Whether this replica leads the group', () => replica.getLeadingTerm() === undefined ? 0 : 1);
+	metrics.registerGauge('instances_known', 'Instances that announced themselves', () => registry.held.size);
+	metrics.registerGauge('gateways_known', 'Gateways that were heard lately', () => listCards(daemons, {
+		role: DaemonRole.Gateway, nowMs: clock.readMonotonicMs(), maxAgeMs: gatewayAgeMs,
+	}).length);
+
 	const timers = [
 		setInterval(sayHelloToAll, helloMs),
 		setInterval(() => {
@@ -460,6 +469,7 @@
 			const published = replica.getPublished();
 			const isHeld = published.configText !== undefined && version <= published.configVersion;
 			const answer = isHeld ? {outcome: ChangeOutcome.Accepted, findings: []} : await propose({kind: PublishKind.PutConfig, version, text});
+			metrics.count('changes_total', {kind: 'config', outcome: answer.outcome});
 			log.info('configuration received', {version, outcome: answer.outcome, isHeld});
 
 			return answer;
@@ -491,6 +501,8 @@
 			const taken = takeRecord(registry, record, {nowMs: clock.readMonotonicMs()});
 			registry = taken.registry;
 
+			metrics.count('announcements_total', {news: taken.news});
+
 			if (taken.news === NewsKind.Changed) {
 				log.info('instance changed', {
 					id: record.id, service: record.service, address: record.address, stage: record.stage, incarnation: record.incarnation,
--- a/packages/gateway/src/__tests__/unit/attempt.test.ts
+++ b/packages/gateway/src/__tests__/unit/attempt.test.ts
@@ -60,7 +60,7 @@
 	t.is(first.end, AttemptEnd.Complete);
 	t.is(first.body.toString(), 'good');
 	await sleep(20);
-	t.is((await upstream.send()).end, AttemptEnd.Complete);
+	t.like(await upstream.send(), {end: AttemptEnd.Complete});
 	t.is(upstream.countConnections(), 1);
 });
 
@@ -85,15 +85,15 @@
 			}, 20);
 		});
 	});
-	t.is((await upstream.send()).end, AttemptEnd.Complete);
-	t.is((await upstream.send()).end, AttemptEnd.Broken);
+	t.like(await upstream.send(), {end: AttemptEnd.Complete});
+	t.like(await upstream.send(), {end: AttemptEnd.Broken});
 });
 
 test('an answer that ends early is broken', async t => {
 	const upstream = await openUpstream(t, socket => {
 		socket.end(`${head(['Content-Length: 40'])}too short`);
 	});
-	t.is((await upstream.send()).end, AttemptEnd.Broken);
+	t.like(await upstream.send(), {end: AttemptEnd.Broken});
 });
 
 test('bytes after a whole answer belong to no request: their connection is not used again', async t => {
@@ -103,7 +103,7 @@
 			socket.write(`${head(['Content-Length: 5'])}extra`);
 		}, 20);
 	});
-	t.is((await upstream.send()).end, AttemptEnd.Complete);
+	t.like(await upstream.send(), {end: AttemptEnd.Complete});
 	await sleep(60);
 	const second = await upstream.send();
 	t.is(second.end, AttemptEnd.Complete);
@@ -127,5 +127,5 @@
 	const upstream = await openUpstream(t, socket => {
 		socket.destroy();
 	});
-	t.is((await upstream.send()).end, AttemptEnd.Broken);
+	t.like(await upstream.send(), {end: AttemptEnd.Broken});
 });
--- /dev/null
+++ b/packages/gateway/src/__tests__/unit/send-answer.test.ts
@@ -0,0 +1,49 @@
+import {Buffer} from 'node:buffer';
+import http from 'node:http';
+import net from 'node:net';
+import {once} from 'node:events';
+import test, {type ExecutionContext} from 'ava';
+import {sendUpstreamAnswer, type AttemptHead} from '../../index.js';
+
+// Gives the bytes that a caller receives until its connection ends.
+const receive = async (t: ExecutionContext, head: Partial<AttemptHead>) => {
+	const server = http.createServer((_request, response) => {
+		sendUpstreamAnswer(response, {
+			head: {
+				status: 200, headers: {}, rawHeaders: [], answer: {
+					requestId: 'r1', isNotRun: false, load: undefined, idleMs: undefined,
+				}, isFramed: true, ...head,
+			},
+			body: Buffer.from('half an answ'),
+			isLeaving: false,
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	t.teardown(() => {
+		server.close();
+	});
+	const socket = net.connect((server.address() as {readonly port: number}).port, '127.0.0.1');
+	socket.end('GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n');
+	let text = '';
+
+	for await (const chunk of socket) {
+		text += String(chunk);
+	}
+
+	return text;
+};
+
+test('an answer that the instance did not frame is not framed for the caller either', async t => {
+	const text = await receive(t, {isFramed: false, rawHeaders: ['Response-Seal', 's', 'Connection', 'close']});
+	t.notRegex(text, /content-length|transfer-encoding/iv);
+	t.regex(text, /Connection: close/v);
+	t.true(text.endsWith('\r\n\r\nhalf an answ'));
+});
+
+test('a framed answer keeps its length and its other headers', async t => {
+	const text = await receive(t, {rawHeaders: ['Response-Seal', 's', 'Content-Length', '12', 'Keep-Alive', 'timeout=10']});
+	t.regex(text, /Response-Seal: s\r\n/v);
+	t.is(text.match(/Content-Length: 12\r\n/gv)?.length, 1);
+	t.notRegex(text, /timeout=10/v);
+});
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -22,6 +22,8 @@
 	/** Names and values in turn, as they came. */
 	readonly rawHeaders: readonly string[];
 	readonly answer: UpstreamAnswer;
+	/** Whether the answer says where it ends; one that does not ends with its connection, which tells nothing of whether it is whole. */
+	readonly isFramed: boolean;
 };
 
 export type AttemptResult = {
@@ -150,6 +152,7 @@
 			headers: response.headers,
 			rawHeaders: response.rawHeaders,
 			answer: codec.decodeAnswer(response.statusCode ?? 0, response.headers),
+			isFramed: response.headers['content-length'] !== undefined || response.headers['transfer-encoding'] !== undefined,
 		};
 
 		if (head.answer.requestId !== requestId) {
--- a/packages/gateway/src/caller-stream.ts
+++ b/packages/gateway/src/caller-stream.ts
@@ -1,8 +1,9 @@
 import {type Buffer} from 'node:buffer';
 import {type AttemptHead} from './attempt.js';
 import {createEventCutter} from './event-cutter.js';
-import {filterHeaders, type Exchange} from './exchange.js';
+import {type Exchange} from './exchange.js';
 import {type ForwardOptions} from './forward-options.js';
+import {sendAnswerHead} from './send-answer.js';
 
 /** The answer to the caller while it streams; its head is that of the first instance. */
 export type CallerStream = {
@@ -26,13 +27,7 @@
 
 	const begin = (head: AttemptHead) => {
 		isBegun = true;
-		const headers = filterHeaders(head.rawHeaders, () => true);
-
-		if (isLeaving()) {
-			headers.push('Connection', 'close');
-		}
-
-		response.writeHead(head.status, headers);
+		sendAnswerHead(response, {head, isLeaving: isLeaving()});
 	};
 
 	return {
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -8,9 +8,10 @@
 import {createCallerStream, type CallerStream} from './caller-stream.js';
 import {choosePlace, type Place} from './choose-place.js';
 import {
-	filterHeaders, Outcome, sendOwnAnswer, type Exchange, type ExchangeEnd,
+	Outcome, sendOwnAnswer, type Exchange, type ExchangeEnd,
 } from './exchange.js';
 import {type ForwardOptions, type Progress} from './forward-options.js';
+import {sendUpstreamAnswer} from './send-answer.js';
 import {sendVisit} from './send-visit.js';
 
 /** Sendings that were not run cost little; past this many the service is taken to be full. */
@@ -185,7 +186,7 @@
 	if (stream.isBegun()) {
 		stream.finish();
 	} else {
-		sendUpstreamAnswer(exchange.response, result, options.isLeaving());
+		sendUpstreamAnswer(exchange.response, {head: result.head!, body: result.body, isLeaving: options.isLeaving()});
 	}
 
 	return isFaulty
@@ -241,19 +242,3 @@
 
 	return isAllowed;
 }
-
-function sendUpstreamAnswer(response: Exchange['response'], {head, body}: AttemptResult, isLeaving: boolean): void {
-	const headers = filterHeaders(head!.rawHeaders, name => name !== 'content-length');
-	const isBodyless = response.req.method === 'HEAD' || head!.status === 204 || head!.status === 304;
-
-	if (!isBodyless) {
-		headers.push('Content-Length', String(body.length));
-	}
-
-	if (isLeaving) {
-		headers.push('Connection', 'close');
-	}
-
-	response.writeHead(head!.status, headers);
-	response.end(body);
-}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,9 +8,9 @@
 } from '@fescuestair/instances';
 import {createRetryBudget, depositSuccess, type RetryBudget} from '@fescuestair/limits';
 import {createLinkCommands, dispatchLinkMessage, LinkKind} from '@fescuestair/protocol';
-import {type Log} from '@fescuestair/runtime';
+import {type Log, type ServedMetrics} from '@fescuestair/runtime';
 import {
-	buildRouteTable, findRoute, type RouteTable, type TrafficConfig,
+	buildRouteTable, findRoute, type CallKind, type RouteTable, type TrafficConfig,
 } from '@fescuestair/traffic';
 import {
 	createLinks, createLinkServer, openHttpListener, parseAddress,
@@ -44,6 +44,7 @@
 	readonly stopTimeoutMs: number;
 	readonly clock?: Clock;
 	readonly log: Log;
+	readonly metrics: ServedMetrics;
 };
 
 /** Repeats that the whole system may make for one service. */
@@ -60,6 +61,12 @@
 	readonly stop: () => Promise<void>;
 };
 
+type RequestEnd = ExchangeEnd & {
+	readonly kind?: CallKind;
+	/** For the log line of the request. */
+	readonly fields: Readonly<Record<string, unknown>>;
+};
+
 /** Part of the system's budget of repeats that is used, so that requests counted late do not overdraw it. */
 const usedBudgetShare = 0.75;
 /** Part of an instance's connections that all gateways use together. */
@@ -92,7 +99,7 @@
 export async function createGateway(options: GatewayOptions): Promise<Gateway> {
 	const {
 		name, availabilityZone, linkAddress, listen, getSeeds, decodeConfig, callerCodec, upstreamCodec, repeats, stopTimeoutMs, oldWeightsMs,
-		clock = createSystemClock(), log,
+		clock = createSystemClock(), log, metrics,
 	} = options;
 	const links = createLinks({getKeys: undefined});
 	const incarnation = clock.readWallMs();
@@ -110,6 +117,7 @@
 	const book = createInstanceBook({
 		clock,
 		log,
+		metrics,
 		getMaxConnections(service) {
 			const most = table?.services.get(service)?.maxConnections ?? leastConnections;
 
@@ -174,12 +182,16 @@
 	const serve = async (request: IncomingMessage, response: ServerResponse) => {
 		const startedAtMs = clock.readMonotonicMs();
 		const end = await answer(request, response, startedAtMs);
+		const tookMs = clock.readMonotonicMs() - startedAtMs;
+		const kind = end.kind ?? 'none';
+		metrics.count('requests_total', {outcome: end.outcome, status: String(end.status), kind});
+		metrics.observeMs('request_ms', {kind, outcome: end.outcome}, tookMs);
 		log.info('request', {
-			outcome: end.outcome, status: end.status, tookMs: Math.round(clock.readMonotonicMs() - startedAtMs), ...end.fields, ...(end.reason !== '' && {reason: end.reason}),
+			outcome: end.outcome, status: end.status, tookMs: Math.round(tookMs), ...end.fields, ...(end.reason !== '' && {reason: end.reason}),
 		});
 	};
 
-	const answer = async (request: IncomingMessage, response: ServerResponse, startedAtMs: number): Promise<ExchangeEnd & {readonly fields: Readonly<Record<string, unknown>>}> => {
+	const answer = async (request: IncomingMessage, response: ServerResponse, startedAtMs: number): Promise<RequestEnd> => {
 		const caller = callerCodec.decodeRequest(request.headers);
 		const fields = {requestId: caller.requestId, configVersion: table?.config.version};
 
@@ -243,8 +255,12 @@
 				deadlineMs: startedAtMs + Math.min(route.timeoutMs, caller.timeLeftMs ?? defaultWaitMs),
 			});
 
+			if (organisation !== undefined) {
+				metrics.count('organisation_requests_total', {organisation: organisation.name, outcome: end.outcome});
+			}
+
 			return {
-				...end, fields: {
+				...end, kind: route.kind, fields: {
 					...fields, route: route.name, organisation: organisation?.name, timeLeftMs: caller.timeLeftMs, story,
 				},
 			};
@@ -297,6 +313,12 @@
 		socket.end(`HTTP/1.1 ${error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request'}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`);
 	});
 
+	metrics.registerGauge('config_version', 'Version of the configuration in force', () => table?.config.version ?? 0);
+	metrics.registerGauge('requests_running', 'Requests that have no final answer yet', () => running.size);
+	metrics.registerGauge('requests_waiting', 'Requests that wait here for a free instance', () => forwardOptions.waiting.size);
+	metrics.registerGauge('gateways_known', 'Gateways that coordinators heard lately', countGateways);
+	metrics.registerGauge('parts_known', 'Stored parts that requests may fetch', () => parts.getView().places.size);
+
 	const client = createCoordinatorClient({
 		getCard, getSeeds, links, clock, log, onPublished,
 		onInstances(registry) {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -10,6 +10,7 @@
 export {
 	createGateway, type Gateway, type GatewayOptions, type RepeatShare,
 } from './gateway.js';
+export {sendAnswerHead, sendUpstreamAnswer, type AnswerOptions} from './send-answer.js';
 export {UpstreamAgent, type UpstreamAgentOptions} from './upstream-agent.js';
 export {
 	createNamedWeights, judgeWeights, nameWeights, WeightsUse, type NamedWeights, type WeightsQuestion,
--- a/packages/gateway/src/instance-book.ts
+++ b/packages/gateway/src/instance-book.ts
@@ -6,7 +6,7 @@
 	type CachedParts, type InstanceHealth, type InstanceLoad, type InstanceOption, type PeerLoad, type PromptPart,
 	type WorkEstimate as PlainWorkEstimate,
 } from '@fescuestair/routing';
-import {type Log} from '@fescuestair/runtime';
+import {type Log, type ServedMetrics} from '@fescuestair/runtime';
 import {type EngineFigures, type Service, type StoreFigures} from '@fescuestair/traffic';
 import {type InstanceShare, type WorkShare} from './load-share.js';
 import {UpstreamAgent} from './upstream-agent.js';
@@ -23,6 +23,8 @@
 	readonly uncachedTokens: number;
 	/** What reading them is expected to take; 0 for a plain call. */
 	readonly workMs: number;
+	/** Expected time to the first piece. */
+	readonly expectedMs: number;
 	readonly heldTokens: number;
 	/** Longest time for which a sound instance says nothing. */
 	readonly silenceMs: number;
@@ -52,6 +54,7 @@
 export type InstanceBookOptions = {
 	readonly clock: Clock;
 	readonly log: Log;
+	readonly metrics: ServedMetrics;
 	/** Connections to one instance that this daemon may hold, by service. */
 	readonly getMaxConnections: (service: string) => number;
 };
@@ -111,7 +114,9 @@
 const book = createInstanceBook({clock, log, getMaxConnections: () => 40});
 ```
 */
-export function createInstanceBook({clock, log, getMaxConnections}: InstanceBookOptions): InstanceBook {
+export function createInstanceBook({
+	clock, log, metrics, getMaxConnections,
+}: InstanceBookOptions): InstanceBook {
 	const entries = new Map<string, InstanceEntry>();
 	const rates = new Map<string, number>();
 
@@ -228,6 +233,9 @@
 		noteFirstPiece(entry, visit) {
 			const nowMs = clock.readMonotonicMs();
 			const estimate = entry.visits.get(visit);
+			const {service} = entry.held.record;
+			metrics.observeMs('first_piece_ms', {service}, nowMs - visit.startedAtMs);
+			metrics.observeMs('first_piece_expected_ms', {service}, visit.expectedMs);
 			entry.load = {...entry.load, meanMs: mergeSample(entry.load.meanMs, nowMs - visit.startedAtMs)};
 
 			if (estimate === undefined) {
--- a/packages/gateway/src/named-weights.ts
+++ b/packages/gateway/src/named-weights.ts
@@ -30,9 +30,7 @@
 const weights = nameWeights(createNamedWeights(), [['guide', 2, 0]], nowMs);
 ```
 */
-export function nameWeights(
-	weights: NamedWeights, named: ReadonlyArray<readonly [model: string, version: number, ageMs: number]>, nowMs: number,
-): NamedWeights {
+export function nameWeights(weights: NamedWeights, named: ReadonlyArray<readonly [model: string, version: number, ageMs: number]>, nowMs: number): NamedWeights {
 	const next = new Map(weights);
 
 	for (const [model, version, ageMs] of named) {
--- a/packages/gateway/src/send-visit.ts
+++ b/packages/gateway/src/send-visit.ts
@@ -43,6 +43,7 @@
 		startedAtMs,
 		uncachedTokens,
 		workMs: cache === undefined ? 0 : uncachedTokens / book.getPrefillTokensPerMs(service.name),
+		expectedMs: placement.expectedMs,
 		heldTokens: caller.prompt === undefined ? 0 : caller.prompt.promptTokens + caller.prompt.maxOutputTokens,
 		silenceMs: Math.max(isStreaming ? silenceFloorMs : plainSilenceFloorMs, silenceFactor * placement.expectedMs),
 		onSilent() {
--- /dev/null
+++ b/packages/runtime/src/__tests__/unit/served-metrics.test.ts
@@ -0,0 +1,31 @@
+import test from 'ava';
+import {createServedMetrics, openMetricsListener} from '../../index.js';
+
+test('counters, histograms and gauges are read as text at their address', async t => {
+	const metrics = createServedMetrics();
+	metrics.count('requests_total', {outcome: 'answered'});
+	metrics.count('requests_total', {outcome: 'answered'});
+	metrics.observeMs('first_piece_ms', {kind: 'streaming'}, 42);
+	metrics.registerGauge('config_version', 'Version in force', () => 7);
+	const listener = await openMetricsListener(metrics, {listen: '127.0.0.1:0', path: '/metrics'});
+	t.teardown(listener.close);
+	const response = await fetch(`http://127.0.0.1:${listener.port}/metrics`);
+	const text = await response.text();
+	t.regex(text, /fescuestair_requests_total\{outcome="answered"\} 2/v);
+	t.regex(text, /fescuestair_first_piece_ms_bucket\{le="50",kind="streaming"\} 1/v);
+	t.regex(text, /fescuestair_config_version 7/v);
+	const other = await fetch(`http://127.0.0.1:${listener.port}/`);
+	t.is(other.status, 404);
+});
+
+test('callers cannot fill the memory with values of a label', async t => {
+	const metrics = createServedMetrics();
+
+	for (let index = 0; index < 1000; index++) {
+		metrics.count('requests_total', {organisation: `o${index}`});
+	}
+
+	const text = await metrics.renderText();
+	t.is(text.match(/requests_total\{/gv)?.length, 201);
+	t.regex(text, /organisation="other"\} 800/v);
+});
