--- /dev/null
+++ b/packages/cli/src/__tests__/unit/explain.test.ts
@@ -0,0 +1,32 @@
+import test from 'ava';
+import {explainRequest, formatExplanation, parseLogLines} from '../../explain.js';
+
+const write = (seconds: number, instance: string, message: string, fields: Readonly<Record<string, unknown>>) => JSON.stringify({
+	time: new Date(1_700_000_000_000 + (seconds * 1000)).toISOString(), level: 'info', instance, message, ...fields,
+});
+
+const log = [
+	write(1, 'front-1', 'instance rests', {id: 'i-1', event: 'silent', restMs: 500}),
+	write(1, 'front-1', 'instance rests', {id: 'i-9', event: 'silent', restMs: 500}),
+	`  1.5000 front-2 ${write(1.5, 'front-2', 'coordinator lost', {address: '10.0.0.1:7700'})}`,
+	write(2, 'front-1', 'request', {
+		requestId: 'r1', outcome: 'failed', status: 502, reason: 'ECONNRESET', tookMs: 130, route: 'bookings', organisation: 'o', timeLeftMs: 1500, configVersion: 7,
+		story: [{
+			instance: 'i-1', end: 'broken', reason: 'ECONNRESET', tookMs: 128, expectedMs: 60, own: 2, peers: 1,
+		}],
+	}),
+	'no line of a daemon {',
+	write(90, 'front-1', 'instance rests', {id: 'i-1'}),
+].join('\n');
+
+test('a request is told from its id alone, with what was believed of its instance around it', t => {
+	const explanation = explainRequest('r1', parseLogLines(log));
+	t.deepEqual(explanation.context.map(line => [line.message, line.instance]), [['instance rests', 'front-1'], ['coordinator lost', 'front-2']]);
+	const text = formatExplanation(explanation);
+	t.regex(text, /failed with 502 after 130 ms: ECONNRESET/v);
+	t.regex(text, /1\. sent to i-1: broken after 128 ms \(ECONNRESET\)/v);
+});
+
+test('a request that no line names is said so', t => {
+	t.regex(formatExplanation(explainRequest('r2', parseLogLines(log))), /no line names request r2/v);
+});
--- /dev/null
+++ b/packages/cli/src/explain-commands.ts
@@ -0,0 +1,38 @@
+import {Buffer} from 'node:buffer';
+import fs from 'node:fs/promises';
+import process from 'node:process';
+import {gunzipSync} from 'node:zlib';
+import {type Command} from 'commander';
+import {ExitCode} from './exit-codes.js';
+import {explainRequest, formatExplanation, parseLogLines} from './explain.js';
+
+const gzipMagic = [0x1F, 0x8B];
+
+/** Adds `explain`. */
+export function addExplainCommands(program: Command): void {
+	program.command('explain <request> [files...]')
+		.description('tells from the logs of several daemons what became of a request and why; reads standard input where no file is named, gzip too')
+		.option('--json', 'for programs')
+		.action(async (requestId: string, files: readonly string[], {json}: {readonly json?: boolean}) => {
+			const inputs = files.length === 0 ? [await readStandardInput()] : await Promise.all(files.map(async file => fs.readFile(file)));
+			const explanation = explainRequest(requestId, inputs.flatMap(input => parseLogLines(readText(input))));
+			console.log(json === true ? JSON.stringify(explanation) : formatExplanation(explanation));
+			process.exitCode = explanation.lines.length === 0 ? ExitCode.NotFound : ExitCode.Done;
+		});
+}
+
+async function readStandardInput(): Promise<Uint8Array> {
+	const chunks: Uint8Array[] = [];
+
+	for await (const chunk of process.stdin) {
+		chunks.push(chunk as Uint8Array);
+	}
+
+	return Buffer.concat(chunks);
+}
+
+function readText(input: Uint8Array): string {
+	const isPacked = gzipMagic.every((byte, position) => input[position] === byte);
+
+	return Buffer.from(isPacked ? gunzipSync(input) : input).toString('utf8');
+}
--- /dev/null
+++ b/packages/cli/src/explain.ts
@@ -0,0 +1,137 @@
+import {type Finding, createFinding} from '@fescuestair/core';
+
+/** A line that a daemon wrote. */
+export type LogLine = {
+	readonly time: string;
+	readonly instance: string;
+	readonly message: string;
+	readonly fields: Readonly<Record<string, unknown>>;
+};
+
+export type Explanation = {
+	readonly requestId: string;
+	/** Lines that name the request, in the order of time; daemons' clocks may differ by some milliseconds. */
+	readonly lines: readonly LogLine[];
+	/** What daemons came to believe around that time of the instances that the request was sent to, and of what it depends on. */
+	readonly context: readonly LogLine[];
+	readonly findings: readonly Finding[];
+};
+
+/** Lines about the same instance or dependency this long before the first and after the last line of the request are shown. */
+const aroundMs = 3000;
+const dependencyMessages = new Set([
+	'configuration in force',
+	'coordinator lost',
+	'coordinator regained',
+	'gateway started',
+	'gateway leaves',
+	'leads the group',
+	'leads the group no longer',
+	'the keeper of stored parts does not answer',
+	'log lines were dropped',
+	'store cannot be followed',
+]);
+
+/**
+Parses lines of a log; anything that is no line of a daemon is left out, and text before a line's first brace is ignored.
+
+@example
+```
+parseLogLines('{"time":"2026-12-04T00:00:00.000Z","instance":"front-1","message":"request","requestId":"r1"}').length; //=> 1
+```
+*/
+export function parseLogLines(text: string): readonly LogLine[] {
+	return text.split('\n').flatMap(line => {
+		const start = line.indexOf('{');
+
+		if (start === -1) {
+			return [];
+		}
+
+		try {
+			const {time, instance, message, ...fields} = JSON.parse(line.slice(start)) as Record<string, unknown>;
+
+			return typeof time === 'string' && typeof instance === 'string' && typeof message === 'string'
+				? [{
+					time, instance, message, fields,
+				}]
+				: [];
+		} catch {
+			return [];
+		}
+	});
+}
+
+/** Finds what became of a request, and what was believed around it, in the logs of several daemons. */
+export function explainRequest(requestId: string, all: readonly LogLine[]): Explanation {
+	const lines = all.filter(line => line.fields.requestId === requestId).toSorted((a, b) => compareTime(a, b));
+	const [first] = lines;
+	const last = lines.at(-1);
+
+	if (first === undefined || last === undefined) {
+		return {
+			requestId, lines, context: [], findings: [createFinding('logs', `no line names request ${requestId}; it reached no daemon of these logs, or its lines were dropped`)],
+		};
+	}
+
+	const instances = new Set(lines.flatMap(line => listVisits(line).map(visit => visit.instance)));
+	const fromMs = Date.parse(first.time) - Number(first.fields.tookMs ?? 0) - aroundMs;
+	const toMs = Date.parse(last.time) + aroundMs;
+	const context = all
+		.filter(line => Date.parse(line.time) >= fromMs && Date.parse(line.time) <= toMs && line.message !== 'request')
+		.filter(line => instances.has(formatValue(line.fields.id ?? line.fields.instanceId)) || dependencyMessages.has(line.message))
+		.toSorted((a, b) => compareTime(a, b));
+
+	return {
+		requestId, lines, context, findings: [],
+	};
+}
+
+function compareTime(a: LogLine, b: LogLine): number {
+	return Date.parse(a.time) - Date.parse(b.time);
+}
+
+type Visit = Readonly<Record<string, unknown>> & {readonly instance: unknown};
+
+function listVisits(line: LogLine): readonly Visit[] {
+	return Array.isArray(line.fields.story) ? line.fields.story as Visit[] : [];
+}
+
+/** Formats an explanation for people. */
+export function formatExplanation({requestId, lines, context, findings}: Explanation): string {
+	const told = lines.flatMap(line => {
+		const {
+			outcome, status, reason, tookMs, route, organisation, timeLeftMs, configVersion,
+		} = line.fields;
+
+		return [
+			`${line.time}  ${line.instance}  ${formatValue(outcome)} with ${formatValue(status)} after ${formatValue(tookMs)} ms${reason === undefined ? '' : `: ${formatValue(reason)}`}`,
+			`  route ${formatValue(route)}, organisation ${formatValue(organisation)}, configuration ${formatValue(configVersion)}, the caller waited up to ${formatValue(timeLeftMs)} ms`,
+			...listVisits(line).map((visit, position) => `  ${position + 1}. ${describeVisit(visit)}`),
+		];
+	});
+	const around = context.map(line => `  ${line.time}  ${line.instance}  ${line.message} ${JSON.stringify(line.fields)}`);
+
+	return [
+		`request ${requestId}`,
+		...findings.map(finding => `${finding.place}: ${finding.message}`),
+		...told,
+		...(around.length > 0 ? ['around it', ...around] : []),
+	].join('\n');
+}
+
+function describeVisit(visit: Visit): string {
+	const {
+		instance, end, reason, status, tookMs, expectedMs, firstPieceMs, own, peers, queueMs,
+	} = visit;
+
+	return [
+		`sent to ${formatValue(instance)}: ${formatValue(end)}${status === undefined ? '' : ` with ${formatValue(status)}`} after ${formatValue(tookMs)} ms${reason === undefined ? '' : ` (${formatValue(reason)})`}`,
+		`first piece after ${firstPieceMs === undefined ? 'none' : `${formatValue(firstPieceMs)} ms`}, ${formatValue(expectedMs)} ms expected`,
+		`${formatValue(own)} requests of this gateway and ${formatValue(peers)} of others there${queueMs === undefined ? '' : `, ${formatValue(queueMs)} ms of prompts before it`}`,
+	].join('; ');
+}
+
+function formatValue(value: unknown): string {
+	return typeof value === 'string' ? value : JSON.stringify(value) ?? 'unknown';
+}
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -1,6 +1,7 @@
 import {Command} from 'commander';
 import {addConfigCommands} from './config-commands.js';
 import {addControlCommands} from './control-commands.js';
+import {addExplainCommands} from './explain-commands.js';
 import {addPresetCommands} from './preset-commands.js';
 import {addTraceCommands} from './trace-commands.js';
 
@@ -12,6 +13,7 @@
   fescuestair preset apply peak
   fescuestair trace r-0mabcdefg-9f86d081884c7d65
   fescuestair status --json
+  fescuestair explain 9c41d07be2a35f68 front-1.log front-2.log.gz
 
 --control and --key may be given as FESCUESTAIR_CONTROL and FESCUESTAIR_OPERATOR_KEY.
 Exit codes: 0 done, 1 failed, 2 wrong flags or declarations, 3 another change came first, 4 not found.`;
@@ -26,6 +28,7 @@
 	addConfigCommands(program);
 	addControlCommands(program);
 	addTraceCommands(program);
+	addExplainCommands(program);
 
 	return program;
 }
--- a/packages/gateway/src/instance-book.ts
+++ b/packages/gateway/src/instance-book.ts
@@ -136,7 +136,7 @@
 
 		if (entry.health.rests !== before.rests) {
 			log.info(entry.health.rests === 0 ? 'instance is sound again' : 'instance rests', {
-				instance: entry.held.record.id, event, rests: entry.health.rests, failureShare: Number(entry.health.failureShare.toFixed(2)),
+				id: entry.held.record.id, event, rests: entry.health.rests, failureShare: Number(entry.health.failureShare.toFixed(2)),
 				restMs: Math.round(Math.max(0, entry.health.restDeadlineMs - clock.readMonotonicMs())),
 			});
 		}
--- a/packages/parts/src/index.ts
+++ b/packages/parts/src/index.ts
@@ -1,4 +1,4 @@
-export {formatSalt, parseSalt, type CacheSalt} from './cache-salt.js';
+export {formatSalt, parseSalt, type PartSalt} from './part-salt.js';
 export {chooseStore, type StoreChoice} from './choose-store.js';
 export {
 	addParts, answerPoll, createKeeper, dropParts, forgetParts, listFreeable, retireParts, type AddInput, type Keeper, type RetireInput,
--- a/packages/parts/src/keeper.ts
+++ b/packages/parts/src/keeper.ts
@@ -1,7 +1,7 @@
 import {
 	deriveKey, fetchMs, freeMarginMs, viewMs, type PartKey, type PartPlace, type PartsPoll, type PartsReply, type StoredPart,
 } from './types.js';
-import {parseSalt} from './cache-salt.js';
+import {parseSalt} from './part-salt.js';
 
 type KeptPart = PartPlace & {
 	/** On the upstreams' clock. */
