--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -221,6 +221,10 @@
 			};
 		}
 
+		if (countHeaderBytes(request.rawHeaders) > table.config.limits.maxHeaderBytes) {
+			return {...reject(response, 431, 'the headers are too large'), fields};
+		}
+
 		const organisation = caller.key === undefined ? undefined : table.organisationsByKey.get(caller.key);
 
 		if (table.config.organisations.length > 0 && !route.isPublic && organisation === undefined) {
@@ -385,3 +389,14 @@
 		},
 	};
 }
+
+function countHeaderBytes(rawHeaders: readonly string[]): number {
+	let bytes = 0;
+
+	for (const text of rawHeaders) {
+		// A colon and a space, or the end of a line, follows each.
+		bytes += text.length + 2;
+	}
+
+	return bytes;
+}
--- a/packages/gateway/src/send-visit.ts
+++ b/packages/gateway/src/send-visit.ts
@@ -47,7 +47,8 @@
 		heldTokens: caller.prompt === undefined ? 0 : caller.prompt.promptTokens + caller.prompt.maxOutputTokens,
 		silenceMs: Math.max(isStreaming ? silenceFloorMs : plainSilenceFloorMs, silenceFactor * placement.expectedMs),
 		onSilent() {
-			if (isRepeatable) {
+			// What may not be sent anywhere else is still awaited: silence is no answer.
+			if (isRepeatable && progress.sent + 1 < route.maxAttempts) {
 				attempt.cancel('the instance fell silent');
 			}
 		},
