--- a/packages/gateway/src/load-share.ts
+++ b/packages/gateway/src/load-share.ts
@@ -12,7 +12,8 @@
 
 /** What a gateway tells the others. */
 export type LoadNote = {
-	readonly shares: readonly InstanceShare[];
+	/** All that it has; left out of notes that only tell of work, which are many. */
+	readonly shares?: readonly InstanceShare[];
 	/** Since the note before. */
 	readonly work: readonly WorkShare[];
 };
@@ -36,9 +37,8 @@
 const tellMs = 10;
 /** Work that the others should know of at once: more than a short prompt makes. */
 const urgentWorkMs = 20;
-const slowTellMs = 100;
-/** Also what did not change is told this often, so that the share of a gateway that died fades. */
-const refreshMs = 300;
+/** Numbers of requests and their memory change slowly against this; it also lets the share of a gateway that died fade. */
+const sharesMs = 250;
 const staleMs = 900;
 
 /**
@@ -52,7 +52,6 @@
 */
 export function createLoadShare({linkAddress, links, clock, book, getGateways}: LoadShareOptions): LoadShare {
 	const heard = new Map<string, {readonly shares: readonly InstanceShare[]; readonly atMs: number}>();
-	let toldText = '';
 	let toldAtMs = Number.NEGATIVE_INFINITY;
 
 	const sumPeers = (nowMs: number) => {
@@ -75,27 +74,22 @@
 
 	const tell = () => {
 		const nowMs = clock.readMonotonicMs();
-		const sinceMs = nowMs - toldAtMs;
+		const isDue = nowMs - toldAtMs >= sharesMs;
 
-		if (sinceMs < slowTellMs && book.sumUntoldWorkMs() < urgentWorkMs) {
+		if (!isDue && book.sumUntoldWorkMs() < urgentWorkMs) {
 			return;
 		}
 
-		book.setPeers(sumPeers(nowMs));
-		const shares = book.listShares();
-		const work = book.takeUntoldWork();
-		const text = JSON.stringify(shares);
+		const note: LoadNote = {work: book.takeUntoldWork(), ...(isDue && {shares: book.listShares()})};
 
-		if (work.length === 0 && text === toldText && sinceMs < refreshMs) {
-			return;
+		if (isDue) {
+			toldAtMs = nowMs;
+			book.setPeers(sumPeers(nowMs));
 		}
 
-		toldText = text;
-		toldAtMs = nowMs;
-
 		for (const address of getGateways()) {
 			if (address !== linkAddress) {
-				links.send(address, {kind: LinkKind.Loads, from: linkAddress, loads: {shares, work} satisfies LoadNote} satisfies LinkMessage);
+				links.send(address, {kind: LinkKind.Loads, from: linkAddress, loads: note} satisfies LinkMessage);
 			}
 		}
 	};
@@ -104,9 +98,12 @@
 
 	return {
 		take(from, {shares, work}) {
-			heard.set(from, {shares, atMs: clock.readMonotonicMs()});
 			book.addPeerWork(work);
-			book.setPeers(sumPeers(clock.readMonotonicMs()));
+
+			if (shares !== undefined) {
+				heard.set(from, {shares, atMs: clock.readMonotonicMs()});
+				book.setPeers(sumPeers(clock.readMonotonicMs()));
+			}
 		},
 		stop() {
 			clearInterval(timer);
--- /dev/null
+++ b/packages/routing/src/__tests__/unit/choose-instance.test.ts
@@ -0,0 +1,79 @@
+import test from 'ava';
+import {
+	addWork, chooseInstance, computeWaitMs, createInstanceLoad, createWorkClock, type InstanceOption, type PromptSize, type WorkClock,
+} from '../../index.js';
+
+const createOption = (id: string, overrides: Partial<InstanceOption> = {}): InstanceOption => ({
+	id, availabilityZone: 'north', slots: 64, load: createInstanceLoad(), failureShare: 0, isCold: false, isOutdated: false, cachedTokens: 0,
+	fetchableTokens: 0, fetchMs: 0, ...overrides,
+});
+const long: PromptSize = {
+	promptTokens: 17_000, outputTokens: 30, cacheTokens: 77_000, prefillTokensPerMs: 40, affinityKey: 'work', sharedTokens: 12_800,
+};
+const short: PromptSize = {
+	...long, promptTokens: 380, sharedTokens: 300, affinityKey: 'topic',
+};
+
+// Sends prompts one after the other to engines that read at the expected rate; gives the wait that each met.
+const replay = (arrivals: ReadonlyArray<{readonly atMs: number; readonly prompt: PromptSize}>, engines: number) => {
+	const clocks = new Map<string, WorkClock>(Array.from({length: engines}, (_, index) => [`i-${index}`, createWorkClock()]));
+	const waits: Array<{readonly prompt: PromptSize; readonly waitMs: number; readonly id: string}> = [];
+
+	for (const {atMs, prompt} of arrivals) {
+		const options = [...clocks].map(([id, work]) => createOption(id, {load: {...createInstanceLoad(), work}}));
+		const {id, queueMs, workMs} = chooseInstance({
+			options, nowMs: atMs, availabilityZone: 'north', prompt,
+		})!;
+		clocks.set(id, addWork(clocks.get(id)!, workMs, atMs));
+		waits.push({prompt, waitMs: queueMs, id});
+	}
+
+	return waits;
+};
+
+test('a hot part spreads over several instances before one drowns', t => {
+	const waits = replay(Array.from({length: 20}, (_, index) => ({atMs: index * 120, prompt: long})), 8);
+	t.true(new Set(waits.map(wait => wait.id)).size >= 4);
+	t.true(Math.max(...waits.map(wait => wait.waitMs)) < 800);
+});
+
+test('while long prompts come faster than they are read, short ones wait behind none of them', t => {
+	const arrivals = [
+		...Array.from({length: 40}, (_, index) => ({atMs: index * 40, prompt: long})),
+		...Array.from({length: 200}, (_, index) => ({atMs: 5 + (index * 8), prompt: short})),
+	].toSorted((a, b) => a.atMs - b.atMs);
+	const waits = replay(arrivals, 8);
+	const shortWaits = waits.filter(wait => wait.prompt === short).map(wait => wait.waitMs);
+	t.true(Math.max(...shortWaits) < 100, `${Math.max(...shortWaits)} ms`);
+	t.true(Math.max(...waits.filter(wait => wait.prompt === long).map(wait => wait.waitMs)) > 400);
+});
+
+test('what can be fetched need not be read, unless that takes longer', t => {
+	const options = [createOption('near', {fetchableTokens: 12_800, fetchMs: 60}), createOption('none')];
+	t.is(chooseInstance({
+		options, nowMs: 0, availabilityZone: 'north', prompt: {...long, affinityKey: undefined},
+	})?.id, 'near');
+	t.is(chooseInstance({
+		options: [createOption('slow', {fetchableTokens: 12_800, fetchMs: 900}), createOption('none')], nowMs: 0, availabilityZone: 'north',
+		prompt: {...long, affinityKey: undefined},
+	})?.id, 'none');
+});
+
+test('plain calls go where fewer wait for each place, and not to instances that fail', t => {
+	const busy = {...createInstanceLoad(), own: 8};
+	const choose = (options: readonly InstanceOption[]) => chooseInstance({
+		options, nowMs: 0, availabilityZone: 'north', prompt: undefined,
+	})?.id;
+	t.is(choose([createOption('full', {slots: 6, load: busy}), createOption('free', {slots: 6})]), 'free');
+	t.is(choose([createOption('grey', {slots: 6, failureShare: 0.4}), createOption('sound', {slots: 6, load: {...createInstanceLoad(), own: 3}})]), 'sound');
+	t.is(choose([]), undefined);
+});
+
+test('a prompt that waits for memory counts the share of it that is wanted', t => {
+	const held = {...createInstanceLoad(), own: 4, ownHeldTokens: 76_000};
+	const {expectedMs} = chooseInstance({
+		options: [createOption('full', {load: held})], nowMs: 0, availabilityZone: 'north', prompt: short,
+	})!;
+	t.true(expectedMs < 100, `${expectedMs} ms`);
+	t.is(computeWaitMs(held.work, 0), 0);
+});
