Wait for a killed service to have ended before a test calls a booking 'never left'

Cause: beside load, the service still accepted when the booking was sent, and the truthful answer was 504. The check itself is as strict as before.

--- a/packages/demo/src/__tests__/integration/state.test.ts
+++ b/packages/demo/src/__tests__/integration/state.test.ts
@@ -69,7 +69,9 @@
 
 test.serial('a booking that provably never left is refused as not run, did not run, and may run later', async t => {
 	await withSystem({entries: 1, controls: 1}, async system => {
+		// Until the process has ended, its listener still accepts: a booking would leave, and could not be called not run.
 		system.services[0]!.process.kill('SIGKILL');
+		await system.services[0]!.process.waitForExit();
 		const refused = await book(system, {idempotencyKey: 'k'});
 		t.is(refused.status, 503);
 		t.true(refused.text.includes('"ran":"not_run"'));
