--- a/packages/gateway/src/caller-stream.ts
+++ b/packages/gateway/src/caller-stream.ts
@@ -16,8 +16,6 @@
 	readonly drop: () => void;
 	/** Ends a whole answer. */
 	readonly finish: () => void;
-	/** Ends the connection, so that what came does not look whole. */
-	readonly breakOff: () => void;
 };
 
 /** Creates the answer to a caller whose route streams; nothing is sent before the first bytes. */
@@ -58,8 +56,5 @@
 		finish() {
 			response.end(cutter?.takeRest());
 		},
-		breakOff() {
-			response.destroy();
-		},
 	};
 }
--- a/packages/gateway/src/choose-place.ts
+++ b/packages/gateway/src/choose-place.ts
@@ -49,6 +49,7 @@
 	const versions = new Map(open.map(entry => [entry.held.record.id, findVersion(entry, prompt.model)]));
 	const uses = new Map(open.map(entry => [entry.held.record.id, judgeWeights(prompt.model, versions.get(entry.held.record.id))]));
 	const candidates = open.filter(entry => uses.get(entry.held.record.id) !== WeightsUse.Barred);
+	const stores = listStores(options);
 	const orders = new Map<number | undefined, CacheOrder | undefined>();
 	const described = new Map(candidates.map(entry => {
 		const version = versions.get(entry.held.record.id);
@@ -62,7 +63,7 @@
 		return [entry.held.record.id, {
 			cache, option: describeOption(entry, {
 				nowMs, prompt: cache && {
-					...cache, parts: prompt.parts, service, stores: listStores(options),
+					...cache, parts: prompt.parts, service, stores,
 				},
 			}),
 		}];
--- a/packages/gateway/src/forward-options.ts
+++ b/packages/gateway/src/forward-options.ts
@@ -1,6 +1,5 @@
 import {type Clock} from '@fescuestair/core';
 import {type RetryBudget} from '@fescuestair/limits';
-import {type Log} from '@fescuestair/runtime';
 import {type RouteTable} from '@fescuestair/traffic';
 import {type CallerCodec, type UpstreamCodec} from './codecs.js';
 import {type Exchange} from './exchange.js';
@@ -11,7 +10,6 @@
 /** What forwarding needs of its gateway. */
 export type ForwardOptions = {
 	readonly clock: Clock;
-	readonly log: Log;
 	readonly availabilityZone: string;
 	readonly callerCodec: CallerCodec;
 	readonly upstreamCodec: UpstreamCodec;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -150,7 +150,6 @@
 
 	const forwardOptions: ForwardOptions = {
 		clock,
-		log,
 		availabilityZone,
 		callerCodec,
 		upstreamCodec,
--- a/packages/gateway/src/instance-book.ts
+++ b/packages/gateway/src/instance-book.ts
@@ -47,8 +47,6 @@
 	lastByteAtMs: number;
 	/** It turned a request away and takes none before this. */
 	fullDeadlineMs: number;
-	/** Weight versions seen in answers go before those announced. */
-	readonly refusedVersions: Map<string, number>;
 };
 
 export type InstanceBookOptions = {
@@ -66,7 +64,6 @@
 	readonly get: (id: string) => InstanceEntry | undefined;
 	/** Instances of a service that may take a request now. */
 	readonly listOpen: (service: string) => readonly InstanceEntry[];
-	readonly countKnown: (service: string) => number;
 	readonly begin: (entry: InstanceEntry, visit: Visit) => void;
 	/** The first piece came: its prompt has been read. */
 	readonly noteFirstPiece: (entry: InstanceEntry, visit: Visit) => void;
@@ -103,8 +100,8 @@
 const rateSampleTokens = 2000;
 /** Weight of the newest sample: about twenty prompts are looked at. */
 const rateSampleShare = 0.05;
-/** An instance that announced itself as cold is not loaded evenly before it is warm. */
-const msPerSecond = 1000;
+/** An instance counts as cold for no longer than this after its announcement, whatever it announced. */
+const maxColdMs = 10_000;
 
 /**
 Creates the book of instances of one gateway.
@@ -218,7 +215,6 @@
 
 			return free.length > 0 ? free : open;
 		},
-		countKnown: service => [...entries.values()].filter(entry => entry.held.record.service === service).length,
 		begin(entry, visit) {
 			const nowMs = clock.readMonotonicMs();
 			const wasIdle = computeWaitMs(entry.load.work, nowMs) === 0;
@@ -342,7 +338,6 @@
 		untoldCorrectionMs: 0,
 		lastByteAtMs: Number.NEGATIVE_INFINITY,
 		fullDeadlineMs: Number.NEGATIVE_INFINITY,
-		refusedVersions: new Map(),
 	};
 }
 
@@ -373,7 +368,7 @@
 		load: entry.load,
 		failureShare: entry.health.failureShare,
 		isOutdated,
-		isCold: record.coldLeftMs > 0 && nowMs - heardAtMs < Math.min(record.coldLeftMs, msPerSecond * 10),
+		isCold: record.coldLeftMs > 0 && nowMs - heardAtMs < Math.min(record.coldLeftMs, maxColdMs),
 		...describeCoverage(entry, prompt),
 	};
 }
--- a/packages/gateway/src/send-visit.ts
+++ b/packages/gateway/src/send-visit.ts
@@ -27,11 +27,11 @@
 
 /** Sends a request to the instance chosen, and keeps the book of instances meanwhile. */
 export async function sendVisit(options: ForwardOptions, exchange: Exchange, input: VisitInput): Promise<AttemptResult> {
-	const {clock, book, callerCodec, upstreamCodec} = options;
+	const {clock, book, upstreamCodec} = options;
 	const {
 		entry, placement, cache, uncachedTokens, service, progress, stream, isRepeatable, controls,
 	} = input;
-	const {request, requestId, body, route, organisation, caller} = exchange;
+	const {request, requestId, body, route, caller} = exchange;
 	const {record} = entry.held;
 	const startedAtMs = clock.readMonotonicMs();
 	const isStreaming = route.kind === CallKind.Streaming;
