Charge older weights in the choice of an instance

Cause: choose-place.ts judged the weights of each engine but told describeOption only of those that are barred; an engine whose weights had been replaced 1.5 s ago or more cost as much as a current one. The default of isOutdated hid it, so it has none now.

Ruled out: judgeWeights (its tests pass, and it did answer 'late').

Test: choose-place.test.ts, failed before (40 prompts went to both engines) and passes after.

--- /dev/null
+++ b/packages/gateway/src/__tests__/unit/choose-place.test.ts
@@ -0,0 +1,88 @@
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {Buffer} from 'node:buffer';
+import test, {type ExecutionContext} from 'ava';
+import {createSystemClock} from '@fescuestair/core';
+import {InstanceStage, type HeldInstance} from '@fescuestair/instances';
+import {createPartsView} from '@fescuestair/parts';
+import {createLog, createServedMetrics} from '@fescuestair/runtime';
+import {CallKind, type Service} from '@fescuestair/traffic';
+import {choosePlace} from '../../choose-place.js';
+import {type Exchange} from '../../exchange.js';
+import {type ForwardOptions} from '../../forward-options.js';
+import {createInstanceBook} from '../../instance-book.js';
+import {WeightsUse} from '../../named-weights.js';
+
+const service: Service = {
+	name: 'engines', healthPath: '/health', maxConnections: 100, store: undefined,
+	engine: {
+		slots: 16, cacheTokens: 77_000, bytesPerToken: 160_000, linkMegabitsPerSecond: 100_000, maxEventCalls: 4,
+	},
+};
+
+const createHeld = (id: string, version: number): HeldInstance => ({
+	heardAtMs: performance.now(), revision: 1, loadingDeadlineMs: 0,
+	record: {
+		id, service: service.name, address: `127.0.0.1:${9000 + version}`, availabilityZone: 'north', slots: 16, stage: InstanceStage.Ready, coldLeftMs: 0,
+		models: [{name: 'guide', version}], incarnation: 1, sequence: 1,
+	},
+});
+
+// Two engines, on versions 1 and 2 of the weights, and a gateway that judges them as the test says.
+const openGateway = (t: ExecutionContext, judgeWeights: ForwardOptions['judgeWeights']) => {
+	const clock = createSystemClock();
+	const log = createLog({instance: 'test', isTerminal: false, writeLine: () => true});
+	const book = createInstanceBook({
+		clock, log, metrics: createServedMetrics(), getMaxConnections: () => 10,
+	});
+	book.applyRegistry({held: new Map([1, 2].map(version => [`i-${version}`, createHeld(`i-${version}`, version)])), revision: 1});
+	t.teardown(() => {
+		book.stop();
+	});
+	const options = {
+		clock, book, availabilityZone: 'north', judgeWeights,
+		parts: {
+			getView: () => createPartsView(), noteUse: () => undefined, noteSave: () => undefined, isBeingSaved: () => false, stop: () => undefined,
+		},
+		getTable: () => ({config: {services: [service]}}),
+	} as unknown as ForwardOptions;
+
+	return {
+		book, choose: (partId: string) => choosePlace(options, createExchange(partId), {
+			service, progress: {
+				sent: 0, refused: 0, waits: 0, triedIds: new Set(), story: [],
+			},
+		}),
+	};
+};
+
+const createExchange = (partId: string): Exchange => ({
+	requestId: 'r1', request: {} as unknown as IncomingMessage, response: {} as unknown as ServerResponse, organisation: undefined, body: Buffer.alloc(0),
+	startedAtMs: 0, deadlineMs: 4000,
+	route: {kind: CallKind.Streaming} as unknown as Exchange['route'],
+	caller: {
+		requestId: 'r1', timeLeftMs: 4000, key: undefined, lastEventId: undefined,
+		prompt: {
+			model: 'guide', promptTokens: 380, maxOutputTokens: 20, expectedOutputTokens: undefined,
+			parts: [{id: partId, tokens: 300}, {id: `${partId}-own`, tokens: 80}],
+		},
+	},
+});
+
+const partIds = Array.from({length: 40}, (_, index) => `part-${index}`);
+
+test('an engine whose weights are late gets a prompt only where the others cost more than the lateness', t => {
+	const {choose, book} = openGateway(t, (_model, version) => version === 1 ? WeightsUse.Late : WeightsUse.Current);
+	t.deepEqual([...new Set(partIds.map(id => choose(id)?.entry.held.record.id))], ['i-2']);
+
+	const newer = book.get('i-2')!;
+	book.addPeerWork([[newer.held.record.id, 1000, 0]]);
+	t.deepEqual([...new Set(partIds.map(id => choose(id)?.entry.held.record.id))], ['i-1']);
+});
+
+test('engines on barred weights get nothing, those on current ones are equals', t => {
+	const {choose} = openGateway(t, (_model, version) => version === 1 ? WeightsUse.Barred : WeightsUse.Current);
+	t.deepEqual([...new Set(partIds.map(id => choose(id)?.entry.held.record.id))], ['i-2']);
+
+	const equals = openGateway(t, () => WeightsUse.Current);
+	t.is(new Set(partIds.map(id => equals.choose(id)?.entry.held.record.id)).size, 2);
+});
--- a/packages/gateway/src/choose-place.ts
+++ b/packages/gateway/src/choose-place.ts
@@ -32,7 +32,7 @@
 function choosePlainPlace({book, clock, availabilityZone}: ForwardOptions, open: readonly InstanceEntry[]): Place | undefined {
 	const nowMs = clock.readMonotonicMs();
 	const placement = chooseInstance({
-		options: open.map(entry => describeOption(entry, {nowMs, prompt: undefined})), nowMs, availabilityZone, prompt: undefined,
+		options: open.map(entry => describeOption(entry, {nowMs, prompt: undefined, isOutdated: false})), nowMs, availabilityZone, prompt: undefined,
 	});
 
 	return placement && {
@@ -62,9 +62,11 @@
 
 		return [entry.held.record.id, {
 			cache, option: describeOption(entry, {
-				nowMs, prompt: cache && {
+				nowMs,
+				prompt: cache && {
 					...cache, parts: prompt.parts, service, stores,
 				},
+				isOutdated: uses.get(entry.held.record.id) === WeightsUse.Late,
 			}),
 		}];
 	}));
--- a/packages/gateway/src/instance-book.ts
+++ b/packages/gateway/src/instance-book.ts
@@ -345,7 +345,7 @@
 	readonly nowMs: number;
 	readonly prompt: OptionPrompt | undefined;
 	/** Newer weights than its own were named some time ago. */
-	readonly isOutdated?: boolean;
+	readonly isOutdated: boolean;
 };
 
 /** The parts of a prompt, the salt under which they are cached, and where they can be fetched. */
@@ -358,7 +358,7 @@
 };
 
 /** Describes an instance for the choice of where a request goes. */
-export function describeOption(entry: InstanceEntry, {nowMs, prompt, isOutdated = false}: OptionInput): InstanceOption {
+export function describeOption(entry: InstanceEntry, {nowMs, prompt, isOutdated}: OptionInput): InstanceOption {
 	const {record, heardAtMs} = entry.held;
 
 	return {
