Start coordinators again after their logs were compacted; tell the newest version alone

The host now says itself whether it leads. Found while a restarted leader was kept from telling each version that it replays: createNewestOnly tells the last of one turn of the event loop.

Tests: restart.test.ts (150 changes, a stop, a start) failed before with 'Cannot access replica before initialization'; newest-only.test.ts (seven versions replayed, one told).

--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -1,6 +1,6 @@
 import {randomBytes} from 'node:crypto';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {planMembers, ReplicaRole, type Timing} from '@fescuestair/agreement';
+import {planMembers, type Timing} from '@fescuestair/agreement';
 import {createSystemClock, type Clock, type Finding} from '@fescuestair/core';
 import {
 	createInstanceRegistry, createNote, DaemonRole, listCards, listNews, NewsKind, setLoading, setModelVersion, takeCard, takeRecord, tidyRegistry,
@@ -17,6 +17,7 @@
 import {
 	describePublished, PublishKind, type PublishAnswer, type PublishCommand, type PublishedState,
 } from './published-state.js';
+import {createNewestOnly} from './newest-only.js';
 import {createPartKeeper, type StoreClient} from './part-keeper.js';
 import {createReplicaHost} from './replica-host.js';
 import {createWeightOrders, type WeightOrdersOptions} from './weight-orders.js';
@@ -150,20 +151,24 @@
 		}
 	};
 
-	const onPublished = (state: PublishedState) => {
-		noteNamedWeights(state);
+	const applyPublished = createNewestOnly(({state, isLeading}: {readonly state: PublishedState; readonly isLeading: boolean}) => {
 		const config = state.configText === undefined ? undefined : decodeConfig(state.configText).config;
 		stores = (config?.services ?? []).flatMap(service => service.store?.isManaged === true ? [service.store] : []);
 		log.info('published', {revision: state.revision, configVersion: state.configVersion, weights: Object.fromEntries(state.weights)});
 
 		// The one that leads tells everyone; the others are asked by whoever missed it.
-		if (replica?.getState()?.role === ReplicaRole.Leader) {
+		if (isLeading) {
+			const message: LinkMessage = {kind: LinkKind.Published, published: describe(state, -1)};
+
 			for (const card of listOthers()) {
-				links.send(card.linkAddress, {
-					kind: LinkKind.Published, published: describe(state, -1),
-				} satisfies LinkMessage);
+				links.send(card.linkAddress, message);
 			}
 		}
+	});
+
+	const onPublished = (state: PublishedState, isLeading: boolean) => {
+		noteNamedWeights(state);
+		applyPublished({state, isLeading});
 	};
 
 	const replica = await createReplicaHost({
--- a/packages/coordinator/src/replica-host.ts
+++ b/packages/coordinator/src/replica-host.ts
@@ -24,8 +24,8 @@
 	readonly links: Links;
 	readonly log: Log;
 	readonly timing: Timing;
-	/** Called with each state that is newer than the one before. */
-	readonly onPublished: (state: PublishedState) => void;
+	/** Called with each state that is newer than the one before, also while the replica is being opened. */
+	readonly onPublished: (state: PublishedState, isLeading: boolean) => void;
 };
 
 /** The replica of this coordinator. It is opened anew after its disk failed, for as long as the process runs. */
@@ -77,7 +77,7 @@
 	const publish = (state: PublishedState) => {
 		if (state.revision > published.revision) {
 			published = state;
-			onPublished(state);
+			onPublished(state, runner?.getState().role === ReplicaRole.Leader);
 		}
 	};
 
