Stop requests that crash each instance that runs them

Load pattern: one request that ends each instance that runs it, sent again by its caller at any gateway.

Change: a connection that breaks under a request is unclear until its instance is found unreachable, ended or started again (a crash), or answers something sent later (not one). Crashes are kept by fingerprint (method, target, organisation, body), told to the other gateways and told again every 2 s for those that missed them; notes only grow, so their order does not matter. Whatever finishes anywhere is cleared. After three crashes the request is refused as not run, with the time left as the time to return.

Ruled out: a broken connection alone as the sign (instances that reset one in thirty connections would bar whole paths, since lookups without a body share a fingerprint); two crashes (an innocent request on two of a quarter of the instances that are lost at once).

--- /dev/null
+++ b/packages/gateway/src/__tests__/unit/crash-watch.test.ts
@@ -0,0 +1,97 @@
+import {Buffer} from 'node:buffer';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import test, {type ExecutionContext} from 'ava';
+import {InstanceStage, type HeldInstance} from '@fescuestair/instances';
+import {type SuspectNote} from '@fescuestair/limits';
+import {createLog} from '@fescuestair/runtime';
+import {type Links} from '@fescuestair/transport';
+import {createCrashWatch} from '../../crash-watch.js';
+import {type Exchange} from '../../exchange.js';
+import {type InstanceEntry} from '../../instance-book.js';
+
+// Two gateways that know of each other.
+const openGateways = (t: ExecutionContext) => {
+	const time = {nowMs: 0};
+	const watches = new Map<string, ReturnType<typeof createCrashWatch>>();
+	const links = {
+		send(address: string, {note}: {readonly note: SuspectNote}) {
+			watches.get(address)!.take(note);
+		},
+	} as unknown as Links;
+
+	for (const linkAddress of ['a', 'b']) {
+		watches.set(linkAddress, createCrashWatch({
+			linkAddress, links, getGateways: () => ['a', 'b'],
+			clock: {readMonotonicMs: () => time.nowMs, readWallMs: () => time.nowMs},
+			log: createLog({instance: linkAddress, isTerminal: false, writeLine: () => true}),
+		}));
+	}
+
+	t.teardown(() => {
+		for (const watch of watches.values()) {
+			watch.stop();
+		}
+	});
+
+	return {time, first: watches.get('a')!, second: watches.get('b')!};
+};
+
+const createEntry = (id: string, incarnation: number): InstanceEntry => ({held: createHeld(id, incarnation)}) as unknown as InstanceEntry;
+const createHeld = (id: string, incarnation: number): HeldInstance => ({
+	heardAtMs: 0, revision: 1, loadingDeadlineMs: 0,
+	record: {
+		id, service: 'app', address: '10.0.0.1:1', availabilityZone: 'north', slots: 1, stage: InstanceStage.Ready, coldLeftMs: 0, models: [], incarnation, sequence: 1,
+	},
+});
+const createExchange = (url: string, requestId: string): Exchange => ({
+	requestId, body: Buffer.from('question'), organisation: undefined, startedAtMs: 0, deadlineMs: 1000,
+	request: {method: 'POST', url} as unknown as IncomingMessage, response: undefined as unknown as ServerResponse,
+	route: undefined as unknown as Exchange['route'], caller: undefined as unknown as Exchange['caller'],
+});
+
+test('what crashes an instance at any gateway is run by none after the third', t => {
+	const {time, first, second} = openGateways(t);
+
+	for (const [watch, id] of [[first, 'i-1'], [second, 'i-2'], [first, 'i-3']] as const) {
+		t.is(second.getQuarantineDeadline(createExchange('/poison', 'r')), undefined);
+		watch.noteBroken(createExchange('/poison', `r-${id}`), createEntry(id, 1));
+		time.nowMs += 300;
+		watch.noteUnreachable(createEntry(id, 1));
+	}
+
+	t.true(first.getQuarantineDeadline(createExchange('/poison', 'r'))! > time.nowMs);
+	t.true(second.getQuarantineDeadline(createExchange('/poison', 'r'))! > time.nowMs);
+	t.is(second.getQuarantineDeadline(createExchange('/other', 'r')), undefined);
+});
+
+test('connections that are reset by instances that live on, make no suspect', t => {
+	const {time, first} = openGateways(t);
+
+	for (let round = 0; round < 20; round++) {
+		const entry = createEntry(`i-${round % 4}`, 1);
+		first.noteBroken(createExchange('/lookup', `r-${round}`), entry);
+		time.nowMs += 10;
+		first.noteFinished(createExchange('/other', `s-${round}`), entry, time.nowMs - 5);
+		time.nowMs += 10;
+		first.noteUnreachable(entry);
+	}
+
+	t.is(first.getQuarantineDeadline(createExchange('/lookup', 'r')), undefined);
+});
+
+test('an instance that has started again has crashed, and what finishes anywhere is no suspect', t => {
+	const {first, second} = openGateways(t);
+	const crash = (id: string) => {
+		first.noteBroken(createExchange('/lookup', 'r'), createEntry(id, 1));
+		first.noteRegistry({held: new Map([[id, createHeld(id, 2)]]), revision: 2});
+	};
+
+	crash('i-1');
+	crash('i-2');
+	second.noteFinished(createExchange('/lookup', 's'), createEntry('i-9', 1), 0);
+	crash('i-3');
+	t.is(first.getQuarantineDeadline(createExchange('/lookup', 'r')), undefined);
+	crash('i-4');
+	crash('i-5');
+	t.not(first.getQuarantineDeadline(createExchange('/lookup', 'r')), undefined);
+});
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -35,6 +35,8 @@
 	readonly body: Buffer;
 	/** No connection could be made. */
 	readonly isUnreachable: boolean;
+	/** The connection ended from the other side before the whole answer had come. */
+	readonly isCutOff: boolean;
 	/** Time for which a new connection was awaited; `undefined` where one was at hand. */
 	readonly connectMs: number | undefined;
 };
@@ -95,7 +97,7 @@
 		settle = resolve;
 	});
 
-	const finish = (end: AttemptEnd, reason: string, isUnreachable = false) => {
+	const finish = (end: AttemptEnd, reason: string, {isUnreachable = false, isCutOff = false} = {}) => {
 		if (isSettled) {
 			return;
 		}
@@ -103,12 +105,17 @@
 		isSettled = true;
 		clearTimeout(connectTimer);
 		settle({
-			end, reason, head, body: Buffer.concat(chunks), isUnreachable, connectMs,
+			end, reason, head, body: Buffer.concat(chunks), isUnreachable, isCutOff, connectMs,
 		});
 	};
 
 	const fail = (reason: string) => {
-		finish(isSent ? AttemptEnd.Broken : AttemptEnd.NotRun, reason, !isSent);
+		finish(isSent ? AttemptEnd.Broken : AttemptEnd.NotRun, reason, {isUnreachable: !isSent});
+		request.destroy();
+	};
+
+	const failCutOff = (reason: string) => {
+		finish(isSent ? AttemptEnd.Broken : AttemptEnd.NotRun, reason, {isUnreachable: !isSent, isCutOff: isSent});
 		request.destroy();
 	};
 
@@ -141,7 +148,7 @@
 	request.on('error', (error: NodeJS.ErrnoException) => {
 		// What follows a whole answer is no part of it.
 		if (incoming?.complete !== true) {
-			fail(error.code ?? error.message);
+			failCutOff(error.code ?? error.message);
 		}
 	});
 	request.on('response', response => {
@@ -194,21 +201,21 @@
 			if (response.complete) {
 				finish(head!.answer.isNotRun ? AttemptEnd.NotRun : AttemptEnd.Complete, head!.answer.isNotRun ? `refused with ${head!.status}` : '');
 			} else {
-				fail('the answer was cut short');
+				failCutOff('the answer was cut short');
 			}
 		});
 		response.on('error', (error: NodeJS.ErrnoException) => {
-			fail(error.code ?? error.message);
+			failCutOff(error.code ?? error.message);
 		});
 		response.on('close', () => {
 			if (!response.complete) {
-				fail('the answer was cut short');
+				failCutOff('the answer was cut short');
 			}
 		});
 	});
 	request.on('close', () => {
 		if (incoming === undefined) {
-			fail('the connection closed without an answer');
+			failCutOff('the connection closed without an answer');
 		}
 	});
 	request.end(body);
--- /dev/null
+++ b/packages/gateway/src/crash-watch.ts
@@ -0,0 +1,139 @@
+import {computeHashHex, type Clock} from '@fescuestair/core';
+import {InstanceStage, type InstanceRegistry} from '@fescuestair/instances';
+import {
+	addBreak, addCrash, clearSuspect, createCrashSuspects, createSuspectNote, forgetBreaks, getQuarantineDeadline, isSuspect, mergeSuspect, takeCrashed,
+	type SuspectNote,
+} from '@fescuestair/limits';
+import {LinkKind, type LinkMessage} from '@fescuestair/protocol';
+import {type Log} from '@fescuestair/runtime';
+import {type Links} from '@fescuestair/transport';
+import {type Exchange} from './exchange.js';
+import {type InstanceEntry} from './instance-book.js';
+
+export type CrashWatchOptions = {
+	readonly linkAddress: string;
+	readonly links: Links;
+	readonly clock: Clock;
+	readonly log: Log;
+	/** Link addresses of all gateways. */
+	readonly getGateways: () => readonly string[];
+};
+
+/** Finds the requests that crash the instances that run them, with the other gateways. */
+export type CrashWatch = {
+	/** Until when a request is not run; `undefined` where it may run. */
+	readonly getQuarantineDeadline: (exchange: Exchange) => number | undefined;
+	/** The connection broke while an instance had the request. */
+	readonly noteBroken: (exchange: Exchange, entry: InstanceEntry) => void;
+	/** The instance gave a whole answer to a request. */
+	readonly noteFinished: (exchange: Exchange, entry: InstanceEntry, sentAtMs: number) => void;
+	/** The instance takes no connection any more. */
+	readonly noteUnreachable: (entry: InstanceEntry) => void;
+	/** Instances that ended, or started again, did so after what broke there. */
+	readonly noteRegistry: (registry: InstanceRegistry) => void;
+	readonly take: (note: SuspectNote) => void;
+	readonly stop: () => void;
+};
+
+/** Suspects are told again for gateways that missed them or have started since: about as soon as a caller sends a request again. */
+const retellMs = 2000;
+/** Suspects told again in one round, the newest first. */
+const maxRetold = 50;
+
+/**
+Creates the watch for requests that crash instances. A broken connection alone is no sign of a crash: the instance has to be found
+unreachable, or to have started again, before it answers anything else.
+
+@example
+```
+const crashes = createCrashWatch({linkAddress, links, clock, log, getGateways});
+```
+*/
+export function createCrashWatch({linkAddress, links, clock, log, getGateways}: CrashWatchOptions): CrashWatch {
+	let state = createCrashSuspects();
+
+	const tellOthers = (fingerprint: string) => {
+		const note = createSuspectNote(state, fingerprint, clock.readMonotonicMs());
+
+		for (const address of getGateways()) {
+			if (address !== linkAddress) {
+				links.send(address, {kind: LinkKind.Suspects, note} satisfies LinkMessage);
+			}
+		}
+	};
+
+	const noteCrash = (incarnation: string) => {
+		const nowMs = clock.readMonotonicMs();
+		const taken = takeCrashed(state, {incarnation, nowMs});
+		state = taken.state;
+
+		for (const fingerprint of taken.fingerprints) {
+			state = addCrash(state, {fingerprint, incarnation, nowMs});
+			log.warn('an instance crashed under a request', {fingerprint, incarnation, isQuarantined: getQuarantineDeadline(state, fingerprint, nowMs) !== undefined});
+			tellOthers(fingerprint);
+		}
+	};
+
+	const timer = setInterval(() => {
+		for (const fingerprint of [...state.suspects.keys()].slice(-maxRetold)) {
+			tellOthers(fingerprint);
+		}
+	}, retellMs);
+
+	return {
+		getQuarantineDeadline: exchange => state.suspects.size === 0
+			? undefined
+			: getQuarantineDeadline(state, computeFingerprint(exchange), clock.readMonotonicMs()),
+		noteBroken(exchange, entry) {
+			state = addBreak(state, {
+				fingerprint: computeFingerprint(exchange), incarnation: formatIncarnation(entry.held.record), nowMs: clock.readMonotonicMs(),
+			});
+		},
+		noteFinished(exchange, entry, sentAtMs) {
+			state = forgetBreaks(state, {incarnation: formatIncarnation(entry.held.record), sentAtMs});
+
+			if (state.suspects.size === 0) {
+				return;
+			}
+
+			const fingerprint = computeFingerprint(exchange);
+
+			if (isSuspect(state, fingerprint)) {
+				state = clearSuspect(state, fingerprint);
+				log.info('a suspected request finished', {fingerprint});
+				tellOthers(fingerprint);
+			}
+		},
+		noteUnreachable(entry) {
+			noteCrash(formatIncarnation(entry.held.record));
+		},
+		noteRegistry({held}) {
+			for (const incarnation of state.unclear.keys()) {
+				const record = held.get(parseInstanceId(incarnation))?.record;
+
+				if (record === undefined || record.stage === InstanceStage.Gone || formatIncarnation(record) !== incarnation) {
+					noteCrash(incarnation);
+				}
+			}
+		},
+		take(note) {
+			state = mergeSuspect(state, note, clock.readMonotonicMs());
+		},
+		stop() {
+			clearInterval(timer);
+		},
+	};
+}
+
+// A request that comes again has the same target, sender and body, under another id. The hash tells nothing of the text.
+function computeFingerprint({request, organisation, body}: Exchange): string {
+	return computeHashHex(JSON.stringify([request.method, request.url, organisation?.name, body.toString('latin1')]));
+}
+
+function formatIncarnation({id, incarnation}: {readonly id: string; readonly incarnation: number}): string {
+	return `${id} ${incarnation}`;
+}
+
+function parseInstanceId(incarnation: string): string {
+	return incarnation.slice(0, incarnation.lastIndexOf(' '));
+}
--- a/packages/gateway/src/forward-options.ts
+++ b/packages/gateway/src/forward-options.ts
@@ -2,6 +2,7 @@
 import {type RetryBudget} from '@fescuestair/limits';
 import {type RouteTable} from '@fescuestair/traffic';
 import {type CallerCodec, type UpstreamCodec} from './codecs.js';
+import {type CrashWatch} from './crash-watch.js';
 import {type Exchange} from './exchange.js';
 import {type WeightsUse} from './named-weights.js';
 import {type InstanceBook} from './instance-book.js';
@@ -15,6 +16,7 @@
 	readonly upstreamCodec: UpstreamCodec;
 	readonly book: InstanceBook;
 	readonly parts: PartsClient;
+	readonly crashes: CrashWatch;
 	readonly getTable: () => RouteTable;
 	/** Tells whether new requests may begin on a version of a model's weights. */
 	readonly judgeWeights: (model: string, version: number | undefined) => WeightsUse;
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -111,20 +111,26 @@
 	}
 
 	if (controls.isExpired || exchange.deadlineMs - options.clock.readMonotonicMs() < leastTimeMs) {
-		return progress.sent > 0 ? endFailed(forwarding, expiredStatus, 'the deadline passed') : refuse(forwarding, 'the deadline passed before it was sent', 0);
+		return progress.sent > 0 ? endFailed(forwarding, expiredStatus, 'the deadline passed') : refuse(forwarding, 'the deadline passed before it was sent', spreadRetry(0));
+	}
+
+	const quarantineDeadlineMs = options.crashes.getQuarantineDeadline(exchange);
+
+	if (quarantineDeadlineMs !== undefined) {
+		return refuse(forwarding, 'instances crashed each time that they ran this request', quarantineDeadlineMs - options.clock.readMonotonicMs());
 	}
 
 	const place = choosePlace(options, exchange, {service, progress});
 
 	if (place === undefined) {
-		return refuse(forwarding, 'no instance of the service takes requests now', 0);
+		return refuse(forwarding, 'no instance of the service takes requests now', spreadRetry(0));
 	}
 
 	// What has begun, or may have run elsewhere, goes on at once.
 	const decision = stream.isBegun() || progress.sent > 0 ? WaitDecision.Send : decideNow(forwarding, place);
 
 	if (decision === WaitDecision.Refuse) {
-		return refuse(forwarding, 'all instances are too busy to answer in time', place.placement.queueMs);
+		return refuse(forwarding, 'all instances are too busy to answer in time', spreadRetry(place.placement.queueMs));
 	}
 
 	if (decision === WaitDecision.Wait) {
@@ -169,7 +175,7 @@
 		// What never left costs the instances nothing.
 		const mayGoOn = progress.refused <= maxRefusedSendings && (result.isUnreachable || takeRepeat(options, service.name));
 
-		return mayGoOn ? undefined : refuse(forwarding, `turned away: ${result.reason}`, place.placement.expectedMs);
+		return mayGoOn ? undefined : refuse(forwarding, `turned away: ${result.reason}`, spreadRetry(place.placement.expectedMs));
 	}
 
 	progress.sent++;
@@ -203,7 +209,7 @@
 	}
 
 	sendOwnAnswer(exchange.response, {
-		status: refusedStatus, message: reason, retryAfterMs: spreadRetry(retryAfterMs), isClosing: options.isLeaving(),
+		status: refusedStatus, message: reason, retryAfterMs, isClosing: options.isLeaving(),
 	});
 
 	return {outcome: Outcome.Refused, status: refusedStatus, reason};
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,7 +6,9 @@
 import {
 	DaemonRole, type DaemonCard, type InstanceNote, type Published,
 } from '@fescuestair/instances';
-import {createRetryBudget, depositSuccess, type RetryBudget} from '@fescuestair/limits';
+import {
+	createRetryBudget, depositSuccess, type RetryBudget, type SuspectNote,
+} from '@fescuestair/limits';
 import {createLinkCommands, dispatchLinkMessage, LinkKind} from '@fescuestair/protocol';
 import {type Log, type ServedMetrics} from '@fescuestair/runtime';
 import {
@@ -17,6 +19,7 @@
 } from '@fescuestair/transport';
 import {type CallerCodec, type UpstreamCodec} from './codecs.js';
 import {createCoordinatorClient} from './coordinator-client.js';
+import {createCrashWatch} from './crash-watch.js';
 import {Outcome, sendOwnAnswer, type ExchangeEnd} from './exchange.js';
 import {forwardExchange} from './forward.js';
 import {type ForwardOptions} from './forward-options.js';
@@ -148,6 +151,10 @@
 		name, role: DaemonRole.Gateway, incarnation, linkAddress, serviceAddress: listen, availabilityZone, isReady: isReady(),
 	});
 
+	const crashes = createCrashWatch({
+		linkAddress, links, clock, log, getGateways: () => client.getGateways(),
+	});
+
 	const forwardOptions: ForwardOptions = {
 		clock,
 		availabilityZone,
@@ -155,6 +162,7 @@
 		upstreamCodec,
 		book,
 		parts,
+		crashes,
 		getTable: () => table!,
 		judgeWeights: (model, version) => judgeWeights(weights, {
 			model, version, nowMs: clock.readMonotonicMs(), oldWeightsMs,
@@ -326,6 +334,7 @@
 		getCard, getSeeds, links, clock, log, onPublished,
 		onInstances(registry) {
 			book.applyRegistry(registry);
+			crashes.noteRegistry(registry);
 			book.applyLimits();
 		},
 	});
@@ -339,6 +348,11 @@
 
 		return true;
 	});
+	commands.registerCommand(LinkKind.Suspects, ({note}) => {
+		crashes.take(note as SuspectNote);
+
+		return true;
+	});
 	commands.registerCommand(LinkKind.Published, ({published}) => {
 		client.takePublished(published as Published);
 
@@ -379,6 +393,7 @@
 			client.stop();
 			parts.stop();
 			loadShare.stop();
+			crashes.stop();
 			server.close();
 			server.closeAllConnections();
 			book.stop();
--- a/packages/gateway/src/send-visit.ts
+++ b/packages/gateway/src/send-visit.ts
@@ -95,7 +95,7 @@
 	const result = await attempt.result;
 	noteFirstPiece();
 	book.end(entry, one);
-	recordResult(options, entry, result);
+	recordResult(options, exchange, {entry, result, sentAtMs: startedAtMs});
 
 	if (result.end === AttemptEnd.Complete && cache !== undefined && result.head!.status < 300) {
 		recordCached(entry, caller.prompt!.parts, {salt: cache.salt, capacityTokens: service.engine!.cacheTokens});
@@ -112,8 +112,18 @@
 	return result;
 }
 
+type ResultInput = {readonly entry: InstanceEntry; readonly result: AttemptResult; readonly sentAtMs: number};
+
 // A refusal for want of room is no fault of the instance; a cancel from here says nothing of it.
-function recordResult({book}: ForwardOptions, entry: InstanceEntry, result: AttemptResult): void {
+function recordResult({book, crashes}: ForwardOptions, exchange: Exchange, {entry, result, sentAtMs}: ResultInput): void {
+	if (result.isCutOff) {
+		crashes.noteBroken(exchange, entry);
+	} else if (result.isUnreachable) {
+		crashes.noteUnreachable(entry);
+	} else if (result.end === AttemptEnd.Complete) {
+		crashes.noteFinished(exchange, entry, sentAtMs);
+	}
+
 	if (result.end === AttemptEnd.NotRun && !result.isUnreachable) {
 		book.noteRefused(entry);
 	} else if (result.isUnreachable) {
--- /dev/null
+++ b/packages/limits/src/__tests__/unit/crash-suspects.test.ts
@@ -0,0 +1,79 @@
+import test from 'ava';
+import {
+	addBreak, addCrash, clearSuspect, createCrashSuspects, createSuspectNote, forgetBreaks, getQuarantineDeadline, isSuspect, mergeSuspect, takeCrashed,
+	type CrashSuspects,
+} from '../../index.js';
+
+// A connection broke under a request, and the instance turned out to have crashed.
+const crash = (state: CrashSuspects, {fingerprint, incarnation, nowMs}: {readonly fingerprint: string; readonly incarnation: string; readonly nowMs: number}) => {
+	const broken = addBreak(state, {fingerprint, incarnation, nowMs});
+	const {state: next, fingerprints} = takeCrashed(broken, {incarnation, nowMs: nowMs + 50});
+	let noted = next;
+
+	for (const one of fingerprints) {
+		noted = addCrash(noted, {fingerprint: one, incarnation, nowMs: nowMs + 50});
+	}
+
+	return noted;
+};
+
+test('a request that crashes each instance that runs it is run no more after the third', t => {
+	let state = createCrashSuspects();
+
+	for (const [index, incarnation] of ['a 1', 'b 1', 'a 2'].entries()) {
+		t.is(getQuarantineDeadline(state, 'poison', index * 1000), undefined);
+		state = crash(state, {fingerprint: 'poison', incarnation, nowMs: index * 1000});
+	}
+
+	t.true(getQuarantineDeadline(state, 'poison', 3000)! > 3000);
+	t.is(getQuarantineDeadline(state, 'other', 3000), undefined);
+	t.is(getQuarantineDeadline(state, 'poison', 3_600_000), undefined);
+});
+
+test('one crash under several sendings counts once, and what finishes elsewhere is cleared', t => {
+	let state = createCrashSuspects();
+
+	for (let nowMs = 0; nowMs < 5; nowMs++) {
+		state = crash(state, {fingerprint: 'same', incarnation: 'a 1', nowMs});
+	}
+
+	t.is(getQuarantineDeadline(state, 'same', 10), undefined);
+	state = crash(state, {fingerprint: 'same', incarnation: 'b 1', nowMs: 20});
+	state = clearSuspect(state, 'same');
+	state = crash(state, {fingerprint: 'same', incarnation: 'c 1', nowMs: 40});
+	t.is(getQuarantineDeadline(state, 'same', 100), undefined);
+});
+
+test('what daemons tell each other may come late, twice and in any order', t => {
+	const crashed = addCrash(addCrash(createCrashSuspects(), {fingerprint: 'x', incarnation: 'a 1', nowMs: 0}), {fingerprint: 'x', incarnation: 'b 1', nowMs: 0});
+	const before = createSuspectNote(crashed, 'x', 0)!;
+	const after = createSuspectNote(clearSuspect(crashed, 'x'), 'x', 0)!;
+
+	for (const notes of [[before, after], [after, before], [after, before, after, before]]) {
+		let state = createCrashSuspects();
+
+		for (const note of notes) {
+			state = mergeSuspect(state, note, 100);
+		}
+
+		t.false(isSuspect(state, 'x'));
+		state = addCrash(state, {fingerprint: 'x', incarnation: 'c 1', nowMs: 200});
+		t.true(isSuspect(state, 'x'));
+		t.is(getQuarantineDeadline(state, 'x', 200), undefined);
+	}
+});
+
+test('a connection that breaks at an instance that goes on answering is no crash', t => {
+	let state = createCrashSuspects();
+	state = addBreak(state, {fingerprint: 'same', incarnation: 'a 1', nowMs: 100});
+	// An answer that was on its way already says nothing.
+	state = forgetBreaks(state, {incarnation: 'a 1', sentAtMs: 90});
+	t.deepEqual(takeCrashed(state, {incarnation: 'a 1', nowMs: 120}).fingerprints, ['same']);
+	state = forgetBreaks(state, {incarnation: 'a 1', sentAtMs: 110});
+	t.deepEqual(takeCrashed(state, {incarnation: 'a 1', nowMs: 120}).fingerprints, []);
+});
+
+test('an instance that is lost much later did not crash under what broke before', t => {
+	const state = addBreak(createCrashSuspects(), {fingerprint: 'same', incarnation: 'a 1', nowMs: 0});
+	t.deepEqual(takeCrashed(state, {incarnation: 'a 1', nowMs: 30_000}).fingerprints, []);
+});
--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -1,3 +1,7 @@
+export {
+	addBreak, addCrash, clearSuspect, createCrashSuspects, createSuspectNote, forgetBreaks, getQuarantineDeadline, isSuspect, mergeSuspect, takeCrashed,
+	type BreakInput, type CrashSuspects, type SuspectNote,
+} from './crash-suspects.js';
 export {
 	createHoldQueue, enterHold, estimateWaitMs, leaveHold, type Held, type HoldQueue,
 } from './hold-queue.js';
--- a/packages/protocol/src/link-messages.ts
+++ b/packages/protocol/src/link-messages.ts
@@ -24,6 +24,8 @@
 	PollParts = 'poll_parts',
 	/** A gateway tells the others what it has at each instance. */
 	Loads = 'loads',
+	/** A gateway tells the others of a request that was running when an instance crashed. */
+	Suspects = 'suspects',
 }
 
 /** Messages; the parts typed as unknown belong to the packages that read them. */
@@ -47,6 +49,7 @@
 		| {readonly kind: LinkKind.Published; readonly published: unknown}
 		| {readonly kind: LinkKind.ReadPublished}
 		| {readonly kind: LinkKind.Loads; readonly from: string; readonly loads: unknown}
+		| {readonly kind: LinkKind.Suspects; readonly note: unknown}
 		| {readonly kind: LinkKind.PollParts; readonly poll: unknown}
 		| {readonly kind: LinkKind.Join; readonly id: string; readonly name: string; readonly address: string};
 
