Refuse a booking that no majority can claim once the entry is stale

Cause: a claim was proposed until the deadline of its call, over 8 s, though no leader had answered anyone for longer than the freshness bound of 2.5 s, so that no majority could record it. Claims now end with the freshness of the entry; where it is stale already (control has just come back) they ask once, for 1.5 s. What records an outcome is still proposed until its own deadline.

The refusal goes on saying 'unknown' and not 'not run': only a majority could tell whether the key belongs to a call that ran (the test 'a resend that no majority can look up is not called not run' stands). Its message says that this call was not sent.

--- a/packages/demo/src/__tests__/integration/state.test.ts
+++ b/packages/demo/src/__tests__/integration/state.test.ts
@@ -105,6 +105,28 @@
 	});
 });
 
+test.serial('a booking that no majority can claim is refused with a time to return, and did not run', async t => {
+	await withSystem({entries: 1, controls: 3}, async system => {
+		t.is((await book(system, {idempotencyKey: 'k'})).status, 201); // eslint-disable-line unicorn/no-await-expression-member
+
+		for (const control of system.controls) {
+			control.process.kill('SIGSTOP');
+		}
+
+		const refused = await book(system, {idempotencyKey: 'other'});
+		t.is(refused.status, 503);
+		t.truthy(refused.headers['retry-after']);
+
+		for (const control of system.controls) {
+			control.process.kill('SIGCONT');
+		}
+
+		t.is(await countRuns(system, 'other'), 0);
+		const later = await book(system, {idempotencyKey: 'third'});
+		t.is(later.status, 201);
+	});
+});
+
 test.serial('an accepted preset is in force on every entry, and stays so through restarts of everything', async t => {
 	await withSystem({entries: 3, controls: 3}, async system => {
 		const applied = await system.runCli(['preset', 'apply', 'peak']);
--- a/packages/entry/src/claimed-call.ts
+++ b/packages/entry/src/claimed-call.ts
@@ -65,12 +65,13 @@
 			entryId: formatHolder(services.name, services.incarnation),
 			leaseMs: service.timeoutMs + claimMarginMs,
 			keepMs: service.keyRetentionHours * msPerHour,
-		}, deadlineMs);
+		}, deadlineMs, {endsWhenStale: true});
 	} catch (error) {
 		if (error instanceof ProposalError) {
 			throw new RefusalError({
 				code: RefusalCode.NoQuorum,
-				message: 'the call could not be claimed at a majority of control replicas',
+				message: 'the call could not be claimed at a majority of control replicas, and was not sent; an earlier one under the same key may have run',
+				// Only a majority could tell whether this is a resend of a call that ran.
 				ran: Ran.Unknown,
 				retryAfterSeconds: retrySeconds,
 			});
--- a/packages/entry/src/control-client.ts
+++ b/packages/entry/src/control-client.ts
@@ -10,7 +10,12 @@
 /** Proposes commands at the control replicas. */
 export type ControlClient = {
 	/** Resolves with the committed answer; throws a `ProposalError` that says whether the command may still be carried out. */
-	readonly propose: (request: Request, deadlineMs: number) => Promise<Answer>;
+	readonly propose: (request: Request, deadlineMs: number, options?: ProposeOptions) => Promise<Answer>;
+};
+
+export type ProposeOptions = {
+	/** Gives up once this entry may no longer take its knowledge for fresh: no majority answers anyone then, and waiting longer is in vain. */
+	readonly endsWhenStale?: boolean;
 };
 
 const retryMs = 50;
@@ -26,15 +31,23 @@
 */
 export function createControlClient({clock, links, follower}: {clock: Clock; links: Links; follower: StateFollower}): ControlClient {
 	return {
-		async propose(request, deadlineMs) {
+		async propose(request, deadlineMs, {endsWhenStale = false} = {}) {
+			// Where control has just come back this entry may not know yet: it asks once in any case.
+			const firstCallDeadlineMs = clock.readMonotonicMs() + callTimeoutMs;
+			const getTimeLeftMs = () => {
+				const staleAtMs = endsWhenStale ? Math.max(firstCallDeadlineMs, follower.getFreshDeadlineMs()) : Number.POSITIVE_INFINITY;
+
+				return Math.min(deadlineMs, staleAtMs) - clock.readMonotonicMs();
+			};
+
 			const message: LinkMessage = {kind: LinkKind.Propose, command: request};
 			let address = follower.getLeaderAddress();
 			let wasSent = false;
 
-			for (let turn = 0; clock.readMonotonicMs() < deadlineMs; turn++) {
+			for (let turn = 0; getTimeLeftMs() > 0; turn++) {
 				address ??= follower.listControlAddresses()[turn % Math.max(1, follower.listControlAddresses().length)];
 				const reply = await callOnce({
-					links, address, message, timeoutMs: Math.min(callTimeoutMs, deadlineMs - clock.readMonotonicMs()),
+					links, address, message, timeoutMs: Math.min(callTimeoutMs, getTimeLeftMs()),
 				});
 
 				if (reply?.kind === 'answer') {
--- a/packages/entry/src/state-follower.ts
+++ b/packages/entry/src/state-follower.ts
@@ -22,6 +22,8 @@
 export type StateFollower = {
 	readonly getState: () => PublicState;
 	readonly isFresh: () => boolean;
+	/** When this entry will know too little of what is in force, unless it hears more: no leader has answered anyone since. */
+	readonly getFreshDeadlineMs: () => number;
 	readonly getLeaderAddress: () => string | undefined;
 	readonly listControlAddresses: () => readonly string[];
 	/** Answers another entry's poll. */
@@ -142,6 +144,7 @@
 	return {
 		getState: () => state,
 		isFresh: () => clock.readMonotonicMs() < knownAtMs + freshMs,
+		getFreshDeadlineMs: () => knownAtMs + freshMs,
 		getLeaderAddress: () => leaderAddress,
 		listControlAddresses: () => controlAddresses,
 		answerPoll(publicVersion) {
