--- a/packages/cli/src/__tests__/unit/explain.test.ts
+++ b/packages/cli/src/__tests__/unit/explain.test.ts
@@ -30,3 +30,26 @@
 test('a request that no line names is said so', t => {
 	t.regex(formatExplanation(explainRequest('r2', parseLogLines(log))), /no line names request r2/v);
 });
+
+test('a request that was not sent is told with what it would have met', t => {
+	const line = write(3, 'front-1', 'request', {
+		requestId: 'r3', outcome: 'refused', status: 503, reason: 'all instances are too busy to answer in time', tookMs: 900, timeLeftMs: 4000,
+		story: [{
+			decision: 'refuse', best: 'i-1', waits: 30, expectedMs: 2500, queueMs: 2100, workMs: 400, aheadMs: 3200, waitedMs: 900, patienceMs: 4000,
+		}],
+	});
+	const explanation = explainRequest('r3', parseLogLines(`${line}\n${write(3.1, 'front-1', 'instance rests', {id: 'i-1'})}`));
+	t.is(explanation.context.length, 1);
+	t.regex(formatExplanation(explanation), /not sent: at best 2500 ms were expected at i-1, 2100 ms of prompts before it/v);
+	t.regex(formatExplanation(explanation), /3200 ms of requests waited before it here/v);
+});
+
+test('a stream that broke off is told with how far it came', t => {
+	const line = write(3, 'front-1', 'request', {
+		requestId: 'r4', outcome: 'failed', status: 502, reason: 'ECONNRESET', tookMs: 900,
+		story: [{
+			instance: 'i-1', end: 'broken', reason: 'ECONNRESET', tookMs: 890, expectedMs: 60, firstPieceMs: 70, pieces: 12, lastPieceMs: 640, own: 2, peers: 1,
+		}],
+	});
+	t.regex(formatExplanation(explainRequest('r4', parseLogLines(line))), /12 pieces, the last after 640 ms/v);
+});
--- a/packages/cli/src/explain.ts
+++ b/packages/cli/src/explain.ts
@@ -74,7 +74,7 @@
 		};
 	}
 
-	const instances = new Set(lines.flatMap(line => listVisits(line).map(visit => visit.instance)));
+	const instances = new Set(lines.flatMap(line => listSteps(line).map(step => step.instance ?? step.best)));
 	const fromMs = Date.parse(first.time) - Number(first.fields.tookMs ?? 0) - aroundMs;
 	const toMs = Date.parse(last.time) + aroundMs;
 	const context = all
@@ -91,10 +91,11 @@
 	return Date.parse(a.time) - Date.parse(b.time);
 }
 
-type Visit = Readonly<Record<string, unknown>> & {readonly instance: unknown};
+/** A sending to an instance, or a decision not to send. */
+type Step = Readonly<Record<string, unknown>>;
 
-function listVisits(line: LogLine): readonly Visit[] {
-	return Array.isArray(line.fields.story) ? line.fields.story as Visit[] : [];
+function listSteps(line: LogLine): readonly Step[] {
+	return Array.isArray(line.fields.story) ? line.fields.story as Step[] : [];
 }
 
 /** Formats an explanation for people. */
@@ -107,7 +108,7 @@
 		return [
 			`${line.time}  ${line.instance}  ${formatValue(outcome)} with ${formatValue(status)} after ${formatValue(tookMs)} ms${reason === undefined ? '' : `: ${formatValue(reason)}`}`,
 			`  route ${formatValue(route)}, organisation ${formatValue(organisation)}, configuration ${formatValue(configVersion)}, the caller waited up to ${formatValue(timeLeftMs)} ms`,
-			...listVisits(line).map((visit, position) => `  ${position + 1}. ${describeVisit(visit)}`),
+			...listSteps(line).map((step, position) => `  ${position + 1}. ${step.decision === undefined ? describeVisit(step) : describeDecision(step)}`),
 		];
 	});
 	const around = context.map(line => `  ${line.time}  ${line.instance}  ${line.message} ${JSON.stringify(line.fields)}`);
@@ -120,14 +121,22 @@
 	].join('\n');
 }
 
-function describeVisit(visit: Visit): string {
+function describeDecision({best, waits, expectedMs, queueMs, workMs, aheadMs, waitedMs, patienceMs}: Step): string {
+	return [
+		`not sent: at best ${formatValue(expectedMs)} ms were expected at ${formatValue(best)}, ${formatValue(queueMs)} ms of prompts before it and ${formatValue(workMs)} ms of its own`,
+		`${formatValue(aheadMs)} ms of requests waited before it here; it had waited ${formatValue(waitedMs)} ms and looked ${formatValue(waits)} times`,
+		`its caller waits ${formatValue(patienceMs)} ms for a first piece`,
+	].join('; ');
+}
+
+function describeVisit(visit: Step): string {
 	const {
-		instance, end, reason, status, tookMs, expectedMs, firstPieceMs, own, peers, queueMs,
+		instance, end, reason, status, tookMs, expectedMs, firstPieceMs, pieces, lastPieceMs, own, peers, queueMs,
 	} = visit;
 
 	return [
 		`sent to ${formatValue(instance)}: ${formatValue(end)}${status === undefined ? '' : ` with ${formatValue(status)}`} after ${formatValue(tookMs)} ms${reason === undefined ? '' : ` (${formatValue(reason)})`}`,
-		`first piece after ${firstPieceMs === undefined ? 'none' : `${formatValue(firstPieceMs)} ms`}, ${formatValue(expectedMs)} ms expected`,
+		`first piece after ${firstPieceMs === undefined ? 'none' : `${formatValue(firstPieceMs)} ms`}, ${formatValue(expectedMs)} ms expected${pieces === undefined ? '' : `, ${formatValue(pieces)} pieces, the last after ${formatValue(lastPieceMs)} ms`}`,
 		`${formatValue(own)} requests of this gateway and ${formatValue(peers)} of others there${queueMs === undefined ? '' : `, ${formatValue(queueMs)} ms of prompts before it`}`,
 	].join('; ');
 }
--- a/packages/gateway/src/crash-watch.ts
+++ b/packages/gateway/src/crash-watch.ts
@@ -69,7 +69,9 @@
 
 		for (const fingerprint of taken.fingerprints) {
 			state = addCrash(state, {fingerprint, incarnation, nowMs});
-			log.warn('an instance crashed under a request', {fingerprint, incarnation, isQuarantined: getQuarantineDeadline(state, fingerprint, nowMs) !== undefined});
+			log.warn('an instance crashed under a request', {
+				id: parseInstanceId(incarnation), fingerprint, isQuarantined: getQuarantineDeadline(state, fingerprint, nowMs) !== undefined,
+			});
 			tellOthers(fingerprint);
 		}
 	};
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -1,6 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {withdrawRetry} from '@fescuestair/limits';
-import {decideWait, WaitDecision} from '@fescuestair/routing';
+import {decideWait, WaitDecision, type WaitQuestion} from '@fescuestair/routing';
 import {
 	CallKind, chooseTarget, type Route, type Service,
 } from '@fescuestair/traffic';
@@ -154,14 +154,31 @@
 	return {outcome: Outcome.Left, status: 0, reason: 'the caller left'};
 }
 
-function decideNow({options, exchange, service}: Forwarding, {placement}: Place): WaitDecision {
-	return decideWait({
+function decideNow({options, exchange, service, progress}: Forwarding, {entry, placement}: Place): WaitDecision {
+	const question = {
 		...placement,
 		waitedMs: options.clock.readMonotonicMs() - exchange.startedAtMs,
 		aheadMs: sumAhead(options, exchange, service),
 		targetMs: exchange.route.targetMs,
 		patienceMs: Math.min(exchange.deadlineMs - exchange.startedAtMs, exchange.route.patienceMs ?? Number.POSITIVE_INFINITY),
-	});
+	};
+	const decision = decideWait(question);
+
+	if (decision === WaitDecision.Refuse) {
+		progress.story.push(describeRefusal(question, {instance: entry.held.record.id, waits: progress.waits}));
+	}
+
+	return decision;
+}
+
+/** Describes for the log why a request was not sent: what it would have met at the best instance, and here before its turn. */
+function describeRefusal(question: WaitQuestion, {instance, waits}: {readonly instance: string; readonly waits: number}): Readonly<Record<string, unknown>> {
+	const {expectedMs, queueMs, workMs, aheadMs, waitedMs, patienceMs} = question;
+
+	return {
+		decision: WaitDecision.Refuse, best: instance, waits, expectedMs: Math.round(expectedMs), queueMs: Math.round(queueMs), workMs: Math.round(workMs),
+		aheadMs: Math.round(aheadMs), waitedMs: Math.round(waitedMs), patienceMs: Math.round(patienceMs),
+	};
 }
 
 // Settles what one sending came to: the final answer, or another sending.
--- a/packages/gateway/src/send-visit.ts
+++ b/packages/gateway/src/send-visit.ts
@@ -37,6 +37,7 @@
 	const isStreaming = route.kind === CallKind.Streaming;
 	progress.triedIds.add(record.id);
 	let firstPieceMs: number | undefined;
+	const passed = {pieces: 0, lastMs: 0};
 	const loadBefore = entry.load;
 
 	const one: Visit = {
@@ -83,9 +84,14 @@
 			noteFirstPiece();
 		},
 		...(isStreaming && {
-			onData: (bytes: Buffer, head: AttemptHead) => stream.push(bytes, head, () => {
-				attempt.resume();
-			}),
+			onData(bytes: Buffer, head: AttemptHead) {
+				passed.pieces++;
+				passed.lastMs = clock.readMonotonicMs() - startedAtMs;
+
+				return stream.push(bytes, head, () => {
+					attempt.resume();
+				});
+			},
 		}),
 	});
 	controls.attempt = attempt;
@@ -106,7 +112,7 @@
 	}
 
 	progress.story.push(describeVisit({
-		...input, result, loadBefore, startedAtMs, firstPieceMs, nowMs: clock.readMonotonicMs(),
+		...input, result, loadBefore, startedAtMs, firstPieceMs, passed, nowMs: clock.readMonotonicMs(),
 	}));
 
 	return result;
@@ -174,13 +180,15 @@
 	readonly loadBefore: InstanceLoad;
 	readonly startedAtMs: number;
 	readonly firstPieceMs: number | undefined;
+	/** Pieces of a stream as they came, and when the last did. */
+	readonly passed: {readonly pieces: number; readonly lastMs: number};
 	readonly nowMs: number;
 };
 
 /** Describes a visit for the log: what was known when the instance was chosen, and what came of it. */
 function describeVisit(input: VisitStory): Readonly<Record<string, unknown>> {
 	const {
-		entry, placement, cache, uncachedTokens, progress, result, loadBefore, startedAtMs, firstPieceMs, nowMs,
+		entry, placement, cache, uncachedTokens, progress, result, loadBefore, startedAtMs, firstPieceMs, passed, nowMs,
 	} = input;
 	const {report} = loadBefore;
 
@@ -192,6 +200,7 @@
 		...(progress.waits > 0 && {waits: progress.waits}),
 		expectedMs: Math.round(placement.expectedMs),
 		...(firstPieceMs !== undefined && {firstPieceMs: Math.round(firstPieceMs)}),
+		...(passed.pieces > 0 && {pieces: passed.pieces, lastPieceMs: Math.round(passed.lastMs)}),
 		tookMs: Math.round(nowMs - startedAtMs),
 		own: loadBefore.own,
 		peers: loadBefore.peers.requests,
