--- a/packages/cli/src/explain.ts
+++ b/packages/cli/src/explain.ts
@@ -134,9 +134,12 @@
 		instance, end, reason, status, tookMs, expectedMs, firstPieceMs, pieces, lastPieceMs, own, peers, queueMs,
 	} = visit;
 
+	const answered = status === undefined ? '' : ` with ${formatValue(status)}`;
+	const stream = pieces === undefined ? '' : `, ${formatValue(pieces)} pieces, the last after ${formatValue(lastPieceMs)} ms`;
+
 	return [
-		`sent to ${formatValue(instance)}: ${formatValue(end)}${status === undefined ? '' : ` with ${formatValue(status)}`} after ${formatValue(tookMs)} ms${reason === undefined ? '' : ` (${formatValue(reason)})`}`,
-		`first piece after ${firstPieceMs === undefined ? 'none' : `${formatValue(firstPieceMs)} ms`}, ${formatValue(expectedMs)} ms expected${pieces === undefined ? '' : `, ${formatValue(pieces)} pieces, the last after ${formatValue(lastPieceMs)} ms`}`,
+		`sent to ${formatValue(instance)}: ${formatValue(end)}${answered} after ${formatValue(tookMs)} ms${reason === undefined ? '' : ` (${formatValue(reason)})`}`,
+		`first piece after ${firstPieceMs === undefined ? 'none' : `${formatValue(firstPieceMs)} ms`}, ${formatValue(expectedMs)} ms expected${stream}`,
 		`${formatValue(own)} requests of this gateway and ${formatValue(peers)} of others there${queueMs === undefined ? '' : `, ${formatValue(queueMs)} ms of prompts before it`}`,
 	].join('; ');
 }
