Accept changes only in a group that bears the losses it has to

Cause: the group begins with the seeds (three voters) and grows; what three voters agreed on is lost with two disks, and the larger deployments have to bear that from the first acknowledgement on. The leader now waits for 2 x losses + 1 voters, for up to 2.5 s, before it proposes; else the change is answered as unavailable and sent again.

--- /dev/null
+++ b/packages/coordinator/src/__tests__/integration/deployment.ts
@@ -0,0 +1,103 @@
+import fs from 'node:fs/promises';
+import net from 'node:net';
+import os from 'node:os';
+import path from 'node:path';
+import {once} from 'node:events';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {type ExecutionContext} from 'ava';
+import {createLog, createServedMetrics} from '@fescuestair/runtime';
+import {type TrafficConfig} from '@fescuestair/traffic';
+import {ChangeOutcome, createCoordinator, type Coordinator} from '../../index.js';
+
+/** Coordinators of one deployment in this process, each with a disk of its own. */
+export type Deployment = {
+	/** Starts a coordinator, or starts it again with the disk that it had. */
+	readonly start: (name: string) => Promise<Coordinator>;
+	readonly wipe: (name: string) => Promise<void>;
+};
+
+const decodeConfig = (text: string) => ({
+	config: {...JSON.parse(text) as {readonly version: number}, services: []} as unknown as TrafficConfig, findings: [],
+});
+
+async function findFreePort(): Promise<number> {
+	const server = net.createServer().listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const {port} = server.address() as net.AddressInfo;
+	server.close();
+	await once(server, 'close');
+
+	return port;
+}
+
+/** Opens a deployment whose seeds are some of the names. */
+export async function openDeployment(t: ExecutionContext, {names, seeds, lossesBorne}: {
+	readonly names: readonly string[]; readonly seeds: readonly string[]; readonly lossesBorne: number;
+}): Promise<Deployment> {
+	const folder = await fs.mkdtemp(path.join(os.tmpdir(), 'fescuestair-coordinator-'));
+	const addresses = new Map<string, string>();
+
+	for (const name of names) {
+		addresses.set(name, `127.0.0.1:${await findFreePort()}`);
+	}
+
+	const seedAddresses = seeds.map(name => addresses.get(name)!);
+	const running = new Map<string, Coordinator>();
+	t.teardown(async () => {
+		await Promise.all([...running.values()].map(async coordinator => coordinator.stop()));
+		await fs.rm(folder, {recursive: true, force: true});
+	});
+
+	return {
+		async start(name) {
+			const dataFolder = path.join(folder, name);
+			await fs.mkdir(dataFolder, {recursive: true});
+			const coordinator = await createCoordinator({
+				name, availabilityZone: 'north', linkAddress: addresses.get(name)!, serviceAddress: '127.0.0.1:1', dataFolder, getSeeds: () => seedAddresses,
+				isFirstStart: true, decodeConfig, orderHandoverMs: 0, lossesBorne,
+				storeClient: undefined as never, sendOrder: undefined as never, fetchReport: undefined as never,
+				log: createLog({instance: name, isTerminal: false, writeLine: () => true}), metrics: createServedMetrics(),
+			});
+			const started = {
+				...coordinator,
+				async stop() {
+					running.delete(name);
+					await coordinator.stop();
+				},
+			};
+			running.set(name, started);
+
+			return started;
+		},
+		async wipe(name) {
+			await fs.rm(path.join(folder, name), {recursive: true, force: true});
+		},
+	};
+}
+
+/** Sends a configuration until it is accepted, as operators do. */
+export async function putUntilAccepted(coordinator: Coordinator, version: number): Promise<void> {
+	for (;;) {
+		const {outcome} = await coordinator.putConfig(JSON.stringify({version}));
+
+		if (outcome === ChangeOutcome.Accepted) {
+			return;
+		}
+
+		await sleep(20);
+	}
+}
+
+/** Reads the version in force until a majority confirms it. */
+export async function readVersion(coordinator: Coordinator): Promise<number> {
+	for (;;) {
+		try {
+			const {configVersion} = await coordinator.readConfig();
+
+			return configVersion;
+		} catch {
+			// No leader is known yet; it is asked again.
+			await sleep(20);
+		}
+	}
+}
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -18,6 +18,7 @@
 import {
 	describePublished, PublishKind, type PublishAnswer, type PublishCommand, type PublishedState,
 } from './published-state.js';
+import {computeLeastVoters, waitForVoters} from './group-size.js';
 import {createNewestOnly} from './newest-only.js';
 import {createPartKeeper, type StoreClient} from './part-keeper.js';
 import {createReplicaHost} from './replica-host.js';
@@ -41,8 +42,8 @@
 	readonly fetchReport: WeightOrdersOptions['fetchReport'];
 	/** A new giver of orders waits this long after the one before may have given its last. */
 	readonly orderHandoverMs: number;
-	/** Voters that the group grows to. */
-	readonly voters?: number;
+	/** Disks that may be lost at once without losing anything that was accepted. */
+	readonly lossesBorne?: number;
 	readonly clock?: Clock;
 	readonly log: Log;
 	readonly metrics: ServedMetrics;
@@ -90,7 +91,8 @@
 const unknownAgeMs = 60_000;
 /** What is published sooner after a start comes from before it. */
 const replayMs = 3000;
-const defaultVoters = 5;
+/** A group of this size goes on through a loss while another member is being replaced. */
+const usualVoters = 5;
 const bootBytes = 6;
 /**
 Slow enough for small instances, quick enough that a lost leader is replaced within 1.5 s. Reads and orders are confirmed by a majority and
@@ -113,7 +115,7 @@
 	const {
 		name, availabilityZone, linkAddress, serviceAddress, dataFolder, getSeeds, isFirstStart, decodeConfig, orderHandoverMs,
 		storeClient,
-		voters = defaultVoters, clock = createSystemClock(), log, metrics,
+		lossesBorne = 1, clock = createSystemClock(), log, metrics,
 	} = options;
 	const links = createLinks({getKeys: undefined});
 	const bootId = randomBytes(bootBytes).toString('hex');
@@ -237,7 +239,13 @@
 		};
 	};
 
-	const proposeHere = async (command: PublishCommand) => replica.propose(command);
+	const leastVoters = computeLeastVoters(lossesBorne);
+
+	const proposeHere = async (command: PublishCommand) => {
+		await waitForVoters({clock, getState: replica.getState, leastVoters});
+
+		return replica.propose(command);
+	};
 
 	const answerProposal = async (command: PublishCommand): Promise<LinkReply> => {
 		try {
@@ -395,7 +403,7 @@
 			candidates: replica.door.listCandidates(state.members),
 			getHeardAtMs: id => id === state.id ? nowMs : Math.max(leadingSinceMs ?? nowMs, state.progress.get(id)?.ackedSentAtMs ?? 0),
 			nowMs,
-			wantedVoters: voters,
+			wantedVoters: Math.max(usualVoters, leastVoters),
 			lostMs,
 		});
 
