Keep round robin, least load and prefix affinity as placements that a setting chooses

They take the place of chooseInstance alone; queues, stores, health and repeats stay, so what is compared is the choice of the instance.

--- a/packages/gateway/src/__tests__/unit/choose-place.test.ts
+++ b/packages/gateway/src/__tests__/unit/choose-place.test.ts
@@ -4,6 +4,7 @@
 import {createSystemClock} from '@fescuestair/core';
 import {InstanceStage, type HeldInstance} from '@fescuestair/instances';
 import {createPartsView} from '@fescuestair/parts';
+import {chooseInstance} from '@fescuestair/routing';
 import {createLog, createServedMetrics} from '@fescuestair/runtime';
 import {CallKind, type Service} from '@fescuestair/traffic';
 import {choosePlace} from '../../choose-place.js';
@@ -39,7 +40,7 @@
 		book.stop();
 	});
 	const options = {
-		clock, book, availabilityZone: 'north', judgeWeights,
+		clock, book, availabilityZone: 'north', judgeWeights, chooseInstance,
 		parts: {
 			getView: () => createPartsView(), noteUse: () => undefined, noteSave: () => undefined, isBeingSaved: () => false, stop: () => undefined,
 		},
--- a/packages/gateway/src/choose-place.ts
+++ b/packages/gateway/src/choose-place.ts
@@ -1,6 +1,4 @@
-import {
-	chooseInstance, type Placement, type PromptPart, type PromptSize,
-} from '@fescuestair/routing';
+import {type Placement, type PromptPart, type PromptSize} from '@fescuestair/routing';
 import {
 	chooseStore, computeFetchUntil, findPlaces, formatSalt, type PartPlace,
 } from '@fescuestair/parts';
@@ -29,7 +27,7 @@
 		: chooseEnginePlace(options, exchange, {service, open, prompt});
 }
 
-function choosePlainPlace({book, clock, availabilityZone}: ForwardOptions, open: readonly InstanceEntry[]): Place | undefined {
+function choosePlainPlace({book, clock, availabilityZone, chooseInstance}: ForwardOptions, open: readonly InstanceEntry[]): Place | undefined {
 	const nowMs = clock.readMonotonicMs();
 	const placement = chooseInstance({
 		options: open.map(entry => describeOption(entry, {nowMs, prompt: undefined, isOutdated: false})), nowMs, availabilityZone, prompt: undefined,
@@ -43,7 +41,7 @@
 type EngineCandidates = {readonly open: readonly InstanceEntry[]; readonly service: Service; readonly prompt: PromptDescription};
 
 function chooseEnginePlace(options: ForwardOptions, exchange: Exchange, {service, open, prompt}: EngineCandidates): Place | undefined {
-	const {clock, book, availabilityZone, judgeWeights} = options;
+	const {clock, book, availabilityZone, judgeWeights, chooseInstance} = options;
 	const nowMs = clock.readMonotonicMs();
 	const prefillTokensPerMs = book.getPrefillTokensPerMs(service.name);
 	const versions = new Map(open.map(entry => [entry.held.record.id, findVersion(entry, prompt.model)]));
--- a/packages/gateway/src/forward-options.ts
+++ b/packages/gateway/src/forward-options.ts
@@ -1,5 +1,6 @@
 import {type Clock} from '@fescuestair/core';
 import {type RetryBudget} from '@fescuestair/limits';
+import {type ChooseInstance} from '@fescuestair/routing';
 import {type RouteTable} from '@fescuestair/traffic';
 import {type CallerCodec, type UpstreamCodec} from './codecs.js';
 import {type CrashWatch} from './crash-watch.js';
@@ -15,6 +16,7 @@
 	readonly callerCodec: CallerCodec;
 	readonly upstreamCodec: UpstreamCodec;
 	readonly book: InstanceBook;
+	readonly chooseInstance: ChooseInstance;
 	readonly parts: PartsClient;
 	readonly crashes: CrashWatch;
 	readonly getTable: () => RouteTable;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,6 +10,7 @@
 	createRetryBudget, depositSuccess, type RetryBudget, type SuspectNote,
 } from '@fescuestair/limits';
 import {createLinkCommands, dispatchLinkMessage, LinkKind} from '@fescuestair/protocol';
+import {createChooser, PlacementPolicy} from '@fescuestair/routing';
 import {type Log, type ServedMetrics} from '@fescuestair/runtime';
 import {
 	buildRouteTable, findRoute, type CallKind, type RouteTable, type TrafficConfig,
@@ -41,6 +42,8 @@
 	readonly callerCodec: CallerCodec;
 	readonly upstreamCodec: UpstreamCodec;
 	readonly repeats: RepeatShare;
+	/** How instances are chosen; other ways than the usual one are there to measure against. */
+	readonly placement?: PlacementPolicy;
 	/** Requests may begin on older weights for this long after newer ones were named. */
 	readonly oldWeightsMs: number;
 	/** By when a stop ends, whatever still runs. */
@@ -102,6 +105,7 @@
 export async function createGateway(options: GatewayOptions): Promise<Gateway> {
 	const {
 		name, availabilityZone, linkAddress, listen, getSeeds, decodeConfig, callerCodec, upstreamCodec, repeats, stopTimeoutMs, oldWeightsMs,
+		placement = PlacementPolicy.LeastCost,
 		clock = createSystemClock(), log, metrics,
 	} = options;
 	const links = createLinks({getKeys: undefined});
@@ -161,6 +165,7 @@
 		callerCodec,
 		upstreamCodec,
 		book,
+		chooseInstance: createChooser(placement),
 		parts,
 		crashes,
 		getTable: () => table!,
--- a/packages/routing/src/choose-instance.ts
+++ b/packages/routing/src/choose-instance.ts
@@ -94,29 +94,33 @@
 			continue;
 		}
 
-		const expectedMs = question.prompt === undefined
-			? estimateCallMs(option, question.nowMs)
-			: estimateFirstPieceMs(option, question.prompt, {nowMs: question.nowMs, isPreferred: option.id === preferredId});
-		const cost = expectedMs
-			+ (option.failureShare * failureMs * 10 * option.failureShare)
-			+ (option.isCold ? coldMs : 0)
-			+ (option.isOutdated ? outdatedMs : 0)
-			+ (option.availabilityZone === question.availabilityZone ? 0 : otherZoneMs);
-
-		if (best === undefined || cost < best.cost) {
-			best = {
-				id: option.id,
-				expectedMs,
-				queueMs: question.prompt === undefined ? 0 : computeWaitMs(option.load.work, question.nowMs),
-				workMs: question.prompt === undefined ? 0 : computeWorkMs(option, question.prompt),
-				cost,
-			};
+		const placement = describePlacement(question, option, option.id === preferredId);
+
+		if (best === undefined || placement.cost < best.cost) {
+			best = placement;
 		}
 	}
 
 	return best;
 }
 
+/** Describes what a request is expected to meet at one instance. */
+export function describePlacement({prompt, nowMs, availabilityZone}: PlacementQuestion, option: InstanceOption, isPreferred = false): Placement {
+	const expectedMs = prompt === undefined ? estimateCallMs(option, nowMs) : estimateFirstPieceMs(option, prompt, {nowMs, isPreferred});
+
+	return {
+		id: option.id,
+		expectedMs,
+		queueMs: prompt === undefined ? 0 : computeWaitMs(option.load.work, nowMs),
+		workMs: prompt === undefined ? 0 : computeWorkMs(option, prompt),
+		cost: expectedMs
+			+ (option.failureShare * failureMs * 10 * option.failureShare)
+			+ (option.isCold ? coldMs : 0)
+			+ (option.isOutdated ? outdatedMs : 0)
+			+ (option.availabilityZone === availabilityZone ? 0 : otherZoneMs),
+	};
+}
+
 // A prompt that takes long to read delays every short one behind it. Some instances, those that are free first, are left to short ones;
 // on the others long prompts wait for each other.
 function listReserved({options, prompt, nowMs}: PlacementQuestion): ReadonlySet<string> {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -21,6 +21,7 @@
 export {
 	chooseInstance, estimateFirstPieceMs, type InstanceOption, type Placement, type PlacementQuestion, type PromptSize,
 } from './choose-instance.js';
+export {createChooser, PlacementPolicy, type ChooseInstance} from './baselines.js';
 export {
 	addWork, computeCorrectionMs, computeWaitMs, correctClock, createWorkClock, estimateWork, isOverdue, resetClock, type WorkClock, type WorkEstimate,
 } from './work-clock.js';
