--- a/packages/gateway/src/__tests__/unit/load-share.test.ts
+++ b/packages/gateway/src/__tests__/unit/load-share.test.ts
@@ -8,7 +8,7 @@
 test('few gateways tell each other of each prompt, many only of what is worth a note to all', t => {
 	t.is(computeUrgentWorkMs(0), 20);
 	t.is(computeUrgentWorkMs(4), 20);
-	t.true(computeUrgentWorkMs(27) > 60);
+	t.is(computeUrgentWorkMs(27), 135);
 	t.true(computeUrgentWorkMs(399) > 900);
 });
 
--- a/packages/gateway/src/load-share.ts
+++ b/packages/gateway/src/load-share.ts
@@ -38,7 +38,7 @@
 /** Work that few others should know of at once: more than a short prompt makes. */
 const urgentWorkMs = 20;
 /** Gateways that are told of each bit of work; before more of them a note has to be worth more, as each costs all of them time. */
-const fewPeers = 8;
+const fewPeers = 4;
 /** Numbers of requests and their memory change slowly against this; it also lets the share of a gateway that died fade. */
 const sharesMs = 250;
 const staleMs = 900;
@@ -126,7 +126,7 @@
 @example
 ```
 computeUrgentWorkMs(4); //=> 20
-computeUrgentWorkMs(27); //=> 67.5
+computeUrgentWorkMs(27); //=> 135
 ```
 */
 export function computeUrgentWorkMs(peers: number): number {
--- a/packages/instances/src/registry.ts
+++ b/packages/instances/src/registry.ts
@@ -27,6 +27,9 @@
 	return {held: new Map(), revision: 0};
 }
 
+/** Less than an order takes, more than a note is on its way: a mark that lasts longer by this much is of another order. */
+const loadingSlackMs = 250;
+
 export type TakeOptions = {
 	readonly nowMs: number;
 	/** How long ago the announcement was made. */
@@ -43,7 +46,7 @@
 	const known = registry.held.get(record.id);
 	const order = known === undefined ? 1 : compareRecords(record, known.record);
 
-	if (order < 0 || (order === 0 && loadingLeftMs === undefined) || isSuperseded(registry, record)) {
+	if (order < 0 || (order === 0 && !hasNewerModels(record, known!.record) && !isLoadingNews(known!, {nowMs, loadingLeftMs})) || isSuperseded(registry, record)) {
 		return {registry, news: NewsKind.Stale};
 	}
 
@@ -66,6 +69,22 @@
 	return {registry: {held, revision}, news: isChanged ? NewsKind.Changed : NewsKind.Renewed};
 }
 
+// A daemon that orders an instance to load other weights knows of them before the next announcement does.
+function hasNewerModels({models}: InstanceRecord, known: InstanceRecord): boolean {
+	return models.some(({name, version}) => version > (known.models.find(one => one.name === name)?.version ?? 0));
+}
+
+// Daemons that tell each other what they were told must not take their own word for news, or every record goes round for good.
+function isLoadingNews({loadingDeadlineMs}: HeldInstance, {nowMs, loadingLeftMs}: Pick<TakeOptions, 'nowMs' | 'loadingLeftMs'>): boolean {
+	if (loadingLeftMs === undefined) {
+		return false;
+	}
+
+	const knownLeftMs = Math.max(0, loadingDeadlineMs - nowMs);
+
+	return (knownLeftMs > 0) !== (loadingLeftMs > 0) || loadingLeftMs > knownLeftMs + loadingSlackMs;
+}
+
 /** Positive where `a` is newer. What has ended stays ended within its incarnation, whatever the numbers. */
 function compareRecords(a: InstanceRecord, b: InstanceRecord): number {
 	if (a.incarnation !== b.incarnation) {
