Tell suspects in one message, and again only those that are one crash short

One message holds all now; told again are those that one more crash would bar. Test: 'of the requests that one lost instance had, none is pressing'.

--- a/packages/gateway/src/__tests__/unit/crash-watch.test.ts
+++ b/packages/gateway/src/__tests__/unit/crash-watch.test.ts
@@ -14,8 +14,8 @@
 	const time = {nowMs: 0};
 	const watches = new Map<string, ReturnType<typeof createCrashWatch>>();
 	const links = {
-		send(address: string, {note}: {readonly note: SuspectNote}) {
-			watches.get(address)!.take(note);
+		send(address: string, {notes}: {readonly notes: readonly SuspectNote[]}) {
+			watches.get(address)!.take(notes);
 		},
 	} as unknown as Links;
 
--- a/packages/gateway/src/crash-watch.ts
+++ b/packages/gateway/src/crash-watch.ts
@@ -1,7 +1,7 @@
 import {computeHashHex, type Clock} from '@fescuestair/core';
 import {InstanceStage, type InstanceRegistry} from '@fescuestair/instances';
 import {
-	addBreak, addCrash, clearSuspect, createCrashSuspects, createSuspectNote, forgetBreaks, getQuarantineDeadline, isSuspect, mergeSuspect, takeCrashed,
+	addBreak, addCrash, clearSuspect, createCrashSuspects, createSuspectNote, forgetBreaks, getQuarantineDeadline, isSuspect, listPressing, mergeSuspects, takeCrashed,
 	type SuspectNote,
 } from '@fescuestair/limits';
 import {LinkKind, type LinkMessage} from '@fescuestair/protocol';
@@ -31,7 +31,7 @@
 	readonly noteUnreachable: (entry: InstanceEntry) => void;
 	/** Instances that ended, or started again, did so after what broke there. */
 	readonly noteRegistry: (registry: InstanceRegistry) => void;
-	readonly take: (note: SuspectNote) => void;
+	readonly take: (notes: readonly SuspectNote[]) => void;
 	readonly stop: () => void;
 };
 
@@ -52,12 +52,17 @@
 export function createCrashWatch({linkAddress, links, clock, log, getGateways}: CrashWatchOptions): CrashWatch {
 	let state = createCrashSuspects();
 
-	const tellOthers = (fingerprint: string) => {
-		const note = createSuspectNote(state, fingerprint, clock.readMonotonicMs());
+	const tellOthers = (fingerprints: readonly string[]) => {
+		const nowMs = clock.readMonotonicMs();
+		const notes = fingerprints.map(fingerprint => createSuspectNote(state, fingerprint, nowMs)).filter(note => note !== undefined);
+
+		if (notes.length === 0) {
+			return;
+		}
 
 		for (const address of getGateways()) {
 			if (address !== linkAddress) {
-				links.send(address, {kind: LinkKind.Suspects, note} satisfies LinkMessage);
+				links.send(address, {kind: LinkKind.Suspects, notes} satisfies LinkMessage);
 			}
 		}
 	};
@@ -72,14 +77,13 @@
 			log.warn('an instance crashed under a request', {
 				id: parseInstanceId(incarnation), fingerprint, isQuarantined: getQuarantineDeadline(state, fingerprint, nowMs) !== undefined,
 			});
-			tellOthers(fingerprint);
 		}
+
+		tellOthers(taken.fingerprints);
 	};
 
 	const timer = setInterval(() => {
-		for (const fingerprint of [...state.suspects.keys()].slice(-maxRetold)) {
-			tellOthers(fingerprint);
-		}
+		tellOthers(listPressing(state).slice(-maxRetold));
 	}, retellMs);
 
 	return {
@@ -103,7 +107,7 @@
 			if (isSuspect(state, fingerprint)) {
 				state = clearSuspect(state, fingerprint);
 				log.info('a suspected request finished', {fingerprint});
-				tellOthers(fingerprint);
+				tellOthers([fingerprint]);
 			}
 		},
 		noteUnreachable(entry) {
@@ -118,8 +122,8 @@
 				}
 			}
 		},
-		take(note) {
-			state = mergeSuspect(state, note, clock.readMonotonicMs());
+		take(notes) {
+			state = mergeSuspects(state, notes, clock.readMonotonicMs());
 		},
 		stop() {
 			clearInterval(timer);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -353,8 +353,8 @@
 
 		return true;
 	});
-	commands.registerCommand(LinkKind.Suspects, ({note}) => {
-		crashes.take(note as SuspectNote);
+	commands.registerCommand(LinkKind.Suspects, ({notes}) => {
+		crashes.take(notes as readonly SuspectNote[]);
 
 		return true;
 	});
--- a/packages/limits/src/__tests__/unit/crash-suspects.test.ts
+++ b/packages/limits/src/__tests__/unit/crash-suspects.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import {
-	addBreak, addCrash, clearSuspect, createCrashSuspects, createSuspectNote, forgetBreaks, getQuarantineDeadline, isSuspect, mergeSuspect, takeCrashed,
+	addBreak, addCrash, clearSuspect, createCrashSuspects, createSuspectNote, forgetBreaks, getQuarantineDeadline, isSuspect, listPressing, mergeSuspects,
+	takeCrashed,
 	type CrashSuspects,
 } from '../../index.js';
 
@@ -53,7 +54,7 @@
 		let state = createCrashSuspects();
 
 		for (const note of notes) {
-			state = mergeSuspect(state, note, 100);
+			state = mergeSuspects(state, [note], 100);
 		}
 
 		t.false(isSuspect(state, 'x'));
@@ -63,6 +64,25 @@
 	}
 });
 
+test('of the requests that one lost instance had, none is pressing', t => {
+	let state = createCrashSuspects();
+
+	for (let index = 0; index < 200; index++) {
+		state = addBreak(state, {fingerprint: `r${index}`, incarnation: 'a 1', nowMs: 0});
+	}
+
+	const taken = takeCrashed(state, {incarnation: 'a 1', nowMs: 50});
+	state = taken.state;
+
+	for (const fingerprint of taken.fingerprints) {
+		state = addCrash(state, {fingerprint, incarnation: 'a 1', nowMs: 50});
+	}
+
+	t.deepEqual(listPressing(state), []);
+	state = addCrash(state, {fingerprint: 'r7', incarnation: 'b 1', nowMs: 60});
+	t.deepEqual(listPressing(state), ['r7']);
+});
+
 test('a connection that breaks at an instance that goes on answering is no crash', t => {
 	let state = createCrashSuspects();
 	state = addBreak(state, {fingerprint: 'same', incarnation: 'a 1', nowMs: 100});
--- a/packages/limits/src/crash-suspects.ts
+++ b/packages/limits/src/crash-suspects.ts
@@ -94,9 +94,9 @@
 ```
 */
 export function addCrash(state: CrashSuspects, {fingerprint, incarnation, nowMs}: BreakInput): CrashSuspects {
-	return mergeSuspect(state, {
+	return mergeSuspects(state, [{
 		fingerprint, crashed: [incarnation], cleared: [], keepLeftMs: keepMs,
-	}, nowMs);
+	}], nowMs);
 }
 
 /** A request has finished somewhere: the crashes under it so far were not its doing. */
@@ -106,20 +106,21 @@
 	return known === undefined ? state : {...state, suspects: new Map(state.suspects).set(fingerprint, {...known, cleared: known.crashed})};
 }
 
-/** Merges what another daemon knows of a suspect. */
-export function mergeSuspect(state: CrashSuspects, note: SuspectNote, nowMs: number): CrashSuspects {
+/** Merges what another daemon knows of suspects. */
+export function mergeSuspects(state: CrashSuspects, notes: readonly SuspectNote[], nowMs: number): CrashSuspects {
 	const suspects = new Map([...state.suspects].filter(([, one]) => one.keepDeadlineMs > nowMs));
-	const known = suspects.get(note.fingerprint);
 
-	if (known === undefined && suspects.size >= maxFingerprints) {
-		return state;
-	}
+	for (const note of notes) {
+		const known = suspects.get(note.fingerprint);
 
-	suspects.set(note.fingerprint, {
-		crashed: new Set([...known?.crashed ?? [], ...note.crashed]),
-		cleared: new Set([...known?.cleared ?? [], ...note.cleared]),
-		keepDeadlineMs: Math.max(known?.keepDeadlineMs ?? 0, nowMs + Math.min(note.keepLeftMs, keepMs)),
-	});
+		if (known !== undefined || suspects.size < maxFingerprints) {
+			suspects.set(note.fingerprint, {
+				crashed: new Set([...known?.crashed ?? [], ...note.crashed]),
+				cleared: new Set([...known?.cleared ?? [], ...note.cleared]),
+				keepDeadlineMs: Math.max(known?.keepDeadlineMs ?? 0, nowMs + Math.min(note.keepLeftMs, keepMs)),
+			});
+		}
+	}
 
 	return {...state, suspects};
 }
@@ -133,6 +134,14 @@
 	};
 }
 
+/**
+Lists the suspects that are worth telling again: one more crash and they are run no more. After the loss of an instance there are many
+that were only there by chance; most of them never come again.
+*/
+export function listPressing({suspects}: CrashSuspects): readonly string[] {
+	return [...suspects].filter(([, one]) => countCrashes(one) >= crashesToQuarantine - 1).map(([fingerprint]) => fingerprint);
+}
+
 /** Whether crashes under a request are held against it. */
 export function isSuspect({suspects}: CrashSuspects, fingerprint: string): boolean {
 	return countCrashes(suspects.get(fingerprint)) > 0;
--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -1,5 +1,6 @@
 export {
-	addBreak, addCrash, clearSuspect, createCrashSuspects, createSuspectNote, forgetBreaks, getQuarantineDeadline, isSuspect, mergeSuspect, takeCrashed,
+	addBreak, addCrash, clearSuspect, createCrashSuspects, createSuspectNote, forgetBreaks, getQuarantineDeadline, isSuspect, listPressing, mergeSuspects,
+	takeCrashed,
 	type BreakInput, type CrashSuspects, type SuspectNote,
 } from './crash-suspects.js';
 export {
--- a/packages/protocol/src/link-messages.ts
+++ b/packages/protocol/src/link-messages.ts
@@ -49,7 +49,7 @@
 		| {readonly kind: LinkKind.Published; readonly published: unknown}
 		| {readonly kind: LinkKind.ReadPublished}
 		| {readonly kind: LinkKind.Loads; readonly from: string; readonly loads: unknown}
-		| {readonly kind: LinkKind.Suspects; readonly note: unknown}
+		| {readonly kind: LinkKind.Suspects; readonly notes: unknown}
 		| {readonly kind: LinkKind.PollParts; readonly poll: unknown}
 		| {readonly kind: LinkKind.Join; readonly id: string; readonly name: string; readonly address: string};
 
