--- a/packages/demo/src/__tests__/integration/stores.test.ts
+++ b/packages/demo/src/__tests__/integration/stores.test.ts
@@ -127,7 +127,8 @@
 		await system.stores[0]!.process.waitForExit();
 		await system.startStore(0, storeFlags);
 		const {fate} = await askUntilFetched(system, onDisk);
-		t.is(findEvent(fate, FateEventKind.Fetched)!.used, pieces);
+		const fetched = findEvent(fate, FateEventKind.Fetched)!;
+		t.is(fetched.used, pieces, JSON.stringify(fetched));
 		const lost = await askRight(system, inMemory);
 		t.is(findEvent(lost, FateEventKind.Fetched)?.used ?? 0, 0);
 	});
