--- a/packages/demo/src/__tests__/integration/stores.test.ts
+++ b/packages/demo/src/__tests__/integration/stores.test.ts
@@ -128,7 +128,7 @@
 		await system.startStore(0, storeFlags);
 		const {fate} = await askUntilFetched(system, onDisk);
 		const fetched = findEvent(fate, FateEventKind.Fetched)!;
-		t.is(fetched.used, pieces, JSON.stringify(fetched));
+		t.is(fetched.used, pieces, `fetched in part: ${fetched.detail}`);
 		const lost = await askRight(system, inMemory);
 		t.is(findEvent(lost, FateEventKind.Fetched)?.used ?? 0, 0);
 	});
