Pick by rendezvous in one place

choose-instance, choose-store and the prefix baseline each looked for the highest weight in a loop of their own beside rankByRendezvous of core, whose callers in bench ranked all to take the first. pickByRendezvous serves all five. The hash takes name and key in core's order now, so which instance or store is preferred for a given part is drawn anew; how it is chosen is the same. Test: the pick is the first of the ranking.

--- a/packages/bench/src/model/policies.ts
+++ b/packages/bench/src/model/policies.ts
@@ -1,4 +1,4 @@
-import {rankByRendezvous} from '@fescuestair/core';
+import {pickByRendezvous} from '@fescuestair/core';
 import {
 	chooseEngine, shouldExport, type EngineView, type ExportQuestion, type PromptPlan, type StoreView, type Weights,
 } from '@fescuestair/routing';
@@ -73,7 +73,7 @@
 /** The engine that the prompt's beginning hashes to. */
 const prefixAffinity: Policy = {
 	name: 'prefix_affinity',
-	choose: ({engines, prompt}) => ({engineId: rankByRendezvous(prompt, engines.map(engine => engine.id))[0]!, storeId: undefined, firstTokenMs: 0}),
+	choose: ({engines, prompt}) => ({engineId: pickByRendezvous(prompt, engines.map(engine => engine.id))!, storeId: undefined, firstTokenMs: 0}),
 	shouldExport: never,
 	exportsLater: false,
 	quarantines: false,
--- a/packages/bench/src/model/simulate.ts
+++ b/packages/bench/src/model/simulate.ts
@@ -1,5 +1,5 @@
 import {createEngineView, estimateBacklog, type Dispatch} from '@fescuestair/entry';
-import {rankByRendezvous} from '@fescuestair/core';
+import {pickByRendezvous} from '@fescuestair/core';
 import {type EngineLoad} from '@fescuestair/protocol';
 import {
 	createHoldQueue, enterHold, estimateWaitMs, leaveHold,
@@ -308,7 +308,7 @@
 			return;
 		}
 
-		const [homeId] = rankByRendezvous(item.prompt, up.map(store => store.id));
+		const homeId = pickByRendezvous(item.prompt, up.map(store => store.id));
 		const home = up.find(store => store.id === homeId)!;
 		const missingPieces = pieces.length - home.countHeld(pieces);
 
--- a/packages/core/src/__tests__/unit/core.test.ts
+++ b/packages/core/src/__tests__/unit/core.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import {
-	CommandPriority, createCommandRegistry, createId, createManualClock, createTask, rankByRendezvous, readIdTimeMs,
+	CommandPriority, createCommandRegistry, createId, createManualClock, createTask, pickByRendezvous, rankByRendezvous, readIdTimeMs,
 } from '../../index.js';
 
 test('a message sent while another is handled waits its turn', t => {
@@ -72,6 +72,16 @@
 	}
 });
 
+test('the pick is the first of the ranking', t => {
+	const names = ['a', 'b', 'c', 'd'];
+
+	for (let index = 0; index < 200; index++) {
+		t.is(pickByRendezvous(`key-${index}`, names), rankByRendezvous(`key-${index}`, names)[0]);
+	}
+
+	t.is(pickByRendezvous('key', []), undefined);
+});
+
 test('an identifier carries its time', t => {
 	t.is(readIdTimeMs(createId('r', 1_796_000_000_123)), 1_796_000_000_123);
 	t.is(readIdTimeMs('r-short'), undefined);
--- a/packages/core/src/rendezvous.ts
+++ b/packages/core/src/rendezvous.ts
@@ -10,12 +10,33 @@
 ```
 */
 export function rankByRendezvous(key: string, names: readonly string[]): string[] {
-	return names
-		.map(name => ({name, weight: computeHash(`${name}/${key}`)}))
+	return weighNames(key, names)
 		.toSorted((a, b) => compareWeights(a, b))
 		.map(entry => entry.name);
 }
 
+/**
+Picks the name that ranks first for a key, without ranking the others; `undefined` where there are none.
+
+@example
+```
+pickByRendezvous('part-1', ['i-1', 'i-2']) === rankByRendezvous('part-1', ['i-1', 'i-2'])[0]; //=> true
+```
+*/
+export function pickByRendezvous(key: string, names: readonly string[]): string | undefined {
+	let best: Weighted | undefined;
+
+	for (const one of weighNames(key, names)) {
+		best = best === undefined || compareWeights(one, best) < 0 ? one : best;
+	}
+
+	return best?.name;
+}
+
+function weighNames(key: string, names: readonly string[]): Weighted[] {
+	return names.map(name => ({name, weight: computeHash(`${name}/${key}`)}));
+}
+
 type Weighted = {readonly name: string; readonly weight: bigint};
 
 function compareWeights(a: Weighted, b: Weighted): number {
--- a/packages/parts/src/choose-store.ts
+++ b/packages/parts/src/choose-store.ts
@@ -1,4 +1,4 @@
-import {computeHash} from '@fescuestair/core';
+import {pickByRendezvous} from '@fescuestair/core';
 
 export type StoreChoice = {
 	readonly address: string;
@@ -21,17 +21,10 @@
 	const fitting = stores.filter(store => part.tokens <= store.capacityTokens * largestPartShare);
 	const open = fitting.length > 0 ? fitting : listLargest(stores, part.tokens);
 	const quickestMs = Math.min(...open.map(store => store.firstByteMs));
-	let best: {readonly store: StoreChoice; readonly weight: bigint} | undefined;
+	const quickest = open.filter(store => store.firstByteMs === quickestMs);
+	const address = pickByRendezvous(part.id, quickest.map(store => store.address));
 
-	for (const store of open) {
-		const weight = computeHash(`${part.id}/${store.address}`);
-
-		if (store.firstByteMs === quickestMs && (best === undefined || weight > best.weight)) {
-			best = {store, weight};
-		}
-	}
-
-	return best?.store;
+	return quickest.find(store => store.address === address);
 }
 
 // What is too large for any store's share does least harm in the largest.
--- a/packages/routing/src/baselines.ts
+++ b/packages/routing/src/baselines.ts
@@ -1,4 +1,4 @@
-import {computeHash} from '@fescuestair/core';
+import {pickByRendezvous} from '@fescuestair/core';
 import {
 	chooseInstance, describePlacement, type InstanceOption, type Placement, type PlacementQuestion,
 } from './choose-instance.js';
@@ -59,25 +59,21 @@
 }
 
 function chooseLeastLoaded(question: PlacementQuestion): Placement | undefined {
-	return pickBest(question, ({load, slots}) => -(load.own + estimateOthers(load, question.nowMs)) / slots);
+	const computeShare = ({load, slots}: InstanceOption) => (load.own + estimateOthers(load, question.nowMs)) / slots;
+	const [option] = question.options.toSorted((a, b) => computeShare(a) - computeShare(b));
+
+	return option && describePlacement(question, option);
 }
 
 function chooseByPrefix(question: PlacementQuestion): Placement | undefined {
 	const key = question.prompt?.affinityKey;
 
-	return key === undefined ? chooseLeastLoaded(question) : pickBest(question, ({id}) => Number(computeHash(`${key}/${id}`)));
-}
-
-function pickBest(question: PlacementQuestion, rate: (option: InstanceOption) => number): Placement | undefined {
-	let best: {readonly option: InstanceOption; readonly rating: number} | undefined;
-
-	for (const option of question.options) {
-		const rating = rate(option);
-
-		if (best === undefined || rating > best.rating) {
-			best = {option, rating};
-		}
+	if (key === undefined) {
+		return chooseLeastLoaded(question);
 	}
 
-	return best && describePlacement(question, best.option);
+	const id = pickByRendezvous(key, question.options.map(option => option.id));
+	const option = question.options.find(one => one.id === id);
+
+	return option && describePlacement(question, option);
 }
--- a/packages/routing/src/choose-instance.ts
+++ b/packages/routing/src/choose-instance.ts
@@ -1,4 +1,4 @@
-import {computeHash} from '@fescuestair/core';
+import {pickByRendezvous} from '@fescuestair/core';
 import {estimateOthers, type InstanceLoad} from './instance-load.js';
 import {computeWaitMs} from './work-clock.js';
 
@@ -146,17 +146,7 @@
 		return undefined;
 	}
 
-	let best: {readonly id: string; readonly weight: bigint} | undefined;
-
-	for (const {id} of options) {
-		const weight = computeHash(`${prompt.affinityKey}/${id}`);
-
-		if (best === undefined || weight > best.weight) {
-			best = {id, weight};
-		}
-	}
-
-	return best?.id;
+	return pickByRendezvous(prompt.affinityKey, options.map(option => option.id));
 }
 
 function computeWorkMs({cachedTokens, fetchableTokens}: InstanceOption, {promptTokens, prefillTokensPerMs}: PromptSize): number {
@@ -174,8 +164,8 @@
 
 type FirstPieceInput = {readonly nowMs: number; readonly isPreferred: boolean};
 
-/** Estimates the time until a prompt's first piece on one instance. */
-export function estimateFirstPieceMs(option: InstanceOption, prompt: PromptSize, {nowMs, isPreferred}: FirstPieceInput): number {
+// Time until a prompt's first piece on one instance.
+function estimateFirstPieceMs(option: InstanceOption, prompt: PromptSize, {nowMs, isPreferred}: FirstPieceInput): number {
 	const {load} = option;
 	const assumed = isPreferred ? prompt.sharedTokens * preferredShare : 0;
 	const uncached = Math.max(0, prompt.promptTokens - Math.max(option.cachedTokens + option.fetchableTokens, assumed));
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -19,7 +19,7 @@
 	canTakeRequests, createInstanceHealth, HealthEvent, judgeInstance, type InstanceHealth,
 } from './instance-health.js';
 export {
-	chooseInstance, estimateFirstPieceMs, type InstanceOption, type Placement, type PlacementQuestion, type PromptSize,
+	chooseInstance, type InstanceOption, type Placement, type PlacementQuestion, type PromptSize,
 } from './choose-instance.js';
 export {createChooser, PlacementPolicy, type ChooseInstance} from './baselines.js';
 export {
