--- a/packages/gateway/src/__tests__/unit/attempt.test.ts
+++ b/packages/gateway/src/__tests__/unit/attempt.test.ts
@@ -30,7 +30,7 @@
 	});
 	server.listen(0, '127.0.0.1');
 	await once(server, 'listening');
-	const agent = new UpstreamAgent({maxConnections: 4, readNowMs: () => 0});
+	const agent = new UpstreamAgent({maxConnections: 4});
 	t.teardown(() => {
 		agent.destroy();
 		server.close();
--- a/packages/gateway/src/instance-book.ts
+++ b/packages/gateway/src/instance-book.ts
@@ -188,7 +188,7 @@
 					known.held = held;
 				} else if (held.record.stage !== InstanceStage.Gone) {
 					known?.agent.destroy();
-					entries.set(held.record.id, createEntry(held, {maxConnections: getMaxConnections(held.record.service), clock}));
+					entries.set(held.record.id, createEntry(held, getMaxConnections(held.record.service)));
 				}
 			}
 
@@ -326,12 +326,12 @@
 	};
 }
 
-function createEntry(held: HeldInstance, {maxConnections, clock}: {readonly maxConnections: number; readonly clock: Clock}): InstanceEntry {
+function createEntry(held: HeldInstance, maxConnections: number): InstanceEntry {
 	return {
 		held,
 		load: createInstanceLoad(),
 		health: createInstanceHealth(),
-		agent: new UpstreamAgent({maxConnections, readNowMs: clock.readMonotonicMs}),
+		agent: new UpstreamAgent({maxConnections}),
 		cached: undefined,
 		visits: new Map(),
 		untoldWorkMs: 0,
--- a/packages/gateway/src/upstream-agent.ts
+++ b/packages/gateway/src/upstream-agent.ts
@@ -1,8 +1,7 @@
 import http, {type ClientRequest} from 'node:http';
 import {type Socket} from 'node:net';
 
-/** When an idle connection is closed from here, by its socket. */
-const idleDeadlines = new WeakMap<Socket, number>();
+/** What ends a connection while it is idle. */
 const closeOnData = new WeakMap<Socket, () => void>();
 
 /** Part of the instance's own idle timeout after which a connection is used no more, so that a request does not cross its close. */
@@ -12,7 +11,6 @@
 
 export type UpstreamAgentOptions = {
 	readonly maxConnections: number;
-	readonly readNowMs: () => number;
 };
 
 /**
@@ -21,13 +19,11 @@
 */
 export class UpstreamAgent extends http.Agent {
 	#idleMs = defaultIdleMs;
-	readonly #readNowMs: () => number;
 
-	constructor({maxConnections, readNowMs}: UpstreamAgentOptions) {
+	constructor({maxConnections}: UpstreamAgentOptions) {
 		super({
 			keepAlive: true, maxSockets: maxConnections, maxFreeSockets: maxConnections, scheduling: 'lifo', noDelay: true,
 		});
-		this.#readNowMs = readNowMs;
 	}
 
 	/** Sets how many connections may be open; the bound changes with the configuration and the number of gateways. */
@@ -50,7 +46,6 @@
 				socket.destroy();
 			};
 
-			idleDeadlines.set(socket, this.#readNowMs() + this.#idleMs);
 			closeOnData.set(socket, destroy);
 			socket.on('data', destroy);
 			socket.setTimeout(this.#idleMs, destroy);
--- a/packages/routing/src/cached-parts.ts
+++ b/packages/routing/src/cached-parts.ts
@@ -3,7 +3,6 @@
 	/** Counts the tokens from the beginning of a prompt that are held, in order. */
 	readonly countCached: (parts: readonly PromptPart[]) => number;
 	readonly add: (parts: readonly PromptPart[]) => void;
-	readonly clear: () => void;
 };
 
 export type PromptPart = {readonly id: string; readonly tokens: number};
@@ -52,9 +51,5 @@
 				total -= tokens;
 			}
 		},
-		clear() {
-			held.clear();
-			total = 0;
-		},
 	};
 }
--- a/packages/routing/src/instance-health.ts
+++ b/packages/routing/src/instance-health.ts
@@ -7,8 +7,6 @@
 	readonly restDeadlineMs: number;
 	/** Rests in a row; each lasts longer. */
 	readonly rests: number;
-	/** Since when something is awaited and nothing came; `undefined` where nothing is awaited. */
-	readonly silentSinceMs: number | undefined;
 };
 
 export enum HealthEvent {
@@ -33,7 +31,7 @@
 /** Creates the health of an instance of which nothing is known. */
 export function createInstanceHealth(): InstanceHealth {
 	return {
-		failureShare: 0, samples: 0, restDeadlineMs: 0, rests: 0, silentSinceMs: undefined,
+		failureShare: 0, samples: 0, restDeadlineMs: 0, rests: 0,
 	};
 }
 
