Hash a request once, and note a crash in one merge

After any lost instance there are suspects for ten minutes, and each request hashed its whole body on arrival, at each look for a free instance and at its end; its fingerprint is kept with it now. A crash with many requests copied the table once for each of them. An attempt had two ends that differed in one flag.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -109,14 +109,14 @@
 		});
 	};
 
-	const fail = (reason: string) => {
-		finish(isSent ? AttemptEnd.Broken : AttemptEnd.NotRun, reason, {isUnreachable: !isSent});
+	const fail = (reason: string, {isCutOff = false} = {}) => {
+		finish(isSent ? AttemptEnd.Broken : AttemptEnd.NotRun, reason, {isUnreachable: !isSent, isCutOff: isSent && isCutOff});
 		request.destroy();
 	};
 
+	// The other side ended the connection.
 	const failCutOff = (reason: string) => {
-		finish(isSent ? AttemptEnd.Broken : AttemptEnd.NotRun, reason, {isUnreachable: !isSent, isCutOff: isSent});
-		request.destroy();
+		fail(reason, {isCutOff: true});
 	};
 
 	const request = http.request({
@@ -222,7 +222,9 @@
 
 	return {
 		result,
-		cancel: fail,
+		cancel(reason) {
+			fail(reason);
+		},
 		resume() {
 			incoming?.resume();
 		},
--- a/packages/gateway/src/crash-watch.ts
+++ b/packages/gateway/src/crash-watch.ts
@@ -50,11 +50,20 @@
 ```
 */
 export function createCrashWatch({linkAddress, links, clock, log, getGateways}: CrashWatchOptions): CrashWatch {
+	const fingerprints = new WeakMap<Exchange, string>();
 	let state = createCrashSuspects();
 
-	const tellOthers = (fingerprints: readonly string[]) => {
+	// A request that waits is looked up again and again; its body is hashed once.
+	const getFingerprint = (exchange: Exchange) => {
+		const fingerprint = fingerprints.get(exchange) ?? computeFingerprint(exchange);
+		fingerprints.set(exchange, fingerprint);
+
+		return fingerprint;
+	};
+
+	const tellOthers = (suspects: readonly string[]) => {
 		const nowMs = clock.readMonotonicMs();
-		const notes = fingerprints.map(fingerprint => createSuspectNote(state, fingerprint, nowMs)).filter(note => note !== undefined);
+		const notes = suspects.map(fingerprint => createSuspectNote(state, fingerprint, nowMs)).filter(note => note !== undefined);
 
 		if (notes.length === 0) {
 			return;
@@ -70,10 +79,14 @@
 	const noteCrash = (incarnation: string) => {
 		const nowMs = clock.readMonotonicMs();
 		const taken = takeCrashed(state, {incarnation, nowMs});
-		state = taken.state;
+
+		if (taken.fingerprints.length === 0) {
+			return;
+		}
+
+		state = addCrash(taken.state, {fingerprints: taken.fingerprints, incarnation, nowMs});
 
 		for (const fingerprint of taken.fingerprints) {
-			state = addCrash(state, {fingerprint, incarnation, nowMs});
 			log.warn('an instance crashed under a request', {
 				id: parseInstanceId(incarnation), fingerprint, isQuarantined: getQuarantineDeadline(state, fingerprint, nowMs) !== undefined,
 			});
@@ -89,10 +102,10 @@
 	return {
 		getQuarantineDeadline: exchange => state.suspects.size === 0
 			? undefined
-			: getQuarantineDeadline(state, computeFingerprint(exchange), clock.readMonotonicMs()),
+			: getQuarantineDeadline(state, getFingerprint(exchange), clock.readMonotonicMs()),
 		noteBroken(exchange, entry) {
 			state = addBreak(state, {
-				fingerprint: computeFingerprint(exchange), incarnation: formatIncarnation(entry.held.record), nowMs: clock.readMonotonicMs(),
+				fingerprint: getFingerprint(exchange), incarnation: formatIncarnation(entry.held.record), nowMs: clock.readMonotonicMs(),
 			});
 		},
 		noteFinished(exchange, entry, sentAtMs) {
@@ -102,7 +115,7 @@
 				return;
 			}
 
-			const fingerprint = computeFingerprint(exchange);
+			const fingerprint = getFingerprint(exchange);
 
 			if (isSuspect(state, fingerprint)) {
 				state = clearSuspect(state, fingerprint);
--- a/packages/limits/src/__tests__/unit/crash-suspects.test.ts
+++ b/packages/limits/src/__tests__/unit/crash-suspects.test.ts
@@ -9,13 +9,8 @@
 const crash = (state: CrashSuspects, {fingerprint, incarnation, nowMs}: {readonly fingerprint: string; readonly incarnation: string; readonly nowMs: number}) => {
 	const broken = addBreak(state, {fingerprint, incarnation, nowMs});
 	const {state: next, fingerprints} = takeCrashed(broken, {incarnation, nowMs: nowMs + 50});
-	let noted = next;
 
-	for (const one of fingerprints) {
-		noted = addCrash(noted, {fingerprint: one, incarnation, nowMs: nowMs + 50});
-	}
-
-	return noted;
+	return addCrash(next, {fingerprints, incarnation, nowMs: nowMs + 50});
 };
 
 test('a request that crashes each instance that runs it is run no more after the third', t => {
@@ -46,7 +41,7 @@
 });
 
 test('what daemons tell each other may come late, twice and in any order', t => {
-	const crashed = addCrash(addCrash(createCrashSuspects(), {fingerprint: 'x', incarnation: 'a 1', nowMs: 0}), {fingerprint: 'x', incarnation: 'b 1', nowMs: 0});
+	const crashed = addCrash(addCrash(createCrashSuspects(), {fingerprints: ['x'], incarnation: 'a 1', nowMs: 0}), {fingerprints: ['x'], incarnation: 'b 1', nowMs: 0});
 	const before = createSuspectNote(crashed, 'x', 0)!;
 	const after = createSuspectNote(clearSuspect(crashed, 'x'), 'x', 0)!;
 
@@ -58,7 +53,7 @@
 		}
 
 		t.false(isSuspect(state, 'x'));
-		state = addCrash(state, {fingerprint: 'x', incarnation: 'c 1', nowMs: 200});
+		state = addCrash(state, {fingerprints: ['x'], incarnation: 'c 1', nowMs: 200});
 		t.true(isSuspect(state, 'x'));
 		t.is(getQuarantineDeadline(state, 'x', 200), undefined);
 	}
@@ -72,14 +67,10 @@
 	}
 
 	const taken = takeCrashed(state, {incarnation: 'a 1', nowMs: 50});
-	state = taken.state;
-
-	for (const fingerprint of taken.fingerprints) {
-		state = addCrash(state, {fingerprint, incarnation: 'a 1', nowMs: 50});
-	}
+	state = addCrash(taken.state, {fingerprints: taken.fingerprints, incarnation: 'a 1', nowMs: 50});
 
 	t.deepEqual(listPressing(state), []);
-	state = addCrash(state, {fingerprint: 'r7', incarnation: 'b 1', nowMs: 60});
+	state = addCrash(state, {fingerprints: ['r7'], incarnation: 'b 1', nowMs: 60});
 	t.deepEqual(listPressing(state), ['r7']);
 });
 
--- a/packages/limits/src/crash-suspects.ts
+++ b/packages/limits/src/crash-suspects.ts
@@ -84,21 +84,23 @@
 }
 
 /**
-Notes a crash under a request. Answers the load pattern of one request that crashes each instance that runs it and is sent again and
-again: without it, it takes down one instance after the other.
+Notes a crash under the requests that an instance was running. Answers the load pattern of one request that crashes each instance that
+runs it and is sent again and again: without it, it takes down one instance after the other.
 
 @example
 ```
-const next = addCrash(state, {fingerprint, incarnation: 'i-1 1700000000000', nowMs});
+const next = addCrash(state, {fingerprints, incarnation: 'i-1 1700000000000', nowMs});
 getQuarantineDeadline(next, fingerprint, nowMs); //=> a moment ten minutes away, after the third
 ```
 */
-export function addCrash(state: CrashSuspects, {fingerprint, incarnation, nowMs}: BreakInput): CrashSuspects {
-	return mergeSuspects(state, [{
+export function addCrash(state: CrashSuspects, {fingerprints, incarnation, nowMs}: CrashInput): CrashSuspects {
+	return mergeSuspects(state, fingerprints.map(fingerprint => ({
 		fingerprint, crashed: [incarnation], cleared: [], keepLeftMs: keepMs,
-	}], nowMs);
+	})), nowMs);
 }
 
+export type CrashInput = {readonly fingerprints: readonly string[]; readonly incarnation: string; readonly nowMs: number};
+
 /** A request has finished somewhere: the crashes under it so far were not its doing. */
 export function clearSuspect(state: CrashSuspects, fingerprint: string): CrashSuspects {
 	const known = state.suspects.get(fingerprint);
--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -1,7 +1,7 @@
 export {
 	addBreak, addCrash, clearSuspect, createCrashSuspects, createSuspectNote, forgetBreaks, getQuarantineDeadline, isSuspect, listPressing, mergeSuspects,
 	takeCrashed,
-	type BreakInput, type CrashSuspects, type SuspectNote,
+	type BreakInput, type CrashInput, type CrashSuspects, type SuspectNote,
 } from './crash-suspects.js';
 export {
 	createHoldQueue, enterHold, estimateWaitMs, leaveHold, type Held, type HoldQueue,
