--- a/packages/core/src/rendezvous.ts
+++ b/packages/core/src/rendezvous.ts
@@ -10,7 +10,7 @@
 ```
 */
 export function rankByRendezvous(key: string, names: readonly string[]): string[] {
-	return weighNames(key, names)
+	return computeWeights(key, names)
 		.toSorted((a, b) => compareWeights(a, b))
 		.map(entry => entry.name);
 }
@@ -26,14 +26,14 @@
 export function pickByRendezvous(key: string, names: readonly string[]): string | undefined {
 	let best: Weighted | undefined;
 
-	for (const one of weighNames(key, names)) {
+	for (const one of computeWeights(key, names)) {
 		best = best === undefined || compareWeights(one, best) < 0 ? one : best;
 	}
 
 	return best?.name;
 }
 
-function weighNames(key: string, names: readonly string[]): Weighted[] {
+function computeWeights(key: string, names: readonly string[]): Weighted[] {
 	return names.map(name => ({name, weight: computeHash(`${name}/${key}`)}));
 }
 
--- a/packages/gateway/src/crash-watch.ts
+++ b/packages/gateway/src/crash-watch.ts
@@ -136,6 +136,15 @@
 			}
 		},
 		take(notes) {
+			for (const {fingerprint, crashed} of notes) {
+				const known = state.suspects.get(fingerprint)?.crashed;
+				const ids = crashed.filter(incarnation => known?.has(incarnation) !== true).map(incarnation => parseInstanceId(incarnation));
+
+				if (ids.length > 0) {
+					log.info('crashes under a request were told', {fingerprint, ids});
+				}
+			}
+
 			state = mergeSuspects(state, notes, clock.readMonotonicMs());
 		},
 		stop() {
