--- a/packages/coordinator/src/weight-orders.ts
+++ b/packages/coordinator/src/weight-orders.ts
@@ -1,3 +1,4 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {type Clock} from '@fescuestair/core';
 import {type HeldInstance} from '@fescuestair/instances';
 import {type Log} from '@fescuestair/runtime';
@@ -110,9 +111,7 @@
 
 	const awaitLoad = async (order: WeightOrder, term: number, deadlineMs: number) => {
 		while (clock.readMonotonicMs() < deadlineMs && mayOrder(term)) {
-			await new Promise(resolve => {
-				setTimeout(resolve, roundMs);
-			});
+			await sleep(roundMs);
 			const report = await fetchReport({id: order.instanceId, address: order.address});
 
 			if (isHeld(report, order)) {
--- a/packages/gateway/src/__tests__/unit/choose-place.test.ts
+++ b/packages/gateway/src/__tests__/unit/choose-place.test.ts
@@ -44,7 +44,7 @@
 		parts: {
 			getView: () => createPartsView(), noteUse: () => undefined, noteSave: () => undefined, isBeingSaved: () => false, stop: () => undefined,
 		},
-		getTable: () => ({config: {services: [service]}}),
+		getTable: () => ({stores: []}),
 	} as unknown as ForwardOptions;
 
 	return {
--- a/packages/gateway/src/choose-place.ts
+++ b/packages/gateway/src/choose-place.ts
@@ -2,7 +2,7 @@
 import {
 	chooseStore, computeFetchUntil, findPlaces, formatSalt, type PartPlace,
 } from '@fescuestair/parts';
-import {type Service, type StoreFigures} from '@fescuestair/traffic';
+import {type Service} from '@fescuestair/traffic';
 import {type CacheOrder, type PromptDescription} from './codecs.js';
 import {type Exchange} from './exchange.js';
 import {type ForwardOptions, type Progress} from './forward-options.js';
@@ -47,7 +47,7 @@
 	const versions = new Map(open.map(entry => [entry.held.record.id, findVersion(entry, prompt.model)]));
 	const uses = new Map(open.map(entry => [entry.held.record.id, judgeWeights(prompt.model, versions.get(entry.held.record.id))]));
 	const candidates = open.filter(entry => uses.get(entry.held.record.id) !== WeightsUse.Barred);
-	const stores = listStores(options);
+	const {stores} = options.getTable();
 	const orders = new Map<number | undefined, CacheOrder | undefined>();
 	const described = new Map(candidates.map(entry => {
 		const version = versions.get(entry.held.record.id);
@@ -87,10 +87,6 @@
 	return entry.held.record.models.find(one => one.name === model)?.version;
 }
 
-function listStores({getTable}: ForwardOptions): readonly StoreFigures[] {
-	return getTable().config.services.flatMap(service => service.store === undefined ? [] : [service.store]);
-}
-
 // The salt is the wall: an isolated organisation shares with nobody, and no version of the weights with another.
 function createCacheOrder(options: ForwardOptions, {organisation, caller}: Exchange, weightVersion: number): CacheOrder {
 	const {model, parts} = caller.prompt!;
@@ -116,7 +112,7 @@
 
 // The last part belongs to this request alone and does not return.
 function planSaves(options: ForwardOptions, {salt, parts, places}: SaveInput): ReadonlyArray<string | undefined> {
-	const stores = listStores(options).map(store => ({address: store.address, capacityTokens: store.capacityTokens, firstByteMs: store.firstByteMs}));
+	const {stores} = options.getTable();
 
 	return parts.map((part, position) => {
 		const isShared = position < parts.length - 1;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,4 +1,4 @@
-import {Buffer} from 'node:buffer';
+import {type Buffer} from 'node:buffer';
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -19,6 +19,7 @@
 	createLinks, createLinkServer, openHttpListener, parseAddress,
 } from '@fescuestair/transport';
 import {type CallerCodec, type UpstreamCodec} from './codecs.js';
+import {readBytes} from './read-bytes.js';
 import {createCoordinatorClient} from './coordinator-client.js';
 import {createCrashWatch} from './crash-watch.js';
 import {Outcome, sendOwnAnswer, type ExchangeEnd} from './exchange.js';
@@ -286,24 +287,12 @@
 	};
 
 	const readWholeBody = async (request: IncomingMessage, maxBytes: number): Promise<Buffer | undefined> => {
-		const chunks: Buffer[] = [];
-		let size = 0;
-
 		try {
-			for await (const chunk of request) {
-				size += (chunk as Buffer).length;
-				chunks.push(chunk as Buffer);
-
-				if (size > maxBytes || bodiesBytes + size > maxBodiesBytes) {
-					return undefined;
-				}
-			}
+			return await readBytes(request, size => size > maxBytes || bodiesBytes + size > maxBodiesBytes);
 		} catch {
 			// The caller broke off; its connection is gone.
 			return undefined;
 		}
-
-		return Buffer.concat(chunks);
 	};
 
 	const server = http.createServer({maxHeaderSize: maxParsedHeaderBytes, requestTimeout: 0, keepAlive: true});
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -4,6 +4,7 @@
 export {
 	type CacheOrder, type CallerCodec, type CallerRequest, type DispatchOrder, type PromptDescription, type UpstreamAnswer, type UpstreamCodec,
 } from './codecs.js';
+export {readBytes} from './read-bytes.js';
 export {createCoordinatorClient, type CoordinatorClient, type CoordinatorClientOptions} from './coordinator-client.js';
 export {createEventCutter, type EventCutter} from './event-cutter.js';
 export {filterHeaders, Outcome} from './exchange.js';
--- /dev/null
+++ b/packages/gateway/src/read-bytes.ts
@@ -0,0 +1,27 @@
+import {Buffer} from 'node:buffer';
+import {type IncomingMessage} from 'node:http';
+
+/**
+Reads a whole body; `undefined` once it is too large. Throws where it breaks off.
+
+@example
+```
+const body = await readBytes(request, size => size > 4_194_304);
+```
+*/
+export async function readBytes(message: IncomingMessage, isTooLarge: (size: number) => boolean): Promise<Buffer | undefined> {
+	const chunks: Buffer[] = [];
+	let size = 0;
+
+	for await (const chunk of message) {
+		size += (chunk as Buffer).length;
+
+		if (isTooLarge(size)) {
+			return undefined;
+		}
+
+		chunks.push(chunk as Buffer);
+	}
+
+	return Buffer.concat(chunks);
+}
--- a/packages/traffic/src/check.ts
+++ b/packages/traffic/src/check.ts
@@ -1,4 +1,5 @@
 import {createFinding, type Finding} from '@fescuestair/core';
+import {sumWeights} from './match.js';
 import {type Organisation, type Route, type TrafficConfig} from './types.js';
 
 /**
@@ -28,7 +29,7 @@
 		}
 	}
 
-	if (sumWeights(route) <= 0) {
+	if (sumWeights(route.targets) <= 0) {
 		findings.push(createFinding(place, 'the weights of its targets add up to 0'));
 	}
 
@@ -43,16 +44,6 @@
 	return findings;
 }
 
-function sumWeights(route: Route): number {
-	let sum = 0;
-
-	for (const target of route.targets) {
-		sum += target.weight;
-	}
-
-	return sum;
-}
-
 function findSharedPlaces(routes: readonly Route[]): readonly Finding[] {
 	const seen = new Map<string, number>();
 	const findings: Finding[] = [];
--- a/packages/traffic/src/match.ts
+++ b/packages/traffic/src/match.ts
@@ -1,5 +1,5 @@
 import {
-	type Organisation, type Route, type RouteTarget, type Service, type TrafficConfig,
+	type Organisation, type Route, type RouteTarget, type Service, type StoreFigures, type TrafficConfig,
 } from './types.js';
 
 /** A configuration made ready for looking up. */
@@ -8,6 +8,8 @@
 	/** By host in lower case, then by path prefix. */
 	readonly routes: ReadonlyMap<string, ReadonlyMap<string, Route>>;
 	readonly services: ReadonlyMap<string, Service>;
+	/** Of all services that are stores. */
+	readonly stores: readonly StoreFigures[];
 	readonly organisationsByKey: ReadonlyMap<string, Organisation>;
 };
 
@@ -33,6 +35,7 @@
 		config,
 		routes,
 		services: new Map(config.services.map(service => [service.name, service])),
+		stores: config.services.flatMap(service => service.store === undefined ? [] : [service.store]),
 		organisationsByKey: new Map(config.organisations.flatMap(organisation => organisation.keys.map(key => [key, organisation]))),
 	};
 }
@@ -73,13 +76,7 @@
 ```
 */
 export function chooseTarget(targets: readonly RouteTarget[], draw: number): RouteTarget {
-	let sum = 0;
-
-	for (const target of targets) {
-		sum += target.weight;
-	}
-
-	let left = draw * sum;
+	let left = draw * sumWeights(targets);
 
 	for (const target of targets) {
 		left -= target.weight;
@@ -91,3 +88,14 @@
 
 	return targets.findLast(target => target.weight > 0)!;
 }
+
+/** Sums the weights of a route's targets. */
+export function sumWeights(targets: readonly RouteTarget[]): number {
+	let sum = 0;
+
+	for (const target of targets) {
+		sum += target.weight;
+	}
+
+	return sum;
+}
