Say hello and open the listener for links in one place

Entry, gateway and coordinator each gave what came over links to their handlers by the same eight lines; openCommandListener serves the three. A coordinator that answers a hello with something else is no longer logged as regained.

--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -3,18 +3,20 @@
 import {planMembers, type Timing} from '@fescuestair/agreement';
 import {createSystemClock, type Clock, type Finding} from '@fescuestair/core';
 import {
-	createInstanceRegistry, createNote, DaemonRole, listCards, listNews, NewsKind, pickNewsSources, setLoading, setModelVersion, takeCard, takeRecord, tidyRegistry,
+	createInstanceRegistry, createNote, DaemonRole, listCards, listNews, NewsKind, setLoading, setModelVersion, takeCard, takeRecord, tidyRegistry,
 	type DaemonCard, type DaemonTable, type FleetNews, type Hello, type HelloReply, type InstanceNote, type InstanceRecord, type NewsCursor,
 	type Published,
 } from '@fescuestair/instances';
 import {
-	createLinkCommands, dispatchLinkMessage, LinkKind, ProposalError, type LinkMessage, type LinkReply,
+	createLinkCommands, LinkKind, ProposalError, type LinkMessage, type LinkReply,
 } from '@fescuestair/protocol';
 import {type PartsPoll} from '@fescuestair/parts';
 import {proposeAtLeader} from '@fescuestair/replication';
-import {type Log, type ServedMetrics} from '@fescuestair/runtime';
+import {
+	createGreeter, openCommandListener, type Log, type ServedMetrics,
+} from '@fescuestair/runtime';
 import {type StoreFigures, type TrafficConfig} from '@fescuestair/traffic';
-import {createLinks, createLinkServer, parseAddress} from '@fescuestair/transport';
+import {createLinks} from '@fescuestair/transport';
 import {
 	describePublished, PublishKind, type PublishAnswer, type PublishCommand, type PublishedState,
 } from './published-state.js';
@@ -307,15 +309,8 @@
 	});
 	// Replicas learn by agreement; a coordinator without a vote asks the leader when it is read.
 	commands.registerCommand(LinkKind.Published, () => true);
-	const server = await createLinkServer({
-		listen: parseAddress(linkAddress),
-		getKeys: undefined,
-		onMessage(message, reply) {
-			dispatchLinkMessage(commands, message, reply);
-		},
-		onError(error) {
-			log.debug('link failed', {reason: error.message});
-		},
+	const server = await openCommandListener({
+		listen: linkAddress, getKeys: undefined, commands, log,
 	});
 
 	const listCoordinatorAddresses = () => new Set([
@@ -324,12 +319,8 @@
 		...(replica.getState()?.members ?? []).map(member => member.address),
 	].filter(address => address !== linkAddress));
 
-	const cursors = new Map<string, NewsCursor>();
-	let helloRound = 0;
-
-	const takeFleetNews = (address: string, {cursor, notes, coordinators}: FleetNews) => {
+	const takeFleetNews = ({notes, coordinators}: FleetNews) => {
 		takeNotes(notes);
-		cursors.set(address, cursor);
 
 		// Others are only taken for known once they answer themselves; their addresses are worth a try.
 		for (const card of coordinators) {
@@ -339,47 +330,32 @@
 		}
 	};
 
-	const sayHello = async (address: string, isSource: boolean) => {
-		const hello: Hello = {
-			card: self,
-			// Replicas are told by agreement, not here.
-			publishedRevision: Number.MAX_SAFE_INTEGER,
-			configVersion: replica.getPublished().configVersion,
-			newsAfter: isSource ? cursors.get(address) ?? {bootId: undefined, revision: 0} : undefined,
-		};
-
-		try {
-			const answer = await links.call(address, {kind: LinkKind.Hello, hello} satisfies LinkMessage, callTimeoutMs) as LinkReply;
-
-			if (answer.kind !== 'hello') {
-				return;
-			}
-
-			const {news, isCurrent: isLeaderKnown, leaderAddress} = answer.reply as HelloReply;
+	const greeter = createGreeter({
+		links,
+		timeoutMs: callTimeoutMs,
+		// Replicas are told of what was published by agreement, not here.
+		getHello: () => ({card: self, publishedRevision: Number.MAX_SAFE_INTEGER, configVersion: replica.getPublished().configVersion}),
+		onReply(_address, {news, isCurrent: isLeaderKnown, leaderAddress}) {
 			hintedLeaderAddress = isLeaderKnown ? leaderAddress : hintedLeaderAddress;
 
 			if (news !== undefined) {
-				takeFleetNews(address, news);
+				takeFleetNews(news);
 			}
-		} catch (error) {
+		},
+		onLost(address, error) {
 			log.debug('a coordinator did not answer', {address, reason: String(error)});
-		}
-	};
+		},
+	});
 
 	const sayHelloToAll = () => {
 		registry = tidyRegistry(registry, clock.readMonotonicMs());
 
 		const addresses = [...listCoordinatorAddresses()];
-		const sources = pickNewsSources(addresses, helloRound++);
-
-		for (const address of addresses) {
-			// Right after a start all are asked: the first one that knows is the best.
-			void sayHello(address, registry.held.size === 0 || sources.has(address));
-		}
+		greeter.greetAll(addresses, {knowsNothing: registry.held.size === 0});
 
 		// Also a replica that was replaced while it was cut off asks for a place again; the leader leaves out who has one.
 		if (!isCurrent()) {
-			for (const address of listCoordinatorAddresses()) {
+			for (const address of addresses) {
 				links.send(address, {
 					kind: LinkKind.Join, id: replica.door.getIdentity().id, name, address: linkAddress,
 				} satisfies LinkMessage);
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -8,14 +8,14 @@
 	listServing, MemberStatus, RecordKind, type MemberRecord,
 } from '@fescuestair/membership';
 import {
-	createLinkCommands, dispatchLinkMessage, LinkKind, RefusalCode,
+	createLinkCommands, LinkKind, RefusalCode,
 } from '@fescuestair/protocol';
 import {
-	createFindFates, createGossip, type Log, type Metrics,
+	createFindFates, createGossip, openCommandListener, type Log, type Metrics,
 } from '@fescuestair/runtime';
 import {findItem, getPresetInForce, ItemKind} from '@fescuestair/state';
 import {
-	createLinks, createLinkServer, parseAddress, type ClusterKeys, type KeyRing,
+	createLinks, parseAddress, type ClusterKeys, type KeyRing,
 } from '@fescuestair/transport';
 import {createCallerListener} from './caller-listener.js';
 import {createControlClient} from './control-client.js';
@@ -191,15 +191,8 @@
 	});
 	homes.registerCommands(commands);
 
-	const linkServer = await createLinkServer({
-		listen: parseAddress(options.peerListen),
-		getKeys: options.getClusterKeys,
-		onMessage(message, reply) {
-			dispatchLinkMessage(commands, message, reply);
-		},
-		onError(error) {
-			log.debug('link refused', error);
-		},
+	const linkServer = await openCommandListener({
+		listen: options.peerListen, getKeys: options.getClusterKeys, commands, log,
 	});
 	const registry = createUpstreamRegistry({
 		entryId: name, clock, gossip, leaseMs: upstreamLeaseMs,
--- a/packages/gateway/src/coordinator-client.ts
+++ b/packages/gateway/src/coordinator-client.ts
@@ -1,10 +1,9 @@
 import {type Clock} from '@fescuestair/core';
 import {
-	createInstanceRegistry, takeRecord, tidyRegistry, pickNewsSources, type DaemonCard, type FleetNews, type Hello, type HelloReply, type InstanceNote,
-	type InstanceRegistry, type NewsCursor, type Published,
+	createInstanceRegistry, takeRecord, tidyRegistry, type DaemonCard, type FleetNews, type HelloReply, type InstanceNote,
+	type InstanceRegistry, type Published,
 } from '@fescuestair/instances';
-import {LinkKind, type LinkMessage, type LinkReply} from '@fescuestair/protocol';
-import {type Log} from '@fescuestair/runtime';
+import {createGreeter, type Log} from '@fescuestair/runtime';
 import {type Links} from '@fescuestair/transport';
 
 export type CoordinatorClientOptions = {
@@ -54,7 +53,6 @@
 	const {
 		getCard, getSeeds, links, clock, log, onPublished, onInstances,
 	} = options;
-	const cursors = new Map<string, NewsCursor>();
 	const heard = new Map<string, number>();
 	const lost = new Set<string>();
 	const startedAtMs = clock.readMonotonicMs();
@@ -62,7 +60,6 @@
 	let revision = 0;
 	let configVersion = 0;
 	let hasCurrent = false;
-	let round = 0;
 	let gateways: readonly string[] = [];
 	let leaderAddress: string | undefined;
 
@@ -90,9 +87,8 @@
 		}
 	};
 
-	const takeNews = (address: string, news: FleetNews, isCurrent: boolean) => {
+	const takeNews = (news: FleetNews, isCurrent: boolean) => {
 		takeNotes(news.notes);
-		cursors.set(address, news.cursor);
 		// A coordinator that has just started, or is cut off, has not heard most of them.
 		gateways = isCurrent || gateways.length === 0 ? news.gateways : gateways;
 
@@ -107,7 +103,7 @@
 		heard.set(address, clock.readMonotonicMs());
 
 		if (reply.news !== undefined) {
-			takeNews(address, reply.news, reply.isCurrent);
+			takeNews(reply.news, reply.isCurrent);
 		}
 
 		if (reply.published !== undefined) {
@@ -118,29 +114,24 @@
 		hasCurrent ||= reply.isCurrent && configVersion > 0;
 	};
 
-	const greet = async (address: string, isSource: boolean) => {
-		const hello: Hello = {
-			card: getCard(), publishedRevision: revision, configVersion,
-			newsAfter: isSource ? cursors.get(address) ?? {bootId: undefined, revision: 0} : undefined,
-		};
-
-		try {
-			const answer = await links.call(address, {kind: LinkKind.Hello, hello} satisfies LinkMessage, callTimeoutMs) as LinkReply;
-
-			if (answer.kind === 'hello') {
-				takeReply(address, answer.reply as HelloReply);
-			}
+	const greeter = createGreeter({
+		links,
+		timeoutMs: callTimeoutMs,
+		getHello: () => ({card: getCard(), publishedRevision: revision, configVersion}),
+		onReply(address, reply) {
+			takeReply(address, reply);
 
 			if (lost.delete(address)) {
 				log.info('coordinator regained', {address});
 			}
-		} catch (error) {
+		},
+		onLost(address, error) {
 			if (!lost.has(address)) {
 				lost.add(address);
 				log.warn('coordinator lost', {address, reason: String(error)});
 			}
-		}
-	};
+		},
+	});
 
 	const sayHello = () => {
 		const nowMs = clock.readMonotonicMs();
@@ -152,13 +143,7 @@
 			}
 		}
 
-		const addresses = [...new Set([...getSeeds(), ...heard.keys()])];
-		const sources = pickNewsSources(addresses, round++);
-
-		for (const address of addresses) {
-			// Until the first configuration all are asked: the first one that knows is the best.
-			void greet(address, configVersion === 0 || sources.has(address));
-		}
+		greeter.greetAll([...new Set([...getSeeds(), ...heard.keys()])], {knowsNothing: configVersion === 0});
 	};
 
 	let timer: NodeJS.Timeout;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,14 +9,14 @@
 import {
 	createRetryBudget, depositSuccess, type RetryBudget, type SuspectNote,
 } from '@fescuestair/limits';
-import {createLinkCommands, dispatchLinkMessage, LinkKind} from '@fescuestair/protocol';
+import {createLinkCommands, LinkKind} from '@fescuestair/protocol';
 import {createChooser, PlacementPolicy} from '@fescuestair/routing';
-import {type Log, type ServedMetrics} from '@fescuestair/runtime';
+import {openCommandListener, type Log, type ServedMetrics} from '@fescuestair/runtime';
 import {
 	buildRouteTable, findRoute, type CallKind, type RouteTable, type TrafficConfig,
 } from '@fescuestair/traffic';
 import {
-	createLinks, createLinkServer, openHttpListener, parseAddress,
+	createLinks, openHttpListener, parseAddress,
 } from '@fescuestair/transport';
 import {type CallerCodec, type UpstreamCodec} from './codecs.js';
 import {readBytes} from './read-bytes.js';
@@ -357,15 +357,8 @@
 
 		return true;
 	});
-	const linkServer = await createLinkServer({
-		listen: parseAddress(linkAddress),
-		getKeys: undefined,
-		onMessage(message, reply) {
-			dispatchLinkMessage(commands, message, reply);
-		},
-		onError(error) {
-			log.debug('link failed', {reason: error.message});
-		},
+	const linkServer = await openCommandListener({
+		listen: linkAddress, getKeys: undefined, commands, log,
 	});
 	await openHttpListener(server, parseAddress(listen));
 	log.info('gateway started', {...getCard()});
