--- a/packages/agreement/src/index.ts
+++ b/packages/agreement/src/index.ts
@@ -10,3 +10,4 @@
 export {getLastIndex, getTermAt} from './log.js';
 export {planMembers, type MembershipPlan} from './plan-members.js';
 export {isReadConfirmed} from './confirm-read.js';
+export {isPeerMessage} from './check-message.js';
--- a/packages/bench/src/state.ts
+++ b/packages/bench/src/state.ts
@@ -8,7 +8,7 @@
 import {createSystemClock} from '@fescuestair/core';
 import {createStateFollower} from '@fescuestair/entry';
 import {startSystem, type System} from '@fescuestair/demo';
-import {LinkKind, type LinkReply} from '@fescuestair/protocol';
+import {callChecked, LinkKind} from '@fescuestair/protocol';
 import {
 	AnswerKind, CommandKind, type Answer, type Request,
 } from '@fescuestair/state';
@@ -41,7 +41,7 @@
 	return async request => {
 		for (;;) {
 			try {
-				const reply = await links.call(leader, {kind: LinkKind.Propose, command: request}, callTimeoutMs) as LinkReply;
+				const reply = await callChecked(links, {address: leader, message: {kind: LinkKind.Propose, command: request}, timeoutMs: callTimeoutMs});
 
 				if (reply.kind === 'answer') {
 					return reply.answer as Answer;
--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -8,17 +8,19 @@
 	listRecords, MemberStatus, RecordKind, type MemberRecord,
 } from '@fescuestair/membership';
 import {LinkKind, type LinkMessage} from '@fescuestair/protocol';
-import {createGossip, type Log} from '@fescuestair/runtime';
+import {
+	createFaultLog, createGossip, openCommandListener, type Log,
+} from '@fescuestair/runtime';
 import {createGroupDoor, createReplicaRunner, proposeAtLeader} from '@fescuestair/replication';
 import {createLogStore} from '@fescuestair/storage';
 import {
 	CommandKind, stampRequest, type Answer, type Request,
 } from '@fescuestair/state';
 import {
-	createLinks, createLinkServer, parseAddress, type ClusterKeys, type KeyRing,
+	createLinks, parseAddress, type ClusterKeys, type KeyRing,
 } from '@fescuestair/transport';
 import {createOrderGiver, createOrderSender} from './order-giver.js';
-import {createLinkHandler} from './link-handler.js';
+import {createControlCommands} from './link-handler.js';
 import {createOperatorServer} from './operator-server.js';
 import {createStateHost} from './state-host.js';
 import {createOperatorBackend} from './operator-backend.js';
@@ -125,15 +127,14 @@
 	const backend = createOperatorBackend({
 		name, peerListen, door, runner, host, gossip, fates, links, propose,
 	});
-	const linkServer = await createLinkServer({
-		listen: parseAddress(peerListen),
+	const linkServer = await openCommandListener({
+		listen: peerListen,
 		getKeys: getClusterKeys,
-		onMessage: createLinkHandler({
+		log,
+		commands: createControlCommands({
 			runner, host, gossip, fates, propose: proposeHere, findLeaderAddress, acceptAgreement: door.accept, noteJoin: door.noteCandidate,
+			onFault: createFaultLog({log, clock, count: () => undefined}),
 		}),
-		onError(error) {
-			log.debug('link refused', error);
-		},
 	});
 	const operatorServer = await createOperatorServer({
 		listen: parseAddress(options.operatorListen), getKeys: options.getOperatorKeys, backend, isReady: () => runner.getState().leaderId !== undefined,
--- a/packages/control/src/link-handler.ts
+++ b/packages/control/src/link-handler.ts
@@ -1,13 +1,13 @@
-import {type PeerMessage} from '@fescuestair/agreement';
-import {CommandPriority} from '@fescuestair/core';
+import {isPeerMessage} from '@fescuestair/agreement';
+import {CommandPriority, isOneOf, isRecordOf} from '@fescuestair/core';
 import {
-	createLinkCommands, dispatchLinkMessage, LinkKind, ProposalError, type LinkMessage, type LinkReply,
+	createLinkCommands, isFindFatesMessage, isGossipMessage, isJoinMessage, isName, isPollStateMessage, isRecordFatesMessage, LinkKind, ProposalError,
+	type LinkCommands, type LinkFault, type LinkMessage, type LinkReplier, type LinkReply,
 } from '@fescuestair/protocol';
 import {type FateStore} from '@fescuestair/fates';
 import {type ReplicaRunner} from '@fescuestair/replication';
 import {type GossipHost} from '@fescuestair/runtime';
-import {type LinkHandler} from '@fescuestair/transport';
-import {listPublicNews, type Request} from '@fescuestair/state';
+import {isStateRequest, listPublicNews, type Request} from '@fescuestair/state';
 import {type StateHost} from './state-host.js';
 
 export type LinkHandlerOptions = {
@@ -19,12 +19,18 @@
 	readonly findLeaderAddress: () => string | undefined;
 	readonly acceptAgreement: (message: Extract<LinkMessage, {kind: LinkKind.Agreement}>) => boolean;
 	readonly noteJoin: (message: Extract<LinkMessage, {kind: LinkKind.Join}>) => void;
+	readonly onFault: (fault: LinkFault) => void;
 };
 
-/** Creates the handler of messages from other processes. */
-export function createLinkHandler(options: LinkHandlerOptions): LinkHandler {
+const isPeerAgreement = isRecordOf({
+	kind: isOneOf([LinkKind.Agreement]), groupId: isName, fromId: isName, fromAddress: isName, toId: isName, message: isPeerMessage,
+});
+const isStateProposal = isRecordOf({command: isStateRequest});
+
+/** Creates the handlers of messages from other processes. */
+export function createControlCommands(options: LinkHandlerOptions): LinkCommands {
 	const {
-		runner, host, gossip, fates, propose, findLeaderAddress, acceptAgreement, noteJoin,
+		runner, host, gossip, fates, propose, findLeaderAddress, acceptAgreement, noteJoin, onFault,
 	} = options;
 
 	const answerProposal = async (request: Request): Promise<LinkReply> => {
@@ -51,51 +57,49 @@
 		};
 	};
 
-	const commands = createLinkCommands();
-	commands.registerCommand(LinkKind.Agreement, command => {
+	const commands = createLinkCommands({onFault});
+	commands.registerCommand(LinkKind.Agreement, isPeerAgreement, command => {
 		if (acceptAgreement(command)) {
-			runner.receive(command.fromId, command.message as PeerMessage);
+			runner.receive(command.fromId, command.message);
 		}
 
 		return true;
 	}, CommandPriority.High);
-	commands.registerCommand(LinkKind.Gossip, command => {
+	commands.registerCommand(LinkKind.Gossip, isGossipMessage, command => {
 		gossip.receive(command);
 
 		return true;
 	});
-	commands.registerCommand(LinkKind.Propose, ({command, reply}) => {
-		void replyWith(reply, answerProposal(command as Request));
+	commands.registerCommand(LinkKind.Propose, isStateProposal, ({command, reply}) => {
+		void replyWith(reply, answerProposal(command));
 
 		return true;
 	});
-	commands.registerCommand(LinkKind.PollState, ({publicVersion, reply}) => {
+	commands.registerCommand(LinkKind.PollState, isPollStateMessage, ({publicVersion, reply}) => {
 		reply?.(answerState(publicVersion));
 
 		return true;
 	});
-	commands.registerCommand(LinkKind.RecordFates, ({events}) => {
+	commands.registerCommand(LinkKind.RecordFates, isRecordFatesMessage, ({events}) => {
 		fates.append(events);
 
 		return true;
 	});
-	commands.registerCommand(LinkKind.FindFates, ({requestId, reply}) => {
+	commands.registerCommand(LinkKind.FindFates, isFindFatesMessage, ({requestId, reply}) => {
 		void replyWith(reply, answerFates(requestId));
 
 		return true;
 	});
-	commands.registerCommand(LinkKind.Join, command => {
+	commands.registerCommand(LinkKind.Join, isJoinMessage, command => {
 		noteJoin(command);
 
 		return true;
 	});
 
-	return (message, reply) => {
-		dispatchLinkMessage(commands, message, reply);
-	};
+	return commands;
 }
 
-async function replyWith(reply: ((answer: LinkReply) => void) | undefined, answer: Promise<LinkReply>): Promise<void> {
+async function replyWith(reply: LinkReplier, answer: Promise<LinkReply>): Promise<void> {
 	try {
 		reply?.(await answer);
 	} catch (error) {
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -1,28 +1,29 @@
-import {randomBytes} from 'node:crypto';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {planMembers, type Timing} from '@fescuestair/agreement';
-import {createSystemClock, type Clock, type Finding} from '@fescuestair/core';
+import {isPeerMessage, planMembers, type Timing} from '@fescuestair/agreement';
 import {
-	createInstanceRegistry, createNote, DaemonRole, listCards, listNews, NewsKind, setLoading, setModelVersion, takeCard, takeRecord, tidyRegistry,
-	type DaemonCard, type DaemonTable, type FleetNews, type Hello, type HelloReply, type InstanceNote, type InstanceRecord, type NewsCursor,
-	type Published,
+	createSystemClock, isOneOf, isRecordOf, type Clock, type Finding,
+} from '@fescuestair/core';
+import {
+	DaemonRole, isPublished, type DaemonCard, type InstanceRecord, type Published,
 } from '@fescuestair/instances';
 import {
-	createLinkCommands, LinkKind, ProposalError, type LinkMessage, type LinkReply,
+	callChecked, createLinkCommands, isJoinMessage, isName, LinkKind, ProposalError, requireChecked, type LinkMessage, type LinkReply,
 } from '@fescuestair/protocol';
-import {type PartsPoll} from '@fescuestair/parts';
+import {isPartsPoll} from '@fescuestair/parts';
 import {proposeAtLeader} from '@fescuestair/replication';
 import {
-	createGreeter, openCommandListener, type Log, type ServedMetrics,
+	createFaultLog, openCommandListener, type Log, type ServedMetrics,
 } from '@fescuestair/runtime';
 import {type StoreFigures, type TrafficConfig} from '@fescuestair/traffic';
 import {createLinks} from '@fescuestair/transport';
 import {
-	describePublished, PublishKind, type PublishAnswer, type PublishCommand, type PublishedState,
+	describePublished, isPublishCommand, PublishKind, type PublishAnswer, type PublishCommand, type PublishedState,
 } from './published-state.js';
 import {computeLeastVoters, waitForVoters} from './group-size.js';
+import {createFleet} from './fleet.js';
 import {createNewestOnly} from './newest-only.js';
 import {createPartKeeper, type StoreClient} from './part-keeper.js';
+import {createPartsMirrorHost} from './parts-mirror.js';
 import {createReplicaHost} from './replica-host.js';
 import {createWeightOrders, type WeightOrdersOptions} from './weight-orders.js';
 
@@ -77,11 +78,6 @@
 	readonly stop: () => Promise<void>;
 };
 
-/** Word of a daemon, at intervals; a gateway that stopped is out of the directory after four of them. */
-const helloMs = 500;
-/** Gateways that said nothing for longer are not named to callers. */
-const gatewayAgeMs = 2000;
-const coordinatorAgeMs = 10_000;
 const callTimeoutMs = 1500;
 const upkeepMs = 250;
 /** A voter that answered nothing for this long may be replaced. */
@@ -95,7 +91,6 @@
 const replayMs = 3000;
 /** A group of this size goes on through a loss while another member is being replaced. */
 const usualVoters = 5;
-const bootBytes = 6;
 /**
 Slow enough for small instances, quick enough that a lost leader is replaced within 1.5 s. Reads and orders are confirmed by a majority and
 wait out their own spans, so that nothing rests on the lease of a leader before a restart.
@@ -104,6 +99,10 @@
 	heartbeatMs: 150, electionMs: 700, leaseMs: 550, startElectionMs: 150,
 };
 
+const isPeerAgreement = isRecordOf({
+	kind: isOneOf([LinkKind.Agreement]), groupId: isName, fromId: isName, fromAddress: isName, toId: isName, message: isPeerMessage,
+});
+
 /**
 Creates a coordinator: one replica of the durable state, the registry of instances and the directory of gateways.
 
@@ -120,14 +119,11 @@
 		lossesBorne = 1, clock = createSystemClock(), log, metrics,
 	} = options;
 	const links = createLinks({getKeys: undefined});
-	const bootId = randomBytes(bootBytes).toString('hex');
 	const self: DaemonCard = {
-		name, role: DaemonRole.Coordinator, incarnation: clock.readWallMs(), linkAddress, serviceAddress, availabilityZone, isReady: true,
+		name, role: DaemonRole.Coordinator, incarnation: clock.readWallMs(), linkAddress, serviceAddress, availabilityZone, isReady: true, sequence: 0,
 	};
 	const namedWeights = new Map<string, number>();
 	const startedAtMs = clock.readMonotonicMs();
-	let registry = createInstanceRegistry();
-	let daemons: DaemonTable = new Map();
 	let leaderHeardAtMs = Number.NEGATIVE_INFINITY;
 	let leadingSinceMs: number | undefined;
 	/** For a coordinator without a place in the group. */
@@ -161,13 +157,9 @@
 		stores = (config?.services ?? []).flatMap(service => service.store?.isManaged === true ? [service.store] : []);
 		log.info('published', {revision: state.revision, configVersion: state.configVersion, weights: Object.fromEntries(state.weights)});
 
-		// The one that leads tells everyone; the others are asked by whoever missed it.
+		// The one that leads tells everyone; whoever missed it is told with the answer to its next hello.
 		if (isLeading) {
-			const message: LinkMessage = {kind: LinkKind.Published, published: describe(state, -1)};
-
-			for (const card of listOthers()) {
-				links.send(card.linkAddress, message);
-			}
+			fleet.tellPublished(describe(state, -1));
 		}
 	});
 
@@ -181,32 +173,6 @@
 		firstGroup: isFirstStart && seeds.includes(linkAddress) ? {ownAddress: linkAddress, addresses: seeds} : undefined,
 	});
 
-	const listOthers = () => [
-		...listCards(daemons, {role: DaemonRole.Gateway, nowMs: clock.readMonotonicMs(), maxAgeMs: gatewayAgeMs}),
-		...listCards(daemons, {role: DaemonRole.Coordinator, nowMs: clock.readMonotonicMs(), maxAgeMs: coordinatorAgeMs}),
-	];
-
-	const tellNote = (note: InstanceNote) => {
-		for (const card of listOthers()) {
-			links.send(card.linkAddress, {kind: LinkKind.Instances, notes: [note]} satisfies LinkMessage);
-		}
-	};
-
-	const tellInstance = (id: string) => {
-		const held = registry.held.get(id);
-
-		if (held !== undefined) {
-			tellNote(createNote(held, clock.readMonotonicMs()));
-		}
-	};
-
-	const takeNotes = (notes: readonly InstanceNote[]) => {
-		for (const {record, ageMs, loadingLeftMs} of notes) {
-			const taken = takeRecord(registry, record, {nowMs: clock.readMonotonicMs(), ageMs, loadingLeftMs});
-			registry = taken.registry;
-		}
-	};
-
 	const findLeaderAddress = () => {
 		const address = isCurrent() ? replica.findLeaderAddress() : replica.findLeaderAddress() ?? hintedLeaderAddress;
 
@@ -215,32 +181,6 @@
 
 	const isCurrent = () => replica.getLeadingTerm() !== undefined || clock.readMonotonicMs() - leaderHeardAtMs < currentMs;
 
-	const listFleetNews = (after: NewsCursor): FleetNews => {
-		const nowMs = clock.readMonotonicMs();
-
-		return {
-			cursor: {bootId, revision: registry.revision},
-			notes: listNews(registry, {afterRevision: after.bootId === bootId ? after.revision : 0, nowMs}),
-			coordinators: [self, ...listCards(daemons, {role: DaemonRole.Coordinator, nowMs, maxAgeMs: coordinatorAgeMs})],
-			gateways: listCards(daemons, {role: DaemonRole.Gateway, nowMs, maxAgeMs: gatewayAgeMs}).map(card => card.linkAddress),
-		};
-	};
-
-	const answerHello = (hello: Hello): HelloReply => {
-		const nowMs = clock.readMonotonicMs();
-		const published = replica.getPublished();
-		daemons = takeCard(daemons, hello.card, nowMs);
-
-		return {
-			news: hello.newsAfter === undefined ? undefined : listFleetNews(hello.newsAfter),
-			published: published.revision > hello.publishedRevision
-				? describe(published, hello.configVersion)
-				: undefined,
-			leaderAddress: replica.getLeadingTerm() === undefined ? replica.findLeaderAddress() : linkAddress,
-			isCurrent: isCurrent(),
-		};
-	};
-
 	const leastVoters = computeLeastVoters(lossesBorne);
 
 	const proposeHere = async (command: PublishCommand) => {
@@ -271,8 +211,10 @@
 		}
 	};
 
-	const commands = createLinkCommands();
-	commands.registerCommand(LinkKind.Agreement, message => {
+	const commands = createLinkCommands({
+		onFault: createFaultLog({log, clock, count: metrics.count}),
+	});
+	commands.registerCommand(LinkKind.Agreement, isPeerAgreement, message => {
 		replica.receive(message);
 		const state = replica.getState();
 
@@ -282,86 +224,54 @@
 
 		return true;
 	});
-	commands.registerCommand(LinkKind.Join, message => {
+	commands.registerCommand(LinkKind.Join, isJoinMessage, message => {
 		replica.door.noteCandidate(message);
 
 		return true;
 	});
-	commands.registerCommand(LinkKind.Hello, ({hello, reply}) => {
-		reply?.({kind: 'hello', reply: answerHello(hello as Hello)});
+	commands.registerCommand(LinkKind.Propose, isRecordOf({command: isPublishCommand}), ({command, reply}) => {
+		void (async () => reply?.(await answerProposal(command)))();
 
 		return true;
 	});
-	commands.registerCommand(LinkKind.Instances, ({notes}) => {
-		takeNotes(notes as readonly InstanceNote[]);
-
-		return true;
-	});
-	commands.registerCommand(LinkKind.Propose, ({command, reply}) => {
-		void (async () => reply?.(await answerProposal(command as PublishCommand)))();
-
-		return true;
-	});
-	commands.registerCommand(LinkKind.ReadPublished, ({reply}) => {
+	commands.registerCommand(LinkKind.ReadPublished, isRecordOf({}), ({reply}) => {
 		void (async () => reply?.(await answerRead()))();
 
 		return true;
 	});
-	// Replicas learn by agreement; a coordinator without a vote asks the leader when it is read.
-	commands.registerCommand(LinkKind.Published, () => true);
-	const server = await openCommandListener({
-		listen: linkAddress, getKeys: undefined, commands, log,
-	});
-
-	const listCoordinatorAddresses = () => new Set([
-		...getSeeds(),
-		...listCards(daemons, {role: DaemonRole.Coordinator, nowMs: clock.readMonotonicMs(), maxAgeMs: coordinatorAgeMs}).map(card => card.linkAddress),
-		...(replica.getState()?.members ?? []).map(member => member.address),
-	].filter(address => address !== linkAddress));
-
-	const takeFleetNews = ({notes, coordinators}: FleetNews) => {
-		takeNotes(notes);
-
-		// Others are only taken for known once they answer themselves; their addresses are worth a try.
-		for (const card of coordinators) {
-			if (card.name !== name && !daemons.has(card.name)) {
-				daemons = takeCard(daemons, card, clock.readMonotonicMs());
-			}
-		}
-	};
-
-	const greeter = createGreeter({
+	const fleet = createFleet({
+		self,
+		clock,
 		links,
-		timeoutMs: callTimeoutMs,
-		// Replicas are told of what was published by agreement, not here.
-		getHello: () => ({card: self, publishedRevision: Number.MAX_SAFE_INTEGER, configVersion: replica.getPublished().configVersion}),
-		onReply(_address, {news, isCurrent: isLeaderKnown, leaderAddress}) {
-			hintedLeaderAddress = isLeaderKnown ? leaderAddress : hintedLeaderAddress;
-
-			if (news !== undefined) {
-				takeFleetNews(news);
-			}
+		log,
+		metrics,
+		commands,
+		listAddresses: () => [...getSeeds(), ...(replica.getState()?.members ?? []).map(member => member.address)],
+		describePublished(revision, configVersion) {
+			const published = replica.getPublished();
+
+			return published.revision > revision ? describe(published, configVersion) : undefined;
 		},
-		onLost(address, error) {
-			log.debug('a coordinator did not answer', {address, reason: String(error)});
+		getConfigVersion: () => replica.getPublished().configVersion,
+		isCurrent,
+		getLeaderAddress: () => replica.getLeadingTerm() === undefined ? replica.findLeaderAddress() : linkAddress,
+		onLeaderNamed(address) {
+			hintedLeaderAddress = address;
 		},
-	});
-
-	const sayHelloToAll = () => {
-		registry = tidyRegistry(registry, clock.readMonotonicMs());
-
-		const addresses = [...listCoordinatorAddresses()];
-		greeter.greetAll(addresses, {knowsNothing: registry.held.size === 0});
-
-		// Also a replica that was replaced while it was cut off asks for a place again; the leader leaves out who has one.
-		if (!isCurrent()) {
-			for (const address of addresses) {
-				links.send(address, {
-					kind: LinkKind.Join, id: replica.door.getIdentity().id, name, address: linkAddress,
-				} satisfies LinkMessage);
+		onRound(addresses) {
+			// Also a replica that was replaced while it was cut off asks for a place again; the leader leaves out who has one.
+			if (!isCurrent()) {
+				for (const address of addresses) {
+					links.send(address, {
+						kind: LinkKind.Join, id: replica.door.getIdentity().id, name, address: linkAddress,
+					} satisfies LinkMessage);
+				}
 			}
-		}
-	};
+		},
+	});
+	const server = await openCommandListener({
+		listen: linkAddress, getKeys: undefined, commands, log,
+	});
 
 	const keepGroup = async () => {
 		const nowMs = clock.readMonotonicMs();
@@ -398,20 +308,14 @@
 		holder: name,
 		clock,
 		log,
-		listInstances: () => registry.held.values(),
+		listInstances: fleet.listInstances,
 		getWeights: () => replica.getPublished().weights,
 		getLeadingTerm: replica.getLeadingTerm,
 		confirmLeading: replica.confirmRead,
 		sendOrder: options.sendOrder,
 		fetchReport: options.fetchReport,
-		onLoading(instanceId, deadlineMs) {
-			registry = setLoading(registry, instanceId, deadlineMs);
-			tellInstance(instanceId);
-		},
-		onLoaded(instanceId, model) {
-			registry = setModelVersion(registry, instanceId, model);
-			tellInstance(instanceId);
-		},
+		onLoading: fleet.setLoading,
+		onLoaded: fleet.setModelVersion,
 		handoverMs: orderHandoverMs,
 	});
 
@@ -423,9 +327,12 @@
 		getWeights: () => replica.getPublished().weights,
 		getLeadingTerm: replica.getLeadingTerm,
 	});
-	commands.registerCommand(LinkKind.PollParts, ({poll, reply}) => {
-		const parts = keeper.answer(poll as PartsPoll);
-		reply?.(parts === undefined ? {kind: 'error', message: 'does not keep the parts'} : {kind: 'parts', reply: parts});
+	const mirror = createPartsMirrorHost({
+		clock, log, links, findKeeperAddress: findLeaderAddress, isNeeded: fleet.hasHomes,
+	});
+	commands.registerCommand(LinkKind.PollParts, isRecordOf({poll: isPartsPoll}), ({poll, reply}) => {
+		const parts = keeper.answer(poll);
+		reply?.(parts === undefined ? mirror.answer(poll) ?? {kind: 'error', message: 'knows no parts yet'} : {kind: 'parts', reply: parts, ageMs: 0});
 
 		return true;
 	});
@@ -447,18 +354,9 @@
 	metrics.registerGauge('published_revision', 'Changes that were agreed on', () => replica.getPublished().revision);
 	metrics.registerGauge('config_version', 'Version of the configuration in force', () => replica.getPublished().configVersion);
 	metrics.registerGauge('leads', 'Whether this replica leads the group', () => replica.getLeadingTerm() === undefined ? 0 : 1);
-	metrics.registerGauge('instances_known', 'Instances that announced themselves', () => registry.held.size);
-	metrics.registerGauge('gateways_known', 'Gateways that were heard lately', () => listCards(daemons, {
-		role: DaemonRole.Gateway, nowMs: clock.readMonotonicMs(), maxAgeMs: gatewayAgeMs,
-	}).length);
-
-	const timers = [
-		setInterval(sayHelloToAll, helloMs),
-		setInterval(() => {
-			void keepGroup();
-		}, upkeepMs),
-	];
-	sayHelloToAll();
+	const timer = setInterval(() => {
+		void keepGroup();
+	}, upkeepMs);
 	log.info('coordinator started', {...self, identity: replica.door.getIdentity().id, isFirstStart});
 
 	return {
@@ -489,13 +387,13 @@
 				return describe(replica.getPublished(), -1);
 			}
 
-			const answer = await links.call(leaderAddress, {kind: LinkKind.ReadPublished} satisfies LinkMessage, callTimeoutMs) as LinkReply;
+			const answer = await callChecked(links, {address: leaderAddress, message: {kind: LinkKind.ReadPublished}, timeoutMs: callTimeoutMs});
 
 			if (answer.kind !== 'published') {
 				throw new ProposalError(true, answer.kind === 'error' ? answer.message : 'the leader did not answer the read');
 			}
 
-			return answer.published as Published;
+			return requireChecked(answer.published, isPublished, leaderAddress);
 		},
 		async nameWeights(model, version) {
 			const answer = await propose({kind: PublishKind.NameWeights, model, version});
@@ -503,30 +401,14 @@
 
 			return answer;
 		},
-		announce(record) {
-			const taken = takeRecord(registry, record, {nowMs: clock.readMonotonicMs()});
-			registry = taken.registry;
-
-			metrics.count('announcements_total', {news: taken.news});
-
-			if (taken.news === NewsKind.Changed) {
-				log.info('instance changed', {
-					id: record.id, service: record.service, address: record.address, stage: record.stage, incarnation: record.incarnation,
-					sequence: record.sequence, models: record.models,
-				});
-				tellInstance(record.id);
-			} else if (taken.news === NewsKind.Stale) {
-				log.info('announcement is stale', {id: record.id, incarnation: record.incarnation, sequence: record.sequence});
-			}
-		},
-		findInstance: id => registry.held.get(id)?.record,
-		listGateways: () => listCards(daemons, {role: DaemonRole.Gateway, nowMs: clock.readMonotonicMs(), maxAgeMs: gatewayAgeMs}).filter(card => card.isReady),
+		announce: fleet.announce,
+		findInstance: fleet.findInstance,
+		listGateways: () => fleet.listGateways().filter(card => card.isReady),
 		isReady: isCurrent,
 		async stop() {
-			for (const timer of timers) {
-				clearInterval(timer);
-			}
-
+			clearInterval(timer);
+			fleet.stop();
+			mirror.stop();
 			orders.stop();
 			keeper.stop();
 			replica.getRunner()?.transferLeadership();
--- a/packages/coordinator/src/published-state.ts
+++ b/packages/coordinator/src/published-state.ts
@@ -1,3 +1,6 @@
+import {
+	isAnyOf, isCount, isOneOf, isRecordOf, isTextUpTo, type Guard,
+} from '@fescuestair/core';
 import {type Published} from '@fescuestair/instances';
 
 export enum PublishKind {
@@ -10,6 +13,16 @@
 	= | {readonly kind: PublishKind.PutConfig; readonly version: number; readonly text: string}
 		| {readonly kind: PublishKind.NameWeights; readonly model: string; readonly version: number};
 
+/** As large as a body of the operators may be, with room. */
+const maxConfigLength = 16_000_000;
+const maxNameLength = 500;
+
+/** Changes as another coordinator may propose them. */
+export const isPublishCommand = isAnyOf(
+	isRecordOf({kind: isOneOf([PublishKind.PutConfig]), version: isCount, text: isTextUpTo(maxConfigLength)}),
+	isRecordOf({kind: isOneOf([PublishKind.NameWeights]), model: isTextUpTo(maxNameLength), version: isCount}),
+) as Guard<unknown> as Guard<PublishCommand>;
+
 /** What the coordinators agree on. Immutable. */
 export type PublishedState = {
 	readonly revision: number;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -11,6 +11,10 @@
 export {
 	createFinding, formatFindings, FindingsError, type Finding,
 } from './findings.js';
+export {
+	isAnyOf, isAnything, isCount, isFiniteNumber, isFlag, isListOf, isNumberIn, isOneOf, isOptional, isRecordOf, isTextUpTo, isTupleOf, type Guard,
+	type Guarded,
+} from './guards.js';
 export {computeHash, computeHashHex} from './hash.js';
 export {createId, readIdTimeMs} from './ids.js';
 export {invariant} from './invariant.js';
--- a/packages/entry/src/control-client.ts
+++ b/packages/entry/src/control-client.ts
@@ -1,9 +1,9 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type Clock} from '@fescuestair/core';
 import {
-	LinkKind, ProposalError, type LinkMessage, type LinkReply,
+	callChecked, LinkKind, ProposalError, type LinkMessage, type LinkReply,
 } from '@fescuestair/protocol';
-import {type Answer, type Request} from '@fescuestair/state';
+import {isStateAnswer, type Answer, type Request} from '@fescuestair/state';
 import {type Links} from '@fescuestair/transport';
 import {type StateFollower} from './state-follower.js';
 
@@ -50,8 +50,8 @@
 					links, address, message, timeoutMs: Math.min(callTimeoutMs, getTimeLeftMs()),
 				});
 
-				if (reply?.kind === 'answer') {
-					return reply.answer as Answer;
+				if (reply?.kind === 'answer' && isStateAnswer(reply.answer)) {
+					return reply.answer;
 				}
 
 				// Every command may be proposed twice: the state tells a resend by its key, token or request.
@@ -78,7 +78,7 @@
 	}
 
 	try {
-		return await links.call(address, message, timeoutMs) as LinkReply;
+		return await callChecked(links, {address, message, timeoutMs});
 	} catch {
 		return undefined;
 	}
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -8,10 +8,10 @@
 	listServing, MemberStatus, RecordKind, type MemberRecord,
 } from '@fescuestair/membership';
 import {
-	createLinkCommands, LinkKind, RefusalCode,
+	createLinkCommands, isGossipMessage, isPollStateMessage, LinkKind, RefusalCode,
 } from '@fescuestair/protocol';
 import {
-	createFindFates, createGossip, openCommandListener, type Log, type Metrics,
+	createFaultLog, createFindFates, createGossip, openCommandListener, type Log, type Metrics,
 } from '@fescuestair/runtime';
 import {findItem, getPresetInForce, ItemKind} from '@fescuestair/state';
 import {
@@ -178,13 +178,17 @@
 		exporter,
 	};
 
-	const commands = createLinkCommands();
-	commands.registerCommand(LinkKind.Gossip, command => {
+	const commands = createLinkCommands({
+		onFault: createFaultLog({
+			log, clock, count: metrics.count,
+		}),
+	});
+	commands.registerCommand(LinkKind.Gossip, isGossipMessage, command => {
 		gossip.receive(command);
 
 		return true;
 	});
-	commands.registerCommand(LinkKind.PollState, ({publicVersion, reply}) => {
+	commands.registerCommand(LinkKind.PollState, isPollStateMessage, ({publicVersion, reply}) => {
 		reply?.(follower.answerPoll(publicVersion));
 
 		return true;
--- a/packages/entry/src/piece-homes.ts
+++ b/packages/entry/src/piece-homes.ts
@@ -1,7 +1,7 @@
 import {findHome, listHomes, type PieceChange} from '@fescuestair/kv';
 import {listServing, RecordKind, type MemberRecord} from '@fescuestair/membership';
 import {
-	LinkKind, type LinkCommands, type LinkMessage, type LinkReply,
+	callChecked, isFindPiecesMessage, isNotePiecesMessage, isNoteReturnMessage, LinkKind, type LinkCommands, type LinkMessage,
 } from '@fescuestair/protocol';
 import {type GossipHost} from '@fescuestair/runtime';
 import {createDirectory, createReturnTable, type ReturnAnswer} from '@fescuestair/routing';
@@ -78,7 +78,7 @@
 			}
 
 			try {
-				const reply = await links.call(home.address, {kind: LinkKind.FindPieces, hashes} satisfies LinkMessage, findTimeoutMs) as LinkReply;
+				const reply = await callChecked(links, {address: home.address, message: {kind: LinkKind.FindPieces, hashes}, timeoutMs: findTimeoutMs});
 
 				return reply.kind === 'pieces' ? new Map(reply.held) : new Map();
 			} catch {
@@ -116,7 +116,7 @@
 			}
 
 			try {
-				const reply = await links.call(home.address, {kind: LinkKind.NoteReturn, root} satisfies LinkMessage, noteTimeoutMs) as LinkReply;
+				const reply = await callChecked(links, {address: home.address, message: {kind: LinkKind.NoteReturn, root}, timeoutMs: noteTimeoutMs});
 
 				return reply.kind === 'returns' ? reply : undefined;
 			} catch {
@@ -124,18 +124,18 @@
 			}
 		},
 		registerCommands(commands) {
-			commands.registerCommand(LinkKind.FindPieces, ({hashes, reply}) => {
+			commands.registerCommand(LinkKind.FindPieces, isFindPiecesMessage, ({hashes, reply}) => {
 				reply?.({kind: 'pieces', held: [...directory.countHeld(hashes)]});
 
 				return true;
 			});
-			commands.registerCommand(LinkKind.NotePieces, ({reply, ...note}) => {
+			commands.registerCommand(LinkKind.NotePieces, isNotePiecesMessage, ({reply, ...note}) => {
 				takeNote(note);
 				reply?.({kind: 'noted'});
 
 				return true;
 			});
-			commands.registerCommand(LinkKind.NoteReturn, ({root, reply}) => {
+			commands.registerCommand(LinkKind.NoteReturn, isNoteReturnMessage, ({root, reply}) => {
 				reply?.({kind: 'returns', ...returns.note(root)});
 
 				return true;
--- a/packages/entry/src/state-follower.ts
+++ b/packages/entry/src/state-follower.ts
@@ -2,7 +2,9 @@
 import {
 	applyPublicChange, createPublicState, listPublicNews, type PublicChange, type PublicState,
 } from '@fescuestair/state';
-import {LinkKind, type LinkMessage, type LinkReply} from '@fescuestair/protocol';
+import {
+	callChecked, LinkKind, type LinkMessage, type LinkReply,
+} from '@fescuestair/protocol';
 import {type Links} from '@fescuestair/transport';
 
 export type StateFollowerOptions = {
@@ -92,7 +94,7 @@
 		const message: LinkMessage = {kind: LinkKind.PollState, publicVersion: state.version};
 
 		try {
-			const reply = await links.call(address, message, pollMs) as LinkReply;
+			const reply = await callChecked(links, {address, message, timeoutMs: pollMs});
 
 			if (reply.kind !== 'state') {
 				return undefined;
--- a/packages/gateway/src/coordinator-client.ts
+++ b/packages/gateway/src/coordinator-client.ts
@@ -1,7 +1,7 @@
 import {type Clock} from '@fescuestair/core';
 import {
-	createInstanceRegistry, takeRecord, tidyRegistry, type DaemonCard, type FleetNews, type HelloReply, type InstanceNote,
-	type InstanceRegistry, type Published,
+	createInstanceRegistry, GreetingRole, pickHomes, takeRecord, takeRenewals, tidyRegistry, type DaemonCard, type FleetNews, type HelloReply,
+	type InstanceNote, type InstanceRegistry, type Published,
 } from '@fescuestair/instances';
 import {createGreeter, type Log} from '@fescuestair/runtime';
 import {type Links} from '@fescuestair/transport';
@@ -15,53 +15,70 @@
 	/** Called with each version that is newer than the one before. */
 	readonly onPublished: (published: Published) => void;
 	readonly onInstances: (registry: InstanceRegistry) => void;
+	/** Called in each round, for what has to be looked at from time to time. */
+	readonly onRound: (nowMs: number) => void;
+	/** Another coordinator is the primary home from now on. */
+	readonly onHome: (home: string | undefined, before: string | undefined) => void;
 };
 
-/** Keeps up with all coordinators: each is told of this daemon, and tells what this daemon lacks. */
+/** Keeps up with the coordinators: two of them are the homes of this daemon and tell it what changes; the others are visited in turns. */
 export type CoordinatorClient = {
 	readonly takePublished: (published: Published) => void;
 	readonly takeNotes: (notes: readonly InstanceNote[]) => void;
 	/** Whether what is in force was learned from a coordinator that was current; or nobody is, for too long. */
 	readonly isCurrent: () => boolean;
-	/** Link addresses of all gateways, this one too. */
-	readonly getGateways: () => readonly string[];
-	/** Link address of the replica that leads, as far as is known. */
-	readonly getLeaderAddress: () => string | undefined;
+	readonly countGateways: () => number;
+	/** Link address of the primary home. */
+	readonly getHome: () => string | undefined;
 	/** Tells all coordinators at once, as when this daemon leaves. */
-	readonly sayHello: () => void;
+	readonly sayHelloToAll: () => void;
 	readonly stop: () => void;
 };
 
-const helloMs = 400;
+/** A gateway that stopped is out of the directory after four of them. */
+const helloMs = 500;
 /** As long as nothing is known, coordinators are asked more often: callers are turned away meanwhile. */
-const firstHelloMs = 100;
+const firstHelloMs = 200;
+/** Word of instances that say the same as before: an instance is taken for lost after more than three times as long. */
+const fleetMs = 1500;
+/** Rounds between two visits of coordinators that are no home: what they know that the homes do not is rare. */
+const roundsPerVisit = 2;
 const callTimeoutMs = 1200;
 /** A coordinator that did not answer for this long is forgotten, but for the seeds. */
 const forgetMs = 30_000;
 /** Without any coordinator that is current, a gateway serves by the newest it was told from then on: stale is better than nothing. */
 const graceMs = 2000;
 
+type Known = {
+	readonly availabilityZone: string | undefined;
+	/** When it last answered, or was first named. */
+	readonly heardAtMs: number;
+	readonly isCurrent: boolean;
+	readonly isLost: boolean;
+};
+
 /**
-Creates the client of the coordinators.
+Creates the client of the coordinators. What it sends and receives does not grow with the number of coordinators or gateways.
 
 @example
 ```
-const client = createCoordinatorClient({getCard, getSeeds, links, clock, log, onPublished, onInstances});
+const client = createCoordinatorClient({getCard, getSeeds, links, clock, log, onPublished, onInstances, onRound, onHome});
 ```
 */
 export function createCoordinatorClient(options: CoordinatorClientOptions): CoordinatorClient {
 	const {
-		getCard, getSeeds, links, clock, log, onPublished, onInstances,
+		getCard, getSeeds, links, clock, log, onPublished, onInstances, onRound, onHome,
 	} = options;
-	const heard = new Map<string, number>();
-	const lost = new Set<string>();
+	const known = new Map<string, Known>();
 	const startedAtMs = clock.readMonotonicMs();
 	let registry = createInstanceRegistry();
 	let revision = 0;
 	let configVersion = 0;
 	let hasCurrent = false;
-	let gateways: readonly string[] = [];
-	let leaderAddress: string | undefined;
+	let gateways = 1;
+	let home: string | undefined;
+	let round = 0;
+	let fleetDueMs = 0;
 
 	const takePublished = (published: Published) => {
 		const lacksText = published.configText === undefined && published.configVersion > configVersion;
@@ -87,30 +104,42 @@
 		}
 	};
 
-	const takeNews = (news: FleetNews, isCurrent: boolean) => {
-		takeNotes(news.notes);
-		// A coordinator that has just started, or is cut off, has not heard most of them.
-		gateways = isCurrent || gateways.length === 0 ? news.gateways : gateways;
-
-		for (const card of news.coordinators) {
-			if (!heard.has(card.linkAddress)) {
-				heard.set(card.linkAddress, clock.readMonotonicMs());
-			}
+	const takeFleet = (address: string, fleet: FleetNews, isCurrent: boolean) => {
+		const nowMs = clock.readMonotonicMs();
+		registry = takeRenewals(registry, fleet.renewals, nowMs);
+		onInstances(registry);
+		// A coordinator that has just started, or is cut off, has not heard of most.
+		gateways = isCurrent ? Math.max(1, fleet.gateways) : gateways;
+		fleetDueMs = nowMs + fleetMs;
+
+		for (const card of fleet.coordinators) {
+			const before = known.get(card.linkAddress);
+			known.set(card.linkAddress, {
+				availabilityZone: card.availabilityZone, heardAtMs: before?.heardAtMs ?? nowMs, isCurrent: before?.isCurrent ?? false, isLost: before?.isLost ?? false,
+			});
 		}
 	};
 
 	const takeReply = (address: string, reply: HelloReply) => {
-		heard.set(address, clock.readMonotonicMs());
+		const before = known.get(address);
+		known.set(address, {
+			availabilityZone: before?.availabilityZone, heardAtMs: clock.readMonotonicMs(), isCurrent: reply.isCurrent, isLost: false,
+		});
+
+		if (before?.isLost === true) {
+			log.info('coordinator regained', {address});
+		}
 
-		if (reply.news !== undefined) {
-			takeNews(reply.news, reply.isCurrent);
+		takeNotes(reply.news?.notes ?? []);
+
+		if (reply.fleet !== undefined) {
+			takeFleet(address, reply.fleet, reply.isCurrent);
 		}
 
 		if (reply.published !== undefined) {
 			takePublished(reply.published);
 		}
 
-		leaderAddress = reply.isCurrent ? reply.leaderAddress ?? leaderAddress : leaderAddress;
 		hasCurrent ||= reply.isCurrent && configVersion > 0;
 	};
 
@@ -118,32 +147,74 @@
 		links,
 		timeoutMs: callTimeoutMs,
 		getHello: () => ({card: getCard(), publishedRevision: revision, configVersion}),
-		onReply(address, reply) {
-			takeReply(address, reply);
-
-			if (lost.delete(address)) {
-				log.info('coordinator regained', {address});
-			}
-		},
+		onReply: takeReply,
 		onLost(address, error) {
-			if (!lost.has(address)) {
-				lost.add(address);
+			const before = known.get(address);
+
+			if (before?.isLost !== true) {
 				log.warn('coordinator lost', {address, reason: String(error)});
 			}
+
+			known.set(address, {
+				availabilityZone: before?.availabilityZone, heardAtMs: before?.heardAtMs ?? clock.readMonotonicMs(), isCurrent: false, isLost: true,
+			});
 		},
 	});
 
+	const listAddresses = () => [...new Set([...getSeeds(), ...known.keys()])];
+
+	const chooseHomes = () => {
+		const {name, availabilityZone} = getCard();
+		// One that has not answered the hello of the round before is passed over until it does.
+		const candidates = listAddresses().map(address => ({
+			address,
+			availabilityZone: known.get(address)?.availabilityZone,
+			isSound: known.get(address)?.isCurrent === true && !greeter.isAwaiting(address),
+		}));
+		const homes = pickHomes(name, availabilityZone, candidates);
+
+		if (homes[0] !== home) {
+			const before = home;
+			home = homes[0];
+			log.info('home chosen', {home, before});
+			onHome(home, before);
+		}
+
+		return homes;
+	};
+
+	const visitNext = (addresses: readonly string[], homes: readonly string[]) => {
+		const others = addresses.filter(address => !homes.includes(address) && !greeter.isAwaiting(address));
+
+		if (others.length > 0) {
+			greeter.greet(others[Math.floor(round / roundsPerVisit) % others.length]!, {greeting: GreetingRole.Visitor, wantsFleet: configVersion === 0});
+		}
+	};
+
 	const sayHello = () => {
 		const nowMs = clock.readMonotonicMs();
 		registry = tidyRegistry(registry, nowMs);
 
-		for (const [address, heardAtMs] of heard) {
+		for (const [address, {heardAtMs}] of known) {
 			if (nowMs - heardAtMs >= forgetMs) {
-				heard.delete(address);
+				known.delete(address);
 			}
 		}
 
-		greeter.greetAll([...new Set([...getSeeds(), ...heard.keys()])], {knowsNothing: configVersion === 0});
+		const homes = chooseHomes();
+
+		for (const [place, address] of homes.entries()) {
+			greeter.greet(address, {
+				greeting: place === 0 ? GreetingRole.PrimaryHome : GreetingRole.SecondaryHome, wantsFleet: place === 0 && nowMs >= fleetDueMs,
+			});
+		}
+
+		if (round % roundsPerVisit === 0 || configVersion === 0) {
+			visitNext(listAddresses(), homes);
+		}
+
+		round++;
+		onRound(nowMs);
 	};
 
 	let timer: NodeJS.Timeout;
@@ -159,9 +230,17 @@
 		takePublished,
 		takeNotes,
 		isCurrent: () => hasCurrent || (configVersion > 0 && clock.readMonotonicMs() - startedAtMs >= graceMs),
-		getGateways: () => gateways,
-		getLeaderAddress: () => leaderAddress,
-		sayHello,
+		countGateways: () => gateways,
+		getHome: () => home,
+		sayHelloToAll() {
+			const homes = chooseHomes();
+
+			for (const address of listAddresses()) {
+				const place = homes.indexOf(address);
+				const greetings = [GreetingRole.PrimaryHome, GreetingRole.SecondaryHome];
+				greeter.greet(address, {greeting: greetings[place] ?? GreetingRole.Visitor, wantsNews: false});
+			}
+		},
 		stop() {
 			clearTimeout(timer);
 		},
--- a/packages/gateway/src/crash-watch.ts
+++ b/packages/gateway/src/crash-watch.ts
@@ -12,11 +12,11 @@
 
 export type CrashWatchOptions = {
 	readonly linkAddress: string;
-	readonly links: Links;
+	readonly links: Pick<Links, 'send'>;
 	readonly clock: Clock;
 	readonly log: Log;
-	/** Link addresses of all gateways. */
-	readonly getGateways: () => readonly string[];
+	/** Link address of the coordinator that relays. */
+	readonly getHome: () => string | undefined;
 };
 
 /** Finds the requests that crash the instances that run them, with the other gateways. */
@@ -46,10 +46,10 @@
 
 @example
 ```
-const crashes = createCrashWatch({linkAddress, links, clock, log, getGateways});
+const crashes = createCrashWatch({linkAddress, links, clock, log, getHome});
 ```
 */
-export function createCrashWatch({linkAddress, links, clock, log, getGateways}: CrashWatchOptions): CrashWatch {
+export function createCrashWatch({linkAddress, links, clock, log, getHome}: CrashWatchOptions): CrashWatch {
 	const fingerprints = new WeakMap<Exchange, string>();
 	let state = createCrashSuspects();
 
@@ -69,10 +69,12 @@
 			return;
 		}
 
-		for (const address of getGateways()) {
-			if (address !== linkAddress) {
-				links.send(address, {kind: LinkKind.Suspects, notes} satisfies LinkMessage);
-			}
+		const home = getHome();
+
+		if (home !== undefined) {
+			links.send(home, {
+				kind: LinkKind.Suspects, from: linkAddress, notes, isRelayed: false,
+			} satisfies LinkMessage);
 		}
 	};
 
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -1,6 +1,8 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {withdrawRetry} from '@fescuestair/limits';
-import {decideWait, WaitDecision, type WaitQuestion} from '@fescuestair/routing';
+import {
+	decideWait, freeQueueMs, WaitDecision, type WaitQuestion,
+} from '@fescuestair/routing';
 import {
 	CallKind, chooseTarget, type Route, type Service,
 } from '@fescuestair/traffic';
@@ -24,8 +26,11 @@
 const refusedStatus = 503;
 const brokenStatus = 502;
 const expiredStatus = 504;
-/** How often a request that waits looks for a free instance, at most; each looks at its own moments. */
-const pollMs = 25;
+/** A request that waits looks again when the best instance should be free; sooner than the longest, as the others' work may end early. */
+const leastWaitMs = 25;
+const longestWaitMs = 150;
+/** Those that wait for the same instance look at their own moments. */
+const waitSpreadMs = 25;
 
 export type ForwardEnd = ExchangeEnd & {readonly story: Progress['story']};
 
@@ -136,7 +141,7 @@
 	if (decision === WaitDecision.Wait) {
 		progress.waits++;
 		options.waiting.set(exchange, {service: service.name, workMs: place.placement.workMs});
-		await sleep(pollMs * (1 + Math.random()));
+		await sleep(computeLookMs(place.placement.queueMs) + (Math.random() * waitSpreadMs));
 
 		return undefined;
 	}
@@ -150,6 +155,11 @@
 	return controls.isLeft ? leave() : settle(forwarding, place, result);
 }
 
+/** Computes when a request that waits for an instance looks again. */
+function computeLookMs(queueMs: number): number {
+	return Math.min(longestWaitMs, Math.max(leastWaitMs, queueMs - freeQueueMs));
+}
+
 function leave(): ExchangeEnd {
 	return {outcome: Outcome.Left, status: 0, reason: 'the caller left'};
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,16 +2,20 @@
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {createSystemClock, type Clock} from '@fescuestair/core';
 import {
-	DaemonRole, type DaemonCard, type InstanceNote, type Published,
+	createSystemClock, isFlag, isRecordOf, type Clock,
+} from '@fescuestair/core';
+import {
+	DaemonRole, isInstanceNotes, isLoadNote, isPublished, type DaemonCard, type Published,
 } from '@fescuestair/instances';
 import {
-	createRetryBudget, depositSuccess, type RetryBudget, type SuspectNote,
+	createRetryBudget, depositSuccess, isSuspectNotes, type RetryBudget,
 } from '@fescuestair/limits';
-import {createLinkCommands, LinkKind} from '@fescuestair/protocol';
+import {createLinkCommands, isName, LinkKind} from '@fescuestair/protocol';
 import {createChooser, PlacementPolicy} from '@fescuestair/routing';
-import {openCommandListener, type Log, type ServedMetrics} from '@fescuestair/runtime';
+import {
+	createFaultLog, openCommandListener, type Log, type ServedMetrics,
+} from '@fescuestair/runtime';
 import {
 	buildRouteTable, findRoute, type CallKind, type RouteTable, type TrafficConfig,
 } from '@fescuestair/traffic';
@@ -27,7 +31,7 @@
 import {type ForwardOptions} from './forward-options.js';
 import {createInstanceBook} from './instance-book.js';
 import {createNamedWeights, judgeWeights, nameWeights} from './named-weights.js';
-import {createLoadShare, type LoadNote} from './load-share.js';
+import {createLoadShare} from './load-share.js';
 import {createPartsClient} from './parts-client.js';
 
 export type GatewayOptions = {
@@ -114,13 +118,15 @@
 	let table: RouteTable | undefined;
 	let weights = createNamedWeights();
 	let isLeaving = false;
+	let wasReady = false;
+	let cardSequence = 0;
 	let admissionDeadlineMs = Number.POSITIVE_INFINITY;
 	let bodiesBytes = 0;
 	const running = new Set<ServerResponse>();
 	let lastRequestAtMs = 0;
 	const budgets = new Map<string, RetryBudget>();
 
-	const countGateways = () => Math.max(1, client.getGateways().length);
+	const countGateways = () => client.countGateways();
 
 	const book = createInstanceBook({
 		clock,
@@ -131,6 +137,9 @@
 
 			return Math.max(leastConnections, Math.floor(most * usedConnectionShare / countGateways()));
 		},
+		onWork(workMs) {
+			loadShare.noteWork(workMs);
+		},
 	});
 
 	const onPublished = (published: Published) => {
@@ -148,16 +157,29 @@
 
 	const isReady = () => !isLeaving && table !== undefined && client.isCurrent();
 
-	const parts = createPartsClient({
-		getKeeperAddress: () => client.getLeaderAddress(), links, clock, log,
+	const loadShare = createLoadShare({
+		linkAddress, links, clock, book, getHome: () => client.getHome(),
 	});
 
-	const getCard = (): DaemonCard => ({
-		name, role: DaemonRole.Gateway, incarnation, linkAddress, serviceAddress: listen, availabilityZone, isReady: isReady(),
+	const parts = createPartsClient({
+		getHome: () => client.getHome(), links, clock, log,
 	});
 
+	const getCard = (): DaemonCard => {
+		const isReadyNow = isReady();
+
+		if (isReadyNow !== wasReady) {
+			wasReady = isReadyNow;
+			cardSequence++;
+		}
+
+		return {
+			name, role: DaemonRole.Gateway, incarnation, linkAddress, serviceAddress: listen, availabilityZone, isReady: isReadyNow, sequence: cardSequence,
+		};
+	};
+
 	const crashes = createCrashWatch({
-		linkAddress, links, clock, log, getGateways: () => client.getGateways(),
+		linkAddress, links, clock, log, getHome: () => client.getHome(),
 	});
 
 	const forwardOptions: ForwardOptions = {
@@ -331,29 +353,35 @@
 			crashes.noteRegistry(registry);
 			book.applyLimits();
 		},
+		onRound(nowMs) {
+			loadShare.tidy(nowMs);
+		},
+		onHome(_home, before) {
+			if (before !== undefined) {
+				loadShare.leaveHome(before);
+			}
+		},
 	});
-
-	const loadShare = createLoadShare({
-		linkAddress, links, clock, book, getGateways: () => client.getGateways(),
+	const commands = createLinkCommands({
+		onFault: createFaultLog({log, clock, count: metrics.count}),
 	});
-	const commands = createLinkCommands();
-	commands.registerCommand(LinkKind.Loads, ({from, loads}) => {
-		loadShare.take(from, loads as LoadNote);
+	commands.registerCommand(LinkKind.Loads, isRecordOf({from: isName, loads: isLoadNote, isRelayed: isFlag}), ({from, loads}) => {
+		loadShare.take(from, loads);
 
 		return true;
 	});
-	commands.registerCommand(LinkKind.Suspects, ({notes}) => {
-		crashes.take(notes as readonly SuspectNote[]);
+	commands.registerCommand(LinkKind.Suspects, isRecordOf({from: isName, notes: isSuspectNotes, isRelayed: isFlag}), ({notes}) => {
+		crashes.take(notes);
 
 		return true;
 	});
-	commands.registerCommand(LinkKind.Published, ({published}) => {
-		client.takePublished(published as Published);
+	commands.registerCommand(LinkKind.Published, isRecordOf({published: isPublished}), ({published}) => {
+		client.takePublished(published);
 
 		return true;
 	});
-	commands.registerCommand(LinkKind.Instances, ({notes}) => {
-		client.takeNotes(notes as readonly InstanceNote[]);
+	commands.registerCommand(LinkKind.Instances, isRecordOf({notes: isInstanceNotes, isRelayed: isFlag}), ({notes}) => {
+		client.takeNotes(notes);
 
 		return true;
 	});
@@ -370,7 +398,7 @@
 			isLeaving = true;
 			admissionDeadlineMs = clock.readMonotonicMs() + lastAdmissionMs;
 			lastRequestAtMs = Math.max(lastRequestAtMs, clock.readMonotonicMs());
-			client.sayHello();
+			client.sayHelloToAll();
 			log.info('gateway leaves', {running: running.size});
 
 			while (clock.readMonotonicMs() < deadlineMs && (running.size > 0 || clock.readMonotonicMs() - lastRequestAtMs < quietMs)) {
--- a/packages/gateway/src/instance-book.ts
+++ b/packages/gateway/src/instance-book.ts
@@ -1,5 +1,7 @@
 import {type Clock} from '@fescuestair/core';
-import {InstanceStage, type HeldInstance, type InstanceRegistry} from '@fescuestair/instances';
+import {
+	InstanceStage, type HeldInstance, type InstanceRegistry, type InstanceShare, type WorkShare,
+} from '@fescuestair/instances';
 import {
 	addWork, canTakeRequests, computeCorrectionMs, computeWaitMs, correctClock, createCachedParts, createInstanceHealth, createInstanceLoad,
 	HealthEvent, estimateWork, isOverdue, judgeInstance, resetClock, mergeSample, noPeerLoad,
@@ -8,7 +10,6 @@
 } from '@fescuestair/routing';
 import {type Log, type ServedMetrics} from '@fescuestair/runtime';
 import {type EngineFigures, type Service, type StoreFigures} from '@fescuestair/traffic';
-import {type InstanceShare, type WorkShare} from './load-share.js';
 import {UpstreamAgent} from './upstream-agent.js';
 
 type WorkEstimate = PlainWorkEstimate & {
@@ -44,6 +45,8 @@
 	/** Work added, and corrections made, since the other gateways were told. */
 	untoldWorkMs: number;
 	untoldCorrectionMs: number;
+	/** When another gateway last told of work here. */
+	peerWorkAtMs: number;
 	lastByteAtMs: number;
 	/** It turned a request away and takes none before this. */
 	fullDeadlineMs: number;
@@ -55,6 +58,8 @@
 	readonly metrics: ServedMetrics;
 	/** Connections to one instance that this daemon may hold, by service. */
 	readonly getMaxConnections: (service: string) => number;
+	/** Work was added, or an estimate of it corrected, that the other gateways were not told of yet. */
+	readonly onWork: (workMs: number) => void;
 };
 
 export type InstanceBook = {
@@ -75,7 +80,6 @@
 	readonly listShares: () => readonly InstanceShare[];
 	/** Takes the work that the others were not told of yet. */
 	readonly takeUntoldWork: () => readonly WorkShare[];
-	readonly sumUntoldWorkMs: () => number;
 	readonly addPeerWork: (shares: readonly WorkShare[]) => void;
 	/** Prompt tokens that engines of a service read in a ms, as their answers have told. */
 	readonly getPrefillTokensPerMs: (service: string) => number;
@@ -89,11 +93,14 @@
 const lostMs = 5500;
 /** An instance that turned a request away is left alone for a moment: a place frees up about as often. */
 const fullMs = 150;
-const watchMs = 50;
+/** Each silence that is watched for lasts several times as long. */
+const watchMs = 100;
+/** What peers have is told later than their work: an instance counts as empty only if no work was told for this long. */
+const peerWorkMs = 1500;
 /** Prompts that take longer to read than this are watched for being late. */
 const longWorkMs = 40;
 /** By how much a late one is taken to be later still; more than the watch lasts. */
-const overdueStepMs = 80;
+const overdueStepMs = 130;
 /** Prompt tokens that an engine reads in a ms, until answers have told. */
 const defaultPrefillTokensPerMs = 40;
 /** Shorter prompts tell more of fixed costs than of the rate. */
@@ -112,14 +119,23 @@
 ```
 */
 export function createInstanceBook({
-	clock, log, metrics, getMaxConnections,
+	clock, log, metrics, getMaxConnections, onWork,
 }: InstanceBookOptions): InstanceBook {
 	const entries = new Map<string, InstanceEntry>();
 	const rates = new Map<string, number>();
+	let visits = 0;
+	let timer: NodeJS.Timeout | undefined;
 
 	const shiftWork = (entry: InstanceEntry, workMs: number) => {
 		entry.load = {...entry.load, work: addWork(entry.load.work, workMs, clock.readMonotonicMs())};
 		entry.untoldWorkMs += workMs;
+		onWork(workMs);
+	};
+
+	const shiftClock = (entry: InstanceEntry, correctionMs: number) => {
+		entry.load = {...entry.load, work: correctClock(entry.load.work, correctionMs, clock.readMonotonicMs())};
+		entry.untoldCorrectionMs += correctionMs;
+		onWork(correctionMs);
 	};
 
 	const learnRate = (service: string, sample: number) => {
@@ -148,8 +164,7 @@
 	const extendOverdue = (entry: InstanceEntry, nowMs: number) => {
 		for (const estimate of entry.visits.values()) {
 			if (estimate !== undefined && estimate.workMs >= longWorkMs && isOverdue(entry.load.work, estimate, nowMs)) {
-				entry.load = {...entry.load, work: correctClock(entry.load.work, overdueStepMs, nowMs)};
-				entry.untoldCorrectionMs += overdueStepMs;
+				shiftClock(entry, overdueStepMs);
 
 				return;
 			}
@@ -160,7 +175,16 @@
 	const watch = () => {
 		const nowMs = clock.readMonotonicMs();
 
+		if (visits === 0) {
+			clearInterval(timer);
+			timer = undefined;
+		}
+
 		for (const entry of entries.values()) {
+			if (entry.visits.size === 0) {
+				continue;
+			}
+
 			extendOverdue(entry, nowMs);
 			const silentVisits = [...entry.visits.keys()].filter(visit => nowMs - Math.max(visit.startedAtMs, entry.lastByteAtMs) >= visit.silenceMs);
 
@@ -176,8 +200,6 @@
 		}
 	};
 
-	const timer = setInterval(watch, watchMs);
-
 	return {
 		applyRegistry(registry) {
 			for (const held of registry.held.values()) {
@@ -218,6 +240,8 @@
 		begin(entry, visit) {
 			const nowMs = clock.readMonotonicMs();
 			const wasIdle = computeWaitMs(entry.load.work, nowMs) === 0;
+			visits++;
+			timer ??= setInterval(watch, watchMs);
 			shiftWork(entry, visit.workMs);
 			entry.visits.set(visit, visit.workMs === 0 ? undefined : {...estimateWork(entry.load.work, visit.workMs), wasIdle});
 			entry.load = {
@@ -239,9 +263,7 @@
 			}
 
 			entry.visits.set(visit, undefined);
-			const correctionMs = computeCorrectionMs(entry.load.work, estimate, nowMs);
-			entry.load = {...entry.load, work: correctClock(entry.load.work, correctionMs, nowMs)};
-			entry.untoldCorrectionMs += correctionMs;
+			shiftClock(entry, computeCorrectionMs(entry.load.work, estimate, nowMs));
 
 			if (estimate.wasIdle && visit.uncachedTokens >= rateSampleTokens) {
 				learnRate(entry.held.record.service, visit.uncachedTokens / Math.max(1, nowMs - visit.startedAtMs));
@@ -261,7 +283,7 @@
 				shiftWork(entry, -Math.max(0, Math.min(estimate.workMs, estimate.doneAtMs - clock.readMonotonicMs())));
 			}
 
-			entry.visits.delete(visit);
+			visits -= entry.visits.delete(visit) ? 1 : 0;
 			entry.load = {
 				...entry.load,
 				own: Math.max(0, entry.load.own - 1),
@@ -283,27 +305,21 @@
 
 			return untold;
 		},
-		sumUntoldWorkMs() {
-			let sum = 0;
-
-			for (const entry of entries.values()) {
-				sum += Math.abs(entry.untoldWorkMs) + Math.abs(entry.untoldCorrectionMs);
-			}
-
-			return sum;
-		},
 		addPeerWork(shares) {
 			for (const [id, workMs, correctionMs] of shares) {
 				const entry = entries.get(id);
 
 				if (entry !== undefined) {
 					const nowMs = clock.readMonotonicMs();
+					entry.peerWorkAtMs = nowMs;
 					entry.load = {...entry.load, work: correctClock(addWork(entry.load.work, workMs, nowMs), correctionMs, nowMs)};
 				}
 			}
 		},
 		getPrefillTokensPerMs: service => rates.get(service) ?? defaultPrefillTokensPerMs,
 		setPeers(peers) {
+			const nowMs = clock.readMonotonicMs();
+
 			for (const [id, entry] of entries) {
 				const next = peers.get(id) ?? noPeerLoad;
 
@@ -311,7 +327,7 @@
 					...entry.load,
 					peers: next,
 					// Where nobody has anything, nothing is left to read, whatever was added and taken back.
-					work: entry.load.own === 0 && next.requests === 0 ? resetClock(entry.load.work) : entry.load.work,
+					work: entry.load.own === 0 && next.requests === 0 && nowMs - entry.peerWorkAtMs >= peerWorkMs ? resetClock(entry.load.work) : entry.load.work,
 				};
 			}
 		},
@@ -336,6 +352,7 @@
 		visits: new Map(),
 		untoldWorkMs: 0,
 		untoldCorrectionMs: 0,
+		peerWorkAtMs: Number.NEGATIVE_INFINITY,
 		lastByteAtMs: Number.NEGATIVE_INFINITY,
 		fullDeadlineMs: Number.NEGATIVE_INFINITY,
 	};
--- a/packages/gateway/src/load-share.ts
+++ b/packages/gateway/src/load-share.ts
@@ -1,134 +1,126 @@
 import {type Clock} from '@fescuestair/core';
+import {sharesMs, staleSharesMs, type LoadNote} from '@fescuestair/instances';
 import {LinkKind, type LinkMessage} from '@fescuestair/protocol';
-import {type PeerLoad} from '@fescuestair/routing';
 import {type Links} from '@fescuestair/transport';
 import {type InstanceBook} from './instance-book.js';
 
-/** What one gateway has at one instance. */
-export type InstanceShare = readonly [instanceId: string, requests: number, heldTokens: number];
-
-/** Work that a gateway sent to an instance, and by how much it found the instance's queue to be longer or shorter than was told. */
-export type WorkShare = readonly [instanceId: string, workMs: number, correctionMs: number];
-
-/** What a gateway tells the others. */
-export type LoadNote = {
-	/** All that it has; left out of notes that only tell of work, which are many. */
-	readonly shares?: readonly InstanceShare[];
-	/** Since the note before. */
-	readonly work: readonly WorkShare[];
-};
-
 export type LoadShareOptions = {
 	readonly linkAddress: string;
-	readonly links: Links;
+	readonly links: Pick<Links, 'send'>;
 	readonly clock: Clock;
-	readonly book: InstanceBook;
-	/** Link addresses of all gateways. */
-	readonly getGateways: () => readonly string[];
+	readonly book: Pick<InstanceBook, 'addPeerWork' | 'listShares' | 'setPeers' | 'takeUntoldWork'>;
+	/** Link address of the coordinator that relays. */
+	readonly getHome: () => string | undefined;
 };
 
-/** Tells the other gateways what this one has at each instance, and takes what they say. */
+/** Tells the other gateways what this one has at each instance, and takes what they say, by way of its home. */
 export type LoadShare = {
 	readonly take: (from: string, note: LoadNote) => void;
+	/** Work was added, or an estimate of it corrected. */
+	readonly noteWork: (workMs: number) => void;
+	/** Forgets what the others had where the home says nothing any more. */
+	readonly tidy: (nowMs: number) => void;
+	/** Tells a home that is one no longer that this gateway has nothing; its new one tells the rest. */
+	readonly leaveHome: (address: string) => void;
 	readonly stop: () => void;
 };
 
-/** Shortest time between two tellings: a short prompt is read within it. */
-const tellMs = 10;
-/** Work that few others should know of at once: more than a short prompt makes. */
+/** Shortest time between two tellings: a few short prompts are read within it. */
+const tellMs = 25;
+/** Work that the others should know of at once: more than a short prompt makes. */
 const urgentWorkMs = 20;
-/** Gateways that are told of each bit of work; before more of them a note has to be worth more, as each costs all of them time. */
-const fewPeers = 4;
-/** Numbers of requests and their memory change slowly against this; it also lets the share of a gateway that died fade. */
-const sharesMs = 250;
-const staleMs = 900;
 
 /**
-Creates the exchange of loads. Answers the load pattern of many gateways that each send a long prompt to the same idle instance: without
-it each sees only its own.
+Creates the exchange of loads of a gateway. Answers the load pattern of many gateways that each send a long prompt to the same idle instance:
+without it each sees only its own. A gateway without requests has no timer and sends nothing.
 
 @example
 ```
-const share = createLoadShare({linkAddress, links, clock, book, getGateways});
+const share = createLoadShare({linkAddress, links, clock, book, getHome});
 ```
 */
-export function createLoadShare({linkAddress, links, clock, book, getGateways}: LoadShareOptions): LoadShare {
-	const heard = new Map<string, {readonly shares: readonly InstanceShare[]; readonly atMs: number}>();
+export function createLoadShare({linkAddress, links, clock, book, getHome}: LoadShareOptions): LoadShare {
+	let heardAtMs = Number.NEGATIVE_INFINITY;
+	let hasPeers = false;
 	let toldAtMs = Number.NEGATIVE_INFINITY;
-	let wasIdle = false;
-
-	const sumPeers = (nowMs: number) => {
-		const peers = new Map<string, PeerLoad>();
-
-		for (const [from, {shares, atMs}] of heard) {
-			if (nowMs - atMs >= staleMs) {
-				heard.delete(from);
-				continue;
-			}
-
-			for (const [id, requests, heldTokens] of shares) {
-				const sum = peers.get(id);
-				peers.set(id, {requests: (sum?.requests ?? 0) + requests, heldTokens: (sum?.heldTokens ?? 0) + heldTokens});
-			}
+	let sharesDueMs = 0;
+	let untoldMs = 0;
+	let isIdle = true;
+	let timer: NodeJS.Timeout | undefined;
+	let timerAtMs = Number.POSITIVE_INFINITY;
+
+	const send = (address: string | undefined, loads: LoadNote) => {
+		if (address !== undefined) {
+			links.send(address, {
+				kind: LinkKind.Loads, from: linkAddress, loads, isRelayed: false,
+			} satisfies LinkMessage);
 		}
-
-		return peers;
 	};
 
 	const tell = () => {
+		timer = undefined;
+		timerAtMs = Number.POSITIVE_INFINITY;
 		const nowMs = clock.readMonotonicMs();
-		const isDue = nowMs - toldAtMs >= sharesMs;
-		const peers = getGateways().filter(address => address !== linkAddress);
-
-		if (!isDue && book.sumUntoldWorkMs() < computeUrgentWorkMs(peers.length)) {
-			return;
-		}
-
+		const isDue = nowMs >= sharesDueMs;
 		const note: LoadNote = {work: book.takeUntoldWork(), ...(isDue && {shares: book.listShares()})};
+		const hasNothing = note.work.length === 0 && (note.shares ?? []).length === 0;
+		untoldMs = 0;
+		toldAtMs = nowMs;
 
 		if (isDue) {
-			toldAtMs = nowMs;
-			book.setPeers(sumPeers(nowMs));
+			sharesDueMs = nowMs + sharesMs;
 		}
 
-		const isIdle = note.work.length === 0 && (note.shares ?? []).length === 0;
-
 		// That there is nothing any more is said once.
-		if (!isIdle || !wasIdle) {
-			for (const address of peers) {
-				links.send(address, {kind: LinkKind.Loads, from: linkAddress, loads: note} satisfies LinkMessage);
-			}
+		if (!hasNothing || (isDue && !isIdle)) {
+			send(getHome(), note);
 		}
 
-		wasIdle = isIdle;
+		isIdle = isDue ? hasNothing : isIdle && hasNothing;
+		schedule(nowMs);
 	};
 
-	const timer = setInterval(tell, tellMs);
+	const schedule = (nowMs: number) => {
+		const dueMs = untoldMs >= urgentWorkMs ? toldAtMs + tellMs : (isIdle ? Number.POSITIVE_INFINITY : Math.max(sharesDueMs, toldAtMs + tellMs));
+
+		if (dueMs < timerAtMs) {
+			clearTimeout(timer);
+			timerAtMs = dueMs;
+			timer = setTimeout(tell, Math.max(0, dueMs - nowMs));
+		}
+	};
 
 	return {
 		take(from, {shares, work}) {
+			// A coordinator that was the home before may go on telling for a moment.
+			if (from !== getHome()) {
+				return;
+			}
+
 			book.addPeerWork(work);
 
 			if (shares !== undefined) {
-				heard.set(from, {shares, atMs: clock.readMonotonicMs()});
-				book.setPeers(sumPeers(clock.readMonotonicMs()));
+				heardAtMs = clock.readMonotonicMs();
+				hasPeers = true;
+				book.setPeers(new Map(shares.map(([id, requests, heldTokens]) => [id, {requests, heldTokens}])));
 			}
 		},
+		noteWork(workMs) {
+			untoldMs += Math.abs(workMs);
+			isIdle = false;
+			schedule(clock.readMonotonicMs());
+		},
+		tidy(nowMs) {
+			if (hasPeers && nowMs - heardAtMs >= staleSharesMs) {
+				hasPeers = false;
+				book.setPeers(new Map());
+			}
+		},
+		leaveHome(address) {
+			send(address, {shares: [], work: []});
+		},
 		stop() {
-			clearInterval(timer);
+			clearTimeout(timer);
 		},
 	};
 }
-
-/**
-Computes the work in ms that is told at once to some number of other gateways.
-
-@example
-```
-computeUrgentWorkMs(4); //=> 20
-computeUrgentWorkMs(27); //=> 135
-```
-*/
-export function computeUrgentWorkMs(peers: number): number {
-	return urgentWorkMs * Math.max(1, peers / fewPeers);
-}
--- a/packages/gateway/src/parts-client.ts
+++ b/packages/gateway/src/parts-client.ts
@@ -1,13 +1,14 @@
 import {type Clock} from '@fescuestair/core';
 import {
-	createPartsView, deriveKey, takePartsReply, type PartsPoll, type PartsReply, type PartsView,
+	createPartsView, deriveKey, isPartsReply, takePartsReply, type PartsPoll, type PartsView,
 } from '@fescuestair/parts';
-import {LinkKind, type LinkMessage, type LinkReply} from '@fescuestair/protocol';
+import {callChecked, LinkKind, requireChecked} from '@fescuestair/protocol';
 import {type Log} from '@fescuestair/runtime';
 import {type Links} from '@fescuestair/transport';
 
 export type PartsClientOptions = {
-	readonly getKeeperAddress: () => string | undefined;
+	/** Link address of the coordinator that answers for the keeper of parts. */
+	readonly getHome: () => string | undefined;
 	readonly links: Links;
 	readonly clock: Clock;
 	readonly log: Log;
@@ -25,7 +26,8 @@
 	readonly stop: () => void;
 };
 
-const pollMs = 200;
+/** Fetches count by a view that is younger than a second; a poll or two may be lost. */
+const pollMs = 300;
 const callTimeoutMs = 700;
 /** A part that is not known to be in its store by then is sent again: it waits for its prompt to be read, and for the link. */
 const saveMs = 2500;
@@ -33,7 +35,7 @@
 const maxUses = 5000;
 
 /** Creates the client of the keeper of stored parts. */
-export function createPartsClient({getKeeperAddress, links, clock, log}: PartsClientOptions): PartsClient {
+export function createPartsClient({getHome, links, clock, log}: PartsClientOptions): PartsClient {
 	let view = createPartsView();
 	let used = new Set<string>();
 	const saves = new Map<string, number>();
@@ -41,7 +43,7 @@
 	let isLost = false;
 
 	const poll = async () => {
-		const address = getKeeperAddress();
+		const address = getHome();
 
 		if (isPolling || address === undefined) {
 			return;
@@ -52,10 +54,10 @@
 		const question: PartsPoll = {epoch: view.epoch, revision: view.revision, used: [...used]};
 
 		try {
-			const answer = await links.call(address, {kind: LinkKind.PollParts, poll: question} satisfies LinkMessage, callTimeoutMs) as LinkReply;
+			const answer = await callChecked(links, {address, message: {kind: LinkKind.PollParts, poll: question}, timeoutMs: callTimeoutMs});
 
 			if (answer.kind === 'parts') {
-				view = takePartsReply(view, answer.reply as PartsReply, askedAtMs);
+				view = takePartsReply(view, requireChecked(answer.reply, isPartsReply, address), askedAtMs - answer.ageMs);
 				used = new Set();
 			}
 
--- a/packages/instances/src/daemons.ts
+++ b/packages/instances/src/daemons.ts
@@ -1,4 +1,5 @@
-import {type InstanceNote} from './types.js';
+import {type HomeList} from './directory.js';
+import {type InstanceNote, type InstanceRenewal} from './types.js';
 
 export enum DaemonRole {
 	/** Serves callers. */
@@ -19,6 +20,8 @@
 	readonly availabilityZone: string;
 	/** Takes new work. */
 	readonly isReady: boolean;
+	/** Grows within one start with each change of what the card says. */
+	readonly sequence: number;
 };
 
 /** The durable state that spreads to all daemons. */
@@ -32,13 +35,30 @@
 	readonly weights: ReadonlyArray<readonly [model: string, version: number, ageMs: number]>;
 };
 
-/** What a daemon says to each coordinator, at intervals and on changes. */
+/** What a daemon is to a coordinator that it greets. */
+export enum GreetingRole {
+	/** The coordinator tells it of loads and of stored parts, and of whatever changes. */
+	PrimaryHome = 'primary_home',
+	/** The coordinator tells it of whatever changes. */
+	SecondaryHome = 'secondary_home',
+	/** It only asks, to repair what was missed elsewhere. */
+	Visitor = 'visitor',
+	/** A coordinator itself. */
+	Peer = 'peer',
+}
+
+/** What a daemon says to a coordinator, at intervals and on changes. */
 export type Hello = {
 	readonly card: DaemonCard;
+	readonly greeting: GreetingRole;
 	readonly publishedRevision: number;
 	readonly configVersion: number;
-	/** Asks for news of daemons and instances; absent where the sender asks others this time. */
+	/** Asks for news of instances; absent where the sender asks others this time. */
 	readonly newsAfter: NewsCursor | undefined;
+	/** Asks for what changes too often to be told each time. */
+	readonly wantsFleet: boolean;
+	/** Of a coordinator: the gateways that have it as their home; absent where the receiver holds that list. */
+	readonly homes?: HomeList;
 };
 
 /** How far a daemon has a coordinator's news of instances. */
@@ -49,21 +69,29 @@
 };
 
 export type HelloReply = {
-	readonly news: FleetNews | undefined;
+	readonly news: InstanceNews | undefined;
+	readonly fleet: FleetNews | undefined;
 	readonly published: Published | undefined;
 	/** The replica that leads, as far as the coordinator knows. */
 	readonly leaderAddress: string | undefined;
 	/** Whether the coordinator heard from a leader lately, so that what it says is new. */
 	readonly isCurrent: boolean;
+	/** Which list of the sender's homes the coordinator holds. */
+	readonly heldHomes: Pick<HomeList, 'incarnation' | 'revision'> | undefined;
 };
 
-/** What a coordinator knows of the other daemons, and has learned of instances since it was last asked. */
-export type FleetNews = {
+/** What a coordinator has learned of instances since it was last asked. */
+export type InstanceNews = {
 	readonly cursor: NewsCursor;
 	readonly notes: readonly InstanceNote[];
+};
+
+/** What a coordinator knows of the fleet as a whole. */
+export type FleetNews = {
+	readonly renewals: readonly InstanceRenewal[];
 	readonly coordinators: readonly DaemonCard[];
-	/** Link addresses of the gateways that were heard lately, ready or not. */
-	readonly gateways: readonly string[];
+	/** Gateways that are known, ready or not. */
+	readonly gateways: number;
 };
 
 /** The daemons that one coordinator has heard, by name. Immutable. */
@@ -94,22 +122,3 @@
 export function listCards(table: DaemonTable, {role, nowMs, maxAgeMs}: ListOptions): readonly DaemonCard[] {
 	return [...table.values()].filter(({card, heardAtMs}) => card.role === role && nowMs - heardAtMs <= maxAgeMs).map(({card}) => card);
 }
-
-/** Coordinators that a daemon asks for news in one round: one may be lost, and each knows what the others know. */
-const newsSources = 2;
-
-/**
-Picks the coordinators to ask for news in one round; each has its turn. What changes is told to everyone at once, so rounds only renew
-what is known and repair what was missed. Answers the load pattern of many daemons before many coordinators: what each is told in a
-round does not grow with the number of coordinators.
-
-@example
-```
-pickNewsSources(['a', 'b', 'c'], 1); //=> Set {'c', 'a'}
-```
-*/
-export function pickNewsSources(addresses: readonly string[], round: number): ReadonlySet<string> {
-	const start = round * newsSources;
-
-	return new Set(Array.from({length: Math.min(newsSources, addresses.length)}, (_, index) => addresses[(start + index) % addresses.length]!));
-}
--- a/packages/instances/src/index.ts
+++ b/packages/instances/src/index.ts
@@ -1,10 +1,25 @@
 export {
-	createInstanceRegistry, createNote, listNews, NewsKind, setLoading, setModelVersion, takeRecord, tidyRegistry, type TakeOptions,
+	createInstanceRegistry, createNote, listNews, listRenewals, NewsKind, setLoading, setModelVersion, takeRecord, takeRenewals, tidyRegistry,
+	type TakeOptions,
 } from './registry.js';
 export {
-	InstanceStage, type HeldInstance, type InstanceNote, type InstanceRecord, type InstanceRegistry, type ModelState,
+	InstanceStage, type HeldInstance, type InstanceNote, type InstanceRecord, type InstanceRegistry, type InstanceRenewal, type ModelState,
 } from './types.js';
 export {
-	DaemonRole, listCards, pickNewsSources, takeCard, type DaemonCard, type DaemonTable, type FleetNews, type Hello, type HelloReply, type ListOptions,
-	type NewsCursor, type Published,
+	DaemonRole, GreetingRole, listCards, takeCard, type DaemonCard, type DaemonTable, type FleetNews, type Hello, type HelloReply, type InstanceNews,
+	type ListOptions, type NewsCursor, type Published,
 } from './daemons.js';
+export {
+	createGatewayDirectory, getHeldList, listGateways, listHomeAddresses, listHomes, takeHomeHello, takeHomeList, tidyDirectory, type DirectoryTimes,
+	type GatewayDirectory, type HomeList,
+} from './directory.js';
+export {pickHomes, type HomeCandidate} from './pick-homes.js';
+export {
+	sumShares, sumWork, type InstanceShare, type LoadNote, type WorkShare,
+} from './load-note.js';
+export {
+	createLoadRelay, hasLoadNews, relayLoads, sharesMs, staleSharesMs, takeGatewayNote, takeRelayNote, type LoadRelay, type LoadRound,
+} from './load-relay.js';
+export {
+	isHello, isHelloReply, isInstanceNotes, isLoadNote, isPublished,
+} from './checks.js';
--- a/packages/instances/src/registry.ts
+++ b/packages/instances/src/registry.ts
@@ -1,5 +1,5 @@
 import {
-	InstanceStage, type HeldInstance, type InstanceNote, type InstanceRecord, type InstanceRegistry,
+	InstanceStage, type HeldInstance, type InstanceNote, type InstanceRecord, type InstanceRegistry, type InstanceRenewal,
 } from './types.js';
 
 /** What taking a record did. */
@@ -50,23 +50,23 @@
 		return {registry, news: NewsKind.Stale};
 	}
 
-	const revision = registry.revision + 1;
 	const isSameIncarnation = known?.record.incarnation === record.incarnation;
 	const held = new Map(registry.held);
 	const loadingDeadlineMs = loadingLeftMs === undefined ? (isSameIncarnation ? known.loadingDeadlineMs : 0) : nowMs + loadingLeftMs;
 	const heardAtMs = nowMs - ageMs;
+	const isChanged = known === undefined || !isSameIncarnation || describeRecord(known.record) !== describeRecord(record)
+		|| (known.loadingDeadlineMs > nowMs) !== (loadingDeadlineMs > nowMs);
+	const isNews = isChanged || known.loadingDeadlineMs !== loadingDeadlineMs;
+	const revision = isNews ? registry.revision + 1 : known.revision;
 	held.set(record.id, {
 		record, revision, loadingDeadlineMs, heardAtMs: isSameIncarnation ? Math.max(known.heardAtMs, heardAtMs) : heardAtMs,
 	});
 
-	if (record.stage !== InstanceStage.Gone) {
+	if (isChanged && record.stage !== InstanceStage.Gone) {
 		endOthersAt(held, record, revision);
 	}
 
-	const isChanged = known === undefined || !isSameIncarnation || describeRecord(known.record) !== describeRecord(record)
-		|| (known.loadingDeadlineMs > nowMs) !== (loadingDeadlineMs > nowMs);
-
-	return {registry: {held, revision}, news: isChanged ? NewsKind.Changed : NewsKind.Renewed};
+	return {registry: {held, revision: Math.max(registry.revision, revision)}, news: isChanged ? NewsKind.Changed : NewsKind.Renewed};
 }
 
 // A daemon that orders an instance to load other weights knows of them before the next announcement does.
@@ -129,7 +129,36 @@
 }
 
 /**
-Lists what came after a revision, for a daemon that has everything up to it.
+Lists all instances that have not ended, with the age of their newest announcement. It stands in for records that say the same again: a
+daemon before hundreds of instances is told a few bytes of each.
+
+@example
+```
+takeRenewals(registry, listRenewals(other, nowMs), nowMs);
+```
+*/
+export function listRenewals(registry: InstanceRegistry, nowMs: number): readonly InstanceRenewal[] {
+	return [...registry.held.values()].filter(({record}) => record.stage !== InstanceStage.Gone)
+		.map(({record, heardAtMs}) => [record.id, record.incarnation, record.sequence, Math.round(Math.max(0, nowMs - heardAtMs))]);
+}
+
+/** Takes word of instances that were heard again; one that is not known, or by another start, is not made known by it. */
+export function takeRenewals(registry: InstanceRegistry, renewals: readonly InstanceRenewal[], nowMs: number): InstanceRegistry {
+	const held = new Map(registry.held);
+
+	for (const [id, incarnation, sequence, ageMs] of renewals) {
+		const known = held.get(id);
+
+		if (known?.record.incarnation === incarnation && nowMs - ageMs > known.heardAtMs) {
+			held.set(id, {...known, heardAtMs: nowMs - ageMs, record: {...known.record, sequence: Math.max(sequence, known.record.sequence)}});
+		}
+	}
+
+	return {...registry, held};
+}
+
+/**
+Lists what changed after a revision, for a daemon that has everything up to it.
 
 @example
 ```
--- a/packages/instances/src/types.ts
+++ b/packages/instances/src/types.ts
@@ -31,7 +31,7 @@
 	readonly record: InstanceRecord;
 	/** When its newest announcement was made, on this daemon's monotonic clock. */
 	readonly heardAtMs: number;
-	/** Revision of the registry at which the record came. */
+	/** Revision of the registry at which it last changed; announcements that say the same again leave it as it is. */
 	readonly revision: number;
 	/** An order to load other weights is under way, until then at the latest. */
 	readonly loadingDeadlineMs: number;
@@ -49,3 +49,6 @@
 	readonly ageMs: number;
 	readonly loadingLeftMs: number;
 };
+
+/** Word that an instance was heard again and says the same as before. */
+export type InstanceRenewal = readonly [id: string, incarnation: number, sequence: number, ageMs: number];
--- a/packages/limits/src/crash-suspects.ts
+++ b/packages/limits/src/crash-suspects.ts
@@ -1,3 +1,7 @@
+import {
+	isListOf, isNumberIn, isRecordOf, isTextUpTo, type Guard,
+} from '@fescuestair/core';
+
 /** Requests that were running when an instance ended, by fingerprint. Immutable. */
 export type CrashSuspects = {
 	/** Requests whose connection broke at an instance of which it is not known yet whether it crashed, by its incarnation. */
@@ -24,6 +28,16 @@
 	readonly keepLeftMs: number;
 };
 
+const maxNameLength = 500;
+/** Incarnations of one note: far more than the crashes that quarantine a request. */
+const maxIncarnations = 1000;
+const isIncarnations = isListOf(isTextUpTo(maxNameLength), maxIncarnations);
+
+/** Notes of suspects as another daemon may send them. */
+export const isSuspectNotes: Guard<readonly SuspectNote[]> = isListOf(isRecordOf({
+	fingerprint: isTextUpTo(maxNameLength), crashed: isIncarnations, cleared: isIncarnations, keepLeftMs: isNumberIn(0, 86_400_000),
+}), maxIncarnations);
+
 /** Crashes after which a request is run no more; two may be chance where instances are lost in numbers. */
 const crashesToQuarantine = 3;
 /** A crashed instance is found unreachable, or announces its next start, within this: restarts take some seconds. */
--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -1,6 +1,6 @@
 export {
-	addBreak, addCrash, clearSuspect, createCrashSuspects, createSuspectNote, forgetBreaks, getQuarantineDeadline, isSuspect, listPressing, mergeSuspects,
-	takeCrashed,
+	addBreak, addCrash, clearSuspect, createCrashSuspects, createSuspectNote, forgetBreaks, getQuarantineDeadline, isSuspect, isSuspectNotes, listPressing,
+	mergeSuspects, takeCrashed,
 	type BreakInput, type CrashInput, type CrashSuspects, type SuspectNote,
 } from './crash-suspects.js';
 export {
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -6,3 +6,4 @@
 	GossipKind, InputKind, MemberStatus, OutputKind, RecordKind, type Gauge, type GaugeNote, type Gossip, type Input, type Membership, type Output, type Timing, type MemberRecord,
 } from './types.js';
 export {isNewer} from './records.js';
+export {isGossip} from './check-gossip.js';
--- a/packages/parts/src/index.ts
+++ b/packages/parts/src/index.ts
@@ -9,3 +9,7 @@
 export {
 	computeFetchUntil, createPartsView, findPlaces, takePartsReply, type NamedPart, type PartsView,
 } from './view.js';
+export {
+	answerFromMirror, createPartsMirror, takeMirrorReply, type PartsMirror,
+} from './mirror.js';
+export {isPartsPoll, isPartsReply} from './checks.js';
--- /dev/null
+++ b/packages/protocol/src/__tests__/unit/link-commands.test.ts
@@ -0,0 +1,86 @@
+import test from 'ava';
+import {
+	callChecked, createLinkCommands, isFindPiecesMessage, isJoinMessage, isPollStateMessage, LinkFaultKind, LinkKind, ReplyError, type LinkFault, type LinkReply,
+} from '../../index.js';
+
+const openCommands = () => {
+	const faults: LinkFault[] = [];
+	const commands = createLinkCommands({
+		onFault(fault) {
+			faults.push(fault);
+		},
+	});
+	const dispatch = (message: unknown) => {
+		let answer: LinkReply | undefined;
+		commands.dispatch(message, reply => {
+			answer = reply;
+		});
+
+		return answer;
+	};
+
+	return {commands, dispatch, faults};
+};
+
+test('a handler gets only messages that its guard lets through', t => {
+	const {commands, dispatch, faults} = openCommands();
+	const taken: unknown[] = [];
+	commands.registerCommand(LinkKind.Join, isJoinMessage, ({reply, ...message}) => {
+		taken.push(message);
+		reply?.({kind: 'noted'});
+
+		return true;
+	});
+	const good = {
+		kind: LinkKind.Join, id: 'a', name: 'b', address: 'c',
+	};
+	t.deepEqual(dispatch(good), {kind: 'noted'});
+
+	for (const bad of [7, null, undefined, [], 'join', {}, {kind: 7}, {kind: {}}, {kind: 'x'.repeat(100)}]) {
+		t.is(dispatch(bad)?.kind, 'error');
+		t.is(faults.at(-1)?.fault, LinkFaultKind.NoMessage);
+	}
+
+	for (const field of ['id', 'name', 'address']) {
+		for (const value of [undefined, 7, null, Number.NaN, [], {}, 'x'.repeat(5000), Object.create({length: 1}) as unknown]) {
+			t.is(dispatch({...good, [field]: value})?.kind, 'error');
+			t.is(faults.at(-1)?.fault, LinkFaultKind.Malformed);
+		}
+	}
+
+	t.deepEqual(taken, [good]);
+});
+
+test('a kind that this process does not serve, as of a newer version, is answered and said', t => {
+	const {dispatch, faults} = openCommands();
+	t.deepEqual(dispatch({kind: 'teleport', anything: 1}), {kind: 'error', message: 'teleport: not_served'});
+	t.deepEqual(faults, [{fault: LinkFaultKind.NotServed, kind: 'teleport'}]);
+	t.is(dispatch({kind: '__proto__'})?.kind, 'error');
+});
+
+test('what a handler throws concerns its message alone', t => {
+	const {commands, dispatch, faults} = openCommands();
+	const undo = commands.registerCommand(LinkKind.PollState, isPollStateMessage, () => {
+		throw new RangeError('defect');
+	});
+	t.is(dispatch({kind: LinkKind.PollState, publicVersion: 1})?.kind, 'error');
+	t.like(faults.at(-1), {fault: LinkFaultKind.Failed, kind: LinkKind.PollState});
+	undo();
+	t.is(dispatch({kind: LinkKind.PollState, publicVersion: 1})?.kind, 'error');
+	t.is(faults.at(-1)?.fault, LinkFaultKind.NotServed);
+});
+
+test('lists are bounded', t => {
+	t.true(isFindPiecesMessage({hashes: ['a']}));
+	t.false(isFindPiecesMessage({hashes: Array.from({length: 1001}, () => 'a')}));
+	t.false(isFindPiecesMessage({hashes: ['a', 7]}));
+	t.false(isFindPiecesMessage({hashes: {length: 0}}));
+});
+
+test('an answer that is no reply fails its call', async t => {
+	for (const reply of [undefined, null, 7, {}, {kind: 'hello?'}, {kind: 'pieces', held: [['a']]}, {kind: 'state', publicVersion: '1', controlAddresses: []}]) {
+		await t.throwsAsync(callChecked({call: async () => reply}, {address: 'a', message: {kind: LinkKind.ReadPublished}, timeoutMs: 1}), {instanceOf: ReplyError});
+	}
+
+	t.deepEqual(await callChecked({call: async () => ({kind: 'noted'})}, {address: 'a', message: {kind: LinkKind.ReadPublished}, timeoutMs: 1}), {kind: 'noted'});
+});
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -19,8 +19,15 @@
 	Ran, RefusalCode, RefusalError, formatRefusal, type Refusal, getRefusalStatus,
 } from './refusal.js';
 export {
-	createLinkCommands, dispatchLinkMessage, type LinkCommand, type LinkCommands,
+	createLinkCommands, LinkFaultKind, type LinkCommand, type LinkCommands, type LinkFault, type LinkReplier,
 } from './link-commands.js';
+export {
+	isAgeMs, isAgreementMessage, isFindFatesMessage, isFindPiecesMessage, isGossipMessage, isJoinMessage, isLinkReply, isName, isNotePiecesMessage,
+	isNoteReturnMessage, isPollStateMessage, isProposeMessage, isRecordFatesMessage,
+} from './link-checks.js';
+export {
+	callChecked, ReplyError, requireChecked, type LinkCaller,
+} from './call-checked.js';
 export {headerNames} from './headers.js';
 export {
 	defineSetting, readSettings, type SettingDefinition, type SettingValues,
--- a/packages/protocol/src/link-messages.ts
+++ b/packages/protocol/src/link-messages.ts
@@ -22,9 +22,9 @@
 	ReadPublished = 'read_published',
 	/** A gateway asks the keeper of stored parts for news. */
 	PollParts = 'poll_parts',
-	/** A gateway tells the others what it has at each instance. */
+	/** What gateways have at each instance: from a gateway to its home, from there to the other homes, and to each gateway. */
 	Loads = 'loads',
-	/** A gateway tells the others of a request that was running when an instance crashed. */
+	/** Requests that were running when an instance crashed, by the same way. */
 	Suspects = 'suspects',
 }
 
@@ -45,11 +45,11 @@
 		}
 		| {readonly kind: LinkKind.NoteReturn; readonly root: string}
 		| {readonly kind: LinkKind.Hello; readonly hello: unknown}
-		| {readonly kind: LinkKind.Instances; readonly notes: unknown}
+		| {readonly kind: LinkKind.Instances; readonly notes: unknown; readonly isRelayed: boolean}
 		| {readonly kind: LinkKind.Published; readonly published: unknown}
 		| {readonly kind: LinkKind.ReadPublished}
-		| {readonly kind: LinkKind.Loads; readonly from: string; readonly loads: unknown}
-		| {readonly kind: LinkKind.Suspects; readonly notes: unknown}
+		| {readonly kind: LinkKind.Loads; readonly from: string; readonly loads: unknown; readonly isRelayed: boolean}
+		| {readonly kind: LinkKind.Suspects; readonly from: string; readonly notes: unknown; readonly isRelayed: boolean}
 		| {readonly kind: LinkKind.PollParts; readonly poll: unknown}
 		| {readonly kind: LinkKind.Join; readonly id: string; readonly name: string; readonly address: string};
 
@@ -71,7 +71,7 @@
 		| {readonly kind: 'noted'}
 		| {readonly kind: 'hello'; readonly reply: unknown}
 		| {readonly kind: 'published'; readonly published: unknown}
-		| {readonly kind: 'parts'; readonly reply: unknown}
+		| {readonly kind: 'parts'; readonly reply: unknown; readonly ageMs: number}
 		| {readonly kind: 'returns'; readonly timesSeen: number; readonly returns: {readonly seenOnce: number; readonly returned: number}}
 		| {readonly kind: 'error'; readonly message: string};
 
--- a/packages/routing/src/decide-wait.ts
+++ b/packages/routing/src/decide-wait.ts
@@ -26,7 +26,8 @@
 /** Shorter ones delay nobody and are sent on at once. */
 const longWorkMs = 60;
 /** An instance whose queue is shorter than this is taken to be free. */
-const freeQueueMs = 80;
+export const freeQueueMs = 80;
+
 /**
 Decides about a request that takes an engine long. One that will be late anyway waits here and not in the engine, where it would make
 those late that come after it; it is sent as soon as an instance is free. One whose turn would come too late is refused at once. Answers the load pattern of all callers that come back at once
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -25,5 +25,7 @@
 export {
 	addWork, computeCorrectionMs, computeWaitMs, correctClock, createWorkClock, estimateWork, isOverdue, resetClock, type WorkClock, type WorkEstimate,
 } from './work-clock.js';
-export {decideWait, WaitDecision, type WaitQuestion} from './decide-wait.js';
+export {
+	decideWait, freeQueueMs, WaitDecision, type WaitQuestion,
+} from './decide-wait.js';
 export {createCachedParts, type CachedParts, type PromptPart} from './cached-parts.js';
--- a/packages/runtime/src/command-listener.ts
+++ b/packages/runtime/src/command-listener.ts
@@ -1,9 +1,50 @@
-import {dispatchLinkMessage, type LinkCommands} from '@fescuestair/protocol';
+import {type Clock} from '@fescuestair/core';
 import {
-	createLinkServer, parseAddress, type LinkServer, type LinkServerOptions,
+	LinkFaultKind, type LinkCommands, type LinkFault, type LinkReply,
+} from '@fescuestair/protocol';
+import {
+	BrokenFrameError, createLinkServer, parseAddress, type LinkServer, type LinkServerOptions,
 } from '@fescuestair/transport';
 import {type Log} from './log.js';
 
+/** Faults of one kind that are logged in a second; more are only counted, so that a sick peer does not fill the log. */
+const maxLoggedFaults = 5;
+const faultSpanMs = 1000;
+
+/**
+Creates what a process does with messages that it does not take: each is counted, some are logged.
+
+@example
+```
+const commands = createLinkCommands({onFault: createFaultLog({log, clock, count})});
+```
+*/
+export function createFaultLog({log, clock, count}: FaultLogOptions): (fault: LinkFault) => void {
+	let spanEndMs = 0;
+	let logged = 0;
+
+	return ({fault, kind, error}) => {
+		count('link_faults_total', {fault});
+		const nowMs = clock.readMonotonicMs();
+
+		if (nowMs >= spanEndMs) {
+			spanEndMs = nowMs + faultSpanMs;
+			logged = 0;
+		}
+
+		if (logged++ < maxLoggedFaults) {
+			const reason = error instanceof Error ? error.stack : error;
+			log[fault === LinkFaultKind.Failed ? 'error' : 'warn']('a message was not taken', {fault, kind, ...(reason !== undefined && {reason})});
+		}
+	};
+}
+
+export type FaultLogOptions = {
+	readonly log: Log;
+	readonly clock: Clock;
+	readonly count: (name: string, labels: Readonly<Record<string, string>>) => void;
+};
+
 export type CommandListenerOptions = Pick<LinkServerOptions, 'getKeys'> & {
 	/** `ip:port` for links from the system's other daemons. */
 	readonly listen: string;
@@ -24,10 +65,14 @@
 		listen: parseAddress(listen),
 		getKeys,
 		onMessage(message, reply) {
-			dispatchLinkMessage(commands, message, reply);
+			commands.dispatch(message, reply);
 		},
-		onError(error) {
-			log.debug('link failed', {reason: error.message});
+		onError(error, address) {
+			if (error instanceof BrokenFrameError) {
+				log.warn('a link broke the rules and was closed', {address, reason: error.message});
+			} else {
+				log.debug('link failed', {address, reason: error.message});
+			}
 		},
 	});
 }
--- a/packages/runtime/src/find-fates.ts
+++ b/packages/runtime/src/find-fates.ts
@@ -1,7 +1,7 @@
 import {
 	listRecords, MemberStatus, RecordKind, type MemberRecord,
 } from '@fescuestair/membership';
-import {LinkKind, type FateEvent, type LinkReply} from '@fescuestair/protocol';
+import {callChecked, LinkKind, type FateEvent} from '@fescuestair/protocol';
 import {type Links} from '@fescuestair/transport';
 import {type GossipHost} from './gossip.js';
 
@@ -33,7 +33,7 @@
 		}
 
 		try {
-			const reply = await links.call(address, {kind: LinkKind.FindFates, requestId}, timeoutMs) as LinkReply;
+			const reply = await callChecked(links, {address, message: {kind: LinkKind.FindFates, requestId}, timeoutMs});
 
 			return reply.kind === 'fates' ? reply.events : [];
 		} catch {
--- a/packages/runtime/src/gossip.ts
+++ b/packages/runtime/src/gossip.ts
@@ -1,6 +1,6 @@
 import {type Clock, createTask} from '@fescuestair/core';
 import {
-	createMembership, InputKind, OutputKind, stepMembership, type Gossip, type Input, type MemberRecord, type Membership, type Output,
+	createMembership, InputKind, isGossip, OutputKind, stepMembership, type Input, type MemberRecord, type Membership, type Output,
 } from '@fescuestair/membership';
 import {LinkKind, type LinkMessage} from '@fescuestair/protocol';
 import {type Links} from '@fescuestair/transport';
@@ -12,11 +12,13 @@
 	readonly links: Links;
 	readonly onChanged?: (record: MemberRecord) => void;
 	readonly onFailure: (error: unknown) => void;
+	/** What came as gossip is none. */
+	readonly onRefused?: (fromAddress: string) => void;
 };
 
 /** The task that keeps this daemon's view of the members. */
 export type GossipHost = {
-	readonly receive: (message: Extract<LinkMessage, {kind: LinkKind.Gossip}>) => void;
+	readonly receive: (message: Omit<Extract<LinkMessage, {kind: LinkKind.Gossip}>, 'kind'>) => void;
 	readonly publish: (record: MemberRecord) => void;
 	/** Sets the gauge of a record that this daemon sponsors. */
 	readonly publishGauge: (id: string, values: readonly number[]) => void;
@@ -39,7 +41,7 @@
 */
 export function createGossip(options: GossipOptions): GossipHost {
 	const {
-		self, seeds, clock, links, onChanged = () => undefined, onFailure,
+		self, seeds, clock, links, onChanged = () => undefined, onFailure, onRefused = () => undefined,
 	} = options;
 
 	const perform = (output: Output) => {
@@ -68,9 +70,13 @@
 
 	return {
 		receive({fromId, fromAddress, gossip}) {
-			task.send({
-				kind: InputKind.Gossip, fromId, fromAddress, gossip: gossip as Gossip,
-			});
+			if (isGossip(gossip)) {
+				task.send({
+					kind: InputKind.Gossip, fromId, fromAddress, gossip,
+				});
+			} else {
+				onRefused(fromAddress);
+			}
 		},
 		publish(record) {
 			task.send({kind: InputKind.Publish, record});
--- a/packages/runtime/src/greeter.ts
+++ b/packages/runtime/src/greeter.ts
@@ -1,21 +1,30 @@
 import {
-	pickNewsSources, type Hello, type HelloReply, type NewsCursor,
+	isHelloReply, type GreetingRole, type Hello, type HelloReply, type HomeList, type NewsCursor,
 } from '@fescuestair/instances';
-import {LinkKind, type LinkMessage, type LinkReply} from '@fescuestair/protocol';
-import {type Links} from '@fescuestair/transport';
+import {
+	callChecked, LinkKind, requireChecked, type LinkCaller,
+} from '@fescuestair/protocol';
 
 export type GreeterOptions = {
-	readonly links: Pick<Links, 'call'>;
+	readonly links: LinkCaller;
 	readonly timeoutMs: number;
-	readonly getHello: () => Omit<Hello, 'newsAfter'>;
+	readonly getHello: () => Pick<Hello, 'card' | 'publishedRevision' | 'configVersion'>;
 	readonly onReply: (address: string, reply: HelloReply) => void;
 	readonly onLost: (address: string, error: unknown) => void;
 };
 
-/** Tells coordinators of a daemon, and asks them in turns for what it lacks. */
+export type Greeting = {
+	readonly greeting: GreetingRole;
+	readonly wantsNews?: boolean;
+	readonly wantsFleet?: boolean;
+	readonly homes?: HomeList;
+};
+
+/** Tells coordinators of a daemon, and asks them for what it lacks. */
 export type Greeter = {
-	/** Says hello to all of them; where the daemon knows nothing yet, all are asked for news: the first that knows is the best. */
-	readonly greetAll: (addresses: readonly string[], options: {readonly knowsNothing: boolean}) => void;
+	readonly greet: (address: string, greeting: Greeting) => void;
+	/** Whether a hello to an address has no answer yet. */
+	readonly isAwaiting: (address: string) => boolean;
 };
 
 /**
@@ -24,26 +33,28 @@
 @example
 ```
 const greeter = createGreeter({links, timeoutMs: 1500, getHello, onReply, onLost});
-greeter.greetAll(['10.0.0.1:7200'], {knowsNothing: true});
+greeter.greet('10.0.0.1:7200', {greeting: GreetingRole.Visitor, wantsNews: true});
 ```
 */
 export function createGreeter({links, timeoutMs, getHello, onReply, onLost}: GreeterOptions): Greeter {
 	const cursors = new Map<string, NewsCursor>();
-	let round = 0;
+	const awaiting = new Map<string, number>();
 
-	const greet = async (address: string, isSource: boolean) => {
+	const call = async (address: string, {greeting, wantsNews = true, wantsFleet = false, homes}: Greeting) => {
 		const hello: Hello = {
-			...getHello(), newsAfter: isSource ? cursors.get(address) ?? {bootId: undefined, revision: 0} : undefined,
+			...getHello(), greeting, wantsFleet, newsAfter: wantsNews ? cursors.get(address) ?? {bootId: undefined, revision: 0} : undefined,
+			...(homes !== undefined && {homes}),
 		};
+		awaiting.set(address, (awaiting.get(address) ?? 0) + 1);
 
 		try {
-			const answer = await links.call(address, {kind: LinkKind.Hello, hello} satisfies LinkMessage, timeoutMs) as LinkReply;
+			const answer = await callChecked(links, {address, message: {kind: LinkKind.Hello, hello}, timeoutMs});
 
 			if (answer.kind !== 'hello') {
 				return;
 			}
 
-			const reply = answer.reply as HelloReply;
+			const reply = requireChecked(answer.reply, isHelloReply, address);
 			onReply(address, reply);
 
 			if (reply.news !== undefined) {
@@ -51,16 +62,15 @@
 			}
 		} catch (error) {
 			onLost(address, error);
+		} finally {
+			awaiting.set(address, awaiting.get(address)! - 1);
 		}
 	};
 
 	return {
-		greetAll(addresses, {knowsNothing}) {
-			const sources = pickNewsSources(addresses, round++);
-
-			for (const address of addresses) {
-				void greet(address, knowsNothing || sources.has(address));
-			}
+		greet(address, greeting) {
+			void call(address, greeting);
 		},
+		isAwaiting: address => (awaiting.get(address) ?? 0) > 0,
 	};
 }
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -14,3 +14,4 @@
 export {
 	AnswerKind, ClaimPhase, CommandKind, type Answer, type Claim, type ClaimOutcome, type Command, type HistoryEntry, type ReplicatedState,
 } from './types.js';
+export {isStateAnswer, isStateRequest} from './check-request.js';
--- /dev/null
+++ b/packages/transport/src/__tests__/unit/frames.test.ts
@@ -0,0 +1,182 @@
+import {Buffer} from 'node:buffer';
+import net, {type Socket} from 'node:net';
+import process from 'node:process';
+import {once} from 'node:events';
+import {PassThrough} from 'node:stream';
+import {setTimeout as sleep} from 'node:timers/promises';
+import test, {type ExecutionContext} from 'ava';
+import fc from 'fast-check';
+import {Packr} from 'msgpackr';
+import {isPackedValue} from '../../check-packed.js';
+import {createLinks, createLinkServer, LinkLostError} from '../../index.js';
+import {
+	BrokenFrameError, encodeFrame, FrameKind, openFrameChannel, type Frame,
+} from '../../link-frames.js';
+
+const codec = new Packr({useRecords: false});
+
+const openServer = async (t: ExecutionContext) => {
+	const errors: Error[] = [];
+	const messages: unknown[] = [];
+	const server = await createLinkServer({
+		listen: {host: '127.0.0.1', port: 0},
+		getKeys: undefined,
+		onMessage(message, reply) {
+			messages.push(message);
+			reply?.('done');
+		},
+		onError(error) {
+			errors.push(error);
+		},
+	});
+	t.teardown(async () => server.close());
+
+	return {errors, messages, port: server.port};
+};
+
+const openRaw = async (t: ExecutionContext, port: number): Promise<Socket> => {
+	const socket = net.connect(port, '127.0.0.1');
+	t.teardown(() => {
+		socket.destroy();
+	});
+	socket.on('error', () => undefined);
+	await once(socket, 'connect');
+
+	return socket;
+};
+
+const withLength = (body: Buffer, length = body.length) => {
+	const bytes = Buffer.alloc(4);
+	bytes.writeUInt32BE(length);
+
+	return Buffer.concat([bytes, body]);
+};
+
+test('every value that the codec packs is taken, and none that is cut short, longer, or promises more than is there', t => {
+	fc.assert(fc.property(fc.jsonValue({maxDepth: 5}), value => {
+		const packed = codec.pack(value);
+		t.true(isPackedValue(packed));
+		t.false(isPackedValue(packed.subarray(0, -1)));
+		t.false(isPackedValue(Buffer.concat([packed, Buffer.from([0])])));
+	}), {seed: 5, numRuns: 500});
+
+	for (const value of [undefined, new Uint8Array(300), 'x'.repeat(70_000), 1.5, 2 ** 40, -3, new Date(7), Array.from({length: 70_000}, () => 1)]) {
+		t.true(isPackedValue(codec.pack(value)));
+	}
+
+	for (const bytes of [[0xDD, 0x01, 0xFF, 0xFF, 0xFF], [0xDF, 0xFF, 0xFF, 0xFF, 0xFF], [0x92, 0xDC, 0xFF, 0xFF, 0x01], [0xDB, 0xFF, 0xFF, 0xFF, 0xFF], [0xC1], []]) {
+		t.false(isPackedValue(Buffer.from(bytes)));
+	}
+
+	t.false(isPackedValue(Buffer.concat([Buffer.alloc(5000, 0x91), Buffer.from([1])])), 'nested without end');
+});
+
+test('bytes of any kind end their link and nothing else', async t => {
+	const {errors, messages, port} = await openServer(t);
+	const good = encodeFrame([FrameKind.OneWay, 0, 'good']);
+	const bad: Buffer[] = [
+		withLength(codec.pack(7)),
+		withLength(codec.pack({length: 3})),
+		withLength(codec.pack([9, 0, 'kind'])),
+		withLength(codec.pack([0, -1, 'call'])),
+		withLength(codec.pack([0, Number.NaN, 'call'])),
+		withLength(codec.pack([0, 0])),
+		withLength(codec.pack([0, 0, 1, 2])),
+		withLength(codec.pack(null)),
+		withLength(Buffer.from([0xDD, 0x01, 0xFF, 0xFF, 0xFF])),
+		withLength(Buffer.alloc(5000, 0x91)),
+		withLength(Buffer.alloc(0)),
+		withLength(Buffer.from('GET /'), 0xFF_FF_FF_FF),
+		Buffer.from('GET / HTTP/1.1\r\nHost: x\r\n\r\n'),
+	];
+
+	for (const [position, bytes] of bad.entries()) {
+		const socket = await openRaw(t, port);
+		socket.write(Buffer.concat([good, bytes, good]));
+		await once(socket, 'close');
+		t.is(messages.length, position + 1, 'what came before is taken, what comes after is not');
+		t.true(errors.at(-1) instanceof BrokenFrameError);
+	}
+
+	const links = createLinks({getKeys: undefined});
+	t.is(await links.call(`127.0.0.1:${port}`, 1, 5000), 'done');
+	links.close();
+});
+
+test('frames that are damaged at random end no process and leave its memory alone', async t => {
+	const {messages, port} = await openServer(t);
+	const random = fc.sample(fc.tuple(fc.nat(2 ** 16), fc.nat(255), fc.jsonValue({maxDepth: 3})), {seed: 17, numRuns: 2000});
+	const before = process.memoryUsage().rss;
+
+	for (let start = 0; start < random.length; start += 50) {
+		await Promise.all(random.slice(start, start + 50).map(async ([place, byte, body]) => {
+			const bytes = encodeFrame([FrameKind.Call, 1, body]);
+			bytes[place % bytes.length] = byte;
+			const socket = await openRaw(t, port);
+			socket.end(bytes);
+			socket.resume();
+			await once(socket, 'close');
+		}));
+	}
+
+	t.true(messages.length > 0);
+	// Sockets and sanitised buffers take some; one list that is allocated as its header claims takes hundreds of MB.
+	t.true(process.memoryUsage().rss - before < 200_000_000);
+});
+
+test('frames are the same however their bytes are cut', t => {
+	fc.assert(fc.property(fc.array(fc.jsonValue(), {maxLength: 6}), fc.array(fc.integer({min: 1, max: 40}), {minLength: 1}), (bodies, cuts) => {
+		const socket = new PassThrough();
+		const frames: Frame[] = [];
+		openFrameChannel(socket, {
+			onFrame(frame) {
+				frames.push(frame);
+			},
+		});
+		const bytes = Buffer.concat(bodies.map((body, index) => encodeFrame([FrameKind.Call, index, body])));
+
+		for (let position = 0, turn = 0; position < bytes.length; turn++) {
+			const end = position + cuts[turn % cuts.length]!;
+			socket.emit('data', bytes.subarray(position, end));
+			position = end;
+		}
+
+		t.deepEqual(frames, bodies.map((body, index) => [FrameKind.Call, index, codec.unpack(codec.pack(body)) as unknown]));
+	}), {seed: 3, numRuns: 200});
+});
+
+test('a frame over the limit is refused by the length that it names, and incomplete ones are bounded together', t => {
+	for (const [bytes, canHold] of [[withLength(Buffer.alloc(1), 1001), () => true], [withLength(Buffer.alloc(1), 1000), (held: number) => held < 5]] as const) {
+		const socket = new PassThrough();
+		const errors: Error[] = [];
+		socket.on('error', error => {
+			errors.push(error);
+		});
+		openFrameChannel(socket, {maxBytes: 1000, canHold, onFrame: () => t.fail()});
+		socket.emit('data', bytes.subarray(0, 4));
+		socket.emit('data', bytes.subarray(4));
+		t.true(socket.destroyed);
+	}
+});
+
+test('a peer that answers a call with garbage loses the link, and the call says so', async t => {
+	const server = net.createServer(socket => {
+		socket.on('error', () => undefined);
+		socket.on('data', () => {
+			socket.write(withLength(codec.pack(['what'])));
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	t.teardown(() => {
+		server.close();
+	});
+	const links = createLinks({getKeys: undefined});
+	t.teardown(() => {
+		links.close();
+	});
+	const address = `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+	await t.throwsAsync(links.call(address, 1, 60_000), {instanceOf: LinkLostError, message: /no frame/v});
+	await sleep(0);
+	await t.throwsAsync(links.call(address, 2, 60_000), {instanceOf: LinkLostError});
+});
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -5,6 +5,7 @@
 export {
 	createLinks, LinkLostError, type Links, type LinksOptions,
 } from './links.js';
+export {BrokenFrameError} from './link-frames.js';
 export {parseAddress, type Address} from './address.js';
 export {
 	readBody, sendJson, sendRefusal, type BodyLimits,
--- a/packages/transport/src/link-liveness.ts
+++ b/packages/transport/src/link-liveness.ts
@@ -1,65 +1,139 @@
 import {type Socket} from 'node:net';
-import {createSystemClock} from '@fescuestair/core';
-import {FrameKind, type Frame, type FrameChannel} from './link-frames.js';
-import {heartbeatMs, idleMs, silenceMs} from './link-timing.js';
+import {createSystemClock, type Clock} from '@fescuestair/core';
+import {
+	BrokenFrameError, FrameKind, type Frame, type FrameChannel,
+} from './link-frames.js';
+import {
+	frameTimeoutMs, heartbeatMs, idleMs, silenceMs,
+} from './link-timing.js';
+
+/** A link end as it is looked at from time to time. */
+type WatchedEnd = {
+	readonly socket: Socket;
+	readonly channel: FrameChannel;
+	/** Since when a frame has been incomplete. */
+	incompleteSinceMs: number | undefined;
+	readonly check: (nowMs: number) => void;
+};
+
+/** Looks at all link ends of a process by one timer, which runs while there are any. */
+export type LinkWatch = {
+	/** Watches the side that opened a link: what has been sent must be followed by something received, if only the answer to a heartbeat. */
+	readonly watchOpener: (socket: Socket, channel: FrameChannel) => WatchedChannel;
+	/** Ends the accepting side of a link that has received nothing for long: the other side would have asked or closed. */
+	readonly watchAcceptor: (socket: Socket, channel: FrameChannel) => void;
+	/** Bytes of incomplete frames at all watched ends. */
+	readonly sumIncompleteBytes: () => number;
+};
 
 /** A channel that notices when nothing is answered. */
 export type WatchedChannel = FrameChannel & {readonly noteReceived: () => void};
 
 /**
-Watches the side of a link that opened it. What has been sent must be followed by something received, if only the answer
-to a heartbeat; else the socket is destroyed. A link without traffic sends nothing and is closed after a while. The
-socket's own idle timeout does not do: what is written counts as activity there.
+Creates the watch of a process' links. The sockets' own idle timeouts do not do: what is written counts as activity there.
+
+@example
+```
+const watch = createLinkWatch();
+const channel = watch.watchOpener(socket, openFrameChannel(socket, {onFrame}));
+```
 */
-export function watchSilence(socket: Socket, channel: FrameChannel): WatchedChannel {
-	const clock = createSystemClock();
-	let unansweredSinceMs: number | undefined;
-	let idleDeadlineMs = clock.readMonotonicMs() + idleMs;
+export function createLinkWatch(clock: Clock = createSystemClock()): LinkWatch {
+	const ends = new Set<WatchedEnd>();
+	let timer: NodeJS.Timeout | undefined;
 
-	const timer = setInterval(() => {
-		const nowMs = clock.readMonotonicMs();
+	const checkFrame = (end: WatchedEnd, nowMs: number) => {
+		if (end.channel.getIncompleteBytes() === 0) {
+			end.incompleteSinceMs = undefined;
+		} else {
+			end.incompleteSinceMs ??= nowMs;
 
-		if (unansweredSinceMs === undefined) {
-			if (nowMs >= idleDeadlineMs) {
-				socket.destroy();
+			if (nowMs - end.incompleteSinceMs >= frameTimeoutMs) {
+				end.socket.destroy(new BrokenFrameError('a frame that did not come whole in time'));
 			}
-		} else if (nowMs >= unansweredSinceMs + silenceMs) {
-			socket.destroy(new Error('silent'));
-		} else if (nowMs >= unansweredSinceMs + heartbeatMs) {
-			channel.write([FrameKind.Heartbeat, 0, undefined]);
 		}
-	}, heartbeatMs);
+	};
+
+	const checkAll = () => {
+		const nowMs = clock.readMonotonicMs();
+
+		for (const end of ends) {
+			checkFrame(end, nowMs);
+			end.check(nowMs);
+		}
+	};
+
+	const addEnd = (end: WatchedEnd) => {
+		ends.add(end);
+		timer ??= setInterval(checkAll, heartbeatMs);
+		end.socket.on('close', () => {
+			ends.delete(end);
 
-	socket.on('close', () => {
-		clearInterval(timer);
-	});
+			if (ends.size === 0) {
+				clearInterval(timer);
+				timer = undefined;
+			}
+		});
+	};
 
 	return {
-		write(frame: Frame) {
-			unansweredSinceMs ??= clock.readMonotonicMs();
-			channel.write(frame);
-		},
-		getBacklogBytes: channel.getBacklogBytes,
-		noteReceived() {
-			unansweredSinceMs = undefined;
-			idleDeadlineMs = clock.readMonotonicMs() + idleMs;
+		watchOpener(socket, channel) {
+			let unansweredSinceMs: number | undefined;
+			let idleDeadlineMs = clock.readMonotonicMs() + idleMs;
+
+			const check = (nowMs: number) => {
+				if (unansweredSinceMs === undefined) {
+					if (nowMs >= idleDeadlineMs) {
+						socket.destroy();
+					}
+				} else if (nowMs >= unansweredSinceMs + silenceMs) {
+					socket.destroy(new Error('silent'));
+				} else if (nowMs >= unansweredSinceMs + heartbeatMs) {
+					channel.write([FrameKind.Heartbeat, 0, undefined]);
+				}
+			};
+
+			addEnd({
+				socket, channel, check, incompleteSinceMs: undefined,
+			});
+
+			return {
+				...channel,
+				write(frame: Frame) {
+					unansweredSinceMs ??= clock.readMonotonicMs();
+					channel.write(frame);
+				},
+				noteReceived() {
+					unansweredSinceMs = undefined;
+					idleDeadlineMs = clock.readMonotonicMs() + idleMs;
+				},
+			};
 		},
-	};
-}
+		watchAcceptor(socket, channel) {
+			let receivedBytes = -1;
+			let idleDeadlineMs = 0;
 
-/** Ends the accepting side of a link that has received nothing for long: the other side would have asked or closed. */
-export function endWhenIdle(socket: Socket): void {
-	let receivedBytes = -1;
+			const check = (nowMs: number) => {
+				if (socket.bytesRead !== receivedBytes) {
+					receivedBytes = socket.bytesRead;
+					idleDeadlineMs = nowMs + (2 * idleMs);
+				} else if (nowMs >= idleDeadlineMs) {
+					socket.destroy();
+				}
+			};
 
-	const timer = setInterval(() => {
-		if (socket.bytesRead === receivedBytes) {
-			socket.destroy();
-		}
+			addEnd({
+				socket, channel, check, incompleteSinceMs: undefined,
+			});
+		},
+		sumIncompleteBytes() {
+			let bytes = 0;
 
-		receivedBytes = socket.bytesRead;
-	}, 2 * idleMs);
+			for (const {channel} of ends) {
+				bytes += channel.getIncompleteBytes();
+			}
 
-	socket.on('close', () => {
-		clearInterval(timer);
-	});
+			return bytes;
+		},
+	};
 }
--- a/packages/transport/src/link-server.ts
+++ b/packages/transport/src/link-server.ts
@@ -1,9 +1,9 @@
 import net, {type Socket} from 'node:net';
 import tls from 'node:tls';
 import {once} from 'node:events';
-import {FrameKind, openFrameChannel, type Frame} from './link-frames.js';
-import {endWhenIdle} from './link-liveness.js';
-import {linkCiphers} from './link-timing.js';
+import {FrameKind, openFrameChannel, type FrameChannel} from './link-frames.js';
+import {createLinkWatch, type LinkWatch} from './link-liveness.js';
+import {linkCiphers, maxIncompleteBytes} from './link-timing.js';
 import {type Address} from './address.js';
 import {type ClusterKeys} from './cluster-keys.js';
 
@@ -15,7 +15,8 @@
 	/** Read at each handshake, so that keys can be rotated without a stop. */
 	readonly getKeys: (() => ClusterKeys) | undefined;
 	readonly onMessage: LinkHandler;
-	readonly onError?: (error: Error) => void;
+	/** A link failed, or its peer broke the rules of links; `address` is that of the peer, where it is known. */
+	readonly onError?: (error: Error, address: string | undefined) => void;
 };
 
 export type LinkServer = {
@@ -34,17 +35,23 @@
 export async function createLinkServer(options: LinkServerOptions): Promise<LinkServer> {
 	const {listen, getKeys, onMessage, onError = () => undefined} = options;
 	const sockets = new Set<Socket>();
+	const watch = createLinkWatch();
 	const server = getKeys === undefined ? net.createServer() : createSecureServer(getKeys);
 
 	server.on(getKeys === undefined ? 'connection' : 'secureConnection', (socket: Socket) => {
+		const address = `${socket.remoteAddress}:${socket.remotePort}`;
 		sockets.add(socket);
-		serveSocket(socket, onMessage);
+		serveSocket(socket, {onMessage, watch});
 		socket.on('close', () => {
 			sockets.delete(socket);
 		});
-		socket.on('error', onError);
+		socket.on('error', error => {
+			onError(error, address);
+		});
+	});
+	server.on('tlsClientError', (error: Error) => {
+		onError(error, undefined);
 	});
-	server.on('tlsClientError', onError);
 	server.listen(listen.port, listen.host);
 	await once(server, 'listening');
 	const address = server.address();
@@ -72,32 +79,38 @@
 	});
 }
 
-function serveSocket(socket: Socket, onMessage: LinkHandler): void {
+function serveSocket(socket: Socket, {onMessage, watch}: {readonly onMessage: LinkHandler; readonly watch: LinkWatch}): void {
 	socket.setNoDelay(true);
-	const channel = openFrameChannel(socket, ([kind, callId, body]: Frame) => {
-		switch (kind) {
-			case FrameKind.Call: {
-				onMessage(body, answer => {
-					channel.write([FrameKind.Reply, callId, answer]);
-				});
-
-				break;
-			}
-
-			case FrameKind.OneWay: {
-				onMessage(body, undefined);
-
-				break;
+	const channel: FrameChannel = openFrameChannel(socket, {
+		canHold: () => watch.sumIncompleteBytes() <= maxIncompleteBytes,
+		onFrame([kind, callId, body]) {
+			switch (kind) {
+				case FrameKind.Call: {
+					onMessage(body, answer => {
+						channel.write([FrameKind.Reply, callId, answer]);
+					});
+
+					break;
+				}
+
+				case FrameKind.OneWay: {
+					onMessage(body, undefined);
+
+					break;
+				}
+
+				case FrameKind.Heartbeat: {
+					channel.write([FrameKind.Heartbeat, 0, undefined]);
+
+					break;
+				}
+
+				// A reply belongs to the side that calls.
+				case FrameKind.Reply: {
+					break;
+				}
 			}
-
-			case FrameKind.Heartbeat: {
-				channel.write([FrameKind.Heartbeat, 0, undefined]);
-
-				break;
-			}
-		// No default
-		}
+		},
 	});
-
-	endWhenIdle(socket);
+	watch.watchAcceptor(socket, channel);
 }
--- a/packages/transport/src/links.ts
+++ b/packages/transport/src/links.ts
@@ -1,10 +1,8 @@
 import net, {type Socket} from 'node:net';
 import tls from 'node:tls';
 import {BaseError} from '@fescuestair/core';
-import {
-	FrameKind, openFrameChannel, type Frame, type FrameChannel,
-} from './link-frames.js';
-import {watchSilence, type WatchedChannel} from './link-liveness.js';
+import {FrameKind, openFrameChannel, type FrameChannel} from './link-frames.js';
+import {createLinkWatch, type LinkWatch, type WatchedChannel} from './link-liveness.js';
 import {linkCiphers, maxBacklogBytes} from './link-timing.js';
 import {parseAddress} from './address.js';
 import {type ClusterKeys} from './cluster-keys.js';
@@ -51,6 +49,7 @@
 */
 export function createLinks({getKeys}: LinksOptions): Links {
 	const links = new Map<string, Link>();
+	const watch = createLinkWatch();
 	let nextCallId = 1;
 	let closedBytes = 0;
 	let isClosed = false;
@@ -62,9 +61,13 @@
 			return existing;
 		}
 
-		const link = openLink(address, getKeys?.(), socket => {
-			closedBytes += countSocketBytes(socket);
-			links.delete(address);
+		const link = openLink(address, {
+			keys: getKeys?.(),
+			watch,
+			onClose(socket) {
+				closedBytes += countSocketBytes(socket);
+				links.delete(address);
+			},
 		});
 		links.set(address, link);
 
@@ -119,20 +122,28 @@
 	};
 }
 
-function openLink(address: string, keys: ClusterKeys | undefined, onClose: (socket: Socket) => void): Link {
+type OpenOptions = {
+	readonly keys: ClusterKeys | undefined;
+	readonly watch: LinkWatch;
+	readonly onClose: (socket: Socket) => void;
+};
+
+function openLink(address: string, {keys, watch, onClose}: OpenOptions): Link {
 	const socket = keys === undefined ? net.connect(parseAddress(address)) : connectSecurely(address, keys);
 	const waiting = new Map<number, Waiting>();
 	socket.setNoDelay(true);
 
-	const channel: WatchedChannel = watchSilence(socket, openFrameChannel(socket, ([kind, callId, body]: Frame) => {
-		channel.noteReceived();
-		const call = kind === FrameKind.Reply ? waiting.get(callId) : undefined;
+	const channel: WatchedChannel = watch.watchOpener(socket, openFrameChannel(socket, {
+		onFrame([kind, callId, body]) {
+			channel.noteReceived();
+			const call = kind === FrameKind.Reply ? waiting.get(callId) : undefined;
 
-		if (call !== undefined) {
-			waiting.delete(callId);
-			clearTimeout(call.timer);
-			call.resolve(body);
-		}
+			if (call !== undefined) {
+				waiting.delete(callId);
+				clearTimeout(call.timer);
+				call.resolve(body);
+			}
+		},
 	}));
 	let reason = 'closed';
 
--- a/xo.config.js
+++ b/xo.config.js
@@ -26,8 +26,13 @@
 		},
 	},
 	{
-		// Node's HTTP and file calls hand out buffers; another type would mean a copy of every body and event.
-		files: ['packages/gateway/src/**/*.ts', 'packages/runtime/src/**/*.ts', 'platform/src/**/*.ts'],
+		// Node's sockets, HTTP and file calls hand out buffers; another type would mean a copy of every body, event and frame.
+		files: [
+			'packages/gateway/src/**/*.ts',
+			'packages/runtime/src/**/*.ts',
+			'packages/transport/src/{check-packed,link-frames,__tests__/unit/frames.test}.ts',
+			'platform/src/**/*.ts',
+		],
 		rules: {
 			'@typescript-eslint/no-restricted-types': 'off',
 		},
