--- a/packages/gateway/src/choose-place.ts
+++ b/packages/gateway/src/choose-place.ts
@@ -1,12 +1,15 @@
-import {type Placement, type PromptPart, type PromptSize} from '@fescuestair/routing';
+import {
+	type InstanceOption, type Placement, type PromptPart, type PromptSize,
+} from '@fescuestair/routing';
 import {
 	chooseStore, computeFetchUntil, findPlaces, formatSalt, type PartPlace,
 } from '@fescuestair/parts';
 import {type Service} from '@fescuestair/traffic';
 import {type CacheOrder, type PromptDescription} from './codecs.js';
+import {describeOption, planOptionPrompt, type OptionPrompt} from './describe-option.js';
 import {type Exchange} from './exchange.js';
 import {type ForwardOptions, type Progress} from './forward-options.js';
-import {describeOption, type InstanceEntry} from './instance-book.js';
+import {type InstanceEntry} from './instance-book.js';
 import {WeightsUse} from './named-weights.js';
 
 /** An instance chosen for a request. */
@@ -40,46 +43,64 @@
 
 type EngineCandidates = {readonly open: readonly InstanceEntry[]; readonly service: Service; readonly prompt: PromptDescription};
 
+/** What is the same for all engines on one version of the weights. */
+type VersionPlan = {
+	readonly isBarred: boolean;
+	readonly isOutdated: boolean;
+	readonly cache: CacheOrder | undefined;
+	readonly prompt: OptionPrompt | undefined;
+};
+
 function chooseEnginePlace(options: ForwardOptions, exchange: Exchange, {service, open, prompt}: EngineCandidates): Place | undefined {
-	const {clock, book, availabilityZone, judgeWeights, chooseInstance} = options;
+	const {clock, book, availabilityZone, chooseInstance} = options;
 	const nowMs = clock.readMonotonicMs();
 	const prefillTokensPerMs = book.getPrefillTokensPerMs(service.name);
-	const versions = new Map(open.map(entry => [entry.held.record.id, findVersion(entry, prompt.model)]));
-	const uses = new Map(open.map(entry => [entry.held.record.id, judgeWeights(prompt.model, versions.get(entry.held.record.id))]));
-	const candidates = open.filter(entry => uses.get(entry.held.record.id) !== WeightsUse.Barred);
-	const {stores} = options.getTable();
-	const orders = new Map<number | undefined, CacheOrder | undefined>();
-	const described = new Map(candidates.map(entry => {
-		const version = versions.get(entry.held.record.id);
+	const plans = new Map<number | undefined, VersionPlan>();
+	const candidates: InstanceOption[] = [];
+
+	const getPlan = (version: number | undefined) => {
+		const plan = plans.get(version) ?? planVersion(options, exchange, {service, version});
+		plans.set(version, plan);
+
+		return plan;
+	};
 
-		if (!orders.has(version)) {
-			orders.set(version, version === undefined ? undefined : createCacheOrder(options, exchange, version));
+	for (const entry of open) {
+		const plan = getPlan(findVersion(entry, prompt.model));
+
+		if (!plan.isBarred) {
+			candidates.push(describeOption(entry, {nowMs, prompt: plan.prompt, isOutdated: plan.isOutdated}));
 		}
+	}
 
-		const cache = orders.get(version);
-
-		return [entry.held.record.id, {
-			cache, option: describeOption(entry, {
-				nowMs,
-				prompt: cache && {
-					...cache, parts: prompt.parts, service, stores,
-				},
-				isOutdated: uses.get(entry.held.record.id) === WeightsUse.Late,
-			}),
-		}];
-	}));
 	const placement = chooseInstance({
-		options: [...described.values()].map(one => one.option), nowMs, availabilityZone, prompt: describePrompt(exchange, {service, prefillTokensPerMs}),
+		options: candidates, nowMs, availabilityZone, prompt: describePrompt(exchange, {service, prefillTokensPerMs}),
 	});
 
 	if (placement === undefined) {
 		return undefined;
 	}
 
-	const {cache, option} = described.get(placement.id)!;
+	const entry = book.get(placement.id)!;
+	const {cachedTokens, fetchableTokens} = candidates.find(option => option.id === placement.id)!;
+
+	return {
+		entry, placement, cache: getPlan(findVersion(entry, prompt.model)).cache, uncachedTokens: Math.max(0, prompt.promptTokens - cachedTokens - fetchableTokens),
+	};
+}
+
+function planVersion(options: ForwardOptions, exchange: Exchange, {service, version}: {readonly service: Service; readonly version: number | undefined}): VersionPlan {
+	const {model, parts} = exchange.caller.prompt!;
+	const use = options.judgeWeights(model, version);
+	const cache = version === undefined || use === WeightsUse.Barred ? undefined : createCacheOrder(options, exchange, version);
 
 	return {
-		entry: book.get(placement.id)!, placement, cache, uncachedTokens: Math.max(0, prompt.promptTokens - option.cachedTokens - option.fetchableTokens),
+		isBarred: use === WeightsUse.Barred,
+		isOutdated: use === WeightsUse.Late,
+		cache,
+		prompt: cache && planOptionPrompt({
+			parts, salt: cache.salt, fetchFrom: cache.fetchFrom, stores: options.getTable().stores, engine: service.engine!,
+		}),
 	};
 }
 
--- a/packages/gateway/src/instance-book.ts
+++ b/packages/gateway/src/instance-book.ts
@@ -5,11 +5,10 @@
 import {
 	addWork, canTakeRequests, computeCorrectionMs, computeWaitMs, correctClock, createCachedParts, createInstanceHealth, createInstanceLoad,
 	HealthEvent, estimateWork, isOverdue, judgeInstance, resetClock, mergeSample, noPeerLoad,
-	type CachedParts, type InstanceHealth, type InstanceLoad, type InstanceOption, type PeerLoad, type PromptPart,
+	type CachedParts, type InstanceHealth, type InstanceLoad, type PeerLoad, type PromptPart,
 	type WorkEstimate as PlainWorkEstimate,
 } from '@fescuestair/routing';
 import {type Log, type ServedMetrics} from '@fescuestair/runtime';
-import {type EngineFigures, type Service, type StoreFigures} from '@fescuestair/traffic';
 import {UpstreamAgent} from './upstream-agent.js';
 
 type WorkEstimate = PlainWorkEstimate & {
@@ -107,8 +106,6 @@
 const rateSampleTokens = 2000;
 /** Weight of the newest sample: about twenty prompts are looked at. */
 const rateSampleShare = 0.05;
-/** An instance counts as cold for no longer than this after its announcement, whatever it announced. */
-const maxColdMs = 10_000;
 
 /**
 Creates the book of instances of one gateway.
@@ -358,83 +355,6 @@
 	};
 }
 
-export type OptionInput = {
-	readonly nowMs: number;
-	readonly prompt: OptionPrompt | undefined;
-	/** Newer weights than its own were named some time ago. */
-	readonly isOutdated: boolean;
-};
-
-/** The parts of a prompt, the salt under which they are cached, and where they can be fetched. */
-export type OptionPrompt = {
-	readonly parts: readonly PromptPart[];
-	readonly salt: string;
-	readonly fetchFrom: ReadonlyArray<string | undefined>;
-	readonly service: Service;
-	readonly stores: readonly StoreFigures[];
-};
-
-/** Describes an instance for the choice of where a request goes. */
-export function describeOption(entry: InstanceEntry, {nowMs, prompt, isOutdated}: OptionInput): InstanceOption {
-	const {record, heardAtMs} = entry.held;
-
-	return {
-		id: record.id,
-		availabilityZone: record.availabilityZone,
-		slots: Math.max(1, record.slots),
-		load: entry.load,
-		failureShare: entry.health.failureShare,
-		isOutdated,
-		isCold: record.coldLeftMs > 0 && nowMs - heardAtMs < Math.min(record.coldLeftMs, maxColdMs),
-		...describeCoverage(entry, prompt),
-	};
-}
-
-type Coverage = Pick<InstanceOption, 'cachedTokens' | 'fetchableTokens' | 'fetchMs'>;
-
-/** Transfers between availability zones take twice as long. */
-const otherZoneFactor = 2;
-const bitsPerByte = 8;
-const bitsPerMegabitMs = 1000;
-
-// A prompt is spared the reading of a part only where all parts before it are at hand too.
-function describeCoverage(entry: InstanceEntry, prompt: OptionPrompt | undefined): Coverage {
-	if (prompt === undefined) {
-		return {cachedTokens: 0, fetchableTokens: 0, fetchMs: 0};
-	}
-
-	const cachedTokens = entry.cached?.salt === prompt.salt ? entry.cached.parts.countCached(prompt.parts) : 0;
-	let passedTokens = 0;
-	let fetchableTokens = 0;
-	let fetchMs = 0;
-
-	for (const [position, part] of prompt.parts.entries()) {
-		passedTokens += part.tokens;
-
-		if (passedTokens <= cachedTokens) {
-			continue;
-		}
-
-		const store = prompt.stores.find(one => one.address === prompt.fetchFrom[position]);
-
-		if (store === undefined) {
-			break;
-		}
-
-		fetchableTokens += part.tokens;
-		fetchMs += estimateFetchMs(entry, store, {tokens: part.tokens, engine: prompt.service.engine!});
-	}
-
-	return {cachedTokens, fetchableTokens, fetchMs};
-}
-
-function estimateFetchMs(entry: InstanceEntry, store: StoreFigures, {tokens, engine}: {readonly tokens: number; readonly engine: EngineFigures}): number {
-	const megabits = Math.max(1, Math.min(store.linkMegabitsPerSecond, engine.linkMegabitsPerSecond));
-	const transferMs = tokens * engine.bytesPerToken * bitsPerByte / (megabits * bitsPerMegabitMs);
-
-	return store.firstByteMs + (transferMs * (store.availabilityZone === entry.held.record.availabilityZone ? 1 : otherZoneFactor));
-}
-
 /** Notes the parts that an instance has read under a salt; those of another version of the weights are gone. */
 export function recordCached(entry: InstanceEntry, parts: readonly PromptPart[], {salt, capacityTokens}: {readonly salt: string; readonly capacityTokens: number}): void {
 	if (entry.cached?.salt !== salt) {
--- a/packages/instances/src/directory.ts
+++ b/packages/instances/src/directory.ts
@@ -44,7 +44,7 @@
 		return directory;
 	}
 
-	const isChanged = known === undefined || known.card.incarnation !== card.incarnation || known.card.isReady !== card.isReady;
+	const isChanged = known?.card.incarnation !== card.incarnation || known.card.isReady !== card.isReady;
 
 	return {
 		...directory,
