End a stream whose event has no end

Cause: a resumable stream was cut into whole events, and what had begun was held without a bound: bytes that are no events filled the memory of a gateway until its caller left. Ruled out: heads (the parser's bound ends them) and bodies that are awaited whole (4 MiB); both have a test now.

--- a/packages/gateway/src/__tests__/unit/attempt.test.ts
+++ b/packages/gateway/src/__tests__/unit/attempt.test.ts
@@ -129,3 +129,40 @@
 	});
 	t.like(await upstream.send(), {end: AttemptEnd.Broken});
 });
+
+/** Writes for as long as the other side takes it; returns how much was taken. */
+const writeWithoutEnd = (socket: Socket, bytes: Buffer, taken: {bytes: number}) => {
+	const write = () => {
+		while (!socket.destroyed && socket.write(bytes)) {
+			taken.bytes += bytes.length;
+		}
+
+		taken.bytes += bytes.length;
+	};
+
+	socket.on('drain', write);
+	write();
+};
+
+test('a head without end is cut off, and so is a body that is awaited whole', async t => {
+	const taken = {bytes: 0};
+	const endless = await openUpstream(t, socket => {
+		socket.write('HTTP/1.1 200 OK\r\nX-Id: r1\r\n');
+		writeWithoutEnd(socket, Buffer.from(`X-Filler: ${'x'.repeat(1000)}\r\n`), taken);
+	});
+	t.like(await endless.send(), {end: AttemptEnd.Broken, isUnreachable: false});
+
+	const nonsense = await openUpstream(t, socket => {
+		writeWithoutEnd(socket, Buffer.alloc(10_000, 'nonsense '), taken);
+	});
+	t.like(await nonsense.send(), {end: AttemptEnd.Broken, isUnreachable: false});
+	t.true(taken.bytes < 20_000_000, 'what is on its way when the connection ends, and no more');
+
+	const body = {bytes: 0};
+	const chunked = await openUpstream(t, socket => {
+		socket.write(head(['Transfer-Encoding: chunked']));
+		writeWithoutEnd(socket, Buffer.from(`2710\r\n${'x'.repeat(10_000)}\r\n`), body);
+	});
+	t.like(await chunked.send(), {end: AttemptEnd.Broken, reason: 'the answer is too large'});
+	t.true(body.bytes < 40_000_000);
+});
--- a/packages/gateway/src/__tests__/unit/event-cutter.test.ts
+++ b/packages/gateway/src/__tests__/unit/event-cutter.test.ts
@@ -30,3 +30,19 @@
 	cutter.reset();
 	t.is(cutter.push(Buffer.from('id: 2\ndata: b\n\n'))?.toString(), 'id: 2\ndata: b\n\n');
 });
+
+test('an event without end is found before it fills the memory', t => {
+	const cutter = createEventCutter();
+	const bytes = Buffer.alloc(100_000, 'x');
+	let pushed = 0;
+
+	while (!cutter.isTooLong() && pushed < 5_000_000) {
+		t.is(cutter.push(bytes), undefined);
+		pushed += bytes.length;
+	}
+
+	t.true(pushed <= 1_100_000);
+	cutter.reset();
+	t.false(cutter.isTooLong());
+	t.is(cutter.push(Buffer.from('id: 1\n\n'))?.toString(), 'id: 1\n\n');
+});
--- a/packages/gateway/src/caller-stream.ts
+++ b/packages/gateway/src/caller-stream.ts
@@ -10,6 +10,8 @@
 	/** Passes bytes on; returns false to pause until `onDrain`. */
 	readonly push: (bytes: Buffer, head: AttemptHead, onDrain: () => void) => boolean;
 	readonly isBegun: () => boolean;
+	/** What comes is no stream of events; it would be held without end. */
+	readonly isTooLong: () => boolean;
 	/** The event after which another instance goes on. */
 	readonly getLastId: () => string | undefined;
 	/** Drops an event that was cut short. */
@@ -49,6 +51,7 @@
 			return false;
 		},
 		isBegun: () => isBegun,
+		isTooLong: () => cutter?.isTooLong() ?? false,
 		getLastId: () => cutter?.getLastId() ?? caller.lastEventId,
 		drop() {
 			cutter?.reset();
--- a/packages/gateway/src/event-cutter.ts
+++ b/packages/gateway/src/event-cutter.ts
@@ -4,6 +4,8 @@
 export type EventCutter = {
 	/** Takes bytes; gives those that complete events, or `undefined`. */
 	readonly push: (bytes: Buffer) => Buffer | undefined;
+	/** Whether the event that has begun is longer than any is taken to be: what comes is no stream of events. */
+	readonly isTooLong: () => boolean;
 	/** Id of the last whole event. */
 	readonly getLastId: () => string | undefined;
 	/** Drops what is not whole, as when the rest comes from elsewhere. */
@@ -13,6 +15,8 @@
 };
 
 const boundaries = ['\n\n', '\r\n\r\n'];
+/** Events hold a few tokens; one that is longer than this by far would fill the memory. */
+const maxEventBytes = 1_000_000;
 
 /**
 Creates a cutter.
@@ -45,6 +49,7 @@
 
 			return whole;
 		},
+		isTooLong: () => (rest?.length ?? 0) > maxEventBytes,
 		getLastId: () => lastId,
 		reset() {
 			rest = undefined;
--- a/packages/gateway/src/send-visit.ts
+++ b/packages/gateway/src/send-visit.ts
@@ -88,9 +88,15 @@
 				passed.pieces++;
 				passed.lastMs = clock.readMonotonicMs() - startedAtMs;
 
-				return stream.push(bytes, head, () => {
+				const canGoOn = stream.push(bytes, head, () => {
 					attempt.resume();
 				});
+
+				if (stream.isTooLong()) {
+					attempt.cancel('an event without end');
+				}
+
+				return canGoOn;
 			},
 		}),
 	});
