--- a/packages/coordinator/src/fleet.ts
+++ b/packages/coordinator/src/fleet.ts
@@ -57,6 +57,8 @@
 const gatewayAgeMs = 2000;
 const coordinatorAgeMs = 10_000;
 const callTimeoutMs = 1500;
+/** A coordinator that has just started knows few gateways: callers are not sent to these alone before all had a round to tell it. */
+const settleMs = 1200;
 /** Coordinators that are asked in one round for instances that were heard again; each knows what it was told itself. */
 const fleetSources = 4;
 /** Work is passed on within this: short prompts that come meanwhile may meet a long one that nobody told of. */
@@ -76,6 +78,7 @@
 		self, clock, links, log, metrics, commands, listAddresses, describePublished, getConfigVersion, isCurrent, getLeaderAddress, onLeaderNamed, onRound,
 	} = options;
 	const bootId = randomBytes(bootBytes).toString('hex');
+	const settledAtMs = clock.readMonotonicMs() + settleMs;
 	const heldBy = new Map<string, HelloReply['heldHomes']>();
 	let registry = createInstanceRegistry();
 	let daemons: DaemonTable = new Map();
@@ -102,9 +105,22 @@
 		}
 	};
 
+	// A coordinator that is cut off from the others is no home, but gateways may reach it: it tells them itself.
+	const sendToAllGateways = (message: LinkMessage) => {
+		for (const {linkAddress} of listGateways(directory, getTimes())) {
+			links.send(linkAddress, message);
+		}
+	};
+
 	const tellNotes = (notes: readonly InstanceNote[]) => {
 		sendToCoordinators({kind: LinkKind.Instances, notes, isRelayed: false});
-		sendToHomes({kind: LinkKind.Instances, notes, isRelayed: true});
+		const message: LinkMessage = {kind: LinkKind.Instances, notes, isRelayed: true};
+
+		if (isCurrent()) {
+			sendToHomes(message);
+		} else {
+			sendToAllGateways(message);
+		}
 	};
 
 	const tellInstance = (id: string) => {
@@ -342,7 +358,7 @@
 			registry = setModelVersion(registry, instanceId, model);
 			tellInstance(instanceId);
 		},
-		listGateways: () => listGateways(directory, getTimes()),
+		listGateways: () => clock.readMonotonicMs() < settledAtMs ? [] : listGateways(directory, getTimes()),
 		hasHomes: () => listHomeAddresses(directory, {isPrimary: true}).length > 0,
 		tellPublished(published) {
 			const message: LinkMessage = {kind: LinkKind.Published, published};
--- a/packages/gateway/src/coordinator-client.ts
+++ b/packages/gateway/src/coordinator-client.ts
@@ -75,7 +75,8 @@
 	let revision = 0;
 	let configVersion = 0;
 	let hasCurrent = false;
-	let gateways = 1;
+	let gateways: number | undefined;
+	let leaderAddress: string | undefined;
 	let home: string | undefined;
 	let round = 0;
 	let fleetDueMs = 0;
@@ -109,7 +110,7 @@
 		registry = takeRenewals(registry, fleet.renewals, nowMs);
 		onInstances(registry);
 		// A coordinator that has just started, or is cut off, has not heard of most.
-		gateways = isCurrent ? Math.max(1, fleet.gateways) : gateways;
+		gateways = isCurrent || gateways === undefined ? Math.max(1, fleet.gateways) : gateways;
 		fleetDueMs = nowMs + fleetMs;
 
 		for (const card of fleet.coordinators) {
@@ -140,6 +141,7 @@
 			takePublished(reply.published);
 		}
 
+		leaderAddress = reply.isCurrent ? reply.leaderAddress ?? leaderAddress : leaderAddress;
 		hasCurrent ||= reply.isCurrent && configVersion > 0;
 	};
 
@@ -170,6 +172,7 @@
 			address,
 			availabilityZone: known.get(address)?.availabilityZone,
 			isSound: known.get(address)?.isCurrent === true && !greeter.isAwaiting(address),
+			isLeader: address === leaderAddress,
 		}));
 		const homes = pickHomes(name, availabilityZone, candidates);
 
@@ -230,7 +233,7 @@
 		takePublished,
 		takeNotes,
 		isCurrent: () => hasCurrent || (configVersion > 0 && clock.readMonotonicMs() - startedAtMs >= graceMs),
-		countGateways: () => gateways,
+		countGateways: () => gateways ?? 1,
 		getHome: () => home,
 		sayHelloToAll() {
 			const homes = chooseHomes();
--- a/packages/instances/src/__tests__/unit/daemons.test.ts
+++ b/packages/instances/src/__tests__/unit/daemons.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import {
-	createGatewayDirectory, DaemonRole, getHeldList, listGateways, listHomeAddresses, listHomes, pickHomes, takeHomeHello, takeHomeList, tidyDirectory,
+	createGatewayDirectory, DaemonRole, getHeldList, listGateways, listHomeAddresses, listHomes, pickCards, pickHomes, takeHomeHello, takeHomeList, tidyDirectory,
 	type DaemonCard, type HomeCandidate,
 } from '../../index.js';
 
@@ -57,7 +57,7 @@
 });
 
 const candidates: readonly HomeCandidate[] = Array.from({length: 6}, (_, index) => ({
-	address: `c${index}`, availabilityZone: index % 2 === 0 ? 'north' : 'south', isSound: true,
+	address: `c${index}`, availabilityZone: index % 2 === 0 ? 'north' : 'south', isSound: true, isLeader: false,
 }));
 
 test('gateways have two homes, the first in their availability zone, and spread over the coordinators', t => {
@@ -85,7 +85,37 @@
 		t.true(before[0] === primary || before[0] === after[0]);
 	}
 
+	// The one that leads is a home only where no other is sound.
+	const led = candidates.map(one => one.address === primary ? {...one, isLeader: true} : one);
+	t.false(pickHomes('front-1', 'north', led).includes(primary!));
+	t.is(pickHomes('front-1', 'north', led.map(one => ({...one, isSound: one.address === primary})))[0], primary);
+
 	// Where none is sound, any is better than none.
 	t.is(pickHomes('front-1', 'north', candidates.map(one => ({...one, isSound: false}))).length, 2);
 	t.deepEqual(pickHomes('front-1', 'north', []), []);
 });
+
+test('where there are more gateways than an answer names, all get their share of callers', t => {
+	const cards = Array.from({length: 265}, (_, index) => createCard(`front-${index}`));
+	const counts = new Map<string, number>();
+	let state = 5;
+	const random = () => {
+		state = ((state * 1_103_515_245) + 12_345) % 2_147_483_648;
+
+		return state / 2_147_483_648;
+	};
+
+	for (let answer = 0; answer < 500; answer++) {
+		const picked = pickCards(cards, 64, random);
+		t.is(new Set(picked.map(card => card.name)).size, 64);
+
+		for (const {name} of picked) {
+			counts.set(name, (counts.get(name) ?? 0) + 1);
+		}
+	}
+
+	// Each is expected in 121 answers, with a standard deviation of 10.
+	t.is(counts.size, 265);
+	t.true([...counts.values()].every(count => count > 70 && count < 172));
+	t.is(pickCards(cards.slice(0, 3), 64, random).length, 3);
+});
--- a/packages/instances/src/directory.ts
+++ b/packages/instances/src/directory.ts
@@ -116,3 +116,23 @@
 export function listHomeAddresses({homes}: GatewayDirectory, {isPrimary = false}: {readonly isPrimary?: boolean} = {}): readonly string[] {
 	return [...homes.values()].filter(one => one.isPrimary || !isPrimary).map(({card}) => card.linkAddress);
 }
+
+/**
+Picks some of the gateways, others each time. Answers the load pattern of more gateways than an answer to a caller may name: the first of a
+list would get all callers.
+
+@example
+```
+pickCards(cards, 64, Math.random).map(card => card.serviceAddress);
+```
+*/
+export function pickCards(cards: readonly DaemonCard[], count: number, random: () => number): readonly DaemonCard[] {
+	const shuffled = [...cards];
+
+	for (let position = 0; position < Math.min(count, shuffled.length - 1); position++) {
+		const other = position + Math.floor(random() * (shuffled.length - position));
+		[shuffled[position], shuffled[other]] = [shuffled[other]!, shuffled[position]!];
+	}
+
+	return shuffled.slice(0, count);
+}
--- a/packages/instances/src/index.ts
+++ b/packages/instances/src/index.ts
@@ -10,8 +10,8 @@
 	type ListOptions, type NewsCursor, type Published,
 } from './daemons.js';
 export {
-	createGatewayDirectory, getHeldList, listGateways, listHomeAddresses, listHomes, takeHomeHello, takeHomeList, tidyDirectory, type DirectoryTimes,
-	type GatewayDirectory, type HomeList,
+	createGatewayDirectory, getHeldList, listGateways, listHomeAddresses, listHomes, pickCards, takeHomeHello, takeHomeList, tidyDirectory,
+	type DirectoryTimes, type GatewayDirectory, type HomeList,
 } from './directory.js';
 export {pickHomes, type HomeCandidate} from './pick-homes.js';
 export {
--- a/packages/instances/src/pick-homes.ts
+++ b/packages/instances/src/pick-homes.ts
@@ -7,6 +7,8 @@
 	readonly availabilityZone: string | undefined;
 	/** It answered the last call, and had heard from a leader lately. */
 	readonly isSound: boolean;
+	/** It has other work for the whole group. */
+	readonly isLeader: boolean;
 };
 
 /** One home is told of loads and asked for stored parts; the other takes over within a round. */
@@ -14,7 +16,8 @@
 
 /**
 Picks the coordinators that a gateway has as its homes, the primary first. Gateways spread over coordinators without a message; those in
-the same availability zone go first, so that bytes stay within it; one that is lost or cut off comes last.
+the same availability zone go first, so that bytes stay within it; the one that leads the group, which also keeps the parts for all, is taken where no
+other is sound, and one that is lost or cut off comes last.
 
 @example
 ```
@@ -25,9 +28,9 @@
 	const byAddress = new Map(candidates.map(candidate => [candidate.address, candidate]));
 	const ranked = rankByRendezvous(name, [...byAddress.keys()]);
 	const rank = (address: string) => {
-		const {isSound, availabilityZone: zone} = byAddress.get(address)!;
+		const {isSound, isLeader, availabilityZone: zone} = byAddress.get(address)!;
 
-		return (isSound ? 0 : 2) + (zone === availabilityZone ? 0 : 1);
+		return (isSound ? 0 : 4) + (isLeader ? 2 : 0) + (zone === availabilityZone ? 0 : 1);
 	};
 
 	return ranked.toSorted((a, b) => rank(a) - rank(b)).slice(0, homes);
