--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -12,7 +12,7 @@
 import {isPartsPoll, encodePartsReply} from '@fescuestair/parts';
 import {proposeAtLeader} from '@fescuestair/replication';
 import {
-	createFaultLog, openCommandListener, type Log, type ServedMetrics,
+	createFaultLog, openCommandListener, registerLinkMetrics, type Log, type ServedMetrics,
 } from '@fescuestair/runtime';
 import {type StoreFigures, type TrafficConfig} from '@fescuestair/traffic';
 import {createLinks} from '@fescuestair/transport';
@@ -276,6 +276,7 @@
 			}
 		},
 	});
+	registerLinkMetrics(metrics, {links, commands});
 	const server = await openCommandListener({
 		listen: linkAddress, getKeys: undefined, commands, log,
 	});
--- a/packages/entry/src/__tests__/unit/piece-homes.test.ts
+++ b/packages/entry/src/__tests__/unit/piece-homes.test.ts
@@ -31,6 +31,7 @@
 			commands[Number(address.split('-')[1])]!.dispatch(message, resolve);
 		}),
 		countBytes: () => 0,
+		countOpen: () => 0,
 		close: () => undefined,
 	};
 
--- a/packages/entry/src/__tests__/unit/state-follower.test.ts
+++ b/packages/entry/src/__tests__/unit/state-follower.test.ts
@@ -27,6 +27,7 @@
 			return reply;
 		},
 		countBytes: () => 0,
+		countOpen: () => 0,
 		close: () => undefined,
 	};
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,7 +14,7 @@
 import {createLinkCommands, isName, LinkKind} from '@fescuestair/protocol';
 import {createChooser, PlacementPolicy} from '@fescuestair/routing';
 import {
-	createFaultLog, openCommandListener, type Log, type ServedMetrics,
+	createFaultLog, openCommandListener, registerLinkMetrics, type Log, type ServedMetrics,
 } from '@fescuestair/runtime';
 import {
 	buildRouteTable, findRoute, type CallKind, type RouteTable, type TrafficConfig,
@@ -385,6 +385,7 @@
 
 		return true;
 	});
+	registerLinkMetrics(metrics, {links, commands});
 	const linkServer = await openCommandListener({
 		listen: linkAddress, getKeys: undefined, commands, log,
 	});
--- a/packages/protocol/src/link-commands.ts
+++ b/packages/protocol/src/link-commands.ts
@@ -21,6 +21,8 @@
 		priority?: CommandPriority,
 	) => () => void;
 	readonly dispatch: (message: unknown, reply: LinkReplier) => void;
+	/** Messages that were taken, by kind. */
+	readonly listCounts: () => Iterable<readonly [kind: string, count: number]>;
 };
 
 /** What became of a message that no handler could take. */
@@ -67,6 +69,7 @@
 */
 export function createLinkCommands({onFault}: {readonly onFault: (fault: LinkFault) => void}): LinkCommands {
 	const registrations = new Map<string, readonly Registration[]>();
+	const counts = new Map<string, number>();
 
 	const refuse = (fault: LinkFault, reply: LinkReplier) => {
 		onFault(fault);
@@ -101,6 +104,7 @@
 				return;
 			}
 
+			counts.set(kind, (counts.get(kind) ?? 0) + 1);
 			const command = {...message, reply} as unknown as LinkCommand<never, never>;
 
 			try {
@@ -111,5 +115,6 @@
 				refuse({fault: LinkFaultKind.Failed, kind, error}, reply);
 			}
 		},
+		listCounts: () => counts,
 	};
 }
--- a/packages/runtime/src/command-listener.ts
+++ b/packages/runtime/src/command-listener.ts
@@ -3,9 +3,10 @@
 	LinkFaultKind, type LinkCommands, type LinkFault, type LinkReply,
 } from '@fescuestair/protocol';
 import {
-	BrokenFrameError, createLinkServer, parseAddress, type LinkServer, type LinkServerOptions,
+	BrokenFrameError, createLinkServer, parseAddress, type Links, type LinkServer, type LinkServerOptions,
 } from '@fescuestair/transport';
 import {type Log} from './log.js';
+import {type ServedMetrics} from './served-metrics.js';
 
 /** Faults of one kind that are logged in a second; more are only counted, so that a sick peer does not fill the log. */
 const maxLoggedFaults = 5;
@@ -39,6 +40,20 @@
 	};
 }
 
+/**
+Serves what a daemon's links carry: messages taken by kind, bytes and links of those opened from here.
+
+@example
+```
+registerLinkMetrics(metrics, {links, commands});
+```
+*/
+export function registerLinkMetrics(metrics: ServedMetrics, {links, commands}: {readonly links: Links; readonly commands: LinkCommands}): void {
+	metrics.registerCounts('link_messages_taken', 'Messages of other daemons that were taken', {label: 'kind', read: commands.listCounts});
+	metrics.registerGauge('link_bytes', 'Bytes of the links opened from here, both ways', links.countBytes);
+	metrics.registerGauge('links_open', 'Links opened from here', links.countOpen);
+}
+
 export type FaultLogOptions = {
 	readonly log: Log;
 	readonly clock: Clock;
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,5 +1,5 @@
 export {
-	createFaultLog, openCommandListener, type CommandListenerOptions, type FaultLogOptions,
+	createFaultLog, openCommandListener, registerLinkMetrics, type CommandListenerOptions, type FaultLogOptions,
 } from './command-listener.js';
 export {createFindFates, type FindFates, type FindFatesOptions} from './find-fates.js';
 export {createGossip, type GossipHost, type GossipOptions} from './gossip.js';
--- a/packages/runtime/src/served-metrics.ts
+++ b/packages/runtime/src/served-metrics.ts
@@ -11,6 +11,8 @@
 	readonly observeMs: (name: string, labels: Labels, ms: number) => void;
 	/** Sets a gauge that is read when somebody asks. */
 	readonly registerGauge: (name: string, help: string, read: () => number) => void;
+	/** Serves counts that somebody else keeps, by the value of one label; counting costs no more than the keeping. */
+	readonly registerCounts: (name: string, help: string, options: {readonly label: string; readonly read: () => Iterable<readonly [value: string, count: number]>}) => void;
 	readonly renderText: () => Promise<string>;
 };
 
@@ -87,6 +89,19 @@
 				},
 			});
 		},
+		registerCounts(name, help, {label, read}) {
+			const gauge = new Gauge({
+				name: prefix + name,
+				help,
+				labelNames: [label],
+				registers: [registry],
+				collect() {
+					for (const [value, count] of read()) {
+						gauge.set({[label]: value}, count);
+					}
+				},
+			});
+		},
 		renderText: async () => registry.metrics(),
 	};
 }
--- a/packages/transport/src/links.ts
+++ b/packages/transport/src/links.ts
@@ -27,6 +27,8 @@
 	readonly call: (address: string, message: unknown, timeoutMs: number) => Promise<unknown>;
 	/** Bytes on the wire of the links opened from here, in both directions. */
 	readonly countBytes: () => number;
+	/** Links that are open from here. */
+	readonly countOpen: () => number;
 	readonly close: () => void;
 };
 
@@ -112,6 +114,7 @@
 
 			return bytes;
 		},
+		countOpen: () => links.size,
 		close() {
 			isClosed = true;
 
