Send what may not be repeated on no connection that its instance may have forgotten

Found by reading; the test resets what comes on a connection that rested 400 ms. Connections that rested over 200 ms are closed before such a request.

Short prompts keep to one instance of those left to them (0.3 of all, 0.2 before) unless that is fuller by some requests.

--- a/packages/gateway/src/__tests__/unit/attempt.test.ts
+++ b/packages/gateway/src/__tests__/unit/attempt.test.ts
@@ -42,6 +42,7 @@
 	const {port} = server.address() as {readonly port: number};
 
 	return {
+		agent,
 		countConnections: () => connections,
 		send: async (overrides: Partial<AttemptOptions> = {}) => startAttempt({
 			address: `127.0.0.1:${port}`, agent, codec, requestId: 'r1', method: 'POST', target: '/a/b', headers: ['Host', 'h'],
@@ -166,3 +167,26 @@
 	t.like(await chunked.send(), {end: AttemptEnd.Broken, reason: 'the answer is too large'});
 	t.true(body.bytes < 40_000_000);
 });
+
+test('what may not be sent again uses no connection that its instance may have forgotten', async t => {
+	// An instance that forgets idle connections: it resets whatever comes on one.
+	const lastAtMs = new Map<Socket, number>();
+	const upstream = await openUpstream(t, socket => {
+		const restedMs = performance.now() - (lastAtMs.get(socket) ?? performance.now());
+		lastAtMs.set(socket, performance.now());
+
+		if (restedMs > 300) {
+			socket.resetAndDestroy();
+		} else {
+			socket.write(`${head(['Content-Length: 4'])}good`);
+		}
+	});
+	t.like(await upstream.send(), {end: AttemptEnd.Complete});
+	await sleep(400);
+	upstream.agent.closeRested(200);
+	t.like(await upstream.send(), {end: AttemptEnd.Complete});
+	t.is(upstream.countConnections(), 2);
+	upstream.agent.closeRested(60_000);
+	t.like(await upstream.send(), {end: AttemptEnd.Complete});
+	t.is(upstream.countConnections(), 2, 'one that has just been used is used again');
+});
--- a/packages/gateway/src/send-visit.ts
+++ b/packages/gateway/src/send-visit.ts
@@ -16,6 +16,9 @@
 const silenceFloorMs = 900;
 const plainSilenceFloorMs = 800;
 
+/** Requests that may not be repeated use connections that rested no longer: instances forget idle ones after a few tenths of a second at the soonest. */
+const longestRestMs = 200;
+
 /** A request on its way to a chosen instance. */
 export type VisitInput = Place & {
 	readonly service: Service;
@@ -62,6 +65,10 @@
 		}
 	};
 
+	if (!isRepeatable) {
+		entry.agent.closeRested(longestRestMs);
+	}
+
 	const attempt = startAttempt({
 		address: record.address,
 		agent: entry.agent,
--- a/packages/gateway/src/upstream-agent.ts
+++ b/packages/gateway/src/upstream-agent.ts
@@ -1,8 +1,15 @@
 import http, {type ClientRequest} from 'node:http';
 import {type Socket} from 'node:net';
+import {performance} from 'node:perf_hooks';
 
-/** What ends a connection while it is idle. */
-const closeOnData = new WeakMap<Socket, () => void>();
+type Rest = {
+	/** What ends a connection while it is idle. */
+	readonly destroy: () => void;
+	/** Since when it has been idle, on the monotonic clock. */
+	readonly sinceMs: number;
+};
+
+const rests = new WeakMap<Socket, Rest>();
 
 /** Part of the instance's own idle timeout after which a connection is used no more, so that a request does not cross its close. */
 const idleShare = 0.6;
@@ -37,6 +44,20 @@
 		this.#idleMs = idleMs * idleShare;
 	}
 
+	/**
+	Closes connections that have been idle for longer. Instances forget idle connections without a word, and what is sent on one is lost: a
+	request that may not be sent again must not take that chance.
+	*/
+	closeRested(longestRestMs: number): void {
+		const nowMs = performance.now();
+
+		for (const socket of Object.values(this.freeSockets).flatMap(sockets => sockets ?? [])) {
+			if (nowMs - (rests.get(socket)?.sinceMs ?? nowMs) > longestRestMs) {
+				socket.destroy();
+			}
+		}
+	}
+
 	// Node calls these two by their names.
 	override keepSocketAlive(socket: Socket): boolean {
 		const isKept = (super.keepSocketAlive as (socket: Socket) => boolean).call(this, socket);
@@ -46,7 +67,7 @@
 				socket.destroy();
 			};
 
-			closeOnData.set(socket, destroy);
+			rests.set(socket, {destroy, sinceMs: performance.now()});
 			socket.on('data', destroy);
 			socket.setTimeout(this.#idleMs, destroy);
 		}
@@ -55,7 +76,7 @@
 	}
 
 	override reuseSocket(socket: Socket, request: ClientRequest): void {
-		const destroy = closeOnData.get(socket);
+		const destroy = rests.get(socket)?.destroy;
 
 		if (destroy !== undefined) {
 			socket.off('data', destroy);
--- a/packages/instances/src/load-relay.ts
+++ b/packages/instances/src/load-relay.ts
@@ -28,7 +28,7 @@
 };
 
 /** How often requests and their memory are passed on: they change slowly against work. */
-export const sharesMs = 500;
+export const sharesMs = 300;
 /** Shares that were not renewed for this long count no more: two rounds at the gateway, one here, and some to spare. */
 export const staleSharesMs = 1800;
 
--- a/packages/routing/src/choose-instance.ts
+++ b/packages/routing/src/choose-instance.ts
@@ -56,12 +56,17 @@
 /** Reading that lasts longer than this delays short prompts noticeably. */
 const longWorkMs = 60;
 /** Share of the instances that is left to short prompts; where there are fewer than the least, none can be spared. */
-const reservedShare = 0.2;
+const reservedShare = 0.3;
 /**
 What a short prompt pays for an instance that takes long ones too: another daemon may have sent one there that this one has not heard of.
 About one in eight met one, which takes some 300 ms to read.
 */
 const sharedInstanceMs = 40;
+/**
+What a short prompt gains where its session keeps to one instance. Daemons hear late how many requests the others have: if each took the
+emptiest by what it knows, all would take the same. A few requests more at the preferred one cost less than that.
+*/
+const affinityMs = 15;
 const leastForReserve = 3;
 /** An instance in another availability zone costs its round trip, and a price for bytes between them. */
 const otherZoneMs = 3;
@@ -103,7 +108,7 @@
 			continue;
 		}
 
-		const placement = describePlacement(question, option, {isPreferred: option.id === preferredId, isShared: isShort && !reservedIds.has(option.id)});
+		const placement = describePlacement(question, option, {isPreferred: option.id === preferredId, isShared: isShort && !reservedIds.has(option.id), isShort});
 
 		if (best === undefined || placement.cost < best.cost) {
 			best = placement;
@@ -114,7 +119,7 @@
 }
 
 /** Describes what a request is expected to meet at one instance. */
-export function describePlacement({prompt, nowMs, availabilityZone}: PlacementQuestion, option: InstanceOption, {isPreferred = false, isShared = false} = {}): Placement {
+export function describePlacement({prompt, nowMs, availabilityZone}: PlacementQuestion, option: InstanceOption, {isPreferred = false, isShared = false, isShort = false} = {}): Placement {
 	const expectedMs = prompt === undefined ? estimateCallMs(option, nowMs) : estimateFirstPieceMs(option, prompt, {nowMs, isPreferred});
 
 	return {
@@ -127,6 +132,7 @@
 			+ (option.isCold ? coldMs : 0)
 			+ (option.isOutdated ? outdatedMs : 0)
 			+ (isShared ? sharedInstanceMs : 0)
+			- (isPreferred && isShort ? affinityMs : 0)
 			+ (option.availabilityZone === availabilityZone ? 0 : otherZoneMs),
 	};
 }
