Take shares for due when their timer ends

Cause of a test that failed once in the run before this commit: a timer ended a moment before the time that it was set for, so that a note left without the shares that were due.

--- a/packages/gateway/src/load-share.ts
+++ b/packages/gateway/src/load-share.ts
@@ -29,6 +29,8 @@
 const tellMs = 10;
 /** Work that the others should know of at once: more than a short prompt makes. */
 const urgentWorkMs = 20;
+/** A timer may end a moment before its time; what it was set for is due then. */
+const timerSlackMs = 2;
 
 /**
 Creates the exchange of loads of a gateway. Answers the load pattern of many gateways that each send a long prompt to the same idle instance:
@@ -61,7 +63,7 @@
 		timer = undefined;
 		timerAtMs = Number.POSITIVE_INFINITY;
 		const nowMs = clock.readMonotonicMs();
-		const isDue = nowMs >= sharesDueMs;
+		const isDue = nowMs >= sharesDueMs - timerSlackMs;
 		const note: LoadNote = {work: book.takeUntoldWork(), ...(isDue && {shares: book.listShares()})};
 		const hasNothing = note.work.length === 0 && (note.shares ?? []).length === 0;
 		untoldMs = 0;
