--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -18,7 +18,7 @@
 export {computeHash, computeHashHex} from './hash.js';
 export {createId, readIdTimeMs} from './ids.js';
 export {invariant} from './invariant.js';
-export {computeRank, pickByRendezvous, rankByRendezvous} from './rendezvous.js';
+export {pickByRendezvous, rankByRendezvous} from './rendezvous.js';
 export {createSubject, type Subject} from './subject.js';
 export {
 	createTask, type Step, type Task, type TaskOptions,
--- a/packages/core/src/rendezvous.ts
+++ b/packages/core/src/rendezvous.ts
@@ -33,22 +33,6 @@
 	return best?.name;
 }
 
-/**
-Computes a fixed rank of a name between 0 and 1, alike in every process: those that rank lowest form the same subset everywhere, without a
-message.
-
-@example
-```
-names.toSorted((a, b) => computeRank(a) - computeRank(b)).slice(0, 3);
-```
-*/
-export function computeRank(name: string): number {
-	return Number(computeHash(name)) / hashRange;
-}
-
-/** One more than the largest hash. */
-const hashRange = 2 ** 64;
-
 function computeWeights(key: string, names: readonly string[]): Weighted[] {
 	return names.map(name => ({name, weight: computeHash(`${name}/${key}`)}));
 }
--- a/packages/gateway/src/describe-option.ts
+++ b/packages/gateway/src/describe-option.ts
@@ -70,7 +70,6 @@
 
 	return {
 		id: record.id,
-		rank: entry.rank,
 		availabilityZone: record.availabilityZone,
 		slots: Math.max(1, record.slots),
 		load: entry.load,
--- a/packages/gateway/src/instance-book.ts
+++ b/packages/gateway/src/instance-book.ts
@@ -1,4 +1,4 @@
-import {computeRank, type Clock} from '@fescuestair/core';
+import {type Clock} from '@fescuestair/core';
 import {
 	InstanceStage, type HeldInstance, type InstanceRegistry, type InstanceShare, type WorkShare,
 } from '@fescuestair/instances';
@@ -38,8 +38,6 @@
 	load: InstanceLoad;
 	health: InstanceHealth;
 	readonly agent: UpstreamAgent;
-	/** See `computeRank`. */
-	readonly rank: number;
 	/** Parts believed to be cached, by salt. */
 	cached: {readonly salt: string; readonly parts: CachedParts} | undefined;
 	readonly visits: Map<Visit, WorkEstimate | undefined>;
@@ -347,7 +345,6 @@
 		load: createInstanceLoad(),
 		health: createInstanceHealth(),
 		agent: new UpstreamAgent({maxConnections}),
-		rank: computeRank(held.record.id),
 		cached: undefined,
 		visits: new Map(),
 		untoldWorkMs: 0,
--- a/packages/routing/src/choose-instance.ts
+++ b/packages/routing/src/choose-instance.ts
@@ -5,8 +5,6 @@
 /** One instance as a request may go there. */
 export type InstanceOption = {
 	readonly id: string;
-	/** Fixed and alike in all daemons, see `computeRank`: the lowest are left to short prompts. */
-	readonly rank: number;
 	readonly availabilityZone: string;
 	readonly slots: number;
 	readonly load: InstanceLoad;
@@ -56,17 +54,7 @@
 /** Reading that lasts longer than this delays short prompts noticeably. */
 const longWorkMs = 60;
 /** Share of the instances that is left to short prompts; where there are fewer than the least, none can be spared. */
-const reservedShare = 0.3;
-/**
-What a short prompt pays for an instance that takes long ones too: another daemon may have sent one there that this one has not heard of.
-About one in eight met one, which takes some 300 ms to read.
-*/
-const sharedInstanceMs = 40;
-/**
-What a short prompt gains where its session keeps to one instance. Daemons hear late how many requests the others have: if each took the
-emptiest by what it knows, all would take the same. A few requests more at the preferred one cost less than that.
-*/
-const affinityMs = 15;
+const reservedShare = 0.2;
 const leastForReserve = 3;
 /** An instance in another availability zone costs its round trip, and a price for bytes between them. */
 const otherZoneMs = 3;
@@ -98,17 +86,15 @@
 */
 export function chooseInstance(question: PlacementQuestion): Placement | undefined {
 	let best: Placement | undefined;
+	const preferredId = findPreferred(question);
 	const reservedIds = listReserved(question);
-	const isShort = reservedIds.size > 0 && isShortPrompt(question);
-	const isOpen = (option: InstanceOption) => isShort || !reservedIds.has(option.id);
-	const preferredId = findPreferred(question, option => isShort ? reservedIds.has(option.id) : isOpen(option));
 
 	for (const option of question.options) {
-		if (!isOpen(option)) {
+		if (reservedIds.has(option.id)) {
 			continue;
 		}
 
-		const placement = describePlacement(question, option, {isPreferred: option.id === preferredId, isShared: isShort && !reservedIds.has(option.id), isShort});
+		const placement = describePlacement(question, option, option.id === preferredId);
 
 		if (best === undefined || placement.cost < best.cost) {
 			best = placement;
@@ -119,7 +105,7 @@
 }
 
 /** Describes what a request is expected to meet at one instance. */
-export function describePlacement({prompt, nowMs, availabilityZone}: PlacementQuestion, option: InstanceOption, {isPreferred = false, isShared = false, isShort = false} = {}): Placement {
+export function describePlacement({prompt, nowMs, availabilityZone}: PlacementQuestion, option: InstanceOption, isPreferred = false): Placement {
 	const expectedMs = prompt === undefined ? estimateCallMs(option, nowMs) : estimateFirstPieceMs(option, prompt, {nowMs, isPreferred});
 
 	return {
@@ -131,36 +117,36 @@
 			+ (option.failureShare * failureMs * 10 * option.failureShare)
 			+ (option.isCold ? coldMs : 0)
 			+ (option.isOutdated ? outdatedMs : 0)
-			+ (isShared ? sharedInstanceMs : 0)
-			- (isPreferred && isShort ? affinityMs : 0)
 			+ (option.availabilityZone === availabilityZone ? 0 : otherZoneMs),
 	};
 }
 
-// A prompt that takes long to read delays every short one behind it. Some instances are left to short ones, the same for all daemons: what
-// one has just sent, the others do not know yet. On the rest long prompts wait for each other.
-function listReserved({options, prompt}: PlacementQuestion): ReadonlySet<string> {
+// A prompt that takes long to read delays every short one behind it. Some instances, those that are free first, are left to short ones;
+// on the others long prompts wait for each other.
+function listReserved({options, prompt, nowMs}: PlacementQuestion): ReadonlySet<string> {
 	if (prompt === undefined || options.length < leastForReserve) {
 		return new Set();
 	}
 
-	const count = Math.max(1, Math.round(options.length * reservedShare));
+	const leastWorkMs = Math.min(...options.map(option => computeWorkMs(option, prompt)));
 
-	return new Set(options.toSorted((a, b) => a.rank - b.rank).slice(0, count).map(option => option.id));
-}
+	if (leastWorkMs < longWorkMs) {
+		return new Set();
+	}
+
+	const count = Math.max(1, Math.round(options.length * reservedShare));
+	const ranked = options.toSorted((a, b) => computeWaitMs(a.load.work, nowMs) - computeWaitMs(b.load.work, nowMs) || (a.id < b.id ? -1 : 1));
 
-// A long prompt that some instance holds, or can fetch, is as short as what is left of it.
-function isShortPrompt({options, prompt}: PlacementQuestion): boolean {
-	return prompt === undefined || options.some(option => computeWorkMs(option, prompt) < longWorkMs);
+	return new Set(ranked.slice(0, count).map(option => option.id));
 }
 
 // All daemons rank the instances alike for the same shared part, without a message.
-function findPreferred({options, prompt}: PlacementQuestion, isOpen: (option: InstanceOption) => boolean): string | undefined {
+function findPreferred({options, prompt}: PlacementQuestion): string | undefined {
 	if (prompt?.affinityKey === undefined) {
 		return undefined;
 	}
 
-	return pickByRendezvous(prompt.affinityKey, options.filter(option => isOpen(option)).map(option => option.id));
+	return pickByRendezvous(prompt.affinityKey, options.map(option => option.id));
 }
 
 function computeWorkMs({cachedTokens, fetchableTokens}: InstanceOption, {promptTokens, prefillTokensPerMs}: PromptSize): number {
