--- a/packages/demo/src/system.ts
+++ b/packages/demo/src/system.ts
@@ -207,11 +207,12 @@
 		return {code, output: child.readOutput().trim()};
 	};
 
-	const runCliUntilDone = async (flags: readonly string[]) => {
+	// Members are added by the replica that leads; on a busy machine that need not be the first.
+	const runCliUntilDone = async (flags: readonly string[], addresses: readonly string[] = []) => {
 		let last = {code: undefined as number | undefined, output: ''};
 
 		for (let turn = 0; turn < 40; turn++) {
-			last = await runCli(flags);
+			last = await runCli([...flags, ...(addresses.length > 0 ? ['--control', addresses[turn % addresses.length]!] : [])]);
 
 			if (last.code === 0) {
 				return;
@@ -304,7 +305,7 @@
 		await runCliUntilDone(['control', 'init', '--control', controlAddresses[0]!.operatorAddress]);
 
 		for (let index = 1; index < controlCount; index++) {
-			await runCliUntilDone(['control', 'add', `control-${index + 1}`, '--control', controlAddresses[0]!.operatorAddress]);
+			await runCliUntilDone(['control', 'add', `control-${index + 1}`], controlAddresses.slice(0, index).map(address => address.operatorAddress));
 		}
 
 		await waitForVoters();
