--- a/packages/demo/src/__tests__/integration/state.test.ts
+++ b/packages/demo/src/__tests__/integration/state.test.ts
@@ -61,7 +61,7 @@
 		system.entries[0]!.process.kill('SIGKILL');
 		await t.throwsAsync(cut);
 		const afterCut = await book(system, {idempotencyKey: 'k4', entry: 1, query: '?delayMs=3000'});
-		t.is(afterCut.status, 504, afterCut.text);
+		t.is(afterCut.status, 504, `answered ${afterCut.text}`);
 		t.true(afterCut.text.includes('"ran":"unknown"'));
 		t.is(await countRuns(system, 'k4'), 1, 'the claiming entry died and the call is not run again');
 	});
