--- a/packages/gateway/src/coordinator-client.ts
+++ b/packages/gateway/src/coordinator-client.ts
@@ -105,7 +105,7 @@
 		}
 	};
 
-	const takeFleet = (address: string, fleet: FleetNews, isCurrent: boolean) => {
+	const takeFleet = (fleet: FleetNews, isCurrent: boolean) => {
 		const nowMs = clock.readMonotonicMs();
 		registry = takeRenewals(registry, fleet.renewals, nowMs);
 		onInstances(registry);
@@ -134,7 +134,7 @@
 		takeNotes(reply.news?.notes ?? []);
 
 		if (reply.fleet !== undefined) {
-			takeFleet(address, reply.fleet, reply.isCurrent);
+			takeFleet(reply.fleet, reply.isCurrent);
 		}
 
 		if (reply.published !== undefined) {
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -22,8 +22,8 @@
 	createLinkCommands, LinkFaultKind, type LinkCommand, type LinkCommands, type LinkFault, type LinkReplier,
 } from './link-commands.js';
 export {
-	isAgeMs, isAgreementMessage, isFindFatesMessage, isFindPiecesMessage, isGossipMessage, isJoinMessage, isLinkReply, isName, isNotePiecesMessage,
-	isNoteReturnMessage, isPollStateMessage, isProposeMessage, isRecordFatesMessage,
+	isAgeMs, isFindFatesMessage, isFindPiecesMessage, isGossipMessage, isJoinMessage, isLinkReply, isName, isNotePiecesMessage,
+	isNoteReturnMessage, isPollStateMessage, isRecordFatesMessage,
 } from './link-checks.js';
 export {
 	callChecked, ReplyError, requireChecked, type LinkCaller,
--- a/packages/protocol/src/link-checks.ts
+++ b/packages/protocol/src/link-checks.ts
@@ -22,11 +22,7 @@
 /** Ages and spans that are left, in ms. */
 export const isAgeMs = isNumberIn(0, maxAgeMs);
 
-export const isAgreementMessage = isRecordOf({
-	groupId: isName, fromId: isName, fromAddress: isName, toId: isName, message: isAnything,
-});
 export const isGossipMessage = isRecordOf({fromId: isName, fromAddress: isName, gossip: isAnything});
-export const isProposeMessage = isRecordOf({command: isAnything});
 export const isPollStateMessage = isRecordOf({publicVersion: isCount});
 export const isFindFatesMessage = isRecordOf({requestId: isName});
 export const isJoinMessage = isRecordOf({id: isName, name: isName, address: isName});
