Heed what instances say in their answers: that they leave, and for how long they want nothing

Cause: the headers were read nowhere. An instance whose heartbeats said that it was ready got work for as long as it ran, and one that asked for a rest was left alone for 150 ms and fallen back to when no other was free.

An instance's standing (leaving, loading, silent, resting, unsound, full, cold, ready) is one pure step with its deadlines in one place, in place of four fields that were looked at in three. A leaving instance that an answer tells of is told to the home by a call that is repeated until it is noted, and from there as a leaving instance is told. Stages of one start are joined: leaving is not undone by an announcement, in whichever order they come. A rest binds this gateway only: an instance may want less from one and not from all, and what each was told is kept where it was told. While all rest, requests wait for the first to end where they can be answered then, and are refused at once otherwise, with the time until then. Rests over five minutes, negative ones and texts are logged and taken for a refusal as before. The product's own entries read the same two facts (x-leaving, retry-after).

Test replaced: a draining announcement that is older than the newest heartbeat of the same start was stale; it counts now, since draining ends only with the start. The check of stale announcements stands as before with another field, and a test of all orders is added.

Ruled out: reading it at the coordinators only, whose announcements lag.

--- a/packages/coordinator/src/fleet.ts
+++ b/packages/coordinator/src/fleet.ts
@@ -254,6 +254,18 @@
 
 		return true;
 	});
+	commands.registerCommand(LinkKind.ReportInstances, isRecordOf({notes: isInstanceNotes}), ({notes, reply}) => {
+		const news = takeNotes(notes);
+
+		if (news.length > 0) {
+			log.info('a gateway reports instances', {instances: news.map(({record}) => ({id: record.id, incarnation: record.incarnation, stage: record.stage}))});
+			tellNotes(news.map(({record}) => createNote(registry.held.get(record.id)!, clock.readMonotonicMs())));
+		}
+
+		reply?.({kind: 'noted'});
+
+		return true;
+	});
 	commands.registerCommand(LinkKind.Suspects, isRecordOf({from: isName, notes: isSuspectNotes, isRelayed: isFlag}), ({from, notes, isRelayed}) => {
 		const message: LinkMessage = {
 			kind: LinkKind.Suspects, from, notes, isRelayed: true,
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -23,3 +23,4 @@
 export {
 	createTask, type Step, type Task, type TaskOptions,
 } from './task.js';
+export {parseSeconds} from './parse-seconds.js';
--- /dev/null
+++ b/packages/entry/src/__tests__/unit/upstream-standings.test.ts
@@ -0,0 +1,72 @@
+import test from 'ava';
+import {createManualClock} from '@fescuestair/core';
+import {
+	createMembership, InputKind, MemberStatus, RecordKind, stepMembership, type MemberRecord,
+} from '@fescuestair/membership';
+import {announceSchema, UpstreamKind} from '@fescuestair/protocol';
+import {createLog, type GossipHost} from '@fescuestair/runtime';
+import {createUpstreamRegistry} from '../../upstream-registry.js';
+import {createUpstreamStandings} from '../../upstream-standings.js';
+
+const self: MemberRecord = {
+	id: 'entry-1', kind: RecordKind.Entry, incarnation: 1, version: 1, status: MemberStatus.Alive, address: 'a:1', availabilityZone: 'z', details: {},
+};
+
+function createAnnouncement(change: Record<string, unknown>) {
+	return announceSchema.parse({
+		id: 'engine-1', incarnation: 1, address: '127.0.0.1:1', availabilityZone: 'z', kind: UpstreamKind.Engine, models: ['assistant'], ...change,
+	});
+}
+
+function openEntry() {
+	const clock = createManualClock();
+	const log = createLog({instance: 'test', isTerminal: false, writeLine: () => true});
+	let membership = createMembership({self, nowMs: 0});
+	const gossip: GossipHost = {
+		receive: () => undefined,
+		publish(record) {
+			membership = stepMembership(membership, {kind: InputKind.Publish, record}, clock.readMonotonicMs()).state;
+		},
+		publishGauge: () => undefined,
+		publishSelf: () => undefined,
+		getMembership: () => membership,
+		stop: () => undefined,
+	};
+	const registry = createUpstreamRegistry({
+		entryId: 'entry-1', clock, gossip, leaseMs: 3000,
+	});
+	registry.announce(createAnnouncement({}));
+
+	return {
+		clock, registry, getRecord: () => membership.held.get('engine-1')!.record, standings: createUpstreamStandings({clock, gossip, log}),
+	};
+}
+
+test('an upstream that says in an answer that it leaves is leaving for all entries, until it starts anew', t => {
+	const {registry, getRecord, standings} = openEntry();
+	t.true(standings.isOpen(getRecord()));
+	standings.noteAnswer({...getRecord(), incarnation: 0}, 200, {'x-leaving': '1'});
+	t.is(getRecord().status, MemberStatus.Alive);
+	standings.noteAnswer(getRecord(), 200, {'x-leaving': '1'});
+	t.is(getRecord().status, MemberStatus.Leaving);
+	t.false(standings.isOpen(getRecord()));
+
+	registry.announce(createAnnouncement({load: undefined}));
+	t.is(getRecord().status, MemberStatus.Leaving);
+	registry.announce(createAnnouncement({incarnation: 2}));
+	t.is(getRecord().status, MemberStatus.Alive);
+	t.true(standings.isOpen(getRecord()));
+	registry.stop();
+});
+
+test('an upstream that asks for a rest gets nothing from this entry until its end', t => {
+	const {clock, registry, getRecord, standings} = openEntry();
+	standings.noteAnswer(getRecord(), 200, {'retry-after': '2.5'});
+	t.true(standings.isOpen(getRecord()));
+	standings.noteAnswer(getRecord(), 503, {'retry-after': '2.5'});
+	clock.advance(2499);
+	t.false(standings.isOpen(getRecord()));
+	clock.advance(1);
+	t.true(standings.isOpen(getRecord()));
+	registry.stop();
+});
--- a/packages/entry/src/completions.ts
+++ b/packages/entry/src/completions.ts
@@ -153,6 +153,7 @@
 		agent: services.agent,
 		clock: services.clock,
 		table: services.table,
+		standings: services.standings,
 		plan: async (job: PromptJob, excludedIds: ReadonlySet<string>) => planPrompt(services, {
 			job, hashes, excludedIds, preset, fingerprint, isSuspect: suspicion.isSuspect,
 		}),
--- a/packages/entry/src/engine-client.ts
+++ b/packages/entry/src/engine-client.ts
@@ -1,3 +1,4 @@
+import {type IncomingHttpHeaders} from 'node:http';
 import {errors, type Agent} from 'undici';
 import {
 	AttemptEnd, engineLoadSchema, headerNames, Ran, type EngineLoad,
@@ -31,6 +32,8 @@
 	readonly signal: AbortSignal;
 	/** Told of the load that came with the response. */
 	readonly noteLoad?: (load: EngineLoad) => void;
+	/** Told of the head of the response. */
+	readonly noteHead?: (status: number, headers: IncomingHttpHeaders) => void;
 };
 
 const okStatus = 200;
@@ -82,7 +85,7 @@
 };
 
 // By the dispatcher's own callbacks and not by a stream's iterator: an entry passes thousands of tokens a second.
-async function readRun({agent, address, signal, noteLoad}: Call, request: RunRequest, taker: EventTaker): Promise<void> {
+async function readRun({agent, address, signal, noteLoad, noteHead}: Call, request: RunRequest, taker: EventTaker): Promise<void> {
 	const decoder = new TextDecoder();
 	let isOpen = false;
 	let status = 0;
@@ -106,6 +109,7 @@
 				onResponseStart(_controller, statusCode, headers) {
 					isOpen = true;
 					status = statusCode;
+					noteHead?.(statusCode, headers);
 					const load = parseLoad(headers[headerNames.load]);
 
 					if (load !== undefined) {
--- a/packages/entry/src/engine-table.ts
+++ b/packages/entry/src/engine-table.ts
@@ -137,12 +137,14 @@
 type UpstreamQuery = {
 	readonly membership: Membership;
 	readonly state: PublicState;
+	/** Whether an upstream takes requests, as its answers say. */
+	readonly isOpen?: (record: MemberRecord) => boolean;
 };
 
-/** Lists the upstreams that may get new work: neither leaving nor drained. */
-export function listUsableUpstreams({membership, state}: UpstreamQuery, isWanted: (details: UpstreamDetails) => boolean): readonly MemberRecord[] {
+/** Lists the upstreams that may get new work: neither leaving, drained nor resting. */
+export function listUsableUpstreams({membership, state, isOpen = () => true}: UpstreamQuery, isWanted: (details: UpstreamDetails) => boolean): readonly MemberRecord[] {
 	return listServing(membership, RecordKind.Upstream)
-		.filter(record => isWanted(record.details as UpstreamDetails) && findItem(state, ItemKind.Drain, record.id) === undefined);
+		.filter(record => isWanted(record.details as UpstreamDetails) && findItem(state, ItemKind.Drain, record.id) === undefined && isOpen(record));
 }
 
 /** Lists the engines that serve a model in the weight version that new requests are planned for. */
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -30,6 +30,7 @@
 import {createStateFollower} from './state-follower.js';
 import {createUpstreamListener} from './upstream-listener.js';
 import {createUpstreamRegistry} from './upstream-registry.js';
+import {createUpstreamStandings} from './upstream-standings.js';
 import {rankEntries} from './choose-address.js';
 
 export type EntryOptions = {
@@ -144,6 +145,7 @@
 		follower,
 		control,
 		table: createEngineTable(clock),
+		standings: createUpstreamStandings({clock, gossip, log}),
 		holdLine: createHoldLine(clock),
 		servesStale,
 		recordFate: fateRecorder.record,
--- a/packages/entry/src/plan-prompt.ts
+++ b/packages/entry/src/plan-prompt.ts
@@ -78,7 +78,7 @@
 
 async function tryPlan(services: EntryServices, {job, hashes, excludedIds, preset, fingerprint, isSuspect}: PlanInput): Promise<Plan | undefined> {
 	const {gossip, follower, table, clock} = services;
-	const query = {membership: gossip.getMembership(), state: follower.getState()};
+	const query = {membership: gossip.getMembership(), state: follower.getState(), isOpen: services.standings.isOpen};
 	const records = listEngines(query, job.model, job.weightVersion).filter(record => !excludedIds.has(record.id));
 	const held = await services.homes.findPieces(hashes);
 	const stores = listUsableUpstreams(query, details => details.kind === UpstreamKind.Store);
--- a/packages/entry/src/prompt-run.ts
+++ b/packages/entry/src/prompt-run.ts
@@ -1,3 +1,4 @@
+import {type IncomingHttpHeaders} from 'node:http';
 import {type Agent} from 'undici';
 import {type Clock} from '@fescuestair/core';
 import {type Priority} from '@fescuestair/routing';
@@ -10,6 +11,7 @@
 import {type EngineEvent, type EventSink} from './engine-events.js';
 import {type FetchInput, type FetchPlan, type Import} from './fetch-pieces.js';
 import {type EngineTable} from './engine-table.js';
+import {type UpstreamStandings} from './upstream-standings.js';
 
 /** A prompt on its way through one or more attempts. */
 export type PromptJob = {
@@ -38,6 +40,7 @@
 	readonly agent: Agent;
 	readonly clock: Clock;
 	readonly table: EngineTable;
+	readonly standings: Pick<UpstreamStandings, 'noteAnswer'>;
 	readonly plan: (job: PromptJob, excludedIds: ReadonlySet<string>) => Promise<Plan>;
 	/** Brings pieces to an engine; `undefined` where none may be used. */
 	readonly fetch: (input: FetchInput) => Promise<Import | undefined>;
@@ -165,6 +168,9 @@
 		noteLoad(load: EngineLoad) {
 			options.table.noteLoad(plan.record.id, load);
 		},
+		noteHead(status: number, headers: IncomingHttpHeaders) {
+			options.standings.noteAnswer(plan.record, status, headers);
+		},
 	};
 	const sink = createSink(options, job, input);
 
--- a/packages/entry/src/request-context.ts
+++ b/packages/entry/src/request-context.ts
@@ -17,6 +17,7 @@
 import {type PieceHomes} from './piece-homes.js';
 import {type HoldLine} from './hold-line.js';
 import {type StateFollower} from './state-follower.js';
+import {type UpstreamStandings} from './upstream-standings.js';
 
 /** What the handlers of an entry share. */
 export type EntryServices = {
@@ -33,6 +34,7 @@
 	readonly follower: StateFollower;
 	readonly control: ControlClient;
 	readonly table: EngineTable;
+	readonly standings: UpstreamStandings;
 	readonly holdLine: HoldLine;
 	readonly servesStale: boolean;
 	readonly recordFate: (event: FateEvent) => void;
--- a/packages/entry/src/service-attempt.ts
+++ b/packages/entry/src/service-attempt.ts
@@ -21,7 +21,7 @@
 
 /** Chooses an instance of a service. */
 export function chooseInstance(services: EntryServices, serviceName: string, excludedIds: ReadonlySet<string>): MemberRecord | undefined {
-	const query = {membership: services.gossip.getMembership(), state: services.follower.getState()};
+	const query = {membership: services.gossip.getMembership(), state: services.follower.getState(), isOpen: services.standings.isOpen};
 	const records = listUsableUpstreams(query, details => details.kind === UpstreamKind.Service && details.service === serviceName);
 
 	return chooseServiceUpstream(records, {
@@ -49,7 +49,14 @@
 	let detail = '';
 
 	try {
-		return await callService({agent: isOnce ? services.freshAgent : services.agent, address: record.address, timeoutMs}, call);
+		return await callService({
+			agent: isOnce ? services.freshAgent : services.agent,
+			address: record.address,
+			timeoutMs,
+			noteHead(status, headers) {
+				services.standings.noteAnswer(record, status, headers);
+			},
+		}, call);
 	} catch (error) {
 		end = (error as AttemptError).end;
 		detail = (error as AttemptError).message;
--- a/packages/entry/src/service-call.ts
+++ b/packages/entry/src/service-call.ts
@@ -22,6 +22,8 @@
 	readonly agent: Agent;
 	readonly address: string;
 	readonly timeoutMs: number;
+	/** Told of the head of the answer. */
+	readonly noteHead: (status: number, headers: IncomingHttpHeaders) => void;
 };
 
 const passedHeaders = ['content-type', 'accept', 'accept-language', headerNames.idempotencyKey];
@@ -45,7 +47,7 @@
 Calls a service once. Throws an `AttemptError` whose `ran` is `not_run` only where nothing can have been sent, or where
 the service itself says so.
 */
-export async function callService({agent, address, timeoutMs: givenMs}: CallOptions, call: ServiceCall): Promise<ServiceAnswer> {
+export async function callService({agent, address, timeoutMs: givenMs, noteHead}: CallOptions, call: ServiceCall): Promise<ServiceAnswer> {
 	const timeoutMs = Math.ceil(givenMs);
 
 	try {
@@ -59,6 +61,7 @@
 			bodyTimeout: timeoutMs,
 			signal: AbortSignal.timeout(timeoutMs),
 		});
+		noteHead(response.statusCode, response.headers);
 		const body = await response.body.bytes();
 
 		if (response.headers[headerNames.ran] === Ran.NotRun && response.statusCode >= 500) {
--- a/packages/entry/src/upstream-registry.ts
+++ b/packages/entry/src/upstream-registry.ts
@@ -111,13 +111,15 @@
 		id, incarnation, address, availabilityZone, isLeaving, load: _load, ...details
 	} = message;
 	const isSame = known?.incarnation === incarnation;
+	// What leaves, as an announcement or an answer said, does not come back without a new start.
+	const hasLeft = isSame && known.status === MemberStatus.Leaving;
 
 	return {
 		id,
 		kind: RecordKind.Upstream,
 		incarnation,
 		version: isSame ? known.version + 1 : 1,
-		status: isLeaving ? MemberStatus.Leaving : MemberStatus.Alive,
+		status: isLeaving || hasLeft ? MemberStatus.Leaving : MemberStatus.Alive,
 		address,
 		availabilityZone,
 		sponsorId,
--- a/packages/gateway/src/__tests__/unit/attempt.test.ts
+++ b/packages/gateway/src/__tests__/unit/attempt.test.ts
@@ -10,7 +10,7 @@
 const codec: UpstreamCodec = {
 	encodeDispatch: () => [],
 	decodeAnswer: (status, headers) => ({
-		requestId: headers['x-id'] as string | undefined, isNotRun: status === 421, load: undefined, idleMs: undefined,
+		requestId: headers['x-id'] as string | undefined, isNotRun: status === 421, load: undefined, idleMs: undefined, isLeaving: false, askedRestMs: undefined,
 	}),
 };
 
--- a/packages/gateway/src/__tests__/unit/choose-place.test.ts
+++ b/packages/gateway/src/__tests__/unit/choose-place.test.ts
@@ -33,7 +33,7 @@
 	const clock = createSystemClock();
 	const log = createLog({instance: 'test', isTerminal: false, writeLine: () => true});
 	const book = createInstanceBook({
-		clock, log, metrics: createServedMetrics(), getMaxConnections: () => 10, onWork: () => undefined,
+		clock, log, metrics: createServedMetrics(), getMaxConnections: () => 10, onWork: () => undefined, onLeaving: () => undefined,
 	});
 	book.applyRegistry({held: new Map([1, 2].map(version => [`i-${version}`, createHeld(`i-${version}`, version)])), revision: 1});
 	t.teardown(() => {
--- a/packages/gateway/src/__tests__/unit/send-answer.test.ts
+++ b/packages/gateway/src/__tests__/unit/send-answer.test.ts
@@ -11,7 +11,7 @@
 		sendUpstreamAnswer(response, {
 			head: {
 				status: 200, headers: {}, rawHeaders: [], answer: {
-					requestId: 'r1', isNotRun: false, load: undefined, idleMs: undefined,
+					requestId: 'r1', isNotRun: false, load: undefined, idleMs: undefined, isLeaving: false, askedRestMs: undefined,
 				}, isFramed: true, ...head,
 			},
 			body: Buffer.from('half an answ'),
--- a/packages/gateway/src/codecs.ts
+++ b/packages/gateway/src/codecs.ts
@@ -63,6 +63,10 @@
 	readonly load: {readonly running: number; readonly waiting: number; readonly slots: number} | undefined;
 	/** How long an idle connection is kept, as a span. */
 	readonly idleMs: number | undefined;
+	/** The instance says that it leaves and takes nothing new. */
+	readonly isLeaving: boolean;
+	/** How long an instance that turned the request away wants nothing from this daemon, as a span; not a number where it cannot be read. */
+	readonly askedRestMs: number | undefined;
 };
 
 /** Writes what instances are told, and reads what they answer. */
--- a/packages/gateway/src/coordinator-client.ts
+++ b/packages/gateway/src/coordinator-client.ts
@@ -1,8 +1,9 @@
 import {type Clock} from '@fescuestair/core';
 import {
-	createInstanceRegistry, GreetingRole, pickHomes, takeRecord, takeRenewals, tidyRegistry, type DaemonCard, type FleetNews, type HelloReply,
-	type InstanceNote, type InstanceRegistry, type Published,
+	createInstanceRegistry, createNote, GreetingRole, InstanceStage, setLeaving, pickHomes, takeRecord, takeRenewals, tidyRegistry, type DaemonCard, type FleetNews, type HelloReply,
+	type InstanceNote, type InstanceRecord, type InstanceRegistry, type Published,
 } from '@fescuestair/instances';
+import {callChecked, LinkKind} from '@fescuestair/protocol';
 import {createGreeter, type Log} from '@fescuestair/runtime';
 import {type Links} from '@fescuestair/transport';
 
@@ -25,6 +26,8 @@
 export type CoordinatorClient = {
 	readonly takePublished: (published: Published) => void;
 	readonly takeNotes: (notes: readonly InstanceNote[]) => void;
+	/** Marks an instance that said in an answer that it leaves, and tells the others by way of the home until it has heard. */
+	readonly reportLeaving: (record: InstanceRecord) => void;
 	/** Whether what is in force was learned from a coordinator that was current; or nobody is, for too long. */
 	readonly isCurrent: () => boolean;
 	readonly countGateways: () => number;
@@ -80,6 +83,8 @@
 	let home: string | undefined;
 	let round = 0;
 	let fleetDueMs = 0;
+	/** Incarnations of instances that leave, by id, of which no home has heard yet. */
+	const unreported = new Map<string, number>();
 
 	const takePublished = (published: Published) => {
 		const lacksText = published.configText === undefined && published.configVersion > configVersion;
@@ -97,6 +102,10 @@
 		const before = registry;
 
 		for (const {record, ageMs, loadingLeftMs} of notes) {
+			if (record.stage === InstanceStage.Draining && registry.held.get(record.id)?.record.stage === InstanceStage.Ready) {
+				log.info('told that an instance leaves', {id: record.id, incarnation: record.incarnation});
+			}
+
 			registry = takeRecord(registry, record, {nowMs: clock.readMonotonicMs(), ageMs, loadingLeftMs}).registry;
 		}
 
@@ -105,6 +114,32 @@
 		}
 	};
 
+	const reportLeaving = async () => {
+		if (home === undefined) {
+			return;
+		}
+
+		const nowMs = clock.readMonotonicMs();
+		const reported = [...unreported].filter(([id, incarnation]) => registry.held.get(id)?.record.incarnation === incarnation);
+		unreported.clear();
+
+		if (reported.length === 0) {
+			return;
+		}
+
+		const notes = reported.map(([id]) => createNote(registry.held.get(id)!, nowMs));
+
+		try {
+			await callChecked(links, {address: home, message: {kind: LinkKind.ReportInstances, notes}, timeoutMs: callTimeoutMs});
+		} catch (error) {
+			log.info('a home was not told of instances that leave', {home, instances: reported.length, reason: String(error)});
+
+			for (const [id, incarnation] of reported) {
+				unreported.set(id, incarnation);
+			}
+		}
+	};
+
 	const takeFleet = (fleet: FleetNews, isCurrent: boolean) => {
 		const nowMs = clock.readMonotonicMs();
 		registry = takeRenewals(registry, fleet.renewals, nowMs);
@@ -217,6 +252,11 @@
 		}
 
 		round++;
+
+		if (unreported.size > 0) {
+			void reportLeaving();
+		}
+
 		onRound(nowMs);
 	};
 
@@ -232,6 +272,12 @@
 	return {
 		takePublished,
 		takeNotes,
+		reportLeaving({id, incarnation}) {
+			registry = setLeaving(registry, {id, incarnation});
+			unreported.set(id, incarnation);
+			onInstances(registry);
+			void reportLeaving();
+		},
 		isCurrent: () => hasCurrent || (configVersion > 0 && clock.readMonotonicMs() - startedAtMs >= graceMs),
 		countGateways: () => gateways ?? 1,
 		getHome: () => home,
--- a/packages/gateway/src/describe-option.ts
+++ b/packages/gateway/src/describe-option.ts
@@ -23,8 +23,6 @@
 const otherZoneFactor = 2;
 const bitsPerByte = 8;
 const bitsPerMegabitMs = 1000;
-/** An instance counts as cold for no longer than this after its announcement, whatever it announced. */
-const maxColdMs = 10_000;
 
 export type PromptInput = {
 	readonly parts: readonly PromptPart[];
@@ -65,7 +63,7 @@
 
 /** Describes an instance for the choice of where a request goes. */
 export function describeOption(entry: InstanceEntry, {nowMs, prompt, isOutdated}: OptionInput): InstanceOption {
-	const {record, heardAtMs} = entry.held;
+	const {held: {record}, standing} = entry;
 	const {cachedTokens, fetchableTokens, fetchMs} = describeCoverage(entry, prompt);
 
 	return {
@@ -73,9 +71,9 @@
 		availabilityZone: record.availabilityZone,
 		slots: Math.max(1, record.slots),
 		load: entry.load,
-		failureShare: entry.health.failureShare,
+		failureShare: standing.health.failureShare,
 		isOutdated,
-		isCold: record.coldLeftMs > 0 && nowMs - heardAtMs < Math.min(record.coldLeftMs, maxColdMs),
+		isCold: standing.coldDeadlineMs > nowMs,
 		cachedTokens,
 		fetchableTokens,
 		fetchMs,
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -1,7 +1,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {withdrawRetry} from '@fescuestair/limits';
 import {
-	decideWait, freeQueueMs, WaitDecision, type WaitQuestion,
+	decideRest, decideWait, freeQueueMs, WaitDecision, type WaitQuestion,
 } from '@fescuestair/routing';
 import {
 	CallKind, chooseTarget, type Route, type Service,
@@ -128,7 +128,7 @@
 	const place = choosePlace(options, exchange, {service, progress});
 
 	if (place === undefined) {
-		return refuse(forwarding, 'no instance of the service takes requests now', spreadRetry(0));
+		return waitForRest(forwarding);
 	}
 
 	// What has begun, or may have run elsewhere, goes on at once.
@@ -155,6 +155,35 @@
 	return controls.isLeft ? leave() : settle(forwarding, place, result);
 }
 
+// No instance takes requests now: the request waits for the first that ends the rest it asked for, where one does in time.
+async function waitForRest(forwarding: Forwarding): Promise<ExchangeEnd | undefined> {
+	const {options, exchange, service, progress} = forwarding;
+	const restEndMs = options.book.findRestEndMs(service.name);
+	const restLeftMs = restEndMs === undefined ? undefined : Math.max(0, restEndMs - options.clock.readMonotonicMs());
+	const question = {
+		restLeftMs: restLeftMs ?? 0,
+		workMs: (exchange.caller.prompt?.promptTokens ?? 0) / options.book.getPrefillTokensPerMs(service.name),
+		waitedMs: options.clock.readMonotonicMs() - exchange.startedAtMs,
+		patienceMs: computePatienceMs(exchange),
+	};
+
+	if (restLeftMs === undefined || decideRest(question) === WaitDecision.Refuse) {
+		progress.story.push({decision: WaitDecision.Refuse, standings: options.book.countStandings(service.name), restLeftMs});
+
+		return refuse(forwarding, 'no instance of the service takes requests now', restLeftMs === undefined ? spreadRetry(0) : spreadTime(restLeftMs));
+	}
+
+	progress.waits++;
+	options.waiting.set(exchange, {service: service.name, workMs: question.workMs});
+	await sleep(restLeftMs + (Math.random() * waitSpreadMs));
+
+	return undefined;
+}
+
+function computePatienceMs({deadlineMs, startedAtMs, route}: Exchange): number {
+	return Math.min(deadlineMs - startedAtMs, route.patienceMs ?? Number.POSITIVE_INFINITY);
+}
+
 /** Computes when a request that waits for an instance looks again. */
 function computeLookMs(queueMs: number): number {
 	return Math.min(longestWaitMs, Math.max(leastWaitMs, queueMs - freeQueueMs));
@@ -170,7 +199,7 @@
 		waitedMs: options.clock.readMonotonicMs() - exchange.startedAtMs,
 		aheadMs: sumAhead(options, exchange, service),
 		targetMs: exchange.route.targetMs,
-		patienceMs: Math.min(exchange.deadlineMs - exchange.startedAtMs, exchange.route.patienceMs ?? Number.POSITIVE_INFINITY),
+		patienceMs: computePatienceMs(exchange),
 	};
 	const decision = decideWait(question);
 
@@ -265,7 +294,12 @@
 }
 
 function spreadRetry(retryAfterMs: number): number {
-	return Math.min(longestRetryAfterMs, Math.max(leastRetryAfterMs, retryAfterMs)) + (Math.random() * retrySpreadMs);
+	return spreadTime(Math.min(longestRetryAfterMs, Math.max(leastRetryAfterMs, retryAfterMs)));
+}
+
+// Callers that were told of the same moment do not come back in the same.
+function spreadTime(timeMs: number): number {
+	return timeMs + (Math.random() * retrySpreadMs);
 }
 
 // Each daemon holds a share of the budget; no message is needed to spend it.
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -123,6 +123,9 @@
 		onWork(workMs) {
 			loadShare.noteWork(workMs);
 		},
+		onLeaving(record) {
+			client.reportLeaving(record);
+		},
 	});
 
 	const onPublished = (published: Published) => {
--- a/packages/gateway/src/instance-book.ts
+++ b/packages/gateway/src/instance-book.ts
@@ -1,13 +1,15 @@
 import {type Clock} from '@fescuestair/core';
 import {
-	InstanceStage, type InstanceRegistry, type InstanceShare, type WorkShare,
+	InstanceStage, type InstanceRecord, type InstanceRegistry, type InstanceShare, type WorkShare,
 } from '@fescuestair/instances';
 import {
-	addWork, canTakeRequests, computeCorrectionMs, computeWaitMs, correctClock, estimateWork, HealthEvent, isOverdue, judgeInstance, mergeSample, noPeerLoad,
-	resetClock, type PeerLoad,
+	addWork, advanceStanding, canSendTo, classifyStanding, computeCorrectionMs, computeWaitMs, correctClock, estimateWork, HealthEvent, isOverdue, isProperRest,
+	mergeSample, noPeerLoad, resetClock, Standing, StandingEventKind, type PeerLoad, type StandingEvent,
 } from '@fescuestair/routing';
 import {type Log, type ServedMetrics} from '@fescuestair/runtime';
-import {createEntry, type InstanceEntry, type Visit} from './instance-entry.js';
+import {
+	createEntry, describeAnnounced, type InstanceEntry, type Visit,
+} from './instance-entry.js';
 
 export type InstanceBookOptions = {
 	readonly clock: Clock;
@@ -17,6 +19,8 @@
 	readonly getMaxConnections: (service: string) => number;
 	/** Work was added, or an estimate of it corrected, that the other gateways were not told of yet. */
 	readonly onWork: (workMs: number) => void;
+	/** An answer of this start of an instance says that it leaves. */
+	readonly onLeaving: (record: InstanceRecord) => void;
 };
 
 export type InstanceBook = {
@@ -26,11 +30,17 @@
 	readonly get: (id: string) => InstanceEntry | undefined;
 	/** Instances of a service that may take a request now. */
 	readonly listOpen: (service: string) => readonly InstanceEntry[];
+	/** When the first instance of a service ends the rest that it asked for, where none takes requests; `undefined` where none rests. */
+	readonly findRestEndMs: (service: string) => number | undefined;
+	/** Counts the instances of a service by how they stand. */
+	readonly countStandings: (service: string) => Readonly<Record<string, number>>;
 	readonly begin: (entry: InstanceEntry, visit: Visit) => void;
 	/** The first piece came: its prompt has been read. */
 	readonly noteFirstPiece: (entry: InstanceEntry, visit: Visit) => void;
-	/** It turned a request away: it is full, or loads other weights. */
-	readonly noteRefused: (entry: InstanceEntry) => void;
+	/** It turned a request away: it is full, loads other weights, or asked for a rest. */
+	readonly noteRefused: (entry: InstanceEntry, askedRestMs: number | undefined) => void;
+	/** It said in an answer that it leaves. */
+	readonly noteLeaving: (entry: InstanceEntry, record: InstanceRecord) => void;
 	readonly noteBytes: (entry: InstanceEntry) => void;
 	readonly end: (entry: InstanceEntry, visit: Visit) => void;
 	/** Lists what this daemon has at each instance. */
@@ -46,10 +56,6 @@
 	readonly stop: () => void;
 };
 
-/** An instance that said nothing of itself for this long, and answered nothing either, is taken for lost: four announcements. */
-const lostMs = 5500;
-/** An instance that turned a request away is left alone for a moment: a place frees up about as often. */
-const fullMs = 150;
 /** Each silence that is watched for lasts several times as long. */
 const watchMs = 100;
 /** What peers have is told later than their work: an instance counts as empty only if no work was told for this long. */
@@ -74,7 +80,7 @@
 ```
 */
 export function createInstanceBook({
-	clock, log, metrics, getMaxConnections, onWork,
+	clock, log, metrics, getMaxConnections, onWork, onLeaving,
 }: InstanceBookOptions): InstanceBook {
 	const entries = new Map<string, InstanceEntry>();
 	const rates = new Map<string, number>();
@@ -98,22 +104,26 @@
 		rates.set(service, before + (rateSampleShare * (sample - before)));
 	};
 
-	const judge = (entry: InstanceEntry, event: HealthEvent) => {
-		const before = entry.health;
-		entry.health = judgeInstance(before, event, clock.readMonotonicMs());
+	const advance = (entry: InstanceEntry, event: StandingEvent) => {
+		entry.standing = advanceStanding(entry.standing, event, clock.readMonotonicMs());
+	};
 
-		if (entry.health.rests !== before.rests) {
-			log.info(entry.health.rests === 0 ? 'instance is sound again' : 'instance rests', {
-				id: entry.held.record.id, event, rests: entry.health.rests, failureShare: Number(entry.health.failureShare.toFixed(2)),
-				restMs: Math.round(Math.max(0, entry.health.restDeadlineMs - clock.readMonotonicMs())),
+	const judge = (entry: InstanceEntry, event: HealthEvent) => {
+		const before = entry.standing.health;
+		advance(entry, {kind: StandingEventKind.Judged, event});
+		const {health} = entry.standing;
+
+		if (health.rests !== before.rests) {
+			log.info(health.rests === 0 ? 'instance is sound again' : 'instance rests', {
+				id: entry.held.record.id, event, rests: health.rests, failureShare: Number(health.failureShare.toFixed(2)),
+				restMs: Math.round(Math.max(0, health.restDeadlineMs - clock.readMonotonicMs())),
 			});
 		}
 	};
 
-	const isOpen = ({held, health, load, lastByteAtMs}: InstanceEntry, nowMs: number) => held.record.stage === InstanceStage.Ready
-		&& held.loadingDeadlineMs <= nowMs
-		&& nowMs - Math.max(held.heardAtMs, lastByteAtMs) < lostMs
-		&& canTakeRequests(health, load.own, nowMs);
+	const classify = ({standing, load}: InstanceEntry) => classifyStanding(standing, {own: load.own, nowMs: clock.readMonotonicMs()});
+
+	const listOf = (service: string) => [...entries.values()].filter(entry => entry.held.record.service === service);
 
 	// An instance that is late with a long prompt is still reading it: until its first piece comes, it stays busy.
 	const extendOverdue = (entry: InstanceEntry, nowMs: number) => {
@@ -141,7 +151,7 @@
 			}
 
 			extendOverdue(entry, nowMs);
-			const silentVisits = [...entry.visits.keys()].filter(visit => nowMs - Math.max(visit.startedAtMs, entry.lastByteAtMs) >= visit.silenceMs);
+			const silentVisits = [...entry.visits.keys()].filter(visit => nowMs - Math.max(visit.startedAtMs, entry.standing.answeredAtMs) >= visit.silenceMs);
 
 			if (silentVisits.length === 0) {
 				continue;
@@ -163,6 +173,7 @@
 
 				if (isSame) {
 					known.held = held;
+					advance(known, {kind: StandingEventKind.Announced, ...describeAnnounced(held)});
 				} else if (held.record.stage !== InstanceStage.Gone) {
 					known?.agent.destroy();
 					entries.set(held.record.id, createEntry(held, getMaxConnections(held.record.service)));
@@ -185,12 +196,25 @@
 		},
 		get: id => entries.get(id),
 		listOpen(service) {
-			const nowMs = clock.readMonotonicMs();
+			const open = listOf(service).map(entry => ({entry, standing: classify(entry)})).filter(({standing}) => canSendTo(standing));
+			const free = open.filter(({standing}) => standing !== Standing.Full);
+
+			return (free.length > 0 ? free : open).map(({entry}) => entry);
+		},
+		findRestEndMs(service) {
+			const ends = listOf(service).filter(entry => classify(entry) === Standing.Resting).map(({standing}) => standing.restDeadlineMs);
 
-			const open = [...entries.values()].filter(entry => entry.held.record.service === service && isOpen(entry, nowMs));
-			const free = open.filter(entry => entry.fullDeadlineMs <= nowMs);
+			return ends.length === 0 ? undefined : Math.min(...ends);
+		},
+		countStandings(service) {
+			const counts: Record<string, number> = {};
+
+			for (const entry of listOf(service)) {
+				const standing = classify(entry);
+				counts[standing] = (counts[standing] ?? 0) + 1;
+			}
 
-			return free.length > 0 ? free : open;
+			return counts;
 		},
 		begin(entry, visit) {
 			const nowMs = clock.readMonotonicMs();
@@ -224,11 +248,26 @@
 				learnRate(entry.held.record.service, visit.uncachedTokens / Math.max(1, nowMs - visit.startedAtMs));
 			}
 		},
-		noteRefused(entry) {
-			entry.fullDeadlineMs = clock.readMonotonicMs() + fullMs;
+		noteRefused(entry, askedRestMs) {
+			advance(entry, {kind: StandingEventKind.TurnedAway, askedRestMs});
+
+			if (askedRestMs !== undefined) {
+				log.info(isProperRest(askedRestMs) ? 'instance asks for a rest' : 'instance asks for a rest that cannot be meant', {
+					id: entry.held.record.id, askedRestMs,
+				});
+			}
+		},
+		noteLeaving(entry, record) {
+			const isKnown = entry.standing.isLeaving;
+			advance(entry, {kind: StandingEventKind.LeavingHeard, incarnation: record.incarnation});
+
+			if (entry.standing.isLeaving && !isKnown) {
+				log.info('instance says in an answer that it leaves', {id: record.id, incarnation: record.incarnation});
+				onLeaving(record);
+			}
 		},
 		noteBytes(entry) {
-			entry.lastByteAtMs = clock.readMonotonicMs();
+			advance(entry, {kind: StandingEventKind.Heard});
 		},
 		end(entry, visit) {
 			// What ends before its first piece is not read to its end.
--- a/packages/gateway/src/instance-entry.ts
+++ b/packages/gateway/src/instance-entry.ts
@@ -1,6 +1,7 @@
-import {type HeldInstance} from '@fescuestair/instances';
+import {InstanceStage, type HeldInstance} from '@fescuestair/instances';
 import {
-	createCachedParts, createInstanceHealth, createInstanceLoad, type CachedParts, type InstanceHealth, type InstanceLoad, type PromptPart, type WorkEstimate,
+	createCachedParts, createInstanceLoad, createInstanceStanding, type AnnouncedStanding, type CachedParts, type InstanceLoad, type InstanceStanding,
+	type PromptPart, type WorkEstimate,
 } from '@fescuestair/routing';
 import {UpstreamAgent} from './upstream-agent.js';
 
@@ -30,7 +31,7 @@
 export type InstanceEntry = {
 	held: HeldInstance;
 	load: InstanceLoad;
-	health: InstanceHealth;
+	standing: InstanceStanding;
 	readonly agent: UpstreamAgent;
 	/** Parts believed to be cached, by salt. */
 	cached: {readonly salt: string; readonly parts: CachedParts} | undefined;
@@ -40,25 +41,34 @@
 	untoldCorrectionMs: number;
 	/** When another gateway last told of work here. */
 	peerWorkAtMs: number;
-	lastByteAtMs: number;
-	/** It turned a request away and takes none before this. */
-	fullDeadlineMs: number;
 };
 
+/** An instance counts as cold for no longer than this after its announcement, whatever it announced. */
+const maxColdMs = 10_000;
+
+/** Describes what the announcements of an instance say of its standing. */
+export function describeAnnounced({record, heardAtMs, loadingDeadlineMs}: HeldInstance): AnnouncedStanding {
+	return {
+		incarnation: record.incarnation,
+		isLeaving: record.stage !== InstanceStage.Ready,
+		heardAtMs,
+		loadingDeadlineMs,
+		coldDeadlineMs: heardAtMs + Math.min(record.coldLeftMs, maxColdMs),
+	};
+}
+
 /** Creates what is known of an instance that was just announced. */
 export function createEntry(held: HeldInstance, maxConnections: number): InstanceEntry {
 	return {
 		held,
 		load: createInstanceLoad(),
-		health: createInstanceHealth(),
+		standing: createInstanceStanding(describeAnnounced(held)),
 		agent: new UpstreamAgent({maxConnections}),
 		cached: undefined,
 		visits: new Map(),
 		untoldWorkMs: 0,
 		untoldCorrectionMs: 0,
 		peerWorkAtMs: Number.NEGATIVE_INFINITY,
-		lastByteAtMs: Number.NEGATIVE_INFINITY,
-		fullDeadlineMs: Number.NEGATIVE_INFINITY,
 	};
 }
 
--- a/packages/gateway/src/send-visit.ts
+++ b/packages/gateway/src/send-visit.ts
@@ -88,6 +88,10 @@
 				entry.load = {...entry.load, report: {...answer.load, atMs: clock.readMonotonicMs(), ownAtReport: entry.load.own}};
 			}
 
+			if (answer.isLeaving) {
+				book.noteLeaving(entry, record);
+			}
+
 			noteFirstPiece();
 		},
 		...(isStreaming && {
@@ -143,8 +147,10 @@
 		crashes.noteFinished(exchange, entry, sentAtMs);
 	}
 
-	if (result.end === AttemptEnd.NotRun && !result.isUnreachable) {
-		book.noteRefused(entry);
+	const askedRestMs = result.head?.answer.askedRestMs;
+
+	if ((result.end === AttemptEnd.NotRun && !result.isUnreachable) || askedRestMs !== undefined) {
+		book.noteRefused(entry, askedRestMs);
 	} else if (result.isUnreachable) {
 		book.judge(entry, HealthEvent.Unreachable);
 	} else if (result.end === AttemptEnd.Complete) {
--- a/packages/instances/src/__tests__/unit/registry.test.ts
+++ b/packages/instances/src/__tests__/unit/registry.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import {
-	createInstanceRegistry, InstanceStage, listNews, listRenewals, NewsKind, takeRecord, takeRenewals, type InstanceRecord,
+	createInstanceRegistry, createNote, InstanceStage, listNews, listRenewals, setLeaving, NewsKind, takeRecord, takeRenewals, type InstanceRecord,
 } from '../../index.js';
 
 const createRecord = (overrides: Partial<InstanceRecord>): InstanceRecord => ({
@@ -36,6 +36,27 @@
 	t.is(registry.held.get('i-1')?.record.stage, InstanceStage.Draining);
 });
 
+test('an instance that leaves does not come back by announcements, in whichever order they come, until it starts anew', t => {
+	const ready = takeAll([{sequence: 4}]).registry;
+	const marked = setLeaving(ready, {id: 'i-1', incarnation: 1000});
+	t.is(marked.held.get('i-1')?.record.stage, InstanceStage.Draining);
+	t.is(marked.revision, ready.revision + 1);
+	t.is(setLeaving(ready, {id: 'i-1', incarnation: 2000}), ready);
+
+	const heartbeat = takeRecord(marked, createRecord({sequence: 9}), {nowMs: 0}).registry;
+	t.is(heartbeat.held.get('i-1')?.record.stage, InstanceStage.Draining);
+	t.is(heartbeat.held.get('i-1')?.record.sequence, 9);
+
+	// Another daemon has heard a later heartbeat; what it is told of an earlier one binds all the same, and it goes round once.
+	const note = createNote(marked.held.get('i-1')!, 0);
+	const other = takeRecord(takeAll([{sequence: 12}]).registry, note.record, {nowMs: 0});
+	t.is(other.news, NewsKind.Changed);
+	t.deepEqual([other.registry.held.get('i-1')?.record.stage, other.registry.held.get('i-1')?.record.sequence], [InstanceStage.Draining, 12]);
+	t.is(takeRecord(other.registry, note.record, {nowMs: 0}).news, NewsKind.Stale);
+
+	t.is(takeRecord(other.registry, createRecord({incarnation: 2000}), {nowMs: 0}).registry.held.get('i-1')?.record.stage, InstanceStage.Ready);
+});
+
 test('a deregistered instance stays gone within its incarnation and comes back with the next', t => {
 	const {registry, news} = takeAll([{sequence: 5}, {stage: InstanceStage.Gone, sequence: 0}, {sequence: 9}, {incarnation: 2000, sequence: 1}]);
 	t.deepEqual(news, [NewsKind.Changed, NewsKind.Changed, NewsKind.Stale, NewsKind.Changed]);
@@ -63,7 +84,8 @@
 	t.is(other.held.get('i-1')?.heardAtMs, 6900);
 
 	// What was announced before the renewal does not count any more.
-	t.is(takeRecord(other, createRecord({sequence: 4, stage: InstanceStage.Draining}), {nowMs: 7000}).news, NewsKind.Stale);
+	t.is(takeRecord(other, createRecord({sequence: 4, slots: 9}), {nowMs: 7000}).news, NewsKind.Stale);
+	t.is(takeRecord(other, createRecord({sequence: 6, slots: 9}), {nowMs: 7000}).news, NewsKind.Changed);
 	t.is(takeRecord(other, createRecord({sequence: 6, stage: InstanceStage.Draining}), {nowMs: 7000}).news, NewsKind.Changed);
 });
 
--- a/packages/instances/src/index.ts
+++ b/packages/instances/src/index.ts
@@ -1,5 +1,5 @@
 export {
-	createInstanceRegistry, createNote, listNews, listRenewals, NewsKind, setLoading, setModelVersion, takeRecord, takeRenewals, tidyRegistry,
+	createInstanceRegistry, createNote, listNews, listRenewals, setLeaving, NewsKind, setLoading, setModelVersion, takeRecord, takeRenewals, tidyRegistry,
 	type TakeOptions,
 } from './registry.js';
 export {
--- a/packages/instances/src/registry.ts
+++ b/packages/instances/src/registry.ts
@@ -38,15 +38,15 @@
 };
 
 /** Takes an announcement: the newest of each instance wins, and an address belongs to the one that started last. */
-export function takeRecord(registry: InstanceRegistry, record: InstanceRecord, options: TakeOptions): {
+export function takeRecord(registry: InstanceRegistry, given: InstanceRecord, options: TakeOptions): {
 	readonly registry: InstanceRegistry;
 	readonly news: NewsKind;
 } {
 	const {nowMs, ageMs = 0, loadingLeftMs} = options;
-	const known = registry.held.get(record.id);
-	const order = known === undefined ? 1 : compareRecords(record, known.record);
+	const known = registry.held.get(given.id);
+	const record = known === undefined ? given : joinStages(given, known.record);
 
-	if (order < 0 || (order === 0 && !hasNewerModels(record, known!.record) && !isLoadingNews(known!, {nowMs, loadingLeftMs})) || isSuperseded(registry, record)) {
+	if ((known !== undefined && isStale(record, known, {nowMs, loadingLeftMs})) || isSuperseded(registry, record)) {
 		return {registry, news: NewsKind.Stale};
 	}
 
@@ -69,6 +69,12 @@
 	return {registry: {held, revision: Math.max(registry.revision, revision)}, news: isChanged ? NewsKind.Changed : NewsKind.Renewed};
 }
 
+function isStale(record: InstanceRecord, known: HeldInstance, times: Pick<TakeOptions, 'nowMs' | 'loadingLeftMs'>): boolean {
+	const order = compareRecords(record, known.record);
+
+	return order < 0 || (order === 0 && !hasNewerModels(record, known.record) && !isLoadingNews(known, times));
+}
+
 // A daemon that orders an instance to load other weights knows of them before the next announcement does.
 function hasNewerModels({models}: InstanceRecord, known: InstanceRecord): boolean {
 	return models.some(({name, version}) => version > (known.models.find(one => one.name === name)?.version ?? 0));
@@ -85,6 +91,17 @@
 	return (knownLeftMs > 0) !== (loadingLeftMs > 0) || loadingLeftMs > knownLeftMs + loadingSlackMs;
 }
 
+// An instance that leaves does not come back without a new start, whatever it announces, and whichever daemon heard of it first.
+function joinStages(record: InstanceRecord, known: InstanceRecord): InstanceRecord {
+	const hasEnded = record.stage === InstanceStage.Gone || known.stage === InstanceStage.Gone;
+
+	if (record.incarnation !== known.incarnation || record.stage === known.stage || hasEnded) {
+		return record;
+	}
+
+	return {...(record.sequence > known.sequence ? record : known), stage: InstanceStage.Draining};
+}
+
 /** Positive where `a` is newer. What has ended stays ended within its incarnation, whatever the numbers. */
 function compareRecords(a: InstanceRecord, b: InstanceRecord): number {
 	if (a.incarnation !== b.incarnation) {
@@ -98,7 +115,7 @@
 		return isEndedA ? 1 : -1;
 	}
 
-	return a.sequence - b.sequence;
+	return a.sequence - b.sequence || Number(a.stage === InstanceStage.Draining) - Number(b.stage === InstanceStage.Draining);
 }
 
 // A late announcement of an instance that crashed must not take the address back from the one that started there since.
@@ -194,6 +211,26 @@
 	return {held: new Map(registry.held).set(id, {...known, loadingDeadlineMs, revision}), revision};
 }
 
+/**
+Marks a start of an instance as leaving, as one of its answers said.
+
+@example
+```
+registry = setLeaving(registry, {id: 'i-1', incarnation: 1_700_000_000_000});
+```
+*/
+export function setLeaving(registry: InstanceRegistry, {id, incarnation}: Pick<InstanceRecord, 'id' | 'incarnation'>): InstanceRegistry {
+	const known = registry.held.get(id);
+
+	if (known?.record.incarnation !== incarnation || known.record.stage !== InstanceStage.Ready) {
+		return registry;
+	}
+
+	const revision = registry.revision + 1;
+
+	return {held: new Map(registry.held).set(id, {...known, revision, record: {...known.record, stage: InstanceStage.Draining}}), revision};
+}
+
 /** Sets the version of a model that an instance was seen to hold, ahead of its next announcement. */
 export function setModelVersion(registry: InstanceRegistry, id: string, model: ModelVersion): InstanceRegistry {
 	const known = registry.held.get(id);
--- a/packages/protocol/src/headers.ts
+++ b/packages/protocol/src/headers.ts
@@ -14,4 +14,8 @@
 	idempotencyReplayed: 'idempotency-replayed',
 	lastEventId: 'last-event-id',
 	load: 'x-load',
+	/** An upstream says with the value 1 that it leaves and takes nothing new. */
+	leaving: 'x-leaving',
+	/** Seconds, with fractions, for which an upstream that refused with 503 wants nothing from the entry that it refused. */
+	retryAfter: 'retry-after',
 } as const;
--- a/packages/protocol/src/link-messages.ts
+++ b/packages/protocol/src/link-messages.ts
@@ -17,6 +17,8 @@
 	Hello = 'hello',
 	/** News of instances, told at once. */
 	Instances = 'instances',
+	/** A gateway tells its home of instances that say in their answers that they leave. */
+	ReportInstances = 'report_instances',
 	/** A new version of the configuration or of the weights, told at once. */
 	Published = 'published',
 	ReadPublished = 'read_published',
@@ -46,6 +48,7 @@
 		| {readonly kind: LinkKind.NoteReturn; readonly root: string}
 		| {readonly kind: LinkKind.Hello; readonly hello: unknown}
 		| {readonly kind: LinkKind.Instances; readonly notes: unknown; readonly isRelayed: boolean}
+		| {readonly kind: LinkKind.ReportInstances; readonly notes: unknown}
 		| {readonly kind: LinkKind.Published; readonly published: unknown}
 		| {readonly kind: LinkKind.ReadPublished}
 		| {readonly kind: LinkKind.Loads; readonly from: string; readonly loads: unknown; readonly isRelayed: boolean}
--- a/packages/routing/src/decide-wait.ts
+++ b/packages/routing/src/decide-wait.ts
@@ -51,3 +51,25 @@
 
 	return waitedMs + expectedMs < patienceMs ? WaitDecision.Send : WaitDecision.Refuse;
 }
+
+export type RestQuestion = {
+	/** Until the first instance ends its rest. */
+	readonly restLeftMs: number;
+	/** Time that the request takes an instance by itself. */
+	readonly workMs: number;
+	readonly waitedMs: number;
+	readonly patienceMs: number;
+};
+
+/**
+Decides about a request while every instance has asked for a rest: it waits where it can be answered after the first of them ends. Answers
+the load pattern of a whole service that turns its callers away at once.
+
+@example
+```
+decideRest({restLeftMs: 2500, workMs: 60, waitedMs: 0, patienceMs: 1500}); //=> WaitDecision.Refuse
+```
+*/
+export function decideRest({restLeftMs, workMs, waitedMs, patienceMs}: RestQuestion): WaitDecision.Wait | WaitDecision.Refuse {
+	return waitedMs + restLeftMs + workMs < patienceMs ? WaitDecision.Wait : WaitDecision.Refuse;
+}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -18,6 +18,10 @@
 export {
 	canTakeRequests, createInstanceHealth, HealthEvent, judgeInstance, type InstanceHealth,
 } from './instance-health.js';
+export {
+	advanceStanding, canSendTo, classifyStanding, createInstanceStanding, isProperRest, Standing, StandingEventKind, type AnnouncedStanding,
+	type InstanceStanding, type StandingEvent,
+} from './instance-standing.js';
 export {
 	chooseInstance, type InstanceOption, type Placement, type PlacementQuestion, type PromptSize,
 } from './choose-instance.js';
@@ -26,6 +30,6 @@
 	addWork, computeCorrectionMs, computeWaitMs, correctClock, createWorkClock, estimateWork, isOverdue, resetClock, type WorkClock, type WorkEstimate,
 } from './work-clock.js';
 export {
-	decideWait, freeQueueMs, WaitDecision, type WaitQuestion,
+	decideRest, decideWait, freeQueueMs, WaitDecision, type RestQuestion, type WaitQuestion,
 } from './decide-wait.js';
 export {createCachedParts, type CachedParts, type PromptPart} from './cached-parts.js';
