Keep parts by the room of stores, and spare engines whose memory is full

Hypothesis: short parts all go to the quick stores, which hold a third of them, while the slower ones have room; what is saved there drives out what returns. A part goes to the quickest store that is not full, counting what is on its way; where all are full, by capacity. Parts that nobody asked for in 20 s make room. What a new keeper lists before it knows the stores' clock counts as used then.

--- a/packages/coordinator/src/part-keeper.ts
+++ b/packages/coordinator/src/part-keeper.ts
@@ -100,6 +100,11 @@
 	const readUpstreamMs = () => clockSample === undefined ? undefined : clockSample.clockMs + (clock.readMonotonicMs() - clockSample.atMs);
 
 	const noteClock = (clockMs: number) => {
+		// What was listed before any clock was known counts as used now, and not as idle for ever.
+		if (clockSample === undefined && keeper !== undefined) {
+			keeper = recordUses(keeper, keeper.parts.keys(), clockMs);
+		}
+
 		clockSample = {clockMs, atMs: clock.readMonotonicMs()};
 	};
 
--- a/packages/gateway/src/__tests__/unit/choose-place.test.ts
+++ b/packages/gateway/src/__tests__/unit/choose-place.test.ts
@@ -42,7 +42,7 @@
 	const options = {
 		clock, book, availabilityZone: 'north', judgeWeights, chooseInstance,
 		parts: {
-			getView: () => createPartsView(), noteUse: () => undefined, noteSave: () => undefined, isBeingSaved: () => false, stop: () => undefined,
+			getView: () => createPartsView(), noteUse: () => undefined, noteSave: () => undefined, countPendingTokens: () => 0, isBeingSaved: () => false, stop: () => undefined,
 		},
 		getTable: () => ({stores: []}),
 	} as unknown as ForwardOptions;
--- a/packages/gateway/src/choose-place.ts
+++ b/packages/gateway/src/choose-place.ts
@@ -134,11 +134,16 @@
 // The last part belongs to this request alone and does not return.
 function planSaves(options: ForwardOptions, {salt, parts, places}: SaveInput): ReadonlyArray<string | undefined> {
 	const {stores} = options.getTable();
+	const {heldTokens} = options.parts.getView();
+	// The other gateways have as much on its way there.
+	const countHeldTokens = (address: string) => (heldTokens.get(address) ?? 0) + (options.parts.countPendingTokens(address) * options.countGateways());
 
 	return parts.map((part, position) => {
 		const isShared = position < parts.length - 1;
 
-		return isShared && places[position] === undefined && !options.parts.isBeingSaved({salt, id: part.id}) ? chooseStore(stores, part)?.address : undefined;
+		return isShared && places[position] === undefined && !options.parts.isBeingSaved({salt, id: part.id})
+			? chooseStore(stores, part, countHeldTokens)?.address
+			: undefined;
 	});
 }
 
--- a/packages/gateway/src/parts-client.ts
+++ b/packages/gateway/src/parts-client.ts
@@ -1,6 +1,6 @@
 import {type Clock} from '@fescuestair/core';
 import {
-	createPartsView, deriveKey, isEncodedPartsReply, takePartsReply, decodePartsReply, type PartsPoll, type PartsView,
+	createPartsView, deriveKey, isEncodedPartsReply, takePartsReply, decodePartsReply, type PartPlace, type PartsPoll, type PartsView,
 } from '@fescuestair/parts';
 import {callChecked, LinkKind, requireChecked} from '@fescuestair/protocol';
 import {type Log} from '@fescuestair/runtime';
@@ -20,7 +20,9 @@
 	/** Notes that a request asked for a part; the least recently used go first. */
 	readonly noteUse: (part: {readonly salt: string; readonly id: string}) => void;
 	/** Notes that a part is on its way to a store. */
-	readonly noteSave: (part: {readonly salt: string; readonly id: string}) => void;
+	readonly noteSave: (part: PartPlace) => void;
+	/** Tokens of parts that this gateway sent to a store and that are not known to be there yet. */
+	readonly countPendingTokens: (storeAddress: string) => number;
 	/** Whether a part was sent to a store lately and may be there soon. */
 	readonly isBeingSaved: (part: {readonly salt: string; readonly id: string}) => boolean;
 	readonly stop: () => void;
@@ -38,7 +40,7 @@
 export function createPartsClient({getHome, links, clock, log}: PartsClientOptions): PartsClient {
 	let view = createPartsView();
 	let used = new Set<string>();
-	const saves = new Map<string, number>();
+	const saves = new Map<string, {readonly deadlineMs: number; readonly place: PartPlace}>();
 	let isPolling = false;
 	let isLost = false;
 
@@ -75,8 +77,8 @@
 	const tidySaves = () => {
 		const nowMs = clock.readMonotonicMs();
 
-		for (const [key, deadlineMs] of saves) {
-			if (nowMs >= deadlineMs) {
+		for (const [key, {deadlineMs}] of saves) {
+			if (nowMs >= deadlineMs || view.places.has(key)) {
 				saves.delete(key);
 			}
 		}
@@ -95,7 +97,16 @@
 			}
 		},
 		noteSave(part) {
-			saves.set(deriveKey(part), clock.readMonotonicMs() + saveMs);
+			saves.set(deriveKey(part), {deadlineMs: clock.readMonotonicMs() + saveMs, place: part});
+		},
+		countPendingTokens(storeAddress) {
+			let pending = 0;
+
+			for (const {place} of saves.values()) {
+				pending += place.storeAddress === storeAddress ? place.tokens : 0;
+			}
+
+			return pending;
 		},
 		isBeingSaved: part => saves.has(deriveKey(part)),
 		stop() {
--- a/packages/parts/src/__tests__/unit/parts.test.ts
+++ b/packages/parts/src/__tests__/unit/parts.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import fc from 'fast-check';
 import {
-	addParts, answerPoll, computeFetchUntil, createKeeper, createPartsView, deriveKey, findPlaces, formatSalt, listFreeable, parseSalt, retireParts,
+	addParts, answerPoll, computeFetchUntil, createKeeper, createPartsView, deriveKey, findPlaces, forgetParts, formatSalt, listFreeable, parseSalt, retireParts,
 	takePartsReply, chooseStore,
 } from '../../index.js';
 
@@ -84,8 +84,50 @@
 test('short parts go to the quick store, and those that would fill it to the large one', t => {
 	const quick = {address: 'q', capacityTokens: 100_000, firstByteMs: 0.5};
 	const large = {address: 'l', capacityTokens: 640_000, firstByteMs: 6};
-	t.is(chooseStore([quick, large], {id: 'a', tokens: 246}), quick);
-	t.is(chooseStore([quick, large], {id: 'a', tokens: 12_800}), large);
-	t.is(chooseStore([quick, large], {id: 'a', tokens: 34_000}), large);
-	t.is(chooseStore([quick, large], {id: 'a', tokens: 700_000}), undefined);
+	const isEmpty = () => 0;
+	t.is(chooseStore([quick, large], {id: 'a', tokens: 246}, isEmpty), quick);
+	t.is(chooseStore([quick, large], {id: 'a', tokens: 12_800}, isEmpty), large);
+	t.is(chooseStore([quick, large], {id: 'a', tokens: 34_000}, isEmpty), large);
+	t.is(chooseStore([quick, large], {id: 'a', tokens: 700_000}, isEmpty), undefined);
+});
+
+test('more short parts than the quick stores hold: these keep what they have, and the rest is kept by the slower one', t => {
+	const stores = [{address: 'q1', capacityTokens: 100_000, firstByteMs: 0.5}, {address: 'q2', capacityTokens: 100_000, firstByteMs: 0.5}, {address: 'l', capacityTokens: 640_000, firstByteMs: 6}];
+	const capacities = new Map(stores.map(store => [store.address, store.capacityTokens]));
+	let keeper = createKeeper('1');
+	let found = 0;
+	let asked = 0;
+
+	// 400 parts of 1,500 tokens return in turns, one each 20 ms; the view follows at once.
+	for (let step = 0; step < 4000; step++) {
+		const clockMs = step * 20;
+		const part = createPart(`p${(step * 173) % 400}`, 1500);
+		const key = deriveKey(part);
+		const place = keeper.parts.get(key);
+		const isFound = place !== undefined && place.retiredAtMs === undefined;
+		asked += step >= 400 ? 1 : 0;
+		found += isFound && step >= 400 ? 1 : 0;
+
+		if (place === undefined) {
+			const {heldTokens} = takePartsReply(createPartsView(), answerPoll(keeper, {epoch: undefined, revision: 0, used: []}, clockMs).reply, clockMs);
+			keeper = addParts(keeper, {storeAddress: chooseStore(stores, part, address => heldTokens.get(address) ?? 0)!.address, parts: [part], clockMs});
+		}
+
+		keeper = retireParts(answerPoll(keeper, {epoch: undefined, revision: 0, used: [key]}, clockMs).keeper, {capacities, weights: new Map(), clockMs});
+		keeper = forgetParts(keeper, new Set(stores.flatMap(store => listFreeable(keeper, store.address, clockMs)).map(one => deriveKey(one))));
+	}
+
+	// All fit into 0.85 of the room of all stores together.
+	t.true(found >= asked * 0.95, `${found} of ${asked}`);
+});
+
+test('parts that nobody asks for any more make room for those that do', t => {
+	let keeper = addParts(createKeeper('1'), {storeAddress, parts: Array.from({length: 16}, (_, index) => createPart(`old${index}`, 50)), clockMs: 0});
+	const capacities = new Map([[storeAddress, 1000]]);
+	keeper = retireParts(keeper, {capacities, weights: new Map(), clockMs: 19_000});
+	t.is(keeper.retired.size, 0);
+	keeper = addParts(keeper, {storeAddress, parts: [createPart('new', 50)], clockMs: 19_000});
+	keeper = retireParts(keeper, {capacities, weights: new Map(), clockMs: 20_000});
+	t.is(keeper.retired.size, 2);
+	t.false(keeper.retired.has(deriveKey(createPart('new'))));
 });
--- a/packages/parts/src/keeper.ts
+++ b/packages/parts/src/keeper.ts
@@ -27,6 +27,10 @@
 /** A store is emptied down to this share of its room once it is fuller than the other: a save without room is lost. */
 const fullShare = 0.9;
 const emptiedShare = 0.8;
+/** From this share on, parts that were not asked for in a while make room for new ones. */
+const crowdedShare = 0.75;
+/** A part that was not asked for in this long is taken for one that does not return; such prompts as return do so within seconds. */
+const idleMs = 20_000;
 
 /**
 Creates the keeper of one term of office.
@@ -194,7 +198,7 @@
 	}
 
 	for (const [storeAddress, capacity] of capacities) {
-		for (const key of listExcess(live.get(storeAddress)!, capacity)) {
+		for (const key of listExcess(live.get(storeAddress)!, {capacity, clockMs})) {
 			retired.add(key);
 		}
 	}
@@ -220,21 +224,24 @@
 	return parsed === undefined || parsed.weightVersion < (weights.get(parsed.model) ?? 0);
 }
 
-function listExcess(here: ReadonlyArray<readonly [PartKey, KeptPart]>, capacity: number): readonly PartKey[] {
+function listExcess(here: ReadonlyArray<readonly [PartKey, KeptPart]>, {capacity, clockMs}: {readonly capacity: number; readonly clockMs: number}): readonly PartKey[] {
 	let held = 0;
 
 	for (const [, part] of here) {
 		held += part.tokens;
 	}
 
-	if (held <= capacity * fullShare) {
+	if (held <= capacity * crowdedShare) {
 		return [];
 	}
 
+	const isFull = held > capacity * fullShare;
 	const excess: PartKey[] = [];
 
 	for (const [key, part] of here.toSorted(([, a], [, b]) => a.usedAtMs - b.usedAtMs)) {
-		if (held <= capacity * emptiedShare) {
+		const isIdle = clockMs - part.usedAtMs >= idleMs && held > capacity * crowdedShare;
+
+		if (!isIdle && (!isFull || held <= capacity * emptiedShare)) {
 			break;
 		}
 
--- a/packages/parts/src/view.ts
+++ b/packages/parts/src/view.ts
@@ -7,6 +7,8 @@
 	readonly epoch: string | undefined;
 	readonly revision: number;
 	readonly places: ReadonlyMap<PartKey, PartPlace>;
+	/** Tokens of these by store. */
+	readonly heldTokens: ReadonlyMap<string, number>;
 	/** The upstreams' clock at the newest reply, and this daemon's when it was asked for. */
 	readonly clockMs: number;
 	readonly askedAtMs: number;
@@ -18,7 +20,7 @@
 /** Creates the view of a gateway that was told nothing yet. */
 export function createPartsView(): PartsView {
 	return {
-		epoch: undefined, revision: 0, places: new Map(), clockMs: 0, askedAtMs: Number.NEGATIVE_INFINITY,
+		epoch: undefined, revision: 0, places: new Map(), heldTokens: new Map(), clockMs: 0, askedAtMs: Number.NEGATIVE_INFINITY,
 	};
 }
 
@@ -31,6 +33,10 @@
 ```
 */
 export function takePartsReply(view: PartsView, reply: PartsReply, askedAtMs: number): PartsView {
+	if (!reply.isWhole && reply.added.length === 0 && reply.removed.length === 0) {
+		return {...view, revision: reply.revision, clockMs: reply.clockMs, askedAtMs};
+	}
+
 	const places = new Map(reply.isWhole ? [] : view.places);
 
 	for (const place of reply.added) {
@@ -42,10 +48,20 @@
 	}
 
 	return {
-		epoch: reply.epoch, revision: reply.revision, places, clockMs: reply.clockMs, askedAtMs,
+		epoch: reply.epoch, revision: reply.revision, places, heldTokens: sumTokens(places.values()), clockMs: reply.clockMs, askedAtMs,
 	};
 }
 
+function sumTokens(places: Iterable<PartPlace>): ReadonlyMap<string, number> {
+	const sums = new Map<string, number>();
+
+	for (const {storeAddress, tokens} of places) {
+		sums.set(storeAddress, (sums.get(storeAddress) ?? 0) + tokens);
+	}
+
+	return sums;
+}
+
 /**
 Computes until when, on the upstreams' clock, a fetch that begins now counts; `undefined` where the view is too old for one. The keeper
 frees a part only after the last such time of any view that has it. Clocks that stood still make the time too early, never too late.
--- a/packages/routing/src/choose-instance.ts
+++ b/packages/routing/src/choose-instance.ts
@@ -71,6 +71,8 @@
 const preferredShare = 0.7;
 /** Time in which running prompts give all of an engine's memory back: a few long ones, read and answered. */
 const memoryTurnMs = 1500;
+/** What a prompt costs an engine whose memory is full: a running one yields, and is read again. */
+const preemptionMs = 200;
 /** Time for which a running request holds a place, where another waits for it. */
 const placeTurnMs = 500;
 
@@ -172,7 +174,7 @@
 	const others = estimateOthers(load, nowMs);
 	const held = load.ownHeldTokens + load.peers.heldTokens;
 	const overflow = Math.max(0, held + prompt.promptTokens + prompt.outputTokens - prompt.cacheTokens);
-	const memoryMs = overflow / prompt.cacheTokens * memoryTurnMs;
+	const memoryMs = (overflow / prompt.cacheTokens * memoryTurnMs) + (overflow > 0 ? preemptionMs : 0);
 	const placeMs = Math.max(0, load.own + others + 1 - option.slots) * placeTurnMs / option.slots;
 	const waitMs = Math.max(option.fetchMs, computeWaitMs(load.work, nowMs));
 
