Let large prompts wait for memory at the gateway

Long runs that are read next to each other slow each other down, hold memory longer, and are read again when they yield.

A prompt that takes over a twentieth of an engine's memory is sent only where it leaves a fifth of it to short ones; else it waits here, and is refused at once where its turn comes after its caller has left. Replay test: twice the prompts that memory holds; short ones that meet a full engine: many before, none now.

--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -141,7 +141,7 @@
 	if (decision === WaitDecision.Wait) {
 		progress.waits++;
 		options.waiting.set(exchange, {service: service.name, workMs: place.placement.workMs});
-		await sleep(computeLookMs(place.placement.queueMs) + (Math.random() * waitSpreadMs));
+		await sleep(computeLookMs(Math.max(place.placement.queueMs, place.placement.memoryWaitMs)) + (Math.random() * waitSpreadMs));
 
 		return undefined;
 	}
--- a/packages/routing/src/__tests__/unit/choose-instance.test.ts
+++ b/packages/routing/src/__tests__/unit/choose-instance.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import {
-	addWork, chooseInstance, computeWaitMs, createInstanceLoad, createWorkClock, type InstanceOption, type PromptSize, type WorkClock,
+	addWork, chooseInstance, computeWaitMs, createInstanceLoad, createWorkClock, decideWait, WaitDecision, type InstanceOption, type PromptSize,
+	type WorkClock,
 } from '../../index.js';
 
 const createOption = (id: string, overrides: Partial<InstanceOption> = {}): InstanceOption => ({
@@ -77,3 +78,62 @@
 	t.true(expectedMs < 100, `${expectedMs} ms`);
 	t.is(computeWaitMs(held.work, 0), 0);
 });
+
+// Long prompts hold memory for three seconds, more of them than the engines have memory for; short ones come between.
+const replayMemory = (mayWait: boolean) => {
+	const sizes = {cacheTokens: 94_000, affinityKey: undefined};
+	const prompts = {
+		long: {
+			...long, ...sizes, promptTokens: 12_000, outputTokens: 76,
+		},
+		short: {
+			...short, ...sizes, promptTokens: 2400, outputTokens: 5,
+		},
+	};
+	const ids = Array.from({length: 8}, (_, index) => `i-${index}`);
+	const running: Array<{readonly id: string; readonly tokens: number; readonly untilMs: number}> = [];
+	const arrivals = Array.from({length: 600}, (_, index) => ({atMs: index * 20, isLong: index % 2 === 0}));
+	let waiting: Array<{readonly atMs: number}> = [];
+	const seen = {fullForShort: 0, sentLong: 0};
+
+	const send = (nowMs: number, prompt: PromptSize, holdMs: number, waitedMs: number): boolean => {
+		const held = (id: string) => running.filter(one => one.id === id && one.untilMs > nowMs).reduce((sum, one) => sum + one.tokens, 0);
+		const options = ids.map(id => createOption(id, {load: {...createInstanceLoad(), ownHeldTokens: held(id)}}));
+		const placement = chooseInstance({
+			options, nowMs, availabilityZone: 'north', prompt,
+		})!;
+		const decision = decideWait({
+			...placement, waitedMs, aheadMs: 0, targetMs: 800, patienceMs: 3200,
+		});
+
+		if (mayWait && decision !== WaitDecision.Send) {
+			return decision === WaitDecision.Refuse;
+		}
+
+		seen.fullForShort += prompt === prompts.short && held(placement.id) + 2405 > 94_000 ? 1 : 0;
+		seen.sentLong += prompt === prompts.long ? 1 : 0;
+		running.push({id: placement.id, tokens: prompt.promptTokens + prompt.outputTokens, untilMs: nowMs + holdMs});
+
+		return true;
+	};
+
+	for (const {atMs, isLong} of arrivals) {
+		waiting = waiting.filter(one => !send(atMs, prompts.long, 3000, atMs - one.atMs));
+
+		if (isLong) {
+			waiting.push({atMs});
+		} else {
+			send(atMs, prompts.short, 150, 0);
+		}
+	}
+
+	return seen;
+};
+
+test('while long prompts come faster than memory frees, they wait before the engines, and no short one meets an engine that is full', t => {
+	t.true(replayMemory(false).fullForShort > 0);
+	const {fullForShort, sentLong} = replayMemory(true);
+	t.is(fullForShort, 0);
+	// Six long prompts fit into what each of the eight engines leaves to them, for three seconds each, over twelve seconds.
+	t.true(sentLong >= 8 * 6 * 3, `${sentLong}`);
+});
--- a/packages/routing/src/__tests__/unit/decide-wait.test.ts
+++ b/packages/routing/src/__tests__/unit/decide-wait.test.ts
@@ -4,7 +4,7 @@
 } from '../../index.js';
 
 const base = {
-	expectedMs: 400, queueMs: 0, workMs: 350, waitedMs: 0, aheadMs: 0, targetMs: 800, patienceMs: 3200,
+	expectedMs: 400, queueMs: 0, workMs: 350, memoryWaitMs: 0, waitedMs: 0, aheadMs: 0, targetMs: 800, patienceMs: 3200,
 };
 
 test('a request that is in time, or finds an instance free, is sent', t => {
@@ -71,3 +71,10 @@
 	t.true(held.longestQueueMs <= 800, `${held.longestQueueMs} ms`);
 	t.true(held.inTime > sentOn.inTime, `${held.inTime} in time, ${sentOn.inTime} where all are sent on`);
 });
+
+test('a large prompt waits for memory though the engine could begin to read it, and is refused where it frees too late', t => {
+	const full = {...base, memoryWaitMs: 600};
+	t.is(decideWait(full), WaitDecision.Wait);
+	t.is(decideWait({...full, waitedMs: 2400}), WaitDecision.Refuse);
+	t.is(decideWait({...full, aheadMs: 3000}), WaitDecision.Refuse);
+});
--- a/packages/routing/src/choose-instance.ts
+++ b/packages/routing/src/choose-instance.ts
@@ -48,6 +48,8 @@
 	readonly queueMs: number;
 	/** Time that reading it takes. */
 	readonly workMs: number;
+	/** Time until a large prompt finds memory; 0 for short ones, which find it in what large ones leave. */
+	readonly memoryWaitMs: number;
 	readonly cost: number;
 };
 
@@ -71,6 +73,10 @@
 const preferredShare = 0.7;
 /** Time in which running prompts give all of an engine's memory back: a few long ones, read and answered. */
 const memoryTurnMs = 1500;
+/** A prompt that takes more than this share of an engine's memory is large. */
+const largeShare = 1 / 20;
+/** Large prompts leave the rest of the memory to short ones, which would have to wait for them, or make them yield. */
+const largePromptsShare = 0.8;
 /** What a prompt costs an engine whose memory is full: a running one yields, and is read again. */
 const preemptionMs = 200;
 /** Time for which a running request holds a place, where another waits for it. */
@@ -115,6 +121,7 @@
 		expectedMs,
 		queueMs: prompt === undefined ? 0 : computeWaitMs(option.load.work, nowMs),
 		workMs: prompt === undefined ? 0 : computeWorkMs(option, prompt),
+		memoryWaitMs: prompt !== undefined && isLarge(prompt) ? estimateMemoryMs(option, prompt) : 0,
 		cost: expectedMs
 			+ (option.failureShare * failureMs * 10 * option.failureShare)
 			+ (option.isCold ? coldMs : 0)
@@ -155,6 +162,20 @@
 	return Math.max(0, promptTokens - cachedTokens - fetchableTokens) / prefillTokensPerMs;
 }
 
+function isLarge({promptTokens, outputTokens, cacheTokens}: PromptSize): boolean {
+	return promptTokens + outputTokens > cacheTokens * largeShare;
+}
+
+// Time until the engine has memory for a prompt, with what it costs those that would have to yield.
+function estimateMemoryMs({load}: InstanceOption, prompt: PromptSize): number {
+	const {promptTokens, outputTokens, cacheTokens} = prompt;
+	const held = load.ownHeldTokens + load.peers.heldTokens;
+	const overflow = held + promptTokens + outputTokens - (cacheTokens * (isLarge(prompt) ? largePromptsShare : 1));
+
+	// A prompt that is larger than its share alone finds an engine that is empty.
+	return overflow <= 0 || held === 0 ? 0 : (overflow / cacheTokens * memoryTurnMs) + preemptionMs;
+}
+
 function estimateCallMs({load, slots}: InstanceOption, nowMs: number): number {
 	const callMs = load.meanMs ?? defaultCallMs;
 	const total = load.own + estimateOthers(load, nowMs);
@@ -172,9 +193,7 @@
 	const assumed = isPreferred ? prompt.sharedTokens * preferredShare : 0;
 	const uncached = Math.max(0, prompt.promptTokens - Math.max(option.cachedTokens + option.fetchableTokens, assumed));
 	const others = estimateOthers(load, nowMs);
-	const held = load.ownHeldTokens + load.peers.heldTokens;
-	const overflow = Math.max(0, held + prompt.promptTokens + prompt.outputTokens - prompt.cacheTokens);
-	const memoryMs = (overflow / prompt.cacheTokens * memoryTurnMs) + (overflow > 0 ? preemptionMs : 0);
+	const memoryMs = estimateMemoryMs(option, prompt);
 	const placeMs = Math.max(0, load.own + others + 1 - option.slots) * placeTurnMs / option.slots;
 	const waitMs = Math.max(option.fetchMs, computeWaitMs(load.work, nowMs));
 
--- a/packages/routing/src/decide-wait.ts
+++ b/packages/routing/src/decide-wait.ts
@@ -14,6 +14,8 @@
 	readonly queueMs: number;
 	/** Time that it takes an engine by itself. */
 	readonly workMs: number;
+	/** Time until the instance has memory for it, where it is large. */
+	readonly memoryWaitMs: number;
 	readonly waitedMs: number;
 	/** Time after which those that wait before it will have been sent. */
 	readonly aheadMs: number;
@@ -35,10 +37,15 @@
 
 @example
 ```
-decideWait({expectedMs: 2400, queueMs: 1900, workMs: 480, waitedMs: 0, aheadMs: 0, targetMs: 800, patienceMs: 3200}); //=> WaitDecision.Wait
+decideWait({expectedMs: 2400, queueMs: 1900, workMs: 480, memoryWaitMs: 0, waitedMs: 0, aheadMs: 0, targetMs: 800, patienceMs: 3200}); //=> WaitDecision.Wait
 ```
 */
-export function decideWait({expectedMs, queueMs, workMs, waitedMs, aheadMs, targetMs, patienceMs}: WaitQuestion): WaitDecision {
+export function decideWait({expectedMs, queueMs, workMs, memoryWaitMs, waitedMs, aheadMs, targetMs, patienceMs}: WaitQuestion): WaitDecision {
+	// In an engine without memory for it, it would only stand before short ones.
+	if (memoryWaitMs > 0) {
+		return waitedMs + Math.max(aheadMs, memoryWaitMs) + workMs < patienceMs ? WaitDecision.Wait : WaitDecision.Refuse;
+	}
+
 	const isInTime = waitedMs + expectedMs <= targetMs;
 
 	if (isInTime || (queueMs < freeQueueMs && waitedMs + expectedMs < patienceMs)) {
