Know stored parts sooner after a loss, and load weights by a share of the fleet

A new keeper lists at once and answers after the handover as before, the first events are awaited 200 ms, since they tell the clock; a gateway asks its new home at once and takes no answer of the one before.

Weights: two loads at once is what eight engines bear; sixty-three needed thirty-two loads, longer than older weights may be used. A quarter of those that serve load at once, two at least.

--- a/packages/coordinator/src/__tests__/unit/plan-weight-orders.test.ts
+++ b/packages/coordinator/src/__tests__/unit/plan-weight-orders.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import {InstanceStage, type HeldInstance} from '@fescuestair/instances';
-import {planWeightOrders} from '../../index.js';
+import {computeLoadsAtOnce, planWeightOrders} from '../../index.js';
 
 const createHeld = (id: string, version: number, overrides: {readonly stage?: InstanceStage; readonly heardAtMs?: number} = {}): HeldInstance => ({
 	record: {
@@ -34,3 +34,18 @@
 	const instances = [createHeld('a', 1, {stage: InstanceStage.Draining}), createHeld('b', 1, {heardAtMs: 400})];
 	t.deepEqual(planWeightOrders({...base, instances}), []);
 });
+
+test('new weights for many engines: all are ordered within five loads, and three in four go on serving', t => {
+	t.is(computeLoadsAtOnce(6), 2);
+	let instances = Array.from({length: 63}, (_, index) => createHeld(`i-${index}`, 2));
+	let loads = 0;
+
+	while (instances.some(({record}) => record.models[0]!.version < 3)) {
+		const ordered = new Set(planWeightOrders({...base, instances, maxAtOnce: computeLoadsAtOnce(instances.length)}).map(order => order.instanceId));
+		t.true(ordered.size <= 63 / 4);
+		instances = instances.map(held => ordered.has(held.record.id) ? createHeld(held.record.id, 3) : held);
+		loads++;
+	}
+
+	t.true(loads <= 5, `${loads}`);
+});
--- a/packages/coordinator/src/index.ts
+++ b/packages/coordinator/src/index.ts
@@ -7,7 +7,9 @@
 export {
 	createPartKeeper, type PartKeeperOptions, type StoreClient, type StoreEvents, type StoreListing,
 } from './part-keeper.js';
-export {planWeightOrders, type WeightOrder, type WeightPlan} from './plan-weight-orders.js';
+export {
+	computeLoadsAtOnce, planWeightOrders, type WeightOrder, type WeightPlan,
+} from './plan-weight-orders.js';
 export {
 	applyPublish, createPublishedState, decodePublishedState, describePublished, encodePublishedState, PublishKind, type PublishAnswer,
 	type PublishCommand, type PublishedState,
--- a/packages/coordinator/src/part-keeper.ts
+++ b/packages/coordinator/src/part-keeper.ts
@@ -54,6 +54,8 @@
 
 const roundMs = 250;
 const eventWaitMs = 900;
+/** The first events tell the stores' clock, without which nothing is answered. */
+const firstEventWaitMs = 200;
 /** Events get lost: the whole list repairs that, and shows parts that were broken off. */
 const relistMs = 6000;
 /** Before many stores each is listed less often: a list stalls the store, and takes long to read. */
@@ -158,7 +160,7 @@
 				const relistAtMs = clock.readMonotonicMs() + (Math.max(relistMs, relistMsPerStore * followed.size) * (1 - (relistSpread * Math.random())));
 
 				while (isFollowing(store) && clock.readMonotonicMs() < relistAtMs) {
-					const events = await client.fetchEvents({address, cursor, waitMs: eventWaitMs});
+					const events = await client.fetchEvents({address, cursor, waitMs: clockSample === undefined ? firstEventWaitMs : eventWaitMs});
 
 					if (!isFollowing(store) || events.isLossy || events.bootId !== store.bootId) {
 						break;
@@ -229,15 +231,11 @@
 		const nowMs = clock.readMonotonicMs();
 		office = {...office!, heldAtMs: nowMs};
 
-		if (nowMs < office.fromMs) {
-			return;
-		}
-
 		keeper ??= createKeeper(`${term}`);
 		followStores(term);
 		const clockMs = readUpstreamMs();
 
-		if (clockMs === undefined) {
+		if (clockMs === undefined || nowMs < office.fromMs) {
 			return;
 		}
 
@@ -279,7 +277,10 @@
 		answer(poll) {
 			const clockMs = readUpstreamMs();
 
-			if (keeper === undefined || clockMs === undefined || office === undefined || getLeadingTerm() !== office.term) {
+			// Until then, the one before in office may still free what was listed here.
+			const isHandedOver = office !== undefined && clock.readMonotonicMs() >= office.fromMs;
+
+			if (keeper === undefined || clockMs === undefined || !isHandedOver || getLeadingTerm() !== office!.term) {
 				return undefined;
 			}
 
--- a/packages/coordinator/src/plan-weight-orders.ts
+++ b/packages/coordinator/src/plan-weight-orders.ts
@@ -20,6 +20,22 @@
 	readonly silentMs: number;
 };
 
+/** Share of the instances that load at once; the others go on serving, and all are through within a few loads. */
+const loadingShare = 1 / 4;
+const leastAtOnce = 2;
+
+/**
+Computes how many of a number of instances load other weights at once.
+
+@example
+```
+computeLoadsAtOnce(63); //=> 15
+```
+*/
+export function computeLoadsAtOnce(instances: number): number {
+	return Math.max(leastAtOnce, Math.floor(instances * loadingShare));
+}
+
 /**
 Plans the next orders to load weights: to instances that serve, the longest outdated first, and never to more at once than load
 well. Answers the load pattern of new weights while every instance is in use: all but a few go on serving.
--- a/packages/coordinator/src/weight-orders.ts
+++ b/packages/coordinator/src/weight-orders.ts
@@ -1,8 +1,8 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type Clock} from '@fescuestair/core';
-import {type HeldInstance} from '@fescuestair/instances';
+import {InstanceStage, type HeldInstance} from '@fescuestair/instances';
 import {type Log} from '@fescuestair/runtime';
-import {planWeightOrders, type WeightOrder} from './plan-weight-orders.js';
+import {computeLoadsAtOnce, planWeightOrders, type WeightOrder} from './plan-weight-orders.js';
 
 /** What an instance says of an order, or of its weights. */
 export enum OrderAnswer {
@@ -50,8 +50,6 @@
 };
 
 const roundMs = 200;
-/** Loads that slow each other down no further; more at once take longer each. */
-const maxLoadsAtOnce = 2;
 /** A load that does not show by then is ordered again; running requests end first, and may last a whole timeout. */
 const loadTimeoutMs = 6000;
 /** Instances that were silent for longer are taken for lost: four announcements. */
@@ -159,8 +157,10 @@
 			return;
 		}
 
+		const instances = [...listInstances()];
+		const serving = instances.filter(({record, heardAtMs}) => record.stage === InstanceStage.Ready && record.models.length > 0 && nowMs - heardAtMs < silentMs);
 		const orders = planWeightOrders({
-			instances: listInstances(), weights: getWeights(), busyIds, maxAtOnce: maxLoadsAtOnce, nowMs, silentMs,
+			instances, weights: getWeights(), busyIds, maxAtOnce: computeLoadsAtOnce(serving.length), nowMs, silentMs,
 		});
 
 		for (const order of orders) {
--- a/packages/gateway/src/__tests__/unit/choose-place.test.ts
+++ b/packages/gateway/src/__tests__/unit/choose-place.test.ts
@@ -42,7 +42,8 @@
 	const options = {
 		clock, book, availabilityZone: 'north', judgeWeights, chooseInstance,
 		parts: {
-			getView: () => createPartsView(), noteUse: () => undefined, noteSave: () => undefined, countPendingTokens: () => 0, isBeingSaved: () => false, stop: () => undefined,
+			getView: () => createPartsView(), followHome: () => undefined, noteUse: () => undefined, noteSave: () => undefined, countPendingTokens: () => 0,
+			isBeingSaved: () => false, stop: () => undefined,
 		},
 		getTable: () => ({stores: []}),
 	} as unknown as ForwardOptions;
@@ -87,3 +88,16 @@
 	const equals = openGateway(t, () => WeightsUse.Current);
 	t.is(new Set(partIds.map(id => equals.choose(id)?.entry.held.record.id)).size, 2);
 });
+
+test('an engine on older weights gets nothing that its queue lets begin too late', t => {
+	const {choose, book} = openGateway(t, (_model, version, startMs = 0) => {
+		if (version !== 1) {
+			return WeightsUse.Current;
+		}
+
+		return startMs >= 1000 ? WeightsUse.Barred : WeightsUse.Late;
+	});
+	// Both engines have a long queue, the one on newer weights the longer one.
+	book.addPeerWork([['i-1', 600, 0], ['i-2', 3000, 0]]);
+	t.deepEqual([...new Set(partIds.map(id => choose(id)?.entry.held.record.id))], ['i-2']);
+});
--- a/packages/gateway/src/__tests__/unit/named-weights.test.ts
+++ b/packages/gateway/src/__tests__/unit/named-weights.test.ts
@@ -31,3 +31,13 @@
 		model: 'guide', version: 1, nowMs: 200, oldWeightsMs: 8000,
 	}), WeightsUse.Barred);
 });
+
+test('what would begin after the bound is not sent to older weights, however early it is sent', t => {
+	const weights = nameWeights(createNamedWeights(), [['guide', 2, 0]], 0);
+	const question = {
+		model: 'guide', version: 1, nowMs: 5000, oldWeightsMs: 8000,
+	};
+	t.is(judgeWeights(weights, {...question, startMs: 1200}), WeightsUse.Late);
+	t.is(judgeWeights(weights, {...question, startMs: 2400}), WeightsUse.Barred);
+	t.is(judgeWeights(weights, {...question, version: 2, startMs: 2400}), WeightsUse.Current);
+});
--- a/packages/gateway/src/choose-place.ts
+++ b/packages/gateway/src/choose-place.ts
@@ -1,5 +1,5 @@
 import {
-	type InstanceOption, type Placement, type PromptPart, type PromptSize,
+	computeWaitMs, type InstanceOption, type Placement, type PromptPart, type PromptSize,
 } from '@fescuestair/routing';
 import {
 	chooseStore, computeFetchUntil, findPlaces, formatSalt, type PartPlace,
@@ -66,9 +66,10 @@
 	};
 
 	for (const entry of open) {
-		const plan = getPlan(findVersion(entry, prompt.model));
+		const version = findVersion(entry, prompt.model);
+		const plan = getPlan(version);
 
-		if (!plan.isBarred) {
+		if (!plan.isBarred && !(plan.isOutdated && isStartTooLate(options, entry, {model: prompt.model, version, nowMs}))) {
 			candidates.push(describeOption(entry, {nowMs, prompt: plan.prompt, isOutdated: plan.isOutdated}));
 		}
 	}
@@ -89,6 +90,18 @@
 	};
 }
 
+/** A queue may take longer than was expected when the request joined it: in bursts it does. */
+const startFactor = 2;
+
+// Whether a request that is sent now may begin after the weights of the instance are barred.
+function isStartTooLate({judgeWeights}: ForwardOptions, {load}: InstanceEntry, {model, version, nowMs}: {
+	readonly model: string; readonly version: number | undefined; readonly nowMs: number;
+}): boolean {
+	const startMs = startFactor * Math.max(computeWaitMs(load.work, nowMs), load.meanMs ?? 0);
+
+	return judgeWeights(model, version, startMs) === WeightsUse.Barred;
+}
+
 function planVersion(options: ForwardOptions, exchange: Exchange, {service, version}: {readonly service: Service; readonly version: number | undefined}): VersionPlan {
 	const {model, parts} = exchange.caller.prompt!;
 	const use = options.judgeWeights(model, version);
--- a/packages/gateway/src/forward-options.ts
+++ b/packages/gateway/src/forward-options.ts
@@ -21,7 +21,7 @@
 	readonly crashes: CrashWatch;
 	readonly getTable: () => RouteTable;
 	/** Tells whether new requests may begin on a version of a model's weights. */
-	readonly judgeWeights: (model: string, version: number | undefined) => WeightsUse;
+	readonly judgeWeights: (model: string, version: number | undefined, startMs?: number) => WeightsUse;
 	/** Share of the system's repeats that this daemon may still make for a service. */
 	readonly budgets: Map<string, RetryBudget>;
 	readonly createBudget: (service: string) => RetryBudget;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -178,8 +178,8 @@
 		parts,
 		crashes,
 		getTable: () => table!,
-		judgeWeights: (model, version) => judgeWeights(weights, {
-			model, version, nowMs: clock.readMonotonicMs(), oldWeightsMs,
+		judgeWeights: (model, version, startMs) => judgeWeights(weights, {
+			model, version, nowMs: clock.readMonotonicMs(), oldWeightsMs, startMs,
 		}),
 		budgets,
 		createBudget: () => createRetryBudget({
@@ -237,10 +237,12 @@
 		onRound(nowMs) {
 			loadShare.tidy(nowMs);
 		},
-		onHome(_home, before) {
+		onHome(home, before) {
 			if (before !== undefined) {
 				loadShare.leaveHome(before);
 			}
+
+			parts.followHome(home);
 		},
 	});
 	const commands = createLinkCommands({
--- a/packages/gateway/src/named-weights.ts
+++ b/packages/gateway/src/named-weights.ts
@@ -50,13 +50,16 @@
 	readonly version: number | undefined;
 	readonly nowMs: number;
 	readonly oldWeightsMs: number;
+	/** How long after it is sent the request may still wait before it begins. */
+	readonly startMs?: number;
 };
 
 /**
 Judges a version: each is judged from the moment at which the first newer one was named. Answers the load pattern of new weights while
-all instances are in use: requests go to those that have them as far as these can take them, and to the others for a bounded time.
+all instances are in use: requests go to those that have them as far as these can take them, and to the others for a bounded time, in which
+they have to begin: a request that waits in an engine's queue past the bound begins too late.
 */
-export function judgeWeights(weights: NamedWeights, {model, version, nowMs, oldWeightsMs}: WeightsQuestion): WeightsUse {
+export function judgeWeights(weights: NamedWeights, {model, version, nowMs, oldWeightsMs, startMs = 0}: WeightsQuestion): WeightsUse {
 	const newer = weights.get(model)?.find(one => one.version > (version ?? 0));
 
 	if (newer === undefined || (version === undefined && newer.version <= 1)) {
@@ -65,7 +68,7 @@
 
 	const agoMs = nowMs - newer.atMs;
 
-	if (agoMs >= oldWeightsMs * usedShare) {
+	if (agoMs + startMs >= oldWeightsMs * usedShare) {
 		return WeightsUse.Barred;
 	}
 
--- a/packages/gateway/src/parts-client.ts
+++ b/packages/gateway/src/parts-client.ts
@@ -9,7 +9,7 @@
 export type PartsClientOptions = {
 	/** Link address of the coordinator that answers for the keeper of parts. */
 	readonly getHome: () => string | undefined;
-	readonly links: Links;
+	readonly links: Pick<Links, 'call'>;
 	readonly clock: Clock;
 	readonly log: Log;
 };
@@ -17,6 +17,8 @@
 /** Keeps up with the keeper of stored parts. */
 export type PartsClient = {
 	readonly getView: () => PartsView;
+	/** Asks at once, without waiting for the home before: it may be silent. */
+	readonly followHome: (address: string | undefined) => void;
 	/** Notes that a request asked for a part; the least recently used go first. */
 	readonly noteUse: (part: {readonly salt: string; readonly id: string}) => void;
 	/** Notes that a part is on its way to a store. */
@@ -41,23 +43,27 @@
 	let view = createPartsView();
 	let used = new Set<string>();
 	const saves = new Map<string, {readonly deadlineMs: number; readonly place: PartPlace}>();
-	let isPolling = false;
+	/** The poll that is awaited; one of a home before counts for nothing. */
+	let awaited: {readonly address: string} | undefined;
 	let isLost = false;
 
-	const poll = async () => {
-		const address = getHome();
-
-		if (isPolling || address === undefined) {
+	const poll = async (address: string | undefined) => {
+		if (address === undefined || awaited?.address === address) {
 			return;
 		}
 
-		isPolling = true;
+		const one = {address};
+		awaited = one;
 		const askedAtMs = clock.readMonotonicMs();
 		const question: PartsPoll = {epoch: view.epoch, revision: view.revision, used: [...used]};
 
 		try {
 			const answer = await callChecked(links, {address, message: {kind: LinkKind.PollParts, poll: question}, timeoutMs: callTimeoutMs});
 
+			if (awaited !== one) {
+				return;
+			}
+
 			if (answer.kind === 'parts') {
 				view = takePartsReply(view, decodePartsReply(requireChecked(answer.reply, isEncodedPartsReply, address)), askedAtMs - answer.ageMs);
 				used = new Set();
@@ -71,7 +77,9 @@
 			}
 		}
 
-		isPolling = false;
+		if (awaited === one) {
+			awaited = undefined;
+		}
 	};
 
 	const tidySaves = () => {
@@ -86,11 +94,14 @@
 
 	const timer = setInterval(() => {
 		tidySaves();
-		void poll();
+		void poll(getHome());
 	}, pollMs);
 
 	return {
 		getView: () => view,
+		followHome(address) {
+			void poll(address);
+		},
 		noteUse(part) {
 			if (used.size < maxUses) {
 				used.add(deriveKey(part));
--- a/packages/parts/src/__tests__/unit/parts.test.ts
+++ b/packages/parts/src/__tests__/unit/parts.test.ts
@@ -114,7 +114,8 @@
 		}
 
 		keeper = retireParts(answerPoll(keeper, {epoch: undefined, revision: 0, used: [key]}, clockMs).keeper, {capacities, weights: new Map(), clockMs});
-		keeper = forgetParts(keeper, new Set(stores.flatMap(store => listFreeable(keeper, store.address, clockMs)).map(one => deriveKey(one))));
+		const before = keeper;
+		keeper = forgetParts(before, new Set(stores.flatMap(store => listFreeable(before, store.address, clockMs)).map(one => deriveKey(one))));
 	}
 
 	// All fit into 0.85 of the room of all stores together.
--- a/packages/parts/src/view.ts
+++ b/packages/parts/src/view.ts
@@ -34,7 +34,9 @@
 */
 export function takePartsReply(view: PartsView, reply: PartsReply, askedAtMs: number): PartsView {
 	if (!reply.isWhole && reply.added.length === 0 && reply.removed.length === 0) {
-		return {...view, revision: reply.revision, clockMs: reply.clockMs, askedAtMs};
+		return {
+			...view, revision: reply.revision, clockMs: reply.clockMs, askedAtMs,
+		};
 	}
 
 	const places = new Map(reply.isWhole ? [] : view.places);
