--- a/packages/gateway/src/instance-book.ts
+++ b/packages/gateway/src/instance-book.ts
@@ -83,6 +83,8 @@
 	clock, log, metrics, getMaxConnections, onWork, onLeaving,
 }: InstanceBookOptions): InstanceBook {
 	const entries = new Map<string, InstanceEntry>();
+	/** The entries, for the choice of each request. */
+	let byService = new Map<string, readonly InstanceEntry[]>();
 	const rates = new Map<string, number>();
 	let visits = 0;
 	let timer: NodeJS.Timeout | undefined;
@@ -123,7 +125,16 @@
 
 	const classify = ({standing, load}: InstanceEntry) => classifyStanding(standing, {own: load.own, nowMs: clock.readMonotonicMs()});
 
-	const listOf = (service: string) => [...entries.values()].filter(entry => entry.held.record.service === service);
+	const listOf = (service: string): readonly InstanceEntry[] => byService.get(service) ?? [];
+
+	const groupByService = () => {
+		byService = new Map();
+
+		for (const entry of entries.values()) {
+			const {service} = entry.held.record;
+			byService.set(service, [...byService.get(service) ?? [], entry]);
+		}
+	};
 
 	// An instance that is late with a long prompt is still reading it: until its first piece comes, it stays busy.
 	const extendOverdue = (entry: InstanceEntry, nowMs: number) => {
@@ -188,6 +199,8 @@
 					entries.delete(id);
 				}
 			}
+
+			groupByService();
 		},
 		applyLimits() {
 			for (const {agent, held} of entries.values()) {
@@ -196,10 +209,19 @@
 		},
 		get: id => entries.get(id),
 		listOpen(service) {
-			const open = listOf(service).map(entry => ({entry, standing: classify(entry)})).filter(({standing}) => canSendTo(standing));
-			const free = open.filter(({standing}) => standing !== Standing.Full);
+			const nowMs = clock.readMonotonicMs();
+			const free: InstanceEntry[] = [];
+			const full: InstanceEntry[] = [];
+
+			for (const entry of listOf(service)) {
+				const standing = classifyStanding(entry.standing, {own: entry.load.own, nowMs});
+
+				if (canSendTo(standing)) {
+					(standing === Standing.Full ? full : free).push(entry);
+				}
+			}
 
-			return (free.length > 0 ? free : open).map(({entry}) => entry);
+			return free.length > 0 ? free : full;
 		},
 		findRestEndMs(service) {
 			const ends = listOf(service).filter(entry => classify(entry) === Standing.Resting).map(({standing}) => standing.restDeadlineMs);
