--- a/packages/cli/src/__tests__/unit/explain.test.ts
+++ b/packages/cli/src/__tests__/unit/explain.test.ts
@@ -44,6 +44,16 @@
 	t.regex(formatExplanation(explanation), /3200 ms of requests waited before it here/v);
 });
 
+test('a request that no instance could take is told with how they stood', t => {
+	const line = write(3, 'front-1', 'request', {
+		requestId: 'r5', outcome: 'refused', status: 503, reason: 'no instance of the service takes requests now', tookMs: 1,
+		story: [{decision: 'refuse', standings: {resting: 2, leaving: 1}, restLeftMs: 2400}],
+	});
+	const text = formatExplanation(explainRequest('r5', parseLogLines(line)));
+	t.regex(text, /no instance took requests; they were \{"resting":2,"leaving":1\}/v);
+	t.regex(text, /the first rest that was asked for had 2400 ms left/v);
+});
+
 test('a stream that broke off is told with how far it came', t => {
 	const line = write(3, 'front-1', 'request', {
 		requestId: 'r4', outcome: 'failed', status: 502, reason: 'ECONNRESET', tookMs: 900,
--- a/packages/cli/src/explain.ts
+++ b/packages/cli/src/explain.ts
@@ -121,9 +121,21 @@
 	].join('\n');
 }
 
-function describeDecision({best, waits, expectedMs, queueMs, workMs, aheadMs, waitedMs, patienceMs}: Step): string {
+function describeDecision(step: Step): string {
+	const {
+		best, waits, expectedMs, queueMs, workMs, memoryWaitMs, aheadMs, waitedMs, patienceMs, standings, restLeftMs,
+	} = step;
+
+	if (standings !== undefined) {
+		return [
+			`not sent: no instance took requests; they were ${formatValue(standings)}`,
+			restLeftMs === undefined ? 'none of them had asked for a rest' : `the first rest that was asked for had ${formatValue(restLeftMs)} ms left`,
+		].join('; ');
+	}
+
 	return [
 		`not sent: at best ${formatValue(expectedMs)} ms were expected at ${formatValue(best)}, ${formatValue(queueMs)} ms of prompts before it and ${formatValue(workMs)} ms of its own`,
+		...(typeof memoryWaitMs === 'number' && memoryWaitMs > 0 ? [`${memoryWaitMs} ms until memory would be free there`] : []),
 		`${formatValue(aheadMs)} ms of requests waited before it here; it had waited ${formatValue(waitedMs)} ms and looked ${formatValue(waits)} times`,
 		`its caller waits ${formatValue(patienceMs)} ms for a first piece`,
 	].join('; ');
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -168,7 +168,9 @@
 	};
 
 	if (restLeftMs === undefined || decideRest(question) === WaitDecision.Refuse) {
-		progress.story.push({decision: WaitDecision.Refuse, standings: options.book.countStandings(service.name), restLeftMs});
+		progress.story.push({
+			decision: WaitDecision.Refuse, standings: options.book.countStandings(service.name), ...(restLeftMs !== undefined && {restLeftMs: Math.round(restLeftMs)}),
+		});
 
 		return refuse(forwarding, 'no instance of the service takes requests now', restLeftMs === undefined ? spreadRetry(0) : spreadTime(restLeftMs));
 	}
@@ -212,11 +214,11 @@
 
 /** Describes for the log why a request was not sent: what it would have met at the best instance, and here before its turn. */
 function describeRefusal(question: WaitQuestion, {instance, waits}: {readonly instance: string; readonly waits: number}): Readonly<Record<string, unknown>> {
-	const {expectedMs, queueMs, workMs, aheadMs, waitedMs, patienceMs} = question;
+	const {expectedMs, queueMs, workMs, memoryWaitMs, aheadMs, waitedMs, patienceMs} = question;
 
 	return {
 		decision: WaitDecision.Refuse, best: instance, waits, expectedMs: Math.round(expectedMs), queueMs: Math.round(queueMs), workMs: Math.round(workMs),
-		aheadMs: Math.round(aheadMs), waitedMs: Math.round(waitedMs), patienceMs: Math.round(patienceMs),
+		memoryWaitMs: Math.round(memoryWaitMs), aheadMs: Math.round(aheadMs), waitedMs: Math.round(waitedMs), patienceMs: Math.round(patienceMs),
 	};
 }
 
--- a/packages/parts/src/keeper.ts
+++ b/packages/parts/src/keeper.ts
@@ -225,23 +225,28 @@
 }
 
 function listExcess(here: ReadonlyArray<readonly [PartKey, KeptPart]>, {capacity, clockMs}: {readonly capacity: number; readonly clockMs: number}): readonly PartKey[] {
+	const isIdle = (part: KeptPart) => clockMs - part.usedAtMs >= idleMs;
 	let held = 0;
+	let hasIdle = false;
 
 	for (const [, part] of here) {
 		held += part.tokens;
+		hasIdle ||= isIdle(part);
 	}
 
-	if (held <= capacity * crowdedShare) {
+	const isFull = held > capacity * fullShare;
+
+	// Sorting thousands of parts a few times a second is worth it only where some go.
+	if (!isFull && !(hasIdle && held > capacity * crowdedShare)) {
 		return [];
 	}
 
-	const isFull = held > capacity * fullShare;
 	const excess: PartKey[] = [];
 
 	for (const [key, part] of here.toSorted(([, a], [, b]) => a.usedAtMs - b.usedAtMs)) {
-		const isIdle = clockMs - part.usedAtMs >= idleMs && held > capacity * crowdedShare;
+		const isSpare = isIdle(part) && held > capacity * crowdedShare;
 
-		if (!isIdle && (!isFull || held <= capacity * emptiedShare)) {
+		if (!isSpare && (!isFull || held <= capacity * emptiedShare)) {
 			break;
 		}
 
