Write an event to its caller as one buffer, and read its id only where a stream goes on elsewhere

Cause: a profile of a gateway before 63 engines with 24 streams a second of 16 events in the mean: three buffers a chunk through writev are a fifth of its busy time; ids were parsed for each event, and the standing of an instance was copied for each piece. Framing is tested through a server: whole, twice on one connection, broken off. Ruled out as the larger part: the choice among 63 engines, 0.4 ms a request.

--- /dev/null
+++ b/packages/gateway/src/__tests__/unit/caller-stream.test.ts
@@ -0,0 +1,92 @@
+import {Buffer} from 'node:buffer';
+import http, {type ServerResponse} from 'node:http';
+import {once} from 'node:events';
+import test, {type ExecutionContext} from 'ava';
+import {type AttemptHead} from '../../attempt.js';
+import {createCallerStream, type CallerStream} from '../../caller-stream.js';
+import {type Exchange} from '../../exchange.js';
+
+const head: AttemptHead = {
+	status: 200, headers: {}, rawHeaders: ['Content-Type', 'text/event-stream'], isFramed: true,
+	answer: {
+		requestId: 'r1', isNotRun: false, load: undefined, idleMs: undefined, isLeaving: false, askedRestMs: undefined,
+	},
+};
+
+/** A caller of a stream that `answer` makes; tells what the caller got, and whether it looks whole. */
+async function ask(t: ExecutionContext, answer: (stream: CallerStream, response: ServerResponse) => Promise<void>, options: {readonly isResumable: boolean}) {
+	const server = http.createServer((_request, response) => {
+		const exchange = {response, route: {isResumable: options.isResumable}, caller: {lastEventId: undefined}} as unknown as Exchange;
+		void answer(createCallerStream({isLeaving: () => false}, exchange), response);
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	t.teardown(() => {
+		server.close();
+		server.closeAllConnections();
+	});
+	const {port} = server.address() as {readonly port: number};
+	const agent = new http.Agent({keepAlive: true, maxSockets: 1});
+	t.teardown(() => {
+		agent.destroy();
+	});
+
+	const get = async () => {
+		const request = http.get({host: '127.0.0.1', port, agent});
+		const [response] = await once(request, 'response') as [http.IncomingMessage];
+		const chunks: Buffer[] = [];
+		response.on('data', (bytes: Buffer) => {
+			chunks.push(bytes);
+		});
+		response.on('error', () => undefined);
+		await new Promise(resolve => {
+			response.on('close', resolve);
+		});
+
+		return {body: Buffer.concat(chunks).toString(), isWhole: response.complete, isSameConnection: request.reusedSocket};
+	};
+
+	return [await get(), await get()] as const;
+}
+
+const events = Array.from({length: 50}, (_, index) => `id: ${index}\ndata: ${'x'.repeat(index * 37)}é\n\n`);
+
+for (const isResumable of [true, false]) {
+	test(`a stream comes whole, and its connection serves the next caller (${isResumable ? 'resumable' : 'not resumable'})`, async t => {
+		const answers = await ask(t, async stream => {
+			for (const event of events) {
+				stream.push(Buffer.from(event), head, () => undefined);
+			}
+
+			stream.finish();
+		}, {isResumable});
+
+		for (const {body, isWhole} of answers) {
+			t.is(body, events.join(''));
+			t.true(isWhole);
+		}
+
+		t.true(answers[1].isSameConnection);
+	});
+}
+
+test('what an instance sends after its last whole event is passed on where the stream ends there', async t => {
+	const [{body, isWhole}] = await ask(t, async stream => {
+		stream.push(Buffer.from('id: 1\ndata: a\n\ndata: r'), head, () => undefined);
+		stream.finish();
+	}, {isResumable: true});
+	t.is(body, 'id: 1\ndata: a\n\ndata: r');
+	t.true(isWhole);
+});
+
+test('a stream that is broken off does not look whole', async t => {
+	const [{body, isWhole}] = await ask(t, async (stream, response) => {
+		stream.push(Buffer.from(events[3]!), head, () => undefined);
+		await new Promise(resolve => {
+			setTimeout(resolve, 50);
+		});
+		response.destroy();
+	}, {isResumable: true});
+	t.is(body, events[3]!);
+	t.false(isWhole);
+});
--- a/packages/gateway/src/caller-stream.ts
+++ b/packages/gateway/src/caller-stream.ts
@@ -1,4 +1,4 @@
-import {type Buffer} from 'node:buffer';
+import {Buffer} from 'node:buffer';
 import {type AttemptHead} from './attempt.js';
 import {createEventCutter} from './event-cutter.js';
 import {type Exchange} from './exchange.js';
@@ -20,16 +20,24 @@
 	readonly finish: () => void;
 };
 
+const lastChunk = '0\r\n\r\n';
+
 /** Creates the answer to a caller whose route streams; nothing is sent before the first bytes. */
 export function createCallerStream({isLeaving}: Pick<ForwardOptions, 'isLeaving'>, {response, route, caller}: Exchange): CallerStream {
 	const cutter = route.isResumable ? createEventCutter() : undefined;
 	let isBegun = false;
+	let isFramedHere = false;
 
 	const begin = (head: AttemptHead) => {
 		isBegun = true;
 		sendAnswerHead(response, {head, isLeaving: isLeaving()});
+		// One write for each chunk: Node's own framing makes three, and an event is a few dozen bytes.
+		isFramedHere = response.chunkedEncoding;
+		response.chunkedEncoding = false;
 	};
 
+	const formatChunk = (bytes: Buffer) => isFramedHere ? Buffer.concat([Buffer.from(`${bytes.length.toString(16)}\r\n`), bytes, Buffer.from('\r\n')]) : bytes;
+
 	return {
 		push(bytes, head, onDrain) {
 			const whole = cutter === undefined ? bytes : cutter.push(bytes);
@@ -42,7 +50,7 @@
 				begin(head);
 			}
 
-			if (response.write(whole)) {
+			if (response.write(formatChunk(whole))) {
 				return true;
 			}
 
@@ -57,7 +65,13 @@
 			cutter?.reset();
 		},
 		finish() {
-			response.end(cutter?.takeRest());
+			const rest = cutter?.takeRest();
+
+			if (rest !== undefined) {
+				response.write(formatChunk(rest));
+			}
+
+			response.end(isFramedHere ? lastChunk : undefined);
 		},
 	};
 }
--- a/packages/gateway/src/event-cutter.ts
+++ b/packages/gateway/src/event-cutter.ts
@@ -15,6 +15,7 @@
 };
 
 const boundaries = ['\n\n', '\r\n\r\n'];
+const idField = 'id:';
 /** Events hold a few tokens; one that is longer than this by far would fill the memory. */
 const maxEventBytes = 1_000_000;
 
@@ -30,7 +31,8 @@
 */
 export function createEventCutter(): EventCutter {
 	let rest: Buffer | undefined;
-	let lastId: string | undefined;
+	/** The newest events with an id among them: it is read only where a stream goes on elsewhere. */
+	let identified: Buffer | undefined;
 
 	return {
 		push(bytes) {
@@ -45,12 +47,12 @@
 
 			const whole = all.subarray(0, end);
 			rest = end === all.length ? undefined : all.subarray(end);
-			lastId = findLastId(whole) ?? lastId;
+			identified = hasId(whole) ? whole : identified;
 
 			return whole;
 		},
 		isTooLong: () => (rest?.length ?? 0) > maxEventBytes,
-		getLastId: () => lastId,
+		getLastId: () => identified && findLastId(identified),
 		reset() {
 			rest = undefined;
 		},
@@ -74,9 +76,13 @@
 	return end;
 }
 
+function hasId(events: Buffer): boolean {
+	return events.includes(`\n${idField}`, 0, 'latin1') || events.subarray(0, idField.length).toString('latin1') === idField;
+}
+
 function findLastId(events: Buffer): string | undefined {
 	const lines = events.toString('latin1').split('\n');
-	const line = lines.findLast(one => one.startsWith('id:'));
+	const line = lines.findLast(one => one.startsWith(idField));
 
-	return line?.slice('id:'.length).trim();
+	return line?.slice(idField.length).trim();
 }
--- a/packages/gateway/src/instance-book.ts
+++ b/packages/gateway/src/instance-book.ts
@@ -56,6 +56,8 @@
 	readonly stop: () => void;
 };
 
+/** Bytes that come sooner after others are not noted one by one. */
+const heardStepMs = 20;
 /** Each silence that is watched for lasts several times as long. */
 const watchMs = 100;
 /** What peers have is told later than their work: an instance counts as empty only if no work was told for this long. */
@@ -289,6 +291,11 @@
 			}
 		},
 		noteBytes(entry) {
+			// Silences are many times as long; streams come in hundreds of pieces a second.
+			if (clock.readMonotonicMs() - entry.standing.answeredAtMs < heardStepMs) {
+				return;
+			}
+
 			advance(entry, {kind: StandingEventKind.Heard});
 		},
 		end(entry, visit) {
