--- a/packages/gateway/src/send-visit.ts
+++ b/packages/gateway/src/send-visit.ts
@@ -1,5 +1,5 @@
 import {type Buffer} from 'node:buffer';
-import {choosePriority, HealthEvent, type InstanceLoad} from '@fescuestair/routing';
+import {HealthEvent, type InstanceLoad} from '@fescuestair/routing';
 import {CallKind, type Service} from '@fescuestair/traffic';
 import {
 	AttemptEnd, startAttempt, type Attempt, type AttemptHead, type AttemptResult,
@@ -77,7 +77,7 @@
 		method: request.method!,
 		target: request.url!,
 		headers: encodeHeaders(options, exchange, {
-			entry, cache, service, heldTokens: one.heldTokens, lastEventId: stream.getLastId(), nowMs: startedAtMs,
+			entry, cache, lastEventId: stream.getLastId(), nowMs: startedAtMs,
 		}),
 		body,
 		onBytes() {
@@ -160,10 +160,9 @@
 	}
 }
 
-type HeaderInput = Pick<VisitInput, 'entry' | 'cache' | 'service'> & {readonly lastEventId: string | undefined; readonly heldTokens: number; readonly nowMs: number};
+type HeaderInput = Pick<VisitInput, 'entry' | 'cache'> & {readonly lastEventId: string | undefined; readonly nowMs: number};
 
-function encodeHeaders({callerCodec, upstreamCodec}: ForwardOptions, exchange: Exchange, input: HeaderInput): string[] {
-	const {entry, cache, service, lastEventId, heldTokens, nowMs} = input;
+function encodeHeaders({callerCodec, upstreamCodec}: ForwardOptions, exchange: Exchange, {entry, cache, lastEventId, nowMs}: HeaderInput): string[] {
 	const {request, body, route, organisation} = exchange;
 	const hasBody = body.length > 0 || request.headers['content-length'] !== undefined || request.headers['transfer-encoding'] !== undefined;
 
@@ -174,9 +173,7 @@
 			timeLeftMs: Math.max(1, Math.floor(exchange.deadlineMs - nowMs)),
 			instanceId: entry.held.record.id,
 			organisation: organisation?.name,
-			priority: choosePriority({
-				priority: organisation?.priority ?? route.priority, load: entry.load, heldTokens, cacheTokens: service.engine?.cacheTokens ?? Number.POSITIVE_INFINITY,
-			}),
+			priority: organisation?.priority ?? route.priority,
 			cache,
 			lastEventId,
 		}).flat(),
--- a/packages/routing/src/choose-instance.ts
+++ b/packages/routing/src/choose-instance.ts
@@ -77,8 +77,6 @@
 const largeShare = 1 / 20;
 /** Large prompts leave the rest of the memory to short ones, which would have to wait for them, or make them yield. */
 const largePromptsShare = 0.8;
-/** What a prompt costs an engine whose memory is full: a running one yields, and is read again. */
-const preemptionMs = 200;
 /** Time for which a running request holds a place, where another waits for it. */
 const placeTurnMs = 500;
 
@@ -166,14 +164,14 @@
 	return promptTokens + outputTokens > cacheTokens * largeShare;
 }
 
-// Time until the engine has memory for a prompt, with what it costs those that would have to yield.
+// Time until the engine has memory for a prompt.
 function estimateMemoryMs({load}: InstanceOption, prompt: PromptSize): number {
 	const {promptTokens, outputTokens, cacheTokens} = prompt;
 	const held = load.ownHeldTokens + load.peers.heldTokens;
 	const overflow = held + promptTokens + outputTokens - (cacheTokens * (isLarge(prompt) ? largePromptsShare : 1));
 
 	// A prompt that is larger than its share alone finds an engine that is empty.
-	return overflow <= 0 || held === 0 ? 0 : (overflow / cacheTokens * memoryTurnMs) + preemptionMs;
+	return overflow <= 0 || held === 0 ? 0 : overflow / cacheTokens * memoryTurnMs;
 }
 
 function estimateCallMs({load, slots}: InstanceOption, nowMs: number): number {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -25,7 +25,6 @@
 export {
 	chooseInstance, type InstanceOption, type Placement, type PlacementQuestion, type PromptSize,
 } from './choose-instance.js';
-export {choosePriority, type PriorityQuestion} from './choose-priority.js';
 export {createChooser, PlacementPolicy, type ChooseInstance} from './baselines.js';
 export {
 	addWork, computeCorrectionMs, computeWaitMs, correctClock, createWorkClock, estimateWork, isOverdue, resetClock, type WorkClock, type WorkEstimate,
