--- a/packages/coordinator/src/__tests__/integration/deployment.ts
+++ b/packages/coordinator/src/__tests__/integration/deployment.ts
@@ -43,6 +43,8 @@
 
 	const seedAddresses = seeds.map(name => addresses.get(name)!);
 	const running = new Map<string, Coordinator>();
+	/** What lost its disk starts as the users' machines start it: the whole system does not begin again. */
+	const wiped = new Set<string>();
 	t.teardown(async () => {
 		await Promise.all([...running.values()].map(async coordinator => coordinator.stop()));
 		await fs.rm(folder, {recursive: true, force: true});
@@ -54,7 +56,7 @@
 			await fs.mkdir(dataFolder, {recursive: true});
 			const coordinator = await createCoordinator({
 				name, availabilityZone: 'north', linkAddress: addresses.get(name)!, serviceAddress: '127.0.0.1:1', dataFolder, getSeeds: () => seedAddresses,
-				isFirstStart: true, decodeConfig, orderHandoverMs: 0, lossesBorne,
+				isFirstStart: !wiped.has(name), decodeConfig, orderHandoverMs: 0, lossesBorne,
 				storeClient: undefined as never, sendOrder: undefined as never, fetchReport: undefined as never,
 				log: createLog({instance: name, isTerminal: false, writeLine: () => true}), metrics: createServedMetrics(),
 			});
@@ -70,6 +72,7 @@
 			return started;
 		},
 		async wipe(name) {
+			wiped.add(name);
 			await fs.rm(path.join(folder, name), {recursive: true, force: true});
 		},
 	};
