--- a/packages/entry/src/__tests__/unit/upstream-standings.test.ts
+++ b/packages/entry/src/__tests__/unit/upstream-standings.test.ts
@@ -70,3 +70,14 @@
 	t.true(standings.isOpen(getRecord()));
 	registry.stop();
 });
+
+test('a late answer of an earlier start does not end the rest that the next one asked for', t => {
+	const {registry, getRecord, standings} = openEntry();
+	const earlier = getRecord();
+	registry.announce(createAnnouncement({incarnation: 2}));
+	standings.noteAnswer(getRecord(), 503, {'retry-after': '2.5'});
+	standings.noteAnswer(earlier, 200, {'x-leaving': '1'});
+	t.false(standings.isOpen(getRecord()));
+	t.is(getRecord().status, MemberStatus.Alive);
+	registry.stop();
+});
--- a/packages/entry/src/upstream-standings.ts
+++ b/packages/entry/src/upstream-standings.ts
@@ -60,6 +60,11 @@
 
 	return {
 		noteAnswer(record, status, headers) {
+			// A late answer of an earlier start says nothing of the one that followed, and must not make it forgotten.
+			if ((standings.get(record.id)?.incarnation ?? record.incarnation) > record.incarnation) {
+				return;
+			}
+
 			const askedRest = status === unavailableStatus ? headers[headerNames.retryAfter] : undefined;
 
 			if (headers[headerNames.leaving] === leavingValue) {
