Log the request limits that instances name, and what each attempt knew of one

The collected logs could not tell whether a gateway had been told of a limit, nor whether the excess were first sends, repeats or resumed streams. Now: - the limit is decoded from answers (not from 421, which another instance sends) - a line is logged when an instance names, changes, ends or garbles a limit - each attempt in the log line of a request says the limit known when it was sent, and whether it was a repeat or a resumed stream; explain prints both - metrics: instances_limited, limited_dispatches_total by service and kind

No decision uses the limit yet.

--- a/packages/cli/src/explain.ts
+++ b/packages/cli/src/explain.ts
@@ -144,14 +144,16 @@
 
 function describeAttempt(attempt: StoryStep): string {
 	const {
-		instance, end, reason, status, tookMs, expectedMs, firstPieceMs, pieces, lastPieceMs, own, peers, queueMs,
+		instance, end, reason, status, tookMs, expectedMs, firstPieceMs, pieces, lastPieceMs, own, peers, queueMs, kind, limitPerSecond,
 	} = attempt;
 
 	const statusText = status === undefined ? '' : ` with ${formatValue(status)}`;
+	const sentText = kind === undefined ? 'sent' : `sent (${formatValue(kind)})`;
 	const streamText = pieces === undefined ? '' : `, ${formatValue(pieces)} pieces, the last after ${formatValue(lastPieceMs)} ms`;
 
 	return [
-		`sent to ${formatValue(instance)}: ${formatValue(end)}${statusText} after ${formatValue(tookMs)} ms${reason === undefined ? '' : ` (${formatValue(reason)})`}`,
+		`${sentText} to ${formatValue(instance)}: ${formatValue(end)}${statusText} after ${formatValue(tookMs)} ms${reason === undefined ? '' : ` (${formatValue(reason)})`}`,
+		...(limitPerSecond === undefined ? [] : [`the instance had named a limit of ${formatValue(limitPerSecond)} requests a second`]),
 		`first piece after ${firstPieceMs === undefined ? 'none' : `${formatValue(firstPieceMs)} ms`}, ${formatValue(expectedMs)} ms expected${streamText}`,
 		`in flight there: ${formatValue(own)} requests of this gateway and ${formatValue(peers)} of others${queueMs === undefined ? '' : `, ${formatValue(queueMs)} ms of prompts before it`}`,
 	].join('; ');
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -23,4 +23,4 @@
 export {
 	createActor, type Step, type Actor, type ActorOptions,
 } from './actor.js';
-export {parseSecondsToMs} from './parse-seconds.js';
+export {parseDecimal, parseSecondsToMs} from './parse-decimal.js';
--- a/packages/gateway/src/__tests__/unit/attempt.test.ts
+++ b/packages/gateway/src/__tests__/unit/attempt.test.ts
@@ -10,7 +10,7 @@
 const codec: UpstreamCodec = {
 	encodeDispatch: () => [],
 	decodeResponse: (status, headers) => ({
-		requestId: headers['x-id'] as string | undefined, isNotRun: status === 421, load: undefined, idleTimeoutMs: undefined, isLeaving: false, askedRestMs: undefined,
+		requestId: headers['x-id'] as string | undefined, isNotRun: status === 421, load: undefined, idleTimeoutMs: undefined, isLeaving: false, askedRestMs: undefined, requestsPerSecond: undefined,
 	}),
 };
 
--- a/packages/gateway/src/__tests__/unit/caller-stream.test.ts
+++ b/packages/gateway/src/__tests__/unit/caller-stream.test.ts
@@ -9,7 +9,7 @@
 const head: ResponseHead = {
 	status: 200, headers: {}, rawHeaders: ['Content-Type', 'text/event-stream'], isFramed: true,
 	answer: {
-		requestId: 'r1', isNotRun: false, load: undefined, idleTimeoutMs: undefined, isLeaving: false, askedRestMs: undefined,
+		requestId: 'r1', isNotRun: false, load: undefined, idleTimeoutMs: undefined, isLeaving: false, askedRestMs: undefined, requestsPerSecond: undefined,
 	},
 };
 
--- a/packages/gateway/src/__tests__/unit/send-response.test.ts
+++ b/packages/gateway/src/__tests__/unit/send-response.test.ts
@@ -11,7 +11,7 @@
 		sendUpstreamResponse(response, {
 			head: {
 				status: 200, headers: {}, rawHeaders: [], answer: {
-					requestId: 'r1', isNotRun: false, load: undefined, idleTimeoutMs: undefined, isLeaving: false, askedRestMs: undefined,
+					requestId: 'r1', isNotRun: false, load: undefined, idleTimeoutMs: undefined, isLeaving: false, askedRestMs: undefined, requestsPerSecond: undefined,
 				}, isFramed: true, ...head,
 			},
 			body: Buffer.from('half an answ'),
--- a/packages/gateway/src/codecs.ts
+++ b/packages/gateway/src/codecs.ts
@@ -68,6 +68,11 @@
 	readonly isLeaving: boolean;
 	/** Back-off period that an instance asks of this gateway when it rejects a request, as a duration; NaN where the value cannot be parsed. */
 	readonly askedRestMs: number | undefined;
+	/**
+	Requests per second that the instance accepts from all gateways together; `undefined` where it names no limit, NaN where the value cannot be
+	parsed.
+	*/
+	readonly requestsPerSecond: number | undefined;
 };
 
 /** Encodes the metadata of requests to instances, and decodes that of their responses. */
--- a/packages/gateway/src/forward-options.ts
+++ b/packages/gateway/src/forward-options.ts
@@ -1,6 +1,7 @@
 import {type Clock} from '@fescuestair/core';
 import {type RetryBudget} from '@fescuestair/limits';
 import {type ChooseInstance} from '@fescuestair/routing';
+import {type PrometheusMetrics, type RequestLimits} from '@fescuestair/runtime';
 import {type RouteTable} from '@fescuestair/traffic';
 import {type CallerCodec, type UpstreamCodec} from './codecs.js';
 import {type CrashDetector} from './crash-detector.js';
@@ -19,6 +20,8 @@
 	readonly chooseInstance: ChooseInstance;
 	readonly parts: PartsClient;
 	readonly crashes: CrashDetector;
+	readonly requestLimits: RequestLimits;
+	readonly metrics: Pick<PrometheusMetrics, 'count'>;
 	readonly getTable: () => RouteTable;
 	/** Decides whether new requests may start on a version of a model's weights; `startMs` is the expected delay until the start. */
 	readonly classifyWeights: (model: string, version: number | undefined, startMs?: number) => WeightsUse;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -13,7 +13,7 @@
 import {createLinkCommands, isName, LinkMessageKind} from '@fescuestair/protocol';
 import {createChooser, PlacementPolicy} from '@fescuestair/routing';
 import {
-	createLinkFaultHandler, openCommandListener, registerLinkMetrics, type Logger, type PrometheusMetrics,
+	createLinkFaultHandler, createRequestLimits, openCommandListener, registerLinkMetrics, type Logger, type PrometheusMetrics,
 } from '@fescuestair/runtime';
 import {
 	buildRouteTable, type RouteTable, type TrafficConfig,
@@ -171,6 +171,8 @@
 		linkAddress, links, clock, log, getHome: () => client.getHome(),
 	});
 
+	const requestLimits = createRequestLimits({clock, log});
+
 	const forwardOptions: ForwardOptions = {
 		clock,
 		availabilityZone,
@@ -180,6 +182,8 @@
 		chooseInstance: createChooser(placement),
 		parts: partsClient,
 		crashes: crashDetector,
+		requestLimits,
+		metrics,
 		getTable: () => routeTable!,
 		classifyWeights: (model, version, startDelayMs) => classifyWeights(targetVersionHistory, {
 			model, version, nowMs: clock.readMonotonicMs(), oldWeightsMs, startDelayMs,
@@ -227,6 +231,7 @@
 	metrics.registerGauge('config_version', 'Version of the configuration in force', () => routeTable?.config.version ?? 0);
 	metrics.registerGauge('requests_running', 'Requests that have no final answer yet', () => activeResponses.size);
 	metrics.registerGauge('requests_waiting', 'Requests that wait here for a free instance', () => forwardOptions.waiting.size);
+	metrics.registerGauge('instances_limited', 'Instances that name a limit of requests', requestLimits.countLimited);
 	metrics.registerGauge('gateways_known', 'Gateways that coordinators heard lately', countGateways);
 	metrics.registerGauge('parts_known', 'Stored parts that requests may fetch', () => partsClient.getView().locations.size);
 
--- a/packages/gateway/src/send-attempt.ts
+++ b/packages/gateway/src/send-attempt.ts
@@ -25,6 +25,15 @@
 */
 const maxIdleMs = 200;
 
+/** Why a request is sent to an instance. */
+enum DispatchKind {
+	First = 'first',
+	/** It was sent to another instance before. */
+	Repeat = 'repeat',
+	/** It continues a stream that has begun. */
+	Resume = 'resume',
+}
+
 /** What an attempt needs besides the request: the chosen instance and the state of forwarding. */
 export type AttemptInput = InstanceChoice & {
 	readonly service: Service;
@@ -36,7 +45,7 @@
 
 /** Sends a request to the chosen instance, and records its load, health and cached parts in the gateway's view of the instances. */
 export async function sendAttempt(options: ForwardOptions, exchange: Exchange, input: AttemptInput): Promise<AttemptResult> {
-	const {clock, instancePool, upstreamCodec} = options;
+	const {clock, instancePool, upstreamCodec, requestLimits} = options;
 	const {
 		entry, placement, cache, uncachedTokens, service, progress, stream, isRetryable, cancellation,
 	} = input;
@@ -44,10 +53,12 @@
 	const {record} = entry.held;
 	const startedAtMs = clock.readMonotonicMs();
 	const isStreaming = route.kind === CallKind.Streaming;
-	progress.triedInstanceIds.add(record.id);
 	let firstPieceMs: number | undefined;
 	const streamed = {pieces: 0, lastMs: 0};
 	const loadBefore = entry.load;
+	const limitPerSecond = requestLimits.getPerSecond(record);
+	const kind = stream.hasStarted() ? DispatchKind.Resume : (progress.triedInstanceIds.size > 0 ? DispatchKind.Repeat : DispatchKind.First);
+	progress.triedInstanceIds.add(record.id);
 
 	const inFlightRequest: InFlightRequest = {
 		startedAtMs,
@@ -98,6 +109,7 @@
 				instancePool.recordLeaving(entry, record);
 			}
 
+			requestLimits.recordAnswer(record, {perSecond: answer.requestsPerSecond, hasRun: !answer.isNotRun, sentAtMs: startedAtMs});
 			recordFirstPiece();
 		},
 		...(isStreaming && {
@@ -118,6 +130,11 @@
 		}),
 	});
 	cancellation.attempt = attempt;
+
+	if (limitPerSecond !== undefined) {
+		options.metrics.count('limited_dispatches_total', {service: service.name, kind});
+	}
+
 	instancePool.begin(entry, inFlightRequest);
 
 	recordPartUse(options, exchange, cache);
@@ -135,7 +152,7 @@
 	}
 
 	progress.story.push(describeAttempt({
-		...input, result, loadBefore, startedAtMs, firstPieceMs, streamed, nowMs: clock.readMonotonicMs(),
+		...input, result, loadBefore, limitPerSecond, kind, startedAtMs, firstPieceMs, streamed, nowMs: clock.readMonotonicMs(),
 	}));
 
 	return result;
@@ -206,6 +223,9 @@
 type AttemptLogInput = AttemptInput & {
 	readonly result: AttemptResult;
 	readonly loadBefore: InstanceLoad;
+	/** Limit that the instance was known to have named when the request was sent. */
+	readonly limitPerSecond: number | undefined;
+	readonly kind: DispatchKind;
 	readonly startedAtMs: number;
 	readonly firstPieceMs: number | undefined;
 	/** Number of chunks of a stream that were received, and when the last one was, since the start of the attempt. */
@@ -216,7 +236,7 @@
 /** Describes an attempt for the log: what was known when the instance was chosen, and the result. */
 function describeAttempt(input: AttemptLogInput): Readonly<Record<string, unknown>> {
 	const {
-		entry, placement, cache, uncachedTokens, progress, result, loadBefore, startedAtMs, firstPieceMs, streamed, nowMs,
+		entry, placement, cache, uncachedTokens, progress, result, loadBefore, limitPerSecond, kind, startedAtMs, firstPieceMs, streamed, nowMs,
 	} = input;
 	const {report} = loadBefore;
 
@@ -226,6 +246,8 @@
 		...(result.reason !== '' && {reason: result.reason}),
 		...(result.head !== undefined && {status: result.head.status}),
 		...(progress.waits > 0 && {waits: progress.waits}),
+		...(kind !== DispatchKind.First && {kind}),
+		...(limitPerSecond !== undefined && {limitPerSecond}),
 		expectedMs: Math.round(placement.expectedMs),
 		...(firstPieceMs !== undefined && {firstPieceMs: Math.round(firstPieceMs)}),
 		...(streamed.pieces > 0 && {pieces: streamed.pieces, lastPieceMs: Math.round(streamed.lastMs)}),
--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -13,3 +13,6 @@
 export {
 	admitRequest, createAdmission, finishRequest, setShare, type Admission, type AdmissionAnswer, type ClassLimit,
 } from './admission.js';
+export {
+	isValidRequestLimit, mergeRequestLimits, noRequestLimit, recordRequestLimit, type LimitStatement, type RequestLimit,
+} from './request-limit.js';
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -11,4 +11,7 @@
 	createHelloClient, type HelloClient, type HelloClientOptions, type HelloOptions,
 } from './hello-client.js';
 export {createLogger, type Logger} from './logger.js';
+export {
+	createRequestLimits, type InstanceRun, type RequestLimits, type RequestLimitsOptions,
+} from './request-limits.js';
 export {createStatsdMetrics, type StatsdMetrics, type StatsdMetricsOptions} from './statsd-metrics.js';
