Keep the request limits of instances over all gateways

No gateway read the limit, and none could have held it by itself: the limit belongs to the instance, and its sum counts over all gateways.

Now each request to an instance that names a limit needs a permit. The leader of the coordinators grants permits at the limit's rate (limits/reserve-permit), the other coordinators relay to it. A request that gets none goes to another instance, waits if its turn comes early enough, or is refused at once with a time to return that spreads callers over the rate (limits/schedule-return). A new leader waits until its predecessor's permits are void; a late answer, as from a frozen process, grants a permit that is already void. What one gateway is told, all are told; those that missed it get it with the fleet summary. Repeats and resumed streams go through the same place, so they count.

Status 'limited' and the reasons of refusals tell a limit from other causes in log lines, metrics and explain.

--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -12,7 +12,7 @@
 import {isPartsPoll, encodePartsReply} from '@fescuestair/parts';
 import {proposeAtLeader} from '@fescuestair/replication';
 import {
-	createLinkFaultHandler, openCommandListener, registerLinkMetrics, type Logger, type PrometheusMetrics,
+	createLinkFaultHandler, createPermitGrantor, openCommandListener, registerLinkMetrics, type Logger, type PrometheusMetrics,
 } from '@fescuestair/runtime';
 import {type StoreSettings, type TrafficConfig} from '@fescuestair/traffic';
 import {createLinks} from '@fescuestair/transport';
@@ -279,6 +279,10 @@
 			}
 		},
 	});
+	const grantor = createPermitGrantor({
+		clock, links, log, commands, requestLimits: fleet.requestLimits, getLeadingTerm: replica.getLeadingTerm, findLeaderAddress, leaseMs: timing.leaseMs,
+	});
+	metrics.registerGauge('permit_accounts', 'Instances for which permits were granted lately', grantor.countAccounts);
 	registerLinkMetrics(metrics, {links, commands});
 	const server = await openCommandListener({
 		listen: linkAddress, getKeys: undefined, commands, log,
@@ -366,6 +370,7 @@
 	metrics.registerGauge('config_version', 'Version of the configuration in force', () => replica.getPublished().configVersion);
 	metrics.registerGauge('leads', 'Whether this replica leads the group', () => replica.getLeadingTerm() === undefined ? 0 : 1);
 	const timer = setInterval(() => {
+		grantor.refresh();
 		void adjustMembers();
 	}, membersCheckIntervalMs);
 	log.info('coordinator started', {...self, identity: replica.groupMembership.getIdentity().id, isFirstStart});
@@ -419,6 +424,7 @@
 		async stop() {
 			clearInterval(timer);
 			fleet.stop();
+			grantor.stop();
 			mirror.stop();
 			orders.stop();
 			partsIndex.stop();
--- a/packages/coordinator/src/fleet.ts
+++ b/packages/coordinator/src/fleet.ts
@@ -2,7 +2,7 @@
 import {isBoolean, isObjectWith, type Clock} from '@fescuestair/core';
 import {
 	createGatewayDirectory, createInstanceRegistry, createInstanceUpdate, DaemonRole, getHomeListVersion, HelloKind, isHello, isInstanceUpdates,
-	isPublishedSnapshot, listDaemons, listGateways, listHomeGatewayAddresses, createHomeList, listUpdates, listRenewals, MergeOutcome, setLoading, setModelVersion,
+	isPublishedSnapshot, isRequestLimitNotes, listDaemons, listGateways, listHomeGatewayAddresses, createHomeList, listUpdates, listRenewals, MergeOutcome, setLoading, setModelVersion,
 	mergeDaemonRecord, recordHomeHello, recordHomeList, mergeInstanceRecord, applyRenewals, expireGateways, expireInstances, type DaemonRecord,
 	type DaemonTable, type RegisteredInstance, type Hello, type HelloReply, type InstanceUpdate, type InstanceRecord, type PublishedSnapshot,
 } from '@fescuestair/instances';
@@ -10,7 +10,9 @@
 import {
 	isName, LinkMessageKind, type LinkCommands, type LinkMessage,
 } from '@fescuestair/protocol';
-import {createHelloClient, type Logger, type PrometheusMetrics} from '@fescuestair/runtime';
+import {
+	createHelloClient, createRequestLimits, type Logger, type PrometheusMetrics, type RequestLimits,
+} from '@fescuestair/runtime';
 import {type Links} from '@fescuestair/transport';
 import {createLoadRelayHost} from './load-relay-host.js';
 
@@ -37,6 +39,8 @@
 
 /** The registry of instances and directory of gateways of a coordinator, which passes changes on to the other daemons. */
 export type Fleet = {
+	/** The limits that instances name in their answers, as gateways report them. */
+	readonly requestLimits: RequestLimits;
 	/** Records an announcement of an instance and forwards it to all daemons if it changes the registry. */
 	readonly announce: (record: InstanceRecord) => void;
 	readonly findInstance: (id: string) => InstanceRecord | undefined;
@@ -85,6 +89,8 @@
 	let directory = createGatewayDirectory();
 	let sourceOffset = 0;
 
+	const requestLimits = createRequestLimits({clock, log});
+
 	const getTimes = () => ({nowMs: clock.readMonotonicMs(), gatewayAgeMs, coordinatorAgeMs});
 
 	const listCoordinators = () => listDaemons(daemons, {role: DaemonRole.Coordinator, nowMs: clock.readMonotonicMs(), maxAgeMs: coordinatorAgeMs});
@@ -167,6 +173,7 @@
 			fleet: hello.wantsFleet
 				? {
 					renewals: listRenewals(registry, nowMs), coordinators: [self, ...listCoordinators()], gateways: listGateways(directory, getTimes()).length,
+					requestLimits: requestLimits.list(),
 				}
 				: undefined,
 			published: describePublishedSince(hello.publishedRevision, hello.configVersion),
@@ -193,6 +200,7 @@
 			if (reply.fleet !== undefined) {
 				registry = applyRenewals(registry, reply.fleet.renewals, clock.readMonotonicMs());
 				addCoordinators(reply.fleet.coordinators);
+				requestLimits.merge(reply.fleet.requestLimits ?? []);
 			}
 		},
 		onFailure(address, error) {
@@ -279,6 +287,19 @@
 
 		return true;
 	});
+	commands.registerCommand(LinkMessageKind.RequestLimits, isObjectWith({from: isName, notes: isRequestLimitNotes, isRelayed: isBoolean}), ({from, notes, isRelayed}) => {
+		requestLimits.merge(notes);
+		const message: LinkMessage = {
+			kind: LinkMessageKind.RequestLimits, from, notes, isRelayed: true,
+		};
+		sendToHomeGateways(message, from);
+
+		if (!isRelayed) {
+			sendToCoordinators(message);
+		}
+
+		return true;
+	});
 	// The leader sends published state to the other coordinators, and each of them to the gateways whose home it is.
 	commands.registerCommand(LinkMessageKind.Published, isObjectWith({published: isPublishedSnapshot}), ({published}) => {
 		sendToHomeGateways({kind: LinkMessageKind.Published, published});
@@ -303,6 +324,7 @@
 	runRound();
 
 	return {
+		requestLimits,
 		announce(record) {
 			const taken = mergeInstanceRecord(registry, record, {nowMs: clock.readMonotonicMs()});
 			registry = taken.registry;
--- a/packages/gateway/src/__tests__/unit/choose-place.test.ts
+++ b/packages/gateway/src/__tests__/unit/choose-place.test.ts
@@ -33,7 +33,7 @@
 	const clock = createSystemClock();
 	const log = createLogger({instance: 'test', isTerminal: false, writeLine: () => true});
 	const instancePool = createInstancePool({
-		clock, log, metrics: createPrometheusMetrics(), getMaxConnections: () => 10, onWorkChange: () => undefined, onLeaving: () => undefined,
+		clock, log, metrics: createPrometheusMetrics(), getMaxConnections: () => 10, getLimitedUntilMs: () => Number.NEGATIVE_INFINITY, onWorkChange: () => undefined, onLeaving: () => undefined,
 	});
 	instancePool.applyRegistry({held: new Map([1, 2].map(version => [`i-${version}`, createHeld(`i-${version}`, version)])), revision: 1});
 	t.teardown(() => {
@@ -51,7 +51,7 @@
 	return {
 		instancePool, choose: (partId: string) => chooseInstanceForRequest(options, createExchange(partId), {
 			service, progress: {
-				sentCount: 0, refused: 0, waits: 0, triedInstanceIds: new Set(), story: [],
+				sentCount: 0, refused: 0, waits: 0, permitRefusals: 0, permit: undefined, triedInstanceIds: new Set(), story: [],
 			},
 		}),
 	};
--- a/packages/gateway/src/__tests__/unit/instance-pool.test.ts
+++ b/packages/gateway/src/__tests__/unit/instance-pool.test.ts
@@ -18,6 +18,7 @@
 		clock,
 		metrics: createPrometheusMetrics(),
 		getMaxConnections: () => 4,
+		getLimitedUntilMs: () => Number.NEGATIVE_INFINITY,
 		onWorkChange: () => undefined,
 		onLeaving({id}) {
 			left.push(id);
@@ -80,7 +81,7 @@
 	}
 
 	t.deepEqual(listAvailable(), []);
-	t.is(pool.findRestEndMs('app'), clock.readMonotonicMs() + 900);
+	t.is(pool.findReopeningMs('app'), clock.readMonotonicMs() + 900);
 	clock.advance(900);
 	announce();
 	t.deepEqual(listAvailable(), ['i-1']);
@@ -92,7 +93,7 @@
 	t.true(lines.some(line => line.includes('instance asks for a rest that cannot be meant')));
 	clock.advance(200);
 	t.deepEqual(listAvailable(), ['i-0']);
-	t.is(pool.findRestEndMs('app'), undefined);
+	t.is(pool.findReopeningMs('app'), undefined);
 });
 
 test('a reported leaving outlasts heartbeats and answers, is reported once, and ends with the next incarnation', t => {
--- a/packages/gateway/src/choose-place.ts
+++ b/packages/gateway/src/choose-place.ts
@@ -27,13 +27,20 @@
 	readonly service: Service; readonly progress: ForwardingProgress;
 }): InstanceChoice | undefined {
 	const {prompt} = exchange.caller;
-	const openEntries = options.instancePool.listAvailable(service.name).filter(entry => !progress.triedInstanceIds.has(entry.held.record.id));
+	const openEntries = listOpenEntries(options, {service, progress});
 
 	return service.engine === undefined || prompt === undefined
 		? choosePlainInstance(options, openEntries)
 		: chooseEngineInstance(options, exchange, {service, openEntries, prompt});
 }
 
+// A request that holds a permit goes to the instance that it is for, as long as that instance takes requests.
+function listOpenEntries({instancePool}: ForwardOptions, {service, progress}: {readonly service: Service; readonly progress: ForwardingProgress}): readonly PooledInstance[] {
+	const permitted = progress.permit === undefined ? undefined : instancePool.findSendable(progress.permit.record);
+
+	return permitted === undefined ? instancePool.listAvailable(service.name).filter(entry => !progress.triedInstanceIds.has(entry.held.record.id)) : [permitted];
+}
+
 function choosePlainInstance({instancePool, clock, availabilityZone, chooseInstance}: ForwardOptions, openEntries: readonly PooledInstance[]): InstanceChoice | undefined {
 	const nowMs = clock.readMonotonicMs();
 	const placement = chooseInstance({
--- a/packages/gateway/src/coordinator-client.ts
+++ b/packages/gateway/src/coordinator-client.ts
@@ -2,7 +2,7 @@
 import {
 	createInstanceRegistry, createInstanceUpdate, HelloKind, InstanceStage, setDraining, pickHomes, mergeInstanceRecord,
 	applyRenewals, expireInstances, type DaemonRecord, type FleetSummary, type HelloReply,
-	type InstanceUpdate, type InstanceRecord, type InstanceRegistry, type PublishedSnapshot,
+	type InstanceUpdate, type InstanceRecord, type InstanceRegistry, type PublishedSnapshot, type RequestLimitNote,
 } from '@fescuestair/instances';
 import {callAndValidate, LinkMessageKind} from '@fescuestair/protocol';
 import {createHelloClient, type Logger} from '@fescuestair/runtime';
@@ -17,6 +17,8 @@
 	/** Called with each published snapshot whose revision is higher than that of the one before. */
 	readonly onPublished: (published: PublishedSnapshot) => void;
 	readonly onRegistryUpdate: (registry: InstanceRegistry) => void;
+	/** Called with the request limits that a coordinator knows, which repairs notes that were missed. */
+	readonly onRequestLimits: (notes: readonly RequestLimitNote[]) => void;
 	/** Called in each round of hellos, so that the gateway can run its periodic checks. */
 	readonly onRound: (nowMs: number) => void;
 	/** Called when another coordinator becomes the primary home. */
@@ -75,12 +77,12 @@
 
 @example
 ```
-const client = createCoordinatorClient({getDaemonRecord, getSeeds, links, clock, log, onPublished, onRegistryUpdate, onRound, onHomeChange});
+const client = createCoordinatorClient({getDaemonRecord, getSeeds, links, clock, log, onPublished, onRegistryUpdate, onRequestLimits, onRound, onHomeChange});
 ```
 */
 export function createCoordinatorClient(options: CoordinatorClientOptions): CoordinatorClient {
 	const {
-		getDaemonRecord, getSeeds, links, clock, log, onPublished, onRegistryUpdate, onRound, onHomeChange,
+		getDaemonRecord, getSeeds, links, clock, log, onPublished, onRegistryUpdate, onRequestLimits, onRound, onHomeChange,
 	} = options;
 	const coordinators = new Map<string, KnownCoordinator>();
 	const startedAtMs = clock.readMonotonicMs();
@@ -153,6 +155,7 @@
 	const applyFleetSummary = (fleet: FleetSummary, isCurrent: boolean) => {
 		const nowMs = clock.readMonotonicMs();
 		registry = applyRenewals(registry, fleet.renewals, nowMs);
+		onRequestLimits(fleet.requestLimits ?? []);
 		onRegistryUpdate(registry);
 		// A coordinator that has just started, or is partitioned, does not know most gateways, so its count is used only if there is no other.
 		gatewayCount = isCurrent || gatewayCount === undefined ? Math.max(1, fleet.gateways) : gatewayCount;
--- a/packages/gateway/src/forward-options.ts
+++ b/packages/gateway/src/forward-options.ts
@@ -1,7 +1,8 @@
 import {type Clock} from '@fescuestair/core';
-import {type RetryBudget} from '@fescuestair/limits';
+import {type InstanceRecord} from '@fescuestair/instances';
+import {type Permit, type RetryBudget} from '@fescuestair/limits';
 import {type ChooseInstance} from '@fescuestair/routing';
-import {type PrometheusMetrics, type RequestLimits} from '@fescuestair/runtime';
+import {type PermitClient, type PrometheusMetrics, type RequestLimits} from '@fescuestair/runtime';
 import {type RouteTable} from '@fescuestair/traffic';
 import {type CallerCodec, type UpstreamCodec} from './codecs.js';
 import {type CrashDetector} from './crash-detector.js';
@@ -21,6 +22,8 @@
 	readonly parts: PartsClient;
 	readonly crashes: CrashDetector;
 	readonly requestLimits: RequestLimits;
+	/** Permits to send requests to instances that name a limit. */
+	readonly permits: PermitClient;
 	readonly metrics: Pick<PrometheusMetrics, 'count'>;
 	readonly getTable: () => RouteTable;
 	/** Decides whether new requests may start on a version of a model's weights; `startMs` is the expected delay until the start. */
@@ -31,9 +34,14 @@
 	readonly isLeaving: () => boolean;
 	/** Requests that wait in this gateway for an instance, in order of arrival, each with its service and estimated work. */
 	readonly waiting: Map<Exchange, {readonly service: string; readonly workMs: number}>;
+	/** By service, when the next caller that is refused because of limits should return. */
+	readonly returns: Map<string, number>;
 	readonly countGateways: () => number;
 };
 
+/** A permit, and the instance that it is for. */
+export type HeldPermit = {readonly record: InstanceRecord; readonly permit: Permit};
+
 /** The attempts made for one request so far. */
 export type ForwardingProgress = {
 	/** Number of attempts that may have executed the request. */
@@ -43,6 +51,10 @@
 	/** Number of times that the request waited for an instance. */
 	waits: number;
 	readonly triedInstanceIds: Set<string>;
+	/** Permit to send the request to an instance, from the time that it states on. */
+	permit: HeldPermit | undefined;
+	/** Number of times that a limit left no permit for the request. */
+	permitRefusals: number;
 	/** One entry for each attempt or refusal, for the log line of the request. */
 	readonly story: Array<Readonly<Record<string, unknown>>>;
 };
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -13,11 +13,16 @@
 	ExchangeOutcome, sendLocalResponse, type Exchange, type ExchangeResult,
 } from './exchange.js';
 import {type ForwardOptions, type ForwardingProgress} from './forward-options.js';
+import {
+	computeLimitTurnMs, computeReturnDelayMs, obtainPermit, releasePermit,
+} from './obtain-permit.js';
 import {sendUpstreamResponse} from './send-response.js';
 import {sendAttempt} from './send-attempt.js';
 
 /** Attempts that an instance rejected without running the request are cheap to repeat; after this many the service counts as overloaded. */
 const maxRefusedAttempts = 4;
+/** A request that got no permit from this many instances that name limits, one after the other, is refused. */
+const maxPermitRefusals = 6;
 /** With less time than this before the deadline a request is no longer sent: it could not be answered in time. */
 const minTimeLeftMs = 20;
 const minRetryAfterMs = 200;
@@ -64,7 +69,7 @@
 	const {route, response} = exchange;
 	const service = getTable().services.get(chooseTarget(route.targets, Math.random()).service);
 	const progress: ForwardingProgress = {
-		sentCount: 0, refused: 0, waits: 0, triedInstanceIds: new Set(), story: [],
+		sentCount: 0, refused: 0, waits: 0, permitRefusals: 0, permit: undefined, triedInstanceIds: new Set(), story: [],
 	};
 
 	if (service === undefined) {
@@ -99,6 +104,7 @@
 	}
 
 	waiting.delete(exchange);
+	releasePermit(options, progress);
 	clearTimeout(timer);
 	response.off('close', onClose);
 
@@ -131,7 +137,7 @@
 
 	const choice = chooseInstanceForRequest(options, exchange, {service, progress});
 
-	if (choice === undefined) {
+	if (choice === undefined || progress.permitRefusals > maxPermitRefusals) {
 		return waitForInstance(context);
 	}
 
@@ -151,6 +157,14 @@
 	}
 
 	options.waiting.delete(exchange);
+	const timeLeftMs = computePatienceMs(exchange) - (options.clock.readMonotonicMs() - exchange.startedAtMs);
+
+	if (!await obtainPermit(options, exchange, {
+		service, progress, choice, timeLeftMs,
+	})) {
+		return undefined;
+	}
+
 	const result = await sendAttempt(options, exchange, {
 		...choice, service, progress, stream, isRetryable, cancellation,
 	});
@@ -159,25 +173,33 @@
 	return cancellation.isCallerGone ? endCallerGone() : handleAttemptResult(context, choice, result);
 }
 
-// No instance accepts requests now. Waits until the first instance ends the back-off period that it asked for, provided that this is early enough
-// for the request; refuses the request otherwise.
+// No instance accepts requests now. Waits until the first instance ends the back-off that it asked for or the pause that its limit requires,
+// provided that this is early enough for the request; refuses the request otherwise.
 async function waitForInstance(context: ForwardingContext): Promise<ExchangeResult | undefined> {
 	const {options, exchange, service, progress} = context;
-	const restEndMs = options.instancePool.findRestEndMs(service.name);
-	const restLeftMs = restEndMs === undefined ? undefined : Math.max(0, restEndMs - options.clock.readMonotonicMs());
+	const reopeningMs = options.instancePool.findReopeningMs(service.name);
+	const restLeftMs = reopeningMs === undefined ? undefined : Math.max(0, reopeningMs - options.clock.readMonotonicMs());
+	const turnMs = computeLimitTurnMs(options, service.name);
 	const question = {
-		restLeftMs: restLeftMs ?? 0,
+		restLeftMs: (restLeftMs ?? 0) + (countWaitingBefore(options, exchange, service) * (turnMs ?? 0)),
 		workMs: (exchange.caller.prompt?.promptTokens ?? 0) / options.instancePool.getPrefillTokensPerMs(service.name),
 		waitedMs: options.clock.readMonotonicMs() - exchange.startedAtMs,
 		patienceMs: computePatienceMs(exchange),
 	};
 
-	if (restLeftMs === undefined || decideBackoff(question) === WaitDecision.Refuse) {
+	if (restLeftMs === undefined || progress.permitRefusals > maxPermitRefusals || decideBackoff(question) === WaitDecision.Refuse) {
 		progress.story.push({
-			decision: WaitDecision.Refuse, standings: options.instancePool.countStandings(service.name), ...(restLeftMs !== undefined && {restLeftMs: Math.round(restLeftMs)}),
+			decision: WaitDecision.Refuse, standings: options.instancePool.countStandings(service.name),
+			...(progress.permitRefusals > 0 && {permitRefusals: progress.permitRefusals}), ...(restLeftMs !== undefined && {restLeftMs: Math.round(restLeftMs)}),
 		});
 
-		return refuse(context, 'no instance of the service takes requests now', restLeftMs === undefined ? computeRetryAfterMs(0) : addJitter(restLeftMs));
+		if (reopeningMs === undefined || turnMs === undefined) {
+			return refuse(context, 'no instance of the service takes requests now', restLeftMs === undefined ? computeRetryAfterMs(0) : addJitter(restLeftMs));
+		}
+
+		const reason = options.permits.isUnanswered() ? 'no coordinator grants permits for instances that name a limit' : 'the limits that the instances of the service name are used up';
+
+		return refuse(context, reason, computeReturnDelayMs(options, service.name, {reopeningMs, turnMs}));
 	}
 
 	progress.waits++;
@@ -187,6 +209,20 @@
 	return undefined;
 }
 
+function countWaitingBefore({waiting}: ForwardOptions, exchange: Exchange, service: Service): number {
+	let count = 0;
+
+	for (const [waitingExchange, {service: name}] of waiting) {
+		if (waitingExchange === exchange) {
+			break;
+		}
+
+		count += name === service.name ? 1 : 0;
+	}
+
+	return count;
+}
+
 function computePatienceMs({deadlineMs, startedAtMs, route}: Exchange): number {
 	return Math.min(deadlineMs - startedAtMs, route.patienceMs ?? Number.POSITIVE_INFINITY);
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,15 +5,17 @@
 	createSystemClock, isBoolean, isObjectWith, type Clock,
 } from '@fescuestair/core';
 import {
-	DaemonRole, isInstanceUpdates, isLoadUpdate, isPublishedSnapshot, type DaemonRecord, type PublishedSnapshot,
+	DaemonRole, isInstanceUpdates, isLoadUpdate, isPublishedSnapshot, isRequestLimitNotes, type DaemonRecord, type PublishedSnapshot,
 } from '@fescuestair/instances';
 import {
 	createRetryBudget, depositSuccess, isSuspectUpdates, type RetryBudget,
 } from '@fescuestair/limits';
-import {createLinkCommands, isName, LinkMessageKind} from '@fescuestair/protocol';
+import {
+	createLinkCommands, isName, LinkMessageKind, type LinkMessage,
+} from '@fescuestair/protocol';
 import {createChooser, PlacementPolicy} from '@fescuestair/routing';
 import {
-	createLinkFaultHandler, createRequestLimits, openCommandListener, registerLinkMetrics, type Logger, type PrometheusMetrics,
+	createLinkFaultHandler, createPermitClient, createRequestLimits, openCommandListener, registerLinkMetrics, type Logger, type PrometheusMetrics,
 } from '@fescuestair/runtime';
 import {
 	buildRouteTable, type RouteTable, type TrafficConfig,
@@ -123,6 +125,7 @@
 
 			return Math.max(minConnections, Math.floor(maxConnections * usableConnectionShare / countGateways()));
 		},
+		getLimitedUntilMs: record => permits.getClosedUntilMs(record),
 		onWorkChange(workMs) {
 			loadExchange.recordWorkChange(workMs);
 		},
@@ -171,7 +174,24 @@
 		linkAddress, links, clock, log, getHome: () => client.getHome(),
 	});
 
-	const requestLimits = createRequestLimits({clock, log});
+	const requestLimits = createRequestLimits({
+		clock,
+		log,
+		onChange(note, {isOwn}) {
+			permits.reopen(note.id);
+			const home = client.getHome();
+
+			if (isOwn && home !== undefined) {
+				links.send(home, {
+					kind: LinkMessageKind.RequestLimits, from: linkAddress, notes: [note], isRelayed: false,
+				} satisfies LinkMessage);
+			}
+		},
+	});
+
+	const permits = createPermitClient({
+		clock, links, log, requestLimits, getGrantorAddress: () => client.getHome(), count: metrics.count,
+	});
 
 	const forwardOptions: ForwardOptions = {
 		clock,
@@ -183,6 +203,8 @@
 		parts: partsClient,
 		crashes: crashDetector,
 		requestLimits,
+		permits,
+		returns: new Map(),
 		metrics,
 		getTable: () => routeTable!,
 		classifyWeights: (model, version, startDelayMs) => classifyWeights(targetVersionHistory, {
@@ -237,6 +259,7 @@
 
 	const client = createCoordinatorClient({
 		getDaemonRecord, getSeeds, links, clock, log, onPublished,
+		onRequestLimits: requestLimits.merge,
 		onRegistryUpdate(registry) {
 			instancePool.applyRegistry(registry);
 			crashDetector.applyRegistry(registry);
@@ -266,6 +289,11 @@
 
 		return true;
 	});
+	commands.registerCommand(LinkMessageKind.RequestLimits, isObjectWith({from: isName, notes: isRequestLimitNotes, isRelayed: isBoolean}), ({notes}) => {
+		requestLimits.merge(notes);
+
+		return true;
+	});
 	commands.registerCommand(LinkMessageKind.Published, isObjectWith({published: isPublishedSnapshot}), ({published}) => {
 		client.applyPublished(published);
 
@@ -300,6 +328,7 @@
 			client.stop();
 			partsClient.stop();
 			loadExchange.stop();
+			permits.stop();
 			crashDetector.stop();
 			server.close();
 			server.closeAllConnections();
--- a/packages/gateway/src/instance-pool.ts
+++ b/packages/gateway/src/instance-pool.ts
@@ -17,6 +17,8 @@
 	readonly metrics: PrometheusMetrics;
 	/** Bound on this gateway's connections to one instance of a service. */
 	readonly getMaxConnections: (service: string) => number;
+	/** Until when no request may be sent to an instance because of the limit that it names; a past time if none applies. */
+	readonly getLimitedUntilMs: (record: InstanceRecord) => number;
 	/** Called when work was added, or an estimate corrected, that has not been sent to the other gateways yet. */
 	readonly onWorkChange: (workMs: number) => void;
 	/** Called when a response of an instance reports for the first time that this incarnation is leaving. */
@@ -30,8 +32,12 @@
 	readonly get: (id: string) => PooledInstance | undefined;
 	/** Instances of a service that may accept a request now; full ones only if there is no other. */
 	readonly listAvailable: (service: string) => readonly PooledInstance[];
-	/** Earliest end of a back-off that an instance of the service requested; `undefined` where none is backing off at its own request. */
-	readonly findRestEndMs: (service: string) => number | undefined;
+	/** Instances of a service that would take requests but for the limits that they named. */
+	readonly listLimited: (service: string) => readonly PooledInstance[];
+	/** Finds an instance that a request with a permit may be sent to, whatever its limit; `undefined` where it takes none or has restarted. */
+	readonly findSendable: (record: InstanceRecord) => PooledInstance | undefined;
+	/** When the first instance that takes no requests because of a back-off or a limit that it named takes some again; `undefined` where there is none. */
+	readonly findReopeningMs: (service: string) => number | undefined;
 	/** Counts the instances of a service by status. */
 	readonly countStandings: (service: string) => Readonly<Record<string, number>>;
 	readonly begin: (instance: PooledInstance, request: InFlightRequest) => void;
@@ -78,11 +84,11 @@
 
 @example
 ```
-const pool = createInstancePool({clock, log, metrics, getMaxConnections: () => 40, onWorkChange, onLeaving});
+const pool = createInstancePool({clock, log, metrics, getMaxConnections: () => 40, getLimitedUntilMs, onWorkChange, onLeaving});
 ```
 */
 export function createInstancePool({
-	clock, log, metrics, getMaxConnections, onWorkChange, onLeaving,
+	clock, log, metrics, getMaxConnections, getLimitedUntilMs, onWorkChange, onLeaving,
 }: InstancePoolOptions): InstancePool {
 	const instances = new Map<string, PooledInstance>();
 	/** Index of the instances by service: each request chooses among those of one. */
@@ -125,7 +131,9 @@
 		}
 	};
 
-	const classify = ({standing, load}: PooledInstance) => classifyInstance(standing, {own: load.own, nowMs: clock.readMonotonicMs()});
+	const classify = ({standing, load, held: {record}}: PooledInstance) => classifyInstance(standing, {
+		own: load.own, limitedUntilMs: getLimitedUntilMs(record), nowMs: clock.readMonotonicMs(),
+	});
 
 	const listInstances = (service: string): readonly PooledInstance[] => byService.get(service) ?? [];
 
@@ -211,12 +219,11 @@
 		},
 		get: id => instances.get(id),
 		listAvailable(service) {
-			const nowMs = clock.readMonotonicMs();
 			const free: PooledInstance[] = [];
 			const full: PooledInstance[] = [];
 
 			for (const instance of listInstances(service)) {
-				const standing = classifyInstance(instance.standing, {own: instance.load.own, nowMs});
+				const standing = classify(instance);
 
 				if (canSendTo(standing)) {
 					(standing === InstanceStatus.Full ? full : free).push(instance);
@@ -225,8 +232,30 @@
 
 			return free.length > 0 ? free : full;
 		},
-		findRestEndMs(service) {
-			const ends = listInstances(service).filter(instance => classify(instance) === InstanceStatus.BackingOff).map(({standing}) => standing.backoffDeadlineMs);
+		listLimited: service => listInstances(service).filter(instance => classify(instance) === InstanceStatus.Limited),
+		findSendable({id, incarnation}) {
+			const instance = instances.get(id);
+
+			return instance?.held.record.incarnation === incarnation && canSendTo(classifyInstance(instance.standing, {own: instance.load.own, nowMs: clock.readMonotonicMs()}))
+				? instance
+				: undefined;
+		},
+		findReopeningMs(service) {
+			const ends = listInstances(service).flatMap(instance => {
+				switch (classify(instance)) {
+					case InstanceStatus.BackingOff: {
+						return [Math.max(instance.standing.backoffDeadlineMs, getLimitedUntilMs(instance.held.record))];
+					}
+
+					case InstanceStatus.Limited: {
+						return [getLimitedUntilMs(instance.held.record)];
+					}
+
+					default: {
+						return [];
+					}
+				}
+			});
 
 			return ends.length === 0 ? undefined : Math.min(...ends);
 		},
--- /dev/null
+++ b/packages/gateway/src/obtain-permit.ts
@@ -0,0 +1,93 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {maxReservationMs, scheduleReturn} from '@fescuestair/limits';
+import {PermitOutcome} from '@fescuestair/runtime';
+import {type Service} from '@fescuestair/traffic';
+import {type InstanceChoice} from './choose-place.js';
+import {type Exchange} from './exchange.js';
+import {type ForwardOptions, type ForwardingProgress} from './forward-options.js';
+
+const msPerSecond = 1000;
+/** Rate assumed of instances that name a limit of 0: they get a request now and then, which tells whether the limit has risen. */
+const minPerSecond = 0.1;
+
+export type PermitInput = {
+	readonly service: Service;
+	readonly progress: ForwardingProgress;
+	readonly choice: InstanceChoice;
+	/** Time left in which the request can still be served. */
+	readonly timeLeftMs: number;
+};
+
+/**
+Gets the permit that a request needs where the chosen instance names a limit. Returns whether the request may be sent now. If not, the
+instance has to be chosen again: the request now holds a permit, or the instance is closed for a while.
+*/
+export async function obtainPermit(options: ForwardOptions, exchange: Exchange, {service, progress, choice, timeLeftMs}: PermitInput): Promise<boolean> {
+	const {permits, requestLimits, instancePool, clock} = options;
+	const {record} = choice.entry.held;
+	const {permit: held} = progress;
+
+	if (held?.record.id === record.id && held.record.incarnation === record.incarnation && permits.isUsable(record, held.permit)) {
+		progress.permit = undefined;
+
+		return true;
+	}
+
+	releasePermit(options, progress);
+
+	if (requestLimits.getPerSecond(record) === undefined) {
+		return true;
+	}
+
+	const hasAlternative = instancePool.listAvailable(service.name).some(({held: other}) => other.record.id !== record.id
+		&& !progress.triedInstanceIds.has(other.record.id) && requestLimits.getPerSecond(other.record) === undefined);
+	const result = await permits.reserve(record, {
+		maxWaitMs: hasAlternative ? 0 : Math.min(maxReservationMs, Math.max(0, timeLeftMs - choice.placement.expectedMs)),
+		priority: exchange.organisation?.priority ?? exchange.route.priority,
+	});
+
+	if (result.outcome === PermitOutcome.Granted) {
+		progress.permit = {record, permit: result.permit};
+		const waitMs = result.permit.startAtMs - clock.readMonotonicMs();
+
+		if (waitMs > 0) {
+			progress.waits++;
+			await sleep(waitMs);
+		}
+	} else if (result.outcome !== PermitOutcome.Unlimited) {
+		progress.permitRefusals++;
+	}
+
+	return false;
+}
+
+/** Returns the permit that a request holds and no longer needs. */
+export function releasePermit({permits}: ForwardOptions, progress: ForwardingProgress): void {
+	if (progress.permit !== undefined) {
+		permits.release(progress.permit.record, progress.permit.permit);
+		progress.permit = undefined;
+	}
+}
+
+/**
+Computes the time in which one request of this gateway can be sent to the instances of a service that are closed by their limits, if all
+gateways have as many; `undefined` where there is no such instance.
+*/
+export function computeLimitTurnMs({instancePool, requestLimits, countGateways}: ForwardOptions, service: string): number | undefined {
+	let perSecond = 0;
+
+	for (const {held: {record}} of instancePool.listLimited(service)) {
+		perSecond += Math.max(minPerSecond, requestLimits.getPerSecond(record) ?? 0);
+	}
+
+	return perSecond === 0 ? undefined : msPerSecond * countGateways() / perSecond;
+}
+
+/** Computes when a caller that is refused because of limits should return. */
+export function computeReturnDelayMs({returns, clock}: ForwardOptions, service: string, {reopeningMs, turnMs}: {readonly reopeningMs: number; readonly turnMs: number}): number {
+	const nowMs = clock.readMonotonicMs();
+	const {returnAtMs, nextReturnMs} = scheduleReturn(returns.get(service), {reopeningMs, spacingMs: turnMs, nowMs});
+	returns.set(service, nextReturnMs);
+
+	return returnAtMs - nowMs;
+}
--- a/packages/instances/src/daemons.ts
+++ b/packages/instances/src/daemons.ts
@@ -1,4 +1,5 @@
 import {type HomeList} from './directory.js';
+import {type RequestLimitNote} from './request-limit-note.js';
 import {type InstanceUpdate, type InstanceRenewal} from './types.js';
 
 export enum DaemonRole {
@@ -94,6 +95,8 @@
 	readonly coordinators: readonly DaemonRecord[];
 	/** Number of known gateways, ready or not. */
 	readonly gateways: number;
+	/** Request limits that instances name, and those that ended lately. */
+	readonly requestLimits?: readonly RequestLimitNote[];
 };
 
 /** The daemons known to one coordinator, by name. Immutable. */
--- a/packages/instances/src/index.ts
+++ b/packages/instances/src/index.ts
@@ -23,3 +23,6 @@
 export {
 	isHello, isHelloReply, isInstanceUpdates, isLoadUpdate, isPublishedSnapshot,
 } from './message-guards.js';
+export {
+	isRequestLimitNote, isRequestLimitNotes, requestLimitNoteGuards, type RequestLimitNote,
+} from './request-limit-note.js';
--- a/packages/instances/src/message-guards.ts
+++ b/packages/instances/src/message-guards.ts
@@ -5,6 +5,7 @@
 	DaemonRole, HelloKind, type Hello, type HelloReply, type PublishedSnapshot,
 } from './daemons.js';
 import {type LoadUpdate} from './load-update.js';
+import {isRequestLimitNotes} from './request-limit-note.js';
 import {InstanceStage, type InstanceUpdate} from './types.js';
 
 /** Length limit of names and addresses. */
@@ -56,6 +57,7 @@
 	news: isOptional(isObjectWith({cursor: isUpdateCursor, notes: isInstanceUpdates})),
 	fleet: isOptional(isObjectWith({
 		renewals: isArrayOf(isTupleOf(isName, isNonNegativeInteger, isNonNegativeInteger, isAgeMs), maxListLength), coordinators: isDaemonRecords, gateways: isNonNegativeInteger,
+		requestLimits: isOptional(isRequestLimitNotes),
 	})),
 	published: isOptional(isPublishedSnapshot),
 	leaderAddress: isOptional(isName),
--- /dev/null
+++ b/packages/instances/src/request-limit-note.ts
@@ -0,0 +1,25 @@
+import {
+	isArrayOf, isNonNegativeInteger, isNumberInRange, isOptional, isObjectWith, isStringUpTo, type TypeGuard,
+} from '@fescuestair/core';
+
+/** What a daemon knows about the limit of one run of an instance, as sent to another daemon. */
+export type RequestLimitNote = {
+	readonly id: string;
+	readonly incarnation: number;
+	/** Absent where the instance names no limit any more. */
+	readonly perSecond?: number;
+	/** Time since the answer that said so arrived; a span, since clocks differ. */
+	readonly ageMs: number;
+};
+
+const maxNameLength = 500;
+/** Limit of instances in one message: ten times the size that the system is designed for. */
+const maxListLength = 10_000;
+const maxAgeMs = 86_400_000;
+
+export const requestLimitNoteGuards = {
+	id: isStringUpTo(maxNameLength), incarnation: isNonNegativeInteger, perSecond: isOptional(isNumberInRange(0, Number.MAX_SAFE_INTEGER)), ageMs: isNumberInRange(0, maxAgeMs),
+};
+
+export const isRequestLimitNote = isObjectWith(requestLimitNoteGuards) as TypeGuard<unknown> as TypeGuard<RequestLimitNote>;
+export const isRequestLimitNotes = isArrayOf(isRequestLimitNote, maxListLength);
--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -14,5 +14,16 @@
 	admitRequest, createAdmission, finishRequest, setShare, type Admission, type AdmissionAnswer, type ClassLimit,
 } from './admission.js';
 export {
-	isValidRequestLimit, mergeRequestLimits, noRequestLimit, recordRequestLimit, type LimitStatement, type RequestLimit,
+	isLimitChange, isValidRequestLimit, mergeRequestLimits, noRequestLimit, recordRequestLimit, type LimitStatement, type RequestLimit,
 } from './request-limit.js';
+export {
+	isPermitQuestions, isPermitReplies, type PermitQuestion, type PermitReply,
+} from './permit-messages.js';
+export {
+	applyPermitAnswer, closeWallet, decidePermit, emptyPermitWallet, isPermitUsable, PermitDecision, reopenWallet, returnPermit, takeSparePermit,
+	type Permit, type PermitAnswer, type PermitWallet,
+} from './permit-wallet.js';
+export {
+	maxReservationMs, permitValidityMs, reservePermit, type PermitAccount, type PermitQuery, type Reservation,
+} from './reserve-permit.js';
+export {scheduleReturn, type ReturnQuery} from './schedule-return.js';
--- a/packages/limits/src/request-limit.ts
+++ b/packages/limits/src/request-limit.ts
@@ -18,6 +18,9 @@
 
 export const noRequestLimit: RequestLimit = {perSecond: undefined, observedAtMs: Number.NEGATIVE_INFINITY};
 
+/** Relative change of a limit from which other daemons are told; smaller ones they learn from their own answers. */
+const minReportedChange = 0.05;
+
 /** Returns whether a named limit is valid: a finite number that is not negative. */
 export function isValidRequestLimit(perSecond: number): boolean {
 	return Number.isFinite(perSecond) && perSecond >= 0;
@@ -44,3 +47,12 @@
 export function mergeRequestLimits(known: RequestLimit, other: RequestLimit): RequestLimit {
 	return other.observedAtMs > known.observedAtMs ? other : known;
 }
+
+/** Returns whether a limit began, ended or changed enough for other daemons to be told. */
+export function isLimitChange(before: RequestLimit, after: RequestLimit): boolean {
+	if (before.perSecond === undefined || after.perSecond === undefined) {
+		return before.perSecond !== after.perSecond;
+	}
+
+	return Math.abs(after.perSecond - before.perSecond) > minReportedChange * Math.max(before.perSecond, after.perSecond);
+}
--- a/packages/protocol/src/link-message-guards.ts
+++ b/packages/protocol/src/link-message-guards.ts
@@ -73,6 +73,7 @@
 export const isLinkReply = isAnyOf(
 	isReplyOf('hello', {reply: isUnknown}),
 	isReplyOf('parts', {reply: isUnknown, ageMs: isAgeMs}),
+	isReplyOf('permits', {replies: isUnknown}),
 	isReplyOf('published', {published: isUnknown}),
 	isReplyOf('answer', {answer: isUnknown}),
 	isReplyOf('not_leader', {leaderAddress: isOptional(isName)}),
--- a/packages/protocol/src/link-messages.ts
+++ b/packages/protocol/src/link-messages.ts
@@ -35,6 +35,10 @@
 	Loads = 'loads',
 	/** Requests that were running when an instance crashed; relayed in the same way as loads. */
 	Suspects = 'suspects',
+	/** Request limits that instances named, sent by a daemon that was told of a change and relayed to all. */
+	RequestLimits = 'request_limits',
+	/** Asks the leader of the group, directly or by way of another replica, for permits to send requests to instances that name a limit. */
+	ReservePermits = 'reserve_permits',
 }
 
 /** Messages between processes. Fields of type `unknown` are defined and checked by the packages that read them. */
@@ -61,6 +65,8 @@
 		| {readonly kind: LinkMessageKind.ReadPublished}
 		| {readonly kind: LinkMessageKind.Loads; readonly from: string; readonly loads: unknown; readonly isRelayed: boolean}
 		| {readonly kind: LinkMessageKind.Suspects; readonly from: string; readonly notes: unknown; readonly isRelayed: boolean}
+		| {readonly kind: LinkMessageKind.RequestLimits; readonly from: string; readonly notes: unknown; readonly isRelayed: boolean}
+		| {readonly kind: LinkMessageKind.ReservePermits; readonly questions: unknown; readonly isRelayed: boolean}
 		| {readonly kind: LinkMessageKind.PollParts; readonly poll: unknown}
 		| {readonly kind: LinkMessageKind.Join; readonly id: string; readonly name: string; readonly address: string};
 
@@ -83,6 +89,7 @@
 		| {readonly kind: 'noted'}
 		| {readonly kind: 'hello'; readonly reply: unknown}
 		| {readonly kind: 'published'; readonly published: unknown}
+		| {readonly kind: 'permits'; readonly replies: unknown}
 		| {readonly kind: 'parts'; readonly reply: unknown; readonly ageMs: number}
 		| {readonly kind: 'returns'; readonly timesSeen: number; readonly returns: {readonly seenOnce: number; readonly returned: number}}
 		| {readonly kind: 'error'; readonly message: string};
--- a/packages/routing/src/instance-state.ts
+++ b/packages/routing/src/instance-state.ts
@@ -14,6 +14,8 @@
 	BackingOff = 'resting',
 	/** Backing off after failed requests; then it gets one trial request at a time. */
 	Unhealthy = 'unsound',
+	/** Other requests use up the limit that it names, for now. */
+	Limited = 'limited',
 	/** It rejected a request within the last `fullDurationMs`. */
 	Full = 'full',
 	/** It accepts requests but is still slow after its start. */
@@ -152,8 +154,16 @@
 	};
 }
 
-/** Derives the status of an instance at which this daemon has `own` requests in progress. */
-export function classifyInstance(state: InstanceState, {own, nowMs}: {readonly own: number; readonly nowMs: number}): InstanceStatus {
+export type ClassifyOptions = {
+	/** Requests of this daemon that are in progress there. */
+	readonly own: number;
+	/** Until then no request may be sent there because of the limit that it names. */
+	readonly limitedUntilMs?: number;
+	readonly nowMs: number;
+};
+
+/** Derives the status of an instance. */
+export function classifyInstance(state: InstanceState, {own, limitedUntilMs = Number.NEGATIVE_INFINITY, nowMs}: ClassifyOptions): InstanceStatus {
 	if (state.isLeaving) {
 		return InstanceStatus.Leaving;
 	}
@@ -174,6 +184,10 @@
 		return InstanceStatus.Unhealthy;
 	}
 
+	if (limitedUntilMs > nowMs) {
+		return InstanceStatus.Limited;
+	}
+
 	if (state.fullDeadlineMs > nowMs) {
 		return InstanceStatus.Full;
 	}
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -11,6 +11,10 @@
 	createHelloClient, type HelloClient, type HelloClientOptions, type HelloOptions,
 } from './hello-client.js';
 export {createLogger, type Logger} from './logger.js';
+export {
+	createPermitClient, PermitOutcome, type PermitClient, type PermitClientOptions, type PermitOptions, type PermitResult,
+} from './permit-client.js';
+export {createPermitGrantor, type PermitGrantor, type PermitGrantorOptions} from './permit-grantor.js';
 export {
 	createRequestLimits, type InstanceRun, type RequestLimits, type RequestLimitsOptions,
 } from './request-limits.js';
--- a/packages/runtime/src/request-limits.ts
+++ b/packages/runtime/src/request-limits.ts
@@ -1,6 +1,7 @@
 import {type Clock} from '@fescuestair/core';
+import {type RequestLimitNote} from '@fescuestair/instances';
 import {
-	isValidRequestLimit, noRequestLimit, recordRequestLimit, type LimitStatement, type RequestLimit,
+	isLimitChange, isValidRequestLimit, mergeRequestLimits, noRequestLimit, recordRequestLimit, type LimitStatement, type RequestLimit,
 } from '@fescuestair/limits';
 import {type Logger} from './logger.js';
 
@@ -10,18 +11,32 @@
 export type RequestLimitsOptions = {
 	readonly clock: Clock;
 	readonly log: Pick<Logger, 'info' | 'warn'>;
+	/** Called when a limit began, ended or changed, with what other daemons should be told; `isOwn` if an answer to this daemon said so. */
+	readonly onChange?: (note: RequestLimitNote, options: {readonly isOwn: boolean}) => void;
 };
 
 /** The limits that instances name in their answers. */
 export type RequestLimits = {
 	/** Records what an answer says about the limit of its instance. */
-	readonly recordAnswer: (instance: InstanceRun, statement: LimitStatement) => void;
+	readonly recordAnswer: (run: InstanceRun, statement: LimitStatement) => void;
+	/** Merges what another daemon knows. */
+	readonly merge: (notes: readonly RequestLimitNote[]) => void;
 	/** Requests per second that an instance accepts from all daemons together; `undefined` where it names no limit. */
-	readonly getPerSecond: (instance: InstanceRun) => number | undefined;
+	readonly getPerSecond: (run: InstanceRun) => number | undefined;
+	/** Describes a limit for another daemon. */
+	readonly describe: (run: InstanceRun) => RequestLimitNote;
+	/** Lists all limits, and those that ended lately, for a daemon that may have missed some. */
+	readonly list: () => readonly RequestLimitNote[];
 	/** Number of instances that name a limit. */
 	readonly countLimited: () => number;
 };
 
+/**
+A limit that ended stays on record for this long, so that a late note does not bring it back; so does one of which nothing was heard, which no
+daemon needs any more.
+*/
+const retentionMs = 60_000;
+
 /**
 Creates the record of the limits that instances name.
 
@@ -31,7 +46,7 @@
 limits.recordAnswer({id: 'i-1', incarnation: 7}, {perSecond: 3.3, hasRun: true, sentAtMs});
 ```
 */
-export function createRequestLimits({clock, log}: RequestLimitsOptions): RequestLimits {
+export function createRequestLimits({clock, log, onChange = () => undefined}: RequestLimitsOptions): RequestLimits {
 	const limits = new Map<string, {readonly incarnation: number; readonly limit: RequestLimit}>();
 
 	const getLimit = ({id, incarnation}: InstanceRun): RequestLimit => {
@@ -40,34 +55,75 @@
 		return known?.incarnation === incarnation ? known.limit : noRequestLimit;
 	};
 
-	return {
-		recordAnswer(instance, statement) {
-			const {id, incarnation} = instance;
+	const describe = ({id, incarnation}: InstanceRun): RequestLimitNote => {
+		const {perSecond, observedAtMs} = getLimit({id, incarnation});
+		const ageMs = Math.min(retentionMs, Math.max(0, clock.readMonotonicMs() - observedAtMs));
+
+		return {
+			id, incarnation, ...(perSecond !== undefined && {perSecond}), ageMs,
+		};
+	};
+
+	const setLimit = (run: InstanceRun, limit: RequestLimit, isOwn: boolean) => {
+		const known = getLimit(run);
+
+		if (limit === known) {
+			return;
+		}
+
+		const {id, incarnation} = run;
+		limits.set(id, {incarnation, limit});
+
+		if (!isLimitChange(known, limit)) {
+			return;
+		}
+
+		log.info(limit.perSecond === undefined ? 'instance names no request limit any more' : 'instance names a request limit', {
+			id, incarnation, perSecond: limit.perSecond, before: known.perSecond, isOwn,
+		});
+		onChange(describe(run), {isOwn});
+	};
 
-			if ((limits.get(id)?.incarnation ?? incarnation) > incarnation) {
+	const isSuperseded = ({id, incarnation}: InstanceRun) => (limits.get(id)?.incarnation ?? incarnation) > incarnation;
+
+	const expire = () => {
+		const nowMs = clock.readMonotonicMs();
+
+		for (const [id, {limit}] of limits) {
+			if (nowMs - limit.observedAtMs >= retentionMs) {
+				limits.delete(id);
+			}
+		}
+	};
+
+	return {
+		recordAnswer(run, statement) {
+			if (isSuperseded(run)) {
 				return;
 			}
 
 			if (statement.perSecond !== undefined && !isValidRequestLimit(statement.perSecond)) {
-				log.warn('instance names a request limit that is not a number', {id, incarnation});
+				log.warn('instance names a request limit that is not a number', run);
 			}
 
-			const known = getLimit(instance);
-			const limit = recordRequestLimit(known, statement, clock.readMonotonicMs());
+			setLimit(run, recordRequestLimit(getLimit(run), statement, clock.readMonotonicMs()), true);
+		},
+		merge(notes) {
+			for (const {id, incarnation, perSecond, ageMs} of notes) {
+				const run = {id, incarnation};
 
-			if (limit === known) {
-				return;
+				if (!isSuperseded(run) && ageMs < retentionMs) {
+					setLimit(run, mergeRequestLimits(getLimit(run), {perSecond, observedAtMs: clock.readMonotonicMs() - ageMs}), false);
+				}
 			}
+		},
+		getPerSecond: run => getLimit(run).perSecond,
+		describe,
+		list() {
+			expire();
 
-			limits.set(id, {incarnation, limit});
-
-			if (limit.perSecond !== known.perSecond) {
-				log.info(limit.perSecond === undefined ? 'instance names no request limit any more' : 'instance names a request limit', {
-					id, incarnation, perSecond: limit.perSecond, before: known.perSecond,
-				});
-			}
+			return [...limits].map(([id, {incarnation}]) => describe({id, incarnation}));
 		},
-		getPerSecond: instance => getLimit(instance).perSecond,
 		countLimited: () => [...limits.values()].filter(({limit}) => limit.perSecond !== undefined).length,
 	};
 }
