--- a/packages/gateway/src/choose-place.ts
+++ b/packages/gateway/src/choose-place.ts
@@ -1,6 +1,7 @@
 import {
 	computeWaitMs, type InstanceOption, type Placement, type PromptPart, type PromptSize,
 } from '@fescuestair/routing';
+import {maxReservationMs} from '@fescuestair/limits';
 import {
 	chooseStore, computeFetchDeadline, locateParts, formatSalt, type PartLocation,
 } from '@fescuestair/parts';
@@ -34,11 +35,25 @@
 		: chooseEngineInstance(options, exchange, {service, openEntries, prompt});
 }
 
-// A request that holds a permit goes to the instance that it is for, as long as that instance takes requests.
-function listOpenEntries({instancePool}: ForwardOptions, {service, progress}: {readonly service: Service; readonly progress: ForwardingProgress}): readonly PooledInstance[] {
+// A request that holds a permit goes to the instance that it is for, as long as that instance takes requests. If limits close all instances, those
+// that open soon enough to reserve a permit remain.
+function listOpenEntries({instancePool, permits, clock}: ForwardOptions, {service, progress}: {readonly service: Service; readonly progress: ForwardingProgress}): readonly PooledInstance[] {
 	const permitted = progress.permit === undefined ? undefined : instancePool.findSendable(progress.permit.record);
 
-	return permitted === undefined ? instancePool.listAvailable(service.name).filter(entry => !progress.triedInstanceIds.has(entry.held.record.id)) : [permitted];
+	if (permitted !== undefined) {
+		return [permitted];
+	}
+
+	const isUntried = (entry: PooledInstance) => !progress.triedInstanceIds.has(entry.held.record.id);
+	const available = instancePool.listAvailable(service.name).filter(entry => isUntried(entry));
+
+	if (available.length > 0) {
+		return available;
+	}
+
+	const horizonMs = clock.readMonotonicMs() + maxReservationMs;
+
+	return instancePool.listLimited(service.name).filter(entry => isUntried(entry) && permits.getClosedUntilMs(entry.held.record) <= horizonMs);
 }
 
 function choosePlainInstance({instancePool, clock, availabilityZone, chooseInstance}: ForwardOptions, openEntries: readonly PooledInstance[]): InstanceChoice | undefined {
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -14,8 +14,8 @@
 } from './exchange.js';
 import {type ForwardOptions, type ForwardingProgress} from './forward-options.js';
 import {
-	computeLimitTurnMs, computeReturnDelayMs, obtainPermit, releasePermit,
-} from './obtain-permit.js';
+	computeLimitTurnMs, computeReturnDelayMs, requestPermit, releasePermit,
+} from './request-permit.js';
 import {sendUpstreamResponse} from './send-response.js';
 import {sendAttempt} from './send-attempt.js';
 
@@ -159,7 +159,7 @@
 	options.waiting.delete(exchange);
 	const timeLeftMs = computePatienceMs(exchange) - (options.clock.readMonotonicMs() - exchange.startedAtMs);
 
-	if (!await obtainPermit(options, exchange, {
+	if (!await requestPermit(options, exchange, {
 		service, progress, choice, timeLeftMs,
 	})) {
 		return undefined;
@@ -173,21 +173,22 @@
 	return cancellation.isCallerGone ? endCallerGone() : handleAttemptResult(context, choice, result);
 }
 
-// No instance accepts requests now. Waits until the first instance ends the back-off that it asked for or the pause that its limit requires,
-// provided that this is early enough for the request; refuses the request otherwise.
+// No instance accepts requests now. Waits until the first instance ends the back-off that it asked for, provided that this is early enough for the
+// request; refuses the request otherwise, and at once where limits close the instances.
 async function waitForInstance(context: ForwardingContext): Promise<ExchangeResult | undefined> {
 	const {options, exchange, service, progress} = context;
 	const reopeningMs = options.instancePool.findReopeningMs(service.name);
 	const restLeftMs = reopeningMs === undefined ? undefined : Math.max(0, reopeningMs - options.clock.readMonotonicMs());
 	const turnMs = computeLimitTurnMs(options, service.name);
 	const question = {
-		restLeftMs: (restLeftMs ?? 0) + (countWaitingBefore(options, exchange, service) * (turnMs ?? 0)),
+		restLeftMs: restLeftMs ?? 0,
 		workMs: (exchange.caller.prompt?.promptTokens ?? 0) / options.instancePool.getPrefillTokensPerMs(service.name),
 		waitedMs: options.clock.readMonotonicMs() - exchange.startedAtMs,
 		patienceMs: computePatienceMs(exchange),
 	};
 
-	if (restLeftMs === undefined || progress.permitRefusals > maxPermitRefusals || decideBackoff(question) === WaitDecision.Refuse) {
+	// A limit leaves no permit for this request: waiting for one that other requests may get would only delay its refusal.
+	if (restLeftMs === undefined || turnMs !== undefined || progress.permitRefusals > maxPermitRefusals || decideBackoff(question) === WaitDecision.Refuse) {
 		progress.story.push({
 			decision: WaitDecision.Refuse, standings: options.instancePool.countStandings(service.name),
 			...(progress.permitRefusals > 0 && {permitRefusals: progress.permitRefusals}), ...(restLeftMs !== undefined && {restLeftMs: Math.round(restLeftMs)}),
@@ -209,20 +210,6 @@
 	return undefined;
 }
 
-function countWaitingBefore({waiting}: ForwardOptions, exchange: Exchange, service: Service): number {
-	let count = 0;
-
-	for (const [waitingExchange, {service: name}] of waiting) {
-		if (waitingExchange === exchange) {
-			break;
-		}
-
-		count += name === service.name ? 1 : 0;
-	}
-
-	return count;
-}
-
 function computePatienceMs({deadlineMs, startedAtMs, route}: Exchange): number {
 	return Math.min(deadlineMs - startedAtMs, route.patienceMs ?? Number.POSITIVE_INFINITY);
 }
--- a/packages/gateway/src/obtain-permit.ts
+++ b/packages/gateway/src/request-permit.ts
@@ -1,5 +1,5 @@
 import {setTimeout as sleep} from 'node:timers/promises';
-import {maxReservationMs, scheduleReturn} from '@fescuestair/limits';
+import {maxReservationMs, planReturn} from '@fescuestair/limits';
 import {PermitOutcome} from '@fescuestair/runtime';
 import {type Service} from '@fescuestair/traffic';
 import {type InstanceChoice} from './choose-place.js';
@@ -22,7 +22,7 @@
 Gets the permit that a request needs where the chosen instance names a limit. Returns whether the request may be sent now. If not, the
 instance has to be chosen again: the request now holds a permit, or the instance is closed for a while.
 */
-export async function obtainPermit(options: ForwardOptions, exchange: Exchange, {service, progress, choice, timeLeftMs}: PermitInput): Promise<boolean> {
+export async function requestPermit(options: ForwardOptions, exchange: Exchange, {service, progress, choice, timeLeftMs}: PermitInput): Promise<boolean> {
 	const {permits, requestLimits, instancePool, clock} = options;
 	const {record} = choice.entry.held;
 	const {permit: held} = progress;
@@ -58,9 +58,18 @@
 		progress.permitRefusals++;
 	}
 
+	// During a change of the leader, a request that can go nowhere else waits for the next one.
+	if (result.outcome === PermitOutcome.Unanswered && permits.isAnswerExpected() && !hasOpenInstance(options, {service, progress})) {
+		await sleep(Math.max(0, Math.min(timeLeftMs, permits.getClosedUntilMs(record) - clock.readMonotonicMs())));
+	}
+
 	return false;
 }
 
+function hasOpenInstance({instancePool}: ForwardOptions, {service, progress}: Pick<PermitInput, 'service' | 'progress'>): boolean {
+	return instancePool.listAvailable(service.name).some(({held}) => !progress.triedInstanceIds.has(held.record.id));
+}
+
 /** Returns the permit that a request holds and no longer needs. */
 export function releasePermit({permits}: ForwardOptions, progress: ForwardingProgress): void {
 	if (progress.permit !== undefined) {
@@ -86,7 +95,7 @@
 /** Computes when a caller that is refused because of limits should return. */
 export function computeReturnDelayMs({returns, clock}: ForwardOptions, service: string, {reopeningMs, turnMs}: {readonly reopeningMs: number; readonly turnMs: number}): number {
 	const nowMs = clock.readMonotonicMs();
-	const {returnAtMs, nextReturnMs} = scheduleReturn(returns.get(service), {reopeningMs, spacingMs: turnMs, nowMs});
+	const {returnAtMs, nextReturnMs} = planReturn(returns.get(service), {reopeningMs, spacingMs: turnMs, nowMs});
 	returns.set(service, nextReturnMs);
 
 	return returnAtMs - nowMs;
--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -20,10 +20,10 @@
 	isPermitQuestions, isPermitReplies, type PermitQuestion, type PermitReply,
 } from './permit-messages.js';
 export {
-	applyPermitAnswer, closeWallet, decidePermit, emptyPermitWallet, isPermitUsable, PermitDecision, reopenWallet, returnPermit, takeSparePermit,
-	type Permit, type PermitAnswer, type PermitWallet,
+	applyPermitAnswer, setClosedUntil, decidePermit, emptyPermitWallet, isPermitUsable, PermitDecision, clearClosedUntil, depositPermit, takeSparePermit,
+	type Permit, type PermitAnswer, type PermitNeed, type PermitWallet,
 } from './permit-wallet.js';
 export {
 	maxReservationMs, permitValidityMs, reservePermit, type PermitAccount, type PermitQuery, type Reservation,
 } from './reserve-permit.js';
-export {scheduleReturn, type ReturnQuery} from './schedule-return.js';
+export {planReturn, type ReturnQuery} from './plan-return.js';
--- a/packages/limits/src/permit-wallet.ts
+++ b/packages/limits/src/permit-wallet.ts
@@ -1,4 +1,4 @@
-import {permitValidityMs} from './reserve-permit.js';
+import {maxReservationMs, permitValidityMs} from './reserve-permit.js';
 
 /** The right to send one request to an instance within a span of time, on the monotonic clock of this daemon. */
 export type Permit = {
@@ -10,7 +10,7 @@
 
 /** What a daemon that sends requests keeps for one instance that names a limit. Immutable. */
 export type PermitWallet = {
-	/** Until then it asks for no permit of this instance, and sends nothing there without one. */
+	/** Until then no permit that begins at once is to be had. */
 	readonly closedUntilMs: number;
 	/** Permits of requests that ended before they were sent; other requests may use them. */
 	readonly spare: readonly Permit[];
@@ -23,7 +23,7 @@
 	UseSpare = 'use_spare',
 	/** The granting daemon has to be asked. */
 	Ask = 'ask',
-	/** No permit is to be had before `closedUntilMs`. */
+	/** No permit is to be had within the time that the request can wait. */
 	Closed = 'closed',
 }
 
@@ -41,8 +41,15 @@
 /** Permits are void once the limit has fallen below this share of what it was when they were granted; less is the jitter of a named limit. */
 const minLimitShare = 0.8;
 
-/** Decides how a request to an instance gets its permit. */
-export function decidePermit({closedUntilMs, spare}: PermitWallet, {perSecond, nowMs}: {readonly perSecond: number | undefined; readonly nowMs: number}): PermitDecision {
+export type PermitNeed = {
+	readonly perSecond: number | undefined;
+	/** Longest time for which the request can wait for its permit. */
+	readonly maxWaitMs: number;
+	readonly nowMs: number;
+};
+
+/** Decides how a request to an instance gets its permit. A closed instance is asked for only by requests that can wait until it opens. */
+export function decidePermit({closedUntilMs, spare}: PermitWallet, {perSecond, maxWaitMs, nowMs}: PermitNeed): PermitDecision {
 	if (perSecond === undefined) {
 		return PermitDecision.Unlimited;
 	}
@@ -51,7 +58,7 @@
 		return PermitDecision.UseSpare;
 	}
 
-	return closedUntilMs > nowMs ? PermitDecision.Closed : PermitDecision.Ask;
+	return closedUntilMs > nowMs + Math.min(maxWaitMs, maxReservationMs) ? PermitDecision.Closed : PermitDecision.Ask;
 }
 
 /** Returns whether a request may be sent now with a permit. A permit from before the limit fell is void. */
@@ -60,7 +67,7 @@
 }
 
 /** Adds the permit of a request that ended without using it. */
-export function returnPermit(wallet: PermitWallet, permit: Permit, nowMs: number): PermitWallet {
+export function depositPermit(wallet: PermitWallet, permit: Permit, nowMs: number): PermitWallet {
 	return {...wallet, spare: [...wallet.spare.filter(({endAtMs}) => endAtMs >= nowMs), permit]};
 }
 
@@ -96,11 +103,11 @@
 }
 
 /** Closes an instance after the granting daemon did not answer. */
-export function closeWallet(wallet: PermitWallet, untilMs: number): PermitWallet {
+export function setClosedUntil(wallet: PermitWallet, untilMs: number): PermitWallet {
 	return {...wallet, closedUntilMs: Math.max(wallet.closedUntilMs, untilMs)};
 }
 
 /** Opens an instance whose limit has risen or ended, so that requests ask again at once. */
-export function reopenWallet(wallet: PermitWallet): PermitWallet {
+export function clearClosedUntil(wallet: PermitWallet): PermitWallet {
 	return {...wallet, closedUntilMs: Number.NEGATIVE_INFINITY};
 }
--- a/packages/limits/src/schedule-return.ts
+++ b/packages/limits/src/plan-return.ts
@@ -15,10 +15,10 @@
 
 @example
 ```
-scheduleReturn(undefined, {reopeningMs: 1300, spacingMs: 500, nowMs: 1000}); //=> {returnAtMs: 1300, nextReturnMs: 1800}
+planReturn(undefined, {reopeningMs: 1300, spacingMs: 500, nowMs: 1000}); //=> {returnAtMs: 1300, nextReturnMs: 1800}
 ```
 */
-export function scheduleReturn(nextReturnMs: number | undefined, {reopeningMs, spacingMs, nowMs}: ReturnQuery): {readonly returnAtMs: number; readonly nextReturnMs: number} {
+export function planReturn(nextReturnMs: number | undefined, {reopeningMs, spacingMs, nowMs}: ReturnQuery): {readonly returnAtMs: number; readonly nextReturnMs: number} {
 	const returnAtMs = Math.max(reopeningMs, Math.min(nextReturnMs ?? reopeningMs, nowMs + maxReturnMs));
 
 	return {returnAtMs, nextReturnMs: returnAtMs + spacingMs};
--- a/packages/limits/src/reserve-permit.ts
+++ b/packages/limits/src/reserve-permit.ts
@@ -89,7 +89,8 @@
 	}
 
 	const unpaidRequests = Math.max(0, previous.paidAtMs - nowMs) / computeIntervalMs(previous.perSecond);
-	const owedRequests = perSecond < previous.perSecond ? Math.max(unpaidRequests, emptyRequests) : unpaidRequests;
+	// Permits from before a fall are void, so that only the burst is taken back.
+	const owedRequests = perSecond < previous.perSecond ? emptyRequests : unpaidRequests;
 
 	return {perSecond, paidAtMs: nowMs + (owedRequests * intervalMs), referralMs: nowMs};
 }
--- a/packages/runtime/src/permit-client.ts
+++ b/packages/runtime/src/permit-client.ts
@@ -1,6 +1,6 @@
 import {type Clock} from '@fescuestair/core';
 import {
-	applyPermitAnswer, closeWallet, decidePermit, emptyPermitWallet, isPermitReplies, isPermitUsable, PermitDecision, reopenWallet, returnPermit, takeSparePermit,
+	applyPermitAnswer, setClosedUntil, decidePermit, emptyPermitWallet, isPermitReplies, isPermitUsable, PermitDecision, clearClosedUntil, depositPermit, takeSparePermit,
 	type Permit, type PermitReply, type PermitWallet,
 } from '@fescuestair/limits';
 import {
@@ -46,10 +46,12 @@
 	readonly isUsable: (run: InstanceRun, permit: Permit) => boolean;
 	/** Returns the permit of a request that ended before it was sent. */
 	readonly release: (run: InstanceRun, permit: Permit) => void;
-	/** When the next permit for an instance may be asked for; a past time if now. */
+	/** Until when no permit for an instance that begins at once is to be had; a past time if one may be. */
 	readonly getClosedUntilMs: (run: InstanceRun) => number;
 	/** Whether the last question was not answered. */
 	readonly isUnanswered: () => boolean;
+	/** Whether the last question was not answered, but a change of the leader would explain it. */
+	readonly isAnswerExpected: () => boolean;
 	/** Called when a limit changed: instances whose limit rose or ended are open again. */
 	readonly reopen: (id: string) => void;
 	readonly stop: () => void;
@@ -63,6 +65,8 @@
 const callTimeoutMs = 250;
 /** After an unanswered question none is sent for this long, and limited instances get no requests. */
 const silenceMs = 300;
+/** A change of the leader takes less than this. */
+const leaderChangeMs = 2500;
 
 /**
 Creates the client of the daemons that grant permits. Requests are never sent to a limited instance on the strength of an equal share: where
@@ -82,7 +86,7 @@
 	let pending: PendingQuestion[] = [];
 	let timer: NodeJS.Timeout | undefined;
 	let silentUntilMs = Number.NEGATIVE_INFINITY;
-	let isUnanswered = false;
+	let unansweredSinceMs: number | undefined;
 
 	const getWallet = ({id}: InstanceRun) => wallets.get(id) ?? emptyPermitWallet;
 
@@ -111,13 +115,13 @@
 		const untilMs = clock.readMonotonicMs() + silenceMs;
 		silentUntilMs = untilMs;
 
-		if (!isUnanswered) {
-			isUnanswered = true;
+		if (unansweredSinceMs === undefined) {
+			unansweredSinceMs = clock.readMonotonicMs();
 			log.warn('no daemon grants permits for limited instances', {reason});
 		}
 
 		for (const {run, resolve} of questions) {
-			setWallet(run, closeWallet(getWallet(run), untilMs));
+			setWallet(run, setClosedUntil(getWallet(run), untilMs));
 			resolve({outcome: PermitOutcome.Unanswered});
 		}
 	};
@@ -155,8 +159,8 @@
 				return;
 			}
 
-			if (isUnanswered) {
-				isUnanswered = false;
+			if (unansweredSinceMs !== undefined) {
+				unansweredSinceMs = undefined;
 				log.info('permits for limited instances are granted again', {address});
 			}
 
@@ -181,7 +185,7 @@
 	});
 
 	const decide = async (run: InstanceRun, permitOptions: PermitOptions): Promise<PermitResult> => {
-		const query = {perSecond: requestLimits.getPerSecond(run), nowMs: clock.readMonotonicMs()};
+		const query = {perSecond: requestLimits.getPerSecond(run), maxWaitMs: permitOptions.maxWaitMs, nowMs: clock.readMonotonicMs()};
 		const wallet = getWallet(run);
 
 		switch (decidePermit(wallet, query)) {
@@ -222,15 +226,16 @@
 			return perSecond === undefined || isPermitUsable(permit, {perSecond, nowMs: clock.readMonotonicMs()});
 		},
 		release(run, permit) {
-			setWallet(run, returnPermit(getWallet(run), permit, clock.readMonotonicMs()));
+			setWallet(run, depositPermit(getWallet(run), permit, clock.readMonotonicMs()));
 		},
 		getClosedUntilMs: run => requestLimits.getPerSecond(run) === undefined ? Number.NEGATIVE_INFINITY : Math.max(getWallet(run).closedUntilMs, silentUntilMs),
-		isUnanswered: () => isUnanswered,
+		isUnanswered: () => unansweredSinceMs !== undefined,
+		isAnswerExpected: () => clock.readMonotonicMs() - (unansweredSinceMs ?? Number.POSITIVE_INFINITY) < leaderChangeMs,
 		reopen(id) {
 			const wallet = wallets.get(id);
 
 			if (wallet !== undefined) {
-				wallets.set(id, reopenWallet(wallet));
+				wallets.set(id, clearClosedUntil(wallet));
 			}
 		},
 		stop() {
