Keep request limits through the product's own interface too

The same mechanism holds it: entries ask the leader of the control replicas for a permit before each call, each run and each resumed stream, also one that a caller resumes with Last-Event-ID. A limit that one entry is told is published with the record of the upstream, so the others learn it by gossip. What gets no permit goes to another upstream or is refused at once with 'upstream_limited', not run, and a time to return; a claim is released first.

--- a/packages/control/src/control-replica.ts
+++ b/packages/control/src/control-replica.ts
@@ -9,7 +9,7 @@
 } from '@fescuestair/membership';
 import {LinkMessageKind, type LinkMessage} from '@fescuestair/protocol';
 import {
-	createLinkFaultHandler, createGossip, openCommandListener, type Logger,
+	createLinkFaultHandler, createGossip, createPermitGrantor, createRequestLimits, openCommandListener, type Logger,
 } from '@fescuestair/runtime';
 import {createGroupMembership, createReplicaRunner, proposeAtLeader} from '@fescuestair/replication';
 import {createLogStore} from '@fescuestair/storage';
@@ -51,6 +51,7 @@
 
 const joinIntervalMs = 1000;
 const expiryIntervalMs = 60_000;
+const grantorRefreshIntervalMs = 250;
 /** Wait during a stop, in which another replica can take over the leadership and gossip spreads that this one is leaving. */
 const leadershipTransferMs = 300;
 
@@ -128,14 +129,22 @@
 	const backend = createOperatorBackend({
 		name, peerListen, groupMembership, runner, stateMachine, gossip, fates, links, propose,
 	});
-	const linkServer = await openCommandListener({
-		listen: peerListen,
-		getKeys: getClusterKeys,
+	const commands = createLinkHandlers({
+		runner, stateMachine, gossip, fates, propose: proposeLocally, findLeaderAddress, acceptAgreement: groupMembership.accept, recordCandidate: groupMembership.recordCandidate,
+		onFault: createLinkFaultHandler({log, clock, count: () => undefined}),
+	});
+	const grantor = createPermitGrantor({
+		clock,
+		links,
 		log,
-		commands: createLinkHandlers({
-			runner, stateMachine, gossip, fates, propose: proposeLocally, findLeaderAddress, acceptAgreement: groupMembership.accept, recordCandidate: groupMembership.recordCandidate,
-			onFault: createLinkFaultHandler({log, clock, count: () => undefined}),
-		}),
+		commands,
+		requestLimits: createRequestLimits({clock, log}),
+		getLeadingTerm: () => runner.canServeReads() ? runner.getState().term : undefined,
+		findLeaderAddress,
+		leaseMs: runner.getState().timing.leaseMs,
+	});
+	const linkServer = await openCommandListener({
+		listen: peerListen, getKeys: getClusterKeys, log, commands,
 	});
 	const operatorServer = await createOperatorServer({
 		listen: parseAddress(options.operatorListen), getKeys: options.getOperatorKeys, backend, isReady: () => runner.getState().leaderId !== undefined,
@@ -175,6 +184,7 @@
 
 	const timers = [
 		setInterval(announceJoin, joinIntervalMs),
+		setInterval(grantor.refresh, grantorRefreshIntervalMs),
 		setInterval(() => {
 			void proposeExpiry();
 		}, expiryIntervalMs),
@@ -190,6 +200,7 @@
 			}
 
 			orderDispatcher.stop();
+			grantor.stop();
 			runner.transferLeadership();
 			gossip.publishSelf({status: MemberStatus.Leaving});
 			await sleep(leadershipTransferMs);
--- a/packages/demo/src/system.ts
+++ b/packages/demo/src/system.ts
@@ -20,6 +20,7 @@
 	readonly entryFlags?: readonly string[];
 	readonly controlFlags?: readonly string[];
 	readonly engineFlags?: readonly string[];
+	readonly serviceFlags?: readonly string[];
 	readonly storeFlags?: readonly string[];
 };
 
@@ -72,7 +73,7 @@
 export async function startSystem(options: SystemOptions = {}): Promise<System> {
 	const {
 		entries: entryCount = 2, controls: controlCount = 1, engines: engineCount = 1, services: serviceCount = 1, stores: storeCount = 0,
-		entryFlags = [], controlFlags = [], engineFlags = [], storeFlags = [],
+		entryFlags = [], controlFlags = [], engineFlags = [], serviceFlags = [], storeFlags = [],
 	} = options;
 	const folder = await fs.mkdtemp(path.join(os.tmpdir(), 'fescuestair-'));
 	const organisationKey = createKey();
@@ -300,7 +301,7 @@
 
 		for (let index = 0; index < serviceCount; index++) {
 			startUpstream(services, index, {
-				id: `service-${index + 1}`, flags: ['--kind', 'service', '--service', 'work-orders', '--journal', files.journal], address: await findFreeAddress(),
+				id: `service-${index + 1}`, flags: ['--kind', 'service', '--service', 'work-orders', '--journal', files.journal, ...serviceFlags], address: await findFreeAddress(),
 			});
 		}
 
--- a/packages/entry/src/claimed-call.ts
+++ b/packages/entry/src/claimed-call.ts
@@ -2,19 +2,21 @@
 import {Buffer} from 'node:buffer';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {InvariantError} from '@fescuestair/core';
-import {isAliveInIncarnation} from '@fescuestair/membership';
+import {isAliveInIncarnation, type MemberRecord} from '@fescuestair/membership';
 import {
 	RequestEventKind, headerNames, ProposalError, ExecutionStatus, RefusalCode, RefusalError,
 } from '@fescuestair/protocol';
+import {Priority} from '@fescuestair/routing';
 import {
 	CommandResponseKind, CommandKind, encodeClaimKey, type CommandResponse, type ClaimOutcome,
 } from '@fescuestair/state';
 import {AttemptError} from './attempt-error.js';
 import {
-	attemptCall, chooseInstance, type ServiceResult, type ServiceTarget,
+	attemptCall, chooseInstance, isInstanceOf, type ServiceResult, type ServiceTarget,
 } from './service-attempt.js';
 import {createRefusal, type CallerRequest, type EntryServices} from './request-context.js';
 import {type ServiceResponse} from './service-call.js';
+import {checkLimits, reserveUpstream, type PermitAttempts} from './upstream-permits.js';
 
 /** Response bodies up to this size are recorded with the claim, so that a resend under the same key gets the same response. */
 const maxRecordedBodyBytes = 65_536;
@@ -95,20 +97,29 @@
 	});
 	const call = {...target.call, headers: {...target.call.headers, [headerNames.fencingToken]: String(token)}};
 	const excludedIds = new Set<string>();
+	const attempts = {refusals: 0};
 
 	for (let attempt = 1; ; attempt++) {
-		const record = chooseInstance(services, target.service.name, excludedIds);
-		const timeoutMs = target.deadlineMs - clock.readMonotonicMs();
+		const record = chooseInstance(services, {serviceName: target.service.name, excludedIds, deadlineMs: target.deadlineMs});
 
 		// No attempt has run the call, so the claim is released and a later call under the same key may run.
-		if (record === undefined || timeoutMs <= 0) {
+		if (record === undefined || target.deadlineMs <= clock.readMonotonicMs()) {
 			await releaseClaim(services, {claimKey, token});
+			checkLimits(services, isInstanceOf(target.service.name));
 			throw createRefusal(RefusalCode.NoUpstream, `no instance of ${target.service.name} could be reached`, defaultRetryAfterSeconds);
 		}
 
+		if (!await reserveOrRelease(services, record, {
+			claimKey, token, deadlineMs: target.deadlineMs, attempts,
+		})) {
+			continue;
+		}
+
+		const timeoutMs = target.deadlineMs - clock.readMonotonicMs();
+
 		try {
 			const response = await attemptCall(services, requestId, {
-				record, attempt, call, timeoutMs, isAtMostOnce: true,
+				record, attempt, call, timeoutMs: Math.max(1, timeoutMs), isAtMostOnce: true,
 			});
 			await settleClaim(services, {claimKey, token, outcome: toClaimOutcome(response)});
 
@@ -128,6 +139,19 @@
 	}
 }
 
+type ClaimedReservation = {readonly claimKey: string; readonly token: number; readonly deadlineMs: number; readonly attempts: PermitAttempts};
+
+// Waits for a permit; releases the claim if the call is refused for want of one.
+async function reserveOrRelease(services: EntryServices, record: MemberRecord, {claimKey, token, deadlineMs, attempts}: ClaimedReservation): Promise<boolean> {
+	try {
+		return await reserveUpstream(services, record, {deadlineMs, priority: Priority.Short, attempts});
+	} catch (error) {
+		await releaseClaim(services, {claimKey, token});
+
+		throw error;
+	}
+}
+
 async function releaseClaim(services: EntryServices, {claimKey, token}: {claimKey: string; token: number}): Promise<void> {
 	try {
 		await services.control.propose({kind: CommandKind.Release, key: claimKey, token}, services.clock.readMonotonicMs() + claimUpdateTimeoutMs);
--- a/packages/entry/src/completions.ts
+++ b/packages/entry/src/completions.ts
@@ -6,6 +6,7 @@
 } from '@fescuestair/state';
 import {hashPieces, estimateTokenCount, Priority} from '@fescuestair/routing';
 import {readBody, sendRefusal} from '@fescuestair/transport';
+import {type MemberRecord} from '@fescuestair/membership';
 import {AttemptError} from './attempt-error.js';
 import {resume} from './engine-client.js';
 import {
@@ -13,6 +14,7 @@
 } from './suspect-prompts.js';
 import {fetchPieces, type FetchInput} from './fetch-pieces.js';
 import {planPrompt} from './plan-prompt.js';
+import {createLimitedRefusal, reserveUpstream} from './upstream-permits.js';
 import {
 	createStreamWriter, createBufferedWriter, type AnswerWriter,
 } from './answer-writer.js';
@@ -149,6 +151,8 @@
 };
 
 function createRunOptions(services: EntryServices, caller: CallerRequest, {preset, fingerprint, suspicion, hashes}: RunInput) {
+	const attempts = {refusals: 0};
+
 	return {
 		agent: services.agent,
 		clock: services.clock,
@@ -157,6 +161,7 @@
 		planAttempt: async (job: PromptJob, excludedIds: ReadonlySet<string>) => planPrompt(services, {
 			job, hashes, excludedIds, preset, fingerprint, isSuspect: suspicion.isSuspect,
 		}),
+		reserveEngine: async (job: PromptJob, record: MemberRecord) => reserveUpstream(services, record, {deadlineMs: job.deadlineMs, priority: job.priority, attempts}),
 		fetchPieces: async (input: FetchInput) => fetchPieces(services, input),
 		withdrawRetry: services.withdrawRetry,
 		async reportCrash(job: PromptJob, upstreamId: string) {
@@ -187,6 +192,10 @@
 		throw resumeGone;
 	}
 
+	if (!await reserveUpstream(services, record, {deadlineMs: job.deadlineMs, priority: job.priority, attempts: {refusals: 0}})) {
+		throw createLimitedRefusal(services.permits.getClosedUntilMs(record) - services.clock.readMonotonicMs(), services.permits.isUnanswered());
+	}
+
 	try {
 		await resume({agent: services.agent, address: record.address, signal: job.signal}, {
 			requestId: job.requestId, organisation: job.organisation, fromOffset: offset,
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -11,7 +11,7 @@
 	createLinkCommands, isGossipMessage, isPollStateMessage, LinkMessageKind, RefusalCode,
 } from '@fescuestair/protocol';
 import {
-	createLinkFaultHandler, createFindRequestEvents, createGossip, openCommandListener, type Logger, type StatsdMetrics,
+	createLinkFaultHandler, createFindRequestEvents, createGossip, createPermitClient, createRequestLimits, openCommandListener, type Logger, type StatsdMetrics,
 } from '@fescuestair/runtime';
 import {findItem, getPresetInForce, ItemKind} from '@fescuestair/state';
 import {
@@ -139,6 +139,25 @@
 		name, clock, agent, gossip, homes, log,
 	});
 
+	const requestLimits = createRequestLimits({
+		clock,
+		log,
+		onChange(note, {isOwn}) {
+			permits.reopen(note.id);
+
+			if (isOwn) {
+				standings.publishRequestLimit(note);
+			}
+		},
+	});
+	const permits = createPermitClient({
+		clock, links, log, requestLimits, getGrantorAddress: () => follower.getLeaderAddress() ?? follower.listControlAddresses()[0], count: metrics.count,
+	});
+
+	const standings = createUpstreamStates({
+		clock, gossip, log, requestLimits, permits,
+	});
+
 	const services: EntryServices = {
 		name,
 		incarnation,
@@ -152,7 +171,8 @@
 		follower,
 		control,
 		loadTracker: createUpstreamLoadTracker(clock),
-		standings: createUpstreamStates({clock, gossip, log}),
+		standings,
+		permits,
 		longPromptQueue: createLongPromptQueue(clock),
 		servesStale,
 		recordRequestEvent: requestEventRecorder.record,
@@ -260,6 +280,7 @@
 			const cut = listener.countRunning();
 			clearInterval(statusTimer);
 			registry.stop();
+			permits.stop();
 			await listener.close();
 			await upstreamListener.close();
 			follower.stop();
--- a/packages/entry/src/plan-prompt.ts
+++ b/packages/entry/src/plan-prompt.ts
@@ -7,7 +7,8 @@
 import {
 	chooseEngine, Priority, type EngineCandidate, type StoreView,
 } from '@fescuestair/routing';
-import {listEngines, listUsableUpstreams} from './upstream-load-tracker.js';
+import {isEngineFor, listUsableUpstreams} from './upstream-load-tracker.js';
+import {checkLimits, listOpenUpstreams} from './upstream-permits.js';
 import {chooseEngineForSuspect} from './suspect-prompts.js';
 import {createRefusal, type EntryServices} from './request-context.js';
 import {type AttemptPlan, type PromptJob} from './prompt-run.js';
@@ -79,8 +80,9 @@
 
 async function tryPlanAttempt(services: EntryServices, {job, hashes, excludedIds, preset, fingerprint, isSuspect}: PlanPromptInput): Promise<AttemptPlan | undefined> {
 	const {gossip, follower, loadTracker, clock} = services;
-	const query = {membership: gossip.getMembership(), state: follower.getState(), isOpen: services.standings.isAvailable};
-	const records = listEngines(query, job.model, job.weightVersion).filter(record => !excludedIds.has(record.id));
+	const query = {membership: gossip.getMembership(), state: follower.getState(), isOpen: (record: MemberRecord) => services.standings.isAvailable(record)};
+	const isEngine = isEngineFor(job.model, job.weightVersion);
+	const records = listOpenUpstreams(services, isEngine, job.deadlineMs).filter(record => !excludedIds.has(record.id));
 	const held = await services.homes.findPieces(hashes);
 	const stores = listUsableUpstreams(query, details => details.kind === UpstreamKind.Store);
 	const bytesPerPiece = getBytesPerPiece(records);
@@ -102,6 +104,7 @@
 	}
 
 	if (chosen === undefined) {
+		checkLimits(services, isEngine);
 		throw createRefusal(RefusalCode.NoUpstream, `no engine serves ${job.model} in weight version ${job.weightVersion} now`, 1);
 	}
 
--- a/packages/entry/src/prompt-run.ts
+++ b/packages/entry/src/prompt-run.ts
@@ -43,6 +43,8 @@
 	readonly loadTracker: UpstreamLoadTracker;
 	readonly standings: Pick<UpstreamStates, 'recordResponse'>;
 	readonly planAttempt: (job: PromptJob, excludedIds: ReadonlySet<string>) => Promise<AttemptPlan>;
+	/** Waits for a permit where the engine names a limit; resolves to whether the prompt may be sent there now. */
+	readonly reserveEngine: (job: PromptJob, record: MemberRecord) => Promise<boolean>;
 	/** Lets an engine import cached pieces; `undefined` if it may use none of them. */
 	readonly fetchPieces: (input: FetchInput) => Promise<PieceImport | undefined>;
 	/** Takes one retry from the budget; `false` if the budget is spent. */
@@ -83,6 +85,11 @@
 	while (progress.attempt < maxAttempts) {
 		checkDeadline(options, job, lastError);
 		const plan = await options.planAttempt(job, excluded);
+
+		if (!await options.reserveEngine(job, plan.record)) {
+			continue;
+		}
+
 		progress.attempt++;
 
 		try {
@@ -164,6 +171,7 @@
 
 async function generateWithResume(options: PromptRunOptions, job: PromptJob, input: AttemptInput & {readonly imported: PieceImport | undefined}): Promise<void> {
 	const {plan, progress} = input;
+	let sentAtMs = options.clock.readMonotonicMs();
 	const call = {
 		agent: options.agent,
 		address: plan.record.address,
@@ -172,7 +180,7 @@
 			options.loadTracker.recordLoad(plan.record.id, load);
 		},
 		onResponseHead(status: number, headers: IncomingHttpHeaders) {
-			options.standings.recordResponse(plan.record, status, headers);
+			options.standings.recordResponse(plan.record, {status, headers, sentAtMs});
 		},
 	};
 	const sink = createProgressSink(options, job, input);
@@ -196,11 +204,13 @@
 	} catch (error) {
 		const canResume = error instanceof AttemptError && (error.end === AttemptOutcome.ConnectionLost || error.end === AttemptOutcome.Silent);
 
-		if (!canResume) {
+		if (!canResume || !await options.reserveEngine(job, plan.record)) {
 			throw error;
 		}
 	}
 
+	sentAtMs = options.clock.readMonotonicMs();
+
 	// The connection may have been lost on the network path while the engine still runs the prompt.
 	await resume(call, {requestId: job.requestId, organisation: job.organisation, fromOffset: progress.offset}, sink);
 }
--- a/packages/entry/src/qualify-refusal.ts
+++ b/packages/entry/src/qualify-refusal.ts
@@ -9,6 +9,7 @@
 /** Codes whose `ran` is definite: an earlier call under the same key would have been refused too, or its claim was looked up before the refusal. */
 const definiteCodes = new Set([
 	RefusalCode.NoUpstream,
+	RefusalCode.UpstreamLimited,
 	RefusalCode.IdempotencyKeyRequired,
 	RefusalCode.IdempotencyKeyReused,
 	RefusalCode.UnknownService,
--- a/packages/entry/src/request-context.ts
+++ b/packages/entry/src/request-context.ts
@@ -2,7 +2,9 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type Agent} from 'undici';
 import {type Clock} from '@fescuestair/core';
-import {type StatsdMetrics, type GossipHost, type Logger} from '@fescuestair/runtime';
+import {
+	type StatsdMetrics, type GossipHost, type Logger, type PermitClient,
+} from '@fescuestair/runtime';
 import {type ClassLimit} from '@fescuestair/limits';
 import {
 	RequestEventKind, RequestOutcome, getRefusalStatus, ExecutionStatus, RefusalCode, RefusalError, type RequestEvent, type Refusal,
@@ -35,6 +37,8 @@
 	readonly control: ControlClient;
 	readonly loadTracker: UpstreamLoadTracker;
 	readonly standings: UpstreamStates;
+	/** Permits to send requests to upstreams that name a limit. */
+	readonly permits: PermitClient;
 	readonly longPromptQueue: LongPromptQueue;
 	readonly servesStale: boolean;
 	readonly recordRequestEvent: (event: RequestEvent) => void;
--- a/packages/entry/src/service-attempt.ts
+++ b/packages/entry/src/service-attempt.ts
@@ -1,12 +1,14 @@
 import {type MemberRecord} from '@fescuestair/membership';
-import {AttemptOutcome, RequestEventKind, UpstreamKind} from '@fescuestair/protocol';
+import {
+	AttemptOutcome, RequestEventKind, UpstreamKind, type UpstreamDetails,
+} from '@fescuestair/protocol';
 import {Priority} from '@fescuestair/routing';
 import {type ServiceItem} from '@fescuestair/state';
 import {type AttemptError} from './attempt-error.js';
 import {callService, type ServiceResponse, type ServiceCall} from './service-call.js';
 import {chooseServiceInstance} from './rank-members.js';
-import {listUsableUpstreams} from './upstream-load-tracker.js';
 import {type EntryServices} from './request-context.js';
+import {listOpenUpstreams} from './upstream-permits.js';
 
 /** A call, the service that it goes to and its deadline. */
 export type ServiceTarget = {
@@ -19,10 +21,21 @@
 /** A complete response, and whether it is the recorded response of an earlier call. */
 export type ServiceResult = ServiceResponse & {readonly isReplay: boolean};
 
+/** Returns whether an upstream is an instance of a service. */
+export function isInstanceOf(serviceName: string): (details: UpstreamDetails) => boolean {
+	return ({kind, service}) => kind === UpstreamKind.Service && service === serviceName;
+}
+
+export type InstanceQuery = {
+	readonly serviceName: string;
+	readonly excludedIds: ReadonlySet<string>;
+	/** Monotonic. */
+	readonly deadlineMs: number;
+};
+
 /** Chooses the instance of a service for the next attempt; `undefined` if none is available. */
-export function chooseInstance(services: EntryServices, serviceName: string, excludedIds: ReadonlySet<string>): MemberRecord | undefined {
-	const query = {membership: services.gossip.getMembership(), state: services.follower.getState(), isOpen: services.standings.isAvailable};
-	const records = listUsableUpstreams(query, details => details.kind === UpstreamKind.Service && details.service === serviceName);
+export function chooseInstance(services: EntryServices, {serviceName, excludedIds, deadlineMs}: InstanceQuery): MemberRecord | undefined {
+	const records = listOpenUpstreams(services, isInstanceOf(serviceName), deadlineMs);
 
 	return chooseServiceInstance(records, {
 		availabilityZone: services.availabilityZone, countRunning: services.loadTracker.countRunning, excludedIds,
@@ -45,6 +58,7 @@
 	recordRequestEvent({
 		kind: RequestEventKind.Dispatched, requestId, atMs: clock.readWallMs(), attempt, upstreamId: record.id,
 	});
+	const sentAtMs = clock.readMonotonicMs();
 	const endDispatch = loadTracker.beginDispatch(record.id, Priority.Short, 0);
 	let end = AttemptOutcome.Complete;
 	let detail = '';
@@ -55,7 +69,7 @@
 			address: record.address,
 			timeoutMs,
 			onResponseHead(status, headers) {
-				services.standings.recordResponse(record, status, headers);
+				services.standings.recordResponse(record, {status, headers, sentAtMs});
 			},
 		}, call);
 	} catch (error) {
--- a/packages/entry/src/services.ts
+++ b/packages/entry/src/services.ts
@@ -2,6 +2,7 @@
 import {
 	RequestOutcome, headerNames, ExecutionStatus, RefusalCode, RefusalError,
 } from '@fescuestair/protocol';
+import {Priority} from '@fescuestair/routing';
 import {
 	findItem, ItemKind, RequestClass, type ServiceItem,
 } from '@fescuestair/state';
@@ -9,9 +10,10 @@
 import {AttemptError} from './attempt-error.js';
 import {callAtMostOnce} from './claimed-call.js';
 import {qualifyRefusal} from './qualify-refusal.js';
+import {checkLimits, reserveUpstream} from './upstream-permits.js';
 import {pickForwardedHeaders} from './service-call.js';
 import {
-	attemptCall, chooseInstance, type ServiceResult, type ServiceTarget,
+	attemptCall, chooseInstance, isInstanceOf, type ServiceResult, type ServiceTarget,
 } from './service-attempt.js';
 import {
 	createRefusal, recordRequestStart, recordRequestEnd, recordRefusal, requirePreset, scaleLimit, toRefusal, type CallerRequest, type EntryServices,
@@ -86,17 +88,23 @@
 async function callWithRetries(services: EntryServices, {requestId}: CallerRequest, {service, call, deadlineMs}: ServiceTarget): Promise<ServiceResult> {
 	const {clock} = services;
 	let excludedIds = new Set<string>();
+	const attempts = {refusals: 0};
 
 	for (let attempt = 1; clock.readMonotonicMs() < deadlineMs; attempt++) {
-		const record = chooseInstance(services, service.name, excludedIds);
+		const record = chooseInstance(services, {serviceName: service.name, excludedIds, deadlineMs});
 
 		if (record === undefined) {
+			checkLimits(services, isInstanceOf(service.name));
 			// Every instance has failed once, or none is available yet: wait, then try all of them again.
 			excludedIds = new Set();
 			await sleep(instancePollIntervalMs);
 			continue;
 		}
 
+		if (!await reserveUpstream(services, record, {deadlineMs, priority: Priority.Short, attempts})) {
+			continue;
+		}
+
 		const remainingMs = deadlineMs - clock.readMonotonicMs();
 
 		try {
--- a/packages/entry/src/upstream-load-tracker.ts
+++ b/packages/entry/src/upstream-load-tracker.ts
@@ -150,9 +150,7 @@
 		.filter(record => isWanted(record.details as UpstreamDetails) && findItem(state, ItemKind.Drain, record.id) === undefined && isOpen(record));
 }
 
-/** Lists the engines that may get new requests and serve a model in the given weight version. */
-export function listEngines(query: UpstreamQuery, model: string, weightVersion: string): readonly MemberRecord[] {
-	return listUsableUpstreams(query, details => details.kind === UpstreamKind.Engine
-		&& details.models.includes(model)
-		&& details.weightVersion === weightVersion);
+/** Returns whether an upstream is an engine that serves a model in the given weight version. */
+export function isEngineFor(model: string, version: string): (details: UpstreamDetails) => boolean {
+	return ({kind, models, weightVersion}) => kind === UpstreamKind.Engine && models.includes(model) && weightVersion === version;
 }
--- a/packages/entry/src/upstream-registry.ts
+++ b/packages/entry/src/upstream-registry.ts
@@ -125,10 +125,17 @@
 		address,
 		availabilityZone,
 		sponsorId,
-		details: details satisfies UpstreamDetails,
+		// What entries learned from responses outlasts the announcements of the same incarnation.
+		details: {...details, ...(isSameIncarnation && readRequestLimit(knownRecord))} satisfies UpstreamDetails,
 	};
 }
 
+function readRequestLimit({details}: MemberRecord): Pick<UpstreamDetails, 'requestsPerSecond'> {
+	const {requestsPerSecond} = details as UpstreamDetails;
+
+	return requestsPerSecond === undefined ? {} : {requestsPerSecond};
+}
+
 function hasChanged(knownRecord: MemberRecord, record: MemberRecord): boolean {
 	return knownRecord.incarnation !== record.incarnation
 		|| knownRecord.status !== record.status
--- a/packages/protocol/src/headers.ts
+++ b/packages/protocol/src/headers.ts
@@ -18,4 +18,6 @@
 	leaving: 'x-leaving',
 	/** Back-off that an upstream requests with a 503: seconds, possibly fractional, during which this entry sends it no further requests. */
 	retryAfter: 'retry-after',
+	/** Requests per second, possibly fractional, that an upstream accepts from all entries together, for as long as its responses say so. */
+	requestLimit: 'x-request-limit',
 } as const;
--- a/packages/protocol/src/refusal.ts
+++ b/packages/protocol/src/refusal.ts
@@ -25,6 +25,8 @@
 	DeadlineTooShort = 'deadline_too_short',
 	DeadlinePassed = 'deadline_passed',
 	NoUpstream = 'no_upstream',
+	/** The limits that upstreams name leave no room for the request now. */
+	UpstreamLimited = 'upstream_limited',
 	UpstreamFailed = 'upstream_failed',
 	Quarantined = 'quarantined',
 	OutcomeUnknown = 'outcome_unknown',
@@ -53,6 +55,7 @@
 	[RefusalCode.DeadlineTooShort]: 503,
 	[RefusalCode.DeadlinePassed]: 504,
 	[RefusalCode.NoUpstream]: 503,
+	[RefusalCode.UpstreamLimited]: 503,
 	[RefusalCode.UpstreamFailed]: 502,
 	[RefusalCode.Quarantined]: 422,
 	[RefusalCode.OutcomeUnknown]: 504,
--- a/packages/protocol/src/upstream.ts
+++ b/packages/protocol/src/upstream.ts
@@ -54,7 +54,10 @@
 export type AnnounceMessage = z.infer<typeof announceSchema>;
 
 /** Properties of an upstream that membership disseminates with its identity; its load is disseminated separately, as a gauge. */
-export type UpstreamDetails = Omit<AnnounceMessage, 'id' | 'incarnation' | 'address' | 'availabilityZone' | 'isLeaving' | 'load'>;
+export type UpstreamDetails = Omit<AnnounceMessage, 'id' | 'incarnation' | 'address' | 'availabilityZone' | 'isLeaving' | 'load'> & {
+	/** Limit that the upstream named in a response to an entry: requests per second from all entries together. */
+	readonly requestsPerSecond?: number;
+};
 
 /** Used slots are encoded in eighths of the slots of an engine. */
 const usedSlotSteps = 8;
--- a/packages/standins/src/engine-server.ts
+++ b/packages/standins/src/engine-server.ts
@@ -12,16 +12,23 @@
 	readonly port: number;
 	readonly engine: Engine;
 	readonly weights: Weights;
+	/** Requests per second that it names as its limit in its responses; `undefined` for none. */
+	readonly requestLimit: string | undefined;
 };
 
 const heartbeatIntervalMs = 500;
 
 /** Creates the engine's HTTP server: starts, resumes and cancels runs, exports and imports pieces, serves cache events. */
 export async function createEngineServer(options: EngineServerOptions) {
-	const {host, port, engine, weights} = options;
+	const {host, port, engine, weights, requestLimit} = options;
 
 	const handleRequest = async (request: IncomingMessage, response: ServerResponse) => {
 		const {pathname, searchParams} = new URL(request.url ?? '/', 'http://engine');
+
+		if (requestLimit !== undefined) {
+			response.setHeader(headerNames.requestLimit, requestLimit);
+		}
+
 		const requestId = /^\/v1\/generate\/(?<id>[\w\-]+)$/v.exec(pathname)?.groups?.id;
 
 		if (request.method === 'POST' && pathname === '/v1/generate') {
--- a/packages/standins/src/main.ts
+++ b/packages/standins/src/main.ts
@@ -35,6 +35,7 @@
 	readonly linkRate: string;
 	readonly fault: ReadFault;
 	readonly dieAtTransfer: string;
+	readonly requestLimit?: string;
 };
 
 const program = new Command('standin')
@@ -61,6 +62,7 @@
 	.option('--fault <fault>', 'fault injected while pieces are read from a store: freed (block overwritten), torn (data truncated) or flipped (bit error)', 'none')
 	.option('--die-at-transfer <number>', 'number of the transfer during which a store exits; 0 for never', '0')
 	.option('--load-ms <ms>', 'time that an engine takes to load weights', '500')
+	.option('--request-limit <number>', 'requests per second that an engine or a service names as its limit')
 	.option('--checks-fencing', 'reject orders whose fencing token is not higher than the highest seen')
 	.option('--order-key <key>', 'reject orders without this key');
 
@@ -92,7 +94,7 @@
 		onLoaded: engine.clearCache,
 	});
 	const server = await createEngineServer({
-		host, port: Number(port), engine, weights,
+		host, port: Number(port), engine, weights, requestLimit: flags.requestLimit,
 	});
 
 	return () => ({
@@ -109,7 +111,9 @@
 }
 
 async function startService(): Promise<() => Record<string, unknown>> {
-	const server = await createServiceServer({host, port: Number(port), journal: flags.journal});
+	const server = await createServiceServer({
+		host, port: Number(port), journal: flags.journal, requestLimit: flags.requestLimit,
+	});
 
 	return () => ({...commonFields, address: `${host}:${server.port}`, service: flags.service});
 }
--- a/packages/standins/src/service-server.ts
+++ b/packages/standins/src/service-server.ts
@@ -8,6 +8,8 @@
 	readonly port: number;
 	/** File to which each executed booking appends its idempotency key. */
 	readonly journal: string;
+	/** Requests per second that it names as its limit in its responses; `undefined` for none. */
+	readonly requestLimit: string | undefined;
 };
 
 const bodyLimits = {maxBytes: 1_000_000, timeoutMs: 10_000};
@@ -17,12 +19,17 @@
 
 `?delayMs=` delays the response; `?tooLate=1` closes the connection without a response after the booking was recorded.
 */
-export async function createServiceServer({host, port, journal}: ServiceServerOptions) {
+export async function createServiceServer({host, port, journal, requestLimit}: ServiceServerOptions) {
 	const bookings = new Map<string, number>();
 
 	const server = http.createServer(async (request, response) => {
 		const {searchParams} = new URL(request.url ?? '/', 'http://service');
 		await readBody(request, bodyLimits);
+
+		if (requestLimit !== undefined) {
+			response.setHeader(headerNames.requestLimit, requestLimit);
+		}
+
 		const key = String(request.headers[headerNames.idempotencyKey] ?? 'none');
 
 		if (request.method === 'GET') {
