--- a/packages/cli/src/__tests__/unit/explain.test.ts
+++ b/packages/cli/src/__tests__/unit/explain.test.ts
@@ -54,6 +54,30 @@
 	t.regex(text, /the first rest that was asked for had 2400 ms left/v);
 });
 
+test('a refusal for the limits of instances is told from one for other reasons, with what was known of the limits', t => {
+	const line = write(3, 'front-1', 'request', {
+		requestId: 'r6', outcome: 'refused', status: 503, reason: 'the limits that the instances of the service name are used up', tookMs: 12,
+		story: [{
+			decision: 'refuse', standings: {limited: 2, leaving: 1}, permitRefusals: 2, restLeftMs: 700,
+		}],
+	});
+	const limit = write(1, 'front-1', 'instance names a request limit', {id: 'i-1', perSecond: 3.3, isOwn: true});
+	const explanation = explainRequest('r6', parseLogLines(`${limit}\n${line}`));
+	t.is(explanation.context.length, 1);
+	const text = formatExplanation(explanation);
+	t.regex(text, /the first pause for a limit that an instance names had 700 ms left; their limits left it no permit 2 times/v);
+	t.regex(text, /instance names a request limit \{.*"id":"i-1","perSecond":3\.3/v);
+});
+
+test('an attempt at a limited instance says the limit that was known, and whether it was a repeat', t => {
+	const line = write(3, 'front-1', 'request', {
+		requestId: 'r7', outcome: 'answered', status: 200, tookMs: 12, story: [{
+			instance: 'i-1', end: 'complete', status: 200, tookMs: 9, expectedMs: 9, own: 0, peers: 0, kind: 'repeat', limitPerSecond: 3.3,
+		}],
+	});
+	t.regex(formatExplanation(explainRequest('r7', parseLogLines(line))), /sent \(repeat\) to i-1: complete with 200 after 9 ms; the instance had named a limit of 3\.3 requests a second/v);
+});
+
 test('an interrupted stream is explained with the number of pieces that came', t => {
 	const line = write(3, 'front-1', 'request', {
 		requestId: 'r4', outcome: 'failed', status: 502, reason: 'ECONNRESET', tookMs: 900,
--- a/packages/cli/src/explain.ts
+++ b/packages/cli/src/explain.ts
@@ -1,4 +1,6 @@
-import {type Finding, createFinding} from '@fescuestair/core';
+import {
+	createFinding, isNonNegativeInteger, isObjectWith, type Finding,
+} from '@fescuestair/core';
 
 /** A parsed log line of a daemon. */
 export type LogLine = {
@@ -26,10 +28,15 @@
 	'coordinator regained',
 	'gateway started',
 	'gateway leaves',
+	'grants permits for limited instances',
+	'instance names a request limit',
+	'instance names no request limit any more',
 	'leads the group',
 	'leads the group no longer',
 	'the keeper of stored parts does not answer',
 	'log lines were dropped',
+	'no daemon grants permits for limited instances',
+	'permits for limited instances are granted again',
 	'store cannot be followed',
 ]);
 
@@ -124,13 +131,14 @@
 
 function describeDecision(step: StoryStep): string {
 	const {
-		best, waits, expectedMs, queueMs, workMs, memoryWaitMs, aheadMs, waitedMs, patienceMs, standings, restLeftMs,
+		best, waits, expectedMs, queueMs, workMs, memoryWaitMs, aheadMs, waitedMs, patienceMs, standings, restLeftMs, permitRefusals,
 	} = step;
 
 	if (standings !== undefined) {
 		return [
 			`not sent: no instance took requests; they were ${formatValue(standings)}`,
-			restLeftMs === undefined ? 'none of them had asked for a rest' : `the first rest that was asked for had ${formatValue(restLeftMs)} ms left`,
+			restLeftMs === undefined ? 'none of them had asked for a rest' : `${describeClosing(standings)} had ${formatValue(restLeftMs)} ms left`,
+			...(permitRefusals === undefined ? [] : [`their limits left it no permit ${formatValue(permitRefusals)} times`]),
 		].join('; ');
 	}
 
@@ -142,6 +150,11 @@
 	].join('; ');
 }
 
+// Limits are closed for requests of all daemons, rests for those of one.
+function describeClosing(standings: unknown): string {
+	return isObjectWith({limited: isNonNegativeInteger})(standings) ? 'the first pause for a limit that an instance names' : 'the first rest that was asked for';
+}
+
 function describeAttempt(attempt: StoryStep): string {
 	const {
 		instance, end, reason, status, tookMs, expectedMs, firstPieceMs, pieces, lastPieceMs, own, peers, queueMs, kind, limitPerSecond,
--- a/packages/runtime/src/permit-grantor.ts
+++ b/packages/runtime/src/permit-grantor.ts
@@ -57,7 +57,8 @@
 	let relayed: RelayedQuestion[] = [];
 	let timer: NodeJS.Timeout | undefined;
 
-	const refresh = () => {
+	// Returns the term in which this replica may grant, after it has noticed a change.
+	const checkTerm = () => {
 		const nowMs = clock.readMonotonicMs();
 		const term = getLeadingTerm();
 
@@ -68,13 +69,17 @@
 			log.info('grants permits for limited instances', {term, afterMs: openAtMs - nowMs});
 		}
 
+		return term;
+	};
+
+	const expireAccounts = () => {
+		const nowMs = clock.readMonotonicMs();
+
 		for (const [id, {account}] of accounts) {
 			if (nowMs - account.paidAtMs >= accountRetentionMs) {
 				accounts.delete(id);
 			}
 		}
-
-		return term;
 	};
 
 	const grant = ({id, incarnation, maxWaitMs}: PermitQuestion, nowMs: number): PermitReply => {
@@ -151,7 +156,7 @@
 		const nowMs = clock.readMonotonicMs();
 		requestLimits.merge(questions);
 
-		if (refresh() !== undefined) {
+		if (checkTerm() !== undefined) {
 			reply?.({kind: 'permits', replies: questions.map(question => grant(question, nowMs))});
 		} else if (isRelayed) {
 			reply?.({kind: 'error', message: 'not the leader'});
@@ -164,7 +169,10 @@
 	});
 
 	return {
-		refresh,
+		refresh() {
+			checkTerm();
+			expireAccounts();
+		},
 		countAccounts: () => accounts.size,
 		stop() {
 			unregister();
