Say 'not run' only where no earlier attempt may have run the request

Callers of an entry could be told not_run, when limits closed the upstreams after an earlier attempt had been sent and was lost: the refusal of the second plan knew nothing of the first attempt. It now says what the earlier attempt left open. A resumed stream without a permit goes on at another engine instead of ending with a refusal.

--- a/packages/entry/src/prompt-run.ts
+++ b/packages/entry/src/prompt-run.ts
@@ -11,6 +11,7 @@
 import {type EngineEvent, type EventSink} from './engine-events.js';
 import {type FetchInput, type FetchPlan, type PieceImport} from './fetch-pieces.js';
 import {type UpstreamLoadTracker} from './upstream-load-tracker.js';
+import {correctExecution} from './upstream-permits.js';
 import {type UpstreamStates} from './upstream-states.js';
 
 /** A prompt that is run in one or more attempts, each on another engine. */
@@ -84,9 +85,9 @@
 
 	while (progress.attempt < maxAttempts) {
 		checkDeadline(options, job, lastError);
-		const plan = await options.planAttempt(job, excluded);
+		const plan = await planNext(options, job, {excluded, lastError});
 
-		if (!await options.reserveEngine(job, plan.record)) {
+		if (plan === undefined) {
 			continue;
 		}
 
@@ -106,6 +107,32 @@
 	throw createUpstreamFailedRefusal(lastError);
 }
 
+type NextPlanInput = {readonly excluded: ReadonlySet<string>; readonly lastError: AttemptError | undefined};
+
+// Plans an attempt and waits for its permit; `undefined` where another engine has to be chosen.
+async function planNext(options: PromptRunOptions, job: PromptJob, {excluded, lastError}: NextPlanInput): Promise<AttemptPlan | undefined> {
+	try {
+		const plan = await options.planAttempt(job, excluded);
+
+		return await options.reserveEngine(job, plan.record) ? plan : undefined;
+	} catch (error) {
+		throw correctExecution(error, lastError?.ran);
+	}
+}
+
+// A resumed stream counts against the limit of its engine. Without a permit, another engine continues.
+async function canResumeAt(options: PromptRunOptions, job: PromptJob, record: MemberRecord): Promise<boolean> {
+	try {
+		return await options.reserveEngine(job, record);
+	} catch (error) {
+		if (error instanceof RefusalError) {
+			return false;
+		}
+
+		throw error;
+	}
+}
+
 type AttemptInput = {readonly plan: AttemptPlan; readonly progress: Progress; readonly sink: PromptSink};
 
 async function runAttempt(options: PromptRunOptions, job: PromptJob, input: AttemptInput): Promise<void> {
@@ -204,7 +231,7 @@
 	} catch (error) {
 		const canResume = error instanceof AttemptError && (error.end === AttemptOutcome.ConnectionLost || error.end === AttemptOutcome.Silent);
 
-		if (!canResume || !await options.reserveEngine(job, plan.record)) {
+		if (!canResume || !await canResumeAt(options, job, plan.record)) {
 			throw error;
 		}
 	}
--- a/packages/entry/src/services.ts
+++ b/packages/entry/src/services.ts
@@ -10,7 +10,7 @@
 import {AttemptError} from './attempt-error.js';
 import {callAtMostOnce} from './claimed-call.js';
 import {qualifyRefusal} from './qualify-refusal.js';
-import {checkLimits, reserveUpstream} from './upstream-permits.js';
+import {checkLimits, correctExecution, reserveUpstream} from './upstream-permits.js';
 import {pickForwardedHeaders} from './service-call.js';
 import {
 	attemptCall, chooseInstance, isInstanceOf, type ServiceResult, type ServiceTarget,
@@ -89,22 +89,28 @@
 	const {clock} = services;
 	let excludedIds = new Set<string>();
 	const attempts = {refusals: 0};
+	let ran = ExecutionStatus.NotRun;
 
 	for (let attempt = 1; clock.readMonotonicMs() < deadlineMs; attempt++) {
 		const record = chooseInstance(services, {serviceName: service.name, excludedIds, deadlineMs});
 
+		try {
+			if (record === undefined) {
+				checkLimits(services, isInstanceOf(service.name));
+			} else if (!await reserveUpstream(services, record, {deadlineMs, priority: Priority.Short, attempts})) {
+				continue;
+			}
+		} catch (error) {
+			throw correctExecution(error, ran);
+		}
+
 		if (record === undefined) {
-			checkLimits(services, isInstanceOf(service.name));
 			// Every instance has failed once, or none is available yet: wait, then try all of them again.
 			excludedIds = new Set();
 			await sleep(instancePollIntervalMs);
 			continue;
 		}
 
-		if (!await reserveUpstream(services, record, {deadlineMs, priority: Priority.Short, attempts})) {
-			continue;
-		}
-
 		const remainingMs = deadlineMs - clock.readMonotonicMs();
 
 		try {
@@ -118,6 +124,7 @@
 				throw error;
 			}
 
+			ran = error.ran === ExecutionStatus.NotRun ? ran : ExecutionStatus.Unknown;
 			excludedIds.add(record.id);
 		}
 	}
--- a/packages/entry/src/upstream-permits.ts
+++ b/packages/entry/src/upstream-permits.ts
@@ -1,7 +1,9 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {maxReservationMs} from '@fescuestair/limits';
 import {type MemberRecord} from '@fescuestair/membership';
-import {RefusalCode, type UpstreamDetails} from '@fescuestair/protocol';
+import {
+	ExecutionStatus, RefusalCode, RefusalError, type UpstreamDetails,
+} from '@fescuestair/protocol';
 import {Priority} from '@fescuestair/routing';
 import {PermitOutcome} from '@fescuestair/runtime';
 import {createRefusal, type EntryServices} from './request-context.js';
@@ -25,14 +27,15 @@
 	return open.length > 0 ? open : listUsableUpstreams({...query, isOpen: record => standings.isAvailable(record, {withinMs})}, isWanted);
 }
 
-/** Throws a refusal, with a time to return, if upstreams would take the request but for the limits that they name. */
+/** Throws a refusal, with a time to return, if upstreams would take the request but for the limits that they name, and none takes it now. */
 export function checkLimits({clock, follower, gossip, permits, standings}: PermitServices, isWanted: (details: UpstreamDetails) => boolean): void {
-	const limited = listUsableUpstreams({
+	const usable = listUsableUpstreams({
 		membership: gossip.getMembership(), state: follower.getState(), isOpen: record => standings.isAvailable(record, {withinMs: Number.POSITIVE_INFINITY}),
 	}, isWanted);
+	const reopeningMs = Math.min(...usable.map(record => permits.getClosedUntilMs(record)));
 
-	if (limited.length > 0) {
-		throw createLimitedRefusal(Math.min(...limited.map(record => permits.getClosedUntilMs(record))) - clock.readMonotonicMs(), permits.isUnanswered());
+	if (usable.length > 0 && reopeningMs > clock.readMonotonicMs()) {
+		throw createLimitedRefusal(reopeningMs - clock.readMonotonicMs(), permits.isUnanswered());
 	}
 }
 
@@ -43,6 +46,11 @@
 	return createRefusal(RefusalCode.UpstreamLimited, reason, Math.max(1, Math.ceil(retryAfterMs / msPerSecond)));
 }
 
+/** Makes a refusal true that says a request did not run, where an earlier attempt may have run it. */
+export function correctExecution(error: unknown, earlier: ExecutionStatus | undefined): unknown {
+	return error instanceof RefusalError && earlier !== undefined && earlier !== ExecutionStatus.NotRun ? new RefusalError({...error.refusal, ran: earlier}) : error;
+}
+
 /** Counts the upstreams whose limits left no permit for one request. */
 export type PermitAttempts = {refusals: number};
 
