Wait for a back-off beside limits, and let requests under way go first

With some instances backing off and the others closed by their limits, a request was refused at once though a back-off ended in time; and a stream that had begun, or a request that may have run, was broken off for want of a permit within half a second. decideReopening (pure, tested) waits for the back-off as before, and for room under a limit where the request would be lost; such requests are asked for first.

--- a/packages/cli/src/__tests__/unit/explain.test.ts
+++ b/packages/cli/src/__tests__/unit/explain.test.ts
@@ -58,14 +58,14 @@
 	const line = write(3, 'front-1', 'request', {
 		requestId: 'r6', outcome: 'refused', status: 503, reason: 'the limits that the instances of the service name are used up', tookMs: 12,
 		story: [{
-			decision: 'refuse', standings: {limited: 2, leaving: 1}, permitRefusals: 2, restLeftMs: 700,
+			decision: 'refuse', standings: {limited: 2, leaving: 1}, permitRefusals: 2, limitLeftMs: 700,
 		}],
 	});
 	const limit = write(1, 'front-1', 'instance names a request limit', {id: 'i-1', perSecond: 3.3, isOwn: true});
 	const explanation = explainRequest('r6', parseLogLines(`${limit}\n${line}`));
 	t.is(explanation.context.length, 1);
 	const text = formatExplanation(explanation);
-	t.regex(text, /the first pause for a limit that an instance names had 700 ms left; their limits left it no permit 2 times/v);
+	t.regex(text, /none of them had asked for a rest; the first limit that instances name left no room for 700 ms more; limits left it no permit 2 times/v);
 	t.regex(text, /instance names a request limit \{.*"id":"i-1","perSecond":3\.3/v);
 });
 
--- a/packages/cli/src/explain.ts
+++ b/packages/cli/src/explain.ts
@@ -1,6 +1,4 @@
-import {
-	createFinding, isNonNegativeInteger, isObjectWith, type Finding,
-} from '@fescuestair/core';
+import {type Finding, createFinding} from '@fescuestair/core';
 
 /** A parsed log line of a daemon. */
 export type LogLine = {
@@ -131,14 +129,15 @@
 
 function describeDecision(step: StoryStep): string {
 	const {
-		best, waits, expectedMs, queueMs, workMs, memoryWaitMs, aheadMs, waitedMs, patienceMs, standings, restLeftMs, permitRefusals,
+		best, waits, expectedMs, queueMs, workMs, memoryWaitMs, aheadMs, waitedMs, patienceMs, standings, restLeftMs, permitRefusals, limitLeftMs,
 	} = step;
 
 	if (standings !== undefined) {
 		return [
 			`not sent: no instance took requests; they were ${formatValue(standings)}`,
-			restLeftMs === undefined ? 'none of them had asked for a rest' : `${describeClosing(standings)} had ${formatValue(restLeftMs)} ms left`,
-			...(permitRefusals === undefined ? [] : [`their limits left it no permit ${formatValue(permitRefusals)} times`]),
+			restLeftMs === undefined ? 'none of them had asked for a rest' : `the first rest that was asked for had ${formatValue(restLeftMs)} ms left`,
+			...(limitLeftMs === undefined ? [] : [`the first limit that instances name left no room for ${formatValue(limitLeftMs)} ms more`]),
+			...(permitRefusals === undefined ? [] : [`limits left it no permit ${formatValue(permitRefusals)} times`]),
 		].join('; ');
 	}
 
@@ -150,11 +149,6 @@
 	].join('; ');
 }
 
-// Limits are closed for requests of all daemons, rests for those of one.
-function describeClosing(standings: unknown): string {
-	return isObjectWith({limited: isNonNegativeInteger})(standings) ? 'the first pause for a limit that an instance names' : 'the first rest that was asked for';
-}
-
 function describeAttempt(attempt: StoryStep): string {
 	const {
 		instance, end, reason, status, tookMs, expectedMs, firstPieceMs, pieces, lastPieceMs, own, peers, queueMs, kind, limitPerSecond,
--- a/packages/gateway/src/__tests__/unit/instance-pool.test.ts
+++ b/packages/gateway/src/__tests__/unit/instance-pool.test.ts
@@ -81,7 +81,7 @@
 	}
 
 	t.deepEqual(listAvailable(), []);
-	t.is(pool.findReopeningMs('app'), clock.readMonotonicMs() + 900);
+	t.is(pool.findRestEndMs('app'), clock.readMonotonicMs() + 900);
 	clock.advance(900);
 	announce();
 	t.deepEqual(listAvailable(), ['i-1']);
@@ -93,7 +93,7 @@
 	t.true(lines.some(line => line.includes('instance asks for a rest that cannot be meant')));
 	clock.advance(200);
 	t.deepEqual(listAvailable(), ['i-0']);
-	t.is(pool.findReopeningMs('app'), undefined);
+	t.is(pool.findRestEndMs('app'), undefined);
 });
 
 test('a reported leaving outlasts heartbeats and answers, is reported once, and ends with the next incarnation', t => {
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -1,7 +1,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {withdrawRetry} from '@fescuestair/limits';
 import {
-	decideBackoff, decideWait, maxIdleQueueMs, WaitDecision, type WaitInput,
+	decideReopening, decideWait, maxIdleQueueMs, WaitDecision, type ReopeningInput, type WaitInput,
 } from '@fescuestair/routing';
 import {
 	CallKind, chooseTarget, type Route, type Service,
@@ -14,7 +14,7 @@
 } from './exchange.js';
 import {type ForwardOptions, type ForwardingProgress} from './forward-options.js';
 import {
-	computeLimitTurnMs, computeReturnDelayMs, requestPermit, releasePermit,
+	computeReturnDelayMs, findLimitEndMs, releasePermit, requestPermit,
 } from './request-permit.js';
 import {sendUpstreamResponse} from './send-response.js';
 import {sendAttempt} from './send-attempt.js';
@@ -160,7 +160,7 @@
 	const timeLeftMs = computePatienceMs(exchange) - (options.clock.readMonotonicMs() - exchange.startedAtMs);
 
 	if (!await requestPermit(options, exchange, {
-		service, progress, choice, timeLeftMs,
+		service, progress, choice, timeLeftMs, isUnderWay: progress.sentCount > 0 || stream.hasStarted(),
 	})) {
 		return undefined;
 	}
@@ -173,43 +173,51 @@
 	return cancellation.isCallerGone ? endCallerGone() : handleAttemptResult(context, choice, result);
 }
 
-// No instance accepts requests now. Waits until the first instance ends the back-off that it asked for, provided that this is early enough for the
-// request; refuses the request otherwise, and at once where limits close the instances.
+// No instance accepts requests now. Waits until one does, provided that this is early enough for the request; refuses the request otherwise.
 async function waitForInstance(context: ForwardingContext): Promise<ExchangeResult | undefined> {
-	const {options, exchange, service, progress} = context;
-	const reopeningMs = options.instancePool.findReopeningMs(service.name);
-	const restLeftMs = reopeningMs === undefined ? undefined : Math.max(0, reopeningMs - options.clock.readMonotonicMs());
-	const turnMs = computeLimitTurnMs(options, service.name);
-	const question = {
-		restLeftMs: restLeftMs ?? 0,
-		workMs: (exchange.caller.prompt?.promptTokens ?? 0) / options.instancePool.getPrefillTokensPerMs(service.name),
-		waitedMs: options.clock.readMonotonicMs() - exchange.startedAtMs,
-		patienceMs: computePatienceMs(exchange),
-	};
+	const {
+		options, exchange, service, progress, stream,
+	} = context;
+	const nowMs = options.clock.readMonotonicMs();
+	const computeLeftMs = (endMs: number | undefined) => endMs === undefined ? undefined : Math.max(0, endMs - nowMs);
+	const restLeftMs = computeLeftMs(options.instancePool.findRestEndMs(service.name));
+	const limitLeftMs = computeLeftMs(findLimitEndMs(options, service.name));
+	const workMs = (exchange.caller.prompt?.promptTokens ?? 0) / options.instancePool.getPrefillTokensPerMs(service.name);
+	const waitMs = progress.permitRefusals > maxPermitRefusals
+		? undefined
+		: decideReopening({
+			restLeftMs, limitLeftMs, isUnderWay: progress.sentCount > 0 || stream.hasStarted(), workMs, waitedMs: nowMs - exchange.startedAtMs, patienceMs: computePatienceMs(exchange),
+		});
 
-	// A limit leaves no permit for this request: waiting for one that other requests may get would only delay its refusal.
-	if (restLeftMs === undefined || turnMs !== undefined || progress.permitRefusals > maxPermitRefusals || decideBackoff(question) === WaitDecision.Refuse) {
+	if (waitMs === undefined) {
 		progress.story.push({
 			decision: WaitDecision.Refuse, standings: options.instancePool.countStandings(service.name),
-			...(progress.permitRefusals > 0 && {permitRefusals: progress.permitRefusals}), ...(restLeftMs !== undefined && {restLeftMs: Math.round(restLeftMs)}),
+			...(progress.permitRefusals > 0 && {permitRefusals: progress.permitRefusals}),
+			...(restLeftMs !== undefined && {restLeftMs: Math.round(restLeftMs)}), ...(limitLeftMs !== undefined && {limitLeftMs: Math.round(limitLeftMs)}),
 		});
 
-		if (reopeningMs === undefined || turnMs === undefined) {
-			return refuse(context, 'no instance of the service takes requests now', restLeftMs === undefined ? computeRetryAfterMs(0) : addJitter(restLeftMs));
-		}
-
-		const reason = options.permits.isUnanswered() ? 'no coordinator grants permits for instances that name a limit' : 'the limits that the instances of the service name are used up';
-
-		return refuse(context, reason, computeReturnDelayMs(options, service.name, {reopeningMs, turnMs}));
+		return refuseUnavailable(context, {restLeftMs, limitLeftMs});
 	}
 
 	progress.waits++;
-	options.waiting.set(exchange, {service: service.name, workMs: question.workMs});
-	await sleep(restLeftMs + (Math.random() * recheckJitterMs));
+	options.waiting.set(exchange, {service: service.name, workMs});
+	await sleep(waitMs + (Math.random() * recheckJitterMs));
 
 	return undefined;
 }
 
+function refuseUnavailable(context: ForwardingContext, {restLeftMs, limitLeftMs}: Pick<ReopeningInput, 'restLeftMs' | 'limitLeftMs'>): ExchangeResult {
+	const {options, service} = context;
+
+	if (limitLeftMs !== undefined) {
+		const reason = options.permits.isUnanswered() ? 'no coordinator grants permits for instances that name a limit' : 'the limits that the instances of the service name are used up';
+
+		return refuse(context, reason, computeReturnDelayMs(options, service.name, Math.min(limitLeftMs, restLeftMs ?? limitLeftMs)));
+	}
+
+	return refuse(context, 'no instance of the service takes requests now', restLeftMs === undefined ? computeRetryAfterMs(0) : addJitter(restLeftMs));
+}
+
 function computePatienceMs({deadlineMs, startedAtMs, route}: Exchange): number {
 	return Math.min(deadlineMs - startedAtMs, route.patienceMs ?? Number.POSITIVE_INFINITY);
 }
--- a/packages/gateway/src/instance-pool.ts
+++ b/packages/gateway/src/instance-pool.ts
@@ -36,8 +36,8 @@
 	readonly listLimited: (service: string) => readonly PooledInstance[];
 	/** Finds an instance that a request with a permit may be sent to, whatever its limit; `undefined` where it takes none or has restarted. */
 	readonly findSendable: (record: InstanceRecord) => PooledInstance | undefined;
-	/** When the first instance that takes no requests because of a back-off or a limit that it named takes some again; `undefined` where there is none. */
-	readonly findReopeningMs: (service: string) => number | undefined;
+	/** Earliest end of a back-off that an instance of the service requested; `undefined` where none is backing off at its own request. */
+	readonly findRestEndMs: (service: string) => number | undefined;
 	/** Counts the instances of a service by status. */
 	readonly countStandings: (service: string) => Readonly<Record<string, number>>;
 	readonly begin: (instance: PooledInstance, request: InFlightRequest) => void;
@@ -240,22 +240,8 @@
 				? instance
 				: undefined;
 		},
-		findReopeningMs(service) {
-			const ends = listInstances(service).flatMap(instance => {
-				switch (classify(instance)) {
-					case InstanceStatus.BackingOff: {
-						return [Math.max(instance.standing.backoffDeadlineMs, getLimitedUntilMs(instance.held.record))];
-					}
-
-					case InstanceStatus.Limited: {
-						return [getLimitedUntilMs(instance.held.record)];
-					}
-
-					default: {
-						return [];
-					}
-				}
-			});
+		findRestEndMs(service) {
+			const ends = listInstances(service).filter(instance => classify(instance) === InstanceStatus.BackingOff).map(({standing}) => standing.backoffDeadlineMs);
 
 			return ends.length === 0 ? undefined : Math.min(...ends);
 		},
--- a/packages/gateway/src/request-permit.ts
+++ b/packages/gateway/src/request-permit.ts
@@ -10,19 +10,24 @@
 /** Rate assumed of instances that name a limit of 0: they get a request now and then, which tells whether the limit has risen. */
 const minPerSecond = 0.1;
 
+/** More urgent than any request that has not been sent. */
+const underWayPriority = -1;
+
 export type PermitInput = {
 	readonly service: Service;
 	readonly progress: ForwardingProgress;
 	readonly choice: InstanceChoice;
 	/** Time left in which the request can still be served. */
 	readonly timeLeftMs: number;
+	/** Whether the request may have run or its response has begun, so that it would be lost. */
+	readonly isUnderWay: boolean;
 };
 
 /**
 Gets the permit that a request needs where the chosen instance names a limit. Returns whether the request may be sent now. If not, the
 instance has to be chosen again: the request now holds a permit, or the instance is closed for a while.
 */
-export async function requestPermit(options: ForwardOptions, exchange: Exchange, {service, progress, choice, timeLeftMs}: PermitInput): Promise<boolean> {
+export async function requestPermit(options: ForwardOptions, exchange: Exchange, {service, progress, choice, timeLeftMs, isUnderWay}: PermitInput): Promise<boolean> {
 	const {permits, requestLimits, instancePool, clock} = options;
 	const {record} = choice.entry.held;
 	const {permit: held} = progress;
@@ -43,7 +48,7 @@
 		&& !progress.triedInstanceIds.has(other.record.id) && requestLimits.getPerSecond(other.record) === undefined);
 	const result = await permits.reserve(record, {
 		maxWaitMs: hasAlternative ? 0 : Math.min(maxReservationMs, Math.max(0, timeLeftMs - choice.placement.expectedMs)),
-		priority: exchange.organisation?.priority ?? exchange.route.priority,
+		priority: isUnderWay ? underWayPriority : exchange.organisation?.priority ?? exchange.route.priority,
 	});
 
 	if (result.outcome === PermitOutcome.Granted) {
@@ -78,24 +83,28 @@
 	}
 }
 
+/** When the first limit that closes an instance of a service leaves room again; `undefined` where none closes one. */
+export function findLimitEndMs({instancePool, permits}: ForwardOptions, service: string): number | undefined {
+	const ends = instancePool.listLimited(service).map(({held: {record}}) => permits.getClosedUntilMs(record));
+
+	return ends.length === 0 ? undefined : Math.min(...ends);
+}
+
 /**
-Computes the time in which one request of this gateway can be sent to the instances of a service that are closed by their limits, if all
-gateways have as many; `undefined` where there is no such instance.
+Computes when a caller that is refused because of limits should return. Callers take turns at the rate at which this gateway can send requests to
+the closed instances, if all gateways have as many.
 */
-export function computeLimitTurnMs({instancePool, requestLimits, countGateways}: ForwardOptions, service: string): number | undefined {
+export function computeReturnDelayMs({instancePool, requestLimits, countGateways, returns, clock}: ForwardOptions, service: string, leftMs: number): number {
+	const nowMs = clock.readMonotonicMs();
 	let perSecond = 0;
 
 	for (const {held: {record}} of instancePool.listLimited(service)) {
 		perSecond += Math.max(minPerSecond, requestLimits.getPerSecond(record) ?? 0);
 	}
 
-	return perSecond === 0 ? undefined : msPerSecond * countGateways() / perSecond;
-}
-
-/** Computes when a caller that is refused because of limits should return. */
-export function computeReturnDelayMs({returns, clock}: ForwardOptions, service: string, {reopeningMs, turnMs}: {readonly reopeningMs: number; readonly turnMs: number}): number {
-	const nowMs = clock.readMonotonicMs();
-	const {returnAtMs, nextReturnMs} = planReturn(returns.get(service), {reopeningMs, spacingMs: turnMs, nowMs});
+	const {returnAtMs, nextReturnMs} = planReturn(returns.get(service), {
+		reopeningMs: nowMs + leftMs, spacingMs: msPerSecond * countGateways() / Math.max(minPerSecond, perSecond), nowMs,
+	});
 	returns.set(service, nextReturnMs);
 
 	return returnAtMs - nowMs;
--- a/packages/routing/src/__tests__/unit/decide-wait.test.ts
+++ b/packages/routing/src/__tests__/unit/decide-wait.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import {
-	addWork, computeWaitMs, createWorkBacklog, decideWait, WaitDecision, type WorkBacklog,
+	addWork, computeWaitMs, createWorkBacklog, decideReopening, decideWait, WaitDecision, type WorkBacklog,
 } from '../../index.js';
 
 const base = {
@@ -78,3 +78,18 @@
 	t.is(decideWait({...full, waitedMs: 2400}), WaitDecision.Refuse);
 	t.is(decideWait({...full, aheadMs: 3000}), WaitDecision.Refuse);
 });
+
+test('while no instance takes requests, one waits for a back-off that ends in time, and for room under a limit only where it would be lost', t => {
+	const input = {
+		restLeftMs: undefined, limitLeftMs: undefined, isUnderWay: false, workMs: 60, waitedMs: 0, patienceMs: 1500,
+	};
+	t.is(decideReopening(input), undefined);
+	t.is(decideReopening({...input, limitLeftMs: 700}), undefined);
+	t.is(decideReopening({...input, limitLeftMs: 700, isUnderWay: true}), 700);
+	t.is(decideReopening({...input, limitLeftMs: 1700, isUnderWay: true}), undefined);
+	t.is(decideReopening({...input, restLeftMs: 300, limitLeftMs: 700}), 300);
+	t.is(decideReopening({...input, restLeftMs: 2300, limitLeftMs: 700}), undefined);
+	t.is(decideReopening({
+		...input, restLeftMs: 2300, limitLeftMs: 700, isUnderWay: true,
+	}), 700);
+});
--- a/packages/routing/src/decide-wait.ts
+++ b/packages/routing/src/decide-wait.ts
@@ -62,6 +62,34 @@
 	return waitedMs + expectedMs < patienceMs ? WaitDecision.Send : WaitDecision.Refuse;
 }
 
+export type ReopeningInput = {
+	/** Time until the first instance ends a back-off; `undefined` where none backs off at its own request. */
+	readonly restLeftMs: number | undefined;
+	/** Time until the first limit that instances name leaves room again; `undefined` where none closes an instance. */
+	readonly limitLeftMs: number | undefined;
+	/** Whether the request may have run or its response has begun, so that it would be lost. */
+	readonly isUnderWay: boolean;
+	readonly workMs: number;
+	readonly waitedMs: number;
+	readonly patienceMs: number;
+};
+
+/**
+Decides about a request while no instance takes any: returns the time for which it waits, or `undefined` if it is refused. Room that a limit leaves may go
+to requests of other daemons, so only a request that would be lost waits for it. Load pattern: some instances back off and the limits of the others
+are used up.
+
+@example
+```
+decideReopening({restLeftMs: undefined, limitLeftMs: 700, isUnderWay: false, workMs: 60, waitedMs: 0, patienceMs: 1500}); //=> undefined
+```
+*/
+export function decideReopening({restLeftMs, limitLeftMs, isUnderWay, ...rest}: ReopeningInput): number | undefined {
+	const leftMs = Math.min(restLeftMs ?? Number.POSITIVE_INFINITY, (isUnderWay ? limitLeftMs : undefined) ?? Number.POSITIVE_INFINITY);
+
+	return decideBackoff({...rest, restLeftMs: leftMs}) === WaitDecision.Wait ? leftMs : undefined;
+}
+
 export type BackoffInput = {
 	/** Time until the first instance ends its back-off. */
 	readonly restLeftMs: number;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -30,6 +30,6 @@
 	addWork, computeCorrectionMs, computeWaitMs, correctBacklog, createWorkBacklog, estimateWork, isOverdue, resetBacklog, type WorkBacklog, type WorkEstimate,
 } from './work-backlog.js';
 export {
-	decideBackoff, decideWait, maxIdleQueueMs, WaitDecision, type BackoffInput, type WaitInput,
+	decideBackoff, decideReopening, decideWait, maxIdleQueueMs, WaitDecision, type BackoffInput, type ReopeningInput, type WaitInput,
 } from './decide-wait.js';
 export {createCachedParts, type CachedParts, type PromptPart} from './cached-parts.js';
