--- a/packages/bench/src/capacity.ts
+++ b/packages/bench/src/capacity.ts
@@ -12,6 +12,7 @@
 import {
 	applyCommand, CommandKind, createReplicatedState, encodeClaimKey, type Command,
 } from '@fescuestair/state';
+import {measurePermitCost} from './permit-cost.js';
 import {type Benchmark, type ReportMeasurement} from './report.js';
 
 const clock = createSystemClock();
@@ -143,5 +144,7 @@
 		for (const count of [1000, 10_000, 50_000]) {
 			await measureRequestEvents(count, report);
 		}
+
+		await measurePermitCost(report);
 	},
 };
