--- a/packages/bench/src/__tests__/unit/simulate-limits.test.ts
+++ b/packages/bench/src/__tests__/unit/simulate-limits.test.ts
@@ -1,7 +1,6 @@
 import test from 'ava';
-import {
-	measureWorstWindow, simulateLimits, sumLimit, type LimitSimulation, type LimitSimulationOptions,
-} from '../../model/simulate-limits.js';
+import {measureWorstWindow, sumLimit} from '../../model/limit-window.js';
+import {simulateLimits, type LimitSimulation, type LimitSimulationOptions} from '../../model/simulate-limits.js';
 
 const gatewayCounts = [4, 28, 85, 400];
 const seeds = [1, 2, 3];
--- a/packages/bench/src/limits.ts
+++ b/packages/bench/src/limits.ts
@@ -1,5 +1,6 @@
 import {type Benchmark} from './report.js';
-import {measureWorstWindow, simulateLimits, sumLimit} from './model/simulate-limits.js';
+import {measureWorstWindow, sumLimit} from './model/limit-window.js';
+import {simulateLimits} from './model/simulate-limits.js';
 
 const gatewayCounts = [4, 28, 85, 400];
 const seed = 7;
--- a/packages/bench/src/model/simulate-limits.ts
+++ b/packages/bench/src/model/simulate-limits.ts
@@ -1,14 +1,12 @@
 import {
-	applyPermitAnswer, setClosedUntil, decidePermit, emptyPermitWallet, isLimitChange, isPermitUsable, maxReservationMs, mergeRequestLimits, noRequestLimit, PermitDecision,
+	applyPermitAnswer, setClosedUntil, decidePermit, emptyPermitWallet, isLimitChange, isPermitUsable, maxReservationMs, mergeRequestLimits, minPermitsPerSecond, noRequestLimit, PermitDecision,
 	permitValidityMs, recordRequestLimit, clearClosedUntil, reservePermit, depositPermit, planReturn, takeSparePermit, type Permit, type PermitAccount, type PermitWallet,
 	type RequestLimit,
 } from '@fescuestair/limits';
+import {type Span} from './limit-window.js';
 import {createScheduler} from './scheduler.js';
 import {createRandom} from './workload.js';
 
-/** A span of the simulated time. */
-export type Span = {readonly fromMs: number; readonly toMs: number};
-
 export type LimitSimulationOptions = {
 	readonly seed: number;
 	readonly gateways: number;
@@ -71,7 +69,6 @@
 const workMs = 60;
 const maxPermitRefusals = 6;
 const msPerSecond = 1000;
-const minPerSecond = 0.1;
 
 /**
 Simulates gateways that share instances with request limits, in virtual time, with the decisions that daemons use: who grants permits, what is
@@ -276,7 +273,7 @@
 		const {gateway} = request;
 		const nowMs = getNowMs();
 		const reopeningMs = Math.max(gateway.silentUntilMs, Math.min(...gateway.wallets.map(({closedUntilMs}) => closedUntilMs)));
-		const perSecond = gateway.limits.reduce((sum, limit) => sum + Math.max(minPerSecond, limit.perSecond ?? 0), 0);
+		const perSecond = gateway.limits.reduce((sum, limit) => sum + Math.max(minPermitsPerSecond, limit.perSecond ?? 0), 0);
 		const turnMs = msPerSecond * gateways.length / perSecond;
 		refuse(request, Math.max(nowMs, reopeningMs), turnMs);
 	};
@@ -341,48 +338,3 @@
 		arrivalsMs, requests, served, refusedAfterMs, returnDelaysMs, waitedMs, questions,
 	};
 }
-
-export type LimitCheck = {
-	readonly arrivalsMs: readonly number[];
-	readonly getLimit: (nowMs: number) => number | undefined;
-	/** Windows that begin in this span are checked. */
-	readonly span: Span;
-};
-
-const windowMs = 4000;
-const windowStepMs = 50;
-const limitTolerance = 1.5;
-const limitSlack = 5;
-
-/**
-Measures how much of what an instance allows it gets in the worst window of four seconds; more than 1 breaks its limit. It allows one and a half
-times what it names, and five requests.
-*/
-export function measureWorstWindow({arrivalsMs, getLimit, span}: LimitCheck): number {
-	let worst = 0;
-
-	for (let {fromMs} = span; fromMs + windowMs <= span.toMs; fromMs += windowStepMs) {
-		const arrived = arrivalsMs.filter(atMs => atMs >= fromMs && atMs < fromMs + windowMs).length;
-		const named = sumLimit(getLimit, {fromMs, toMs: fromMs + windowMs});
-		worst = named === undefined ? worst : Math.max(worst, arrived / ((limitTolerance * named) + limitSlack));
-	}
-
-	return worst;
-}
-
-/** Requests that an instance takes in a span; `undefined` where it names no limit for a part of it. */
-export function sumLimit(getLimit: LimitCheck['getLimit'], {fromMs, toMs}: Span): number | undefined {
-	let sum = 0;
-
-	for (let atMs = fromMs; atMs < toMs; atMs += windowStepMs) {
-		const perSecond = getLimit(atMs);
-
-		if (perSecond === undefined) {
-			return undefined;
-		}
-
-		sum += perSecond * windowStepMs / msPerSecond;
-	}
-
-	return sum;
-}
--- a/packages/coordinator/src/fleet.ts
+++ b/packages/coordinator/src/fleet.ts
@@ -116,6 +116,15 @@
 		}
 	};
 
+	// Relays what one gateway found out to all others: to those whose home this is, and to the other coordinators if it comes from the gateway itself.
+	const relay = (message: LinkMessage, {from, isRelayed}: {readonly from: string; readonly isRelayed: boolean}) => {
+		sendToHomeGateways(message, from);
+
+		if (!isRelayed) {
+			sendToCoordinators(message);
+		}
+	};
+
 	const sendInstanceUpdates = (notes: readonly InstanceUpdate[]) => {
 		sendToCoordinators({kind: LinkMessageKind.Instances, notes, isRelayed: false});
 		const message: LinkMessage = {kind: LinkMessageKind.Instances, notes, isRelayed: true};
@@ -276,27 +285,17 @@
 		return true;
 	});
 	commands.registerCommand(LinkMessageKind.Suspects, isObjectWith({from: isName, notes: isSuspectUpdates, isRelayed: isBoolean}), ({from, notes, isRelayed}) => {
-		const message: LinkMessage = {
+		relay({
 			kind: LinkMessageKind.Suspects, from, notes, isRelayed: true,
-		};
-		sendToHomeGateways(message, from);
-
-		if (!isRelayed) {
-			sendToCoordinators(message);
-		}
+		}, {from, isRelayed});
 
 		return true;
 	});
 	commands.registerCommand(LinkMessageKind.RequestLimits, isObjectWith({from: isName, notes: isRequestLimitNotes, isRelayed: isBoolean}), ({from, notes, isRelayed}) => {
 		requestLimits.merge(notes);
-		const message: LinkMessage = {
+		relay({
 			kind: LinkMessageKind.RequestLimits, from, notes, isRelayed: true,
-		};
-		sendToHomeGateways(message, from);
-
-		if (!isRelayed) {
-			sendToCoordinators(message);
-		}
+		}, {from, isRelayed});
 
 		return true;
 	});
--- a/packages/gateway/src/request-permit.ts
+++ b/packages/gateway/src/request-permit.ts
@@ -1,5 +1,5 @@
 import {setTimeout as sleep} from 'node:timers/promises';
-import {maxReservationMs, planReturn} from '@fescuestair/limits';
+import {maxReservationMs, minPermitsPerSecond, planReturn} from '@fescuestair/limits';
 import {PermitOutcome} from '@fescuestair/runtime';
 import {type Service} from '@fescuestair/traffic';
 import {type InstanceChoice} from './choose-place.js';
@@ -7,9 +7,6 @@
 import {type ForwardOptions, type ForwardingProgress} from './forward-options.js';
 
 const msPerSecond = 1000;
-/** Rate assumed of instances that name a limit of 0: they get a request now and then, which tells whether the limit has risen. */
-const minPerSecond = 0.1;
-
 /** More urgent than any request that has not been sent. */
 const underWayPriority = -1;
 
@@ -99,11 +96,11 @@
 	let perSecond = 0;
 
 	for (const {held: {record}} of instancePool.listLimited(service)) {
-		perSecond += Math.max(minPerSecond, requestLimits.getPerSecond(record) ?? 0);
+		perSecond += Math.max(minPermitsPerSecond, requestLimits.getPerSecond(record) ?? 0);
 	}
 
 	const {returnAtMs, nextReturnMs} = planReturn(returns.get(service), {
-		reopeningMs: nowMs + leftMs, spacingMs: msPerSecond * countGateways() / Math.max(minPerSecond, perSecond), nowMs,
+		reopeningMs: nowMs + leftMs, spacingMs: msPerSecond * countGateways() / Math.max(minPermitsPerSecond, perSecond), nowMs,
 	});
 	returns.set(service, nextReturnMs);
 
--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -24,6 +24,6 @@
 	type Permit, type PermitAnswer, type PermitNeed, type PermitWallet,
 } from './permit-wallet.js';
 export {
-	maxReservationMs, permitValidityMs, reservePermit, type PermitAccount, type PermitQuery, type Reservation,
+	maxReservationMs, minPermitsPerSecond, permitValidityMs, reservePermit, type PermitAccount, type PermitQuery, type Reservation,
 } from './reserve-permit.js';
 export {planReturn, type ReturnQuery} from './plan-return.js';
--- a/packages/limits/src/reserve-permit.ts
+++ b/packages/limits/src/reserve-permit.ts
@@ -34,14 +34,14 @@
 /**
 Rate at which an instance that names a lower limit, or none at all, still gets requests: only an answer can tell that the limit has risen.
 */
-const minPerSecond = 0.1;
+export const minPermitsPerSecond = 0.1;
 /** Daemons referred to each permit that becomes free, since some of them no longer need it. */
 const referralsPerPermit = 2;
 const maxReferralMs = 2000;
 const msPerSecond = 1000;
 
 function computeIntervalMs(perSecond: number): number {
-	return msPerSecond / Math.max(minPerSecond, perSecond);
+	return msPerSecond / Math.max(minPermitsPerSecond, perSecond);
 }
 
 function computeBurstRequests(perSecond: number): number {
