--- a/packages/entry/src/completions.ts
+++ b/packages/entry/src/completions.ts
@@ -14,7 +14,7 @@
 } from './suspect-prompts.js';
 import {fetchPieces, type FetchInput} from './fetch-pieces.js';
 import {planPrompt} from './plan-prompt.js';
-import {createLimitedRefusal, reserveUpstream} from './upstream-permits.js';
+import {correctExecution, createLimitedRefusal, reserveUpstream} from './upstream-permits.js';
 import {
 	createStreamWriter, createBufferedWriter, type AnswerWriter,
 } from './answer-writer.js';
@@ -193,7 +193,8 @@
 	}
 
 	if (!await reserveUpstream(services, record, {deadlineMs: job.deadlineMs, priority: job.priority, attempts: {refusals: 0}})) {
-		throw createLimitedRefusal(services.permits.getClosedUntilMs(record) - services.clock.readMonotonicMs(), services.permits.isUnanswered());
+		const retryAfterMs = services.permits.getClosedUntilMs(record) - services.clock.readMonotonicMs();
+		throw correctExecution(createLimitedRefusal(retryAfterMs, services.permits.isUnanswered()), ExecutionStatus.Ran);
 	}
 
 	try {
