--- a/packages/gateway/src/__tests__/unit/crash-detector.test.ts
+++ b/packages/gateway/src/__tests__/unit/crash-detector.test.ts
@@ -46,7 +46,7 @@
 const createExchange = (url: string, requestId: string): Exchange => ({
 	requestId, body: Buffer.from('question'), organisation: undefined, startedAtMs: 0, deadlineMs: 1000,
 	request: {method: 'POST', url} as unknown as IncomingMessage, response: undefined as unknown as ServerResponse,
-	route: undefined as unknown as Exchange['route'], caller: undefined as unknown as Exchange['caller'],
+	route: undefined as unknown as Exchange['route'], caller: {prompt: undefined} as Exchange['caller'],
 });
 
 test('a request that crashed three instances, at whichever gateways, is quarantined at all gateways', t => {
@@ -54,7 +54,7 @@
 
 	for (const [detector, id] of [[first, 'i-1'], [second, 'i-2'], [first, 'i-3']] as const) {
 		t.is(second.getQuarantineDeadline(createExchange('/poison', 'r')), undefined);
-		detector.recordBrokenConnection(createExchange('/poison', `r-${id}`), createInstance(id, 1));
+		detector.recordBrokenConnection(createExchange('/poison', `r-${id}`), createInstance(id, 1), 0);
 		time.nowMs += 300;
 		detector.recordUnreachable(createInstance(id, 1));
 	}
@@ -69,7 +69,7 @@
 
 	for (let round = 0; round < 20; round++) {
 		const instance = createInstance(`i-${round % 4}`, 1);
-		first.recordBrokenConnection(createExchange('/lookup', `r-${round}`), instance);
+		first.recordBrokenConnection(createExchange('/lookup', `r-${round}`), instance, 0);
 		time.nowMs += 10;
 		first.recordCompletion(createExchange('/other', `s-${round}`), instance, time.nowMs - 5);
 		time.nowMs += 10;
@@ -82,7 +82,7 @@
 test('an instance that has restarted counts as crashed, and a request that finishes anywhere is cleared of earlier crashes', t => {
 	const {first, second} = openGateways(t);
 	const crash = (id: string) => {
-		first.recordBrokenConnection(createExchange('/lookup', 'r'), createInstance(id, 1));
+		first.recordBrokenConnection(createExchange('/lookup', 'r'), createInstance(id, 1), 0);
 		first.applyRegistry({held: new Map([[id, createHeld(id, 2)]]), revision: 2});
 	};
 
--- a/packages/gateway/src/crash-detector.ts
+++ b/packages/gateway/src/crash-detector.ts
@@ -24,8 +24,8 @@
 export type CrashDetector = {
 	/** Returns the time until which a request is quarantined; `undefined` where it may run. */
 	readonly getQuarantineDeadline: (exchange: Exchange) => number | undefined;
-	/** Records that the connection was lost while an instance was running the request. */
-	readonly recordBrokenConnection: (exchange: Exchange, instance: PooledInstance) => void;
+	/** Records that the connection was lost while an instance was running the request, and after how many pieces of its answer. */
+	readonly recordBrokenConnection: (exchange: Exchange, instance: PooledInstance, pieces: number) => void;
 	/** Records that an instance sent a complete response to a request. */
 	readonly recordCompletion: (exchange: Exchange, instance: PooledInstance, sentAtMs: number) => void;
 	/** Records that an instance no longer accepts connections. */
@@ -110,9 +110,13 @@
 		getQuarantineDeadline: exchange => state.suspects.size === 0
 			? undefined
 			: getQuarantineDeadline(state, getFingerprint(exchange), clock.readMonotonicMs()),
-		recordBrokenConnection(exchange, instance) {
+		recordBrokenConnection(exchange, instance, pieces) {
+			const fingerprint = getFingerprint(exchange);
+			log.info('a connection was lost under a request', {
+				id: instance.held.record.id, requestId: exchange.requestId, fingerprint, pieces, parts: exchange.caller.prompt?.parts.map(({id}) => id),
+			});
 			state = recordConnectionLoss(state, {
-				fingerprint: getFingerprint(exchange), incarnation: formatIncarnation(instance.held.record), nowMs: clock.readMonotonicMs(),
+				fingerprint, incarnation: formatIncarnation(instance.held.record), nowMs: clock.readMonotonicMs(),
 			});
 		},
 		recordCompletion(exchange, instance, sentAtMs) {
--- a/packages/gateway/src/send-attempt.ts
+++ b/packages/gateway/src/send-attempt.ts
@@ -141,7 +141,9 @@
 	const result = await attempt.result;
 	recordFirstPiece();
 	instancePool.end(entry, inFlightRequest);
-	recordResult(options, exchange, {entry, result, sentAtMs: startedAtMs});
+	recordResult(options, exchange, {
+		entry, result, sentAtMs: startedAtMs, pieces: streamed.pieces,
+	});
 
 	if (result.end === AttemptCompletion.Complete && cache !== undefined && result.head!.status < 300) {
 		recordCachedParts(entry, caller.prompt!.parts, {salt: cache.salt, capacityTokens: service.engine!.cacheTokens});
@@ -158,13 +160,13 @@
 	return result;
 }
 
-type ResultInput = {readonly entry: PooledInstance; readonly result: AttemptResult; readonly sentAtMs: number};
+type ResultInput = {readonly entry: PooledInstance; readonly result: AttemptResult; readonly sentAtMs: number; readonly pieces: number};
 
 // An instance that rejects a request for lack of capacity is not at fault, and an attempt that this gateway cancelled because the caller left or
 // the deadline passed says nothing about the health of the instance.
-function recordResult({instancePool, crashes}: ForwardOptions, exchange: Exchange, {entry, result, sentAtMs}: ResultInput): void {
+function recordResult({instancePool, crashes}: ForwardOptions, exchange: Exchange, {entry, result, sentAtMs, pieces}: ResultInput): void {
 	if (result.isConnectionLost) {
-		crashes.recordBrokenConnection(exchange, entry);
+		crashes.recordBrokenConnection(exchange, entry, pieces);
 	} else if (result.isUnreachable) {
 		crashes.recordUnreachable(entry);
 	} else if (result.end === AttemptCompletion.Complete) {
