Hold back prompt parts, not only requests, that crash instances

Callers saw: requests with one part in their prompts crashed instances one after the other, as long as such requests came, and with each instance the 10 to 50 requests beside them. Each gateway also waited to find an instance unreachable by itself, up to 3.5 s after another had.

A request now has traits: the parts of its prompt and itself. Gateways report the requests that a crashed instance had not begun to answer, and when a suspected trait was answered; all coordinators collect this and explain the crashes by the fewest traits that were not answered since (crashes/explain-crashes). What accounts for three crashes is held back by all gateways; late ones learn it with the first hello. The way back is one trial at a time, granted by the leader, at growing intervals. Instances that refuse connections are reported to all.

--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -265,6 +265,8 @@
 		getConfigVersion: () => replica.getPublished().configVersion,
 		isCurrent,
 		getLeaderAddress: () => replica.getLeadingTerm() === undefined ? replica.findLeaderAddress() : linkAddress,
+		isLeader: () => replica.getLeadingTerm() !== undefined,
+		findLeaderAddress,
 		onLeaderReported(address) {
 			hintedLeaderAddress = address;
 		},
--- a/packages/coordinator/src/fleet.ts
+++ b/packages/coordinator/src/fleet.ts
@@ -1,12 +1,12 @@
 import {randomBytes} from 'node:crypto';
 import {isBoolean, isObjectWith, type Clock} from '@fescuestair/core';
+import {isCrashReportMessage} from '@fescuestair/crashes';
 import {
 	createGatewayDirectory, createInstanceRegistry, createInstanceUpdate, DaemonRole, getHomeListVersion, HelloKind, isHello, isInstanceUpdates,
 	isPublishedSnapshot, isRequestLimitNotes, listDaemons, listGateways, listHomeGatewayAddresses, createHomeList, listUpdates, listRenewals, MergeOutcome, setLoading, setModelVersion,
 	mergeDaemonRecord, recordHomeHello, recordHomeList, mergeInstanceRecord, applyRenewals, expireGateways, expireInstances, type DaemonRecord,
 	type DaemonTable, type RegisteredInstance, type Hello, type HelloReply, type InstanceUpdate, type InstanceRecord, type PublishedSnapshot,
 } from '@fescuestair/instances';
-import {isSuspectUpdates} from '@fescuestair/limits';
 import {
 	isName, LinkMessageKind, type LinkCommands, type LinkMessage,
 } from '@fescuestair/protocol';
@@ -14,6 +14,7 @@
 	createHelloClient, createRequestLimits, type Logger, type PrometheusMetrics, type RequestLimits,
 } from '@fescuestair/runtime';
 import {type Links} from '@fescuestair/transport';
+import {createCrashEvidenceHost} from './crash-evidence-host.js';
 import {createLoadRelayHost} from './load-relay-host.js';
 
 export type FleetOptions = {
@@ -31,6 +32,10 @@
 	readonly isCurrent: () => boolean;
 	/** Link address of the leader, which may be this replica. */
 	readonly getLeaderAddress: () => string | undefined;
+	/** Whether this replica leads the group and its lease lasts. */
+	readonly isLeader: () => boolean;
+	/** Link address of the leader; `undefined` while none is known or this replica leads. */
+	readonly findLeaderAddress: () => string | undefined;
 	/** Called when a coordinator that is current reports the leader's address. */
 	readonly onLeaderReported: (address: string | undefined) => void;
 	/** Called in each round with the addresses of the other coordinators. */
@@ -78,7 +83,8 @@
 */
 export function createFleet(options: FleetOptions): Fleet {
 	const {
-		self, clock, links, log, metrics, commands, listCoordinatorAddresses, describePublishedSince, getConfigVersion, isCurrent, getLeaderAddress, onLeaderReported, onRound,
+		self, clock, links, log, metrics, commands, listCoordinatorAddresses, describePublishedSince, getConfigVersion, isCurrent, getLeaderAddress,
+		isLeader, findLeaderAddress, onLeaderReported, onRound,
 	} = options;
 	const bootId = randomBytes(bootIdBytes).toString('hex');
 	const directoryReadyAtMs = clock.readMonotonicMs() + directoryWarmupMs;
@@ -125,10 +131,7 @@
 		}
 	};
 
-	const sendInstanceUpdates = (notes: readonly InstanceUpdate[]) => {
-		sendToCoordinators({kind: LinkMessageKind.Instances, notes, isRelayed: false});
-		const message: LinkMessage = {kind: LinkMessageKind.Instances, notes, isRelayed: true};
-
+	const sendToGateways = (message: LinkMessage) => {
 		if (isCurrent()) {
 			sendToHomeGateways(message);
 		} else {
@@ -136,6 +139,11 @@
 		}
 	};
 
+	const sendInstanceUpdates = (notes: readonly InstanceUpdate[]) => {
+		sendToCoordinators({kind: LinkMessageKind.Instances, notes, isRelayed: false});
+		sendToGateways({kind: LinkMessageKind.Instances, notes, isRelayed: true});
+	};
+
 	const sendInstance = (id: string) => {
 		const held = registry.held.get(id);
 
@@ -152,6 +160,16 @@
 		return taken.news === MergeOutcome.Changed;
 	});
 
+	const crashEvidence = createCrashEvidenceHost({
+		linkAddress: self.linkAddress, clock, links, log, metrics, commands, isLeader, findLeaderAddress, sendToCoordinators,
+		// A coordinator that is cut off from the others lacks answers that they know of.
+		sendToGateways(message) {
+			if (isCurrent()) {
+				sendToHomeGateways(message);
+			}
+		},
+	});
+
 	const recordHello = ({card, greeting, homes}: Hello) => {
 		const nowMs = clock.readMonotonicMs();
 
@@ -189,6 +207,9 @@
 			leaderAddress: getLeaderAddress(),
 			isCurrent: isCurrent(),
 			heldHomes: hello.greeting === HelloKind.Peer ? getHomeListVersion(directory, hello.card.linkAddress) : undefined,
+			...(hello.greeting === HelloKind.Peer
+				? {crashReport: crashEvidence.describeEvidence(hello.card.linkAddress, hello.evidenceDigest)}
+				: {quarantine: crashEvidence.describeQuarantine()}),
 		};
 	};
 
@@ -196,7 +217,9 @@
 		links,
 		timeoutMs: callTimeoutMs,
 		// Coordinators receive published state by replication, so none is requested here.
-		getHello: () => ({card: self, publishedRevision: Number.MAX_SAFE_INTEGER, configVersion: getConfigVersion()}),
+		getHello: () => ({
+			card: self, publishedRevision: Number.MAX_SAFE_INTEGER, configVersion: getConfigVersion(), evidenceDigest: crashEvidence.getDigest(),
+		}),
 		onReply(address, reply) {
 			acknowledgedHomes.set(address, reply.heldHomes);
 
@@ -211,6 +234,10 @@
 				addCoordinators(reply.fleet.coordinators);
 				requestLimits.merge(reply.fleet.requestLimits ?? []);
 			}
+
+			if (isCrashReportMessage(reply.crashReport)) {
+				crashEvidence.merge(reply.crashReport);
+			}
 		},
 		onFailure(address, error) {
 			acknowledgedHomes.delete(address);
@@ -284,13 +311,6 @@
 
 		return true;
 	});
-	commands.registerCommand(LinkMessageKind.Suspects, isObjectWith({from: isName, notes: isSuspectUpdates, isRelayed: isBoolean}), ({from, notes, isRelayed}) => {
-		relay({
-			kind: LinkMessageKind.Suspects, from, notes, isRelayed: true,
-		}, {from, isRelayed});
-
-		return true;
-	});
 	commands.registerCommand(LinkMessageKind.RequestLimits, isObjectWith({from: isName, notes: isRequestLimitNotes, isRelayed: isBoolean}), ({from, notes, isRelayed}) => {
 		requestLimits.merge(notes);
 		relay({
@@ -360,6 +380,7 @@
 		stop() {
 			clearInterval(timer);
 			loadRelay.stop();
+			crashEvidence.stop();
 		},
 	};
 }
--- /dev/null
+++ b/packages/crashes/src/crash-evidence.ts
@@ -0,0 +1,131 @@
+import {getTraitsKey, type Traits} from './traits.js';
+
+/** A request that an instance had not begun to answer, or had just begun to, when it crashed. */
+export type CrashedRequest = {readonly traits: Traits; readonly sentAtMs: number};
+
+/** The crash of one run of an instance. */
+export type Crash = {
+	readonly atMs: number;
+	/** By the key of their traits. */
+	readonly requests: ReadonlyMap<string, CrashedRequest>;
+};
+
+/** Trials that were made of a quarantined trait since it was last answered. */
+export type TrialRecord = {readonly count: number; readonly lastAtMs: number};
+
+/** What is known of crashes, and of answers since. Immutable. */
+export type CrashEvidence = {
+	/** By run of an instance, in order of time. */
+	readonly crashes: ReadonlyMap<string, Crash>;
+	/** By trait that was in a crash: when an instance last began an answer that went on. */
+	readonly answeredAtMs: ReadonlyMap<string, number>;
+	readonly trials: ReadonlyMap<string, TrialRecord>;
+};
+
+/** New evidence, on the clock of the receiver. */
+export type CrashReport = {
+	readonly crashes?: ReadonlyArray<{readonly run: string; readonly atMs: number; readonly requests: readonly CrashedRequest[]}>;
+	readonly answers?: ReadonlyArray<{readonly trait: string; readonly atMs: number}>;
+	readonly trials?: ReadonlyArray<{readonly trait: string; readonly atMs: number; readonly count: number}>;
+};
+
+/** Retention of a crash: longer than the longest pause between two trials, so that a quarantine ends by a trial. */
+export const crashRetentionMs = 1_800_000;
+const maxCrashes = 64;
+/** Requests that are kept of one crash: as many as an instance runs at once. */
+const maxRequestsPerCrash = 256;
+
+/** Evidence of a daemon that knows of no crash. */
+export const noCrashEvidence: CrashEvidence = {crashes: new Map(), answeredAtMs: new Map(), trials: new Map()};
+
+/**
+Adds a report to the evidence. Reports may come late, twice and in any order; returns the same object where a report adds nothing, so that it need
+not be passed on.
+
+@example
+```
+const next = mergeCrashReport(noCrashEvidence, {crashes: [{run: 'i-1 17', atMs: 40, requests: [{traits: ['part m a', 'request 7'], sentAtMs: 10}]}]}, 50);
+```
+*/
+export function mergeCrashReport(evidence: CrashEvidence, {crashes = [], answers = [], trials = []}: CrashReport, nowMs: number): CrashEvidence {
+	let next = evidence;
+
+	for (const crash of crashes) {
+		next = nowMs - crash.atMs < crashRetentionMs ? mergeCrash(next, crash) : next;
+	}
+
+	for (const answer of answers) {
+		next = mergeAnswer(next, answer);
+	}
+
+	for (const trial of trials) {
+		next = mergeTrial(next, trial);
+	}
+
+	return next === evidence ? evidence : dropOldCrashes(next, nowMs);
+}
+
+function mergeCrash(evidence: CrashEvidence, {run, atMs, requests}: NonNullable<CrashReport['crashes']>[number]): CrashEvidence {
+	const known = evidence.crashes.get(run);
+	const merged = new Map(known?.requests);
+
+	for (const request of requests) {
+		const key = getTraitsKey(request.traits);
+
+		if (!merged.has(key) && merged.size < maxRequestsPerCrash) {
+			merged.set(key, request);
+		}
+	}
+
+	if (merged.size === (known?.requests.size ?? 0)) {
+		return evidence;
+	}
+
+	const crash = {atMs: Math.min(known?.atMs ?? atMs, atMs), requests: merged};
+	const crashes = [...evidence.crashes].filter(([otherRun]) => otherRun !== run);
+	crashes.push([run, crash]);
+
+	return {...evidence, crashes: new Map(crashes.toSorted(([, a], [, b]) => a.atMs - b.atMs))};
+}
+
+// Answers matter for traits that were in a crash before.
+function mergeAnswer(evidence: CrashEvidence, {trait, atMs}: {readonly trait: string; readonly atMs: number}): CrashEvidence {
+	const knownAtMs = evidence.answeredAtMs.get(trait) ?? Number.NEGATIVE_INFINITY;
+	const isExonerating = [...evidence.crashes.values()].some(crash => crash.atMs < atMs && crash.atMs >= knownAtMs && hasTrait(crash, trait));
+
+	if (!isExonerating) {
+		return evidence;
+	}
+
+	const trials = new Map(evidence.trials);
+	trials.delete(trait);
+
+	return {...evidence, trials, answeredAtMs: new Map(evidence.answeredAtMs).set(trait, atMs)};
+}
+
+function mergeTrial(evidence: CrashEvidence, {trait, atMs, count}: {readonly trait: string; readonly atMs: number; readonly count: number}): CrashEvidence {
+	const known = evidence.trials.get(trait);
+	const isNew = count > (known?.count ?? 0) && atMs > (evidence.answeredAtMs.get(trait) ?? Number.NEGATIVE_INFINITY);
+
+	return isNew ? {...evidence, trials: new Map(evidence.trials).set(trait, {count, lastAtMs: atMs})} : evidence;
+}
+
+/** Drops crashes whose retention is over, and what was known of traits that are in no crash any more. */
+export function dropOldCrashes(evidence: CrashEvidence, nowMs: number): CrashEvidence {
+	const kept = [...evidence.crashes].filter(([, {atMs}]) => nowMs - atMs < crashRetentionMs).slice(-maxCrashes);
+
+	if (kept.length === evidence.crashes.size) {
+		return evidence;
+	}
+
+	const crashes = new Map(kept);
+	const isInCrash = ([trait]: readonly [string, unknown]) => kept.some(([, crash]) => hasTrait(crash, trait));
+
+	return {
+		crashes, answeredAtMs: new Map([...evidence.answeredAtMs].filter(entry => isInCrash(entry))), trials: new Map([...evidence.trials].filter(entry => isInCrash(entry))),
+	};
+}
+
+function hasTrait({requests}: Crash, trait: string): boolean {
+	return [...requests.values()].some(({traits}) => traits.includes(trait));
+}
--- a/packages/gateway/src/__tests__/unit/choose-place.test.ts
+++ b/packages/gateway/src/__tests__/unit/choose-place.test.ts
@@ -51,7 +51,7 @@
 	return {
 		instancePool, choose: (partId: string) => chooseInstanceForRequest(options, createExchange(partId), {
 			service, progress: {
-				sentCount: 0, refused: 0, waits: 0, permitRefusals: 0, permit: undefined, triedInstanceIds: new Set(), story: [],
+				sentCount: 0, refused: 0, waits: 0, permitRefusals: 0, permit: undefined, isTrial: false, triedInstanceIds: new Set(), story: [],
 			},
 		}),
 	};
--- a/packages/gateway/src/coordinator-client.ts
+++ b/packages/gateway/src/coordinator-client.ts
@@ -19,6 +19,8 @@
 	readonly onRegistryUpdate: (registry: InstanceRegistry) => void;
 	/** Called with the request limits that a coordinator knows, which repairs notes that were missed. */
 	readonly onRequestLimits: (notes: readonly RequestLimitNote[]) => void;
+	/** Called with what a home says is to be held back; before there is a home, with what any coordinator says. */
+	readonly onQuarantine: (address: string, quarantine: unknown) => void;
 	/** Called in each round of hellos, so that the gateway can run its periodic checks. */
 	readonly onRound: (nowMs: number) => void;
 	/** Called when another coordinator becomes the primary home. */
@@ -77,12 +79,12 @@
 
 @example
 ```
-const client = createCoordinatorClient({getDaemonRecord, getSeeds, links, clock, log, onPublished, onRegistryUpdate, onRequestLimits, onRound, onHomeChange});
+const client = createCoordinatorClient({getDaemonRecord, getSeeds, links, clock, log, onPublished, onRegistryUpdate, onRequestLimits, onQuarantine, onRound, onHomeChange});
 ```
 */
 export function createCoordinatorClient(options: CoordinatorClientOptions): CoordinatorClient {
 	const {
-		getDaemonRecord, getSeeds, links, clock, log, onPublished, onRegistryUpdate, onRequestLimits, onRound, onHomeChange,
+		getDaemonRecord, getSeeds, links, clock, log, onPublished, onRegistryUpdate, onRequestLimits, onQuarantine, onRound, onHomeChange,
 	} = options;
 	const coordinators = new Map<string, KnownCoordinator>();
 	const startedAtMs = clock.readMonotonicMs();
@@ -93,6 +95,7 @@
 	let gatewayCount: number | undefined;
 	let leaderAddress: string | undefined;
 	let home: string | undefined;
+	let homes: readonly string[] = [];
 	let round = 0;
 	let fleetRequestDueMs = 0;
 	/** Incarnations of leaving instances, by id, that have not been reported to a home yet. */
@@ -189,6 +192,10 @@
 			applyPublished(reply.published);
 		}
 
+		if (homes.length === 0 || homes.includes(address)) {
+			onQuarantine(address, reply.quarantine);
+		}
+
 		leaderAddress = reply.isCurrent ? reply.leaderAddress ?? leaderAddress : leaderAddress;
 		hasCurrent ||= reply.isCurrent && configVersion > 0;
 	};
@@ -222,7 +229,7 @@
 			isHealthy: coordinators.get(address)?.isCurrent === true && !helloClient.isAwaitingReply(address),
 			isLeader: address === leaderAddress,
 		}));
-		const homes = pickHomes(name, availabilityZone, candidates);
+		homes = pickHomes(name, availabilityZone, candidates);
 
 		if (homes[0] !== home) {
 			const previousHome = home;
@@ -230,11 +237,9 @@
 			log.info('home coordinator changed', {home, before: previousHome});
 			onHomeChange(home, previousHome);
 		}
-
-		return homes;
 	};
 
-	const sendHelloToNextNonHome = (addresses: readonly string[], homes: readonly string[]) => {
+	const sendHelloToNextNonHome = (addresses: readonly string[]) => {
 		const others = addresses.filter(address => !homes.includes(address) && !helloClient.isAwaitingReply(address));
 
 		if (others.length > 0) {
@@ -252,7 +257,7 @@
 			}
 		}
 
-		const homes = chooseHomes();
+		chooseHomes();
 
 		for (const [position, address] of homes.entries()) {
 			helloClient.sendHello(address, {
@@ -261,7 +266,7 @@
 		}
 
 		if (round % roundsPerPoll === 0 || configVersion === 0) {
-			sendHelloToNextNonHome(listAddresses(), homes);
+			sendHelloToNextNonHome(listAddresses());
 		}
 
 		round++;
@@ -295,7 +300,7 @@
 		countGateways: () => gatewayCount ?? 1,
 		getHome: () => home,
 		sendHelloToAll() {
-			const homes = chooseHomes();
+			chooseHomes();
 
 			for (const address of listAddresses()) {
 				const position = homes.indexOf(address);
--- a/packages/gateway/src/crash-detector.ts
+++ b/packages/gateway/src/crash-detector.ts
@@ -1,62 +1,104 @@
 import {computeHashHex, type Clock} from '@fescuestair/core';
+import {
+	decodeQuarantine, emptyQuarantine, encodeCrashReport, findHeldBack, forgetConnectionLosses, formatRequestTrait, isRequestTrait, isTrialReply, listPartTraits,
+	mergeQuarantines, noConnectionLosses, recordConnectionLoss, takeCrashedRequests, type CrashReport, type HeldBack, type Quarantine, type QuarantineMessage, type Traits,
+} from '@fescuestair/crashes';
 import {InstanceStage, type InstanceRegistry} from '@fescuestair/instances';
 import {
-	recordConnectionLoss, recordCrash, clearSuspect, createCrashSuspects, createSuspectUpdate, forgetConnectionLosses,
-	getQuarantineDeadline, isSuspect, listNearQuarantine, mergeSuspects, takeCrashedRequests,
-	type SuspectUpdate,
-} from '@fescuestair/limits';
-import {LinkMessageKind, type LinkMessage} from '@fescuestair/protocol';
-import {type Logger} from '@fescuestair/runtime';
+	callAndValidate, LinkMessageKind, requireValid, type LinkMessage,
+} from '@fescuestair/protocol';
+import {type Logger, type PrometheusMetrics} from '@fescuestair/runtime';
 import {type Links} from '@fescuestair/transport';
+import {createAnswerTimes} from './answer-times.js';
 import {type Exchange} from './exchange.js';
 import {type PooledInstance} from './pooled-instance.js';
 
 export type CrashDetectorOptions = {
 	readonly linkAddress: string;
-	readonly links: Pick<Links, 'send'>;
+	readonly links: Pick<Links, 'send' | 'call'>;
 	readonly clock: Clock;
 	readonly log: Logger;
-	/** Link address of the primary home, which relays updates to the other gateways. */
+	readonly metrics: Pick<PrometheusMetrics, 'count'>;
+	/** Link address of the primary home, which collects the evidence of all gateways together with the other coordinators. */
 	readonly getHome: () => string | undefined;
 };
 
-/** Detects requests that crash the instances that run them, together with the other gateways. */
+/** How far an answer had come when its connection was lost. */
+export type BrokenAnswer = {
+	readonly sentAtMs: number;
+	readonly pieces: number;
+	/** When the first piece arrived; `undefined` if none did. */
+	readonly firstPieceAtMs: number | undefined;
+};
+
+/** Reports what instances were running when they crashed, and holds back requests with what crashes them, as the coordinators decide. */
 export type CrashDetector = {
-	/** Returns the time until which a request is quarantined; `undefined` where it may run. */
-	readonly getQuarantineDeadline: (exchange: Exchange) => number | undefined;
-	/** Records that the connection was lost while an instance was running the request, and after how many pieces of its answer. */
-	readonly recordBrokenConnection: (exchange: Exchange, instance: PooledInstance, pieces: number) => void;
+	/** Returns why a request is held back; `undefined` where it may run. */
+	readonly findHeldBack: (exchange: Exchange) => HeldBack | undefined;
+	/** Asks for leave to send a request that is held back, to find out whether it still crashes instances. */
+	readonly requestTrial: (exchange: Exchange, heldBack: HeldBack) => Promise<boolean>;
+	/** Records that the connection was lost while an instance was running the request. */
+	readonly recordBrokenConnection: (exchange: Exchange, instance: PooledInstance, answer: BrokenAnswer) => void;
+	/** Records that an answer has gone on after its first piece, or is complete. */
+	readonly recordAnswer: (exchange: Exchange, beganAtMs: number) => void;
 	/** Records that an instance sent a complete response to a request. */
-	readonly recordCompletion: (exchange: Exchange, instance: PooledInstance, sentAtMs: number) => void;
-	/** Records that an instance no longer accepts connections. */
-	readonly recordUnreachable: (instance: PooledInstance) => void;
+	readonly recordCompletion: (instance: PooledInstance, sentAtMs: number) => void;
+	/** Records that an instance no longer accepts connections; `isEnded` if it refuses them, so that its process is known to have ended. */
+	readonly recordUnreachable: (instance: PooledInstance, options: {readonly isEnded: boolean}) => void;
 	/** Counts a crash for each instance that has ended or restarted since a connection to it was lost. */
 	readonly applyRegistry: (registry: InstanceRegistry) => void;
-	/** Merges the suspects that other gateways report. */
-	readonly applySuspectNotes: (notes: readonly SuspectUpdate[]) => void;
-	readonly stop: () => void;
+	/** Applies what a coordinator says is held back. */
+	readonly applyQuarantine: (from: string, message: QuarantineMessage) => void;
+	/** Sends the latest reports to a new home, which may have missed them. */
+	readonly repeatReports: () => void;
+	readonly countHeldBack: () => number;
 };
 
-/**
-Interval at which suspects near quarantine are sent again, for gateways that missed them or started later; callers repeat a request after about
-this time.
-*/
-const resendIntervalMs = 2000;
-/** Bound on the suspects that are sent again in one round; the newest are kept. */
-const maxResentSuspects = 50;
+/** An answer that has gone on for this long after its first piece has not crashed its instance. */
+export const answerProofMs = 200;
+const trialCallTimeoutMs = 250;
+/** Without an answer of a coordinator, a trial is asked for again after this time. */
+const trialRetryMs = 500;
+/** A list of a coordinator that was not heard for this long is dropped once another one has named a later list. */
+const listAgeMs = 3000;
+const repeatedReportAgeMs = 30_000;
+const maxRepeatedReports = 20;
+const maxEndedRuns = 200;
+const maxCrashedRequests = 2000;
+
+type HeardQuarantine = {readonly quarantine: Quarantine; readonly heardAtMs: number};
 
 /**
-Creates the detector of requests that crash instances. A lost connection alone does not count as a crash: the instance has to be found
-unreachable, or to have restarted, before it answers another request.
+Creates the detector of requests and prompt parts that crash instances. A lost connection alone does not count as a crash: the instance has to be
+found unreachable, or to have restarted, before it answers another request.
 
 @example
 ```
-const crashDetector = createCrashDetector({linkAddress, links, clock, log, getHome});
+const crashDetector = createCrashDetector({linkAddress, links, clock, log, metrics, getHome});
 ```
 */
-export function createCrashDetector({linkAddress, links, clock, log, getHome}: CrashDetectorOptions): CrashDetector {
+export function createCrashDetector({linkAddress, links, clock, log, metrics, getHome}: CrashDetectorOptions): CrashDetector {
 	const fingerprints = new WeakMap<Exchange, string>();
-	let state = createCrashSuspects();
+	const partTraits = new WeakMap<Exchange, Traits>();
+	const answers = createAnswerTimes();
+	const heard = new Map<string, HeardQuarantine>();
+	/** By trait, a later trial than the coordinators named last: the leader refused one, or could not be asked. */
+	const postponedTrials = new Map<string, number>();
+	const askedTraits = new Set<string>();
+	const reportedEndedRuns = new Set<string>();
+	/** Requests that this gateway reported as running during a crash; an answer to a repeat of one clears all its traits. */
+	const crashedRequests = new Set<string>();
+	let losses = noConnectionLosses;
+	let quarantine = emptyQuarantine;
+	let sentReports: ReadonlyArray<{readonly report: CrashReport; readonly sentAtMs: number}> = [];
+
+	const getPartTraits = (exchange: Exchange): Traits => {
+		const {prompt} = exchange.caller;
+		const traits = partTraits.get(exchange) ?? (prompt === undefined ? [] : listPartTraits(prompt.model, prompt.parts.map(({id}) => id)));
+		partTraits.set(exchange, traits);
+
+		return traits;
+	};
 
 	// Caches the fingerprint: a waiting request is looked up repeatedly, and its body should be hashed only once.
 	const getFingerprint = (exchange: Exchange) => {
@@ -66,113 +108,213 @@
 		return fingerprint;
 	};
 
-	const sendSuspectNotes = (suspects: readonly string[]) => {
-		const nowMs = clock.readMonotonicMs();
-		const notes = suspects.map(fingerprint => createSuspectUpdate(state, fingerprint, nowMs)).filter(note => note !== undefined);
+	const getTraits = (exchange: Exchange): Traits => [...getPartTraits(exchange), formatRequestTrait(getFingerprint(exchange))];
 
-		if (notes.length === 0) {
-			return;
-		}
+	// Most requests are compared with parts alone, which spares the hash of their body.
+	const getTraitsIn = (exchange: Exchange, known: Iterable<string>): Traits => [...known].some(trait => isRequestTrait(trait)) ? getTraits(exchange) : getPartTraits(exchange);
 
+	const sendReport = (report: CrashReport, endedRuns: readonly string[] = []) => {
 		const home = getHome();
 
 		if (home !== undefined) {
 			links.send(home, {
-				kind: LinkMessageKind.Suspects, from: linkAddress, notes, isRelayed: false,
+				kind: LinkMessageKind.CrashReport, from: linkAddress, report: encodeCrashReport(report, {nowMs: clock.readMonotonicMs(), endedRuns}), isRelayed: false,
 			} satisfies LinkMessage);
 		}
 	};
 
-	const recordInstanceCrash = (incarnation: string) => {
+	const sendCrash = (report: CrashReport) => {
 		const nowMs = clock.readMonotonicMs();
-		const taken = takeCrashedRequests(state, {incarnation, nowMs});
+		sentReports = [...sentReports.filter(({sentAtMs}) => nowMs - sentAtMs < repeatedReportAgeMs), {report, sentAtMs: nowMs}].slice(-maxRepeatedReports);
+		sendReport(report);
+	};
+
+	const reportCrash = (run: string) => {
+		const nowMs = clock.readMonotonicMs();
+		const taken = takeCrashedRequests(losses, {run, nowMs});
+		losses = taken.losses;
 
-		if (taken.fingerprints.length === 0) {
+		if (taken.requests.length === 0) {
 			return;
 		}
 
-		state = recordCrash(taken.state, {fingerprints: taken.fingerprints, incarnation, nowMs});
+		for (const {traits} of taken.requests) {
+			log.warn('an instance crashed under a request', {id: parseInstanceId(run), traits});
+			addBounded(crashedRequests, traits.at(-1)!, maxCrashedRequests);
+		}
 
-		for (const fingerprint of taken.fingerprints) {
-			log.warn('an instance crashed under a request', {
-				id: parseInstanceId(incarnation), fingerprint, isQuarantined: getQuarantineDeadline(state, fingerprint, nowMs) !== undefined,
-			});
+		metrics.count('instance_crashes_total', {});
+		sendCrash({crashes: [{run, atMs: taken.atMs, requests: taken.requests}]});
+	};
+
+	const reportAnswers = (traits: Iterable<string>) => {
+		const news = answers.takeUnreported(traits, clock.readMonotonicMs());
+
+		if (news.length > 0) {
+			sendReport({answers: news});
+		}
+	};
+
+	const setQuarantine = (next: Quarantine) => {
+		for (const [trait, {crashCount, trialAtMs}] of next.quarantined) {
+			if (!quarantine.quarantined.has(trait)) {
+				log.warn('requests are held back: instances crashed under them', {trait, crashes: crashCount, trialInMs: Math.round(trialAtMs - clock.readMonotonicMs())});
+			}
 		}
 
-		sendSuspectNotes(taken.fingerprints);
+		for (const trait of quarantine.quarantined.keys()) {
+			if (!next.quarantined.has(trait)) {
+				log.info('requests are held back no longer', {trait});
+			}
+		}
+
+		quarantine = next;
 	};
 
-	const timer = setInterval(() => {
-		sendSuspectNotes(listNearQuarantine(state).slice(-maxResentSuspects));
-	}, resendIntervalMs);
+	const findHeldBackTrait = (exchange: Exchange): HeldBack | undefined => {
+		if (quarantine.quarantined.size === 0) {
+			return undefined;
+		}
+
+		const heldBack = findHeldBack(quarantine, getTraitsIn(exchange, quarantine.quarantined.keys()));
+
+		return heldBack && {...heldBack, trialAtMs: Math.max(heldBack.trialAtMs, postponedTrials.get(heldBack.trait) ?? 0)};
+	};
 
 	return {
-		getQuarantineDeadline: exchange => state.suspects.size === 0
-			? undefined
-			: getQuarantineDeadline(state, getFingerprint(exchange), clock.readMonotonicMs()),
-		recordBrokenConnection(exchange, instance, pieces) {
-			const fingerprint = getFingerprint(exchange);
+		findHeldBack: findHeldBackTrait,
+		async requestTrial(exchange, {trait, trialAtMs}) {
+			const home = getHome();
+
+			if (trialAtMs > clock.readMonotonicMs() || home === undefined || askedTraits.has(trait)) {
+				return false;
+			}
+
+			askedTraits.add(trait);
+
+			try {
+				const reply = await callAndValidate(links, {
+					address: home, message: {kind: LinkMessageKind.ReserveTrial, traits: getTraits(exchange), isRelayed: false}, timeoutMs: trialCallTimeoutMs,
+				});
+
+				if (reply.kind !== 'trial') {
+					throw new Error(reply.kind === 'error' ? reply.message : `unexpected reply ${reply.kind}`);
+				}
+
+				const {isGranted, retryInMs} = requireValid(reply.trial, isTrialReply, home);
+				postponedTrials.set(trait, clock.readMonotonicMs() + retryInMs);
+
+				if (isGranted) {
+					log.info('a request that is held back is sent as a trial', {trait, requestId: exchange.requestId});
+					metrics.count('quarantine_trials_total', {});
+				}
+
+				return isGranted;
+			} catch (error) {
+				log.info('no coordinator decides on the trial of a request that is held back', {trait, reason: String(error)});
+				postponedTrials.set(trait, clock.readMonotonicMs() + trialRetryMs);
+
+				return false;
+			} finally {
+				askedTraits.delete(trait);
+			}
+		},
+		recordBrokenConnection(exchange, instance, {sentAtMs, pieces, firstPieceAtMs}) {
+			const nowMs = clock.readMonotonicMs();
+			const traits = getTraits(exchange);
+			const isAnswered = firstPieceAtMs !== undefined && nowMs - firstPieceAtMs >= answerProofMs;
 			log.info('a connection was lost under a request', {
-				id: instance.held.record.id, requestId: exchange.requestId, fingerprint, pieces, parts: exchange.caller.prompt?.parts.map(({id}) => id),
-			});
-			state = recordConnectionLoss(state, {
-				fingerprint, incarnation: formatIncarnation(instance.held.record), nowMs: clock.readMonotonicMs(),
+				id: instance.held.record.id, requestId: exchange.requestId, pieces, isAnswered, traits,
 			});
-		},
-		recordCompletion(exchange, instance, sentAtMs) {
-			state = forgetConnectionLosses(state, {incarnation: formatIncarnation(instance.held.record), sentAtMs});
 
-			if (state.suspects.size === 0) {
-				return;
+			if (!isAnswered) {
+				losses = recordConnectionLoss(losses, {run: formatRun(instance.held.record), request: {traits, sentAtMs}, nowMs});
 			}
+		},
+		recordAnswer(exchange, beganAtMs) {
+			const traits = crashedRequests.size > 0 ? getTraits(exchange) : getTraitsIn(exchange, quarantine.suspected);
+			answers.record(traits, beganAtMs);
 
-			const fingerprint = getFingerprint(exchange);
-
-			if (isSuspect(state, fingerprint)) {
-				state = clearSuspect(state, fingerprint);
-				log.info('a suspected request finished', {fingerprint});
-				sendSuspectNotes([fingerprint]);
+			if (crashedRequests.delete(traits.at(-1)!)) {
+				reportAnswers(traits);
+			} else if (quarantine.suspected.size > 0) {
+				reportAnswers(traits.filter(trait => quarantine.suspected.has(trait)));
 			}
 		},
-		recordUnreachable(instance) {
-			recordInstanceCrash(formatIncarnation(instance.held.record));
+		recordCompletion(instance, sentAtMs) {
+			losses = forgetConnectionLosses(losses, {run: formatRun(instance.held.record), sentAtMs});
+		},
+		recordUnreachable(instance, {isEnded}) {
+			const run = formatRun(instance.held.record);
+
+			// Gateways that lost requests there may not try this instance again before it has restarted.
+			if (isEnded && !reportedEndedRuns.has(run)) {
+				addBounded(reportedEndedRuns, run, maxEndedRuns);
+				sendReport({}, [run]);
+			}
+
+			reportCrash(run);
 		},
 		applyRegistry({held}) {
-			for (const incarnation of state.unconfirmed.keys()) {
-				const record = held.get(parseInstanceId(incarnation))?.record;
+			for (const run of losses.keys()) {
+				const record = held.get(parseInstanceId(run))?.record;
 
-				if (record === undefined || record.stage === InstanceStage.Gone || formatIncarnation(record) !== incarnation) {
-					recordInstanceCrash(incarnation);
+				if (record === undefined || record.stage === InstanceStage.Gone || formatRun(record) !== run) {
+					reportCrash(run);
 				}
 			}
 		},
-		applySuspectNotes(notes) {
-			for (const {fingerprint, crashed} of notes) {
-				const known = state.suspects.get(fingerprint)?.crashed;
-				const ids = crashed.filter(incarnation => known?.has(incarnation) !== true).map(incarnation => parseInstanceId(incarnation));
+		applyQuarantine(from, message) {
+			const nowMs = clock.readMonotonicMs();
+			heard.set(from, {quarantine: decodeQuarantine(message, nowMs), heardAtMs: nowMs});
 
-				if (ids.length > 0) {
-					log.info('crashes under a request were told', {fingerprint, ids});
+			for (const [address, {heardAtMs}] of heard) {
+				if (nowMs - heardAtMs >= listAgeMs) {
+					heard.delete(address);
 				}
 			}
 
-			state = mergeSuspects(state, notes, clock.readMonotonicMs());
+			setQuarantine(mergeQuarantines([...heard.values()].map(one => one.quarantine)));
+
+			for (const trait of postponedTrials.keys()) {
+				if (!quarantine.quarantined.has(trait)) {
+					postponedTrials.delete(trait);
+				}
+			}
+
+			for (const run of message.endedRuns) {
+				reportCrash(run);
+			}
+
+			reportAnswers(quarantine.suspected);
 		},
-		stop() {
-			clearInterval(timer);
+		repeatReports() {
+			for (const {report} of sentReports) {
+				sendReport(report);
+			}
 		},
+		countHeldBack: () => quarantine.quarantined.size,
 	};
 }
 
-// A repeated request has the same target, organisation and body under another id. The hash does not reveal the prompt.
-function computeFingerprint({request, organisation, body}: Exchange): string {
-	return computeHashHex(JSON.stringify([request.method, request.url, organisation?.name, body.toString('latin1')]));
+// A repeated request has the same target, organisation, parts and body under another id. The hash does not reveal the prompt.
+function computeFingerprint({request, organisation, caller, body}: Exchange): string {
+	return computeHashHex(JSON.stringify([request.method, request.url, organisation?.name, caller.prompt?.parts.map(({id}) => id), body.toString('latin1')]));
+}
+
+// Adds to a set, and drops the oldest entry of one that is full.
+function addBounded(set: Set<string>, value: string, maxSize: number): void {
+	set.add(value);
+
+	if (set.size > maxSize) {
+		set.delete(set.values().next().value!);
+	}
 }
 
-function formatIncarnation({id, incarnation}: {readonly id: string; readonly incarnation: number}): string {
+function formatRun({id, incarnation}: {readonly id: string; readonly incarnation: number}): string {
 	return `${id} ${incarnation}`;
 }
 
-function parseInstanceId(incarnation: string): string {
-	return incarnation.slice(0, incarnation.lastIndexOf(' '));
+function parseInstanceId(run: string): string {
+	return run.slice(0, run.lastIndexOf(' '));
 }
--- a/packages/gateway/src/forward-options.ts
+++ b/packages/gateway/src/forward-options.ts
@@ -51,6 +51,8 @@
 	/** Number of times that the request waited for an instance. */
 	waits: number;
 	readonly triedInstanceIds: Set<string>;
+	/** Whether the next attempt is a trial of what the request is held back for. */
+	isTrial: boolean;
 	/** Permit to send the request to an instance, from the time that it states on. */
 	permit: HeldPermit | undefined;
 	/** Number of times that a limit left no permit for the request. */
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -1,4 +1,5 @@
 import {setTimeout as sleep} from 'node:timers/promises';
+import {isRequestTrait} from '@fescuestair/crashes';
 import {withdrawRetry} from '@fescuestair/limits';
 import {
 	decideReopening, decideWait, maxIdleQueueMs, WaitDecision, type ReopeningInput, type WaitInput,
@@ -69,7 +70,7 @@
 	const {route, response} = exchange;
 	const service = getTable().services.get(chooseTarget(route.targets, Math.random()).service);
 	const progress: ForwardingProgress = {
-		sentCount: 0, refused: 0, waits: 0, permitRefusals: 0, permit: undefined, triedInstanceIds: new Set(), story: [],
+		sentCount: 0, refused: 0, waits: 0, permitRefusals: 0, permit: undefined, isTrial: false, triedInstanceIds: new Set(), story: [],
 	};
 
 	if (service === undefined) {
@@ -129,10 +130,8 @@
 		return progress.sentCount > 0 ? endFailed(context, gatewayTimeoutStatus, 'the deadline passed') : refuse(context, 'the deadline passed before it was sent', computeRetryAfterMs(0));
 	}
 
-	const quarantineDeadlineMs = options.crashes.getQuarantineDeadline(exchange);
-
-	if (quarantineDeadlineMs !== undefined) {
-		return refuse(context, 'instances crashed each time that they ran this request', quarantineDeadlineMs - options.clock.readMonotonicMs());
+	if (!progress.isTrial && options.crashes.findHeldBack(exchange) !== undefined && !await startTrial(context)) {
+		return refuseHeldBack(context);
 	}
 
 	const choice = chooseInstanceForRequest(options, exchange, {service, progress});
@@ -165,14 +164,46 @@
 		return undefined;
 	}
 
+	// The wait for the permit may have lasted longer than the evidence that the request is to be held back needed.
+	if (!progress.isTrial && options.crashes.findHeldBack(exchange) !== undefined) {
+		return undefined;
+	}
+
 	const result = await sendAttempt(options, exchange, {
 		...choice, service, progress, stream, isRetryable, cancellation,
 	});
 	cancellation.attempt = undefined;
+	progress.isTrial &&= result.end === AttemptCompletion.NotRun;
 
 	return cancellation.isCallerGone ? endCallerGone() : handleAttemptResult(context, choice, result);
 }
 
+// A request that may have run already is no trial: what it is held back for may be its own doing.
+async function startTrial({options, exchange, progress, stream}: ForwardingContext): Promise<boolean> {
+	const heldBack = options.crashes.findHeldBack(exchange);
+
+	if (heldBack === undefined) {
+		return true;
+	}
+
+	progress.isTrial = progress.sentCount === 0 && !stream.hasStarted() && await options.crashes.requestTrial(exchange, heldBack);
+
+	return progress.isTrial;
+}
+
+function refuseHeldBack(context: ForwardingContext): ExchangeResult {
+	const {options, exchange, service, progress} = context;
+	const heldBack = options.crashes.findHeldBack(exchange);
+	const leftMs = (heldBack?.trialAtMs ?? 0) - options.clock.readMonotonicMs();
+	progress.story.push({decision: WaitDecision.Refuse, heldBackFor: heldBack?.trait, crashes: heldBack?.crashCount});
+	options.metrics.count('quarantine_refusals_total', {service: service.name});
+	const reason = heldBack !== undefined && isRequestTrait(heldBack.trait)
+		? 'instances crashed each time that they ran this request'
+		: 'instances crashed each time that they answered a prompt with one of its parts';
+
+	return refuse(context, reason, addJitter(Math.max(minRetryAfterMs, leftMs)));
+}
+
 // No instance accepts requests now. Waits until one does, provided that this is early enough for the request; refuses the request otherwise.
 async function waitForInstance(context: ForwardingContext): Promise<ExchangeResult | undefined> {
 	const {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,11 +4,12 @@
 import {
 	createSystemClock, isBoolean, isObjectWith, type Clock,
 } from '@fescuestair/core';
+import {isQuarantineMessage} from '@fescuestair/crashes';
 import {
 	DaemonRole, isInstanceUpdates, isLoadUpdate, isPublishedSnapshot, isRequestLimitNotes, type DaemonRecord, type PublishedSnapshot,
 } from '@fescuestair/instances';
 import {
-	createRetryBudget, depositSuccess, isSuspectUpdates, type RetryBudget,
+	createRetryBudget, depositSuccess, type RetryBudget,
 } from '@fescuestair/limits';
 import {
 	createLinkCommands, isName, LinkMessageKind, type LinkMessage,
@@ -171,7 +172,7 @@
 	};
 
 	const crashDetector = createCrashDetector({
-		linkAddress, links, clock, log, getHome: () => client.getHome(),
+		linkAddress, links, clock, log, metrics, getHome: () => client.getHome(),
 	});
 
 	const requestLimits = createRequestLimits({
@@ -254,12 +255,19 @@
 	metrics.registerGauge('requests_running', 'Requests that have no final answer yet', () => activeResponses.size);
 	metrics.registerGauge('requests_waiting', 'Requests that wait here for a free instance', () => forwardOptions.waiting.size);
 	metrics.registerGauge('instances_limited', 'Instances that name a limit of requests', requestLimits.countLimited);
+	metrics.registerGauge('traits_held_back', 'Prompt parts and requests that are held back because instances crashed under them', crashDetector.countHeldBack);
 	metrics.registerGauge('gateways_known', 'Gateways that coordinators heard lately', countGateways);
 	metrics.registerGauge('parts_known', 'Stored parts that requests may fetch', () => partsClient.getView().locations.size);
 
 	const client = createCoordinatorClient({
 		getDaemonRecord, getSeeds, links, clock, log, onPublished,
 		onRequestLimits: requestLimits.merge,
+		onQuarantine(address, quarantine) {
+			// A coordinator of an older version names none.
+			if (isQuarantineMessage(quarantine)) {
+				crashDetector.applyQuarantine(address, quarantine);
+			}
+		},
 		onRegistryUpdate(registry) {
 			instancePool.applyRegistry(registry);
 			crashDetector.applyRegistry(registry);
@@ -274,6 +282,7 @@
 			}
 
 			partsClient.pollHome(home);
+			crashDetector.repeatReports();
 		},
 	});
 	const commands = createLinkCommands({
@@ -284,8 +293,8 @@
 
 		return true;
 	});
-	commands.registerCommand(LinkMessageKind.Suspects, isObjectWith({from: isName, notes: isSuspectUpdates, isRelayed: isBoolean}), ({notes}) => {
-		crashDetector.applySuspectNotes(notes);
+	commands.registerCommand(LinkMessageKind.Quarantine, isObjectWith({from: isName, quarantine: isQuarantineMessage}), ({from, quarantine}) => {
+		crashDetector.applyQuarantine(from, quarantine);
 
 		return true;
 	});
@@ -329,7 +338,6 @@
 			partsClient.stop();
 			loadExchange.stop();
 			permits.stop();
-			crashDetector.stop();
 			server.close();
 			server.closeAllConnections();
 			instancePool.stop();
--- a/packages/gateway/src/send-attempt.ts
+++ b/packages/gateway/src/send-attempt.ts
@@ -5,6 +5,7 @@
 	AttemptCompletion, startAttempt, type Attempt, type ResponseHead, type AttemptResult,
 } from './attempt.js';
 import {type CallerStream} from './caller-stream.js';
+import {answerProofMs} from './crash-detector.js';
 import {type InstanceChoice} from './choose-place.js';
 import {type CacheInstructions} from './codecs.js';
 import {filterHeaders, type Exchange} from './exchange.js';
@@ -45,7 +46,7 @@
 
 /** Sends a request to the chosen instance, and records its load, health and cached parts in the gateway's view of the instances. */
 export async function sendAttempt(options: ForwardOptions, exchange: Exchange, input: AttemptInput): Promise<AttemptResult> {
-	const {clock, instancePool, upstreamCodec, requestLimits} = options;
+	const {clock, crashes, instancePool, upstreamCodec, requestLimits} = options;
 	const {
 		entry, placement, cache, uncachedTokens, service, progress, stream, isRetryable, cancellation,
 	} = input;
@@ -54,7 +55,9 @@
 	const startedAtMs = clock.readMonotonicMs();
 	const isStreaming = route.kind === CallKind.Streaming;
 	let firstPieceMs: number | undefined;
-	const streamed = {pieces: 0, lastMs: 0};
+	const streamed: StreamedPieces = {
+		pieces: 0, lastMs: 0, firstAtMs: undefined, isAnswerRecorded: false,
+	};
 	const loadBefore = entry.load;
 	const limitPerSecond = requestLimits.getPerSecond(record);
 	const kind = stream.hasStarted() ? DispatchKind.Resume : (progress.triedInstanceIds.size > 0 ? DispatchKind.Repeat : DispatchKind.First);
@@ -114,8 +117,15 @@
 		},
 		...(isStreaming && {
 			onData(bytes: Buffer, head: ResponseHead) {
+				const nowMs = clock.readMonotonicMs();
 				streamed.pieces++;
-				streamed.lastMs = clock.readMonotonicMs() - startedAtMs;
+				streamed.lastMs = nowMs - startedAtMs;
+				streamed.firstAtMs ??= nowMs;
+
+				if (!streamed.isAnswerRecorded && nowMs - streamed.firstAtMs >= answerProofMs) {
+					streamed.isAnswerRecorded = true;
+					crashes.recordAnswer(exchange, streamed.firstAtMs);
+				}
 
 				const canContinue = stream.write(bytes, head, () => {
 					attempt.resume();
@@ -142,7 +152,7 @@
 	recordFirstPiece();
 	instancePool.end(entry, inFlightRequest);
 	recordResult(options, exchange, {
-		entry, result, sentAtMs: startedAtMs, pieces: streamed.pieces,
+		entry, result, sentAtMs: startedAtMs, streamed, firstPieceMs,
 	});
 
 	if (result.end === AttemptCompletion.Complete && cache !== undefined && result.head!.status < 300) {
@@ -160,17 +170,36 @@
 	return result;
 }
 
-type ResultInput = {readonly entry: PooledInstance; readonly result: AttemptResult; readonly sentAtMs: number; readonly pieces: number};
+/** Pieces of a stream that were received. */
+type StreamedPieces = {
+	pieces: number;
+	/** When the last one was, since the start of the attempt. */
+	lastMs: number;
+	firstAtMs: number | undefined;
+	isAnswerRecorded: boolean;
+};
+
+type ResultInput = {
+	readonly entry: PooledInstance;
+	readonly result: AttemptResult;
+	readonly sentAtMs: number;
+	readonly streamed: StreamedPieces;
+	readonly firstPieceMs: number | undefined;
+};
 
 // An instance that rejects a request for lack of capacity is not at fault, and an attempt that this gateway cancelled because the caller left or
 // the deadline passed says nothing about the health of the instance.
-function recordResult({instancePool, crashes}: ForwardOptions, exchange: Exchange, {entry, result, sentAtMs, pieces}: ResultInput): void {
+function recordResult({instancePool, crashes}: ForwardOptions, exchange: Exchange, {entry, result, sentAtMs, streamed, firstPieceMs}: ResultInput): void {
 	if (result.isConnectionLost) {
-		crashes.recordBrokenConnection(exchange, entry, pieces);
+		crashes.recordBrokenConnection(exchange, entry, {sentAtMs, pieces: streamed.pieces, firstPieceAtMs: streamed.firstAtMs});
 	} else if (result.isUnreachable) {
-		crashes.recordUnreachable(entry);
+		crashes.recordUnreachable(entry, {isEnded: result.reason === 'ECONNREFUSED'});
 	} else if (result.end === AttemptCompletion.Complete) {
-		crashes.recordCompletion(exchange, entry, sentAtMs);
+		crashes.recordCompletion(entry, sentAtMs);
+
+		if (result.head!.status < 500 && !streamed.isAnswerRecorded) {
+			crashes.recordAnswer(exchange, streamed.firstAtMs ?? sentAtMs + (firstPieceMs ?? 0));
+		}
 	}
 
 	const askedRestMs = result.head?.answer.askedRestMs;
@@ -230,8 +259,7 @@
 	readonly kind: DispatchKind;
 	readonly startedAtMs: number;
 	readonly firstPieceMs: number | undefined;
-	/** Number of chunks of a stream that were received, and when the last one was, since the start of the attempt. */
-	readonly streamed: {readonly pieces: number; readonly lastMs: number};
+	readonly streamed: StreamedPieces;
 	readonly nowMs: number;
 };
 
--- a/packages/instances/src/daemons.ts
+++ b/packages/instances/src/daemons.ts
@@ -62,6 +62,8 @@
 	readonly wantsFleet: boolean;
 	/** From a coordinator: the gateways that use it as a home; omitted if the receiver holds the current list. */
 	readonly homes?: HomeList;
+	/** From a coordinator: digest of its evidence about crashes. */
+	readonly evidenceDigest?: string;
 };
 
 /** Position up to which a daemon has received a coordinator's instance updates. */
@@ -81,6 +83,10 @@
 	readonly isCurrent: boolean;
 	/** Version of the sender's home list that the coordinator holds. */
 	readonly heldHomes: Pick<HomeList, 'incarnation' | 'revision'> | undefined;
+	/** For a gateway: what it is to hold back. Checked by the package that reads it, as the next field. */
+	readonly quarantine?: unknown;
+	/** For another coordinator: the evidence about crashes, if its own differs. */
+	readonly crashReport?: unknown;
 };
 
 /** Instance updates that a coordinator received after the requested position. */
--- a/packages/instances/src/message-guards.ts
+++ b/packages/instances/src/message-guards.ts
@@ -50,7 +50,7 @@
 
 export const isHello = isObjectWith({
 	card: isDaemonRecord, greeting: isOneOf(Object.values(HelloKind)), publishedRevision: isNonNegativeInteger, configVersion: isNonNegativeInteger,
-	newsAfter: isOptional(isUpdateCursor), wantsFleet: isBoolean, homes: isOptional(isHomeList),
+	newsAfter: isOptional(isUpdateCursor), wantsFleet: isBoolean, homes: isOptional(isHomeList), evidenceDigest: isOptional(isName),
 }) as TypeGuard<unknown> as TypeGuard<Hello>;
 
 export const isHelloReply = isObjectWith({
--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -1,8 +1,3 @@
-export {
-	recordConnectionLoss, recordCrash, clearSuspect, createCrashSuspects, createSuspectUpdate, forgetConnectionLosses, getQuarantineDeadline, isSuspect, isSuspectUpdates, listNearQuarantine,
-	mergeSuspects, takeCrashedRequests,
-	type ConnectionLossInput, type CrashInput, type CrashSuspects, type SuspectUpdate,
-} from './crash-suspects.js';
 export {
 	createFairQueue, enterQueue, estimateWaitMs, leaveQueue, type QueuedRequest, type FairQueue,
 } from './fair-queue.js';
--- a/packages/protocol/src/link-message-guards.ts
+++ b/packages/protocol/src/link-message-guards.ts
@@ -74,6 +74,7 @@
 	isReplyOf('hello', {reply: isUnknown}),
 	isReplyOf('parts', {reply: isUnknown, ageMs: isAgeMs}),
 	isReplyOf('permits', {replies: isUnknown}),
+	isReplyOf('trial', {trial: isUnknown}),
 	isReplyOf('published', {published: isUnknown}),
 	isReplyOf('answer', {answer: isUnknown}),
 	isReplyOf('not_leader', {leaderAddress: isOptional(isName)}),
--- a/packages/protocol/src/link-messages.ts
+++ b/packages/protocol/src/link-messages.ts
@@ -33,8 +33,12 @@
 	PollParts = 'poll_parts',
 	/** Load of gateways on each instance, sent by a gateway to its home and relayed to the other homes and to each gateway. */
 	Loads = 'loads',
-	/** Requests that were running when an instance crashed; relayed in the same way as loads. */
-	Suspects = 'suspects',
+	/** Evidence of a daemon about crashes of instances, for all coordinators. */
+	CrashReport = 'crash_report',
+	/** What a coordinator has gateways hold back, sent as soon as it changes. */
+	Quarantine = 'quarantine',
+	/** Asks the leader of the group, directly or by way of another replica, whether a request that is held back may be sent as a trial. */
+	ReserveTrial = 'reserve_trial',
 	/** Request limits that instances named, sent by a daemon that was told of a change and relayed to all. */
 	RequestLimits = 'request_limits',
 	/** Asks the leader of the group, directly or by way of another replica, for permits to send requests to instances that name a limit. */
@@ -64,7 +68,9 @@
 		| {readonly kind: LinkMessageKind.Published; readonly published: unknown}
 		| {readonly kind: LinkMessageKind.ReadPublished}
 		| {readonly kind: LinkMessageKind.Loads; readonly from: string; readonly loads: unknown; readonly isRelayed: boolean}
-		| {readonly kind: LinkMessageKind.Suspects; readonly from: string; readonly notes: unknown; readonly isRelayed: boolean}
+		| {readonly kind: LinkMessageKind.CrashReport; readonly from: string; readonly report: unknown; readonly isRelayed: boolean}
+		| {readonly kind: LinkMessageKind.Quarantine; readonly from: string; readonly quarantine: unknown}
+		| {readonly kind: LinkMessageKind.ReserveTrial; readonly traits: readonly string[]; readonly isRelayed: boolean}
 		| {readonly kind: LinkMessageKind.RequestLimits; readonly from: string; readonly notes: unknown; readonly isRelayed: boolean}
 		| {readonly kind: LinkMessageKind.ReservePermits; readonly questions: unknown; readonly isRelayed: boolean}
 		| {readonly kind: LinkMessageKind.PollParts; readonly poll: unknown}
@@ -90,6 +96,7 @@
 		| {readonly kind: 'hello'; readonly reply: unknown}
 		| {readonly kind: 'published'; readonly published: unknown}
 		| {readonly kind: 'permits'; readonly replies: unknown}
+		| {readonly kind: 'trial'; readonly trial: unknown}
 		| {readonly kind: 'parts'; readonly reply: unknown; readonly ageMs: number}
 		| {readonly kind: 'returns'; readonly timesSeen: number; readonly returns: {readonly seenOnce: number; readonly returned: number}}
 		| {readonly kind: 'error'; readonly message: string};
--- a/packages/runtime/src/hello-client.ts
+++ b/packages/runtime/src/hello-client.ts
@@ -9,7 +9,7 @@
 	readonly links: LinkCaller;
 	readonly timeoutMs: number;
 	/** Returns the fields that are the same for every coordinator at this moment. */
-	readonly getHello: () => Pick<Hello, 'card' | 'publishedRevision' | 'configVersion'>;
+	readonly getHello: () => Pick<Hello, 'card' | 'publishedRevision' | 'configVersion' | 'evidenceDigest'>;
 	readonly onReply: (address: string, reply: HelloReply) => void;
 	/** Called when a coordinator did not answer in time, or answered with an invalid reply. */
 	readonly onFailure: (address: string, error: unknown) => void;
--- a/scripts/check-layers.mjs
+++ b/scripts/check-layers.mjs
@@ -10,6 +10,7 @@
 	traffic: 1,
 	instances: 1,
 	parts: 1,
+	crashes: 1,
 	fates: 2,
 	agreement: 2,
 	membership: 2,
