Take a stream that ends inside an event for broken off

What callers could see: an instance that answers with neither a length nor chunks and crashes closes its connection, which looked like the end of the answer, also in the middle of an event; the part of the event was passed on, and a caller of an unframed answer could not tell it from a whole one. Such a stream is now incomplete, at a route that may resume it goes on at another instance, and an unframed answer that is given up is reset for its caller. It counts as a lost connection, so that a crash behind it is evidence too.

--- a/packages/gateway/src/caller-stream.ts
+++ b/packages/gateway/src/caller-stream.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {type ResponseHead} from './attempt.js';
-import {createEventStreamSplitter} from './event-stream-splitter.js';
+import {createEventStreamSplitter, endsEvent, maxDelimiterBytes} from './event-stream-splitter.js';
 import {type Exchange} from './exchange.js';
 import {type ForwardOptions} from './forward-options.js';
 import {sendResponseHead} from './send-response.js';
@@ -10,13 +10,15 @@
 	/** Forwards bytes to the caller; returns false to pause until `onDrain` is called. */
 	readonly write: (bytes: Buffer, head: ResponseHead, onDrain: () => void) => boolean;
 	readonly hasStarted: () => boolean;
+	/** Whether the bytes received so far end inside an event: a stream that ends there was broken off. */
+	readonly isInsideEvent: () => boolean;
 	/** Whether the incomplete event exceeds the size limit: the data is not an event stream, and would be buffered without bound. */
 	readonly isEventTooLarge: () => boolean;
 	/** Id of the event after which another instance continues the stream. */
 	readonly getLastEventId: () => string | undefined;
 	/** Discards an event that was received in part, so that it is not joined to the continuation from another instance. */
 	readonly discardPartialEvent: () => void;
-	/** Ends a complete response; first sends the bytes after the last complete event, if any. */
+	/** Ends a complete response; first sends the blank lines after the last event, if any. */
 	readonly finish: () => void;
 };
 
@@ -25,6 +27,8 @@
 /** Creates the streamed response to a caller. Nothing is sent, not even the headers, before the first bytes of the body. */
 export function createCallerStream({isLeaving}: Pick<ForwardOptions, 'isLeaving'>, {response, route, caller}: Exchange): CallerStream {
 	const splitter = route.isResumable ? createEventStreamSplitter() : undefined;
+	/** The last bytes that were forwarded as they came, enough to recognise the end of an event. */
+	let lastBytes: Buffer = Buffer.alloc(0);
 	let hasStarted = false;
 	let isChunkFramedHere = false;
 
@@ -40,6 +44,10 @@
 
 	return {
 		write(bytes, head, onDrain) {
+			if (splitter === undefined) {
+				lastBytes = Buffer.concat([lastBytes, bytes.subarray(-maxDelimiterBytes)]).subarray(-maxDelimiterBytes);
+			}
+
 			const completeBytes = splitter === undefined ? bytes : splitter.push(bytes);
 
 			if (completeBytes === undefined || response.destroyed) {
@@ -59,6 +67,7 @@
 			return false;
 		},
 		hasStarted: () => hasStarted,
+		isInsideEvent: () => splitter === undefined ? lastBytes.length > 0 && !endsEvent(lastBytes) : splitter.isInsideEvent(),
 		isEventTooLarge: () => splitter?.isEventTooLarge() ?? false,
 		getLastEventId: () => splitter?.getLastEventId() ?? caller.lastEventId,
 		discardPartialEvent() {
--- a/packages/gateway/src/event-stream-splitter.ts
+++ b/packages/gateway/src/event-stream-splitter.ts
@@ -10,11 +10,17 @@
 	readonly getLastEventId: () => string | undefined;
 	/** Discards the incomplete event, as when another instance continues the stream. */
 	readonly discardPartialEvent: () => void;
+	/** Whether bytes of an event that is not complete were received. */
+	readonly isInsideEvent: () => boolean;
 	/** Returns and removes the bytes after the last complete event, as when the stream ends there. */
 	readonly takePartialEvent: () => Buffer | undefined;
 };
 
 const eventDelimiters = ['\n\n', '\r\n\r\n'];
+/** Length of the longest delimiter of events. */
+export const maxDelimiterBytes = 4;
+const lineFeed = 0x0A;
+const carriageReturn = 0x0D;
 const idField = 'id:';
 /** Events hold a few tokens each. An incomplete event beyond this size is rejected before it exhausts the memory. */
 const maxEventBytes = 1_000_000;
@@ -56,6 +62,7 @@
 		discardPartialEvent() {
 			partialEvent = undefined;
 		},
+		isInsideEvent: () => partialEvent !== undefined && !isBlank(partialEvent),
 		takePartialEvent() {
 			const remainder = partialEvent;
 			partialEvent = undefined;
@@ -65,6 +72,13 @@
 	};
 }
 
+/** Whether bytes of a stream end with the end of an event. */
+export function endsEvent(bytes: Buffer): boolean {
+	const text = bytes.toString('latin1');
+
+	return eventDelimiters.some(delimiter => text.endsWith(delimiter));
+}
+
 function findCompleteLength(bytes: Buffer): number {
 	let end = 0;
 
@@ -76,6 +90,11 @@
 	return end;
 }
 
+// Blank lines after the last event begin no other one.
+function isBlank(bytes: Buffer): boolean {
+	return bytes.every(byte => byte === lineFeed || byte === carriageReturn);
+}
+
 function hasId(events: Buffer): boolean {
 	return events.includes(`\n${idField}`, 0, 'latin1') || events.subarray(0, idField.length).toString('latin1') === idField;
 }
--- a/packages/gateway/src/send-attempt.ts
+++ b/packages/gateway/src/send-attempt.ts
@@ -148,7 +148,7 @@
 	instancePool.begin(entry, inFlightRequest);
 
 	recordPartUse(options, exchange, cache);
-	const result = await attempt.result;
+	const result = checkStreamEnd(await attempt.result, stream, {isStreaming, streamed});
 	recordFirstPiece();
 	instancePool.end(entry, inFlightRequest);
 	recordResult(options, exchange, {
@@ -170,6 +170,24 @@
 	return result;
 }
 
+// An instance that crashes may close its connection in the middle of a stream. Without chunked encoding, that looks like the end of the answer.
+function checkStreamEnd(result: AttemptResult, stream: CallerStream, {isStreaming, streamed}: {readonly isStreaming: boolean; readonly streamed: StreamedPieces}): AttemptResult {
+	const {end, head} = result;
+
+	if (!isStreaming || end !== AttemptCompletion.Complete || head!.status >= 300) {
+		return result;
+	}
+
+	const isEmpty = streamed.pieces === 0 && !head!.isFramed;
+
+	return isEmpty || stream.isInsideEvent()
+		? {
+			...result, end: AttemptCompletion.Incomplete, reason: isEmpty ? 'the stream ended without an event' : 'the stream ended inside an event',
+			isConnectionLost: !head!.isFramed,
+		}
+		: result;
+}
+
 /** Pieces of a stream that were received. */
 type StreamedPieces = {
 	pieces: number;
