--- a/packages/bench/src/benchmarks.ts
+++ b/packages/bench/src/benchmarks.ts
@@ -1,6 +1,7 @@
 import {type Benchmark} from './report.js';
 import {capacityBenchmark} from './capacity.js';
 import {limitsBenchmark} from './limits.js';
+import {quarantineBenchmark} from './quarantine.js';
 import {membershipBenchmark, membershipLargeBenchmark, membershipLoadsBenchmark} from './membership.js';
 import {pathBenchmark} from './path.js';
 import {routingBenchmark, routingFullBenchmark} from './routing.js';
@@ -9,5 +10,15 @@
 
 /** All benchmarks, in the order in which they run. */
 export const benchmarks: readonly Benchmark[] = [
-	routingBenchmark, membershipBenchmark, stateBenchmark, pathBenchmark, storesBenchmark, limitsBenchmark, membershipLargeBenchmark, membershipLoadsBenchmark, routingFullBenchmark, capacityBenchmark,
+	routingBenchmark,
+	membershipBenchmark,
+	stateBenchmark,
+	pathBenchmark,
+	storesBenchmark,
+	limitsBenchmark,
+	quarantineBenchmark,
+	membershipLargeBenchmark,
+	membershipLoadsBenchmark,
+	routingFullBenchmark,
+	capacityBenchmark,
 ];
--- a/packages/crashes/src/crash-evidence.ts
+++ b/packages/crashes/src/crash-evidence.ts
@@ -112,7 +112,7 @@
 
 /** Drops crashes whose retention is over, and what was known of traits that are in no crash any more. */
 export function dropOldCrashes(evidence: CrashEvidence, nowMs: number): CrashEvidence {
-	const kept = [...evidence.crashes].filter(([, {atMs}]) => nowMs - atMs < crashRetentionMs).slice(-maxCrashes);
+	const kept = dropClosestCrashes([...evidence.crashes].filter(([, {atMs}]) => nowMs - atMs < crashRetentionMs));
 
 	if (kept.length === evidence.crashes.size) {
 		return evidence;
@@ -126,6 +126,30 @@
 	};
 }
 
+// Of too many crashes, those are dropped that stand between the closest others: many at once say least, and a loss of many instances must not displace
+// the evidence for a quarantine.
+function dropClosestCrashes(crashes: ReadonlyArray<readonly [string, Crash]>): ReadonlyArray<readonly [string, Crash]> {
+	const kept = [...crashes];
+
+	while (kept.length > maxCrashes) {
+		let closest = 1;
+		let leastGapMs = Number.POSITIVE_INFINITY;
+
+		for (let index = 1; index < kept.length - 1; index++) {
+			const gapMs = kept[index + 1]![1].atMs - kept[index - 1]![1].atMs;
+
+			if (gapMs < leastGapMs) {
+				closest = index;
+				leastGapMs = gapMs;
+			}
+		}
+
+		kept.splice(closest, 1);
+	}
+
+	return kept;
+}
+
 function hasTrait({requests}: Crash, trait: string): boolean {
 	return [...requests.values()].some(({traits}) => traits.includes(trait));
 }
--- a/packages/crashes/src/explain-crashes.ts
+++ b/packages/crashes/src/explain-crashes.ts
@@ -1,11 +1,13 @@
 import {type CrashEvidence} from './crash-evidence.js';
-import {isRequestTrait} from './traits.js';
+import {isModelTrait, isRequestTrait} from './traits.js';
 
 /** A trait to which crashes are attributed. */
 export type CrashCause = {
 	/** Crashes that it accounts for since it was last answered. */
 	readonly crashCount: number;
 	readonly lastCrashAtMs: number;
+	/** Whether instances have answered other prompts for the same model since. Else all that is known is that nothing was answered. */
+	readonly isProven: boolean;
 };
 
 export type CrashExplanation = {
@@ -17,21 +19,41 @@
 	readonly settlesAtMs: number | undefined;
 };
 
-/** Number of crashes after which a trait is quarantined; two may be coincidence when many instances are lost. */
-const crashesToQuarantine = 3;
+/** Weight of the crashes after which a trait is quarantined; two may be coincidence when many instances are lost. */
+const weightToQuarantine = 3;
 const crashesToSuspect = 2;
 /** Time after the crash that completes the evidence in which answers to other prompts with a sound part become known. */
 const settleMs = 500;
+/** The same while no prompt for the model is known to be answered: instances that were lost together are back after some seconds. */
+const unprovenSettleMs = 3000;
 const maxSuspected = 200;
+/** Crashes within this time of each other count as simultaneous. */
+const simultaneousMs = 100;
 
 type Candidate = {
 	readonly trait: string;
 	/** Position in its request; a later trait is more specific, and holding it back affects fewer requests. */
 	readonly depth: number;
 	readonly crashes: readonly TraitCrash[];
+	readonly weight: number;
+	/** Model trait of the requests; `undefined` where the trait is that of plain calls. */
+	readonly model: string | undefined;
 };
 
-type TraitCrash = {readonly run: string; readonly atMs: number; readonly lastSentAtMs: number};
+/** The crashes that a trait was in, by run, while they are collected. */
+type TraitCrashes = {
+	depth: number;
+	readonly model: string | undefined;
+	readonly crashes: Map<string, Pick<TraitCrash, 'atMs' | 'lastSentAtMs'>>;
+};
+
+type TraitCrash = {
+	readonly run: string;
+	readonly atMs: number;
+	readonly lastSentAtMs: number;
+	/** Share of the simultaneous crashes that the trait was in. */
+	readonly weight: number;
+};
 
 /**
 Attributes crashes to the fewest traits that explain them. Load pattern: one part of prompts crashes each instance that begins to answer it, no two
@@ -39,7 +61,9 @@
 instances, and each answer clears all crashes before it. Of the traits that no instance has answered since, the one in most crashes accounts for them;
 of two in the same crashes the more specific one does. If that is wrong, the next crash shows it.
 
-Many instances lost at once blame nobody: one crash at least has to hit a request that was sent after an earlier one.
+Many instances lost at once blame nobody: a crash counts for a trait only by the share of the simultaneous crashes that the trait was in, and one crash
+at least has to hit a request that was sent after an earlier one. While no prompt for a model is answered at all, nothing tells a sound part from a
+deadly one.
 
 @example
 ```
@@ -51,12 +75,13 @@
 	const candidates = listCandidates(evidence);
 	const explainedRuns = new Set<string>();
 	const quarantined = new Map<string, CrashCause>();
+	const unprovenModels = new Set<string>();
 	let settlesAtMs: number | undefined;
 
-	for (const {trait, crashes} of candidates) {
+	for (const {trait, crashes, model} of candidates) {
 		const unexplained = crashes.filter(({run}) => !explainedRuns.has(run));
 
-		if (unexplained.length < crashesToQuarantine) {
+		if (sumWeights(unexplained) < weightToQuarantine || isModelTrait(trait)) {
 			continue;
 		}
 
@@ -70,20 +95,34 @@
 			continue;
 		}
 
-		const settledAtMs = completedAtMs + (isRequestTrait(trait) ? 0 : settleMs);
+		const isProven = isRequestTrait(trait) || model === undefined || (evidence.answeredAtMs.get(model) ?? Number.NEGATIVE_INFINITY) > completedAtMs;
+
+		if (!isProven) {
+			unprovenModels.add(model);
+		}
+
+		const settledAtMs = completedAtMs + getSettleMs(trait, isProven);
 
 		if (nowMs >= settledAtMs) {
-			quarantined.set(trait, {crashCount: crashes.length, lastCrashAtMs: crashes.at(-1)!.atMs});
+			quarantined.set(trait, {crashCount: crashes.length, lastCrashAtMs: crashes.at(-1)!.atMs, isProven});
 		} else {
 			settlesAtMs = Math.min(settlesAtMs ?? Number.POSITIVE_INFINITY, settledAtMs);
 		}
 	}
 
-	return {quarantined, suspected: candidates.slice(0, maxSuspected).map(({trait}) => trait), settlesAtMs};
+	return {quarantined, suspected: [...unprovenModels, ...candidates.slice(0, maxSuspected).map(({trait}) => trait)], settlesAtMs};
+}
+
+function getSettleMs(trait: string, isProven: boolean): number {
+	if (isRequestTrait(trait)) {
+		return 0;
+	}
+
+	return isProven ? settleMs : unprovenSettleMs;
 }
 
 function listCandidates({crashes, answeredAtMs}: CrashEvidence): readonly Candidate[] {
-	const found = new Map<string, {depth: number; readonly crashes: TraitCrash[]}>();
+	const found = new Map<string, TraitCrashes>();
 
 	for (const [run, {atMs, requests}] of crashes) {
 		for (const {traits, sentAtMs} of requests.values()) {
@@ -92,29 +131,48 @@
 					continue;
 				}
 
-				const candidate = found.get(trait) ?? {depth, crashes: []};
+				const candidate: TraitCrashes = found.get(trait) ?? {depth, model: traits.find(one => isModelTrait(one)), crashes: new Map()};
 				found.set(trait, candidate);
 				candidate.depth = Math.max(candidate.depth, depth);
-				const known = candidate.crashes.at(-1);
-
-				if (known?.run === run) {
-					candidate.crashes[candidate.crashes.length - 1] = {run, atMs, lastSentAtMs: Math.max(known.lastSentAtMs, sentAtMs)};
-				} else {
-					candidate.crashes.push({run, atMs, lastSentAtMs: sentAtMs});
-				}
+				candidate.crashes.set(run, {atMs, lastSentAtMs: Math.max(candidate.crashes.get(run)?.lastSentAtMs ?? sentAtMs, sentAtMs)});
 			}
 		}
 	}
 
-	return [...found].map(([trait, candidate]) => ({trait, ...candidate}))
-		.filter(candidate => candidate.crashes.length >= crashesToSuspect)
-		.toSorted((a, b) => b.crashes.length - a.crashes.length || b.depth - a.depth || (a.trait < b.trait ? -1 : 1));
+	const times = [...crashes.values()].map(({atMs}) => atMs);
+
+	return [...found].filter(([, candidate]) => candidate.crashes.size >= crashesToSuspect)
+		.map(([trait, candidate]) => createCandidate(trait, {...candidate, times}))
+		.toSorted((a, b) => b.weight - a.weight || b.depth - a.depth || (a.trait < b.trait ? -1 : 1));
+}
+
+function createCandidate(trait: string, {depth, model, crashes, times}: TraitCrashes & {readonly times: readonly number[]}): Candidate {
+	const ownTimes = [...crashes.values()].map(({atMs}) => atMs);
+	const weighed = [...crashes].map(([run, crash]) => ({run, ...crash, weight: countSimultaneous(ownTimes, crash.atMs) / countSimultaneous(times, crash.atMs)}));
+
+	return {
+		trait, depth, model, crashes: weighed, weight: sumWeights(weighed),
+	};
+}
+
+function countSimultaneous(times: readonly number[], atMs: number): number {
+	return times.filter(time => Math.abs(time - atMs) <= simultaneousMs).length;
+}
+
+function sumWeights(crashes: readonly TraitCrash[]): number {
+	return crashes.reduce((sum, {weight}) => sum + weight, 0);
 }
 
 // Returns when the evidence was complete: enough crashes, and one of them under a request that was sent after another.
 function findCompletion(crashes: readonly TraitCrash[]): number | undefined {
 	const [first] = crashes;
 	const sequel = crashes.find(({lastSentAtMs}) => lastSentAtMs >= first!.atMs);
+	let weight = 0;
+	const last = crashes.find(crash => {
+		weight += crash.weight;
+
+		return weight >= weightToQuarantine;
+	});
 
-	return sequel && Math.max(sequel.atMs, crashes[crashesToQuarantine - 1]!.atMs);
+	return sequel && last && Math.max(sequel.atMs, last.atMs);
 }
--- a/packages/crashes/src/index.ts
+++ b/packages/crashes/src/index.ts
@@ -15,7 +15,7 @@
 	createQuarantine, emptyQuarantine, findHeldBack, mergeQuarantines, type HeldBack, type Quarantine, type QuarantinedTrait,
 } from './quarantine.js';
 export {
-	formatPartTrait, formatRequestTrait, isRequestTrait, listPartTraits, type Traits,
+	formatPartTrait, formatRequestTrait, getTraitsKey, isModelTrait, isRequestTrait, listPromptTraits, type Traits,
 } from './traits.js';
 export {
 	forgetConnectionLosses, noConnectionLosses, recordConnectionLoss, takeCrashedRequests, type ConnectionLosses, type ConnectionLossInput,
--- a/packages/crashes/src/plan-trial.ts
+++ b/packages/crashes/src/plan-trial.ts
@@ -14,7 +14,12 @@
 const cleanTrialPeriodMs = 3000;
 
 /** Returns from when on one request with a quarantined trait may be sent, to find out whether it still crashes instances. */
-export function getTrialAtMs(trait: string, {lastCrashAtMs}: CrashCause, trial: TrialRecord | undefined): number {
+export function getTrialAtMs(trait: string, {lastCrashAtMs, isProven}: CrashCause, trial: TrialRecord | undefined): number {
+	// What may be sound is tried at once.
+	if (!isProven && trial === undefined) {
+		return lastCrashAtMs;
+	}
+
 	const pauseMs = isRequestTrait(trait) ? requestPauseMs : Math.min(maxPauseMs, firstPartPauseMs * (pauseFactor ** (trial?.count ?? 0)));
 
 	return Math.max(lastCrashAtMs + pauseMs, trial === undefined ? 0 : trial.lastAtMs + trialTimeoutMs);
--- a/packages/crashes/src/traits.ts
+++ b/packages/crashes/src/traits.ts
@@ -1,8 +1,8 @@
 import {computeHashHex} from '@fescuestair/core';
 
 /**
-What a request may have in common with others: the parts of its prompt, from the first on, and last the request itself, which its repeats share.
-Each is an opaque name; a later one is more specific.
+What a request may have in common with others: the model that a prompt is for, the parts of the prompt from the first on, and last the request itself,
+which its repeats share. Each is an opaque name; a later one is more specific.
 */
 export type Traits = readonly string[];
 
@@ -10,6 +10,7 @@
 const maxPartNameLength = 64;
 /** A prompt of more parts is described by the first and the last of them. */
 const maxParts = 32;
+const modelPrefix = 'model';
 const partPrefix = 'part';
 const requestPrefix = 'request';
 
@@ -34,16 +35,23 @@
 
 /** Whether a trait is a whole request, not a part of prompts. */
 export function isRequestTrait(trait: string): boolean {
-	return trait.startsWith(requestPrefix);
+	return trait.startsWith(`${requestPrefix} `);
 }
 
-/** Lists the traits of the parts of a prompt that other requests may share, which the last part is not. */
-export function listPartTraits(model: string, partIds: readonly string[]): Traits {
+/** Whether a trait is the model that a prompt is for. Its answers show that instances answer; it is never held back. */
+export function isModelTrait(trait: string): boolean {
+	return trait.startsWith(`${modelPrefix} `);
+}
+
+/** Lists the traits of a prompt but for the request itself: its model, and the parts that other requests may share, which the last part is not. */
+export function listPromptTraits(model: string, partIds: readonly string[]): Traits {
 	const sharedIds = partIds.slice(0, -1);
 	const half = maxParts / 2;
 	const describedIds = sharedIds.length > maxParts ? [...sharedIds.slice(0, half), ...sharedIds.slice(-half)] : sharedIds;
 
-	return [...new Set(describedIds.map(id => formatPartTrait(model, id)))];
+	const modelTrait = `${modelPrefix} ${model.length > maxPartNameLength ? computeHashHex(model) : model}`;
+
+	return [modelTrait, ...new Set(describedIds.map(id => formatPartTrait(model, id)))];
 }
 
 /** Returns a key under which the traits of one request are stored. */
--- a/packages/gateway/src/__tests__/unit/crash-detector.test.ts
+++ b/packages/gateway/src/__tests__/unit/crash-detector.test.ts
@@ -56,10 +56,10 @@
 		open,
 		first: open(),
 		second: open(),
-		// Twice, since gateways report on the first message what they lost at instances that others found ended.
+		// Gateways report on the first message what they lost at instances that others found ended, and on the second what was answered since.
 		publish(afterMs = settledMs) {
-			for (let round = 0; round < 2; round++) {
-				time.nowMs += afterMs / 2;
+			for (let round = 0; round < 3; round++) {
+				time.nowMs += afterMs / 3;
 				const message = encodeQuarantine(createQuarantine(evidence, decide().explanation), {nowMs: time.nowMs, endedRuns});
 
 				for (const detector of detectors) {
@@ -172,6 +172,7 @@
 	for (let index = 0; index < 3; index++) {
 		first.recordBrokenConnection(createExchange('/guide', `d-${index}`, ['deadly', `own${index}`]), createInstance(`i-${index}`, 1), unanswered(time.nowMs));
 		first.recordUnreachable(createInstance(`i-${index}`, 1), {isEnded: true});
+		second.recordAnswer(createExchange('/guide', `o-${index}`, ['other', 'own']), time.nowMs + 10);
 		publish();
 	}
 
--- a/packages/gateway/src/caller-stream.ts
+++ b/packages/gateway/src/caller-stream.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {type ResponseHead} from './attempt.js';
-import {createEventStreamSplitter, endsEvent, maxDelimiterBytes} from './event-stream-splitter.js';
+import {createEventStreamSplitter, isEventEnd, maxDelimiterBytes} from './event-stream-splitter.js';
 import {type Exchange} from './exchange.js';
 import {type ForwardOptions} from './forward-options.js';
 import {sendResponseHead} from './send-response.js';
@@ -67,7 +67,7 @@
 			return false;
 		},
 		hasStarted: () => hasStarted,
-		isInsideEvent: () => splitter === undefined ? lastBytes.length > 0 && !endsEvent(lastBytes) : splitter.isInsideEvent(),
+		isInsideEvent: () => splitter === undefined ? lastBytes.length > 0 && !isEventEnd(lastBytes) : splitter.isInsideEvent(),
 		isEventTooLarge: () => splitter?.isEventTooLarge() ?? false,
 		getLastEventId: () => splitter?.getLastEventId() ?? caller.lastEventId,
 		discardPartialEvent() {
--- a/packages/gateway/src/crash-detector.ts
+++ b/packages/gateway/src/crash-detector.ts
@@ -1,6 +1,6 @@
 import {computeHashHex, type Clock} from '@fescuestair/core';
 import {
-	decodeQuarantine, emptyQuarantine, encodeCrashReport, findHeldBack, forgetConnectionLosses, formatRequestTrait, isRequestTrait, isTrialReply, listPartTraits,
+	decodeQuarantine, emptyQuarantine, encodeCrashReport, findHeldBack, forgetConnectionLosses, formatRequestTrait, isRequestTrait, isTrialReply, listPromptTraits,
 	mergeQuarantines, noConnectionLosses, recordConnectionLoss, takeCrashedRequests, type CrashReport, type HeldBack, type Quarantine, type QuarantineMessage, type Traits,
 } from '@fescuestair/crashes';
 import {InstanceStage, type InstanceRegistry} from '@fescuestair/instances';
@@ -79,7 +79,7 @@
 */
 export function createCrashDetector({linkAddress, links, clock, log, metrics, getHome}: CrashDetectorOptions): CrashDetector {
 	const fingerprints = new WeakMap<Exchange, string>();
-	const partTraits = new WeakMap<Exchange, Traits>();
+	const promptTraits = new WeakMap<Exchange, Traits>();
 	const answers = createAnswerTimes();
 	const heard = new Map<string, HeardQuarantine>();
 	/** By trait, a later trial than the coordinators named last: the leader refused one, or could not be asked. */
@@ -92,10 +92,10 @@
 	let quarantine = emptyQuarantine;
 	let sentReports: ReadonlyArray<{readonly report: CrashReport; readonly sentAtMs: number}> = [];
 
-	const getPartTraits = (exchange: Exchange): Traits => {
+	const getPromptTraits = (exchange: Exchange): Traits => {
 		const {prompt} = exchange.caller;
-		const traits = partTraits.get(exchange) ?? (prompt === undefined ? [] : listPartTraits(prompt.model, prompt.parts.map(({id}) => id)));
-		partTraits.set(exchange, traits);
+		const traits = promptTraits.get(exchange) ?? (prompt === undefined ? [] : listPromptTraits(prompt.model, prompt.parts.map(({id}) => id)));
+		promptTraits.set(exchange, traits);
 
 		return traits;
 	};
@@ -108,10 +108,10 @@
 		return fingerprint;
 	};
 
-	const getTraits = (exchange: Exchange): Traits => [...getPartTraits(exchange), formatRequestTrait(getFingerprint(exchange))];
+	const getTraits = (exchange: Exchange): Traits => [...getPromptTraits(exchange), formatRequestTrait(getFingerprint(exchange))];
 
 	// Most requests are compared with parts alone, which spares the hash of their body.
-	const getTraitsIn = (exchange: Exchange, known: Iterable<string>): Traits => [...known].some(trait => isRequestTrait(trait)) ? getTraits(exchange) : getPartTraits(exchange);
+	const getTraitsIn = (exchange: Exchange, known: Iterable<string>): Traits => [...known].some(trait => isRequestTrait(trait)) ? getTraits(exchange) : getPromptTraits(exchange);
 
 	const sendReport = (report: CrashReport, endedRuns: readonly string[] = []) => {
 		const home = getHome();
--- a/packages/gateway/src/event-stream-splitter.ts
+++ b/packages/gateway/src/event-stream-splitter.ts
@@ -73,7 +73,7 @@
 }
 
 /** Whether bytes of a stream end with the end of an event. */
-export function endsEvent(bytes: Buffer): boolean {
+export function isEventEnd(bytes: Buffer): boolean {
 	const text = bytes.toString('latin1');
 
 	return eventDelimiters.some(delimiter => text.endsWith(delimiter));
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -67,7 +67,7 @@
 }
 
 // Ends a response so that its caller does not take it for complete. One that has neither a length nor chunks ends with its connection, which is reset.
-function abortResponse(response: ServerResponse): void {
+function cancelResponse(response: ServerResponse): void {
 	if (response.useChunkedEncodingByDefault || response.socket === null) {
 		response.destroy();
 	} else {
@@ -83,7 +83,7 @@
 	readonly shouldClose?: boolean;
 }): void {
 	if (response.headersSent || response.destroyed) {
-		abortResponse(response);
+		cancelResponse(response);
 
 		return;
 	}
