Hold back pieces of prompts that crash engines at the product's own entries too

What callers of an entry saw: each prompt with a deadly piece crashed two engines before its own quarantine, and prompts that differ in their ends went on doing so. The control replicas now keep the same evidence as coordinators do: which pieces the unanswered prompts of a lost engine had, and which were answered since. What accounts for three crashes is held back on all entries, with one trial at a time from the replicated state.

Only an engine that got the prompt counts now.

--- a/packages/control/src/control-replica.ts
+++ b/packages/control/src/control-replica.ts
@@ -172,6 +172,13 @@
 		}
 	};
 
+	// Evidence about crashes may settle without another command.
+	const isHeldBackDue = () => {
+		const {heldBackSettlesAtMs} = stateMachine.getState();
+
+		return heldBackSettlesAtMs !== undefined && stateMachine.readGroupTimeMs() >= heldBackSettlesAtMs;
+	};
+
 	const proposeExpiry = async () => {
 		try {
 			if (runner.canServeReads()) {
@@ -184,7 +191,13 @@
 
 	const timers = [
 		setInterval(announceJoin, joinIntervalMs),
-		setInterval(grantor.refresh, grantorRefreshIntervalMs),
+		setInterval(() => {
+			grantor.refresh();
+
+			if (isHeldBackDue()) {
+				void proposeExpiry();
+			}
+		}, grantorRefreshIntervalMs),
 		setInterval(() => {
 			void proposeExpiry();
 		}, expiryIntervalMs),
--- a/packages/demo/src/__tests__/integration/streams.test.ts
+++ b/packages/demo/src/__tests__/integration/streams.test.ts
@@ -163,6 +163,54 @@
 	});
 });
 
+const pieceCharacters = 4000;
+
+// Two complete pieces, the second of which is deadly or not, and an end of its own.
+const createLongPrompt = (second: string, end: string) => `${'a'.repeat(pieceCharacters)}${second.repeat(pieceCharacters / second.length)}${end}`;
+
+test.serial('a piece of prompts that crashes engines is held back on all entries though no two prompts are alike, and prompts with the piece before it are not', async t => {
+	const engineCount = 9;
+	await withSystem({entries: 2, engines: engineCount}, async system => {
+		const countCrashed = () => system.engines.filter(engine => !engine.process.isRunning()).length;
+		let prompts = 0;
+
+		const sendDeadly = async (entry: number) => {
+			prompts++;
+
+			return sendPrompt(system, createLongPrompt('CRASH-THE-ENGINE', `${prompts}`), {entry});
+		};
+
+		// Callers return while an entry still tries engines that are gone; a sound prompt is never taken for the cause.
+		const sendSound = async (entry: number) => {
+			prompts++;
+			await waitUntil(async () => {
+				const {status, text} = await sendPrompt(system, createLongPrompt('question', `${prompts}`), {entry});
+				t.false(text.includes('quarantined'));
+
+				return status === 200;
+			});
+		};
+
+		await sendSound(0);
+
+		while (countCrashed() < 3) {
+			await sendDeadly(prompts % 2);
+			await sendSound(0);
+		}
+
+		for (const entry of [0, 1]) {
+			await waitUntil(async () => {
+				const {status, text, headers} = await sendDeadly(entry);
+
+				return status === 422 && text.includes('not_run') && Number(headers['retry-after']) > 0;
+			});
+		}
+
+		t.true(countCrashed() <= 6, `${countCrashed()} engines crashed`);
+		await sendSound(1);
+	});
+});
+
 /** Opens a TCP connection and sends raw bytes. `received` resolves with all data once the peer has closed the connection. */
 function sendBytes(address: string, bytes: Uint8Array | string): {readonly socket: net.Socket; readonly received: Promise<string>} {
 	const {hostname, port} = new URL(`http://${address}`);
--- a/packages/entry/src/completions.ts
+++ b/packages/entry/src/completions.ts
@@ -4,13 +4,14 @@
 import {
 	findItem, ItemKind, RequestClass, type PresetItem,
 } from '@fescuestair/state';
+import {type Traits} from '@fescuestair/crashes';
 import {hashPieces, estimateTokenCount, Priority} from '@fescuestair/routing';
 import {readBody, sendRefusal} from '@fescuestair/transport';
 import {type MemberRecord} from '@fescuestair/membership';
 import {AttemptError} from './attempt-error.js';
 import {resume} from './engine-client.js';
 import {
-	checkQuarantine, clearSuspicion, computeFingerprint, reportCrash,
+	checkHeldBack, checkQuarantine, clearSuspicion, computeFingerprint, listTraits, reportCrash, requireNotHeldBack,
 } from './suspect-prompts.js';
 import {fetchPieces, type FetchInput} from './fetch-pieces.js';
 import {planPrompt} from './plan-prompt.js';
@@ -19,7 +20,7 @@
 	createStreamWriter, createBufferedWriter, type AnswerWriter,
 } from './answer-writer.js';
 import {
-	runPrompt, type PromptJob, type PromptSink,
+	runPrompt, type LostAttempt, type PromptJob, type PromptSink,
 } from './prompt-run.js';
 import {
 	createRefusal, recordRequestStart, recordRequestEnd, requirePreset, scaleLimit, toRefusal, type CallerRequest, type EntryServices,
@@ -95,13 +96,19 @@
 		deadlineMs: caller.startedMs + readTimeoutMs(caller),
 		signal: abortController.signal,
 	};
-	const suspicion: CrashSuspicion = {isSuspect: false};
+	const hashes = hashPrompt(job);
+	const traits = listTraits(fingerprint, {model: job.model, hashes});
+	// A resumed answer has begun already.
+	const {isTrial} = lastEventId === undefined ? await checkHeldBack(services, traits) : {isTrial: false};
+	const suspicion: CrashSuspicion = {isSuspect: false, isTrial};
 	let tokens = 0;
+	let firstTokenAtMs = clock.readMonotonicMs();
 	let upstreamId = '';
 
 	const sink: PromptSink = {
 		write(event) {
 			if (tokens === 0) {
+				firstTokenAtMs = clock.readMonotonicMs();
 				metrics.observe('first_token_ms', clock.readMonotonicMs() - caller.startedMs, {organisation: caller.organisation, class: requestClass});
 			}
 
@@ -113,10 +120,9 @@
 		waitForDrain: writer.waitForDrain,
 	};
 
-	const hashes = hashPrompt(job);
 	await (lastEventId === undefined
 		? runPrompt(createRunOptions(services, caller, {
-			preset, fingerprint, suspicion, hashes,
+			preset, fingerprint, suspicion, hashes, traits,
 		}), job, sink)
 		: resumeStream(services, job, {eventId: lastEventId, sink}));
 	writer.finish();
@@ -127,9 +133,9 @@
 
 	requestExport(services, caller, {upstreamId, hashes});
 
-	if (suspicion.isSuspect) {
-		void clearSuspicion(services, fingerprint);
-	}
+	void clearSuspicion(services, {
+		fingerprint, isSuspect: suspicion.isSuspect, traits, firstTokenAtMs,
+	});
 }
 
 function requestExport({gossip, exporter}: EntryServices, {requestId}: CallerRequest, {upstreamId, hashes}: {upstreamId: string; hashes: readonly string[]}): void {
@@ -141,16 +147,21 @@
 }
 
 /** Whether an upstream has crashed while it ran the prompt; set by the first such crash and shared with later attempts. */
-type CrashSuspicion = {isSuspect: boolean};
+type CrashSuspicion = {
+	isSuspect: boolean;
+	/** Whether the next attempt is a trial of what the prompt is held back for. */
+	isTrial: boolean;
+};
 
 type RunInput = {
 	readonly preset: PresetItem;
 	readonly fingerprint: string;
 	readonly suspicion: CrashSuspicion;
 	readonly hashes: readonly string[];
+	readonly traits: Traits;
 };
 
-function createRunOptions(services: EntryServices, caller: CallerRequest, {preset, fingerprint, suspicion, hashes}: RunInput) {
+function createRunOptions(services: EntryServices, caller: CallerRequest, {preset, fingerprint, suspicion, hashes, traits}: RunInput) {
 	const attempts = {refusals: 0};
 
 	return {
@@ -158,16 +169,29 @@
 		clock: services.clock,
 		loadTracker: services.loadTracker,
 		standings: services.standings,
-		planAttempt: async (job: PromptJob, excludedIds: ReadonlySet<string>) => planPrompt(services, {
-			job, hashes, excludedIds, preset, fingerprint, isSuspect: suspicion.isSuspect,
-		}),
+		async planAttempt(job: PromptJob, excludedIds: ReadonlySet<string>) {
+			const plan = await planPrompt(services, {
+				job, hashes, excludedIds, preset, fingerprint, isSuspect: suspicion.isSuspect,
+			});
+
+			// The prompt may have waited, or crashed an upstream before.
+			if (!suspicion.isTrial) {
+				requireNotHeldBack(services, traits);
+			}
+
+			return plan;
+		},
 		reserveEngine: async (job: PromptJob, record: MemberRecord) => reserveUpstream(services, record, {deadlineMs: job.deadlineMs, priority: job.priority, attempts}),
 		fetchPieces: async (input: FetchInput) => fetchPieces(services, input),
 		withdrawRetry: services.withdrawRetry,
-		async reportCrash(job: PromptJob, upstreamId: string) {
+		async reportCrash(job: PromptJob, {record, sentAtMs, isAnswered}: LostAttempt) {
 			suspicion.isSuspect = true;
+			suspicion.isTrial = false;
 
-			return reportCrash(services, caller, {fingerprint, upstreamId});
+			return reportCrash(services, caller, {
+				fingerprint, upstreamId: record.id,
+				unanswered: isAnswered ? undefined : {run: `${record.id} ${record.incarnation}`, traits, sentAgeMs: services.clock.readMonotonicMs() - sentAtMs},
+			});
 		},
 		recordRequestEvent: services.recordRequestEvent,
 	};
--- a/packages/entry/src/prompt-run.ts
+++ b/packages/entry/src/prompt-run.ts
@@ -51,10 +51,20 @@
 	/** Takes one retry from the budget; `false` if the budget is spent. */
 	readonly withdrawRetry: () => boolean;
 	/** Reports that an upstream was lost while it ran the prompt; resolves to whether the prompt may be retried. */
-	readonly reportCrash: (job: PromptJob, upstreamId: string) => Promise<boolean>;
+	readonly reportCrash: (job: PromptJob, attempt: LostAttempt) => Promise<boolean>;
 	readonly recordRequestEvent: (event: RequestEvent) => void;
 };
 
+/** An attempt whose upstream was lost. */
+export type LostAttempt = {
+	readonly record: MemberRecord;
+	readonly sentAtMs: number;
+	/** Whether the upstream had got the prompt. */
+	readonly isSent: boolean;
+	/** Whether it had begun to answer it. */
+	readonly isAnswered: boolean;
+};
+
 /** An event of the answer, with the upstream and the attempt that produced it. */
 export type PromptEvent = EngineEvent & {readonly upstreamId: string; readonly attempt: number};
 
@@ -65,7 +75,14 @@
 const overloadRetrySeconds = 1;
 
 /** What all attempts so far have produced. `offset` counts tokens. */
-type Progress = {text: string; offset: number; attempt: number; hasFirstToken: boolean};
+type Progress = {
+	text: string;
+	offset: number;
+	attempt: number;
+	hasFirstToken: boolean;
+	/** Whether the upstream of the latest attempt got the prompt. */
+	isSent: boolean;
+};
 
 /**
 Runs a prompt to completion. After a lost connection the stream is first resumed on the same engine. If the engine itself
@@ -78,7 +95,7 @@
 */
 export async function runPrompt(options: PromptRunOptions, job: PromptJob, sink: PromptSink): Promise<void> {
 	const progress: Progress = {
-		text: '', offset: 0, attempt: 0, hasFirstToken: false,
+		text: '', offset: 0, attempt: 0, hasFirstToken: false, isSent: false,
 	};
 	const excluded = new Set<string>();
 	let lastError: AttemptError | undefined;
@@ -92,6 +109,9 @@
 		}
 
 		progress.attempt++;
+		const sentAtMs = options.clock.readMonotonicMs();
+		const offsetBefore = progress.offset;
+		progress.isSent = false;
 
 		try {
 			await runAttempt(options, job, {plan, progress, sink});
@@ -99,7 +119,12 @@
 			return;
 		} catch (error) {
 			lastError = error as AttemptError;
-			await checkRetry(options, job, {plan, error: lastError});
+			await checkRetry(options, job, {
+				error: lastError,
+				lost: {
+					record: plan.record, sentAtMs, isSent: progress.isSent, isAnswered: progress.offset > offsetBefore,
+				},
+			});
 			excluded.add(plan.record.id);
 		}
 	}
@@ -229,6 +254,7 @@
 
 		return;
 	} catch (error) {
+		progress.isSent = error instanceof AttemptError && error.end !== AttemptOutcome.NotSent && error.end !== AttemptOutcome.Refused;
 		const canResume = error instanceof AttemptError && (error.end === AttemptOutcome.ConnectionLost || error.end === AttemptOutcome.Silent);
 
 		if (!canResume || !await canResumeAt(options, job, plan.record)) {
@@ -242,7 +268,7 @@
 	await resume(call, {requestId: job.requestId, organisation: job.organisation, fromOffset: progress.offset}, sink);
 }
 
-async function checkRetry(options: PromptRunOptions, job: PromptJob, {plan, error}: {plan: AttemptPlan; error: AttemptError}): Promise<void> {
+async function checkRetry(options: PromptRunOptions, job: PromptJob, {error, lost}: {readonly error: AttemptError; readonly lost: LostAttempt}): Promise<void> {
 	if (!(error instanceof AttemptError)) {
 		throw error as unknown;
 	}
@@ -251,10 +277,11 @@
 		throw error;
 	}
 
-	// `NotSent`: the engine accepted no connection, at the start or for the resume. `ConnectionLost`: the resumed stream was lost too.
-	const isCrash = error.end === AttemptOutcome.NotSent || error.end === AttemptOutcome.ConnectionLost;
+	// `NotSent`: the engine accepted no connection for the resume. `ConnectionLost`: the resumed stream was lost too. An engine that was gone before did not
+	// crash under this prompt.
+	const isCrash = lost.isSent && (error.end === AttemptOutcome.NotSent || error.end === AttemptOutcome.ConnectionLost);
 
-	if (isCrash && !await options.reportCrash(job, plan.record.id)) {
+	if (isCrash && !await options.reportCrash(job, lost)) {
 		throw new RefusalError({
 			code: RefusalCode.Quarantined, message: 'upstreams crashed while they ran this prompt; it is not run again', ran: ExecutionStatus.Ran,
 		});
--- a/packages/state/src/__tests__/unit/state.test.ts
+++ b/packages/state/src/__tests__/unit/state.test.ts
@@ -2,7 +2,8 @@
 import fc from 'fast-check';
 import {
 	CommandResponseKind, applyCommand, applyPublicChange, CommandKind, createPublicState, createReplicatedState, decodeState, encodeClaimKey, encodeState,
-	getPresetInForce, isQuarantined, parseDeclarations, type CommandResponse, type Command, type ConfigItem, type ReplicatedState,
+	findHeldBackTrait, getPresetInForce, isQuarantined, parseDeclarations, type CommandResponse, type Command, type ConfigItem, type EncodedState,
+	type ReplicatedState,
 } from '../../index.js';
 
 const outcome = {
@@ -187,6 +188,44 @@
 	t.false(isQuarantined(apply(afterTwoCrashes, {kind: CommandKind.Expire, atMs: 2000}).state.publicState, 'f'));
 });
 
+test('what unalike prompts that crash upstreams have in common is held back and tried once at a time, also by a replica that starts from a snapshot', t => {
+	let state = createReplicatedState();
+	const traits = ['model m', 'part m first', 'part m deadly'];
+	const run = (command: Command) => {
+		const applied = apply(state, command);
+		state = decodeState(JSON.parse(JSON.stringify(encodeState(applied.state))) as EncodedState);
+
+		return applied.answer;
+	};
+
+	for (const [index, atMs] of [0, 1000, 2000].entries()) {
+		run({
+			kind: CommandKind.ReportCrash, atMs, fingerprint: `f${index}`, organisation: 'o', requestId: `r${index}`, upstreamId: `engine-${index}`, keepDeadlineMs: 1e6,
+			unanswered: {run: `engine-${index} 1`, traits: [...traits, `request f${index}`], sentAtMs: atMs - 100},
+		});
+		run({
+			kind: CommandKind.ClearSuspicion, atMs: atMs + 400, fingerprint: 'sound', answered: {traits: ['model m', 'part m first', 'request sound'], atMs: atMs + 300},
+		});
+		t.is(findHeldBackTrait(state.publicState, traits), undefined);
+	}
+
+	run({kind: CommandKind.Expire, atMs: 2600});
+	t.is(findHeldBackTrait(state.publicState, traits), 'part m deadly');
+	t.is(findHeldBackTrait(state.publicState, traits.slice(0, 2)), undefined);
+	t.like(run({kind: CommandKind.ReserveTrial, atMs: 3000, traits}), {kind: CommandResponseKind.Trial, isGranted: false});
+	t.like(run({kind: CommandKind.ReserveTrial, atMs: 20_000, traits}), {kind: CommandResponseKind.Trial, isGranted: true});
+	t.like(run({kind: CommandKind.ReserveTrial, atMs: 20_010, traits}), {kind: CommandResponseKind.Trial, isGranted: false});
+	run({
+		kind: CommandKind.ClearSuspicion, atMs: 21_000, fingerprint: 'f9', answered: {traits, atMs: 20_500},
+	});
+	t.is(findHeldBackTrait(state.publicState, traits), undefined);
+});
+
+test('a snapshot of a version without evidence about crashes is read', t => {
+	const {crashReport: _report, heldBackSettlesAtMs: _settles, ...old} = encodeState(createReplicatedState());
+	t.deepEqual({...decodeState(old as EncodedState), heldBackSettlesAtMs: undefined}, createReplicatedState());
+});
+
 test('retries of suspects never share an upstream until one is cleared or its deadline passes', t => {
 	let state = createReplicatedState();
 	const assignRetry = (fingerprint: string, atMs = 0) => {
--- a/packages/state/src/apply-command.ts
+++ b/packages/state/src/apply-command.ts
@@ -1,4 +1,5 @@
 import {createBucketMap, filterBucketMap} from '@fescuestair/core';
+import {noCrashEvidence} from '@fescuestair/crashes';
 import {
 	applyMarkOutcomeUnknown, applyClaim, applyRelease, applyRecordOutcome, countClaims,
 } from './claims.js';
@@ -6,6 +7,7 @@
 	applyClearSuspicion, applyCrashReport, applyRetryAssignment, expireSuspicions,
 } from './suspicions.js';
 import {applyConfigChange} from './config-change.js';
+import {applyTrialReservation, adjustHeldBack} from './held-back.js';
 import {createPublicState} from './public-state.js';
 import {
 	CommandResponseKind, CommandKind, type CommandResponse, type Claim, type Command, type ReplicatedState,
@@ -33,6 +35,8 @@
 		claims: createBucketMap<Claim>(),
 		claimCounts: createBucketMap<number>(),
 		suspicions: new Map(),
+		crashEvidence: noCrashEvidence,
+		heldBackSettlesAtMs: undefined,
 		nextNumber: 1,
 	};
 }
@@ -74,6 +78,10 @@
 			return applyClearSuspicion(state, command);
 		}
 
+		case CommandKind.ReserveTrial: {
+			return applyTrialReservation(adjustHeldBack(state), command);
+		}
+
 		case CommandKind.IssueFencingToken: {
 			return {state: {...state, nextNumber: state.nextNumber + 1}, answer: {kind: CommandResponseKind.Done, value: state.nextNumber}};
 		}
@@ -87,5 +95,5 @@
 function removeExpired(state: ReplicatedState): ReplicatedState {
 	const claims = filterBucketMap(state.claims, claim => claim.keepDeadlineMs > state.timeMs);
 
-	return expireSuspicions({...state, claims, claimCounts: countClaims(claims)});
+	return adjustHeldBack(expireSuspicions({...state, claims, claimCounts: countClaims(claims)}));
 }
--- a/packages/state/src/command-request.ts
+++ b/packages/state/src/command-request.ts
@@ -3,7 +3,7 @@
 type CommandOf<Kind extends CommandKind> = Extract<Command, {readonly kind: Kind}>;
 
 /** Kinds of commands that contain neither a deadline nor a wall-clock time. */
-type KindWithoutDeadline = CommandKind.RecordOutcome | CommandKind.Release | CommandKind.MarkOutcomeUnknown | CommandKind.ClearSuspicion | CommandKind.IssueFencingToken | CommandKind.Expire;
+type KindWithoutDeadline = CommandKind.RecordOutcome | CommandKind.Release | CommandKind.MarkOutcomeUnknown | CommandKind.ReserveTrial | CommandKind.IssueFencingToken | CommandKind.Expire;
 
 type WithoutGroupTime<Kind extends CommandKind> = Kind extends CommandKind ? Omit<CommandOf<Kind>, 'atMs'> : never;
 
@@ -16,7 +16,12 @@
 			readonly leaseMs: number;
 			readonly keepMs: number;
 		})
-		| (Omit<WithoutGroupTime<CommandKind.ReportCrash>, 'keepDeadlineMs'> & {readonly keepMs: number})
+		| (Omit<WithoutGroupTime<CommandKind.ReportCrash>, 'keepDeadlineMs' | 'unanswered'> & {
+			readonly keepMs: number;
+			/** The age of the sending, when the leader receives the request. */
+			readonly unanswered?: {readonly run: string; readonly traits: readonly string[]; readonly sentAgeMs: number};
+		})
+		| (Omit<WithoutGroupTime<CommandKind.ClearSuspicion>, 'answered'> & {readonly answered?: {readonly traits: readonly string[]; readonly ageMs: number}})
 		| (Omit<WithoutGroupTime<CommandKind.AssignRetry>, 'retryDeadlineMs'> & {readonly retryMs: number});
 
 /**
@@ -42,9 +47,12 @@
 		}
 
 		case CommandKind.ReportCrash: {
-			const {keepMs, ...rest} = request;
+			const {keepMs, unanswered, ...rest} = request;
 
-			return {...rest, atMs, keepDeadlineMs: atMs + keepMs};
+			return {
+				...rest, atMs, keepDeadlineMs: atMs + keepMs,
+				...(unanswered !== undefined && {unanswered: {run: unanswered.run, traits: unanswered.traits, sentAtMs: atMs - unanswered.sentAgeMs}}),
+			};
 		}
 
 		case CommandKind.AssignRetry: {
@@ -53,10 +61,16 @@
 			return {...rest, atMs, retryDeadlineMs: atMs + retryMs};
 		}
 
+		case CommandKind.ClearSuspicion: {
+			const {answered, ...rest} = request;
+
+			return {...rest, atMs, ...(answered !== undefined && {answered: {traits: answered.traits, atMs: atMs - answered.ageMs}})};
+		}
+
+		case CommandKind.ReserveTrial:
 		case CommandKind.RecordOutcome:
 		case CommandKind.Release:
 		case CommandKind.MarkOutcomeUnknown:
-		case CommandKind.ClearSuspicion:
 		case CommandKind.IssueFencingToken:
 		case CommandKind.Expire: {
 			return {...request, atMs};
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -6,7 +6,8 @@
 export {parseDeclarations, type DeclarationFile, type Declarations} from './declarations.js';
 export {diffItems, formatDiff, type ItemDiff} from './diff.js';
 export {
-	applyPublicChange, createPublicState, findItem, getPresetInForceName, getPresetInForce, presetInForceKey, isQuarantined, listItems, createPublicStateUpdate, type PublicChange,
+	applyPublicChange, createPublicState, findItem, getPresetInForceName, getPresetInForce, presetInForceKey, findHeldBackTrait, hasCrashSuspect, isQuarantined, listItems,
+	createPublicStateUpdate, type PublicChange,
 	type PublicStateUpdate, type PublicState,
 } from './public-state.js';
 export {createCommand, type CommandRequest} from './command-request.js';
--- a/packages/state/src/message-guards.ts
+++ b/packages/state/src/message-guards.ts
@@ -1,6 +1,7 @@
 import {
 	isAnyOf, isNonNegativeInteger, isFiniteNumber, isBoolean, isArrayOf, isNumberInRange, isOneOf, isOptional, isObjectWith, isStringUpTo, isTupleOf, type TypeGuard,
 } from '@fescuestair/core';
+import {isTraits} from '@fescuestair/crashes';
 import {type CommandRequest} from './command-request.js';
 import {CommandResponseKind, CommandKind, type CommandResponse} from './types.js';
 
@@ -42,11 +43,15 @@
 	}),
 	isObjectWith({
 		kind: isKind(CommandKind.ReportCrash), fingerprint: isShortText, organisation: isShortText, requestId: isShortText, upstreamId: isShortText, keepMs: isDurationMs,
+		unanswered: isOptional(isObjectWith({run: isShortText, traits: isTraits, sentAgeMs: isDurationMs})),
 	}),
 	isObjectWith({
 		kind: isKind(CommandKind.AssignRetry), fingerprint: isShortText, candidateIds: isShortTextList, retryMs: isDurationMs,
 	}),
-	isObjectWith({kind: isKind(CommandKind.ClearSuspicion), fingerprint: isShortText}),
+	isObjectWith({
+		kind: isKind(CommandKind.ClearSuspicion), fingerprint: isShortText, answered: isOptional(isObjectWith({traits: isTraits, ageMs: isDurationMs})),
+	}),
+	isObjectWith({kind: isKind(CommandKind.ReserveTrial), traits: isTraits}),
 	isObjectWith({kind: isKind(CommandKind.IssueFencingToken)}),
 	isObjectWith({kind: isKind(CommandKind.Expire)}),
 ) as TypeGuard<unknown> as TypeGuard<CommandRequest>;
@@ -64,5 +69,6 @@
 	isObjectWith({kind: isOneOf([CommandResponseKind.OutcomeUnknown]), requestId: isShortText}),
 	isObjectWith({kind: isOneOf([CommandResponseKind.KeyReused, CommandResponseKind.TooManyClaims, CommandResponseKind.StaleToken])}),
 	isObjectWith({kind: isOneOf([CommandResponseKind.Assigned]), upstreamId: isOptional(isShortText)}),
+	isObjectWith({kind: isOneOf([CommandResponseKind.Trial]), isGranted: isBoolean, retryMs: isDurationMs}),
 	isObjectWith({kind: isOneOf([CommandResponseKind.Done]), value: isFiniteNumber}),
 ) as TypeGuard<unknown> as TypeGuard<CommandResponse>;
--- a/packages/state/src/public-state.ts
+++ b/packages/state/src/public-state.ts
@@ -17,6 +17,10 @@
 /** Key of the item that holds the name of the preset in force. */
 export const presetInForceKey = 'in_force';
 const quarantinePrefix = 'quarantine/';
+/** Key of the item that lists the traits of prompts that are held back. */
+export const heldBackKey = 'held_back';
+/** Key of the item that lists the traits of prompts of which answers are to be reported. */
+export const crashSuspectsKey = 'crash_suspects';
 
 /** Creates the public state of a new group. */
 export function createPublicState(): PublicState {
@@ -109,6 +113,16 @@
 	return `${quarantinePrefix}${fingerprint}`;
 }
 
+/** Finds the first of the traits of a prompt that is held back; `undefined` if the prompt may run. */
+export function findHeldBackTrait({items}: PublicState, traits: readonly string[]): string | undefined {
+	return traits.find(trait => ((items.get(heldBackKey) ?? []) as readonly string[]).includes(trait));
+}
+
+/** Checks whether answers to one of the traits are to be reported. */
+export function hasCrashSuspect({items}: PublicState, traits: readonly string[]): boolean {
+	return traits.some(trait => ((items.get(crashSuspectsKey) ?? []) as readonly string[]).includes(trait));
+}
+
 /** Checks whether the fingerprint of a prompt is quarantined. */
 export function isQuarantined(state: PublicState, fingerprint: string): boolean {
 	return state.items.has(getQuarantineKey(fingerprint));
--- a/packages/state/src/state-codec.ts
+++ b/packages/state/src/state-codec.ts
@@ -1,16 +1,21 @@
 import {buildBucketMap, listBucketMap} from '@fescuestair/core';
+import {
+	listCrashEvidence, mergeCrashReport, noCrashEvidence, type CrashReport,
+} from '@fescuestair/crashes';
 import {countClaims} from './claims.js';
 import {
 	type CommandResponse, type Claim, type ReplicatedState, type Suspicion,
 } from './types.js';
 
 /** The replicated state as plain data, for a snapshot. Claim counts are left out, since they can be derived from the claims. */
-export type EncodedState = Omit<ReplicatedState, 'publicState' | 'changeAnswers' | 'claims' | 'claimCounts' | 'suspicions'> & {
+export type EncodedState = Omit<ReplicatedState, 'publicState' | 'changeAnswers' | 'claims' | 'claimCounts' | 'suspicions' | 'crashEvidence'> & {
 	readonly publicVersion: number;
 	readonly publicItems: ReadonlyArray<readonly [string, unknown]>;
 	readonly changeAnswers: ReadonlyArray<readonly [string, CommandResponse]>;
 	readonly claims: ReadonlyArray<readonly [string, Claim]>;
 	readonly suspicions: ReadonlyArray<readonly [string, Suspicion]>;
+	/** Absent in snapshots of earlier versions. */
+	readonly crashReport?: CrashReport;
 };
 
 /**
@@ -22,7 +27,7 @@
 ```
 */
 export function encodeState(state: ReplicatedState): EncodedState {
-	const {publicState, changeAnswers, claims, claimCounts: _counts, suspicions, ...plain} = state;
+	const {publicState, changeAnswers, claims, claimCounts: _counts, suspicions, crashEvidence, ...plain} = state;
 
 	return {
 		...plain,
@@ -31,12 +36,13 @@
 		changeAnswers: [...changeAnswers],
 		claims: [...listBucketMap(claims)],
 		suspicions: [...suspicions],
+		crashReport: listCrashEvidence(crashEvidence),
 	};
 }
 
 /** Restores the replicated state from the result of `encodeState`. */
 export function decodeState(encoded: EncodedState): ReplicatedState {
-	const {publicVersion, publicItems, changeAnswers, claims, suspicions, ...plain} = encoded;
+	const {publicVersion, publicItems, changeAnswers, claims, suspicions, crashReport = {}, ...plain} = encoded;
 	const claimMap = buildBucketMap(claims);
 
 	return {
@@ -46,5 +52,6 @@
 		claims: claimMap,
 		claimCounts: countClaims(claimMap),
 		suspicions: new Map(suspicions),
+		crashEvidence: mergeCrashReport(noCrashEvidence, crashReport, plain.timeMs),
 	};
 }
--- a/packages/state/src/suspicions.ts
+++ b/packages/state/src/suspicions.ts
@@ -1,4 +1,5 @@
 import {getQuarantineKey} from './public-state.js';
+import {applyCrashEvidence} from './held-back.js';
 import {publishChange} from './publish-change.js';
 import {
 	CommandResponseKind, type CommandResponse, type Command, type CommandKind, type ReplicatedState, type Suspicion,
@@ -14,8 +15,12 @@
 const maxSuspicions = 10_000;
 
 /** Records that a prompt was running when an upstream crashed. The second crash quarantines the prompt. */
-export function applyCrashReport(state: ReplicatedState, command: ReportCrashCommand): ApplyResult {
-	const previous = state.suspicions.get(command.fingerprint);
+export function applyCrashReport(before: ReplicatedState, command: ReportCrashCommand): ApplyResult {
+	const previous = before.suspicions.get(command.fingerprint);
+	const {unanswered} = command;
+	const state = unanswered === undefined
+		? before
+		: applyCrashEvidence(before, {crashes: [{run: unanswered.run, atMs: before.timeMs, requests: [{traits: unanswered.traits, sentAtMs: unanswered.sentAtMs}]}]});
 	const isKnown = previous?.crashes.some(crash => crash.upstreamId === command.upstreamId && crash.requestId === command.requestId) ?? false;
 
 	if (isKnown || (previous === undefined && state.suspicions.size >= maxSuspicions)) {
@@ -72,7 +77,9 @@
 }
 
 /** Clears the suspicion of a prompt that finished on another upstream. A quarantined prompt stays quarantined until its deadline. */
-export function applyClearSuspicion(state: ReplicatedState, command: ClearSuspicionCommand): ApplyResult {
+export function applyClearSuspicion(before: ReplicatedState, command: ClearSuspicionCommand): ApplyResult {
+	const {answered} = command;
+	const state = answered === undefined ? before : applyCrashEvidence(before, {answers: answered.traits.map(trait => ({trait, atMs: answered.atMs}))});
 	const suspicion = state.suspicions.get(command.fingerprint);
 
 	if (suspicion === undefined || suspicion.crashes.length >= quarantineCrashCount) {
--- a/packages/state/src/types.ts
+++ b/packages/state/src/types.ts
@@ -1,4 +1,5 @@
 import {type BucketMap} from '@fescuestair/core';
+import {type CrashEvidence} from '@fescuestair/crashes';
 import {type ConfigItem} from './config-items.js';
 import {type PublicChange, type PublicState} from './public-state.js';
 
@@ -11,6 +12,7 @@
 	ReportCrash = 'report_crash',
 	AssignRetry = 'assign_retry',
 	ClearSuspicion = 'clear_suspicion',
+	ReserveTrial = 'reserve_trial',
 	IssueFencingToken = 'take_fencing_number',
 	Expire = 'expire',
 }
@@ -27,6 +29,7 @@
 	TooManyClaims = 'too_many_claims',
 	StaleToken = 'stale_token',
 	Assigned = 'assigned',
+	Trial = 'trial',
 	Done = 'done',
 }
 
@@ -119,10 +122,14 @@
 		readonly requestId: string;
 		readonly upstreamId: string;
 		readonly keepDeadlineMs: number;
+		/** What the prompt has in common with others, if the upstream had not begun to answer it; `run` names the upstream and its incarnation. */
+		readonly unanswered?: {readonly run: string; readonly traits: readonly string[]; readonly sentAtMs: number};
 	}
 	/** Reserves an upstream for the retry of a suspected prompt. `candidateIds` are ids of upstreams in order of preference. */
 	| {readonly kind: CommandKind.AssignRetry; readonly fingerprint: string; readonly candidateIds: readonly string[]; readonly retryDeadlineMs: number}
-	| {readonly kind: CommandKind.ClearSuspicion; readonly fingerprint: string}
+	/** `answered`: what the prompt has in common with others, and when an upstream began to answer it. */
+	| {readonly kind: CommandKind.ClearSuspicion; readonly fingerprint: string; readonly answered?: {readonly traits: readonly string[]; readonly atMs: number}}
+	| {readonly kind: CommandKind.ReserveTrial; readonly traits: readonly string[]}
 	| {readonly kind: CommandKind.IssueFencingToken}
 	| {readonly kind: CommandKind.Expire}
 );
@@ -140,6 +147,7 @@
 		| {readonly kind: CommandResponseKind.StaleToken}
 		/** `upstreamId` is `undefined` if all candidates are reserved for other suspected prompts; the command can be sent again later. */
 		| {readonly kind: CommandResponseKind.Assigned; readonly upstreamId: string | undefined}
+		| {readonly kind: CommandResponseKind.Trial; readonly isGranted: boolean; readonly retryMs: number}
 		| {readonly kind: CommandResponseKind.Done; readonly value: number};
 
 /** State that must survive the loss of replicas. Immutable: `applyCommand` returns the next state. */
@@ -158,6 +166,10 @@
 	readonly claims: BucketMap<Claim>;
 	readonly claimCounts: BucketMap<number>;
 	readonly suspicions: ReadonlyMap<string, Suspicion>;
+	/** Crashes by what the prompts had in common that ran on the upstreams, with the answers since. */
+	readonly crashEvidence: CrashEvidence;
+	/** Group time from which on the evidence may hold back more than is published; `undefined` if it may not. */
+	readonly heldBackSettlesAtMs: number | undefined;
 	/** Next fencing token. Claims and `IssueFencingToken` commands share one sequence. */
 	readonly nextNumber: number;
 };
--- a/scripts/check-layers.mjs
+++ b/scripts/check-layers.mjs
@@ -5,12 +5,12 @@
 const layerByPackage = {
 	core: 0,
 	storage: 1,
-	state: 1,
 	protocol: 1,
 	traffic: 1,
 	instances: 1,
 	parts: 1,
 	crashes: 1,
+	state: 2,
 	fates: 2,
 	agreement: 2,
 	membership: 2,
