--- a/packages/state/src/__tests__/unit/state.test.ts
+++ b/packages/state/src/__tests__/unit/state.test.ts
@@ -193,7 +193,7 @@
 	const traits = ['model m', 'part m first', 'part m deadly'];
 	const run = (command: Command) => {
 		const applied = apply(state, command);
-		state = decodeState(JSON.parse(JSON.stringify(encodeState(applied.state))) as EncodedState);
+		state = decodeState(structuredClone(encodeState(applied.state)));
 
 		return applied.answer;
 	};
