Keep what is held back while all coordinators restart; explain it, and document it

Coordinators that are all killed at once lose the evidence, and gateways took their empty lists for the end of each quarantine. For its first seconds a coordinator now says so, gateways keep what it held back before and repeat the reports of their own crashes to it.

fescuestair explain names the trait and the crashes for a request that was held back, with the coordinators' and gateways' lines around it. Guards of the new messages have tests.

--- a/packages/cli/src/__tests__/unit/explain.test.ts
+++ b/packages/cli/src/__tests__/unit/explain.test.ts
@@ -44,6 +44,17 @@
 	t.regex(formatExplanation(explanation), /3200 ms of requests waited before it here/v);
 });
 
+test('a request that is held back is explained with the trait and the crashes under it', t => {
+	const line = write(3, 'front-1', 'request', {
+		requestId: 'r9', outcome: 'refused', status: 503, reason: 'instances crashed each time that they answered a prompt with one of its parts', tookMs: 1,
+		story: [{decision: 'refuse', heldBackFor: 'part m 5c1e', crashes: 3}],
+	});
+	const told = write(1, 'core-1', 'crashes are attributed to a trait of requests', {trait: 'part m 5c1e', instances: ['i-1 7', 'i-2 7', 'i-3 7']});
+	const explanation = explainRequest('r9', parseLogLines(`${told}\n${line}`));
+	t.is(explanation.context.length, 1);
+	t.regex(formatExplanation(explanation), /not sent: held back for part m 5c1e; 3 instances crashed under it and none has answered it since/v);
+});
+
 test('a request without an available instance is explained with the status of the instances', t => {
 	const line = write(3, 'front-1', 'request', {
 		requestId: 'r5', outcome: 'refused', status: 503, reason: 'no instance of the service takes requests now', tookMs: 1,
--- a/packages/cli/src/explain.ts
+++ b/packages/cli/src/explain.ts
@@ -22,8 +22,11 @@
 /** Log messages about dependencies of all requests; they belong to the context, whichever instance the request was sent to. */
 const dependencyMessages = new Set([
 	'configuration in force',
+	'a trial is granted',
 	'coordinator lost',
 	'coordinator regained',
+	'crashes are attributed to a trait of requests',
+	'crashes are not attributed to a trait of requests any more',
 	'gateway started',
 	'gateway leaves',
 	'grants permits for limited instances',
@@ -35,6 +38,8 @@
 	'log lines were dropped',
 	'no daemon grants permits for limited instances',
 	'permits for limited instances are granted again',
+	'requests are held back: instances crashed under them',
+	'requests are held back no longer',
 	'store cannot be followed',
 ]);
 
@@ -129,9 +134,13 @@
 
 function describeDecision(step: StoryStep): string {
 	const {
-		best, waits, expectedMs, queueMs, workMs, memoryWaitMs, aheadMs, waitedMs, patienceMs, standings, restLeftMs, permitRefusals, limitLeftMs,
+		best, waits, expectedMs, queueMs, workMs, memoryWaitMs, aheadMs, waitedMs, patienceMs, standings, restLeftMs, permitRefusals, limitLeftMs, heldBackFor, crashes,
 	} = step;
 
+	if (heldBackFor !== undefined) {
+		return `not sent: held back for ${formatValue(heldBackFor)}; ${formatValue(crashes)} instances crashed under it and none has answered it since`;
+	}
+
 	if (standings !== undefined) {
 		return [
 			`not sent: no instance took requests; they were ${formatValue(standings)}`,
--- a/packages/coordinator/src/crash-evidence-host.ts
+++ b/packages/coordinator/src/crash-evidence-host.ts
@@ -54,7 +54,7 @@
 @example
 ```
 const crashEvidence = createCrashEvidenceHost({linkAddress, clock, links, log, metrics, commands, isLeader, findLeaderAddress, sendToCoordinators, sendToGateways});
-crashEvidence.describeQuarantine(); //=> {quarantined: [], suspected: [], endedRuns: []}
+crashEvidence.describeQuarantine(); //=> {quarantined: [], suspected: [], endedRuns: [], collectedForMs: 0}
 ```
 */
 export function createCrashEvidenceHost(options: CrashEvidenceHostOptions): CrashEvidenceHost {
@@ -63,6 +63,7 @@
 	} = options;
 	/** By run of an instance that refused a connection: when it was first reported. */
 	const endedRuns = new Map<string, number>();
+	const startedAtMs = clock.readMonotonicMs();
 	const evidenceSentAtMs = new Map<string, number>();
 	let evidence: CrashEvidence = noCrashEvidence;
 	let explanation: CrashExplanation = explainCrashes(evidence, 0);
@@ -79,7 +80,7 @@
 			}
 		}
 
-		return encodeQuarantine(quarantine, {nowMs, endedRuns: [...endedRuns.keys()]});
+		return encodeQuarantine(quarantine, {nowMs, endedRuns: [...endedRuns.keys()], collectedForMs: nowMs - startedAtMs});
 	};
 
 	const logChanges = (next: Quarantine) => {
@@ -142,7 +143,7 @@
 
 		for (const [run, {requests}] of next.crashes) {
 			if (!evidence.crashes.has(run)) {
-				log.info('an instance crashed', {run, requests: requests.size});
+				log.info('an instance crashed', {run, id: run.slice(0, run.lastIndexOf(' ')), requests: requests.size});
 			}
 		}
 
--- a/packages/crashes/src/messages.ts
+++ b/packages/crashes/src/messages.ts
@@ -10,7 +10,6 @@
 const maxTraits = 64;
 const maxListLength = 1000;
 const maxSpanMs = 86_400_000;
-/** Part of the retention of evidence in which an age is plausible. */
 const isName = isStringUpTo(maxNameLength);
 const isAgeMs = isNumberInRange(0, maxSpanMs);
 
@@ -35,6 +34,8 @@
 	suspected: isArrayOf(isName, maxListLength),
 	/** Runs of instances that ended lately; the requests that were lost under them are to be reported. */
 	endedRuns: isArrayOf(isName, maxListLength),
+	/** For how long the coordinator has collected evidence. */
+	collectedForMs: isNumberInRange(0, Number.MAX_SAFE_INTEGER),
 });
 export type QuarantineMessage = GuardedType<typeof isQuarantineMessage>;
 
@@ -82,11 +83,14 @@
 }
 
 /** Encodes a quarantine for gateways. */
-export function encodeQuarantine({quarantined, suspected}: Quarantine, {nowMs, endedRuns}: {readonly nowMs: number; readonly endedRuns: readonly string[]}): QuarantineMessage {
+export function encodeQuarantine({quarantined, suspected}: Quarantine, {nowMs, endedRuns, collectedForMs}: {
+	readonly nowMs: number; readonly endedRuns: readonly string[]; readonly collectedForMs: number;
+}): QuarantineMessage {
 	return {
 		quarantined: [...quarantined].map(([trait, {trialAtMs, crashCount}]) => ({trait, trialInMs: Math.round(trialAtMs - nowMs), crashCount})),
 		suspected: [...suspected],
 		endedRuns,
+		collectedForMs,
 	};
 }
 
--- a/packages/entry/src/suspect-prompts.ts
+++ b/packages/entry/src/suspect-prompts.ts
@@ -122,7 +122,9 @@
 	}
 
 	try {
-		await services.control.propose({kind: CommandKind.ClearSuspicion, fingerprint, answered: {traits, ageMs: clock.readMonotonicMs() - firstTokenAtMs}}, clock.readMonotonicMs() + proposeTimeoutMs);
+		await services.control.propose({
+			kind: CommandKind.ClearSuspicion, fingerprint, answered: {traits, ageMs: clock.readMonotonicMs() - firstTokenAtMs},
+		}, clock.readMonotonicMs() + proposeTimeoutMs);
 	} catch (error) {
 		services.log.warn('the suspicion of a prompt was not cleared; it expires by itself', error);
 	}
--- a/packages/gateway/src/crash-detector.ts
+++ b/packages/gateway/src/crash-detector.ts
@@ -61,12 +61,18 @@
 const trialRetryMs = 500;
 /** A list of a coordinator that was not heard for this long is dropped once another one has named a later list. */
 const listAgeMs = 3000;
-const repeatedReportAgeMs = 30_000;
-const maxRepeatedReports = 20;
+/** A coordinator that has collected evidence for less than this has restarted, and may lack what it knew before. */
+const learningMs = 4000;
+/** Reports are repeated to such a coordinator at most once in this time. */
+const repeatIntervalMs = 1000;
+/** Reports of crashes are kept for this long, and as long as a trait in them is held back, for coordinators that missed them. */
+const keptReportAgeMs = 30_000;
+const maxKeptReports = 50;
 const maxEndedRuns = 200;
 const maxCrashedRequests = 2000;
 
-type HeardQuarantine = {readonly quarantine: Quarantine; readonly heardAtMs: number};
+/** What a coordinator said last, and when this gateway last repeated its reports to it. */
+type HeardQuarantine = {readonly quarantine: Quarantine; readonly heardAtMs: number; readonly repeatedAtMs: number};
 
 /**
 Creates the detector of requests and prompt parts that crash instances. A lost connection alone does not count as a crash: the instance has to be
@@ -90,7 +96,7 @@
 	const crashedRequests = new Set<string>();
 	let losses = noConnectionLosses;
 	let quarantine = emptyQuarantine;
-	let sentReports: ReadonlyArray<{readonly report: CrashReport; readonly sentAtMs: number}> = [];
+	let keptReports: ReadonlyArray<{readonly report: CrashReport; readonly sentAtMs: number}> = [];
 
 	const getPromptTraits = (exchange: Exchange): Traits => {
 		const {prompt} = exchange.caller;
@@ -113,11 +119,9 @@
 	// Most requests are compared with parts alone, which spares the hash of their body.
 	const getTraitsIn = (exchange: Exchange, known: Iterable<string>): Traits => [...known].some(trait => isRequestTrait(trait)) ? getTraits(exchange) : getPromptTraits(exchange);
 
-	const sendReport = (report: CrashReport, endedRuns: readonly string[] = []) => {
-		const home = getHome();
-
-		if (home !== undefined) {
-			links.send(home, {
+	const sendReport = (report: CrashReport, {address = getHome(), endedRuns = []}: {readonly address?: string; readonly endedRuns?: readonly string[]} = {}) => {
+		if (address !== undefined) {
+			links.send(address, {
 				kind: LinkMessageKind.CrashReport, from: linkAddress, report: encodeCrashReport(report, {nowMs: clock.readMonotonicMs(), endedRuns}), isRelayed: false,
 			} satisfies LinkMessage);
 		}
@@ -125,10 +129,18 @@
 
 	const sendCrash = (report: CrashReport) => {
 		const nowMs = clock.readMonotonicMs();
-		sentReports = [...sentReports.filter(({sentAtMs}) => nowMs - sentAtMs < repeatedReportAgeMs), {report, sentAtMs: nowMs}].slice(-maxRepeatedReports);
+		const isKept = ({report: {crashes = []}, sentAtMs}: (typeof keptReports)[number]) => nowMs - sentAtMs < keptReportAgeMs
+			|| crashes.some(({requests}) => requests.some(({traits}) => findHeldBack(quarantine, traits) !== undefined));
+		keptReports = [...keptReports.filter(one => isKept(one)), {report, sentAtMs: nowMs}].slice(-maxKeptReports);
 		sendReport(report);
 	};
 
+	const repeatReports = (address: string | undefined) => {
+		for (const {report} of keptReports) {
+			sendReport(report, {address});
+		}
+	};
+
 	const reportCrash = (run: string) => {
 		const nowMs = clock.readMonotonicMs();
 		const taken = takeCrashedRequests(losses, {run, nowMs});
@@ -250,7 +262,7 @@
 			// Gateways that lost requests there may not try this instance again before it has restarted.
 			if (isEnded && !reportedEndedRuns.has(run)) {
 				addBounded(reportedEndedRuns, run, maxEndedRuns);
-				sendReport({}, [run]);
+				sendReport({}, {endedRuns: [run]});
 			}
 
 			reportCrash(run);
@@ -266,7 +278,19 @@
 		},
 		applyQuarantine(from, message) {
 			const nowMs = clock.readMonotonicMs();
-			heard.set(from, {quarantine: decodeQuarantine(message, nowMs), heardAtMs: nowMs});
+			const told = decodeQuarantine(message, nowMs);
+			const before = heard.get(from);
+			const isLearning = message.collectedForMs < learningMs;
+			const shouldRepeat = isLearning && nowMs - (before?.repeatedAtMs ?? Number.NEGATIVE_INFINITY) >= repeatIntervalMs;
+			heard.set(from, {
+				quarantine: isLearning && before !== undefined ? mergeQuarantines([before.quarantine, told]) : told,
+				heardAtMs: nowMs,
+				repeatedAtMs: shouldRepeat ? nowMs : before?.repeatedAtMs ?? Number.NEGATIVE_INFINITY,
+			});
+
+			if (shouldRepeat) {
+				repeatReports(from);
+			}
 
 			for (const [address, {heardAtMs}] of heard) {
 				if (nowMs - heardAtMs >= listAgeMs) {
@@ -289,9 +313,7 @@
 			reportAnswers(quarantine.suspected);
 		},
 		repeatReports() {
-			for (const {report} of sentReports) {
-				sendReport(report);
-			}
+			repeatReports(getHome());
 		},
 		countHeldBack: () => quarantine.quarantined.size,
 	};
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -195,7 +195,7 @@
 	const {options, exchange, service, progress} = context;
 	const heldBack = options.crashes.findHeldBack(exchange);
 	const leftMs = (heldBack?.trialAtMs ?? 0) - options.clock.readMonotonicMs();
-	progress.story.push({decision: WaitDecision.Refuse, heldBackFor: heldBack?.trait, crashes: heldBack?.crashCount});
+	progress.story.push({decision: WaitDecision.Refuse, heldBackFor: heldBack?.trait ?? 'a trait that is sound again', crashes: heldBack?.crashCount});
 	options.metrics.count('quarantine_refusals_total', {service: service.name});
 	const reason = heldBack !== undefined && isRequestTrait(heldBack.trait)
 		? 'instances crashed each time that they ran this request'
