Let a gateway start: name the home that reports are repeated to

Also bounds in time what a gateway remembers of requests in crashes, and computes the digest of a coordinator's evidence once a change.

--- a/packages/coordinator/src/crash-evidence-host.ts
+++ b/packages/coordinator/src/crash-evidence-host.ts
@@ -41,7 +41,7 @@
 
 /** Changes of this span are sent to gateways in one message: the reports about one crash arrive almost together. */
 const publishDelayMs = 15;
-const refreshIntervalMs = 1000;
+const refreshIntervalMs = 5000;
 /** An instance that ended stays listed for this long, in which gateways report what they lost there. */
 const endedRunRetentionMs = 10_000;
 const maxEndedRuns = 200;
@@ -68,6 +68,7 @@
 	let evidence: CrashEvidence = noCrashEvidence;
 	let explanation: CrashExplanation = explainCrashes(evidence, 0);
 	let quarantine: Quarantine = emptyQuarantine;
+	let digested = {evidence, digest: computeDigest(evidence)};
 	let publishTimer: NodeJS.Timeout | undefined;
 	let settleTimer: NodeJS.Timeout | undefined;
 
@@ -83,6 +84,12 @@
 		return encodeQuarantine(quarantine, {nowMs, endedRuns: [...endedRuns.keys()], collectedForMs: nowMs - startedAtMs});
 	};
 
+	const getDigest = () => {
+		digested = digested.evidence === evidence ? digested : {evidence, digest: computeDigest(evidence)};
+
+		return digested.digest;
+	};
+
 	const logChanges = (next: Quarantine) => {
 		for (const [trait, {crashCount, trialAtMs}] of next.quarantined) {
 			if (!quarantine.quarantined.has(trait)) {
@@ -226,11 +233,11 @@
 
 	return {
 		describeQuarantine,
-		getDigest: () => computeDigest(evidence),
+		getDigest,
 		describeEvidence(address, digest) {
 			const nowMs = clock.readMonotonicMs();
 
-			if (digest === undefined || digest === computeDigest(evidence) || nowMs - (evidenceSentAtMs.get(address) ?? Number.NEGATIVE_INFINITY) < evidenceIntervalMs) {
+			if (digest === undefined || digest === getDigest() || nowMs - (evidenceSentAtMs.get(address) ?? Number.NEGATIVE_INFINITY) < evidenceIntervalMs) {
 				return undefined;
 			}
 
--- a/packages/gateway/src/crash-detector.ts
+++ b/packages/gateway/src/crash-detector.ts
@@ -50,7 +50,7 @@
 	/** Applies what a coordinator says is held back. */
 	readonly applyQuarantine: (from: string, message: QuarantineMessage) => void;
 	/** Sends the latest reports to a new home, which may have missed them. */
-	readonly repeatReports: () => void;
+	readonly repeatReports: (home: string) => void;
 	readonly countHeldBack: () => number;
 };
 
@@ -69,7 +69,9 @@
 const keptReportAgeMs = 30_000;
 const maxKeptReports = 50;
 const maxEndedRuns = 200;
-const maxCrashedRequests = 2000;
+/** Callers repeat a request within this time. */
+const repeatWindowMs = 60_000;
+const maxCrashedRequests = 5000;
 
 /** What a coordinator said last, and when this gateway last repeated its reports to it. */
 type HeardQuarantine = {readonly quarantine: Quarantine; readonly heardAtMs: number; readonly repeatedAtMs: number};
@@ -92,8 +94,8 @@
 	const postponedTrials = new Map<string, number>();
 	const askedTraits = new Set<string>();
 	const reportedEndedRuns = new Set<string>();
-	/** Requests that this gateway reported as running during a crash; an answer to a repeat of one clears all its traits. */
-	const crashedRequests = new Set<string>();
+	/** Requests that this gateway reported as running during a crash, and until when repeats of them are looked for: an answer to one clears all its traits. */
+	const crashedRequests = new Map<string, number>();
 	let losses = noConnectionLosses;
 	let quarantine = emptyQuarantine;
 	let keptReports: ReadonlyArray<{readonly report: CrashReport; readonly sentAtMs: number}> = [];
@@ -135,7 +137,7 @@
 		sendReport(report);
 	};
 
-	const repeatReports = (address: string | undefined) => {
+	const repeatReports = (address: string) => {
 		for (const {report} of keptReports) {
 			sendReport(report, {address});
 		}
@@ -152,7 +154,10 @@
 
 		for (const {traits} of taken.requests) {
 			log.warn('an instance crashed under a request', {id: parseInstanceId(run), traits});
-			addBounded(crashedRequests, traits.at(-1)!, maxCrashedRequests);
+
+			if (crashedRequests.size < maxCrashedRequests) {
+				crashedRequests.set(traits.at(-1)!, nowMs + repeatWindowMs);
+			}
 		}
 
 		metrics.count('instance_crashes_total', {});
@@ -244,6 +249,7 @@
 			}
 		},
 		recordAnswer(exchange, beganAtMs) {
+			dropExpired(crashedRequests, clock.readMonotonicMs());
 			const traits = crashedRequests.size > 0 ? getTraits(exchange) : getTraitsIn(exchange, quarantine.suspected);
 			answers.record(traits, beganAtMs);
 
@@ -312,9 +318,7 @@
 
 			reportAnswers(quarantine.suspected);
 		},
-		repeatReports() {
-			repeatReports(getHome());
-		},
+		repeatReports,
 		countHeldBack: () => quarantine.quarantined.size,
 	};
 }
@@ -324,6 +328,17 @@
 	return computeHashHex(JSON.stringify([request.method, request.url, organisation?.name, caller.prompt?.parts.map(({id}) => id), body.toString('latin1')]));
 }
 
+// Drops entries whose deadline has passed; the earliest stand first.
+function dropExpired(deadlines: Map<string, number>, nowMs: number): void {
+	for (const [key, deadlineMs] of deadlines) {
+		if (deadlineMs > nowMs) {
+			return;
+		}
+
+		deadlines.delete(key);
+	}
+}
+
 // Adds to a set, and drops the oldest entry of one that is full.
 function addBounded(set: Set<string>, value: string, maxSize: number): void {
 	set.add(value);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -282,7 +282,10 @@
 			}
 
 			partsClient.pollHome(home);
-			crashDetector.repeatReports();
+
+			if (home !== undefined) {
+				crashDetector.repeatReports(home);
+			}
 		},
 	});
 	const commands = createLinkCommands({
