--- a/packages/gateway/src/crash-detector.ts
+++ b/packages/gateway/src/crash-detector.ts
@@ -1,7 +1,7 @@
-import {computeHashHex, type Clock} from '@fescuestair/core';
+import {type Clock} from '@fescuestair/core';
 import {
-	decodeQuarantine, emptyQuarantine, encodeCrashReport, findHeldBack, forgetConnectionLosses, formatRequestTrait, isRequestTrait, isTrialReply, listPromptTraits,
-	mergeQuarantines, noConnectionLosses, recordConnectionLoss, takeCrashedRequests, type CrashReport, type HeldBack, type Quarantine, type QuarantineMessage, type Traits,
+	emptyQuarantine, encodeCrashReport, findHeldBack, forgetConnectionLosses, isTrialReply, mergeQuarantines, noConnectionLosses, recordConnectionLoss, takeCrashedRequests,
+	type CrashReport, type HeldBack, type Quarantine, type QuarantineMessage,
 } from '@fescuestair/crashes';
 import {InstanceStage, type InstanceRegistry} from '@fescuestair/instances';
 import {
@@ -11,7 +11,9 @@
 import {type Links} from '@fescuestair/transport';
 import {createAnswerTimes} from './answer-times.js';
 import {type Exchange} from './exchange.js';
+import {recordHeardQuarantine, type HeardQuarantines} from './heard-quarantines.js';
 import {type PooledInstance} from './pooled-instance.js';
+import {createRequestTraits} from './request-traits.js';
 
 export type CrashDetectorOptions = {
 	readonly linkAddress: string;
@@ -59,12 +61,6 @@
 const trialCallTimeoutMs = 250;
 /** Without an answer of a coordinator, a trial is asked for again after this time. */
 const trialRetryMs = 500;
-/** A list of a coordinator that was not heard for this long is dropped once another one has named a later list. */
-const listAgeMs = 3000;
-/** A coordinator that has collected evidence for less than this has restarted, and may lack what it knew before. */
-const learningMs = 4000;
-/** Reports are repeated to such a coordinator at most once in this time. */
-const repeatIntervalMs = 1000;
 /** Reports of crashes are kept for this long, and as long as a trait in them is held back, for coordinators that missed them. */
 const keptReportAgeMs = 30_000;
 const maxKeptReports = 50;
@@ -73,9 +69,6 @@
 const repeatWindowMs = 60_000;
 const maxCrashedRequests = 5000;
 
-/** What a coordinator said last, and when this gateway last repeated its reports to it. */
-type HeardQuarantine = {readonly quarantine: Quarantine; readonly heardAtMs: number; readonly repeatedAtMs: number};
-
 /**
 Creates the detector of requests and prompt parts that crash instances. A lost connection alone does not count as a crash: the instance has to be
 found unreachable, or to have restarted, before it answers another request.
@@ -86,41 +79,19 @@
 ```
 */
 export function createCrashDetector({linkAddress, links, clock, log, metrics, getHome}: CrashDetectorOptions): CrashDetector {
-	const fingerprints = new WeakMap<Exchange, string>();
-	const promptTraits = new WeakMap<Exchange, Traits>();
+	const requestTraits = createRequestTraits();
 	const answers = createAnswerTimes();
-	const heard = new Map<string, HeardQuarantine>();
 	/** By trait, a later trial than the coordinators named last: the leader refused one, or could not be asked. */
 	const postponedTrials = new Map<string, number>();
 	const askedTraits = new Set<string>();
 	const reportedEndedRuns = new Set<string>();
 	/** Requests that this gateway reported as running during a crash, and until when repeats of them are looked for: an answer to one clears all its traits. */
 	const crashedRequests = new Map<string, number>();
+	let heard: HeardQuarantines = new Map();
 	let losses = noConnectionLosses;
 	let quarantine = emptyQuarantine;
 	let keptReports: ReadonlyArray<{readonly report: CrashReport; readonly sentAtMs: number}> = [];
 
-	const getPromptTraits = (exchange: Exchange): Traits => {
-		const {prompt} = exchange.caller;
-		const traits = promptTraits.get(exchange) ?? (prompt === undefined ? [] : listPromptTraits(prompt.model, prompt.parts.map(({id}) => id)));
-		promptTraits.set(exchange, traits);
-
-		return traits;
-	};
-
-	// Caches the fingerprint: a waiting request is looked up repeatedly, and its body should be hashed only once.
-	const getFingerprint = (exchange: Exchange) => {
-		const fingerprint = fingerprints.get(exchange) ?? computeFingerprint(exchange);
-		fingerprints.set(exchange, fingerprint);
-
-		return fingerprint;
-	};
-
-	const getTraits = (exchange: Exchange): Traits => [...getPromptTraits(exchange), formatRequestTrait(getFingerprint(exchange))];
-
-	// Most requests are compared with parts alone, which spares the hash of their body.
-	const getTraitsIn = (exchange: Exchange, known: Iterable<string>): Traits => [...known].some(trait => isRequestTrait(trait)) ? getTraits(exchange) : getPromptTraits(exchange);
-
 	const sendReport = (report: CrashReport, {address = getHome(), endedRuns = []}: {readonly address?: string; readonly endedRuns?: readonly string[]} = {}) => {
 		if (address !== undefined) {
 			links.send(address, {
@@ -193,7 +164,7 @@
 			return undefined;
 		}
 
-		const heldBack = findHeldBack(quarantine, getTraitsIn(exchange, quarantine.quarantined.keys()));
+		const heldBack = findHeldBack(quarantine, requestTraits.listComparable(exchange, quarantine.quarantined.keys()));
 
 		return heldBack && {...heldBack, trialAtMs: Math.max(heldBack.trialAtMs, postponedTrials.get(heldBack.trait) ?? 0)};
 	};
@@ -211,7 +182,7 @@
 
 			try {
 				const reply = await callAndValidate(links, {
-					address: home, message: {kind: LinkMessageKind.ReserveTrial, traits: getTraits(exchange), isRelayed: false}, timeoutMs: trialCallTimeoutMs,
+					address: home, message: {kind: LinkMessageKind.ReserveTrial, traits: requestTraits.list(exchange), isRelayed: false}, timeoutMs: trialCallTimeoutMs,
 				});
 
 				if (reply.kind !== 'trial') {
@@ -238,7 +209,7 @@
 		},
 		recordBrokenConnection(exchange, instance, {sentAtMs, pieces, firstPieceAtMs}) {
 			const nowMs = clock.readMonotonicMs();
-			const traits = getTraits(exchange);
+			const traits = requestTraits.list(exchange);
 			const isAnswered = firstPieceAtMs !== undefined && nowMs - firstPieceAtMs >= answerProofMs;
 			log.info('a connection was lost under a request', {
 				id: instance.held.record.id, requestId: exchange.requestId, pieces, isAnswered, traits,
@@ -250,7 +221,7 @@
 		},
 		recordAnswer(exchange, beganAtMs) {
 			dropExpired(crashedRequests, clock.readMonotonicMs());
-			const traits = crashedRequests.size > 0 ? getTraits(exchange) : getTraitsIn(exchange, quarantine.suspected);
+			const traits = crashedRequests.size > 0 ? requestTraits.list(exchange) : requestTraits.listComparable(exchange, quarantine.suspected);
 			answers.record(traits, beganAtMs);
 
 			if (crashedRequests.delete(traits.at(-1)!)) {
@@ -284,26 +255,13 @@
 		},
 		applyQuarantine(from, message) {
 			const nowMs = clock.readMonotonicMs();
-			const told = decodeQuarantine(message, nowMs);
-			const before = heard.get(from);
-			const isLearning = message.collectedForMs < learningMs;
-			const shouldRepeat = isLearning && nowMs - (before?.repeatedAtMs ?? Number.NEGATIVE_INFINITY) >= repeatIntervalMs;
-			heard.set(from, {
-				quarantine: isLearning && before !== undefined ? mergeQuarantines([before.quarantine, told]) : told,
-				heardAtMs: nowMs,
-				repeatedAtMs: shouldRepeat ? nowMs : before?.repeatedAtMs ?? Number.NEGATIVE_INFINITY,
-			});
+			const {heard: next, shouldRepeat} = recordHeardQuarantine(heard, {from, message, nowMs});
+			heard = next;
 
 			if (shouldRepeat) {
 				repeatReports(from);
 			}
 
-			for (const [address, {heardAtMs}] of heard) {
-				if (nowMs - heardAtMs >= listAgeMs) {
-					heard.delete(address);
-				}
-			}
-
 			setQuarantine(mergeQuarantines([...heard.values()].map(one => one.quarantine)));
 
 			for (const trait of postponedTrials.keys()) {
@@ -323,11 +281,6 @@
 	};
 }
 
-// A repeated request has the same target, organisation, parts and body under another id. The hash does not reveal the prompt.
-function computeFingerprint({request, organisation, caller, body}: Exchange): string {
-	return computeHashHex(JSON.stringify([request.method, request.url, organisation?.name, caller.prompt?.parts.map(({id}) => id), body.toString('latin1')]));
-}
-
 // Drops entries whose deadline has passed; the earliest stand first.
 function dropExpired(deadlines: Map<string, number>, nowMs: number): void {
 	for (const [key, deadlineMs] of deadlines) {
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -1,5 +1,4 @@
 import {setTimeout as sleep} from 'node:timers/promises';
-import {isRequestTrait} from '@fescuestair/crashes';
 import {withdrawRetry} from '@fescuestair/limits';
 import {
 	decideReopening, decideWait, maxIdleQueueMs, WaitDecision, type ReopeningInput, type WaitInput,
@@ -14,6 +13,7 @@
 	ExchangeOutcome, sendLocalResponse, type Exchange, type ExchangeResult,
 } from './exchange.js';
 import {type ForwardOptions, type ForwardingProgress} from './forward-options.js';
+import {describeHeldBack, findHeldBackOrTry} from './held-back.js';
 import {
 	computeReturnDelayMs, findLimitEndMs, releasePermit, requestPermit,
 } from './request-permit.js';
@@ -130,8 +130,12 @@
 		return progress.sentCount > 0 ? endFailed(context, gatewayTimeoutStatus, 'the deadline passed') : refuse(context, 'the deadline passed before it was sent', computeRetryAfterMs(0));
 	}
 
-	if (!progress.isTrial && options.crashes.findHeldBack(exchange) !== undefined && !await startTrial(context)) {
-		return refuseHeldBack(context);
+	const heldBack = await findHeldBackOrTry(options, exchange, {progress, stream});
+
+	if (heldBack !== undefined) {
+		const {reason, retryAfterMs} = describeHeldBack(options, heldBack, {service: service.name, progress});
+
+		return refuse(context, reason, addJitter(Math.max(minRetryAfterMs, retryAfterMs)));
 	}
 
 	const choice = chooseInstanceForRequest(options, exchange, {service, progress});
@@ -178,32 +182,6 @@
 	return cancellation.isCallerGone ? endCallerGone() : handleAttemptResult(context, choice, result);
 }
 
-// A request that may have run already is no trial: what it is held back for may be its own doing.
-async function startTrial({options, exchange, progress, stream}: ForwardingContext): Promise<boolean> {
-	const heldBack = options.crashes.findHeldBack(exchange);
-
-	if (heldBack === undefined) {
-		return true;
-	}
-
-	progress.isTrial = progress.sentCount === 0 && !stream.hasStarted() && await options.crashes.requestTrial(exchange, heldBack);
-
-	return progress.isTrial;
-}
-
-function refuseHeldBack(context: ForwardingContext): ExchangeResult {
-	const {options, exchange, service, progress} = context;
-	const heldBack = options.crashes.findHeldBack(exchange);
-	const leftMs = (heldBack?.trialAtMs ?? 0) - options.clock.readMonotonicMs();
-	progress.story.push({decision: WaitDecision.Refuse, heldBackFor: heldBack?.trait ?? 'a trait that is sound again', crashes: heldBack?.crashCount});
-	options.metrics.count('quarantine_refusals_total', {service: service.name});
-	const reason = heldBack !== undefined && isRequestTrait(heldBack.trait)
-		? 'instances crashed each time that they ran this request'
-		: 'instances crashed each time that they answered a prompt with one of its parts';
-
-	return refuse(context, reason, addJitter(Math.max(minRetryAfterMs, leftMs)));
-}
-
 // No instance accepts requests now. Waits until one does, provided that this is early enough for the request; refuses the request otherwise.
 async function waitForInstance(context: ForwardingContext): Promise<ExchangeResult | undefined> {
 	const {
