--- a/packages/coordinator/src/crash-evidence-host.ts
+++ b/packages/coordinator/src/crash-evidence-host.ts
@@ -40,7 +40,7 @@
 };
 
 /** Changes of this span are sent to gateways in one message: the reports about one crash arrive almost together. */
-const publishDelayMs = 15;
+const publishDelayMs = 30;
 const refreshIntervalMs = 5000;
 /** An instance that ended stays listed for this long, in which gateways report what they lost there. */
 const endedRunRetentionMs = 10_000;
--- a/packages/crashes/src/crash-evidence.ts
+++ b/packages/crashes/src/crash-evidence.ts
@@ -54,9 +54,7 @@
 		next = nowMs - crash.atMs < crashRetentionMs ? mergeCrash(next, crash) : next;
 	}
 
-	for (const answer of answers) {
-		next = mergeAnswer(next, answer);
-	}
+	next = mergeAnswers(next, answers);
 
 	for (const trial of trials) {
 		next = mergeTrial(next, trial);
@@ -89,18 +87,50 @@
 }
 
 // Answers matter for traits that were in a crash before.
-function mergeAnswer(evidence: CrashEvidence, {trait, atMs}: {readonly trait: string; readonly atMs: number}): CrashEvidence {
-	const knownAtMs = evidence.answeredAtMs.get(trait) ?? Number.NEGATIVE_INFINITY;
-	const isExonerating = [...evidence.crashes.values()].some(crash => crash.atMs < atMs && crash.atMs >= knownAtMs && hasTrait(crash, trait));
-
-	if (!isExonerating) {
+function mergeAnswers(evidence: CrashEvidence, answers: NonNullable<CrashReport['answers']>): CrashEvidence {
+	if (answers.length === 0) {
 		return evidence;
 	}
 
+	const crashTimes = getCrashTimes(evidence.crashes);
+	const answeredAtMs = new Map(evidence.answeredAtMs);
 	const trials = new Map(evidence.trials);
-	trials.delete(trait);
+	let hasNews = false;
+
+	for (const {trait, atMs} of answers) {
+		const knownAtMs = answeredAtMs.get(trait) ?? Number.NEGATIVE_INFINITY;
+
+		if (crashTimes.get(trait)?.some(crashAtMs => crashAtMs < atMs && crashAtMs >= knownAtMs) === true) {
+			answeredAtMs.set(trait, atMs);
+			trials.delete(trait);
+			hasNews = true;
+		}
+	}
 
-	return {...evidence, trials, answeredAtMs: new Map(evidence.answeredAtMs).set(trait, atMs)};
+	return hasNews ? {...evidence, answeredAtMs, trials} : evidence;
+}
+
+const crashTimesByCrashes = new WeakMap<CrashEvidence['crashes'], ReadonlyMap<string, readonly number[]>>();
+
+/** Lists the times of the crashes that each trait was in. Computed once for each set of crashes: many answers arrive after each. */
+export function getCrashTimes(crashes: CrashEvidence['crashes']): ReadonlyMap<string, readonly number[]> {
+	const known = crashTimesByCrashes.get(crashes);
+
+	if (known !== undefined) {
+		return known;
+	}
+
+	const times = new Map<string, number[]>();
+
+	for (const {atMs, requests} of crashes.values()) {
+		for (const trait of new Set([...requests.values()].flatMap(({traits}) => traits))) {
+			times.set(trait, [...times.get(trait) ?? [], atMs]);
+		}
+	}
+
+	crashTimesByCrashes.set(crashes, times);
+
+	return times;
 }
 
 function mergeTrial(evidence: CrashEvidence, {trait, atMs, count}: {readonly trait: string; readonly atMs: number; readonly count: number}): CrashEvidence {
@@ -119,7 +149,8 @@
 	}
 
 	const crashes = new Map(kept);
-	const isInCrash = ([trait]: readonly [string, unknown]) => kept.some(([, crash]) => hasTrait(crash, trait));
+	const crashTimes = getCrashTimes(crashes);
+	const isInCrash = ([trait]: readonly [string, unknown]) => crashTimes.has(trait);
 
 	return {
 		crashes, answeredAtMs: new Map([...evidence.answeredAtMs].filter(entry => isInCrash(entry))), trials: new Map([...evidence.trials].filter(entry => isInCrash(entry))),
@@ -149,7 +180,3 @@
 
 	return kept;
 }
-
-function hasTrait({requests}: Crash, trait: string): boolean {
-	return [...requests.values()].some(({traits}) => traits.includes(trait));
-}
--- a/packages/crashes/src/explain-crashes.ts
+++ b/packages/crashes/src/explain-crashes.ts
@@ -1,4 +1,4 @@
-import {type CrashEvidence} from './crash-evidence.js';
+import {getCrashTimes, type CrashEvidence} from './crash-evidence.js';
 import {isModelTrait, isRequestTrait} from './traits.js';
 
 /** A trait to which crashes are attributed. */
@@ -123,11 +123,12 @@
 
 function listCandidates({crashes, answeredAtMs}: CrashEvidence): readonly Candidate[] {
 	const found = new Map<string, TraitCrashes>();
+	const crashTimes = getCrashTimes(crashes);
 
 	for (const [run, {atMs, requests}] of crashes) {
 		for (const {traits, sentAtMs} of requests.values()) {
 			for (const [depth, trait] of traits.entries()) {
-				if ((answeredAtMs.get(trait) ?? Number.NEGATIVE_INFINITY) > atMs) {
+				if (crashTimes.get(trait)!.length < crashesToSuspect || (answeredAtMs.get(trait) ?? Number.NEGATIVE_INFINITY) > atMs) {
 					continue;
 				}
 
@@ -139,24 +140,41 @@
 		}
 	}
 
-	const times = [...crashes.values()].map(({atMs}) => atMs);
+	const simultaneous = countSimultaneous([...crashes.values()].map(({atMs}) => atMs));
 
 	return [...found].filter(([, candidate]) => candidate.crashes.size >= crashesToSuspect)
-		.map(([trait, candidate]) => createCandidate(trait, {...candidate, times}))
+		.map(([trait, candidate]) => createCandidate(trait, candidate, simultaneous))
 		.toSorted((a, b) => b.weight - a.weight || b.depth - a.depth || (a.trait < b.trait ? -1 : 1));
 }
 
-function createCandidate(trait: string, {depth, model, crashes, times}: TraitCrashes & {readonly times: readonly number[]}): Candidate {
-	const ownTimes = [...crashes.values()].map(({atMs}) => atMs);
-	const weighed = [...crashes].map(([run, crash]) => ({run, ...crash, weight: countSimultaneous(ownTimes, crash.atMs) / countSimultaneous(times, crash.atMs)}));
+function createCandidate(trait: string, {depth, model, crashes}: TraitCrashes, simultaneous: ReadonlyMap<number, number>): Candidate {
+	const own = countSimultaneous([...crashes.values()].map(({atMs}) => atMs));
+	const weighed = [...crashes].map(([run, crash]) => ({run, ...crash, weight: own.get(crash.atMs)! / simultaneous.get(crash.atMs)!}));
 
 	return {
 		trait, depth, model, crashes: weighed, weight: sumWeights(weighed),
 	};
 }
 
-function countSimultaneous(times: readonly number[], atMs: number): number {
-	return times.filter(time => Math.abs(time - atMs) <= simultaneousMs).length;
+// Counts the crashes that are simultaneous with that of each time; the times are in order.
+function countSimultaneous(times: readonly number[]): ReadonlyMap<number, number> {
+	const counts = new Map<number, number>();
+	let first = 0;
+	let end = 0;
+
+	for (const atMs of times) {
+		while (times[first]! < atMs - simultaneousMs) {
+			first++;
+		}
+
+		while (end < times.length && times[end]! <= atMs + simultaneousMs) {
+			end++;
+		}
+
+		counts.set(atMs, end - first);
+	}
+
+	return counts;
 }
 
 function sumWeights(crashes: readonly TraitCrash[]): number {
