Let a coordinator that has just started blame nothing before it knows of the answers

A coordinator now only asks for answers in its first 3 s; gateways keep meanwhile what was held back before.

--- a/packages/coordinator/src/crash-evidence-host.ts
+++ b/packages/coordinator/src/crash-evidence-host.ts
@@ -46,6 +46,11 @@
 const endedRunRetentionMs = 10_000;
 const maxEndedRuns = 200;
 const evidenceIntervalMs = 3000;
+/**
+A coordinator that has just started gets reports of crashes before the answers since, which would clear sound traits. It holds nothing back by itself for
+this long; gateways keep what they were told before.
+*/
+const learningMs = 3000;
 const trialCallTimeoutMs = 200;
 
 /**
@@ -72,6 +77,8 @@
 	let publishTimer: NodeJS.Timeout | undefined;
 	let settleTimer: NodeJS.Timeout | undefined;
 
+	const isLearning = (nowMs: number) => nowMs - startedAtMs < learningMs;
+
 	const describeQuarantine = () => {
 		const nowMs = clock.readMonotonicMs();
 
@@ -111,13 +118,14 @@
 		const nowMs = clock.readMonotonicMs();
 		evidence = dropOldCrashes(evidence, nowMs);
 		explanation = explainCrashes(evidence, nowMs);
-		const next = createQuarantine(evidence, explanation);
+		const settlesAtMs = isLearning(nowMs) ? startedAtMs + learningMs : explanation.settlesAtMs;
+		const next = createQuarantine(evidence, isLearning(nowMs) ? {...explanation, quarantined: new Map()} : explanation);
 		logChanges(next);
 		quarantine = next;
 
-		if (explanation.settlesAtMs !== undefined) {
+		if (settlesAtMs !== undefined) {
 			clearTimeout(settleTimer);
-			settleTimer = setTimeout(publish, Math.max(1, explanation.settlesAtMs - nowMs));
+			settleTimer = setTimeout(publish, Math.max(1, settlesAtMs - nowMs));
 		}
 	};
 
@@ -167,6 +175,11 @@
 	const decide = (traits: readonly string[]): TrialReply => {
 		const nowMs = clock.readMonotonicMs();
 		refresh();
+
+		if (isLearning(nowMs)) {
+			return {isGranted: false, retryInMs: startedAtMs + learningMs - nowMs};
+		}
+
 		const {isGranted, retryAtMs} = decideTrial({traits, evidence, explanation}, nowMs);
 
 		if (!isGranted) {
