--- a/packages/crashes/src/__tests__/unit/plan-trial.test.ts
+++ b/packages/crashes/src/__tests__/unit/plan-trial.test.ts
@@ -48,6 +48,7 @@
 	t.false(decideTrial({...query, evidence, explanation: explainCrashes(evidence, nowMs + 10)}, nowMs + 10).isGranted, 'one trial at a time');
 	evidence = answer(evidence, 'part deadly', nowMs + 400);
 	t.is(explainCrashes(evidence, nowMs + 500).quarantined.size, 0);
+	t.false(decideTrial({...query, evidence, explanation: explainCrashes(evidence, nowMs + 500)}, nowMs + 500).isGranted, 'asked with an outdated list');
 	evidence = crash(evidence, 'd 1', nowMs + 1000);
 	evidence = crash(evidence, 'e 1', nowMs + 2000);
 	t.is(explainCrashes(evidence, nowMs + 5000).quarantined.size, 0);
--- a/packages/crashes/src/plan-trial.ts
+++ b/packages/crashes/src/plan-trial.ts
@@ -12,6 +12,8 @@
 const trialTimeoutMs = 10_000;
 /** For this long after the pause, trials are left to requests that have no other suspected trait: only these can clear a trait that is held back wrongly. */
 const cleanTrialPeriodMs = 3000;
+/** Whoever asks for a trial of what is not quarantined has an outdated list, or the one asked has lost its evidence. */
+const outdatedRetryMs = 500;
 
 /** Returns from when on one request with a quarantined trait may be sent, to find out whether it still crashes instances. */
 export function getTrialAtMs(trait: string, {lastCrashAtMs, isProven}: CrashCause, trial: TrialRecord | undefined): number {
@@ -42,7 +44,12 @@
 export function decideTrial({traits, evidence, explanation}: TrialQuery, nowMs: number): TrialDecision {
 	const {quarantined, suspected} = explanation;
 	const held = traits.filter(trait => quarantined.has(trait));
-	const dueAtMs = Math.max(0, ...held.map(trait => getTrialAtMs(trait, quarantined.get(trait)!, evidence.trials.get(trait))));
+
+	if (held.length === 0) {
+		return {isGranted: false, retryAtMs: nowMs + outdatedRetryMs};
+	}
+
+	const dueAtMs = Math.max(...held.map(trait => getTrialAtMs(trait, quarantined.get(trait)!, evidence.trials.get(trait))));
 	const hasOtherSuspect = traits.some(trait => !quarantined.has(trait) && suspected.includes(trait));
 	const retryAtMs = hasOtherSuspect ? dueAtMs + cleanTrialPeriodMs : dueAtMs;
 
--- a/packages/crashes/src/quarantine.ts
+++ b/packages/crashes/src/quarantine.ts
@@ -19,8 +19,8 @@
 /** Derives the quarantine from the evidence and its explanation. */
 export function createQuarantine({trials}: CrashEvidence, {quarantined, suspected}: CrashExplanation): Quarantine {
 	return {
-		quarantined: new Map([...quarantined].map(([trait, explanation]) => [trait, {
-			trialAtMs: getTrialAtMs(trait, explanation, trials.get(trait)), crashCount: explanation.crashCount,
+		quarantined: new Map([...quarantined].map(([trait, cause]) => [trait, {
+			trialAtMs: getTrialAtMs(trait, cause, trials.get(trait)), crashCount: cause.crashCount,
 		}])),
 		suspected: new Set([...quarantined.keys(), ...suspected]),
 	};
--- a/packages/entry/src/suspect-prompts.ts
+++ b/packages/entry/src/suspect-prompts.ts
@@ -43,7 +43,9 @@
 		return {isTrial: false};
 	}
 
-	const answer = await proposeOrRefuse(services, {kind: CommandKind.ReserveTrial, traits}, ExecutionStatus.NotRun);
+	const answer = await proposeOrRefuse(services, {kind: CommandKind.ReserveTrial, traits}, {
+		message: 'upstreams crashed under one of the pieces of this prompt, and no majority could be asked whether it may be tried', ran: ExecutionStatus.NotRun,
+	});
 
 	if (answer.kind === CommandResponseKind.Trial && answer.isGranted) {
 		services.log.info('a prompt that is held back is sent as a trial', {trait});
@@ -71,17 +73,19 @@
 export async function chooseEngineForSuspect(services: EntryServices, {fingerprint, candidates}: SuspectInput): Promise<EngineCandidate | undefined> {
 	const answer = await proposeOrRefuse(services, {
 		kind: CommandKind.AssignRetry, fingerprint, candidateIds: candidates.map(candidate => candidate.upstreamId), retryMs: retryExclusivityMs,
-	});
+	}, {message: 'an upstream crashed and no majority could be asked where to try again', ran: ExecutionStatus.Ran});
 
 	return answer.kind === CommandResponseKind.Assigned ? candidates.find(candidate => candidate.upstreamId === answer.upstreamId) : undefined;
 }
 
-async function proposeOrRefuse({control, clock}: EntryServices, request: CommandRequest, ran = ExecutionStatus.Ran): Promise<CommandResponse> {
+async function proposeOrRefuse({control, clock}: EntryServices, request: CommandRequest, {message, ran}: {
+	readonly message: string; readonly ran: ExecutionStatus;
+}): Promise<CommandResponse> {
 	try {
 		return await control.propose(request, clock.readMonotonicMs() + proposeTimeoutMs);
 	} catch (error) {
 		throw new RefusalError({
-			code: RefusalCode.NoQuorum, message: 'an upstream crashed and no majority could be asked where to try again', ran, retryAfterSeconds: 1,
+			code: RefusalCode.NoQuorum, message, ran, retryAfterSeconds: 1,
 		}, {cause: error});
 	}
 }
--- a/packages/gateway/src/send-attempt.ts
+++ b/packages/gateway/src/send-attempt.ts
@@ -215,7 +215,7 @@
 	} else if (result.end === AttemptCompletion.Complete) {
 		crashes.recordCompletion(entry, sentAtMs);
 
-		if (result.head!.status < 500 && !streamed.isAnswerRecorded) {
+		if (result.head!.status < getFailureStatus(exchange) && !streamed.isAnswerRecorded) {
 			crashes.recordAnswer(exchange, streamed.firstAtMs ?? sentAtMs + (firstPieceMs ?? 0));
 		}
 	}
@@ -233,6 +233,11 @@
 	}
 }
 
+// A plain call that is rejected has run; a prompt that is rejected was not answered.
+function getFailureStatus({caller}: Exchange): number {
+	return caller.prompt === undefined ? 500 : 300;
+}
+
 type HeaderInput = Pick<AttemptInput, 'entry' | 'cache'> & {readonly lastEventId: string | undefined; readonly nowMs: number};
 
 function encodeHeaders({callerCodec, upstreamCodec}: ForwardOptions, exchange: Exchange, {entry, cache, lastEventId, nowMs}: HeaderInput): string[] {
