--- a/packages/crashes/src/explain-crashes.ts
+++ b/packages/crashes/src/explain-crashes.ts
@@ -58,8 +58,8 @@
 /**
 Attributes crashes to the fewest traits that explain them. Load pattern: one part of prompts crashes each instance that begins to answer it, no two
 requests are alike, and all that run beside it, and all parts that come with it, are in each crash as well. Sound traits are answered by other
-instances, and each answer clears all crashes before it. Of the traits that no instance has answered since, the one in most crashes accounts for them;
-of two in the same crashes the more specific one does. If that is wrong, the next crash shows it.
+instances, and each answer clears all crashes before it. Of the traits that no instance has answered since, the one in most crashes accounts for them; of
+two in the same crashes, but for one, the more specific one does. If that is wrong, the next crashes show it.
 
 Many instances lost at once blame nobody: a crash counts for a trait only by the share of the simultaneous crashes that the trait was in, and one crash
 at least has to hit a request that was sent after an earlier one. While no prompt for a model is answered at all, nothing tells a sound part from a
@@ -78,7 +78,8 @@
 	const unprovenModels = new Set<string>();
 	let settlesAtMs: number | undefined;
 
-	for (const {trait, crashes, model} of candidates) {
+	for (const heaviest of candidates) {
+		const {trait, crashes, model} = findSpecific(heaviest, candidates);
 		const unexplained = crashes.filter(({run}) => !explainedRuns.has(run));
 
 		if (sumWeights(unexplained) < weightToQuarantine || isModelTrait(trait)) {
@@ -113,6 +114,15 @@
 	return {quarantined, suspected: [...unprovenModels, ...candidates.slice(0, maxSuspected).map(({trait}) => trait)], settlesAtMs};
 }
 
+// A part with one crash more than a more specific one, in whose crashes it is as well, may have met a crash that no part caused.
+function findSpecific(candidate: Candidate, candidates: readonly Candidate[]): Candidate {
+	const runs = new Set(candidate.crashes.map(({run}) => run));
+	const isMoreSpecific = ({trait, depth, weight, crashes}: Candidate) => depth > candidate.depth && !isRequestTrait(trait) && weight >= weightToQuarantine
+		&& weight >= candidate.weight - 1 && crashes.every(({run}) => runs.has(run));
+
+	return candidates.find(other => isMoreSpecific(other)) ?? candidate;
+}
+
 function getSettleMs(trait: string, isProven: boolean): number {
 	if (isRequestTrait(trait)) {
 		return 0;
