Count no resumed answer as begun anew

An answer that a caller resumes at an entry may have begun before a piece of its prompt turned deadly; its end would have cleared the piece.

--- a/packages/entry/src/completions.ts
+++ b/packages/entry/src/completions.ts
@@ -133,9 +133,12 @@
 
 	requestExport(services, caller, {upstreamId, hashes});
 
-	void clearSuspicion(services, {
-		fingerprint, isSuspect: suspicion.isSuspect, traits, firstTokenAtMs,
-	});
+	// When an answer that is resumed had begun is not known here.
+	if (lastEventId === undefined) {
+		void clearSuspicion(services, {
+			fingerprint, isSuspect: suspicion.isSuspect, traits, firstTokenAtMs,
+		});
+	}
 }
 
 function requestExport({gossip, exporter}: EntryServices, {requestId}: CallerRequest, {upstreamId, hashes}: {upstreamId: string; hashes: readonly string[]}): void {
@@ -146,8 +149,9 @@
 	}
 }
 
-/** Whether an upstream has crashed while it ran the prompt; set by the first such crash and shared with later attempts. */
+/** What is known of crashes under the prompt; shared by its attempts. */
 type CrashSuspicion = {
+	/** Whether an upstream has crashed while it ran the prompt. */
 	isSuspect: boolean;
 	/** Whether the next attempt is a trial of what the prompt is held back for. */
 	isTrial: boolean;
