Decide in one place what becomes of a run that has not ended by itself

A run is cancelled where it can no longer serve its caller: the caller left, the deadline passed, it sent what cannot be part of the answer, or another run has continued it. Silence is no proof: the run goes on, with another one beside it if that could take over. The obstacle names why none can.

--- a/packages/streams/src/index.ts
+++ b/packages/streams/src/index.ts
@@ -1,4 +1,7 @@
 export {
 	AnswerEnd, BodyFraming, EndMark, RunFault, decideAnswerEnd, describeRunFault, findRunFault, type AnswerState, type BegunAnswer, type RunResult, type StreamResult,
 } from './decide-answer-end.js';
+export {
+	RunAction, RunEvidence, SuccessionObstacle, decideRun, describeRunEvidence, findSuccessionObstacle, type RunDecision, type Succession,
+} from './decide-run.js';
 export {EventOrder, compareEventIds, isOrderedEventId} from './event-order.js';
