Log which runs the gateway ended itself, after how much silence, and why no other took over

The log of a request that got 502 or an aborted stream beside a change of the configuration could not tell the hypotheses of docs/incidents/silent-instance-ends-request.md apart: a run that the gateway gave up, one whose connections it closed because of the registry, and one that its instance broke off.

A run that the gateway cancels now has its evidence (cancelledFor), the time for which the instance had been silent, and where nothing follows the obstacle to another run; runs_cancelled_total counts them; explain says it in words. Connections that are closed with requests on them, because an instance was announced anew, have a log line. No logic is changed.

--- a/packages/cli/src/__tests__/unit/explain.test.ts
+++ b/packages/cli/src/__tests__/unit/explain.test.ts
@@ -44,6 +44,21 @@
 	t.regex(formatExplanation(explanation), /3200 ms of requests waited before it here/v);
 });
 
+test('a request is explained with the run that the gateway ended for silence, and why no other took over', t => {
+	const line = write(3, 'front-1', 'request', {
+		requestId: 'r10', outcome: 'failed', status: 502, reason: 'the instance fell silent', tookMs: 1733, streamEnd: 'aborted', streamFraming: 'chunks',
+		story: [
+			{
+				instance: 'i-1', end: 'broken', reason: 'the instance fell silent', cancelledFor: 'silent', silentMs: 961, fault: 'incomplete', tookMs: 1727, expectedMs: 14, own: 4, peers: 3,
+			},
+			{decision: 'aborted', obstacle: 'no_budget'},
+		],
+	});
+	const text = formatExplanation(explainRequest('r10', parseLogLines(line)));
+	t.regex(text, /1\. sent to i-1: broken after 1727 ms.*; the gateway ended it \(silent\) after 961 ms of silence; /v);
+	t.regex(text, /2\. no other run could take over: no budget/v);
+});
+
 test('a request that is held back is explained with the trait and the crashes under it', t => {
 	const line = write(3, 'front-1', 'request', {
 		requestId: 'r9', outcome: 'refused', status: 503, reason: 'instances crashed each time that they answered a prompt with one of its parts', tookMs: 1,
--- a/packages/cli/src/explain.ts
+++ b/packages/cli/src/explain.ts
@@ -22,6 +22,7 @@
 /** Log messages about dependencies of all requests; they belong to the context, whichever instance the request was sent to. */
 const dependencyMessages = new Set([
 	'configuration in force',
+	'connections with requests are closed, since the instance was announced anew',
 	'a trial is granted',
 	'coordinator lost',
 	'coordinator regained',
@@ -154,8 +155,13 @@
 function describeDecision(step: StoryStep): string {
 	const {
 		best, waits, expectedMs, queueMs, workMs, memoryWaitMs, aheadMs, waitedMs, patienceMs, standings, restLeftMs, permitRefusals, limitLeftMs, heldBackFor, crashes,
+		decision, obstacle,
 	} = step;
 
+	if (decision === 'aborted') {
+		return `no other run could take over: ${formatValue(obstacle).replaceAll('_', ' ')}`;
+	}
+
 	if (heldBackFor !== undefined) {
 		return `not sent: held back for ${formatValue(heldBackFor)}; ${formatValue(crashes)} instances crashed under it and none has answered it since`;
 	}
@@ -180,16 +186,18 @@
 function describeAttempt(attempt: StoryStep): string {
 	const {
 		instance, end, reason, status, tookMs, expectedMs, firstPieceMs, pieces, lastPieceMs, own, peers, queueMs, kind, limitPerSecond, resumeAfter, eventIds, framing,
-		fault,
+		fault, cancelledFor, silentMs,
 	} = attempt;
 
 	const statusText = status === undefined ? '' : ` with ${formatValue(status)}`;
 	const sentText = kind === undefined ? 'sent' : `sent (${formatValue(kind)})`;
 	const streamText = pieces === undefined ? '' : `, ${formatValue(pieces)} pieces, the last after ${formatValue(lastPieceMs)} ms`;
+	const silenceText = silentMs === undefined ? '' : ` after ${formatValue(silentMs)} ms of silence`;
 	const [firstId, lastId] = Array.isArray(eventIds) ? eventIds as unknown[] : [];
 
 	return [
 		`${sentText} to ${formatValue(instance)}: ${formatValue(end)}${statusText} after ${formatValue(tookMs)} ms${reason === undefined ? '' : ` (${formatValue(reason)})`}`,
+		...(cancelledFor === undefined ? [] : [`the gateway ended it (${formatValue(cancelledFor).replaceAll('_', ' ')})${silenceText}`]),
 		...(fault === undefined ? [] : [`it did not complete the answer: ${formatValue(fault).replaceAll('_', ' ')}`]),
 		...(resumeAfter === undefined ? [] : [`it was to go on after event ${formatValue(resumeAfter)}`]),
 		...(eventIds === undefined ? [] : [firstId === '' ? 'no event with an id came' : `events ${formatValue(firstId)} to ${formatValue(lastId)} came`]),
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -2,7 +2,7 @@
 import http, {type IncomingHttpHeaders, type IncomingMessage} from 'node:http';
 import {type Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
-import {BodyFraming} from '@fescuestair/streams';
+import {BodyFraming, describeRunEvidence, type RunEvidence} from '@fescuestair/streams';
 import {parseAddress} from '@fescuestair/transport';
 import {type UpstreamResponseMetadata, type UpstreamCodec} from './codecs.js';
 import {type UpstreamAgent} from './upstream-agent.js';
@@ -37,6 +37,8 @@
 	readonly isUnreachable: boolean;
 	/** The instance closed or reset the connection before the response was complete. */
 	readonly isConnectionLost: boolean;
+	/** Why this gateway cancelled the attempt; `undefined` where it ended by itself. */
+	readonly cancelledFor: RunEvidence | undefined;
 	/** Time taken to establish a new connection; `undefined` where a pooled connection was reused. */
 	readonly connectMs: number | undefined;
 };
@@ -60,8 +62,8 @@
 
 export type Attempt = {
 	readonly result: Promise<AttemptResult>;
-	/** Cancels the attempt; the instance learns of it by the close of the connection. */
-	readonly cancel: (reason: string) => void;
+	/** Cancels the attempt; the instance learns of it by the close of the connection. The reason for the log follows from the evidence, if none is given. */
+	readonly cancel: (evidence: RunEvidence, reason?: string) => void;
 	readonly resume: () => void;
 };
 
@@ -96,6 +98,7 @@
 	let settle: (result: AttemptResult) => void;
 	let isSettled = false;
 	let connectMs: number | undefined;
+	let cancelledFor: RunEvidence | undefined;
 	const result = new Promise<AttemptResult>(resolve => {
 		settle = resolve;
 	});
@@ -108,7 +111,7 @@
 		isSettled = true;
 		clearTimeout(connectTimer);
 		settle({
-			end, reason, head, body: Buffer.concat(chunks), isUnreachable, isConnectionLost, connectMs,
+			end, reason, head, body: Buffer.concat(chunks), isUnreachable, isConnectionLost, cancelledFor, connectMs,
 		});
 	};
 
@@ -236,7 +239,8 @@
 
 	return {
 		result,
-		cancel(reason) {
+		cancel(evidence, reason = describeRunEvidence(evidence)) {
+			cancelledFor ??= evidence;
 			fail(reason);
 		},
 		resume() {
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -4,7 +4,7 @@
 	decideReopening, decideWait, maxIdleQueueMs, WaitDecision, type ReopeningInput, type WaitInput,
 } from '@fescuestair/routing';
 import {
-	AnswerEnd, RunFault, decideAnswerEnd, describeRunFault, type BodyFraming,
+	AnswerEnd, RunEvidence, RunFault, SuccessionObstacle, decideAnswerEnd, describeRunFault, findSuccessionObstacle, type BodyFraming,
 } from '@fescuestair/streams';
 import {
 	CallKind, chooseTarget, type Route, type Service,
@@ -98,14 +98,14 @@
 	const onClose = () => {
 		if (!response.writableFinished) {
 			cancellation.isCallerGone = true;
-			cancellation.attempt?.cancel('the caller left');
+			cancellation.attempt?.cancel(RunEvidence.CallerGone);
 		}
 	};
 
 	response.on('close', onClose);
 	const timer = setTimeout(() => {
 		cancellation.isExpired = true;
-		cancellation.attempt?.cancel('the deadline passed');
+		cancellation.attempt?.cancel(RunEvidence.DeadlinePassed);
 	}, Math.max(0, exchange.deadlineMs - clock.readMonotonicMs()));
 	let end: ExchangeResult | undefined;
 
@@ -300,13 +300,15 @@
 	}
 
 	progress.sentCount++;
-	const {end, fault} = decideEnd(context, sent);
+	const {end, fault, obstacle} = decideEnd(context, sent);
 
 	if (end === AnswerEnd.Repeat) {
 		return undefined;
 	}
 
 	if (end === AnswerEnd.Aborted) {
+		progress.story.push({decision: end, obstacle});
+
 		return cancellation.isExpired ? endFailed(context, gatewayTimeoutStatus, 'the deadline passed') : endFailed(context, badGatewayStatus, describeAbort(sent));
 	}
 
@@ -321,13 +323,23 @@
 		: {outcome: ExchangeOutcome.Failed, status: result.head!.status, reason: describeRunFault(fault)};
 }
 
+type EndDecision = ReturnType<typeof decideAnswerEnd> & {
+	/** Why no other run can follow; `undefined` where one does, or none is needed. */
+	readonly obstacle: SuccessionObstacle | undefined;
+};
+
 // Takes a retry from the budget only where the decision is to make another attempt.
-function decideEnd({options, exchange, service, progress, stream, isRetryable, cancellation}: ForwardingContext, {run}: SentAttempt): ReturnType<typeof decideAnswerEnd> {
+function decideEnd({options, exchange, service, progress, stream, isRetryable, cancellation}: ForwardingContext, {run}: SentAttempt): EndDecision {
 	const begun = stream.getBegun();
-	const canRepeat = isRetryable && !cancellation.isExpired && progress.sentCount < exchange.route.maxAttempts && stream.canContinue();
-	const decision = decideAnswerEnd({begun, canRepeat}, run);
+	const obstacle = findSuccessionObstacle({
+		isRepeatable: isRetryable, hasPosition: stream.canContinue(), isStarted: false, attemptsLeft: exchange.route.maxAttempts - progress.sentCount,
+		hasTime: !cancellation.isExpired, isHeldBack: false, hasUpstream: true, hasBudget: true,
+	});
+	const decision = decideAnswerEnd({begun, canRepeat: obstacle === undefined}, run);
 
-	return decision.end === AnswerEnd.Repeat && !takeRetry(options, service.name) ? decideAnswerEnd({begun, canRepeat: false}, run) : decision;
+	return decision.end === AnswerEnd.Repeat && !takeRetry(options, service.name)
+		? {...decideAnswerEnd({begun, canRepeat: false}, run), obstacle: SuccessionObstacle.NoBudget}
+		: {...decision, obstacle};
 }
 
 function describeAbort({result, fault}: SentAttempt): string {
--- a/packages/gateway/src/instance-pool.ts
+++ b/packages/gateway/src/instance-pool.ts
@@ -48,6 +48,8 @@
 	/** Records that a response reported that the instance is leaving. */
 	readonly recordLeaving: (instance: PooledInstance, record: InstanceRecord) => void;
 	readonly recordActivity: (instance: PooledInstance) => void;
+	/** Measures for how long an instance has sent nothing since a request was sent to it. */
+	readonly measureSilenceMs: (instance: PooledInstance, request: InFlightRequest) => number;
 	readonly end: (instance: PooledInstance, request: InFlightRequest) => void;
 	/** Lists this gateway's in-flight load at each instance. */
 	readonly listShares: () => readonly InstanceShare[];
@@ -137,6 +139,18 @@
 
 	const listInstances = (service: string): readonly PooledInstance[] => byService.get(service) ?? [];
 
+	// The connections to the earlier incarnation, or to its address.
+	const closeConnections = (known: PooledInstance | undefined, record: InstanceRecord) => {
+		if (known !== undefined && known.inFlight.size > 0) {
+			log.info('connections with requests are closed, since the instance was announced anew', {
+				id: record.id, running: known.inFlight.size, address: record.address, incarnation: record.incarnation, addressBefore: known.held.record.address,
+				incarnationBefore: known.held.record.incarnation,
+			});
+		}
+
+		known?.agent.destroy();
+	};
+
 	const groupByService = () => {
 		byService = new Map();
 
@@ -157,6 +171,8 @@
 		}
 	};
 
+	const measureSilenceMs = ({standing}: PooledInstance, {startedAtMs}: InFlightRequest) => clock.readMonotonicMs() - Math.max(startedAtMs, standing.answeredAtMs);
+
 	// Ends the requests at instances that have sent no bytes within the silence time-out, so that they can continue elsewhere.
 	const checkInFlight = () => {
 		const nowMs = clock.readMonotonicMs();
@@ -172,7 +188,7 @@
 			}
 
 			extendOverdue(instance, nowMs);
-			const timedOut = [...instance.inFlight.keys()].filter(request => nowMs - Math.max(request.startedAtMs, instance.standing.answeredAtMs) >= request.silenceTimeoutMs);
+			const timedOut = [...instance.inFlight.keys()].filter(request => measureSilenceMs(instance, request) >= request.silenceTimeoutMs);
 
 			if (timedOut.length === 0) {
 				continue;
@@ -196,7 +212,7 @@
 					known.held = held;
 					applyStandingEvent(known, {kind: InstanceEventKind.Announced, ...describeAnnouncedStanding(held)});
 				} else if (held.record.stage !== InstanceStage.Gone) {
-					known?.agent.destroy();
+					closeConnections(known, held.record);
 					instances.set(held.record.id, createPooledInstance(held, getMaxConnections(held.record.service)));
 				}
 			}
@@ -312,6 +328,7 @@
 
 			applyStandingEvent(instance, {kind: InstanceEventKind.ResponseReceived});
 		},
+		measureSilenceMs,
 		end(instance, request) {
 			// A request that ends before its response begins is not prefilled to the end, so its remaining work is removed from the backlog.
 			const estimate = instance.inFlight.get(request);
--- a/packages/gateway/src/send-attempt.ts
+++ b/packages/gateway/src/send-attempt.ts
@@ -1,7 +1,7 @@
 import {type Buffer} from 'node:buffer';
 import {HealthEvent, type InstanceLoad} from '@fescuestair/routing';
 import {
-	BodyFraming, RunFault, describeRunFault, findRunFault, type RunResult,
+	BodyFraming, RunEvidence, RunFault, describeRunFault, findRunFault, type RunResult,
 } from '@fescuestair/streams';
 import {CallKind, type Service} from '@fescuestair/traffic';
 import {
@@ -68,6 +68,7 @@
 	const isStreaming = route.kind === CallKind.Streaming;
 	const resumeAfter = stream.getLastEventId();
 	let firstPieceMs: number | undefined;
+	let silentMs: number | undefined;
 	const streamed: StreamedPieces = {
 		pieces: 0, lastMs: 0, firstAtMs: undefined, isAnswerRecorded: false,
 	};
@@ -87,7 +88,8 @@
 		onSilenceTimeout() {
 			// A request that cannot be sent to another instance keeps waiting: silence does not show that the instance failed.
 			if (isRetryable && progress.sentCount + 1 < route.maxAttempts) {
-				attempt.cancel('the instance fell silent');
+				silentMs = instancePool.measureSilenceMs(entry, inFlightRequest);
+				attempt.cancel(RunEvidence.Silent);
 			}
 		},
 	};
@@ -148,9 +150,9 @@
 				const eventFault = stream.getEventFault();
 
 				if (eventFault !== undefined) {
-					attempt.cancel(describeRunFault(eventFault));
+					attempt.cancel(RunEvidence.InvalidAnswer, describeRunFault(eventFault));
 				} else if (stream.isEventTooLarge()) {
-					attempt.cancel('an event without end');
+					attempt.cancel(RunEvidence.InvalidAnswer, 'an event without end');
 				}
 
 				return canContinue;
@@ -181,9 +183,13 @@
 	}
 
 	progress.story.push(describeAttempt({
-		...input, result, fault, loadBefore, limitPerSecond, kind, startedAtMs, firstPieceMs, streamed, resumeAfter, runIds: stream.getRunIds(), nowMs: clock.readMonotonicMs(),
+		...input, result, fault, loadBefore, limitPerSecond, kind, startedAtMs, firstPieceMs, streamed, resumeAfter, silentMs, runIds: stream.getRunIds(), nowMs: clock.readMonotonicMs(),
 	}));
 
+	if (result.cancelledFor !== undefined) {
+		options.metrics.count('runs_cancelled_total', {service: service.name, evidence: result.cancelledFor});
+	}
+
 	if (fault !== undefined) {
 		options.metrics.count('run_faults_total', {service: service.name, fault, kind});
 	}
@@ -253,7 +259,7 @@
 		instancePool.recordHealthEvent(entry, HealthEvent.Unreachable);
 	} else if (result.end === AttemptCompletion.Complete) {
 		instancePool.recordHealthEvent(entry, result.head!.status >= 500 ? HealthEvent.Failed : HealthEvent.Answered);
-	} else if (result.end === AttemptCompletion.Incomplete && result.reason !== 'the caller left' && result.reason !== 'the deadline passed') {
+	} else if (result.end === AttemptCompletion.Incomplete && result.cancelledFor !== RunEvidence.CallerGone && result.cancelledFor !== RunEvidence.DeadlinePassed) {
 		instancePool.recordHealthEvent(entry, HealthEvent.Failed);
 	}
 }
@@ -311,6 +317,8 @@
 	readonly streamed: StreamedPieces;
 	/** Id of the event after which the instance was asked to continue. */
 	readonly resumeAfter: string | undefined;
+	/** How long the instance had sent nothing when the attempt was cancelled for it. */
+	readonly silentMs: number | undefined;
 	readonly runIds: RunIds;
 	readonly nowMs: number;
 };
@@ -318,7 +326,7 @@
 /** Describes an attempt for the log: what was known when the instance was chosen, and the result. */
 function describeAttempt(input: AttemptLogInput): Readonly<Record<string, unknown>> {
 	const {
-		entry, placement, cache, uncachedTokens, progress, result, fault, loadBefore, limitPerSecond, kind, startedAtMs, firstPieceMs, streamed, nowMs,
+		entry, placement, cache, uncachedTokens, progress, result, fault, loadBefore, limitPerSecond, kind, startedAtMs, firstPieceMs, streamed, silentMs, nowMs,
 	} = input;
 	const {report} = loadBefore;
 
@@ -326,6 +334,8 @@
 		instance: entry.held.record.id,
 		end: result.end,
 		...(result.reason !== '' && {reason: result.reason}),
+		...(result.cancelledFor !== undefined && {cancelledFor: result.cancelledFor}),
+		...(silentMs !== undefined && {silentMs: Math.round(silentMs)}),
 		...(fault !== undefined && {fault}),
 		...(result.head !== undefined && {status: result.head.status}),
 		...(progress.waits > 0 && {waits: progress.waits}),
