Use an instance that was silent again with the first bytes that it sends

What callers saw: an instance that had sent nothing for about a second, and went on, got no new requests until one of its requests had ended; where many did so at once, callers were refused for want of instances.

Cause: a time-out starts a back-off that ends with a complete answer only, or with a trial while the instance has no other request. Bytes of a stream that goes on were no evidence. Each further check in the silence made the back-off longer.

A time-out now keeps what applied before it, which applies again with the first bytes. Unreachable and failing instances back off as before. The tests fail without the new event, which did not exist.

--- a/packages/gateway/src/instance-pool.ts
+++ b/packages/gateway/src/instance-pool.ts
@@ -126,7 +126,7 @@
 		const {health} = instance.standing;
 
 		if (health.rests !== previous.rests) {
-			log.info(health.rests === 0 ? 'instance is sound again' : 'instance rests', {
+			log.info(health.rests < previous.rests ? 'instance is sound again' : 'instance rests', {
 				id: instance.held.record.id, event, rests: health.rests, failureShare: Number(health.failureShare.toFixed(2)),
 				restMs: Math.round(Math.max(0, health.backoffDeadlineMs - clock.readMonotonicMs())),
 			});
@@ -322,6 +322,10 @@
 			}
 		},
 		recordActivity(instance) {
+			if (instance.standing.health.beforeTimeout !== undefined) {
+				applyHealthEvent(instance, HealthEvent.Resumed);
+			}
+
 			if (clock.readMonotonicMs() - instance.standing.answeredAtMs < activityIntervalMs) {
 				return;
 			}
--- a/packages/routing/src/__tests__/unit/instance-health.test.ts
+++ b/packages/routing/src/__tests__/unit/instance-health.test.ts
@@ -67,3 +67,19 @@
 	t.true(isOverdue(backlog, estimate, 310));
 	t.false(isOverdue(correctBacklog(backlog, 80, 310), estimate, 350));
 });
+
+test('an instance that was silent and goes on is used as before', t => {
+	const silent = judgeAll([[0, HealthEvent.TimedOut], [100, HealthEvent.TimedOut], [600, HealthEvent.TimedOut]]);
+	t.false(canTakeRequests(silent, 3, 700));
+	t.true(canTakeRequests(recordHealthEvent(silent, HealthEvent.Resumed, 700), 3, 700));
+
+	// It goes on with what it backed off for before.
+	const unreachable = judgeAll([[0, HealthEvent.Unreachable], [600, HealthEvent.Unreachable]]);
+	const resumed = recordHealthEvent(recordHealthEvent(unreachable, HealthEvent.TimedOut, 700), HealthEvent.Resumed, 800);
+	t.deepEqual(resumed, unreachable);
+});
+
+test('an instance that is found unreachable after a silence is not used for bytes that were under way', t => {
+	const health = judgeAll([[0, HealthEvent.TimedOut], [600, HealthEvent.Unreachable], [610, HealthEvent.Resumed]]);
+	t.false(canTakeRequests(health, 0, 620));
+});
--- a/packages/routing/src/instance-health.ts
+++ b/packages/routing/src/instance-health.ts
@@ -7,6 +7,8 @@
 	readonly backoffDeadlineMs: number;
 	/** Consecutive back-offs; each lasts twice as long as the one before, up to `maxBackoffMs`. */
 	readonly rests: number;
+	/** What applied before the instance timed out, and applies again once it sends something; `undefined` where it has not timed out. */
+	readonly beforeTimeout: Pick<InstanceHealth, 'backoffDeadlineMs' | 'rests'> | undefined;
 };
 
 export enum HealthEvent {
@@ -18,6 +20,8 @@
 	Unreachable = 'unreachable',
 	/** No byte arrived within the longest time that a healthy instance needs. */
 	TimedOut = 'silent',
+	/** Something arrived from an instance that had timed out. */
+	Resumed = 'resumed',
 }
 
 /** Weight of the newest outcome in `failureShare`: about the last ten outcomes count. */
@@ -31,13 +35,14 @@
 /** Creates the health of an instance to which no request was sent yet. */
 export function createInstanceHealth(): InstanceHealth {
 	return {
-		failureShare: 0, samples: 0, backoffDeadlineMs: 0, rests: 0,
+		failureShare: 0, samples: 0, backoffDeadlineMs: 0, rests: 0, beforeTimeout: undefined,
 	};
 }
 
 /**
 Records the outcome of a request (passive health check). An instance that is unreachable, times out or fails most requests gets no requests
-for an exponentially growing back-off. Load pattern: instances that are down, partly failing or flapping while their own health checks pass.
+for an exponentially growing back-off. One that timed out and goes on is used as before. Load pattern: instances that are down, partly failing or flapping
+while their own health checks pass, and sound ones that pause.
 
 @example
 ```
@@ -53,6 +58,7 @@
 				samples: health.samples + 1,
 				rests: health.failureShare < maxFailureShare / 2 ? 0 : health.rests,
 				backoffDeadlineMs: 0,
+				beforeTimeout: undefined,
 			};
 		}
 
@@ -63,10 +69,19 @@
 			return updated.samples >= minSamples && failureShare >= maxFailureShare ? startBackoff(updated, nowMs) : updated;
 		}
 
-		case HealthEvent.Unreachable:
-		case HealthEvent.TimedOut: {
+		case HealthEvent.Unreachable: {
 			return startBackoff(health, nowMs);
 		}
+
+		case HealthEvent.TimedOut: {
+			const {backoffDeadlineMs, rests} = health;
+
+			return {...startBackoff(health, nowMs), beforeTimeout: health.beforeTimeout ?? {backoffDeadlineMs, rests}};
+		}
+
+		case HealthEvent.Resumed: {
+			return {...health, ...health.beforeTimeout, beforeTimeout: undefined};
+		}
 	}
 }
 
@@ -77,7 +92,9 @@
 
 	const backoffMs = Math.min(maxBackoffMs, initialBackoffMs * (2 ** health.rests));
 
-	return {...health, rests: health.rests + 1, backoffDeadlineMs: nowMs + backoffMs};
+	return {
+		...health, rests: health.rests + 1, backoffDeadlineMs: nowMs + backoffMs, beforeTimeout: undefined,
+	};
 }
 
 /** Returns whether an instance accepts requests: it is not backing off, or the back-off has ended and this is the only trial request. */
