Test that a request whose instance is silent and goes on ends whole, failing

On this code seven of the thirteen cases fail: 502 "the instance fell silent" where the budget for retries is spent and where there is no other instance; the 500 of the other instance, though the silent one would have answered; 504 where the second run stays without an answer; an aborted stream.

--- /dev/null
+++ b/packages/gateway/src/__tests__/unit/forward.test.ts
@@ -0,0 +1,318 @@
+import {Buffer} from 'node:buffer';
+import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import {once} from 'node:events';
+import {setTimeout as sleep} from 'node:timers/promises';
+import test, {type ExecutionContext} from 'ava';
+import {createSystemClock} from '@fescuestair/core';
+import {InstanceStage, type InstanceRecord} from '@fescuestair/instances';
+import {createRetryBudget, type Permit} from '@fescuestair/limits';
+import {createChooser, PlacementPolicy} from '@fescuestair/routing';
+import {
+	createLogger, createPrometheusMetrics, createRequestLimits, PermitOutcome, type PermitClient, type PermitResult,
+} from '@fescuestair/runtime';
+import {CallKind, type Route} from '@fescuestair/traffic';
+import {type UpstreamCodec} from '../../codecs.js';
+import {type Exchange} from '../../exchange.js';
+import {type ForwardOptions} from '../../forward-options.js';
+import {forwardExchange, type ForwardResult} from '../../forward.js';
+import {createInstancePool} from '../../instance-pool.js';
+
+const clock = createSystemClock();
+const permit: Permit = {perSecond: 5, startAtMs: 0, endAtMs: Number.POSITIVE_INFINITY};
+const log = createLogger({instance: 'test', isTerminal: false, writeLine: () => true});
+
+const upstreamCodec: UpstreamCodec = {
+	encodeDispatch: ({lastEventId}) => [['X-Id', 'r1'], ...(lastEventId === undefined ? [] : [['Last-Event-Id', lastEventId] as const])],
+	decodeResponse: (status, headers) => ({
+		requestId: headers['x-id'] as string | undefined, isNotRun: status === 421, load: undefined, idleTimeoutMs: undefined, isLeaving: false, askedRestMs: undefined,
+		requestsPerSecond: headers['x-limit'] === undefined ? undefined : Number(headers['x-limit']),
+	}),
+};
+
+const route: Route = {
+	name: 'r', host: 'h', pathPrefix: '/', kind: CallKind.Safe, timeoutMs: 6000, targetMs: 300, priority: 0, targets: [{service: 'app', weight: 1}], maxAttempts: 2, isPublic: true,
+	isResumable: false, patienceMs: undefined, targetGapMs: undefined,
+};
+
+type UpstreamAnswer = (response: ServerResponse, request: IncomingMessage) => void;
+
+type SystemOptions = {
+	readonly answers: readonly UpstreamAnswer[];
+	readonly routeChange?: Partial<Route>;
+	readonly retries?: number;
+	/** Answers a question for a permit; each instance names a limit where it is given. */
+	readonly reserve?: () => Promise<PermitResult>;
+	/** Answers a question for a trial; the request is held back where it is given. */
+	readonly requestTrial?: () => Promise<boolean>;
+	readonly timeLeftMs?: number;
+};
+
+/** Opens a gateway's front with instances that answer as given; each of them is asked in turn. */
+async function openFront(t: ExecutionContext, {answers, routeChange = {}, retries = 10, reserve, requestTrial, timeLeftMs = 5000}: SystemOptions) {
+	const asked: string[] = [];
+	const closedEarly: string[] = [];
+	const results: ForwardResult[] = [];
+	const requestLimits = createRequestLimits({clock, log});
+	const instancePool = createInstancePool({
+		clock, log, metrics: createPrometheusMetrics(), getMaxConnections: () => 8, getLimitedUntilMs: () => Number.NEGATIVE_INFINITY, onWorkChange: () => undefined,
+		onLeaving: () => undefined,
+	});
+	const records: InstanceRecord[] = [];
+
+	const listen = async (server: http.Server) => {
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		t.teardown(() => {
+			server.close();
+			server.closeAllConnections();
+		});
+
+		return (server.address() as {readonly port: number}).port;
+	};
+
+	for (const [index] of answers.entries()) {
+		const id = `i-${index}`;
+		const port = await listen(http.createServer((request, response) => {
+			const answer = answers[asked.length]!;
+			asked.push(id);
+			response.setHeader('x-id', 'r1');
+			response.on('close', () => {
+				if (!response.writableFinished) {
+					closedEarly.push(id);
+				}
+			});
+			answer(response, request);
+		}));
+		const record: InstanceRecord = {
+			id, service: 'app', address: `127.0.0.1:${port}`, availabilityZone: 'north', slots: 6, stage: InstanceStage.Ready, coldLeftMs: 0, models: [], incarnation: 1, sequence: 1,
+		};
+		records.push(record);
+
+		if (reserve !== undefined) {
+			requestLimits.recordAnswer(record, {perSecond: 5, hasRun: true, sentAtMs: clock.readMonotonicMs()});
+		}
+	}
+
+	instancePool.applyRegistry({
+		held: new Map(records.map(record => [record.id, {
+			record, heardAtMs: clock.readMonotonicMs(), revision: 1, loadingDeadlineMs: 0,
+		}])), revision: 1,
+	});
+	t.teardown(() => {
+		instancePool.stop();
+	});
+	const permits: Partial<PermitClient> = {
+		reserve: async () => reserve?.() ?? {outcome: PermitOutcome.Unlimited}, isUsable: () => true, release: () => undefined, getClosedUntilMs: () => Number.NEGATIVE_INFINITY,
+		isUnanswered: () => false, isAnswerExpected: () => false,
+	};
+	const service = {
+		name: 'app', healthPath: '/health', maxConnections: 10, engine: undefined, store: undefined,
+	};
+	const options = {
+		clock, log, availabilityZone: 'north', upstreamCodec, instancePool, requestLimits, permits, metrics: createPrometheusMetrics(),
+		callerCodec: {decodeRequest: () => ({}), isForwarded: () => true}, chooseInstance: createChooser(PlacementPolicy.LeastCost),
+		crashes: {
+			findHeldBack: () => requestTrial && {trait: 'request 1', crashCount: 3, trialAtMs: 0}, requestTrial,
+			recordBrokenConnection: () => undefined, recordUnreachable: () => undefined, recordCompletion: () => undefined, recordAnswer: () => undefined,
+		},
+		getTable: () => ({services: new Map([['app', service]])}), retryBudgets: new Map(), createRetryBudget: () => createRetryBudget({capacity: retries, sharePerSuccess: 0}),
+		isLeaving: () => false, waiting: new Map(), returns: new Map(), countGateways: () => 1,
+	} as unknown as ForwardOptions;
+	const port = await listen(http.createServer((request, response) => {
+		const startedAtMs = clock.readMonotonicMs();
+		const exchange = {
+			requestId: 'r1', request, response, caller: {lastEventId: undefined, prompt: undefined}, route: {...route, ...routeChange}, organisation: undefined, body: Buffer.alloc(0),
+			startedAtMs, deadlineMs: startedAtMs + timeLeftMs,
+		} as unknown as Exchange;
+		void (async () => {
+			results.push(await forwardExchange(options, exchange));
+		})();
+	}));
+	const ask = (): http.ClientRequest => http.get({host: '127.0.0.1', port, agent: false});
+
+	return {
+		asked,
+		closedEarly,
+		results,
+		ask,
+		async fetch() {
+			const request = ask();
+			const [response] = await once(request, 'response') as [IncomingMessage];
+			let body = '';
+			response.on('data', (bytes: Uint8Array) => {
+				body += String(bytes);
+			});
+			response.on('error', () => undefined);
+			await once(response, 'close');
+			await waitUntil(() => results.length > 0);
+
+			return {status: response.statusCode, body, isWhole: response.complete};
+		},
+	};
+}
+
+async function waitUntil(check: () => boolean): Promise<void> {
+	while (!check()) {
+		await sleep(10);
+	}
+}
+
+const answerAfter = (delayMs: number, body: string, status = 200): UpstreamAnswer => response => {
+	setTimeout(() => {
+		response.writeHead(status).end(body);
+	}, delayMs);
+};
+
+const neverAnswer: UpstreamAnswer = () => undefined;
+/** Longer than an instance may take before it counts as silent. */
+const silenceMs = 1400;
+
+test.failing('a silent run is answered where the budget for retries is spent', async t => {
+	const front = await openFront(t, {answers: [answerAfter(silenceMs, 'whole'), answerAfter(0, 'other')], retries: 0});
+	t.like(await front.fetch(), {status: 200, body: 'whole', isWhole: true});
+	t.is(front.asked.length, 1);
+	t.like(front.results[0]!.story[0], {silence: {action: 'keep', obstacle: 'no_budget'}});
+});
+
+test.failing('a silent run is answered where the route allows no further attempt, and where there is no other instance', async t => {
+	const spent = await openFront(t, {answers: [answerAfter(silenceMs, 'whole'), answerAfter(0, 'other')], routeChange: {maxAttempts: 1}});
+	const only = await openFront(t, {answers: [answerAfter(silenceMs, 'whole')]});
+
+	for (const [front, obstacle] of [[spent, 'no_attempt'], [only, 'no_upstream']] as const) {
+		t.like(await front.fetch(), {status: 200, body: 'whole', isWhole: true});
+		t.like(front.results[0]!.story[0], {silence: {action: 'keep', obstacle}});
+	}
+});
+
+test('another run answers where the silent one does not, which is then cancelled', async t => {
+	const front = await openFront(t, {answers: [neverAnswer, answerAfter(50, 'other')]});
+	t.like(await front.fetch(), {status: 200, body: 'other', isWhole: true});
+	t.is(new Set(front.asked).size, 2);
+	await waitUntil(() => front.closedEarly.length > 0);
+	t.deepEqual(front.closedEarly, [front.asked[0]]);
+});
+
+test.failing('the silent run answers where it goes on before the other one, which is then cancelled', async t => {
+	const front = await openFront(t, {answers: [answerAfter(silenceMs, 'whole'), neverAnswer]});
+	t.like(await front.fetch(), {status: 200, body: 'whole', isWhole: true});
+	await waitUntil(() => front.closedEarly.length > 0);
+	t.deepEqual(front.closedEarly, [front.asked[1]]);
+});
+
+test.failing('a failure of the other run does not end a request whose silent run may go on', async t => {
+	const failures: readonly UpstreamAnswer[] = [answerAfter(0, 'failed', 500), answerAfter(0, 'not run', 421), response => {
+		response.socket!.destroy();
+	}];
+
+	for (const failure of failures) {
+		const front = await openFront(t, {answers: [answerAfter(silenceMs, 'whole'), failure]});
+		t.like(await front.fetch(), {status: 200, body: 'whole', isWhole: true});
+		t.is(front.asked.length, 2);
+	}
+});
+
+test('a failure of the silent run does not end a request whose other run is under way', async t => {
+	const front = await openFront(t, {answers: [answerAfter(silenceMs, 'failed', 500), answerAfter(silenceMs, 'whole')]});
+	t.like(await front.fetch(), {status: 200, body: 'whole', isWhole: true});
+	t.is(front.asked.length, 2);
+});
+
+test('a request whose deadline passes while all its runs are silent gets a failure', async t => {
+	const front = await openFront(t, {answers: [neverAnswer, neverAnswer], timeLeftMs: 2500});
+	t.like(await front.fetch(), {status: 504, isWhole: true});
+	await waitUntil(() => front.closedEarly.length === 2);
+	t.is(front.results[0]!.reason, 'the deadline passed');
+});
+
+test.failing('a silent run that answers while another one waits for its permit ends the request, and the other one is not sent', async t => {
+	let questions = 0;
+	const front = await openFront(t, {
+		answers: [answerAfter(silenceMs, 'whole'), answerAfter(0, 'other')],
+		async reserve() {
+			if (questions++ === 0) {
+				return {outcome: PermitOutcome.Unlimited};
+			}
+
+			await sleep(silenceMs);
+
+			return {outcome: PermitOutcome.Granted, permit};
+		},
+	});
+	t.like(await front.fetch(), {status: 200, body: 'whole', isWhole: true});
+	await sleep(silenceMs);
+	t.is(front.asked.length, 1);
+});
+
+const waits: ReadonlyArray<readonly [description: string, options: Partial<SystemOptions>]> = [
+	['a permit', {
+		async reserve() {
+			await sleep(800);
+
+			return {outcome: PermitOutcome.Granted, permit};
+		},
+	}],
+	['a trial', {
+		async requestTrial() {
+			await sleep(800);
+
+			return true;
+		},
+	}],
+];
+
+for (const [description, options, end] of waits.flatMap(([name, options]) => [
+	[`whose caller leaves while it waits for ${name}`, options, (request: http.ClientRequest) => {
+		request.destroy();
+	}] as const,
+	[`whose deadline passes while it waits for ${name}`, {...options, timeLeftMs: 400}, () => undefined] as const,
+])) {
+	const define = description === 'whose caller leaves while it waits for a trial' ? test.failing : test;
+
+	define(`a request ${description} is not sent`, async t => {
+		const front = await openFront(t, {answers: [answerAfter(0, 'whole')], ...options});
+		const request = front.ask();
+		request.on('error', () => undefined);
+		await sleep(200);
+		end(request);
+		await waitUntil(() => front.results.length > 0);
+		t.deepEqual(front.asked, []);
+	});
+}
+
+const eventOf = (id: number) => `id: ${id}\ndata: x\n\n`;
+
+test.failing('a stream goes on at the silent instance or at the other one, without an event missing or twice', async t => {
+	const stream: UpstreamAnswer = (response, {headers}) => {
+		const resumeAfter = Number(headers['last-event-id'] ?? 0);
+		response.writeHead(200, {'content-type': 'text/event-stream'});
+		response.flushHeaders();
+
+		if (resumeAfter > 0) {
+			response.end(eventOf(3) + eventOf(4));
+		} else {
+			response.write(eventOf(1) + eventOf(2) + 'id: 3\nda');
+		}
+	};
+
+	const streamLate: UpstreamAnswer = (response, {headers}) => {
+		stream(response, {headers: {}} as IncomingMessage);
+		setTimeout(() => {
+			response.end('ta: x\n\n' + eventOf(4));
+		}, headers['last-event-id'] === undefined ? silenceMs : 0);
+	};
+
+	const routeChange = {kind: CallKind.Streaming, isResumable: true};
+	const body = [1, 2, 3, 4].map(id => eventOf(id)).join('');
+
+	for (const answers of [[stream, stream], [streamLate, neverAnswer]]) {
+		const front = await openFront(t, {answers, routeChange});
+		t.like(await front.fetch(), {status: 200, body, isWhole: true});
+		t.is(front.asked.length, 2);
+	}
+
+	for (const options of [{retries: 0}, {routeChange: {...routeChange, maxAttempts: 1}}, {routeChange: {...routeChange, isResumable: false}}]) {
+		const front = await openFront(t, {answers: [streamLate, neverAnswer], routeChange, ...options});
+		t.like(await front.fetch(), {status: 200, body, isWhole: true});
+		t.is(front.asked.length, 1);
+	}
+});
