--- a/packages/cli/src/__tests__/unit/explain.test.ts
+++ b/packages/cli/src/__tests__/unit/explain.test.ts
@@ -59,6 +59,23 @@
 	t.regex(text, /2\. no other run could take over: no budget/v);
 });
 
+test('a request is explained with the silence of an instance, and what was to take over', t => {
+	const attempt = {
+		end: 'complete', status: 200, tookMs: 2400, expectedMs: 14, own: 4, peers: 3,
+	};
+	const line = write(3, 'front-1', 'request', {
+		requestId: 'r11', outcome: 'answered', status: 200, tookMs: 2402, story: [
+			{
+				...attempt, instance: 'i-2', end: 'broken', reason: 'another run has continued the answer', cancelledFor: 'superseded', silentMs: 0, silence: {action: 'add_run', silentMs: 961},
+			},
+			{...attempt, instance: 'i-1', silence: {action: 'keep', obstacle: 'no_attempt', silentMs: 903}},
+		],
+	});
+	const text = formatExplanation(explainRequest('r11', parseLogLines(line)));
+	t.regex(text, /1\. sent to i-2: broken.*ended it \(superseded\).*it had sent nothing for 961 ms; another run was to start beside it/v);
+	t.regex(text, /2\. sent to i-1: complete.*it had sent nothing for 903 ms; it was waited for, as no other run could take over \(no attempt\)/v);
+});
+
 test('a request that is held back is explained with the trait and the crashes under it', t => {
 	const line = write(3, 'front-1', 'request', {
 		requestId: 'r9', outcome: 'refused', status: 503, reason: 'instances crashed each time that they answered a prompt with one of its parts', tookMs: 1,
--- a/packages/cli/src/explain.ts
+++ b/packages/cli/src/explain.ts
@@ -186,7 +186,7 @@
 function describeAttempt(attempt: StoryStep): string {
 	const {
 		instance, end, reason, status, tookMs, expectedMs, firstPieceMs, pieces, lastPieceMs, own, peers, queueMs, kind, limitPerSecond, resumeAfter, eventIds, framing,
-		fault, cancelledFor, silentMs,
+		fault, cancelledFor, silentMs, silence,
 	} = attempt;
 
 	const statusText = status === undefined ? '' : ` with ${formatValue(status)}`;
@@ -198,6 +198,7 @@
 	return [
 		`${sentText} to ${formatValue(instance)}: ${formatValue(end)}${statusText} after ${formatValue(tookMs)} ms${reason === undefined ? '' : ` (${formatValue(reason)})`}`,
 		...(cancelledFor === undefined ? [] : [`the gateway ended it (${formatValue(cancelledFor).replaceAll('_', ' ')})${silenceText}`]),
+		...(silence === undefined ? [] : [describeSilence(silence as StoryStep)]),
 		...(fault === undefined ? [] : [`it did not complete the answer: ${formatValue(fault).replaceAll('_', ' ')}`]),
 		...(resumeAfter === undefined ? [] : [`it was to go on after event ${formatValue(resumeAfter)}`]),
 		...(eventIds === undefined ? [] : [firstId === '' ? 'no event with an id came' : `events ${formatValue(firstId)} to ${formatValue(lastId)} came`]),
@@ -208,6 +209,12 @@
 	].join('; ');
 }
 
+function describeSilence({action, obstacle, silentMs}: StoryStep): string {
+	const nextText = action === 'add_run' ? 'another run was to start beside it' : `it was waited for, as no other run could take over (${formatValue(obstacle).replaceAll('_', ' ')})`;
+
+	return `it had sent nothing for ${formatValue(silentMs)} ms; ${nextText}`;
+}
+
 function formatValue(value: unknown): string {
 	return typeof value === 'string' ? value : JSON.stringify(value) ?? 'unknown';
 }
--- a/packages/gateway/src/__tests__/unit/caller-stream.test.ts
+++ b/packages/gateway/src/__tests__/unit/caller-stream.test.ts
@@ -4,7 +4,7 @@
 import test, {type ExecutionContext} from 'ava';
 import {BodyFraming, RunFault} from '@fescuestair/streams';
 import {type ResponseHead} from '../../attempt.js';
-import {createCallerStream, type CallerStream} from '../../caller-stream.js';
+import {createCallerStream, type CallerStream, type StreamRun} from '../../caller-stream.js';
 import {type Exchange} from '../../exchange.js';
 
 const head: ResponseHead = {
@@ -60,11 +60,13 @@
 for (const isResumable of [true, false]) {
 	test(`a stream is complete, and its connection is reused for the next request (${isResumable ? 'resumable' : 'not resumable'})`, async t => {
 		const answers = await requestTwice(t, async stream => {
+			const run = stream.startRun(undefined);
+
 			for (const event of events) {
-				stream.write(Buffer.from(event), head, () => undefined);
+				run.write(Buffer.from(event), head, () => undefined);
 			}
 
-			stream.finish();
+			run.finish();
 		}, {isResumable});
 
 		for (const {body, isWhole} of answers) {
@@ -80,14 +82,15 @@
 	test(`a stream that ends inside an event is told from one that ends after it (${isResumable ? 'resumable' : 'not resumable'})`, async t => {
 		const states: boolean[] = [];
 		const [{body, isWhole}] = await requestTwice(t, async stream => {
-			states.push(stream.getRunResult().isInsideEvent);
+			const run = stream.startRun(undefined);
+			states.push(run.getResult().isInsideEvent);
 
 			for (const bytes of ['id: 1\ndata: a\n\nda', 'ta: r', '\n', '\r\n', '\n\n']) {
-				stream.write(Buffer.from(bytes), head, () => undefined);
-				states.push(stream.getRunResult().isInsideEvent);
+				run.write(Buffer.from(bytes), head, () => undefined);
+				states.push(run.getResult().isInsideEvent);
 			}
 
-			stream.finish();
+			run.finish();
 		}, {isResumable});
 		t.deepEqual(states.slice(0, 4), [false, true, true, true]);
 		t.false(states[5]);
@@ -106,7 +109,7 @@
 
 test('an aborted stream is not a complete response', async t => {
 	const [{body, isWhole}] = await requestTwice(t, async (stream, response) => {
-		stream.write(Buffer.from(events[3]!), head, () => undefined);
+		stream.startRun(undefined).write(Buffer.from(events[3]!), head, () => undefined);
 		await abortLater(response);
 	}, {isResumable: true});
 	t.is(body, events[3]!);
@@ -123,11 +126,10 @@
 ] as const) {
 	test(`a stream that a run with ${description} continues`, async t => {
 		const [{body, isWhole}] = await requestTwice(t, async (stream, response) => {
-			stream.startRun(undefined);
-			stream.write(Buffer.from(eventOf(1)), {...head, headers: {'content-type': 'text/event-stream'}}, () => undefined);
-			stream.startRun('1');
-			stream.write(Buffer.from(eventOf(2)), {...head, headers: {'content-type': 'text/event-stream'}, ...laterHead}, () => undefined);
-			t.is(stream.getEventFault(), fault);
+			stream.startRun(undefined).write(Buffer.from(eventOf(1)), {...head, headers: {'content-type': 'text/event-stream'}}, () => undefined);
+			const run = stream.startRun('1');
+			run.write(Buffer.from(eventOf(2)), {...head, headers: {'content-type': 'text/event-stream'}, ...laterHead}, () => undefined);
+			t.is(run.getEventFault(), fault);
 			await abortLater(response);
 		}, {isResumable: true});
 		t.is(body, fault === undefined ? eventOf(1) + eventOf(2) : eventOf(1));
@@ -142,15 +144,13 @@
 	};
 	const states: unknown[] = [];
 	const [{body, headers, isWhole}] = await requestTwice(t, async (stream, response) => {
-		stream.startRun(undefined);
-		stream.write(Buffer.from(eventOf(1)), lengthHead, () => undefined);
+		stream.startRun(undefined).write(Buffer.from(eventOf(1)), lengthHead, () => undefined);
 		states.push(stream.getBegun());
-		stream.startRun('1');
-		stream.write(Buffer.from(eventOf(2)), head, () => undefined);
+		stream.startRun('1').write(Buffer.from(eventOf(2)), head, () => undefined);
 		states.push(stream.getBegun()?.missingBytes);
-		stream.startRun('2');
-		stream.write(Buffer.from(eventOf(3)), head, () => undefined);
-		states.push(stream.getEventFault(), stream.canContinue());
+		const lastRun = stream.startRun('2');
+		lastRun.write(Buffer.from(eventOf(3)), head, () => undefined);
+		states.push(lastRun.getEventFault(), stream.canContinue());
 		await abortLater(response);
 	}, {isResumable: true});
 	t.deepEqual(states.slice(0, 4), [{status: 200, framing: BodyFraming.Chunks, missingBytes: eventOf(2).length}, 0, RunFault.OtherLength, false]);
@@ -162,14 +162,79 @@
 test('a stream of which only comments were sent can be run from where its caller asked for', async t => {
 	const states: unknown[] = [];
 	const [{isWhole}] = await requestTwice(t, async (stream, response) => {
-		stream.startRun(undefined);
-		stream.write(Buffer.from(': heartbeat\n\n'), head, () => undefined);
+		stream.startRun(undefined).write(Buffer.from(': heartbeat\n\n'), head, () => undefined);
 		states.push(stream.hasStarted(), stream.canContinue(), stream.getLastEventId());
-		stream.startRun(undefined);
-		stream.write(Buffer.from('data: x\n\n'), head, () => undefined);
+		stream.startRun(undefined).write(Buffer.from('data: x\n\n'), head, () => undefined);
 		states.push(stream.canContinue(), stream.getLastEventId());
 		await abortLater(response);
 	}, {isResumable: true});
 	t.deepEqual(states.slice(0, 5), [true, true, undefined, false, undefined]);
 	t.false(isWhole);
 });
+
+for (const [description, write, body] of [
+	['the one that began it goes on first', (first, second) => {
+		first(eventOf(2));
+		second(eventOf(2) + eventOf(3));
+		first(eventOf(3));
+	}, eventOf(1) + eventOf(2) + eventOf(3)],
+	['the other one goes on first, while the first is inside an event', (first, second) => {
+		first('id: 2\nda');
+		second(': heartbeat\n\n');
+		second(eventOf(2));
+		first('ta: x\n\n');
+		second(eventOf(3));
+	}, `${eventOf(1)}: heartbeat\n\n${eventOf(2)}${eventOf(3)}`],
+	['the other one has sent a comment and part of an event', (first, second) => {
+		second(': heartbeat\n\nid: 2\nda');
+		first(eventOf(2));
+		second('ta: x\n\n');
+		first(eventOf(3));
+	}, eventOf(1) + eventOf(2) + eventOf(3)],
+	['the other one stands still', (first, second) => {
+		second(eventOf(1));
+		first(eventOf(2) + eventOf(3));
+	}, eventOf(1) + eventOf(2) + eventOf(3)],
+] as ReadonlyArray<readonly [string, (first: (text: string) => void, second: (text: string) => void) => void, string]>) {
+	test(`of two runs beside each other one alone continues a stream: ${description}`, async t => {
+		const [{body: received, isWhole}] = await requestTwice(t, async stream => {
+			const forwarded: string[] = [];
+			const first = stream.startRun(undefined, () => {
+				forwarded.push('first');
+			});
+			first.write(Buffer.from(eventOf(1)), head, () => undefined);
+			const second = stream.startRun(stream.getLastEventId(), () => {
+				forwarded.push('second');
+			});
+			const writeTo = (run: StreamRun) => (text: string) => {
+				run.write(Buffer.from(text), head, () => undefined);
+			};
+
+			write(writeTo(first), writeTo(second));
+			const [taker, other] = first.isSuperseded() ? [second, first] : [first, second];
+			t.false(taker.isSuperseded());
+			t.true(other.isSuperseded() || other.getEventFault() === RunFault.StoodStill);
+			t.deepEqual(new Set(forwarded.slice(1)), new Set([taker === first ? 'first' : 'second']));
+			t.is(stream.getLastEventId(), '3');
+			taker.finish();
+		}, {isResumable: true});
+		t.is(received, body);
+		t.true(isWhole);
+	});
+}
+
+test('of two runs that were started before anything was sent, the first with an event is the answer, with its head', async t => {
+	const [{body, headers, isWhole}] = await requestTwice(t, async stream => {
+		const first = stream.startRun(undefined);
+		const second = stream.startRun(undefined);
+		first.write(Buffer.from('id: 1\n'), head, () => undefined);
+		second.write(Buffer.from(eventOf(1)), {...head, rawHeaders: [...head.rawHeaders, 'X-Run', 'second']}, () => undefined);
+		first.write(Buffer.from('data: x\n\n'), head, () => undefined);
+		t.true(first.isSuperseded());
+		second.write(Buffer.from(eventOf(2)), head, () => undefined);
+		second.finish();
+	}, {isResumable: true});
+	t.is(body, eventOf(1) + eventOf(2));
+	t.is(headers['x-run'], 'second');
+	t.true(isWhole);
+});
--- a/packages/gateway/src/__tests__/unit/forward.test.ts
+++ b/packages/gateway/src/__tests__/unit/forward.test.ts
@@ -167,14 +167,14 @@
 /** Longer than an instance may take before it counts as silent. */
 const silenceMs = 1400;
 
-test.failing('a silent run is answered where the budget for retries is spent', async t => {
+test('a silent run is answered where the budget for retries is spent', async t => {
 	const front = await openFront(t, {answers: [answerAfter(silenceMs, 'whole'), answerAfter(0, 'other')], retries: 0});
 	t.like(await front.fetch(), {status: 200, body: 'whole', isWhole: true});
 	t.is(front.asked.length, 1);
 	t.like(front.results[0]!.story[0], {silence: {action: 'keep', obstacle: 'no_budget'}});
 });
 
-test.failing('a silent run is answered where the route allows no further attempt, and where there is no other instance', async t => {
+test('a silent run is answered where the route allows no further attempt, and where there is no other instance', async t => {
 	const spent = await openFront(t, {answers: [answerAfter(silenceMs, 'whole'), answerAfter(0, 'other')], routeChange: {maxAttempts: 1}});
 	const only = await openFront(t, {answers: [answerAfter(silenceMs, 'whole')]});
 
@@ -192,14 +192,14 @@
 	t.deepEqual(front.closedEarly, [front.asked[0]]);
 });
 
-test.failing('the silent run answers where it goes on before the other one, which is then cancelled', async t => {
+test('the silent run answers where it goes on before the other one, which is then cancelled', async t => {
 	const front = await openFront(t, {answers: [answerAfter(silenceMs, 'whole'), neverAnswer]});
 	t.like(await front.fetch(), {status: 200, body: 'whole', isWhole: true});
 	await waitUntil(() => front.closedEarly.length > 0);
 	t.deepEqual(front.closedEarly, [front.asked[1]]);
 });
 
-test.failing('a failure of the other run does not end a request whose silent run may go on', async t => {
+test('a failure of the other run does not end a request whose silent run may go on', async t => {
 	const failures: readonly UpstreamAnswer[] = [answerAfter(0, 'failed', 500), answerAfter(0, 'not run', 421), response => {
 		response.socket!.destroy();
 	}];
@@ -224,7 +224,7 @@
 	t.is(front.results[0]!.reason, 'the deadline passed');
 });
 
-test.failing('a silent run that answers while another one waits for its permit ends the request, and the other one is not sent', async t => {
+test('a silent run that answers while another one waits for its permit ends the request, and the other one is not sent', async t => {
 	let questions = 0;
 	const front = await openFront(t, {
 		answers: [answerAfter(silenceMs, 'whole'), answerAfter(0, 'other')],
@@ -281,7 +281,7 @@
 
 const eventOf = (id: number) => `id: ${id}\ndata: x\n\n`;
 
-test.failing('a stream goes on at the silent instance or at the other one, without an event missing or twice', async t => {
+test('a stream goes on at the silent instance or at the other one, without an event missing or twice', async t => {
 	const stream: UpstreamAnswer = (response, {headers}) => {
 		const resumeAfter = Number(headers['last-event-id'] ?? 0);
 		response.writeHead(200, {'content-type': 'text/event-stream'});
--- a/packages/gateway/src/__tests__/unit/instance-pool.test.ts
+++ b/packages/gateway/src/__tests__/unit/instance-pool.test.ts
@@ -4,6 +4,7 @@
 import {HealthEvent} from '@fescuestair/routing';
 import {createLogger, createPrometheusMetrics} from '@fescuestair/runtime';
 import {createInstancePool} from '../../instance-pool.js';
+import {type InFlightRequest} from '../../pooled-instance.js';
 
 const createRecord = (id: string, overrides: Partial<InstanceRecord> = {}): InstanceRecord => ({
 	id, service: 'app', address: `127.0.0.1:${id.at(-1)}`, availabilityZone: 'north', slots: 6, stage: InstanceStage.Ready, coldLeftMs: 0, models: [],
@@ -113,3 +114,23 @@
 	pool.recordLeaving(pool.get('i-0')!, createRecord('i-0'));
 	t.deepEqual(listAvailable(), ['i-0', 'i-1']);
 });
+
+const createRequest = (overrides: Partial<InFlightRequest> = {}): InFlightRequest => ({
+	startedAtMs: 0, uncachedTokens: 0, workMs: 0, expectedMs: 10, heldTokens: 0, silenceTimeoutMs: 800, getReadingSinceMs: () => 0, onSilence: () => undefined, ...overrides,
+});
+
+test('an instance that was silent gets requests again with the first bytes that it sends', t => {
+	const {pool, clock, announce, listAvailable} = openPool(t, 2);
+	const instance = pool.get('i-0')!;
+	const request = createRequest();
+	pool.begin(instance, request);
+	clock.advance(900);
+	t.true(pool.isSilent(instance, request));
+	pool.recordHealthEvent(instance, HealthEvent.TimedOut);
+	announce();
+	t.deepEqual(listAvailable(), ['i-1']);
+	clock.advance(400);
+	pool.recordActivity(instance);
+	t.false(pool.isSilent(instance, request));
+	t.deepEqual(listAvailable(), ['i-0', 'i-1']);
+});
--- a/packages/gateway/src/caller-stream.ts
+++ b/packages/gateway/src/caller-stream.ts
@@ -4,7 +4,7 @@
 } from '@fescuestair/streams';
 import {type ResponseHead} from './attempt.js';
 import {
-	createEventStreamSplitter, isEventEnd, maxDelimiterBytes, type RunIds,
+	createEventStreamSplitter, isEventEnd, maxDelimiterBytes, type EventStreamSplitter, type RunIds,
 } from './event-stream-splitter.js';
 import {type Exchange} from './exchange.js';
 import {type ForwardOptions} from './forward-options.js';
@@ -12,25 +12,39 @@
 
 /** A streamed response to the caller. Its status and headers are those of the first instance that sent data. */
 export type CallerStream = {
-	/** Forwards bytes to the caller; returns false to pause until `onDrain` is called. */
-	readonly write: (bytes: Buffer, head: ResponseHead, onDrain: () => void) => boolean;
 	readonly hasStarted: () => boolean;
 	/** What the caller has got; `undefined` before the stream has started. */
 	readonly getBegun: () => BegunAnswer | undefined;
-	/** Starts the run of an instance. The run continues the stream after the event with the id; `undefined` where it begins the stream. */
-	readonly startRun: (resumeAfter: string | undefined) => void;
-	/** Why the current run cannot be part of the stream; nothing of it is forwarded from then on. */
-	readonly getEventFault: () => RunFault | undefined;
-	/** How the bytes that the current run has sent so far end. */
-	readonly getRunResult: () => StreamResult;
-	/** Ids of the first and the last event that the current run sent; unknown where the stream cannot be resumed. */
-	readonly getRunIds: () => RunIds;
-	/** Whether the incomplete event exceeds the size limit: the data is not an event stream, and would be buffered without bound. */
-	readonly isEventTooLarge: () => boolean;
+	/**
+	Starts the run of an instance, also beside others. The run continues the stream after the event with the id; `undefined` where it begins the stream.
+	`onForward` is called when something of it has been forwarded.
+	*/
+	readonly startRun: (resumeAfter: string | undefined, onForward?: () => void) => StreamRun;
 	/** Id of the event after which another instance continues the stream; `undefined` where the request is run from its beginning. */
 	readonly getLastEventId: () => string | undefined;
 	/** Whether another run can follow: no event was sent to the caller, or it is known where the run has to continue. */
 	readonly canContinue: () => boolean;
+};
+
+/**
+What the run of one instance contributes to a stream. Of runs beside each other, the first one that sends a complete event continues the stream; nothing
+of the others is forwarded from then on.
+*/
+export type StreamRun = {
+	/** Forwards bytes to the caller; returns false to pause until `onDrain` is called. */
+	readonly write: (bytes: Buffer, head: ResponseHead, onDrain: () => void) => boolean;
+	/** Whether another run has continued the stream since this one started, or since it last did itself. */
+	readonly isSuperseded: () => boolean;
+	/** What the caller has got, where this run is the last one; `undefined` before the stream has started. */
+	readonly getBegun: () => BegunAnswer | undefined;
+	/** Why the run cannot be part of the stream; nothing of it is forwarded from then on. */
+	readonly getEventFault: () => RunFault | undefined;
+	/** How the bytes that the run has sent so far end. */
+	readonly getResult: () => StreamResult;
+	/** Ids of the first and the last event that the run sent; unknown where the stream cannot be resumed. */
+	readonly getIds: () => RunIds;
+	/** Whether the incomplete event exceeds the size limit: the data is not an event stream, and would be buffered without bound. */
+	readonly isEventTooLarge: () => boolean;
 	/** Ends a complete response; first sends the blank lines after the last event, if any. */
 	readonly finish: () => void;
 };
@@ -39,18 +53,19 @@
 
 /** Creates the streamed response to a caller. Nothing is sent, not even the headers, before the first bytes of the body. */
 export function createCallerStream({isLeaving}: Pick<ForwardOptions, 'isLeaving'>, {response, route, caller}: Exchange): CallerStream {
-	const splitter = route.isResumable ? createEventStreamSplitter() : undefined;
+	/** Splits the events of the run that the caller got the latest event of, or of the first run. */
+	let latestSplitter: EventStreamSplitter | undefined;
 	/** The last bytes that were forwarded as they came, enough to recognise the end of an event. */
 	let lastBytes: Buffer = Buffer.alloc(0);
 	let begunHead: ResponseHead | undefined;
 	let framing = BodyFraming.Close;
 	let announcedBytes: number | undefined;
 	let sentBytes = 0;
-	let headFault: RunFault | undefined;
-	let isLengthExceeded = false;
+	let forwardedCount = 0;
+	let hasExceededLength = false;
 
 	// A caller that was told a length takes the answer for complete with its last byte, before the last run has proved it.
-	const hasLength = splitter === undefined;
+	const hasLength = !route.isResumable;
 	const getUnchunkedFraming = (head: ResponseHead) => hasLength && head.framing === BodyFraming.Length ? BodyFraming.Length : BodyFraming.Close;
 
 	const start = (head: ResponseHead) => {
@@ -70,8 +85,12 @@
 		return response.write(formatChunk(bytes));
 	};
 
+	const describeBegun = (splitter: EventStreamSplitter | undefined): BegunAnswer | undefined => begunHead && {
+		status: begunHead.status, framing, missingBytes: announcedBytes === undefined ? undefined : announcedBytes - sentBytes - (splitter?.countPartialBytes() ?? 0),
+	};
+
 	// Comments alone do not move the position in a stream.
-	const hasEvents = () => begunHead !== undefined && splitter?.hasEvents() !== false;
+	const hasEvents = () => begunHead !== undefined && latestSplitter?.hasEvents() !== false;
 
 	const findHeadFault = (head: ResponseHead): RunFault | undefined => {
 		if (begunHead === undefined || begunHead === head) {
@@ -85,69 +104,89 @@
 		return getFormat(head) === getFormat(begunHead) ? undefined : RunFault.Format;
 	};
 
-	return {
-		write(bytes, head, onDrain) {
-			headFault ??= findHeadFault(head);
-
-			if (headFault !== undefined || isLengthExceeded) {
-				return true;
-			}
-
-			if (splitter === undefined) {
-				lastBytes = Buffer.concat([lastBytes, bytes.subarray(-maxDelimiterBytes)]).subarray(-maxDelimiterBytes);
-			}
-
-			const completeBytes = splitter === undefined ? bytes : splitter.push(bytes);
-
-			if (completeBytes === undefined || response.destroyed) {
-				return true;
-			}
-
-			if (begunHead === undefined) {
-				start(head);
-			}
+	const startRun = (resumeAfter: string | undefined, onForward: () => void): StreamRun => {
+		const splitter = route.isResumable ? latestSplitter?.fork(resumeAfter) ?? createEventStreamSplitter() : undefined;
+		let headFault: RunFault | undefined;
+		let isLengthExceeded = false;
+		let seenCount = forwardedCount;
 
-			if (announcedBytes !== undefined && sentBytes + completeBytes.length > announcedBytes) {
-				isLengthExceeded = true;
-
-				return true;
-			}
-
-			if (send(completeBytes)) {
-				return true;
-			}
+		if (latestSplitter === undefined) {
+			splitter?.startRun(resumeAfter);
+			latestSplitter = splitter;
+		}
 
-			response.once('drain', onDrain);
+		const isSuperseded = () => seenCount !== forwardedCount;
+
+		return {
+			write(bytes, head, onDrain) {
+				headFault ??= findHeadFault(head);
+
+				if (headFault !== undefined || isLengthExceeded || isSuperseded()) {
+					return true;
+				}
+
+				if (splitter === undefined) {
+					lastBytes = Buffer.concat([lastBytes, bytes.subarray(-maxDelimiterBytes)]).subarray(-maxDelimiterBytes);
+				}
+
+				const completeBytes = splitter === undefined ? bytes : splitter.push(bytes);
+
+				if (completeBytes === undefined || response.destroyed) {
+					return true;
+				}
+
+				if (begunHead === undefined) {
+					start(head);
+				}
+
+				if (announcedBytes !== undefined && sentBytes + completeBytes.length > announcedBytes) {
+					isLengthExceeded = true;
+					hasExceededLength = true;
+
+					return true;
+				}
+
+				latestSplitter = splitter;
+				forwardedCount++;
+				seenCount = forwardedCount;
+				onForward();
+
+				if (send(completeBytes)) {
+					return true;
+				}
+
+				response.once('drain', onDrain);
+
+				return false;
+			},
+			isSuperseded,
+			getBegun: () => describeBegun(splitter),
+			getEventFault: () => isLengthExceeded ? RunFault.OtherLength : headFault ?? splitter?.getEventFault(),
+			getResult: () => ({
+				hasEvents: splitter === undefined ? lastBytes.length > 0 : splitter.hasRunEvents(),
+				isInsideEvent: splitter === undefined ? lastBytes.length > 0 && !isEventEnd(lastBytes) : splitter.isInsideEvent(),
+				endMark: EndMark.None,
+			}),
+			getIds: () => splitter?.getRunIds() ?? {first: undefined, last: undefined},
+			isEventTooLarge: () => splitter?.isEventTooLarge() ?? false,
+			finish() {
+				const partialEvent = splitter?.takePartialEvent();
+
+				if (partialEvent !== undefined) {
+					send(partialEvent);
+				}
+
+				response.end(framing === BodyFraming.Chunks ? lastChunk : undefined);
+			},
+		};
+	};
 
-			return false;
-		},
+	return {
 		hasStarted: () => begunHead !== undefined,
-		getBegun: () => begunHead && {
-			status: begunHead.status, framing, missingBytes: announcedBytes === undefined ? undefined : announcedBytes - sentBytes - (splitter?.countPartialBytes() ?? 0),
-		},
-		startRun(resumeAfter) {
-			headFault = undefined;
-			splitter?.startRun(resumeAfter);
-		},
-		getEventFault: () => isLengthExceeded ? RunFault.OtherLength : headFault ?? splitter?.getEventFault(),
-		getRunResult: () => ({
-			hasEvents: splitter === undefined ? lastBytes.length > 0 : splitter.hasRunEvents(),
-			isInsideEvent: splitter === undefined ? lastBytes.length > 0 && !isEventEnd(lastBytes) : splitter.isInsideEvent(),
-			endMark: EndMark.None,
-		}),
-		getRunIds: () => splitter?.getRunIds() ?? {first: undefined, last: undefined},
-		isEventTooLarge: () => splitter?.isEventTooLarge() ?? false,
-		getLastEventId: () => hasEvents() ? splitter?.getLastEventId() : caller.lastEventId,
-		canContinue: () => !hasEvents() || (!isLengthExceeded && splitter?.getLastEventId() !== undefined),
-		finish() {
-			const partialEvent = splitter?.takePartialEvent();
-
-			if (partialEvent !== undefined) {
-				send(partialEvent);
-			}
-
-			response.end(framing === BodyFraming.Chunks ? lastChunk : undefined);
-		},
+		getBegun: () => describeBegun(latestSplitter),
+		startRun: (resumeAfter, onForward = () => undefined) => startRun(resumeAfter, onForward),
+		getLastEventId: () => hasEvents() ? latestSplitter?.getLastEventId() : caller.lastEventId,
+		canContinue: () => !hasEvents() || (!hasExceededLength && latestSplitter?.getLastEventId() !== undefined),
 	};
 }
 
--- a/packages/gateway/src/event-stream-splitter.ts
+++ b/packages/gateway/src/event-stream-splitter.ts
@@ -17,6 +17,8 @@
 	the stream. Ids without an order are not compared.
 	*/
 	readonly startRun: (resumeAfter: string | undefined) => void;
+	/** Creates the splitter of a run beside the current one. Only one of the two may return events: it continues the stream from there. */
+	readonly fork: (resumeAfter: string | undefined) => EventStreamSplitter;
 	/** Why the events of the current run do not continue the stream; none of them is returned from then on. */
 	readonly getEventFault: () => RunFault | undefined;
 	/** Whether the current run sent an event; in the run that begins the stream a comment counts as well. */
@@ -58,18 +60,29 @@
 ```
 */
 export function createEventStreamSplitter(): EventStreamSplitter {
+	return createSplitter({
+		lastEventsWithId: undefined, hasDataAfterLastId: false, hasEvents: false, hasReturnedBytes: false,
+	});
+}
+
+/** What the runs before have sent. */
+type StreamPosition = {
+	readonly lastEventsWithId: Buffer | undefined;
+	readonly hasDataAfterLastId: boolean;
+	readonly hasEvents: boolean;
+	readonly hasReturnedBytes: boolean;
+};
+
+function createSplitter(position: StreamPosition): EventStreamSplitter {
 	let partialEvent: Buffer | undefined;
 	/** The latest bytes that contain an event id. Ids are parsed only on demand, when a stream is resumed. */
-	let lastEventsWithId: Buffer | undefined;
-	let hasDataAfterLastId = false;
+	let {lastEventsWithId, hasDataAfterLastId, hasEvents, hasReturnedBytes} = position;
+	let isLaterRun = hasReturnedBytes;
 	/** The first bytes of the current run that contain an event id. */
 	let firstEventsOfRun: Buffer | undefined;
 	/** Comments of a later run that has not sent an event yet. */
 	let pendingComments: Buffer = Buffer.alloc(0);
 	let hasRunEvents = false;
-	let hasEvents = false;
-	let hasReturnedBytes = false;
-	let isLaterRun = false;
 	/** Id of the event that the next one of a continuing run has to follow; `undefined` in the run that begins the stream. */
 	let previousId: string | undefined;
 	let eventFault: RunFault | undefined;
@@ -155,6 +168,14 @@
 			partialEvent = undefined;
 			pendingComments = Buffer.alloc(0);
 		},
+		fork(resumeAfter) {
+			const splitter = createSplitter({
+				lastEventsWithId, hasDataAfterLastId, hasEvents, hasReturnedBytes,
+			});
+			splitter.startRun(resumeAfter);
+
+			return splitter;
+		},
 		getEventFault: () => eventFault,
 		hasRunEvents: () => hasRunEvents,
 		hasEvents: () => hasEvents,
@@ -167,9 +188,9 @@
 			}
 
 			const events = parseEvents(lastEventsWithId);
-			const position = events.findLastIndex(({id}) => id !== undefined);
-			const id = events[position]?.id;
-			const hasDataAfterId = events.slice(position + 1).some(({hasData}) => hasData);
+			const index = events.findLastIndex(({id}) => id !== undefined);
+			const id = events[index]?.id;
+			const hasDataAfterId = events.slice(index + 1).some(({hasData}) => hasData);
 
 			return id !== undefined && isOrderedEventId(id) && !hasDataAfterId ? id : undefined;
 		},
--- a/packages/gateway/src/forward-options.ts
+++ b/packages/gateway/src/forward-options.ts
@@ -2,7 +2,9 @@
 import {type InstanceRecord} from '@fescuestair/instances';
 import {type Permit, type RetryBudget} from '@fescuestair/limits';
 import {type ChooseInstance} from '@fescuestair/routing';
-import {type PermitClient, type PrometheusMetrics, type RequestLimits} from '@fescuestair/runtime';
+import {
+	type Logger, type PermitClient, type PrometheusMetrics, type RequestLimits,
+} from '@fescuestair/runtime';
 import {type RouteTable} from '@fescuestair/traffic';
 import {type CallerCodec, type UpstreamCodec} from './codecs.js';
 import {type CrashDetector} from './crash-detector.js';
@@ -24,6 +26,7 @@
 	readonly requestLimits: RequestLimits;
 	/** Permits to send requests to instances that name a limit. */
 	readonly permits: PermitClient;
+	readonly log: Pick<Logger, 'error'>;
 	readonly metrics: Pick<PrometheusMetrics, 'count'>;
 	readonly getTable: () => RouteTable;
 	/** Decides whether new requests may start on a version of a model's weights; `startMs` is the expected delay until the start. */
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -1,5 +1,4 @@
 import {setTimeout as sleep} from 'node:timers/promises';
-import {withdrawRetry} from '@fescuestair/limits';
 import {
 	decideReopening, decideWait, maxIdleQueueMs, WaitDecision, type ReopeningInput, type WaitInput,
 } from '@fescuestair/routing';
@@ -9,8 +8,9 @@
 import {
 	CallKind, chooseTarget, type Route, type Service,
 } from '@fescuestair/traffic';
-import {AttemptCompletion, type Attempt} from './attempt.js';
-import {createCallerStream, type CallerStream} from './caller-stream.js';
+import {createActiveRuns, type RunEnd} from './active-runs.js';
+import {AttemptCompletion} from './attempt.js';
+import {createCallerStream} from './caller-stream.js';
 import {chooseInstanceForRequest, type InstanceChoice} from './choose-place.js';
 import {
 	ExchangeOutcome, ResponseEnd, sendLocalResponse, type Exchange, type ExchangeResult,
@@ -21,7 +21,11 @@
 	computeReturnDelayMs, findLimitEndMs, releasePermit, requestPermit,
 } from './request-permit.js';
 import {sendUpstreamResponse} from './send-response.js';
-import {sendAttempt, type SentAttempt} from './send-attempt.js';
+import {
+	countAttemptsLeft, hasEnded, takeRetry, type ForwardingContext,
+} from './forwarding-context.js';
+import {startRun, type ActiveRun, type EndedRun} from './start-run.js';
+import {handleSilence} from './start-successor.js';
 
 /** Attempts that an instance rejected without running the request are cheap to repeat; after this many the service counts as overloaded. */
 const maxRefusedAttempts = 4;
@@ -52,22 +56,10 @@
 
 type StreamEnd = {readonly end: ResponseEnd; readonly framing: BodyFraming};
 
-/** State of one request while it is being forwarded. */
-type ForwardingContext = {
-	readonly options: ForwardOptions;
-	readonly exchange: Exchange;
-	readonly service: Service;
-	readonly progress: ForwardingProgress;
-	readonly stream: CallerStream;
-	/** Whether the request may be executed more than once. */
-	readonly isRetryable: boolean;
-	readonly cancellation: {attempt: Attempt | undefined; isCallerGone: boolean; isExpired: boolean};
-};
-
 /**
 Forwards one request until it has a final response. A request that is not retryable is executed at most once. An attempt that was not
 executed is retried on another instance while the deadline and the retry budget allow. A resumable stream continues on another instance after
-its last complete event.
+its last complete event. While its instance is silent, a request that may be repeated runs at another one as well, if there is one that can take over.
 
 @example
 ```
@@ -90,29 +82,34 @@
 		};
 	}
 
-	const cancellation: ForwardingContext['cancellation'] = {attempt: undefined, isCallerGone: false, isExpired: false};
+	const runs = createActiveRuns();
+	const ending: ForwardingContext['end'] = {isCallerGone: false, isExpired: false, isAnswered: false};
 	const context: ForwardingContext = {
-		options, exchange, service, progress, cancellation, stream: createCallerStream(options, exchange), isRetryable: canRetry(route),
+		options, exchange, service, progress, runs, end: ending, stream: createCallerStream(options, exchange), isRetryable: canRetry(route),
+		successor: {isPreparing: false, preparation: Promise.resolve()},
 	};
 
 	const onClose = () => {
 		if (!response.writableFinished) {
-			cancellation.isCallerGone = true;
-			cancellation.attempt?.cancel(RunEvidence.CallerGone);
+			ending.isCallerGone = true;
+			runs.cancel(RunEvidence.CallerGone);
 		}
 	};
 
 	response.on('close', onClose);
 	const timer = setTimeout(() => {
-		cancellation.isExpired = true;
-		cancellation.attempt?.cancel(RunEvidence.DeadlinePassed);
+		ending.isExpired = true;
+		runs.cancel(RunEvidence.DeadlinePassed);
 	}, Math.max(0, exchange.deadlineMs - clock.readMonotonicMs()));
 	let end: ExchangeResult | undefined;
 
 	while (end === undefined) {
-		end = await advanceRequest(context);
+		end = await (runs.count() > 0 ? followRuns(context) : advanceRequest(context));
 	}
 
+	ending.isAnswered = true;
+	runs.cancel(RunEvidence.Superseded);
+	await runs.settle();
 	waiting.delete(exchange);
 	releasePermit(options, progress);
 	clearTimeout(timer);
@@ -123,7 +120,7 @@
 		return {...end, story: progress.story};
 	}
 
-	const responseEnd = cancellation.isCallerGone ? ResponseEnd.CallerGone : (response.writableEnded ? ResponseEnd.Complete : ResponseEnd.Aborted);
+	const responseEnd = ending.isCallerGone ? ResponseEnd.CallerGone : (response.writableEnded ? ResponseEnd.Complete : ResponseEnd.Aborted);
 	options.metrics.count('stream_ends_total', {service: service.name, end: responseEnd, framing: begun.framing});
 
 	return {...end, story: progress.story, streamEnd: {end: responseEnd, framing: begun.framing}};
@@ -133,17 +130,52 @@
 	return kind === CallKind.Safe || (kind === CallKind.Streaming && isResumable);
 }
 
-// Performs the next step of a request: one attempt, or one wait. Returns `undefined` while the request is unfinished.
+function startRunAt(context: ForwardingContext, choice: InstanceChoice): void {
+	const {options, exchange, service, progress, stream, isRetryable, runs} = context;
+	runs.add(startRun(options, exchange, {
+		...choice, service, progress, stream, isRetryable,
+		onSilence(run) {
+			handleSilence(context, run, {
+				minTimeLeftMs, startRun(successorChoice) {
+					startRunAt(context, successorChoice);
+				},
+			});
+		},
+		onForward(run) {
+			runs.cancel(RunEvidence.Superseded, run);
+		},
+	}));
+}
+
+// Waits until one of the runs has ended. Returns `undefined` while the request is unfinished.
+async function followRuns(context: ForwardingContext): Promise<ExchangeResult | undefined> {
+	const {runs, progress, successor, end} = context;
+	const runEnd = await runs.waitForEnd();
+	progress.isTrial &&= runEnd.ended.result.end === AttemptCompletion.NotRun;
+
+	// Before another attempt is decided on, the one that is being prepared is started or given up.
+	if (runs.count() === 0 && !hasEnded(context) && !isComplete(runEnd.ended)) {
+		await successor.preparation;
+	}
+
+	return end.isCallerGone ? endCallerGone() : handleRunEnd(context, runEnd);
+}
+
+function isComplete({result, fault}: EndedRun): boolean {
+	return result.end === AttemptCompletion.Complete && fault === undefined;
+}
+
+// Performs the next step of a request without active runs: starts one, or waits. Returns `undefined` while the request is unfinished.
 async function advanceRequest(context: ForwardingContext): Promise<ExchangeResult | undefined> {
 	const {
-		options, exchange, service, progress, cancellation, stream, isRetryable,
+		options, exchange, service, progress, end, stream,
 	} = context;
 
-	if (cancellation.isCallerGone) {
+	if (end.isCallerGone) {
 		return endCallerGone();
 	}
 
-	if (cancellation.isExpired || exchange.deadlineMs - options.clock.readMonotonicMs() < minTimeLeftMs) {
+	if (end.isExpired || exchange.deadlineMs - options.clock.readMonotonicMs() < minTimeLeftMs) {
 		return progress.sentCount > 0 ? endFailed(context, gatewayTimeoutStatus, 'the deadline passed') : refuse(context, 'the deadline passed before it was sent', computeRetryAfterMs(0));
 	}
 
@@ -190,13 +222,9 @@
 		return undefined;
 	}
 
-	const sent = await sendAttempt(options, exchange, {
-		...choice, service, progress, stream, isRetryable, cancellation,
-	});
-	cancellation.attempt = undefined;
-	progress.isTrial &&= sent.result.end === AttemptCompletion.NotRun;
+	startRunAt(context, choice);
 
-	return cancellation.isCallerGone ? endCallerGone() : handleAttemptResult(context, choice, sent);
+	return undefined;
 }
 
 // No instance accepts requests now. Waits until one does, provided that this is early enough for the request; refuses the request otherwise.
@@ -284,36 +312,41 @@
 	};
 }
 
-// Ends the request according to the result of one attempt: returns the final result, or `undefined` where another attempt follows.
-function handleAttemptResult(context: ForwardingContext, choice: InstanceChoice, sent: SentAttempt): ExchangeResult | undefined {
+// Ends the request according to how one of its runs ended: returns the final result, or `undefined` where another run follows or is under way.
+function handleRunEnd(context: ForwardingContext, {run, ended}: RunEnd): ExchangeResult | undefined {
 	const {
-		options, exchange, service, progress, stream, cancellation,
+		options, exchange, service, progress, stream, runs,
 	} = context;
-	const {result} = sent;
+	const {result} = ended;
 
 	if (result.end === AttemptCompletion.NotRun) {
 		progress.refused++;
+
+		if (runs.count() > 0) {
+			return undefined;
+		}
+
 		// A request that was never sent put no load on any instance, so its retry does not draw on the budget.
 		const shouldRetry = progress.refused <= maxRefusedAttempts && (result.isUnreachable || takeRetry(options, service.name));
 
-		return shouldRetry ? undefined : refuse(context, `turned away: ${result.reason}`, computeRetryAfterMs(choice.placement.expectedMs));
+		return shouldRetry ? undefined : refuse(context, `turned away: ${result.reason}`, computeRetryAfterMs(run.choice.placement.expectedMs));
 	}
 
 	progress.sentCount++;
-	const {end, fault, obstacle} = decideEnd(context, sent);
+	const {end, fault, obstacle} = decideEnd(context, ended);
 
-	if (end === AnswerEnd.Repeat) {
+	if (end === AnswerEnd.Repeat || end === AnswerEnd.Wait) {
 		return undefined;
 	}
 
 	if (end === AnswerEnd.Aborted) {
 		progress.story.push({decision: end, obstacle});
 
-		return cancellation.isExpired ? endFailed(context, gatewayTimeoutStatus, 'the deadline passed') : endFailed(context, badGatewayStatus, describeAbort(sent));
+		return context.end.isExpired ? endFailed(context, gatewayTimeoutStatus, 'the deadline passed') : endFailed(context, badGatewayStatus, describeAbort(ended));
 	}
 
 	if (stream.hasStarted()) {
-		stream.finish();
+		ended.streamRun.finish();
 	} else {
 		sendUpstreamResponse(exchange.response, {head: result.head!, body: result.body, isLeaving: options.isLeaving()});
 	}
@@ -329,20 +362,21 @@
 };
 
 // Takes a retry from the budget only where the decision is to make another attempt.
-function decideEnd({options, exchange, service, progress, stream, isRetryable, cancellation}: ForwardingContext, {run}: SentAttempt): EndDecision {
-	const begun = stream.getBegun();
+function decideEnd(context: ForwardingContext, {run, streamRun}: EndedRun): EndDecision {
+	const {options, service, stream, isRetryable, runs, end} = context;
+	const begun = streamRun.getBegun();
 	const obstacle = findSuccessionObstacle({
-		isRepeatable: isRetryable, hasPosition: stream.canContinue(), isStarted: false, attemptsLeft: exchange.route.maxAttempts - progress.sentCount,
-		hasTime: !cancellation.isExpired, isHeldBack: false, hasUpstream: true, hasBudget: true,
+		isRepeatable: isRetryable, hasPosition: stream.canContinue(), isStarted: false, attemptsLeft: countAttemptsLeft(context), hasTime: !end.isExpired, isHeldBack: false,
+		hasUpstream: true, hasBudget: true,
 	});
-	const decision = decideAnswerEnd({begun, canRepeat: obstacle === undefined}, run);
+	const decision = decideAnswerEnd({begun, canRepeat: obstacle === undefined, hasOtherRun: runs.count() > 0}, run);
 
 	return decision.end === AnswerEnd.Repeat && !takeRetry(options, service.name)
 		? {...decideAnswerEnd({begun, canRepeat: false}, run), obstacle: SuccessionObstacle.NoBudget}
 		: {...decision, obstacle};
 }
 
-function describeAbort({result, fault}: SentAttempt): string {
+function describeAbort({result, fault}: EndedRun): string {
 	if (result.end === AttemptCompletion.Incomplete) {
 		return result.reason;
 	}
@@ -396,11 +430,3 @@
 function addJitter(timeMs: number): number {
 	return timeMs + (Math.random() * retryJitterMs);
 }
-
-// Each gateway holds its own share of the retry budget, so that a retry needs no coordination.
-function takeRetry({retryBudgets, createRetryBudget}: ForwardOptions, service: string): boolean {
-	const {budget, isAllowed} = withdrawRetry(retryBudgets.get(service) ?? createRetryBudget(service));
-	retryBudgets.set(service, budget);
-
-	return isAllowed;
-}
--- /dev/null
+++ b/packages/gateway/src/forwarding-context.ts
@@ -0,0 +1,51 @@
+import {hasRetry, withdrawRetry} from '@fescuestair/limits';
+import {type Service} from '@fescuestair/traffic';
+import {type ActiveRuns} from './active-runs.js';
+import {type CallerStream} from './caller-stream.js';
+import {type Exchange} from './exchange.js';
+import {type ForwardOptions, type ForwardingProgress} from './forward-options.js';
+
+/** State of one request while it is being forwarded. */
+export type ForwardingContext = {
+	readonly options: ForwardOptions;
+	readonly exchange: Exchange;
+	readonly service: Service;
+	readonly progress: ForwardingProgress;
+	readonly stream: CallerStream;
+	/** Whether the request may be executed more than once. */
+	readonly isRetryable: boolean;
+	readonly runs: ActiveRuns;
+	readonly successor: SuccessorState;
+	/** Why the request needs no further run. */
+	readonly end: {isCallerGone: boolean; isExpired: boolean; isAnswered: boolean};
+};
+
+/** The run that is being prepared beside silent ones. */
+export type SuccessorState = {
+	isPreparing: boolean;
+	/** Resolves once the latest preparation has started a run, or has been given up. */
+	preparation: Promise<void>;
+};
+
+/** Whether the request needs no further run. */
+export function hasEnded({end}: ForwardingContext): boolean {
+	return end.isCallerGone || end.isExpired || end.isAnswered;
+}
+
+/** Counts the attempts that the route still allows. Runs that are under way count as sent. */
+export function countAttemptsLeft({exchange, progress, runs}: ForwardingContext): number {
+	return exchange.route.maxAttempts - progress.sentCount - runs.count();
+}
+
+/** Whether this gateway's share of the retry budget allows a retry. Each gateway holds its own share, so that a retry needs no coordination. */
+export function canRetryNow({retryBudgets, createRetryBudget}: ForwardOptions, service: string): boolean {
+	return hasRetry(retryBudgets.get(service) ?? createRetryBudget(service));
+}
+
+/** Takes a retry from this gateway's share of the budget; returns whether it allows one. */
+export function takeRetry({retryBudgets, createRetryBudget}: ForwardOptions, service: string): boolean {
+	const {budget, isAllowed} = withdrawRetry(retryBudgets.get(service) ?? createRetryBudget(service));
+	retryBudgets.set(service, budget);
+
+	return isAllowed;
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -207,6 +207,7 @@
 		requestLimits,
 		permits,
 		returns: new Map(),
+		log,
 		metrics,
 		getTable: () => routeTable!,
 		classifyWeights: (model, version, startDelayMs) => classifyWeights(targetVersionHistory, {
--- a/packages/gateway/src/instance-pool.ts
+++ b/packages/gateway/src/instance-pool.ts
@@ -48,8 +48,10 @@
 	/** Records that a response reported that the instance is leaving. */
 	readonly recordLeaving: (instance: PooledInstance, record: InstanceRecord) => void;
 	readonly recordActivity: (instance: PooledInstance) => void;
-	/** Measures for how long an instance has sent nothing since a request was sent to it. */
+	/** Measures for how long an instance has sent nothing although this gateway was reading. */
 	readonly measureSilenceMs: (instance: PooledInstance, request: InFlightRequest) => number;
+	/** Whether an instance has sent nothing for longer than it should need for a request. */
+	readonly isSilent: (instance: PooledInstance, request: InFlightRequest) => boolean;
 	readonly end: (instance: PooledInstance, request: InFlightRequest) => void;
 	/** Lists this gateway's in-flight load at each instance. */
 	readonly listShares: () => readonly InstanceShare[];
@@ -171,9 +173,15 @@
 		}
 	};
 
-	const measureSilenceMs = ({standing}: PooledInstance, {startedAtMs}: InFlightRequest) => clock.readMonotonicMs() - Math.max(startedAtMs, standing.answeredAtMs);
+	const measureSilenceMs = ({standing}: PooledInstance, {getReadingSinceMs}: InFlightRequest) => {
+		const readingSinceMs = getReadingSinceMs();
 
-	// Ends the requests at instances that have sent no bytes within the silence time-out, so that they can continue elsewhere.
+		return readingSinceMs === undefined ? 0 : clock.readMonotonicMs() - Math.max(readingSinceMs, standing.answeredAtMs);
+	};
+
+	const isSilent = (instance: PooledInstance, request: InFlightRequest) => measureSilenceMs(instance, request) >= request.silenceTimeoutMs;
+
+	// Reports requests at instances that have sent no bytes within the silence time-out, so that other instances can be asked as well.
 	const checkInFlight = () => {
 		const nowMs = clock.readMonotonicMs();
 
@@ -188,7 +196,7 @@
 			}
 
 			extendOverdue(instance, nowMs);
-			const timedOut = [...instance.inFlight.keys()].filter(request => measureSilenceMs(instance, request) >= request.silenceTimeoutMs);
+			const timedOut = [...instance.inFlight.keys()].filter(request => isSilent(instance, request));
 
 			if (timedOut.length === 0) {
 				continue;
@@ -197,7 +205,7 @@
 			applyHealthEvent(instance, HealthEvent.TimedOut);
 
 			for (const request of timedOut) {
-				request.onSilenceTimeout();
+				request.onSilence();
 			}
 		}
 	};
@@ -213,6 +221,7 @@
 					applyStandingEvent(known, {kind: InstanceEventKind.Announced, ...describeAnnouncedStanding(held)});
 				} else if (held.record.stage !== InstanceStage.Gone) {
 					closeConnections(known, held.record);
+
 					instances.set(held.record.id, createPooledInstance(held, getMaxConnections(held.record.service)));
 				}
 			}
@@ -333,6 +342,7 @@
 			applyStandingEvent(instance, {kind: InstanceEventKind.ResponseReceived});
 		},
 		measureSilenceMs,
+		isSilent,
 		end(instance, request) {
 			// A request that ends before its response begins is not prefilled to the end, so its remaining work is removed from the backlog.
 			const estimate = instance.inFlight.get(request);
--- a/packages/gateway/src/pooled-instance.ts
+++ b/packages/gateway/src/pooled-instance.ts
@@ -22,10 +22,12 @@
 	readonly expectedMs: number;
 	/** Prompt tokens and maximum output tokens, which occupy memory of the instance until the request ends; 0 without a prompt. */
 	readonly heldTokens: number;
-	/** Longest time for which a healthy instance sends no bytes. */
+	/** Time without bytes after which the instance counts as silent. */
 	readonly silenceTimeoutMs: number;
-	/** Called when the instance has sent no bytes for that long: ends the attempt where another instance can continue it. */
-	readonly onSilenceTimeout: () => void;
+	/** Since when this gateway reads what the instance sends; `undefined` while it does not, since the caller is slow to read. */
+	readonly getReadingSinceMs: () => number | undefined;
+	/** Called repeatedly while the instance is silent. */
+	readonly onSilence: () => void;
 };
 
 /** State that this gateway keeps for one instance, and its connections to it. */
--- a/packages/gateway/src/send-attempt.ts
+++ b/packages/gateway/src/start-run.ts
@@ -1,13 +1,13 @@
 import {type Buffer} from 'node:buffer';
 import {HealthEvent, type InstanceLoad} from '@fescuestair/routing';
 import {
-	BodyFraming, RunEvidence, RunFault, describeRunFault, findRunFault, type RunResult,
+	BodyFraming, RunEvidence, RunFault, describeRunFault, findRunFault, type RunDecision, type RunResult,
 } from '@fescuestair/streams';
 import {CallKind, type Service} from '@fescuestair/traffic';
 import {
-	AttemptCompletion, startAttempt, type Attempt, type ResponseHead, type AttemptResult,
+	AttemptCompletion, startAttempt, type ResponseHead, type AttemptResult,
 } from './attempt.js';
-import {type CallerStream} from './caller-stream.js';
+import {type CallerStream, type StreamRun} from './caller-stream.js';
 import {answerProofMs} from './crash-detector.js';
 import {type InstanceChoice} from './choose-place.js';
 import {type CacheInstructions} from './codecs.js';
@@ -39,28 +39,46 @@
 	Resume = 'resume',
 }
 
-/** What an attempt needs besides the request: the chosen instance and the state of forwarding. */
-export type AttemptInput = InstanceChoice & {
+/** What a run needs besides the request: the chosen instance and the state of forwarding. */
+export type RunInput = InstanceChoice & {
 	readonly service: Service;
 	readonly progress: ForwardingProgress;
 	readonly stream: CallerStream;
+	/** Whether the request may be executed more than once. */
 	readonly isRetryable: boolean;
-	readonly cancellation: {attempt: Attempt | undefined};
+	/** Called repeatedly while the instance is silent. */
+	readonly onSilence: (run: ActiveRun) => void;
+	/** Called when something of the run has been forwarded to the caller. */
+	readonly onForward: (run: ActiveRun) => void;
 };
 
-/** How an attempt ended, and what it means for the answer to the caller. */
-export type SentAttempt = {
+/** A run of a request at an instance that has not ended yet. */
+export type ActiveRun = {
+	readonly choice: InstanceChoice;
+	readonly ended: Promise<EndedRun>;
+	readonly cancel: (evidence: RunEvidence) => void;
+	readonly isSilent: () => boolean;
+	/** Records for the log what was decided about the silence of the run; returns whether this is another decision than the one before. */
+	readonly recordSilence: (decision: RunDecision) => boolean;
+};
+
+/** What was decided while an instance was silent. */
+type RecordedSilence = RunDecision & {readonly silentMs: number};
+
+/** How a run ended, and what it means for the answer to the caller. */
+export type EndedRun = {
 	readonly result: AttemptResult;
 	readonly run: RunResult;
 	/** Why the run does not complete the answer. */
 	readonly fault: RunFault | undefined;
+	readonly streamRun: StreamRun;
 };
 
 /** Sends a request to the chosen instance, and records its load, health and cached parts in the gateway's view of the instances. */
-export async function sendAttempt(options: ForwardOptions, exchange: Exchange, input: AttemptInput): Promise<SentAttempt> {
+export function startRun(options: ForwardOptions, exchange: Exchange, input: RunInput): ActiveRun {
 	const {clock, crashes, instancePool, upstreamCodec, requestLimits} = options;
 	const {
-		entry, placement, cache, uncachedTokens, service, progress, stream, isRetryable, cancellation,
+		entry, placement, cache, uncachedTokens, service, progress, stream, isRetryable,
 	} = input;
 	const {request, requestId, body, route, caller} = exchange;
 	const {record} = entry.held;
@@ -68,7 +86,7 @@
 	const isStreaming = route.kind === CallKind.Streaming;
 	const resumeAfter = stream.getLastEventId();
 	let firstPieceMs: number | undefined;
-	let silentMs: number | undefined;
+	let silence: RecordedSilence | undefined;
 	const streamed: StreamedPieces = {
 		pieces: 0, lastMs: 0, firstAtMs: undefined, isAnswerRecorded: false,
 	};
@@ -76,7 +94,9 @@
 	const limitPerSecond = requestLimits.getPerSecond(record);
 	const kind = stream.hasStarted() ? DispatchKind.Resume : (progress.triedInstanceIds.size > 0 ? DispatchKind.Repeat : DispatchKind.First);
 	progress.triedInstanceIds.add(record.id);
-	stream.startRun(resumeAfter);
+	const streamRun = stream.startRun(resumeAfter, () => {
+		input.onForward(activeRun);
+	});
 
 	const inFlightRequest: InFlightRequest = {
 		startedAtMs,
@@ -85,12 +105,9 @@
 		expectedMs: placement.expectedMs,
 		heldTokens: caller.prompt === undefined ? 0 : caller.prompt.promptTokens + caller.prompt.maxOutputTokens,
 		silenceTimeoutMs: Math.max(isStreaming ? minStreamSilenceMs : minPlainSilenceMs, silenceFactor * placement.expectedMs),
-		onSilenceTimeout() {
-			// A request that cannot be sent to another instance keeps waiting: silence does not show that the instance failed.
-			if (isRetryable && progress.sentCount + 1 < route.maxAttempts) {
-				silentMs = instancePool.measureSilenceMs(entry, inFlightRequest);
-				attempt.cancel(RunEvidence.Silent);
-			}
+		getReadingSinceMs: () => startedAtMs,
+		onSilence() {
+			input.onSilence(activeRun);
 		},
 	};
 
@@ -143,15 +160,15 @@
 					crashes.recordAnswer(exchange, streamed.firstAtMs);
 				}
 
-				const canContinue = stream.write(bytes, head, () => {
+				const canContinue = streamRun.write(bytes, head, () => {
 					attempt.resume();
 				});
 
-				const eventFault = stream.getEventFault();
+				const eventFault = streamRun.getEventFault();
 
 				if (eventFault !== undefined) {
 					attempt.cancel(RunEvidence.InvalidAnswer, describeRunFault(eventFault));
-				} else if (stream.isEventTooLarge()) {
+				} else if (streamRun.isEventTooLarge()) {
 					attempt.cancel(RunEvidence.InvalidAnswer, 'an event without end');
 				}
 
@@ -159,51 +176,75 @@
 			},
 		}),
 	});
-	cancellation.attempt = attempt;
-
 	if (limitPerSecond !== undefined) {
 		options.metrics.count('limited_dispatches_total', {service: service.name, kind});
 	}
 
 	instancePool.begin(entry, inFlightRequest);
-
 	recordPartUse(options, exchange, cache);
-	const ended = await attempt.result;
-	const run = describeRun(ended, stream, {isStreaming});
-	const fault = ended.end === AttemptCompletion.NotRun ? undefined : findRunFault(stream.getBegun(), run);
-	const result = checkStreamEnd(ended, run, fault);
-	recordFirstPiece();
-	instancePool.end(entry, inFlightRequest);
-	recordResult(options, exchange, {
-		entry, result, sentAtMs: startedAtMs, streamed, firstPieceMs,
-	});
 
-	if (result.end === AttemptCompletion.Complete && cache !== undefined && result.head!.status < 300) {
-		recordCachedParts(entry, caller.prompt!.parts, {salt: cache.salt, capacityTokens: service.engine!.cacheTokens});
-	}
+	const finishRun = async (): Promise<EndedRun> => {
+		const ended = await attempt.result;
+		const run = describeRun(ended, streamRun, {isStreaming});
+		const fault = ended.end === AttemptCompletion.NotRun ? undefined : findRunFault(streamRun.getBegun(), run);
+		const result = checkStreamEnd(ended, run, fault);
+		const silentMs = instancePool.measureSilenceMs(entry, inFlightRequest);
+		recordFirstPiece();
+		instancePool.end(entry, inFlightRequest);
+		recordResult(options, exchange, {
+			entry, result, sentAtMs: startedAtMs, streamed, firstPieceMs,
+		});
+
+		if (result.end === AttemptCompletion.Complete && cache !== undefined && result.head!.status < 300) {
+			recordCachedParts(entry, caller.prompt!.parts, {salt: cache.salt, capacityTokens: service.engine!.cacheTokens});
+		}
 
-	progress.story.push(describeAttempt({
-		...input, result, fault, loadBefore, limitPerSecond, kind, startedAtMs, firstPieceMs, streamed, resumeAfter, silentMs, runIds: stream.getRunIds(), nowMs: clock.readMonotonicMs(),
-	}));
+		progress.story.push(describeAttempt({
+			...input, result, fault, loadBefore, limitPerSecond, kind, startedAtMs, firstPieceMs, streamed, resumeAfter, silence, silentMs, runIds: streamRun.getIds(),
+			nowMs: clock.readMonotonicMs(),
+		}));
 
-	if (result.cancelledFor !== undefined) {
-		options.metrics.count('runs_cancelled_total', {service: service.name, evidence: result.cancelledFor});
-	}
+		if (result.cancelledFor !== undefined) {
+			options.metrics.count('runs_cancelled_total', {service: service.name, evidence: result.cancelledFor});
+		}
 
-	if (fault !== undefined) {
-		options.metrics.count('run_faults_total', {service: service.name, fault, kind});
-	}
+		if (fault !== undefined) {
+			options.metrics.count('run_faults_total', {service: service.name, fault, kind});
+		}
+
+		return {
+			result, run, fault, streamRun,
+		};
+	};
+
+	const activeRun: ActiveRun = {
+		choice: input,
+		ended: finishRun(),
+		cancel(evidence) {
+			attempt.cancel(evidence);
+		},
+		isSilent: () => instancePool.isSilent(entry, inFlightRequest),
+		recordSilence({action, obstacle}) {
+			if (silence?.action === action && silence.obstacle === obstacle) {
+				return false;
+			}
+
+			silence = {action, obstacle, silentMs: instancePool.measureSilenceMs(entry, inFlightRequest)};
+
+			return true;
+		},
+	};
 
-	return {result, run, fault};
+	return activeRun;
 }
 
-function describeRun({end, head}: AttemptResult, stream: CallerStream, {isStreaming}: {readonly isStreaming: boolean}): RunResult {
+function describeRun({end, head}: AttemptResult, streamRun: StreamRun, {isStreaming}: {readonly isStreaming: boolean}): RunResult {
 	return {
 		isComplete: end === AttemptCompletion.Complete,
 		status: head?.status,
 		framing: head?.framing,
-		eventFault: stream.getEventFault(),
-		stream: isStreaming && head !== undefined && head.status < 300 ? stream.getRunResult() : undefined,
+		eventFault: streamRun.getEventFault(),
+		stream: isStreaming && head !== undefined && head.status < 300 ? streamRun.getResult() : undefined,
 	};
 }
 
@@ -236,8 +277,8 @@
 	readonly firstPieceMs: number | undefined;
 };
 
-// An instance that rejects a request for lack of capacity is not at fault, and an attempt that this gateway cancelled because the caller left or
-// the deadline passed says nothing about the health of the instance.
+// An instance that rejects a request for lack of capacity is not at fault, and an attempt that this gateway cancelled says nothing about the health of
+// the instance, unless it was for what the instance sent.
 function recordResult({instancePool, crashes}: ForwardOptions, exchange: Exchange, {entry, result, sentAtMs, streamed, firstPieceMs}: ResultInput): void {
 	if (result.isConnectionLost) {
 		crashes.recordBrokenConnection(exchange, entry, {sentAtMs, pieces: streamed.pieces, firstPieceAtMs: streamed.firstAtMs});
@@ -259,7 +300,7 @@
 		instancePool.recordHealthEvent(entry, HealthEvent.Unreachable);
 	} else if (result.end === AttemptCompletion.Complete) {
 		instancePool.recordHealthEvent(entry, result.head!.status >= 500 ? HealthEvent.Failed : HealthEvent.Answered);
-	} else if (result.end === AttemptCompletion.Incomplete && result.cancelledFor !== RunEvidence.CallerGone && result.cancelledFor !== RunEvidence.DeadlinePassed) {
+	} else if (result.end === AttemptCompletion.Incomplete && (result.cancelledFor === undefined || result.cancelledFor === RunEvidence.InvalidAnswer)) {
 		instancePool.recordHealthEvent(entry, HealthEvent.Failed);
 	}
 }
@@ -269,7 +310,7 @@
 	return caller.prompt === undefined ? 500 : 300;
 }
 
-type HeaderInput = Pick<AttemptInput, 'entry' | 'cache'> & {readonly lastEventId: string | undefined; readonly nowMs: number};
+type HeaderInput = Pick<RunInput, 'entry' | 'cache'> & {readonly lastEventId: string | undefined; readonly nowMs: number};
 
 function encodeHeaders({callerCodec, upstreamCodec}: ForwardOptions, exchange: Exchange, {entry, cache, lastEventId, nowMs}: HeaderInput): string[] {
 	const {request, body, route, organisation} = exchange;
@@ -305,7 +346,7 @@
 	}
 }
 
-type AttemptLogInput = AttemptInput & {
+type AttemptLogInput = RunInput & {
 	readonly result: AttemptResult;
 	readonly fault: RunFault | undefined;
 	readonly loadBefore: InstanceLoad;
@@ -317,8 +358,10 @@
 	readonly streamed: StreamedPieces;
 	/** Id of the event after which the instance was asked to continue. */
 	readonly resumeAfter: string | undefined;
-	/** How long the instance had sent nothing when the attempt was cancelled for it. */
-	readonly silentMs: number | undefined;
+	/** How long the instance had sent nothing at the end. */
+	readonly silentMs: number;
+	/** The latest decision about a silence of the instance; `undefined` where it was never silent. */
+	readonly silence: RecordedSilence | undefined;
 	readonly runIds: RunIds;
 	readonly nowMs: number;
 };
@@ -326,7 +369,7 @@
 /** Describes an attempt for the log: what was known when the instance was chosen, and the result. */
 function describeAttempt(input: AttemptLogInput): Readonly<Record<string, unknown>> {
 	const {
-		entry, placement, cache, uncachedTokens, progress, result, fault, loadBefore, limitPerSecond, kind, startedAtMs, firstPieceMs, streamed, silentMs, nowMs,
+		entry, placement, cache, uncachedTokens, progress, result, fault, loadBefore, limitPerSecond, kind, startedAtMs, firstPieceMs, streamed, silence, silentMs, nowMs,
 	} = input;
 	const {report} = loadBefore;
 
@@ -334,8 +377,8 @@
 		instance: entry.held.record.id,
 		end: result.end,
 		...(result.reason !== '' && {reason: result.reason}),
-		...(result.cancelledFor !== undefined && {cancelledFor: result.cancelledFor}),
-		...(silentMs !== undefined && {silentMs: Math.round(silentMs)}),
+		...(result.cancelledFor !== undefined && {cancelledFor: result.cancelledFor, silentMs: Math.round(silentMs)}),
+		...(silence !== undefined && {silence: {...silence, silentMs: Math.round(silence.silentMs)}}),
 		...(fault !== undefined && {fault}),
 		...(result.head !== undefined && {status: result.head.status}),
 		...(progress.waits > 0 && {waits: progress.waits}),
--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -2,7 +2,7 @@
 	createFairQueue, enterQueue, estimateWaitMs, leaveQueue, type QueuedRequest, type FairQueue,
 } from './fair-queue.js';
 export {
-	createRetryBudget, depositSuccess, withdrawRetry, type RetryBudget,
+	createRetryBudget, depositSuccess, hasRetry, withdrawRetry, type RetryBudget,
 } from './retry-budget.js';
 export {createTokenBucket, takeTokens, type TokenBucket} from './token-bucket.js';
 export {
--- a/packages/limits/src/retry-budget.ts
+++ b/packages/limits/src/retry-budget.ts
@@ -26,7 +26,12 @@
 	return {...budget, balance: Math.min(budget.capacity, budget.balance + budget.sharePerSuccess)};
 }
 
+/** Whether the balance allows a retry. */
+export function hasRetry({balance}: RetryBudget): boolean {
+	return balance >= 1;
+}
+
 /** Takes one retry from the budget if the balance allows it. */
 export function withdrawRetry(budget: RetryBudget): {readonly budget: RetryBudget; readonly isAllowed: boolean} {
-	return budget.balance < 1 ? {budget, isAllowed: false} : {budget: {...budget, balance: budget.balance - 1}, isAllowed: true};
+	return hasRetry(budget) ? {budget: {...budget, balance: budget.balance - 1}, isAllowed: true} : {budget, isAllowed: false};
 }
--- a/packages/streams/src/__tests__/unit/decide-answer-end.test.ts
+++ b/packages/streams/src/__tests__/unit/decide-answer-end.test.ts
@@ -109,3 +109,13 @@
 	const faults = Object.values(RunFault);
 	t.is(new Set(faults.map(fault => describeRunFault(fault))).size, faults.length);
 });
+
+for (const [description, result, fault, begunChange] of laterRuns) {
+	test(`where another run is under way, an answer waits for it after a run that ${description}`, t => {
+		const expected = {end: fault === undefined ? AnswerEnd.Complete : AnswerEnd.Wait, fault};
+
+		for (const canRepeat of [false, true]) {
+			t.deepEqual(decideAnswerEnd({begun: {...begun, ...begunChange}, canRepeat, hasOtherRun: true}, {...goodRun, ...result}), expected);
+		}
+	});
+}
--- a/packages/streams/src/decide-answer-end.ts
+++ b/packages/streams/src/decide-answer-end.ts
@@ -12,6 +12,8 @@
 	Complete = 'complete',
 	/** Another run repeats the request, or continues the stream. */
 	Repeat = 'repeat',
+	/** Another run is under way, and may still complete the answer. */
+	Wait = 'wait',
 	/** The answer is aborted, so that the caller can tell. */
 	Aborted = 'aborted',
 }
@@ -67,6 +69,8 @@
 	readonly begun: BegunAnswer | undefined;
 	/** Whether another run may follow: the request may be repeated, the position to go on from is known, and attempts and time are left. */
 	readonly canRepeat: boolean;
+	/** Whether another run of the request is under way. */
+	readonly hasOtherRun?: boolean;
 };
 
 /** What a run sent as a stream. */
@@ -95,7 +99,8 @@
 /**
 Decides how an answer ends for its caller after a run. An answer that has begun is complete only if the last run proves it: it succeeded as the run that began
 the answer did, went on behind the events that the caller has, ended after an event, and told its end at least as firmly as the caller was
-promised. Everything else is repeated where it can be, and aborted otherwise. An answer that has not begun is that of the instance, failures
+promised. Everything else waits for another run that is under way, is repeated where it can
+be, and aborted otherwise. An answer that has not begun is that of the instance, failures
 included.
 
 @example
@@ -112,6 +117,10 @@
 		return {end: AnswerEnd.Complete, fault};
 	}
 
+	if (state.hasOtherRun === true) {
+		return {end: AnswerEnd.Wait, fault};
+	}
+
 	if (state.canRepeat) {
 		return {end: AnswerEnd.Repeat, fault};
 	}
