Do not take an instance for silent while its caller does not read

Cause: the gateway pauses the connection to the instance when its caller does not read, and then counted its own pause as the silence of the instance.

--- a/packages/gateway/src/__tests__/unit/instance-pool.test.ts
+++ b/packages/gateway/src/__tests__/unit/instance-pool.test.ts
@@ -134,3 +134,18 @@
 	t.false(pool.isSilent(instance, request));
 	t.deepEqual(listAvailable(), ['i-0', 'i-1']);
 });
+
+// Guards against giving up a run because its caller is slow to read.
+test('an instance is not silent while the gateway does not read, and only so long after it reads again', t => {
+	const {pool, clock} = openPool(t, 1);
+	const instance = pool.get('i-0')!;
+	let readingSinceMs: number | undefined = clock.readMonotonicMs();
+	const request = createRequest({getReadingSinceMs: () => readingSinceMs});
+	pool.begin(instance, request);
+	readingSinceMs = undefined;
+	clock.advance(2500);
+	t.is(pool.measureSilenceMs(instance, request), 0);
+	readingSinceMs = clock.readMonotonicMs();
+	clock.advance(700);
+	t.is(pool.measureSilenceMs(instance, request), 700);
+});
--- a/packages/gateway/src/start-run.ts
+++ b/packages/gateway/src/start-run.ts
@@ -87,6 +87,7 @@
 	const resumeAfter = stream.getLastEventId();
 	let firstPieceMs: number | undefined;
 	let silence: RecordedSilence | undefined;
+	let readingSinceMs: number | undefined = startedAtMs;
 	const streamed: StreamedPieces = {
 		pieces: 0, lastMs: 0, firstAtMs: undefined, isAnswerRecorded: false,
 	};
@@ -105,7 +106,7 @@
 		expectedMs: placement.expectedMs,
 		heldTokens: caller.prompt === undefined ? 0 : caller.prompt.promptTokens + caller.prompt.maxOutputTokens,
 		silenceTimeoutMs: Math.max(isStreaming ? minStreamSilenceMs : minPlainSilenceMs, silenceFactor * placement.expectedMs),
-		getReadingSinceMs: () => startedAtMs,
+		getReadingSinceMs: () => readingSinceMs,
 		onSilence() {
 			input.onSilence(activeRun);
 		},
@@ -161,8 +162,10 @@
 				}
 
 				const canContinue = streamRun.write(bytes, head, () => {
+					readingSinceMs = clock.readMonotonicMs();
 					attempt.resume();
 				});
+				readingSinceMs = canContinue ? readingSinceMs : undefined;
 
 				const eventFault = streamRun.getEventFault();
 
