Do not take the wait for the end of a pause for the speed of an instance

What callers saw: an instance that had been silent for 1.3 s and went on got none of the requests of the next second, though it took them; the others had to carry its share.

Cause: the requests that waited through the pause raised the moving average of the time until its first output, by which instances are chosen. An instance that is not chosen gives no new samples, so the estimate stayed.

The requests of one pause are no longer samples.

--- a/packages/gateway/src/instance-pool.ts
+++ b/packages/gateway/src/instance-pool.ts
@@ -4,7 +4,7 @@
 } from '@fescuestair/instances';
 import {
 	addWork, applyInstanceEvent, canSendTo, classifyInstance, computeCorrectionMs, computeWaitMs, correctBacklog, estimateWork, HealthEvent, isOverdue, isValidBackoff,
-	computeMovingAverage, noPeerLoad, resetBacklog, InstanceStatus, InstanceEventKind, type PeerLoad, type InstanceEvent,
+	computeMovingAverage, endPause, noPeerLoad, recordFirstOutput, startPause, resetBacklog, InstanceStatus, InstanceEventKind, type PeerLoad, type InstanceEvent,
 } from '@fescuestair/routing';
 import {type Logger, type PrometheusMetrics} from '@fescuestair/runtime';
 import {
@@ -202,6 +202,7 @@
 				continue;
 			}
 
+			instance.pauses = startPause(instance.pauses);
 			applyHealthEvent(instance, HealthEvent.TimedOut);
 
 			for (const request of timedOut) {
@@ -299,7 +300,12 @@
 			const {service} = instance.held.record;
 			metrics.observeMs('first_piece_ms', {service}, nowMs - request.startedAtMs);
 			metrics.observeMs('first_piece_expected_ms', {service}, request.expectedMs);
-			instance.load = {...instance.load, meanMs: computeMovingAverage(instance.load.meanMs, nowMs - request.startedAtMs)};
+			const {pauses, isRepresentative} = recordFirstOutput(instance.pauses, request);
+			instance.pauses = pauses;
+
+			if (isRepresentative) {
+				instance.load = {...instance.load, meanMs: computeMovingAverage(instance.load.meanMs, nowMs - request.startedAtMs)};
+			}
 
 			if (estimate === undefined) {
 				return;
@@ -331,6 +337,10 @@
 			}
 		},
 		recordActivity(instance) {
+			if (instance.pauses.isPausing) {
+				instance.pauses = endPause(instance.pauses, clock.readMonotonicMs());
+			}
+
 			if (instance.standing.health.beforeTimeout !== undefined) {
 				applyHealthEvent(instance, HealthEvent.Resumed);
 			}
--- a/packages/gateway/src/pooled-instance.ts
+++ b/packages/gateway/src/pooled-instance.ts
@@ -1,6 +1,6 @@
 import {InstanceStage, type RegisteredInstance} from '@fescuestair/instances';
 import {
-	createCachedParts, createInstanceLoad, createInstanceState, type AnnouncedState, type CachedParts, type InstanceLoad, type InstanceState,
+	createCachedParts, createInstanceLoad, createInstanceState, type AnnouncedState, type CachedParts, type InstanceLoad, type InstanceState, noPauses, type Pauses,
 	type PromptPart, type WorkEstimate,
 } from '@fescuestair/routing';
 import {UpstreamAgent} from './upstream-agent.js';
@@ -35,6 +35,7 @@
 	held: RegisteredInstance;
 	load: InstanceLoad;
 	standing: InstanceState;
+	pauses: Pauses;
 	readonly agent: UpstreamAgent;
 	/** Prompt parts that are assumed to be cached there, under the salt last used. */
 	cached: {readonly salt: string; readonly parts: CachedParts} | undefined;
@@ -66,6 +67,7 @@
 		held,
 		load: createInstanceLoad(),
 		standing: createInstanceState(describeAnnouncedStanding(held)),
+		pauses: noPauses,
 		agent: new UpstreamAgent({maxConnections}),
 		cached: undefined,
 		inFlight: new Map(),
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -33,3 +33,6 @@
 	decideBackoff, decideReopening, decideWait, maxIdleQueueMs, WaitDecision, type BackoffInput, type ReopeningInput, type WaitInput,
 } from './decide-wait.js';
 export {createCachedParts, type CachedParts, type PromptPart} from './cached-parts.js';
+export {
+	endPause, noPauses, recordFirstOutput, startPause, type Pauses,
+} from './pauses.js';
