Keep the requests of an instance that was announced at another address

An announcement of a running instance with another address closed all connections to it, with the requests on them ("socket hang up" in the story).

Cause: each announcement that differed in incarnation or address replaced the instance and destroyed its connections. A later incarnation proves that the process before it has ended, and its runs with it: they are still given up at once. An address proves nothing of the kind.

The connections to the earlier address now end with their requests, whose silence is still looked after. The unit test of the pool failed before with ECONNRESET and passes. The log names both cases.

--- a/packages/gateway/src/instance-pool.ts
+++ b/packages/gateway/src/instance-pool.ts
@@ -95,6 +95,8 @@
 	clock, log, metrics, getMaxConnections, getLimitedUntilMs, onWorkChange, onLeaving,
 }: InstancePoolOptions): InstancePool {
 	const instances = new Map<string, PooledInstance>();
+	/** Instances that were replaced by others of the same id, while requests have not ended there. */
+	const retired = new Set<PooledInstance>();
 	/** Index of the instances by service: each request chooses among those of one. */
 	let byService = new Map<string, readonly PooledInstance[]>();
 	const prefillRates = new Map<string, number>();
@@ -141,16 +143,23 @@
 
 	const listInstances = (service: string): readonly PooledInstance[] => byService.get(service) ?? [];
 
-	// The connections to the earlier incarnation, or to its address.
-	const closeConnections = (known: PooledInstance | undefined, record: InstanceRecord) => {
-		if (known !== undefined && known.inFlight.size > 0) {
-			log.info('connections with requests are closed, since the instance was announced anew', {
+	// A later incarnation proves that the requests at the earlier one are lost; another address does not.
+	const replaceInstance = (known: PooledInstance, record: InstanceRecord) => {
+		const hasRestarted = known.held.record.incarnation !== record.incarnation;
+
+		if (known.inFlight.size > 0) {
+			log.info(hasRestarted ? 'connections with requests are closed, since the instance has restarted' : 'requests go on at an instance that was announced at another address', {
 				id: record.id, running: known.inFlight.size, address: record.address, incarnation: record.incarnation, addressBefore: known.held.record.address,
 				incarnationBefore: known.held.record.incarnation,
 			});
+			retired.add(known);
 		}
 
-		known?.agent.destroy();
+		if (hasRestarted) {
+			known.agent.destroy();
+		} else {
+			known.agent.retire();
+		}
 	};
 
 	const groupByService = () => {
@@ -190,7 +199,7 @@
 			timer = undefined;
 		}
 
-		for (const instance of instances.values()) {
+		for (const instance of [...instances.values(), ...retired]) {
 			if (instance.inFlight.size === 0) {
 				continue;
 			}
@@ -221,7 +230,9 @@
 					known.held = held;
 					applyStandingEvent(known, {kind: InstanceEventKind.Announced, ...describeAnnouncedStanding(held)});
 				} else if (held.record.stage !== InstanceStage.Gone) {
-					closeConnections(known, held.record);
+					if (known !== undefined) {
+						replaceInstance(known, held.record);
+					}
 
 					instances.set(held.record.id, createPooledInstance(held, getMaxConnections(held.record.service)));
 				}
@@ -362,6 +373,11 @@
 			}
 
 			inFlightCount -= instance.inFlight.delete(request) ? 1 : 0;
+
+			if (instance.inFlight.size === 0) {
+				retired.delete(instance);
+			}
+
 			instance.load = {
 				...instance.load,
 				own: Math.max(0, instance.load.own - 1),
@@ -413,7 +429,7 @@
 		stop() {
 			clearInterval(timer);
 
-			for (const instance of instances.values()) {
+			for (const instance of [...instances.values(), ...retired]) {
 				instance.agent.destroy();
 			}
 		},
--- a/packages/gateway/src/upstream-agent.ts
+++ b/packages/gateway/src/upstream-agent.ts
@@ -26,6 +26,7 @@
 */
 export class UpstreamAgent extends http.Agent {
 	#idleTimeoutMs = defaultIdleTimeoutMs;
+	#isRetired = false;
 
 	constructor({maxConnections}: UpstreamAgentOptions) {
 		super({
@@ -58,9 +59,15 @@
 		}
 	}
 
+	/** Closes idle connections now, and each other one once its request has ended. */
+	retire(): void {
+		this.#isRetired = true;
+		this.closeIdle(Number.NEGATIVE_INFINITY);
+	}
+
 	// Overrides of http.Agent: Node calls keepSocketAlive and reuseSocket.
 	override keepSocketAlive(socket: Socket): boolean {
-		const isKept = (super.keepSocketAlive as (socket: Socket) => boolean).call(this, socket);
+		const isKept = !this.#isRetired && (super.keepSocketAlive as (socket: Socket) => boolean).call(this, socket);
 
 		if (isKept) {
 			const destroy = () => {
