Drop headers whose name can't be sent, so that they end no process

Callers: if an instance answered with a header like "Bad Name: x", the process of the gateway ended where the answer was a stream, with all its requests; a buffered answer was replaced by the close of the caller's connection. Node's parser takes such names, its writeHead throws. Likewise a caller's own header "X : y" made http.request throw. Evidence: the new test of send-response.test.ts ended its process before (ERR_INVALID_HTTP_TOKEN, uncaught) and passes now. Change: filterHeaders drops them, and removes spaces between a name and its colon.

--- a/packages/gateway/src/__tests__/unit/send-response.test.ts
+++ b/packages/gateway/src/__tests__/unit/send-response.test.ts
@@ -48,3 +48,10 @@
 	t.is(text.match(/Content-Length: 12\r\n/gv)?.length, 1);
 	t.notRegex(text, /timeout=10/v);
 });
+
+test('a header whose name can\'t be sent is dropped, spaces behind a name are, and the response is whole', async t => {
+	const text = await receive(t, {rawHeaders: ['Bad Name', 'x', '', 'y', 'Response-Seal ', 's', 'Content-Length', '12']});
+	t.regex(text, /^HTTP\/1.1 200 OK\r\nResponse-Seal: s\r\n/v);
+	t.notRegex(text, /Bad|: y/v);
+	t.true(text.endsWith('\r\n\r\nhalf an answ'));
+});
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -50,7 +50,18 @@
 	'connection', 'keep-alive', 'proxy-connection', 'transfer-encoding', 'te', 'trailer', 'upgrade', 'proxy-authenticate', 'proxy-authorization',
 ]);
 
-/** Lists the headers to forward, as alternating names and values. Drops hop-by-hop headers, also those named by the Connection header. */
+/** Node's parser takes names with spaces, which its other functions refuse by throwing. */
+const headerNamePattern = /^[\w!#$%'*+\-.^`\|~\u0026]+$/v;
+
+/** Whether a header with this name can be sent. */
+export function isHeaderName(name: string): boolean {
+	return headerNamePattern.test(name);
+}
+
+/**
+Lists the headers to forward, as alternating names and values. Drops hop-by-hop headers, also those named by the Connection header, and headers whose
+name can't be sent.
+*/
 export function filterHeaders(rawHeaders: readonly string[], isForwarded: (name: string) => boolean): string[] {
 	const connectionOptions = new Set<string>();
 
@@ -65,10 +76,11 @@
 	const forwarded: string[] = [];
 
 	for (let position = 0; position < rawHeaders.length; position += 2) {
-		const name = rawHeaders[position]!.toLowerCase();
+		const sentName = rawHeaders[position]!.trimEnd();
+		const name = sentName.toLowerCase();
 
-		if (!hopByHopHeaders.has(name) && !connectionOptions.has(name) && isForwarded(name)) {
-			forwarded.push(rawHeaders[position]!, rawHeaders[position + 1]!);
+		if (!hopByHopHeaders.has(name) && !connectionOptions.has(name) && isForwarded(name) && isHeaderName(name)) {
+			forwarded.push(sentName, rawHeaders[position + 1]!);
 		}
 	}
 
