Take an answer with a status below 200 for none

Callers: an instance that answered with status 099 or 101 made the gateway throw (writeHead) or pass on an interim status as the answer; the caller got neither an answer nor a refusal. Evidence: two new tests of attempt.test.ts failed before (end "complete") and pass now. Change: such an attempt is incomplete, so that the request is repeated elsewhere if it may be, and answered 502 otherwise.

--- a/packages/gateway/src/__tests__/unit/attempt.test.ts
+++ b/packages/gateway/src/__tests__/unit/attempt.test.ts
@@ -253,3 +253,14 @@
 	t.is(end, AttemptCompletion.NotRun);
 	t.deepEqual(pieces, []);
 });
+
+for (const status of ['099', '101']) {
+	test(`a response with status ${status}, which can't be the final one of a request, is incomplete`, async t => {
+		const upstream = await openUpstream(t, socket => {
+			socket.write(`HTTP/1.1 ${status} X\r\nX-Id: r1\r\nContent-Length: 4\r\n\r\ngood`);
+		});
+		const result = await upstream.send();
+		t.is(result.end, AttemptCompletion.Incomplete);
+		t.is(result.head, undefined);
+	});
+}
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -70,6 +70,7 @@
 /** Time limit for establishing a connection: some hundred times the round-trip time. */
 const connectTimeoutMs = 400;
 const chunkedEncoding = 'chunked';
+const minFinalStatus = 200;
 const noContentStatus = 204;
 const notModifiedStatus = 304;
 /** Upper bound for a response body that is buffered, as those of plain calls are. */
@@ -160,6 +161,13 @@
 	request.on('response', response => {
 		incoming = response;
 		onBytes();
+
+		if ((response.statusCode ?? 0) < minFinalStatus) {
+			fail(`an answer with status ${response.statusCode}`);
+
+			return;
+		}
+
 		head = {
 			status: response.statusCode ?? 0,
 			headers: response.headers,
