Answer a request whose handling throws an error

Callers: an error thrown while a request was handled closed its connection, with neither an answer nor a refusal; the log line did not name the request, and it was not counted. A target with a tab or a form feed made Node's client throw, so it was one way to see it. Change: 503 where nothing can have been sent, 502 otherwise, whole and counted; a begun answer is aborted, an ended one is left to reach its caller. Such a target is refused with 400.

--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -2,7 +2,9 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Clock} from '@fescuestair/core';
 import {type Logger, type PrometheusMetrics} from '@fescuestair/runtime';
-import {findRoute, type CallKind, type RouteTable} from '@fescuestair/traffic';
+import {
+	findRoute, type CallerLimits, type CallKind, type RouteTable,
+} from '@fescuestair/traffic';
 import {type CallerCodec} from './codecs.js';
 import {ExchangeOutcome, sendLocalResponse, type ExchangeResult} from './exchange.js';
 import {forwardExchange} from './forward.js';
@@ -34,6 +36,8 @@
 const notReadyRetryAfterMs = 500;
 /** Retry-After of a gateway that is stopping. Callers may retry almost at once, since other gateways accept them. */
 const stoppingRetryAfterMs = 50;
+/** Characters that Node's parser takes in a target, and its client refuses by throwing. */
+const unforwardablePattern = /[^\u0021-\u00FF]/v;
 /** Upper bound for the bodies of all requests in progress; a request that would exceed it is rejected. */
 const maxBufferedBodyBytes = 64_000_000;
 
@@ -60,7 +64,9 @@
 		return {outcome: ExchangeOutcome.Rejected, status, reason: message};
 	};
 
-	const handleRequest = async (request: IncomingMessage, response: ServerResponse, startedAtMs: number): Promise<RequestResult> => {
+	const handleRequest = async (request: IncomingMessage, response: ServerResponse, {startedAtMs, onForward}: {
+		readonly startedAtMs: number; readonly onForward: () => void;
+	}): Promise<RequestResult> => {
 		const caller = callerCodec.decodeRequest(request.headers);
 		const table = getTable();
 		const fields = {requestId: caller.requestId, configVersion: table?.config.version};
@@ -91,8 +97,10 @@
 			};
 		}
 
-		if (countHeaderBytes(request.rawHeaders) > table.config.limits.maxHeaderBytes) {
-			return {...reject(response, 431, 'the headers are too large'), fields};
+		const fault = findHeadFault(request, table.config.limits);
+
+		if (fault !== undefined) {
+			return {...reject(response, fault.status, fault.message), fields};
 		}
 
 		const organisation = caller.key === undefined ? undefined : table.organisationsByKey.get(caller.key);
@@ -122,6 +130,7 @@
 		}
 
 		bufferedBodyBytes += body.length;
+		onForward();
 
 		try {
 			const {story, streamEnd, ...end} = await forwardExchange(forwardOptions, {
@@ -153,9 +162,55 @@
 		}
 	};
 
+	// Ends a request whose handling threw an error: with a refusal where it can't have run, and otherwise so that its caller knows that it may have.
+	const endUnexpectedly = (request: IncomingMessage, response: ServerResponse, {error, isForwarded}: {readonly error: unknown; readonly isForwarded: boolean}): RequestResult => {
+		const {status, outcome, reason} = isForwarded
+			? {status: 502, outcome: ExchangeOutcome.Failed, reason: 'the gateway failed while it handled the request'}
+			: {status: 503, outcome: ExchangeOutcome.Refused, reason: 'the gateway failed before it forwarded the request'};
+		const {requestId} = tryDecode(request);
+		log.error('unexpected error while serving a request', {
+			requestId, method: request.method, target: request.url, reason: error instanceof Error ? error.stack : String(error),
+		});
+
+		// An answer that was ended is whole, though its caller may not have got all of it.
+		if (!response.writableEnded) {
+			sendLocalResponse(response, {
+				status, message: reason, shouldClose: isLeaving() || !request.complete, ...(!isForwarded && {retryAfterMs: notReadyRetryAfterMs}),
+			});
+		}
+
+		return {
+			outcome, status, reason, fields: {requestId},
+		};
+	};
+
+	// What can't be decoded may be what the error is about.
+	const tryDecode = ({headers}: IncomingMessage): {readonly requestId: string | undefined} => {
+		try {
+			return callerCodec.decodeRequest(headers);
+		} catch (error) {
+			log.error('headers of a request cannot be decoded', {reason: String(error)});
+
+			return {requestId: undefined};
+		}
+	};
+
 	return async (request, response) => {
 		const startedAtMs = clock.readMonotonicMs();
-		const end = await handleRequest(request, response, startedAtMs);
+		let isForwarded = false;
+		let end: RequestResult;
+
+		try {
+			end = await handleRequest(request, response, {
+				startedAtMs,
+				onForward() {
+					isForwarded = true;
+				},
+			});
+		} catch (error) {
+			end = endUnexpectedly(request, response, {error, isForwarded});
+		}
+
 		const tookMs = clock.readMonotonicMs() - startedAtMs;
 		const kind = end.kind ?? 'none';
 		metrics.count('requests_total', {outcome: end.outcome, status: String(end.status), kind});
@@ -166,6 +221,14 @@
 	};
 }
 
+function findHeadFault({rawHeaders, url = ''}: IncomingMessage, {maxHeaderBytes}: CallerLimits): {readonly status: number; readonly message: string} | undefined {
+	if (countHeaderBytes(rawHeaders) > maxHeaderBytes) {
+		return {status: 431, message: 'the headers are too large'};
+	}
+
+	return unforwardablePattern.test(url) ? {status: 400, message: 'the target has characters that cannot be forwarded'} : undefined;
+}
+
 function countHeaderBytes(rawHeaders: readonly string[]): number {
 	let bytes = 0;
 
