End the answers that run before an invalid request closes their connection

Callers: bytes behind a request that were no request wrote "HTTP/1.1 400" into the answer that was being sent, and closed the connection, so that the caller of a whole request got neither a whole answer nor a refusal. A head that was late was answered 400. Invalid chunks of a body did the same to answers before them. Cause: the listener of clientError did not look for answers on the connection. Change: the answers end whole, in order, then the invalid request is answered: 408 for a head that is late, 431, or 400; a request with an invalid body is answered itself. The server of callers has a file of its own.

--- /dev/null
+++ b/packages/gateway/src/__tests__/unit/caller-server.test.ts
@@ -0,0 +1,126 @@
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import net from 'node:net';
+import {once} from 'node:events';
+import {setTimeout as sleep} from 'node:timers/promises';
+import test, {type ExecutionContext} from 'ava';
+import fc from 'fast-check';
+import {createLogger} from '@fescuestair/runtime';
+import {createCallerServer} from '../../caller-server.js';
+import {readBytes} from '../../read-bytes.js';
+
+const createTestLogger = () => createLogger({instance: 'gateway-1', isTerminal: false, writeLine: () => undefined});
+
+const openServer = async (t: ExecutionContext, handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>, {headersTimeoutMs = 60_000} = {}) => {
+	const callerServer = createCallerServer({handleRequest: handle, log: createTestLogger(), checkIntervalMs: 20});
+	callerServer.server.headersTimeout = headersTimeoutMs;
+	callerServer.server.listen(0, '127.0.0.1');
+	await once(callerServer.server, 'listening');
+	t.teardown(() => {
+		callerServer.server.close();
+		callerServer.server.closeAllConnections();
+	});
+
+	const connect = () => {
+		const socket = net.connect((callerServer.server.address() as {readonly port: number}).port, '127.0.0.1');
+		socket.setNoDelay(true);
+		const received = {text: '', socket, closed: once(socket, 'close')};
+		socket.on('data', bytes => {
+			received.text += String(bytes);
+		});
+
+		return received;
+	};
+
+	return {...callerServer, connect};
+};
+
+const request = (path: string) => `GET ${path} HTTP/1.1\r\nHost: h\r\n\r\n`;
+
+/** Sends an answer in pieces, with pauses between them. */
+const answerInPieces = async (response: ServerResponse, pieces: number) => {
+	for (let piece = 0; piece < pieces; piece++) {
+		response.write(`piece ${piece};`);
+		await sleep(5);
+	}
+
+	response.end('end');
+};
+
+const wholeChunks = (pieces: number) => `${Array.from({length: pieces}, (_, piece) => `piece ${piece};`).map(text => `${text.length.toString(16)}\r\n${text}\r\n`).join('')}3\r\nend\r\n0\r\n\r\n`;
+
+const invalidBytes = ['\u0000\u0001', 'no request\r\n\r\n', 'GET /b HTTP/1.1\r\nHost: h\r\nX(: y\r\n\r\n', `GET /b HTTP/1.1\r\nHost: h\r\nX: ${'y'.repeat(70_000)}\r\n\r\n`];
+
+for (const [position, bytes] of invalidBytes.entries()) {
+	test(`invalid bytes behind a request end the connection only after its answer is whole: case ${position}`, async t => {
+		const server = await openServer(t, async (_request, response) => answerInPieces(response, 10));
+		const caller = server.connect();
+		caller.socket.write(request('/a'));
+		await once(caller.socket, 'data');
+		caller.socket.write(bytes);
+		await caller.closed;
+		const status = position === 3 ? '431 Request Header Fields Too Large' : '400 Bad Request';
+		t.true(caller.text.endsWith(`\r\n\r\n${wholeChunks(10)}HTTP/1.1 ${status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`));
+	});
+}
+
+test('several answers that run on one connection are whole, in order, before an invalid request behind them ends it', async t => {
+	await fc.assert(fc.asyncProperty(fc.array(fc.integer({min: 1, max: 6}), {minLength: 1, maxLength: 4}), fc.boolean(), async (pieceCounts, isAtOnce) => {
+		const server = await openServer(t, async ({url}, response) => answerInPieces(response, Number(url!.slice(1))));
+		const caller = server.connect();
+		const requests = pieceCounts.map(pieces => request(`/${pieces}`)).join('');
+
+		if (isAtOnce) {
+			caller.socket.write(`${requests}no request\r\n\r\n`);
+		} else {
+			caller.socket.write(requests);
+			await sleep(3);
+			caller.socket.write('no request\r\n\r\n');
+		}
+
+		await caller.closed;
+		const [, ...answers] = caller.text.split('HTTP/1.1 ');
+		t.is(answers.length, pieceCounts.length + 1);
+		t.true(pieceCounts.every((pieces, position) => answers[position]!.startsWith('200 OK') && answers[position]!.endsWith(`\r\n\r\n${wholeChunks(pieces)}`)));
+		t.true(answers.at(-1)!.startsWith('400 Bad Request'));
+	}), {seed: 40, numRuns: 20});
+});
+
+test('a request with an invalid body is answered with a whole 400, after the answers before it', async t => {
+	const server = await openServer(t, async (message, response) => {
+		if (await readBytes(message, () => false).then(() => true, () => false)) {
+			await answerInPieces(response, 4);
+		}
+	});
+	const caller = server.connect();
+	caller.socket.write(`${request('/a')}POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\nno length\r\n`);
+	await caller.closed;
+	const [, first, second, ...others] = caller.text.split('HTTP/1.1 ');
+	t.true(first!.endsWith(wholeChunks(4)));
+	t.regex(second!, /^400 Bad Request\r\n[\s\S]*connection: close[\s\S]*\{"error":"the body is invalid"\}$/v);
+	t.deepEqual(others, []);
+});
+
+test('a head that is late is answered with 408, after the answers before it', async t => {
+	const server = await openServer(t, async (_request, response) => answerInPieces(response, 20), {headersTimeoutMs: 30});
+	const [idle, busy] = [server.connect(), server.connect()];
+	idle.socket.write('GET /a HTTP/1.1\r\n');
+	busy.socket.write(`${request('/a')}GET /b HTTP/1.1\r\n`);
+	await Promise.all([idle.closed, busy.closed]);
+	const timeout = 'HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n';
+	t.is(idle.text, timeout);
+	t.true(busy.text.endsWith(`\r\n\r\n${wholeChunks(20)}${timeout}`));
+});
+
+test('an answer that announced the close of its connection is followed by nothing', async t => {
+	const server = await openServer(t, async (_request, response) => {
+		response.setHeader('Connection', 'close');
+
+		return answerInPieces(response, 5);
+	});
+	const caller = server.connect();
+	caller.socket.write(request('/a'));
+	await once(caller.socket, 'data');
+	caller.socket.write('no request\r\n\r\n');
+	await caller.closed;
+	t.true(caller.text.endsWith(`\r\n\r\n${wholeChunks(5)}`));
+});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,3 @@
-import http, {type ServerResponse} from 'node:http';
-import {type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	createSystemClock, isBoolean, isObjectWith, type Clock,
@@ -25,6 +23,7 @@
 	createLinks, openHttpListener, parseAddress,
 } from '@fescuestair/transport';
 import {type CallerCodec, type UpstreamCodec} from './codecs.js';
+import {createCallerServer} from './caller-server.js';
 import {cancelResponse} from './exchange.js';
 import {createRequestHandler} from './request-handler.js';
 import {createCoordinatorClient} from './coordinator-client.js';
@@ -86,8 +85,6 @@
 /** Callers use an outdated list of addresses for a while, so a stopping gateway keeps serving until no request has arrived for this long. */
 const drainQuietPeriodMs = 1500;
 const drainPollMs = 50;
-/** Bound of the HTTP parser; the limit of the configuration is checked separately. */
-const maxParsedHeaderBytes = 65_536;
 
 /**
 Creates a gateway, which serves callers by the newest configuration and forwards their requests to instances.
@@ -112,7 +109,6 @@
 	let wasReady = false;
 	let recordSequence = 0;
 	let admissionDeadlineMs = Number.POSITIVE_INFINITY;
-	const activeResponses = new Set<ServerResponse>();
 	let lastRequestAtMs = 0;
 	const budgets = new Map<string, RetryBudget>();
 
@@ -229,27 +225,13 @@
 		forwardOptions, callerCodec, clock, log, metrics, depositRetryTokens: depositRequest, getTable: () => routeTable, isStopping: () => clock.readMonotonicMs() >= admissionDeadlineMs,
 	});
 
-	const server = http.createServer({maxHeaderSize: maxParsedHeaderBytes, requestTimeout: 0, keepAlive: true});
-	server.on('request', (request, response) => {
-		activeResponses.add(response);
-		lastRequestAtMs = clock.readMonotonicMs();
-		response.once('close', () => {
-			activeResponses.delete(response);
-		});
-		answerCaller(request, response).catch((error: unknown) => {
-			log.error('unexpected error while serving a request', {reason: error instanceof Error ? error.stack : String(error)});
-			cancelResponse(response);
-		});
-	});
-	server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
-		if (error.code === 'ECONNRESET' || !socket.writable) {
-			socket.destroy();
-
-			return;
-		}
+	const {server, activeResponses} = createCallerServer({
+		async handleRequest(request, response) {
+			lastRequestAtMs = clock.readMonotonicMs();
 
-		log.info('invalid or incomplete HTTP request', {reason: error.code ?? error.message});
-		socket.end(`HTTP/1.1 ${error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request'}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`);
+			return answerCaller(request, response);
+		},
+		log,
 	});
 
 	metrics.registerGauge('config_version', 'Version of the configuration in force', () => routeTable?.config.version ?? 0);
