Answer whole requests when the time to stop is over

Callers: when the grace period of a stopping gateway ended, requests that had been read and had no head yet got neither an answer nor a refusal: their connections were closed. Answers that had ended but not reached their callers were aborted, also where 10 ms more would have been enough. Cause: stop() cancelled begun answers and closed all connections. Change: a request without an answer gets 502 (503 where its body was not whole, so that it can't have been sent), begun answers are aborted as before, ended ones get up to 400 ms of the second that is kept for closing, and requests that are read meanwhile get 503. Then connections close.

--- a/packages/gateway/src/__tests__/unit/caller-server.test.ts
+++ b/packages/gateway/src/__tests__/unit/caller-server.test.ts
@@ -124,3 +124,61 @@
 	await caller.closed;
 	t.true(caller.text.endsWith(`\r\n\r\n${wholeChunks(5)}`));
 });
+
+test('a close answers whole requests that have no answer with 502, aborts begun answers and lets ended ones reach their callers', async t => {
+	const large = 'x'.repeat(20_000_000);
+	const server = await openServer(t, async ({url}, response) => {
+		if (url === '/begun') {
+			response.write('begun');
+		} else if (url === '/ended') {
+			response.setHeader('Content-Length', String(large.length));
+			response.end(large);
+		}
+	});
+	const [idle, unanswered, incomplete, begun, ended] = Array.from({length: 5}, () => server.connect());
+	await once(idle!.socket, 'connect');
+	unanswered!.socket.write(request('/unanswered'));
+	incomplete!.socket.write('POST /incomplete HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhi');
+	begun!.socket.write(request('/begun'));
+	ended!.socket.write(request('/ended'));
+	await Promise.all([begun, ended].map(async caller => once(caller!.socket, 'data')));
+
+	while (server.activeResponses.size < 4) {
+		await sleep(5);
+	}
+
+	const [port] = [(server.server.address() as {readonly port: number}).port];
+	await server.close();
+	await Promise.all([idle, unanswered, incomplete, begun, ended].map(async caller => caller!.closed));
+	t.is(idle!.text, '');
+	t.regex(unanswered!.text, /^HTTP\/1.1 502 Bad Gateway\r\n[\s\S]*connection: close[\s\S]*\{"error":"the gateway stopped before there was an answer"\}$/v);
+	t.regex(incomplete!.text, /^HTTP\/1.1 503 Service Unavailable\r\n[\s\S]*connection: close[\s\S]*\{"error":"this gateway stops"\}$/v);
+	t.true(begun!.text.endsWith('5\r\nbegun\r\n'));
+	t.true(ended!.text.endsWith(large));
+	t.is(server.activeResponses.size, 0);
+	const late = net.connect(port, '127.0.0.1');
+	await t.throwsAsync(once(late, 'connect'), {code: 'ECONNREFUSED'});
+});
+
+test('a request that is read during a close is refused with 503, and the close waits for no caller that does not read', async t => {
+	const server = await openServer(t, async ({url}, response) => {
+		if (url === '/unread') {
+			response.end('x'.repeat(50_000_000));
+		} else {
+			response.end('whole');
+		}
+	});
+	const [kept, unread] = [server.connect(), server.connect()];
+	kept.socket.write(request('/a'));
+	await once(kept.socket, 'data');
+	unread.socket.write(request('/unread'));
+	await once(unread.socket, 'data');
+	unread.socket.pause();
+	const closed = server.close();
+	kept.socket.write(request('/b'));
+	await Promise.all([closed, kept.closed]);
+	t.regex(kept.text, /whole[\s\S]*HTTP\/1.1 503 Service Unavailable\r\n[\s\S]*connection: close[\s\S]*\{"error":"this gateway stops"\}$/v);
+	unread.socket.resume();
+	await unread.closed;
+	t.true(unread.text.length < 50_000_000);
+});
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -1,5 +1,6 @@
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {type Logger} from '@fescuestair/runtime';
 import {cancelResponse, sendLocalResponse} from './exchange.js';
 
@@ -15,6 +16,8 @@
 	readonly server: http.Server;
 	/** Responses that have not been sent completely. */
 	readonly activeResponses: ReadonlySet<ServerResponse>;
+	/** Answers what has no answer yet, aborts begun answers and closes all connections; ended answers get a short time to reach their callers. */
+	readonly close: () => Promise<void>;
 };
 
 /** Bound of the HTTP parser; the limit of the configuration is checked separately. */
@@ -26,6 +29,11 @@
 	['HPE_HEADER_OVERFLOW', '431 Request Header Fields Too Large'],
 	['ERR_HTTP_REQUEST_TIMEOUT', '408 Request Timeout'],
 ]);
+/** Time for answers that have ended to reach their callers before a close. */
+const flushTimeoutMs = 400;
+const flushPollMs = 10;
+/** Callers may retry almost at once, since other gateways accept them. */
+const stoppingRetryAfterMs = 50;
 const defaultStatusLine = '400 Bad Request';
 
 /**
@@ -42,6 +50,7 @@
 	/** By connection, the responses that have not been sent completely, in the order of their requests. */
 	const responsesBySocket = new WeakMap<Socket, Set<ServerResponse>>();
 	const failedSockets = new WeakSet<Socket>();
+	let isClosing = false;
 	const server = http.createServer({
 		maxHeaderSize: maxParsedHeaderBytes, requestTimeout: 0, keepAlive: true, connectionsCheckingInterval: checkIntervalMs,
 	});
@@ -56,6 +65,13 @@
 			responses.delete(response);
 			activeResponses.delete(response);
 		});
+
+		if (isClosing) {
+			refuseStopping(response);
+
+			return;
+		}
+
 		handleRequest(request, response).catch((error: unknown) => {
 			log.error('unexpected error after a request was served', {reason: error instanceof Error ? error.stack : String(error)});
 
@@ -101,7 +117,48 @@
 		}
 	});
 
-	return {server, activeResponses};
+	return {
+		server,
+		activeResponses,
+		async close() {
+			isClosing = true;
+
+			for (const response of activeResponses) {
+				if (!response.headersSent) {
+					answerUnfinished(response);
+				} else if (!response.writableEnded) {
+					cancelResponse(response);
+				}
+			}
+
+			// The server stays open meanwhile: it takes connections whose response was ended for idle, and closes them.
+			for (let waitedMs = 0; waitedMs < flushTimeoutMs && activeResponses.size > 0; waitedMs += flushPollMs) {
+				await sleep(flushPollMs);
+			}
+
+			for (const response of activeResponses) {
+				cancelResponse(response);
+			}
+
+			server.close();
+			server.closeAllConnections();
+		},
+	};
+}
+
+// A request that is not whole can't have been sent to an instance.
+function answerUnfinished(response: ServerResponse): void {
+	if (response.req.complete) {
+		sendLocalResponse(response, {status: 502, message: 'the gateway stopped before there was an answer', shouldClose: true});
+	} else {
+		refuseStopping(response);
+	}
+}
+
+function refuseStopping(response: ServerResponse): void {
+	sendLocalResponse(response, {
+		status: 503, message: 'this gateway stops', retryAfterMs: stoppingRetryAfterMs, shouldClose: true,
+	});
 }
 
 // The invalid bytes are in the body of a request, which is the last one on its connection. It is answered after those before it.
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -24,7 +24,6 @@
 } from '@fescuestair/transport';
 import {type CallerCodec, type UpstreamCodec} from './codecs.js';
 import {createCallerServer} from './caller-server.js';
-import {cancelResponse} from './exchange.js';
 import {createRequestHandler} from './request-handler.js';
 import {createCoordinatorClient} from './coordinator-client.js';
 import {createCrashDetector} from './crash-detector.js';
@@ -225,7 +224,7 @@
 		forwardOptions, callerCodec, clock, log, metrics, depositRetryTokens: depositRequest, getTable: () => routeTable, isStopping: () => clock.readMonotonicMs() >= admissionDeadlineMs,
 	});
 
-	const {server, activeResponses} = createCallerServer({
+	const callerServer = createCallerServer({
 		async handleRequest(request, response) {
 			lastRequestAtMs = clock.readMonotonicMs();
 
@@ -233,6 +232,7 @@
 		},
 		log,
 	});
+	const {server, activeResponses} = callerServer;
 
 	metrics.registerGauge('config_version', 'Version of the configuration in force', () => routeTable?.config.version ?? 0);
 	metrics.registerGauge('requests_running', 'Requests that have no final answer yet', () => activeResponses.size);
@@ -325,15 +325,7 @@
 			loadExchange.stop();
 			permits.stop();
 
-			// Before the server closes connections: it takes those whose response was ended for idle, also where the caller has not got all of it.
-			for (const response of activeResponses) {
-				if (response.headersSent && !response.writableFinished) {
-					cancelResponse(response);
-				}
-			}
-
-			server.close();
-			server.closeAllConnections();
+			await callerServer.close();
 			instancePool.stop();
 			await linkServer.close();
 			links.close();
