Do not take the time in which a gateway itself stood still for the silence of its instances

Cause: the check for silent instances compares with the last bytes that were read. After a stall its timer comes before the sockets are read.

A check that comes later than planned by more than its interval begins the measurement anew. The unit test fails without that (all three instances were silent at the first check).

--- a/packages/gateway/src/__tests__/unit/instance-pool.test.ts
+++ b/packages/gateway/src/__tests__/unit/instance-pool.test.ts
@@ -17,12 +17,18 @@
 	const clock = createManualClock();
 	const left: string[] = [];
 	const lines: string[] = [];
+	let check: () => void = () => undefined;
 	const pool = createInstancePool({
 		clock,
 		metrics: createPrometheusMetrics(),
 		getMaxConnections: () => 4,
 		getLimitedUntilMs: () => Number.NEGATIVE_INFINITY,
 		onWorkChange: () => undefined,
+		repeat(callback) {
+			check = callback;
+
+			return () => undefined;
+		},
 		onLeaving({id}) {
 			left.push(id);
 		},
@@ -53,7 +59,9 @@
 	announce();
 
 	return {
-		pool, clock, left, lines, announce, listAvailable: () => pool.listAvailable('app').map(instance => instance.held.record.id),
+		pool, clock, left, lines, announce, check() {
+			check();
+		}, listAvailable: () => pool.listAvailable('app').map(instance => instance.held.record.id),
 	};
 };
 
@@ -198,3 +206,38 @@
 	t.is(await ask(after.agent), 'whole');
 	t.is(connections, 3);
 });
+
+// Guards against taking the time in which the process itself stood still, as when its machine was frozen, for a silence of all instances.
+test('instances are not silent for the time in which the gateway itself stood still', t => {
+	const {pool, clock, check, listAvailable} = openPool(t, 3);
+	const silent: number[] = [];
+	const requests = listAvailable().map((id, index) => {
+		const instance = pool.get(id)!;
+		const request = createRequest({
+			onSilence() {
+				silent.push(index);
+			},
+		});
+		pool.begin(instance, request);
+
+		return {instance, request};
+	});
+
+	clock.advance(100);
+	check();
+	clock.advance(1500);
+	check();
+	t.deepEqual(silent, []);
+	t.is(listAvailable().length, 3);
+	t.true(requests.every(({instance, request}) => !pool.isSilent(instance, request)));
+
+	for (let passedMs = 0; passedMs < 700; passedMs += 100) {
+		t.deepEqual(silent, []);
+		clock.advance(100);
+		check();
+	}
+
+	clock.advance(100);
+	check();
+	t.deepEqual(silent, [0, 1, 2]);
+});
--- a/packages/gateway/src/instance-pool.ts
+++ b/packages/gateway/src/instance-pool.ts
@@ -23,6 +23,8 @@
 	readonly onWorkChange: (workMs: number) => void;
 	/** Called when a response of an instance reports for the first time that this incarnation is leaving. */
 	readonly onLeaving: (record: InstanceRecord) => void;
+	/** Calls a function repeatedly; returns a function that ends it. */
+	readonly repeat?: (callback: () => void, intervalMs: number) => () => void;
 };
 
 export type InstancePool = {
@@ -92,7 +94,7 @@
 ```
 */
 export function createInstancePool({
-	clock, log, metrics, getMaxConnections, getLimitedUntilMs, onWorkChange, onLeaving,
+	clock, log, metrics, getMaxConnections, getLimitedUntilMs, onWorkChange, onLeaving, repeat = startInterval,
 }: InstancePoolOptions): InstancePool {
 	const instances = new Map<string, PooledInstance>();
 	/** Instances that were replaced by others of the same id, while requests have not ended there. */
@@ -101,7 +103,10 @@
 	let byService = new Map<string, readonly PooledInstance[]>();
 	const prefillRates = new Map<string, number>();
 	let inFlightCount = 0;
-	let timer: NodeJS.Timeout | undefined;
+	let nextCheckMs = Number.POSITIVE_INFINITY;
+	/** End of the latest time in which this process stood still, and read nothing. */
+	let stallEndedMs = Number.NEGATIVE_INFINITY;
+	let endChecks: (() => void) | undefined;
 
 	const adjustWork = (instance: PooledInstance, workMs: number) => {
 		instance.load = {...instance.load, work: addWork(instance.load.work, workMs, clock.readMonotonicMs())};
@@ -185,7 +190,7 @@
 	const measureSilenceMs = ({standing}: PooledInstance, {getReadingSinceMs}: InFlightRequest) => {
 		const readingSinceMs = getReadingSinceMs();
 
-		return readingSinceMs === undefined ? 0 : clock.readMonotonicMs() - Math.max(readingSinceMs, standing.answeredAtMs);
+		return readingSinceMs === undefined ? 0 : clock.readMonotonicMs() - Math.max(readingSinceMs, standing.answeredAtMs, stallEndedMs);
 	};
 
 	const isSilent = (instance: PooledInstance, request: InFlightRequest) => measureSilenceMs(instance, request) >= request.silenceTimeoutMs;
@@ -194,9 +199,16 @@
 	const checkInFlight = () => {
 		const nowMs = clock.readMonotonicMs();
 
+		// What instances sent while this process stood still has not been read yet.
+		if (nowMs - nextCheckMs > checkIntervalMs) {
+			stallEndedMs = nowMs;
+		}
+
+		nextCheckMs = nowMs + checkIntervalMs;
+
 		if (inFlightCount === 0) {
-			clearInterval(timer);
-			timer = undefined;
+			endChecks?.();
+			endChecks = undefined;
 		}
 
 		for (const instance of [...instances.values(), ...retired]) {
@@ -296,7 +308,12 @@
 			const nowMs = clock.readMonotonicMs();
 			const wasIdle = computeWaitMs(instance.load.work, nowMs) === 0;
 			inFlightCount++;
-			timer ??= setInterval(checkInFlight, checkIntervalMs);
+
+			if (endChecks === undefined) {
+				nextCheckMs = nowMs + checkIntervalMs;
+				endChecks = repeat(checkInFlight, checkIntervalMs);
+			}
+
 			adjustWork(instance, request.workMs);
 			instance.inFlight.set(request, request.workMs === 0 ? undefined : {...estimateWork(instance.load.work, request.workMs), wasIdle});
 			instance.load = {
@@ -427,7 +444,7 @@
 		},
 		recordHealthEvent: applyHealthEvent,
 		stop() {
-			clearInterval(timer);
+			endChecks?.();
 
 			for (const instance of [...instances.values(), ...retired]) {
 				instance.agent.destroy();
@@ -435,3 +452,11 @@
 		},
 	};
 }
+
+function startInterval(callback: () => void, intervalMs: number): () => void {
+	const timer = setInterval(callback, intervalMs);
+
+	return () => {
+		clearInterval(timer);
+	};
+}
