Pass on the failure of an instance where no other run takes its place

Cause: the same class as silent runs: what was at hand was thrown away before anything was there to take its place.

The latest complete failure is kept until the request has its answer, and goes before a failure of the gateway's own. The four cases of forward.test.ts failed before (502) and pass. The runs of a request whose handling throws are now cancelled.

--- a/packages/gateway/src/__tests__/unit/forward.test.ts
+++ b/packages/gateway/src/__tests__/unit/forward.test.ts
@@ -163,6 +163,10 @@
 	}, delayMs);
 };
 
+const breakOff: UpstreamAnswer = response => {
+	response.socket!.destroy();
+};
+
 const neverAnswer: UpstreamAnswer = () => undefined;
 /** Longer than an instance may take before it counts as silent. */
 const silenceMs = 1400;
@@ -200,11 +204,7 @@
 });
 
 test('a failure of the other run does not end a request whose silent run may go on', async t => {
-	const failures: readonly UpstreamAnswer[] = [answerAfter(0, 'failed', 500), answerAfter(0, 'not run', 421), response => {
-		response.socket!.destroy();
-	}];
-
-	for (const failure of failures) {
+	for (const failure of [answerAfter(0, 'failed', 500), answerAfter(0, 'not run', 421), breakOff]) {
 		const front = await openFront(t, {answers: [answerAfter(silenceMs, 'whole'), failure]});
 		t.like(await front.fetch(), {status: 200, body: 'whole', isWhole: true});
 		t.is(front.asked.length, 2);
@@ -217,6 +217,23 @@
 	t.is(front.asked.length, 2);
 });
 
+for (const [description, answers, routeChange] of [
+	['there is no other instance', [answerAfter(0, 'failed', 500)], {}],
+	['the other run breaks off', [answerAfter(0, 'failed', 500), breakOff], {}],
+	['the silent run breaks off after the other has failed', [response => {
+		setTimeout(() => {
+			response.socket!.destroy();
+		}, silenceMs);
+	}, answerAfter(0, 'failed', 500)], {}],
+	['the instances of a stream fail', [answerAfter(0, 'failed', 500), breakOff], {kind: CallKind.Streaming, isResumable: true}],
+] as ReadonlyArray<readonly [string, readonly UpstreamAnswer[], Partial<Route>]>) {
+	test(`the failure that an instance answered is passed on where ${description}`, async t => {
+		const front = await openFront(t, {answers, routeChange});
+		t.like(await front.fetch(), {status: 500, body: 'failed', isWhole: true});
+		t.is(front.results[0]!.status, 500);
+	});
+}
+
 test('a request whose deadline passes while all its runs are silent gets a failure', async t => {
 	const front = await openFront(t, {answers: [neverAnswer, neverAnswer], timeLeftMs: 2500});
 	t.like(await front.fetch(), {status: 504, isWhole: true});
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -86,7 +86,7 @@
 	const ending: ForwardingContext['end'] = {isCallerGone: false, isExpired: false, isAnswered: false};
 	const context: ForwardingContext = {
 		options, exchange, service, progress, runs, end: ending, stream: createCallerStream(options, exchange), isRetryable: canRetry(route),
-		successor: {isPreparing: false, preparation: Promise.resolve()},
+		successor: {isPreparing: false, preparation: Promise.resolve()}, failure: undefined,
 	};
 
 	const onClose = () => {
@@ -103,17 +103,20 @@
 	}, Math.max(0, exchange.deadlineMs - clock.readMonotonicMs()));
 	let end: ExchangeResult | undefined;
 
-	while (end === undefined) {
-		end = await (runs.count() > 0 ? followRuns(context) : advanceRequest(context));
+	try {
+		while (end === undefined) {
+			end = await (runs.count() > 0 ? followRuns(context) : advanceRequest(context));
+		}
+	} finally {
+		ending.isAnswered = true;
+		runs.cancel(RunEvidence.Superseded);
+		await runs.settle();
+		waiting.delete(exchange);
+		releasePermit(options, progress);
+		clearTimeout(timer);
+		response.off('close', onClose);
 	}
 
-	ending.isAnswered = true;
-	runs.cancel(RunEvidence.Superseded);
-	await runs.settle();
-	waiting.delete(exchange);
-	releasePermit(options, progress);
-	clearTimeout(timer);
-	response.off('close', onClose);
 	const begun = context.stream.getBegun();
 
 	if (begun === undefined) {
@@ -336,6 +339,10 @@
 	const {end, fault, obstacle} = decideEnd(context, ended);
 
 	if (end === AnswerEnd.Repeat || end === AnswerEnd.Wait) {
+		if (fault === RunFault.Status && !stream.hasStarted()) {
+			context.failure = {head: result.head!, body: result.body};
+		}
+
 		return undefined;
 	}
 
@@ -399,8 +406,15 @@
 	return {outcome: ExchangeOutcome.Refused, status: unavailableStatus, reason};
 }
 
-// A response that has already started is aborted, so that the caller does not take the part it received for a complete response.
-function endFailed({exchange, options}: ForwardingContext, status: number, reason: string): ExchangeResult {
+// A response that has already started is aborted, so that the caller does not take the part it received for a complete response. What an instance answered
+// goes before a failure of the gateway's own.
+function endFailed({exchange, options, stream, failure}: ForwardingContext, status: number, reason: string): ExchangeResult {
+	if (failure !== undefined && !stream.hasStarted()) {
+		sendUpstreamResponse(exchange.response, {...failure, isLeaving: options.isLeaving()});
+
+		return {outcome: ExchangeOutcome.Failed, status: failure.head.status, reason: `${describeRunFault(RunFault.Status)}; ${reason}`};
+	}
+
 	sendLocalResponse(exchange.response, {status, message: reason, shouldClose: options.isLeaving()});
 
 	return {outcome: ExchangeOutcome.Failed, status, reason};
--- a/packages/gateway/src/forwarding-context.ts
+++ b/packages/gateway/src/forwarding-context.ts
@@ -1,5 +1,7 @@
+import {type Buffer} from 'node:buffer';
 import {hasRetry, withdrawRetry} from '@fescuestair/limits';
 import {type Service} from '@fescuestair/traffic';
+import {type ResponseHead} from './attempt.js';
 import {type ActiveRuns} from './active-runs.js';
 import {type CallerStream} from './caller-stream.js';
 import {type Exchange} from './exchange.js';
@@ -18,8 +20,12 @@
 	readonly successor: SuccessorState;
 	/** Why the request needs no further run. */
 	readonly end: {isCallerGone: boolean; isExpired: boolean; isAnswered: boolean};
+	/** The latest complete failure that an instance answered, for where no other run follows or succeeds. */
+	failure: UpstreamFailure | undefined;
 };
 
+export type UpstreamFailure = {readonly head: ResponseHead; readonly body: Buffer};
+
 /** The run that is being prepared beside silent ones. */
 export type SuccessorState = {
 	isPreparing: boolean;
