Show that a coordinator whose disk was lost comes back under its old identity

Worse could follow: the wiped replicas vote as if they still held what they had acknowledged.

Cause: the first identity is derived from the address alone, so an empty disk gives the same one again.

--- a/packages/coordinator/src/__tests__/integration/deployment.ts
+++ b/packages/coordinator/src/__tests__/integration/deployment.ts
@@ -5,7 +5,8 @@
 import {once} from 'node:events';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type ExecutionContext} from 'ava';
-import {createLogger, createPrometheusMetrics} from '@fescuestair/runtime';
+import {loadIdentity, type Identity} from '@fescuestair/replication';
+import {createLogger, createPrometheusMetrics, type PrometheusMetrics} from '@fescuestair/runtime';
 import {type TrafficConfig} from '@fescuestair/traffic';
 import {ChangeOutcome, createCoordinator, type Coordinator} from '../../index.js';
 
@@ -15,6 +16,9 @@
 	readonly start: (name: string) => Promise<Coordinator>;
 	/** Deletes the data of a stopped coordinator. */
 	readonly wipe: (name: string) => Promise<void>;
+	/** Waits until one of the running coordinators leads the group, and returns its name. */
+	readonly findLeader: () => Promise<string>;
+	readonly readIdentity: (name: string) => Promise<Identity>;
 };
 
 const decodeConfig = (text: string) => ({
@@ -32,8 +36,12 @@
 }
 
 /** Creates a deployment; `seeds` are the names of the coordinators that form the initial group. */
-export async function openDeployment(t: ExecutionContext, {names, seeds, lossesBorne}: {
-	readonly names: readonly string[]; readonly seeds: readonly string[]; readonly lossesBorne: number;
+export async function openDeployment(t: ExecutionContext, {names, seeds, lossesBorne, isFirstStartKept = false}: {
+	readonly names: readonly string[];
+	readonly seeds: readonly string[];
+	readonly lossesBorne: number;
+	/** Restarts coordinators whose data was deleted with `isFirstStart` still set. */
+	readonly isFirstStartKept?: boolean;
 }): Promise<Deployment> {
 	const folder = await fs.mkdtemp(path.join(os.tmpdir(), 'fescuestair-coordinator-'));
 	const addresses = new Map<string, string>();
@@ -44,7 +52,8 @@
 
 	const seedAddresses = seeds.map(name => addresses.get(name)!);
 	const running = new Map<string, Coordinator>();
-	/** Coordinators whose data was deleted. They are restarted with `isFirstStart` unset, as on the users' machines. */
+	const metrics = new Map<string, PrometheusMetrics>();
+	/** Coordinators whose data was deleted. They are restarted with `isFirstStart` unset by default, as on the users' machines. */
 	const wiped = new Set<string>();
 	t.teardown(async () => {
 		await Promise.all([...running.values()].map(async coordinator => coordinator.stop()));
@@ -55,11 +64,13 @@
 		async start(name) {
 			const dataFolder = path.join(folder, name);
 			await fs.mkdir(dataFolder, {recursive: true});
+			const ownMetrics = createPrometheusMetrics();
+			metrics.set(name, ownMetrics);
 			const coordinator = await createCoordinator({
 				name, availabilityZone: 'north', linkAddress: addresses.get(name)!, serviceAddress: '127.0.0.1:1', dataFolder, getSeeds: () => seedAddresses,
-				isFirstStart: !wiped.has(name), decodeConfig, orderHandoverMs: 0, lossesBorne,
+				isFirstStart: isFirstStartKept || !wiped.has(name), decodeConfig, orderHandoverMs: 0, lossesBorne,
 				storeClient: undefined as never, sendOrder: undefined as never, fetchReport: undefined as never,
-				log: createLogger({instance: name, isTerminal: false, writeLine: () => true}), metrics: createPrometheusMetrics(),
+				log: createLogger({instance: name, isTerminal: false, writeLine: () => true}), metrics: ownMetrics,
 			});
 			const started = {
 				...coordinator,
@@ -76,6 +87,20 @@
 			wiped.add(name);
 			await fs.rm(path.join(folder, name), {recursive: true, force: true});
 		},
+		async findLeader() {
+			for (;;) {
+				for (const name of running.keys()) {
+					const text = await metrics.get(name)!.renderText();
+
+					if (text.includes('\nfescuestair_leads 1')) {
+						return name;
+					}
+				}
+
+				await sleep(20);
+			}
+		},
+		readIdentity: async name => loadIdentity(path.join(folder, name), name),
 	};
 }
 
--- a/packages/replication/src/__tests__/unit/group-membership.test.ts
+++ b/packages/replication/src/__tests__/unit/group-membership.test.ts
@@ -30,3 +30,25 @@
 		await fs.rm(dataFolder, {recursive: true});
 	}
 });
+
+test.failing('a replica whose disk was lost does not take the identity that it had, although the first start is still set', async t => {
+	const dataFolder = await fs.mkdtemp(path.join(os.tmpdir(), 'fescuestair-group-'));
+
+	try {
+		const log = createLogger({instance: 'core-1', level: 0});
+		const firstGroup = {ownAddress: '127.0.0.1:1', addresses: ['127.0.0.1:1', '127.0.0.1:2', '127.0.0.1:3']};
+		const open = async () => createGroupMembership({
+			dataFolder, name: 'core-1', clock: createManualClock(), log, firstGroup,
+		});
+		const before = await open();
+		const restarted = await open();
+		t.is(restarted.getIdentity().id, before.getIdentity().id);
+		await fs.rm(dataFolder, {recursive: true});
+		await fs.mkdir(dataFolder);
+		const wiped = await open();
+		t.not(wiped.getIdentity().id, before.getIdentity().id);
+		t.is(wiped.getIdentity().groupId, undefined, 'it may not vote in a group before it knows whether one exists');
+	} finally {
+		await fs.rm(dataFolder, {recursive: true});
+	}
+});
