Found a group only with the saved promise of every first member, under random identities

The wiped replicas could also vote as if they still held what they had acknowledged, so that an accepted change could be lost.

Cause: the first identity was derived from the address alone, so an empty disk gave the same one again.

Change: every identity is random. The first member with the lowest address founds the group once all first members say that they are empty: it saves a new group, asks each for its promise, which is saved too, and then writes the members as the first entry. In any other state a replica asks to join, as one without the setting does.

Not measured: the time of a first start beside the old one; steps follow each other within 100 ms.

--- a/packages/agreement/src/index.ts
+++ b/packages/agreement/src/index.ts
@@ -6,6 +6,7 @@
 	EffectKind, EntryKind, MessageKind, PeerMessageKind, ReplicaRole, type AppendMessage, type Effect, type Entry, type EntryPayload, type ReplicaLog,
 	type Message, type PeerMessage, type Progress, type ReplicaState, type SnapshotMetadata, type ReplicaTiming,
 } from './types.js';
+export {isEmptyReplica} from './leader.js';
 export {createSnapshotMetadata, isLeaseHeld, stepReplica} from './step.js';
 export {getLastIndex, getTermAt} from './log.js';
 export {planMembershipChange, type MembershipPlanInput} from './plan-members.js';
--- a/packages/agreement/src/leader.ts
+++ b/packages/agreement/src/leader.ts
@@ -20,9 +20,10 @@
 /** A learner whose log is at most this many entries behind the leader's counts as caught up. */
 const maxCaughtUpLagEntries = 64;
 const snapshotRetryIntervalMs = 5000;
+const noop: EntryPayload = {kind: EntryKind.Noop};
 
-/** Becomes leader: appends a no-op entry of the new term and replicates it to all members. */
-export function becomeLeader(state: ReplicaState, nowMs: number): ReplicaStep {
+/** Becomes leader: appends the first entry of the new term, a no-op by default, and replicates it to all members. */
+export function becomeLeader(state: ReplicaState, nowMs: number, firstPayload: EntryPayload = noop): ReplicaStep {
 	const nextIndex = getLastIndex(state.log) + 1;
 	const progress = new Map<string, Progress>();
 
@@ -40,7 +41,7 @@
 		leaseDeadlineMs: nowMs,
 	};
 
-	return appendAsLeader(leader, {kind: EntryKind.Noop}, nowMs);
+	return appendAsLeader(leader, firstPayload, nowMs);
 }
 
 function createProgress(nextIndex: number): Progress {
@@ -250,11 +251,12 @@
 	return acceptProposal(state, proposal.proposalId, {kind: EntryKind.Command, command: proposal.command}, nowMs);
 }
 
-/** Changes at most one member, if the last membership change is committed. On an empty replica, creates a group with it as the only member. */
+/**
+Changes at most one member, if the last membership change is committed. On an empty replica, creates a group of the members, all of which must
+be empty and bound to this group.
+*/
 export function changeMembers(state: ReplicaState, proposal: MembersProposal, nowMs: number): ReplicaStep {
-	const isFirst = state.members.length === 0 && state.log.entries.length === 0 && state.log.snapshot.index === 0;
-
-	if (isFirst && proposal.members.length === 1 && isVoter(proposal.members, state.id)) {
+	if (isEmptyReplica(state) && isVoter(proposal.members, state.id)) {
 		return initializeGroup(state, proposal, nowMs);
 	}
 
@@ -273,15 +275,29 @@
 	return acceptProposal(state, proposal.proposalId, {kind: EntryKind.Members, members: proposal.members}, nowMs);
 }
 
-function initializeGroup(state: ReplicaState, proposal: MembersProposal, nowMs: number): ReplicaStep {
-	const {members, proposalId} = proposal;
+/**
+Checks whether a replica holds no entry, no snapshot and no term, so that it cannot have acknowledged anything or voted under its identity.
+
+@example
+```
+isEmptyReplica(createReplica({id: 'control-1.9f86', nowMs: 0})); //=> true
+```
+*/
+export function isEmptyReplica(state: ReplicaState): boolean {
+	return state.term === 0 && state.members.length === 0 && state.log.entries.length === 0 && state.log.snapshot.index === 0;
+}
+
+// Nobody else can lead in term 1, since nobody else has members. The first entry holds them, so that every later one comes after them.
+function initializeGroup(state: ReplicaState, {members, proposalId}: MembersProposal, nowMs: number): ReplicaStep {
 	const started: ReplicaState = {
 		...state, term: 1, votedFor: state.id, members,
 	};
-	const leaderStep = becomeLeader(started, nowMs);
-	const accepted = acceptProposal(leaderStep.state, proposalId, {kind: EntryKind.Members, members}, nowMs);
+	const accepted: Effect = {
+		kind: EffectKind.Accepted, proposalId, index: 1, term: started.term,
+	};
+	const leaderStep = becomeLeader(started, nowMs, {kind: EntryKind.Members, members});
 
-	return {state: accepted.state, effects: [...createHardStateEffects(state, started), ...leaderStep.effects, ...accepted.effects]};
+	return {state: leaderStep.state, effects: [...createHardStateEffects(state, started), accepted, ...leaderStep.effects]};
 }
 
 function acceptProposal(state: ReplicaState, proposalId: string, payload: EntryPayload, nowMs: number): ReplicaStep {
--- a/packages/coordinator/src/__tests__/integration/first-start.test.ts
+++ b/packages/coordinator/src/__tests__/integration/first-start.test.ts
@@ -4,7 +4,7 @@
 const names = ['core-1', 'core-2', 'core-3', 'core-4', 'core-5'];
 
 // The leader keeps running, so it knows what the two had acknowledged.
-test.failing('coordinators whose disks are lost join as new members, although the first start is still set, and the group goes on', async t => {
+test('coordinators whose disks are lost join as new members, although the first start is still set, and the group goes on', async t => {
 	const deployment = await openDeployment(t, {
 		names, seeds: names.slice(0, 3), lossesBorne: 2, isFirstStartKept: true,
 	});
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -7,7 +7,7 @@
 	DaemonRole, isPublishedSnapshot, type DaemonRecord, type InstanceRecord, type PublishedSnapshot,
 } from '@fescuestair/instances';
 import {
-	callAndValidate, createLinkCommands, isJoinMessage, isName, LinkMessageKind, ProposalError, requireValid, type LinkMessage, type LinkReply,
+	callAndValidate, createLinkCommands, isInviteToGroupMessage, isJoinMessage, isName, LinkMessageKind, ProposalError, requireValid, type LinkReply,
 } from '@fescuestair/protocol';
 import {isPartsPoll, encodePartsReply} from '@fescuestair/parts';
 import {proposeAtLeader} from '@fescuestair/replication';
@@ -36,7 +36,7 @@
 	readonly dataFolder: string;
 	/** Link addresses of the coordinators to contact first. On the first start, they form the initial group. */
 	readonly getSeeds: () => readonly string[];
-	/** The whole system starts for the first time, so the seeds form the initial group. */
+	/** The whole system starts for the first time, so the seeds found the group. A coordinator that lost its disk joins all the same, if it stays set. */
 	readonly isFirstStart: boolean;
 	/** Decodes a configuration, which is valid if there are no findings. */
 	readonly decodeConfig: (text: string) => {readonly config: TrafficConfig | undefined; readonly findings: readonly Finding[]};
@@ -239,6 +239,11 @@
 
 		return true;
 	});
+	commands.registerCommand(LinkMessageKind.InviteToGroup, isInviteToGroupMessage, message => {
+		replica.receiveInvitation(message);
+
+		return true;
+	});
 	commands.registerCommand(LinkMessageKind.Propose, isObjectWith({command: isPublishCommand}), ({command, reply}) => {
 		void (async () => reply?.(await answerProposal(command)))();
 
@@ -274,9 +279,7 @@
 			// A replica that was replaced while it was cut off also asks to join again; the leader ignores requests of members.
 			if (!isCurrent()) {
 				for (const address of addresses) {
-					links.send(address, {
-						kind: LinkMessageKind.Join, id: replica.groupMembership.getIdentity().id, name, address: linkAddress,
-					} satisfies LinkMessage);
+					links.send(address, replica.createJoinMessage());
 				}
 			}
 		},
--- a/packages/coordinator/src/replica-host.ts
+++ b/packages/coordinator/src/replica-host.ts
@@ -1,12 +1,13 @@
 import fs from 'node:fs/promises';
 import path from 'node:path';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	findMember, ReplicaRole, type PeerMessage, type ReplicaState, type ReplicaTiming,
+	findMember, isEmptyReplica, ReplicaRole, type PeerMessage, type ReplicaState, type ReplicaTiming,
 } from '@fescuestair/agreement';
 import {type Clock} from '@fescuestair/core';
 import {LinkMessageKind, ProposalError, type LinkMessage} from '@fescuestair/protocol';
 import {
-	createGroupMembership, createReplicaRunner, type FirstGroup, type GroupMembership, type ReplicaRunner,
+	createGroupMembership, createReplicaRunner, type FirstGroup, type GroupMembership, type Invitation, type ReplicaRunner,
 } from '@fescuestair/replication';
 import {type Logger} from '@fescuestair/runtime';
 import {createLogStore} from '@fescuestair/storage';
@@ -19,7 +20,7 @@
 	readonly name: string;
 	readonly linkAddress: string;
 	readonly dataFolder: string;
-	/** The initial group; `undefined` unless the whole system starts for the first time and this coordinator is one of the initial members. */
+	/** The first members; `undefined` unless the whole system starts for the first time and this coordinator is one of them. */
 	readonly firstGroup: FirstGroup | undefined;
 	readonly clock: Clock;
 	readonly links: Links;
@@ -32,6 +33,9 @@
 /** The replica of this coordinator. It is reopened after a disk failure until the host is stopped. */
 export type ReplicaHost = {
 	readonly groupMembership: GroupMembership;
+	/** The request to be added to the group; sent to all coordinators while this one is not a current member. */
+	readonly createJoinMessage: () => Extract<LinkMessage, {kind: LinkMessageKind.Join}>;
+	readonly receiveInvitation: (invitation: Invitation) => void;
 	readonly receive: (message: Extract<LinkMessage, {kind: LinkMessageKind.Agreement}>) => void;
 	readonly propose: (command: PublishCommand) => Promise<PublishAnswer>;
 	readonly confirmRead: () => Promise<void>;
@@ -51,6 +55,8 @@
 const snapshotIntervalEntries = 64;
 const retainedLogEntries = 16;
 const tickIntervalMs = 50;
+/** Interval of the steps towards a group that is founded. */
+const foundingIntervalMs = 100;
 
 /**
 Creates the replica of a coordinator and reopens it after disk failures.
@@ -163,10 +169,78 @@
 		return term;
 	};
 
+	const isEmpty = () => runner !== undefined && isEmptyReplica(runner.getState());
+
+	const createJoinMessage = () => {
+		const report = groupMembership.describeFounding(isEmpty());
+		const {id} = groupMembership.getIdentity();
+
+		return {
+			kind: LinkMessageKind.Join as const,
+			id,
+			name,
+			address: linkAddress,
+			...(report && {founding: {addresses: report.addresses, groupId: report.groupId, isEmpty: report.isEmpty}}),
+		};
+	};
+
+	const invite = (address: string, invitation: Invitation) => {
+		links.send(address, {kind: LinkMessageKind.InviteToGroup, ...invitation} satisfies LinkMessage);
+	};
+
+	const reportToFounder = (founderAddress: string) => {
+		if (founderAddress !== linkAddress) {
+			links.send(founderAddress, createJoinMessage());
+		}
+	};
+
+	const advanceFounding = async () => {
+		const founderAddress = groupMembership.describeFounding(isEmpty())?.addresses[0];
+
+		if (founderAddress === undefined) {
+			return;
+		}
+
+		reportToFounder(founderAddress);
+		const members = await groupMembership.advanceFounding(isEmpty(), invite);
+
+		if (members !== undefined) {
+			log.info('the group is created', {members: members.map(member => member.id)});
+			await runner?.changeMembers(members);
+		}
+	};
+
+	const isFounding = () => !isStopped && groupMembership.getIdentity().founding !== undefined && (runner === undefined || isEmpty());
+
+	const runFounding = async () => {
+		while (isFounding()) {
+			try {
+				await advanceFounding();
+			} catch (error) {
+				log.warn('the group was not founded yet', {reason: String(error)});
+			}
+
+			await sleep(foundingIntervalMs);
+		}
+	};
+
 	runner = await openRunner();
 
+	void runFounding();
+
 	return {
 		groupMembership,
+		createJoinMessage,
+		receiveInvitation(invitation) {
+			void (async () => {
+				try {
+					await groupMembership.acceptInvitation(invitation, isEmpty());
+					reportToFounder(groupMembership.describeFounding(isEmpty())?.addresses[0] ?? linkAddress);
+				} catch (error) {
+					log.error('the group could not be saved', {groupId: invitation.groupId, reason: String(error)});
+				}
+			})();
+		},
 		receive(message) {
 			if (groupMembership.accept(message)) {
 				runner?.receive(message.fromId, message.message as PeerMessage);
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -22,7 +22,7 @@
 	createLinkCommands, LinkFaultKind, type LinkCommand, type LinkCommands, type LinkFault, type LinkReplyCallback,
 } from './link-commands.js';
 export {
-	isAgeMs, isFindRequestEventsMessage, isFindPiecesMessage, isGossipMessage, isJoinMessage, isLinkReply, isName, isRecordPiecesMessage,
+	isAgeMs, isFindRequestEventsMessage, isFindPiecesMessage, isGossipMessage, isInviteToGroupMessage, isJoinMessage, isLinkReply, isName, isRecordPiecesMessage,
 	isRecordReuseMessage, isPollStateMessage, isRecordRequestEventsMessage,
 } from './link-message-guards.js';
 export {
--- a/packages/protocol/src/link-messages.ts
+++ b/packages/protocol/src/link-messages.ts
@@ -20,6 +20,8 @@
 	RecordReuse = 'note_return',
 	/** A replica outside the current membership of the group asks to be added. */
 	Join = 'join',
+	/** The founder of a group asks a first member to promise that it belongs to this group and to no other. */
+	InviteToGroup = 'invite_to_group',
 	/** A daemon announces itself to a coordinator, which replies with the updates that the daemon lacks. */
 	Hello = 'hello',
 	/** Updates about instances, sent as soon as they are known. */
@@ -74,7 +76,15 @@
 		| {readonly kind: LinkMessageKind.RequestLimits; readonly from: string; readonly notes: unknown; readonly isRelayed: boolean}
 		| {readonly kind: LinkMessageKind.ReservePermits; readonly questions: unknown; readonly isRelayed: boolean}
 		| {readonly kind: LinkMessageKind.PollParts; readonly poll: unknown}
-		| {readonly kind: LinkMessageKind.Join; readonly id: string; readonly name: string; readonly address: string};
+		| {
+			readonly kind: LinkMessageKind.Join;
+			readonly id: string;
+			readonly name: string;
+			readonly address: string;
+			/** Sent by a first member that no leader has assigned to a group. */
+			readonly founding?: {readonly addresses: readonly string[]; readonly groupId?: string; readonly isEmpty: boolean};
+		}
+		| {readonly kind: LinkMessageKind.InviteToGroup; readonly toId: string; readonly groupId: string; readonly previousGroupId?: string};
 
 export type LinkReply
 	= | {readonly kind: 'answer'; readonly answer: unknown}
--- a/packages/replication/src/__tests__/unit/group-membership.test.ts
+++ b/packages/replication/src/__tests__/unit/group-membership.test.ts
@@ -31,7 +31,7 @@
 	}
 });
 
-test.failing('a replica whose disk was lost does not take the identity that it had, although the first start is still set', async t => {
+test('a replica whose disk was lost does not take the identity that it had, although the first start is still set', async t => {
 	const dataFolder = await fs.mkdtemp(path.join(os.tmpdir(), 'fescuestair-group-'));
 
 	try {
--- a/packages/replication/src/group-membership.ts
+++ b/packages/replication/src/group-membership.ts
@@ -2,6 +2,7 @@
 import {type Clock} from '@fescuestair/core';
 import {ProposalError, type LinkMessageKind, type LinkMessage} from '@fescuestair/protocol';
 import {type Logger} from '@fescuestair/runtime';
+import {decideFounding, FoundingStepKind, type FoundingReport} from './founding.js';
 import {loadIdentity, saveIdentity, type Identity} from './identity.js';
 
 export type GroupMembershipOptions = {
@@ -9,7 +10,10 @@
 	readonly name: string;
 	readonly clock: Clock;
 	readonly log: Logger;
-	/** Set when the group starts for the first time and this replica is one of its first members. */
+	/**
+	Set when the group starts for the first time and this replica is one of its first members. It may stay set: a replica whose disk was lost
+	founds no other group, but joins the one that exists as a new member.
+	*/
 	readonly firstGroup?: FirstGroup;
 };
 
@@ -27,8 +31,16 @@
 	readonly recordCandidate: (message: Extract<LinkMessage, {kind: LinkMessageKind.Join}>) => void;
 	readonly listCandidates: (members: readonly Member[]) => readonly Member[];
 	readonly requireCandidate: (members: readonly Member[], name: string) => Member;
+	/** What to tell the founder; `undefined` if this replica is no first member, or a leader has assigned it to a group. */
+	readonly describeFounding: (isEmpty: boolean) => FoundingReport | undefined;
+	/** On the founder, takes the next step towards the group; returns its members once it can be created. */
+	readonly advanceFounding: (isEmpty: boolean, invite: (address: string, invitation: Invitation) => void) => Promise<readonly Member[] | undefined>;
+	/** Promises to belong to the group, if this replica is not bound to another one; resolves once that is saved. */
+	readonly acceptInvitation: (invitation: Invitation, isEmpty: boolean) => Promise<void>;
 };
 
+export type Invitation = Omit<Extract<LinkMessage, {kind: LinkMessageKind.InviteToGroup}>, 'kind'>;
+
 /** A candidate that has not repeated its request for this long is no longer listed. */
 const candidateLifetimeMs = 5000;
 
@@ -42,27 +54,48 @@
 ```
 */
 export async function createGroupMembership({dataFolder, name, clock, log, firstGroup}: GroupMembershipOptions): Promise<GroupMembership> {
-	let identity = await loadIdentity(dataFolder, name, firstGroup && deriveFirstIdentity(firstGroup));
+	let identity = await loadIdentity(dataFolder, name, firstGroup && {ownAddress: firstGroup.ownAddress, addresses: firstGroup.addresses.toSorted()});
 	const addresses = new Map<string, string>();
-	const candidates = new Map<string, {readonly member: Member; readonly deadlineMs: number}>();
+	const candidates = new Map<string, Candidate>();
 
-	let joining: Promise<void> | undefined;
+	let saving: Promise<void> | undefined;
 
-	const saveGroup = async (groupId: string) => {
-		const joined: Identity = {...identity, groupId};
+	const saveGroup = async (joined: Identity) => {
 		await saveIdentity(dataFolder, joined);
 		identity = joined;
-		log.info('joined a group', {groupId, replicaId: identity.id});
+		log.info('joined a group', {groupId: identity.groupId, replicaId: identity.id});
 	};
 
 	// Later calls share the promise of the first: messages that arrive while the group is being saved neither save it again
 	// nor save another group.
 	const join = async (groupId: string) => {
-		joining ??= saveGroup(groupId);
+		if (identity.groupId === undefined) {
+			saving ??= saveGroup({id: identity.id, groupId});
+		}
+
+		return saving;
+	};
+
+	const promise = async (groupId: string) => {
+		saving = saveGroup({...identity, groupId});
+
+		try {
+			await saving;
+		} finally {
+			saving = undefined;
+		}
+	};
 
-		return joining;
+	const describeFounding = (isEmpty: boolean): FoundingReport | undefined => identity.founding && {
+		id: identity.id, address: identity.founding.ownAddress, addresses: identity.founding.addresses, groupId: identity.groupId, isEmpty,
 	};
 
+	const listFoundingReports = () => [...candidates.values()]
+		.filter(candidate => candidate.deadlineMs > clock.readMonotonicMs())
+		.flatMap(({founding, member: {id, address}}) => founding === undefined ? [] : [{id, address, ...founding}])
+		// A replica whose disk was lost has reported under both identities.
+		.toReversed();
+
 	const listCandidates = (members: readonly Member[]) => {
 		const memberIds = new Set(members.map(member => member.id));
 
@@ -91,11 +124,15 @@
 			return message.groupId === identity.groupId;
 		},
 		join,
-		recordCandidate({id, name: memberName, address}) {
+		recordCandidate({
+			id, name: memberName, address, founding,
+		}) {
 			const member = {
 				id, name: memberName, address, isVoter: false,
 			};
-			candidates.set(id, {member, deadlineMs: clock.readMonotonicMs() + candidateLifetimeMs});
+			// The newest one comes last.
+			candidates.delete(id);
+			candidates.set(id, {member, founding, deadlineMs: clock.readMonotonicMs() + candidateLifetimeMs});
 		},
 		listCandidates,
 		requireCandidate(members, memberName) {
@@ -107,14 +144,50 @@
 
 			return candidate;
 		},
-	};
-}
+		describeFounding,
+		async advanceFounding(isEmpty, invite) {
+			const own = describeFounding(isEmpty);
+
+			if (own === undefined || saving !== undefined) {
+				return undefined;
+			}
+
+			const step = decideFounding({own, reports: listFoundingReports()});
 
-// All first members derive the same group from the same addresses, so that exactly one group is created, whatever the order of their starts.
-function deriveFirstIdentity({ownAddress, addresses}: FirstGroup): Identity {
-	const firstMembers = addresses.toSorted().map(address => ({
-		id: `first-${address}`, name: address, address, isVoter: true,
-	}));
+			switch (step.kind) {
+				case FoundingStepKind.Wait: {
+					return undefined;
+				}
 
-	return {id: `first-${ownAddress}`, groupId: `first-${addresses.toSorted().join(',')}`, firstMembers};
+				case FoundingStepKind.Choose: {
+					await promise(`g-${identity.id}`);
+
+					return undefined;
+				}
+
+				case FoundingStepKind.Invite: {
+					for (const {id, address, groupId: previousGroupId} of step.invitees) {
+						invite(address, {toId: id, groupId: own.groupId!, previousGroupId});
+					}
+
+					return undefined;
+				}
+
+				case FoundingStepKind.Create: {
+					return step.members;
+				}
+			}
+		},
+		async acceptInvitation({toId, groupId, previousGroupId}, isEmpty) {
+			if (toId === identity.id && identity.founding !== undefined && isEmpty && saving === undefined && previousGroupId === identity.groupId) {
+				await promise(groupId);
+			}
+		},
+	};
 }
+
+type Candidate = {
+	readonly member: Member;
+	readonly founding: Extract<LinkMessage, {kind: LinkMessageKind.Join}>['founding'];
+	readonly deadlineMs: number;
+};
--- a/packages/replication/src/identity.ts
+++ b/packages/replication/src/identity.ts
@@ -10,23 +10,29 @@
 	readonly id: string;
 	/** Absent until the replica belongs to a group. */
 	readonly groupId: string | undefined;
-	/** First members of the group; absent if this replica was added later. */
+	/** First members of a group that an earlier version founded, which named them after their addresses. */
 	readonly firstMembers?: readonly Member[];
+	/** Set on a first member until a leader assigns it to a group; kept if it founds the group or promises to belong to it. */
+	readonly founding?: {
+		readonly ownAddress: string;
+		/** Sorted addresses of all first members. */
+		readonly addresses: readonly string[];
+	};
 };
 
 const identityFileName = 'identity';
 const randomIdBytes = 6;
 
 /**
-Loads the identity from the data folder. If there is none, saves and returns a new one: `firstIdentity`, or a random one by default. No
-replica may have voted under the new identity before, so `firstIdentity` is given only at the first start of the group.
+Loads the identity from the data folder. If there is none, saves and returns a new one, which is random, so that no replica can have voted
+under it before.
 
 @example
 ```
 const identity = await loadIdentity('/data', 'control-1');
 ```
 */
-export async function loadIdentity(folder: string, name: string, firstIdentity?: Identity): Promise<Identity> {
+export async function loadIdentity(folder: string, name: string, founding?: Identity['founding']): Promise<Identity> {
 	const file = path.join(folder, identityFileName);
 
 	try {
@@ -43,7 +49,7 @@
 		}
 	}
 
-	const identity = firstIdentity ?? {id: `${name}.${randomBytes(randomIdBytes).toString('hex')}`, groupId: undefined};
+	const identity: Identity = {id: `${name}.${randomBytes(randomIdBytes).toString('hex')}`, groupId: undefined, ...(founding && {founding})};
 	await saveIdentity(folder, identity);
 
 	return identity;
