Sync what a replica loads from its disk before it answers for it

What callers could lose: a replica that was killed between a write and its sync, or between a rename and the sync of the folder, loads that write at its next start. It then acknowledges these entries without another sync (the leader's append matches), a majority counts them, and the next loss of power takes them away, with what was appended to a log whose name was not durable.

Evidence: a simulated disk, whose processes are killed before any file operation and which loses its power afterwards.

Change: the log and its folder are synced once while they are loaded. Two syncs a start.

--- a/packages/storage/src/atomic-file.ts
+++ b/packages/storage/src/atomic-file.ts
@@ -31,7 +31,8 @@
 	}
 }
 
-async function syncFolder(fileSystem: FileSystem, folder: string): Promise<void> {
+/** Makes the names in a folder durable: files that were created, renamed or removed. */
+export async function syncFolder(fileSystem: FileSystem, folder: string): Promise<void> {
 	const handle = await fileSystem.open(folder, 'r');
 
 	try {
--- a/packages/storage/src/index.ts
+++ b/packages/storage/src/index.ts
@@ -10,3 +10,4 @@
 	type HardState, type LogEntry, type PersistBatch, type Snapshot,
 } from './types.js';
 export {writeFileAtomically} from './atomic-file.js';
+export {createSimulatedDisk, type SimulatedDisk, type SimulatedProcess} from './simulated-disk.js';
--- a/packages/storage/src/log-store.ts
+++ b/packages/storage/src/log-store.ts
@@ -5,7 +5,7 @@
 import {createFileSystem, type FileSystem} from './file-system.js';
 import {CorruptFileError, DiskError} from './errors.js';
 import {encodeFrame, FrameFault, readFrames} from './frames.js';
-import {writeFileAtomically} from './atomic-file.js';
+import {syncFolder, writeFileAtomically} from './atomic-file.js';
 import {
 	type HardState, type LogEntry, type PersistBatch, type Snapshot,
 } from './types.js';
@@ -26,6 +26,7 @@
 
 /** Files of one replica: the latest snapshot, and a log of the entries that follow it. */
 export type LogStore = {
+	/** Resolves once all that was loaded is synced. */
 	readonly load: () => Promise<LoadedLog>;
 	/** Appends the batches as one frame; resolves after a single sync that covers all of them. */
 	readonly persist: (batches: readonly PersistBatch[]) => Promise<void>;
@@ -69,6 +70,15 @@
 		}
 	};
 
+	// An earlier process may have been killed between a write, or a rename, and its sync. What is loaded counts as durable from here on: this
+	// replica answers for it without another sync.
+	const syncLoaded = async () => {
+		const logHandle = handle;
+		invariant(logHandle !== undefined, 'the log is open');
+		await runDiskOperation(folder, 'sync', async () => fileSystem.sync(logHandle));
+		await runDiskOperation(folder, 'sync', async () => syncFolder(fileSystem, folder));
+	};
+
 	return {
 		async load() {
 			const names = await runDiskOperation(folder, 'listing', async () => fileSystem.readFolder(folder));
@@ -80,6 +90,8 @@
 				await handle?.truncate(log.validBytes);
 			}
 
+			await syncLoaded();
+
 			const firstIndex = (snapshot?.index ?? 0) + 1;
 
 			return {
