Sync the name of an identity that is loaded

What callers could lose: a replica that was killed after its identity was renamed into place and before the folder was synced uses that identity at its next start; a loss of power then takes it away while the log and votes written under it stay, under another identity.

--- a/packages/replication/src/__tests__/unit/group-membership.test.ts
+++ b/packages/replication/src/__tests__/unit/group-membership.test.ts
@@ -1,10 +1,12 @@
 import fs from 'node:fs/promises';
 import os from 'node:os';
 import path from 'node:path';
+import {setTimeout as sleep} from 'node:timers/promises';
 import test from 'ava';
 import {createManualClock} from '@fescuestair/core';
 import {LinkMessageKind} from '@fescuestair/protocol';
 import {createLogger} from '@fescuestair/runtime';
+import {createSimulatedDisk} from '@fescuestair/storage';
 import {createGroupMembership, loadIdentity} from '../../index.js';
 
 test('a replica saves only the group of the first message, also when others arrive while it is being saved', async t => {
@@ -52,3 +54,26 @@
 		await fs.rm(dataFolder, {recursive: true});
 	}
 });
+
+// Its log, which was synced, would else be that of another replica.
+test('an identity that a replica loads after it was killed is not lost with the power', async t => {
+	for (let killAt = 1; killAt <= 12; killAt++) {
+		const disk = createSimulatedDisk();
+		let operationCount = 0;
+		const killed = disk.startProcess(async () => {
+			operationCount++;
+
+			if (operationCount === killAt) {
+				killed.kill();
+			}
+		});
+		const first = loadIdentity('/data', 'core-1', {fileSystem: killed.fileSystem});
+		await Promise.race([first, sleep(1)]);
+		const second = disk.startProcess();
+		const identity = await loadIdentity('/data', 'core-1', {fileSystem: second.fileSystem});
+		second.kill();
+		killed.kill();
+		disk.losePower(() => 0);
+		t.deepEqual(await loadIdentity('/data', 'core-1', {fileSystem: disk.startProcess().fileSystem}), identity, `killed at operation ${killAt}`);
+	}
+});
--- a/packages/replication/src/group-membership.ts
+++ b/packages/replication/src/group-membership.ts
@@ -2,6 +2,7 @@
 import {type Clock} from '@fescuestair/core';
 import {ProposalError, type LinkMessageKind, type LinkMessage} from '@fescuestair/protocol';
 import {type Logger} from '@fescuestair/runtime';
+import {type FileSystem} from '@fescuestair/storage';
 import {decideFounding, FoundingStepKind, type FoundingReport} from './founding.js';
 import {loadIdentity, saveIdentity, type Identity} from './identity.js';
 
@@ -15,6 +16,9 @@
 	founds no other group, but joins the one that exists as a new member.
 	*/
 	readonly firstGroup?: FirstGroup;
+	readonly fileSystem?: FileSystem;
+	/** End of a new identity; random by default. */
+	readonly createIdSuffix?: () => string;
 };
 
 /** Addresses of the first members of a group. `addresses` must be the same on all of them, in any order. */
@@ -53,15 +57,19 @@
 const group = await createGroupMembership({dataFolder, name: 'control-1', clock, log});
 ```
 */
-export async function createGroupMembership({dataFolder, name, clock, log, firstGroup}: GroupMembershipOptions): Promise<GroupMembership> {
-	let identity = await loadIdentity(dataFolder, name, firstGroup && {ownAddress: firstGroup.ownAddress, addresses: firstGroup.addresses.toSorted()});
+export async function createGroupMembership(options: GroupMembershipOptions): Promise<GroupMembership> {
+	const {
+		dataFolder, name, clock, log, firstGroup, fileSystem, createIdSuffix,
+	} = options;
+	const founding = firstGroup && {ownAddress: firstGroup.ownAddress, addresses: firstGroup.addresses.toSorted()};
+	let identity = await loadIdentity(dataFolder, name, {founding, fileSystem, createIdSuffix});
 	const addresses = new Map<string, string>();
 	const candidates = new Map<string, Candidate>();
 
 	let saving: Promise<void> | undefined;
 
 	const saveGroup = async (joined: Identity) => {
-		await saveIdentity(dataFolder, joined);
+		await saveIdentity(dataFolder, joined, fileSystem);
 		identity = joined;
 		log.info('joined a group', {groupId: identity.groupId, replicaId: identity.id});
 	};
--- a/packages/replication/src/identity.ts
+++ b/packages/replication/src/identity.ts
@@ -2,7 +2,7 @@
 import {randomBytes} from 'node:crypto';
 import {type Member} from '@fescuestair/agreement';
 import {
-	createFileSystem, CorruptFileError, encodeFrame, FrameFault, readFrames, writeFileAtomically,
+	createFileSystem, CorruptFileError, encodeFrame, FrameFault, readFrames, syncFolder, writeFileAtomically, type FileSystem,
 } from '@fescuestair/storage';
 
 /** Identity of a replica. It is stored on the disk that holds its votes, so that losing the votes also means a new identity. */
@@ -20,6 +20,14 @@
 	};
 };
 
+export type LoadIdentityOptions = {
+	/** Stored with a new identity. */
+	readonly founding?: Identity['founding'];
+	readonly fileSystem?: FileSystem;
+	/** Random by default. */
+	readonly createIdSuffix?: () => string;
+};
+
 const identityFileName = 'identity';
 const randomIdBytes = 6;
 
@@ -32,16 +40,20 @@
 const identity = await loadIdentity('/data', 'control-1');
 ```
 */
-export async function loadIdentity(folder: string, name: string, founding?: Identity['founding']): Promise<Identity> {
+export async function loadIdentity(folder: string, name: string, options: LoadIdentityOptions = {}): Promise<Identity> {
+	const {founding, fileSystem = createFileSystem(), createIdSuffix = () => randomBytes(randomIdBytes).toString('hex')} = options;
 	const file = path.join(folder, identityFileName);
 
 	try {
-		const scan = readFrames(await createFileSystem().readFile(file));
+		const scan = readFrames(await fileSystem.readFile(file));
 
 		if (scan.fault !== FrameFault.None || scan.payloads.length !== 1) {
 			throw new CorruptFileError(file, scan.validBytes, 'the identity does not match its checksum');
 		}
 
+		// An earlier process may have been killed between the rename and its sync.
+		await syncFolder(fileSystem, folder);
+
 		return scan.payloads[0] as Identity;
 	} catch (error) {
 		if ((error as NodeJS.ErrnoException).code !== 'ENOENT') {
@@ -49,13 +61,13 @@
 		}
 	}
 
-	const identity: Identity = {id: `${name}.${randomBytes(randomIdBytes).toString('hex')}`, groupId: undefined, ...(founding && {founding})};
-	await saveIdentity(folder, identity);
+	const identity: Identity = {id: `${name}.${createIdSuffix()}`, groupId: undefined, ...(founding && {founding})};
+	await saveIdentity(folder, identity, fileSystem);
 
 	return identity;
 }
 
 /** Saves the identity; resolves once it is synced to disk. */
-export async function saveIdentity(folder: string, identity: Identity): Promise<void> {
-	await writeFileAtomically(createFileSystem(), path.join(folder, identityFileName), encodeFrame(identity));
+export async function saveIdentity(folder: string, identity: Identity, fileSystem = createFileSystem()): Promise<void> {
+	await writeFileAtomically(fileSystem, path.join(folder, identityFileName), encodeFrame(identity));
 }
--- a/packages/storage/src/index.ts
+++ b/packages/storage/src/index.ts
@@ -9,5 +9,5 @@
 export {
 	type HardState, type LogEntry, type PersistBatch, type Snapshot,
 } from './types.js';
-export {writeFileAtomically} from './atomic-file.js';
+export {syncFolder, writeFileAtomically} from './atomic-file.js';
 export {createSimulatedDisk, type SimulatedDisk, type SimulatedProcess} from './simulated-disk.js';
