--- a/packages/replication/src/__tests__/unit/group-membership.test.ts
+++ b/packages/replication/src/__tests__/unit/group-membership.test.ts
@@ -1,10 +1,12 @@
 import fs from 'node:fs/promises';
 import os from 'node:os';
 import path from 'node:path';
+import {setTimeout as sleep} from 'node:timers/promises';
 import test from 'ava';
 import {createManualClock} from '@fescuestair/core';
 import {LinkMessageKind} from '@fescuestair/protocol';
 import {createLogger} from '@fescuestair/runtime';
+import {createSimulatedDisk} from '@fescuestair/storage';
 import {createGroupMembership, loadIdentity} from '../../index.js';
 
 test('a replica saves only the group of the first message, also when others arrive while it is being saved', async t => {
@@ -30,3 +32,48 @@
 		await fs.rm(dataFolder, {recursive: true});
 	}
 });
+
+test('a replica whose disk was lost does not take the identity that it had, although the first start is still set', async t => {
+	const dataFolder = await fs.mkdtemp(path.join(os.tmpdir(), 'fescuestair-group-'));
+
+	try {
+		const log = createLogger({instance: 'core-1', level: 0});
+		const firstGroup = {ownAddress: '127.0.0.1:1', addresses: ['127.0.0.1:1', '127.0.0.1:2', '127.0.0.1:3']};
+		const open = async () => createGroupMembership({
+			dataFolder, name: 'core-1', clock: createManualClock(), log, firstGroup,
+		});
+		const before = await open();
+		const restarted = await open();
+		t.is(restarted.getIdentity().id, before.getIdentity().id);
+		await fs.rm(dataFolder, {recursive: true});
+		await fs.mkdir(dataFolder);
+		const wiped = await open();
+		t.not(wiped.getIdentity().id, before.getIdentity().id);
+		t.is(wiped.getIdentity().groupId, undefined, 'it may not vote in a group before it knows whether one exists');
+	} finally {
+		await fs.rm(dataFolder, {recursive: true});
+	}
+});
+
+// Its log, which was synced, would else be that of another replica.
+test('an identity that a replica loads after it was killed is not lost with the power', async t => {
+	for (let killAt = 1; killAt <= 12; killAt++) {
+		const disk = createSimulatedDisk();
+		let operationCount = 0;
+		const killed = disk.startProcess(async () => {
+			operationCount++;
+
+			if (operationCount === killAt) {
+				killed.kill();
+			}
+		});
+		const first = loadIdentity('/data', 'core-1', {fileSystem: killed.fileSystem});
+		await Promise.race([first, sleep(1)]);
+		const second = disk.startProcess();
+		const identity = await loadIdentity('/data', 'core-1', {fileSystem: second.fileSystem});
+		second.kill();
+		killed.kill();
+		disk.losePower(() => 0);
+		t.deepEqual(await loadIdentity('/data', 'core-1', {fileSystem: disk.startProcess().fileSystem}), identity, `killed at operation ${killAt}`);
+	}
+});
