Show that an entry gives up the runs of silent engines before it knows what takes over

What callers see, with engines that send nothing for 9 s, keep their connections and go on: answers break off with "an upstream failed and the budget for retries is spent" or "no engine serves assistant ... now", or are refused. Callers would wait for 120 s. With silence of 3.5 s answers stay whole: the run is resumed over a second connection, which may be silent for another 2.5 s. The same with SIGSTOP and SIGCONT of the engines' processes instead.

Stand-ins of engines and services can be told to send nothing for a span (POST /v1/silence?forMs=). They accept requests and go on with their runs meanwhile.

--- /dev/null
+++ b/packages/entry/src/__tests__/unit/silent-run.test.ts
@@ -0,0 +1,402 @@
+import http, {type ServerResponse} from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
+import test from 'ava';
+import {Agent} from 'undici';
+import {createManualClock} from '@fescuestair/core';
+import {MemberStatus, RecordKind, type MemberRecord} from '@fescuestair/membership';
+import {
+	AttemptOutcome, ExecutionStatus, RefusalCode, RefusalError, RequestEventKind, UpstreamKind, type RequestEvent,
+} from '@fescuestair/protocol';
+import {Priority} from '@fescuestair/routing';
+import {openHttpListener} from '@fescuestair/transport';
+import {runPrompt, type PromptEvent, type PromptRunOptions} from '../../prompt-run.js';
+import {createUpstreamLoadTracker} from '../../upstream-load-tracker.js';
+
+const words = ['a', 'b', 'c', 'd'];
+const silenceMs = 2500;
+const deadlineMs = 100_000;
+
+/** The events of an answer of four tokens from one offset to another. */
+const formatEvents = (fromOffset: number, toOffset = words.length) => words.slice(fromOffset, toOffset)
+	.map((text, index) => ({text, offset: fromOffset + index + 1}))
+	.map(({text, offset}) => `id: ${offset}\ndata: ${JSON.stringify({text, finishReason: offset === words.length ? 'length' : undefined})}\n\n`)
+	.join('');
+
+const sendHead = (response: ServerResponse) => {
+	response.writeHead(200, {'content-type': 'text/event-stream'});
+	response.flushHeaders();
+};
+
+/** An engine whose run goes on without its reader. */
+type Engine = {
+	/** Answers a request for a run, or to resume one. */
+	readonly answer: (input: {readonly response: ServerResponse; readonly fromOffset: number; readonly isResumed: boolean}) => void;
+	/** Ends its silence, if it has one. */
+	readonly goOn: () => void;
+};
+
+const createEngine = (answer: Engine['answer']): Engine => ({answer, goOn: () => undefined});
+
+const createSound = () => createEngine(({response, fromOffset}) => {
+	sendHead(response);
+	response.end(formatEvents(fromOffset));
+});
+
+const createFailing = (status: number) => createEngine(({response}) => response.writeHead(status).end('{"code":"stub"}'));
+
+type SilentOptions = {
+	/** Tokens that it sends before it falls silent; without any, it sends no head either. */
+	readonly tokens: number;
+	/** Whether connections on which it fell silent stay so, and only new ones hear more of it. */
+	readonly needsNewConnection?: boolean;
+};
+
+/** An engine that falls silent and goes on when it is told to. */
+const createSilent = ({tokens, needsNewConnection = false}: SilentOptions): Engine => {
+	let isSilent = true;
+	const waiting: Array<() => void> = [];
+
+	return {
+		answer({response, fromOffset, isResumed}) {
+			const begun = isResumed ? fromOffset : fromOffset + tokens;
+
+			if (begun > fromOffset) {
+				sendHead(response);
+				response.write(formatEvents(fromOffset, begun));
+			}
+
+			const end = () => {
+				if (!response.headersSent) {
+					sendHead(response);
+				}
+
+				response.end(formatEvents(begun));
+			};
+
+			if (!isSilent || (needsNewConnection && isResumed)) {
+				end();
+			} else if (!needsNewConnection) {
+				waiting.push(end);
+			}
+		},
+		goOn() {
+			isSilent = false;
+
+			for (const end of waiting) {
+				end();
+			}
+		},
+	};
+};
+
+/** What a test sees and does while a prompt runs. */
+type Scene = {
+	readonly clock: ReturnType<typeof createManualClock>;
+	/** Requests to the engines, such as `POST engine-1`, in the order of their arrival. */
+	readonly calls: readonly string[];
+	readonly events: readonly PromptEvent[];
+	readonly requestEvents: readonly RequestEvent[];
+	/** Resolves once the condition holds or the prompt has ended. */
+	readonly waitFor: (condition: () => boolean) => Promise<void>;
+	/** Waits until the answer has so many tokens, and then for longer than an upstream may be silent. */
+	readonly waitForSilence: (tokens: number) => Promise<void>;
+	readonly leave: () => void;
+};
+
+type RunInput = {
+	readonly engines: readonly Engine[];
+	readonly changes?: Partial<PromptRunOptions>;
+	readonly play: (scene: Scene) => Promise<void>;
+	/** Waited for by each event. */
+	readonly drained?: Promise<void>;
+};
+
+/** Runs a prompt of four tokens at stub engines, in their order, while a test plays its scene; resolves to what the caller got and how it ended. */
+async function runAt({engines, changes, play, drained}: RunInput) {
+	const clock = createManualClock(1000);
+	// Such an agent gives up a connection that is silent, unless it is told otherwise.
+	const agent = new Agent({headersTimeout: 100, bodyTimeout: 100});
+	const abortController = new AbortController();
+	const events: PromptEvent[] = [];
+	const requestEvents: RequestEvent[] = [];
+	const calls: string[] = [];
+	const state = {isEnded: false};
+	const listeners = await Promise.all(engines.map(async (engine, index) => openHttpListener(http.createServer(async (request, response) => {
+		let body = '';
+
+		for await (const chunk of request) {
+			body += String(chunk);
+		}
+
+		calls.push(`${request.method} engine-${index + 1}`);
+
+		if (request.method === 'DELETE') {
+			response.end('{}');
+		} else {
+			const isResumed = request.method === 'GET';
+			const fromOffset = isResumed
+				? Number(new URL(request.url!, 'http://engine').searchParams.get('from'))
+				: (JSON.parse(body) as {readonly fromOffset: number}).fromOffset;
+			engine.answer({response, fromOffset, isResumed});
+		}
+	}), {host: '127.0.0.1', port: 0})));
+	const records = listeners.map(({port}, index): MemberRecord => ({
+		id: `engine-${index + 1}`,
+		kind: RecordKind.Upstream,
+		incarnation: 1,
+		version: 1,
+		status: MemberStatus.Alive,
+		address: `127.0.0.1:${port}`,
+		availabilityZone: 'z',
+		details: {kind: UpstreamKind.Engine},
+	}));
+	const options: PromptRunOptions = {
+		agent,
+		clock,
+		loadTracker: createUpstreamLoadTracker(clock),
+		standings: {recordResponse: () => undefined},
+		async planAttempt(_job, excludedIds) {
+			const record = records.find(({id}) => !excludedIds.has(id));
+
+			if (record === undefined) {
+				throw new RefusalError({code: RefusalCode.NoUpstream, message: 'no engine', ran: ExecutionStatus.NotRun});
+			}
+
+			return {
+				record, candidates: [], prefillTokens: 1, fetchPlan: undefined,
+			};
+		},
+		reserveEngine: async () => true,
+		fetchPieces: async () => undefined,
+		withdrawRetry: () => true,
+		reportCrash: async () => true,
+		recordRequestEvent(event) {
+			requestEvents.push(event);
+		},
+		keepsRuns: () => false,
+		...changes,
+	};
+	const waitFor = async (condition: () => boolean) => {
+		while (!condition() && !state.isEnded) {
+			await sleep(5);
+		}
+	};
+
+	const scene: Scene = {
+		clock,
+		calls,
+		events,
+		requestEvents,
+		waitFor,
+		async waitForSilence(tokens) {
+			await waitFor(() => calls.length > 0 && events.length >= tokens);
+			clock.advance(silenceMs);
+			await waitFor(() => requestEvents.some(event => String(event.kind) === 'run_decided'));
+		},
+		leave() {
+			abortController.abort();
+		},
+	};
+	let error: unknown;
+
+	const run = async () => {
+		try {
+			await runPrompt(options, {
+				requestId: 'r-1', organisation: 'okahandja', model: 'assistant', weightVersion: '1', prompt: 'x', promptTokens: 1, maxTokens: words.length,
+				priority: Priority.Short, deadlineMs, signal: abortController.signal,
+			}, {
+				write(event) {
+					events.push(event);
+
+					return drained === undefined;
+				},
+				waitForDrain: async () => drained,
+			});
+		} catch (caughtError) {
+			error = caughtError;
+		} finally {
+			state.isEnded = true;
+		}
+	};
+
+	try {
+		await Promise.all([run(), play(scene)]);
+		// Cancellations are sent and not waited for.
+		await agent.close();
+	} finally {
+		await agent.destroy();
+		await Promise.all(listeners.map(async listener => listener.close()));
+	}
+
+	return {
+		error,
+		refusal: error instanceof RefusalError ? error.refusal : undefined,
+		text: events.map(event => event.text).join(''),
+		offsets: events.map(event => event.offset),
+		calls,
+		requestEvents,
+		countCalls: (call: string) => calls.filter(other => other === call).length,
+	};
+}
+
+const whole = {error: undefined, text: 'abcd', offsets: [1, 2, 3, 4]};
+
+for (const tokens of [0, 2]) {
+	const place = `behind ${tokens} tokens`;
+
+	test.failing(`the run of the only engine is kept while it is silent ${place}, and ends well`, async t => {
+		const engine = createSilent({tokens});
+		const result = await runAt({
+			engines: [engine],
+			async play({waitForSilence, clock, waitFor, calls}) {
+				await waitForSilence(tokens);
+				clock.advance(silenceMs);
+				await waitFor(() => calls.filter(call => call === 'GET engine-1').length > 1);
+				engine.goOn();
+			},
+		});
+		t.like(result, whole);
+		t.is(result.countCalls('POST engine-1'), 1);
+		t.is(result.countCalls('DELETE engine-1'), 0);
+	});
+
+	test.failing(`a run that is silent ${place} is kept while the budget for retries is spent`, async t => {
+		const engine = createSilent({tokens});
+		const result = await runAt({
+			engines: [engine, createSound()],
+			changes: {withdrawRetry: () => false},
+			async play({waitForSilence}) {
+				await waitForSilence(tokens);
+				engine.goOn();
+			},
+		});
+		t.like(result, whole);
+		t.is(result.countCalls('POST engine-2'), 0);
+		t.is(result.countCalls('DELETE engine-1'), 0);
+	});
+
+	test.failing(`a run that is silent ${place} is kept where no attempt is left`, async t => {
+		const engine = createSilent({tokens});
+		const result = await runAt({
+			engines: [createFailing(500), createFailing(500), createFailing(500), engine, createSound()],
+			async play({waitFor, waitForSilence, calls}) {
+				await waitFor(() => calls.includes('POST engine-4'));
+				await waitForSilence(tokens);
+				engine.goOn();
+			},
+		});
+		t.like(result, whole);
+		t.is(result.countCalls('POST engine-5'), 0);
+		t.is(result.countCalls('DELETE engine-4'), 0);
+	});
+
+	test.failing(`a run that is silent ${place} is cancelled only once its successor has continued the answer`, async t => {
+		const first = createSilent({tokens});
+		const second = createSilent({tokens: 0});
+		const result = await runAt({
+			engines: [first, second],
+			async play({waitForSilence, waitFor, calls}) {
+				await waitForSilence(tokens);
+				await waitFor(() => calls.includes('POST engine-2'));
+				t.false(calls.includes('DELETE engine-1'));
+				second.goOn();
+				await waitFor(() => calls.includes('DELETE engine-1'));
+			},
+		});
+		t.like(result, whole);
+		t.is(result.countCalls('DELETE engine-1'), 1);
+		t.is(result.countCalls('DELETE engine-2'), 0);
+	});
+
+	test.failing(`a run that is silent ${place} and goes on before its successor does ends the answer, and its successor is cancelled`, async t => {
+		const first = createSilent({tokens});
+		const result = await runAt({
+			engines: [first, createSilent({tokens: 0})],
+			async play({waitForSilence, waitFor, calls}) {
+				await waitForSilence(tokens);
+				await waitFor(() => calls.includes('POST engine-2'));
+				first.goOn();
+			},
+		});
+		t.like(result, whole);
+		t.is(result.countCalls('DELETE engine-1'), 0);
+		t.is(result.countCalls('DELETE engine-2'), 1);
+	});
+
+	test.failing(`a run that is silent ${place} is kept when its successor fails`, async t => {
+		const first = createSilent({tokens});
+		const result = await runAt({
+			engines: [first, createFailing(500)],
+			async play({waitForSilence, waitFor, requestEvents}) {
+				await waitForSilence(tokens);
+				await waitFor(() => requestEvents.some(event => event.kind === RequestEventKind.AttemptEnded && event.end === AttemptOutcome.Refused));
+				first.goOn();
+			},
+		});
+		t.like(result, whole);
+		t.is(result.countCalls('DELETE engine-1'), 0);
+	});
+
+	test(`a run that is silent ${place} on its connection alone is read again on another`, async t => {
+		const result = await runAt({
+			engines: [createSilent({tokens, needsNewConnection: true})],
+			async play({waitForSilence}) {
+				await waitForSilence(tokens);
+			},
+		});
+		t.like(result, whole);
+		t.is(result.countCalls('POST engine-1'), 1);
+	});
+
+	test.failing(`runs that are silent ${place} are cancelled once the deadline has passed, and the request is refused`, async t => {
+		const result = await runAt({
+			engines: [createSilent({tokens}), createSilent({tokens: 0})],
+			async play({waitForSilence, waitFor, calls, clock}) {
+				await waitForSilence(tokens);
+				await waitFor(() => calls.includes('POST engine-2'));
+				clock.advance(deadlineMs);
+				await waitFor(() => false);
+			},
+		});
+		t.is(result.text, words.slice(0, tokens).join(''));
+		t.like(result.refusal, {code: RefusalCode.DeadlinePassed, ran: tokens === 0 ? ExecutionStatus.Unknown : ExecutionStatus.Ran});
+		t.is(result.countCalls('DELETE engine-1'), 1);
+		t.is(result.countCalls('DELETE engine-2'), 1);
+	});
+
+	test.failing(`runs that are silent ${place} are cancelled once their caller has left`, async t => {
+		const result = await runAt({
+			engines: [createSilent({tokens}), createSilent({tokens: 0})],
+			async play({waitForSilence, waitFor, calls, leave}) {
+				await waitForSilence(tokens);
+				await waitFor(() => calls.includes('POST engine-2'));
+				t.false(calls.includes('DELETE engine-1'));
+				leave();
+			},
+		});
+		t.like(result.error, {end: AttemptOutcome.Cancelled});
+		t.is(result.countCalls('DELETE engine-1'), 1);
+		t.is(result.countCalls('DELETE engine-2'), 1);
+	});
+}
+
+test('a run is not taken for silent while its caller does not read', async t => {
+	const engine = createSilent({tokens: 2});
+	let setDrained: () => void = () => undefined;
+	const drained = new Promise<void>(resolve => {
+		setDrained = resolve;
+	});
+	const result = await runAt({
+		engines: [engine, createSound()],
+		drained,
+		async play({waitFor, events, clock}) {
+			await waitFor(() => events.length > 0);
+			engine.goOn();
+			clock.advance(silenceMs * 2);
+			await sleep(500);
+			setDrained();
+		},
+	});
+	t.like(result, whole);
+	t.deepEqual(result.calls, ['POST engine-1']);
+});
--- a/packages/standins/src/engine-server.ts
+++ b/packages/standins/src/engine-server.ts
@@ -5,6 +5,7 @@
 import {handlePieceRequest} from './engine-piece-requests.js';
 import {openServer} from './open-server.js';
 import {readJson} from './read-json.js';
+import {createSilence, parseSilence, type Silence} from './silence.js';
 import {type Weights} from './weights.js';
 
 export type EngineServerOptions = {
@@ -18,9 +19,14 @@
 
 const heartbeatIntervalMs = 500;
 
-/** Creates the engine's HTTP server: starts, resumes and cancels runs, exports and imports pieces, serves cache events. */
+/**
+Creates the engine's HTTP server: starts, resumes and cancels runs, exports and imports pieces, serves cache events.
+
+`POST /v1/silence?forMs=3500` makes it send nothing for that time, while runs go on and requests are accepted.
+*/
 export async function createEngineServer(options: EngineServerOptions) {
 	const {host, port, engine, weights, requestLimit} = options;
+	const silence = createSilence();
 
 	const handleRequest = async (request: IncomingMessage, response: ServerResponse) => {
 		const {pathname, searchParams} = new URL(request.url ?? '/', 'http://engine');
@@ -29,21 +35,38 @@
 			response.setHeader(headerNames.requestLimit, requestLimit);
 		}
 
+		const silentForMs = parseSilence(request.url);
+
+		if (silentForMs !== undefined) {
+			sendJson(response, 200, {silentForMs});
+			silence.start(silentForMs);
+
+			return;
+		}
+
 		const requestId = /^\/v1\/generate\/(?<id>[\w\-]+)$/v.exec(pathname)?.groups?.id;
 
 		if (request.method === 'POST' && pathname === '/v1/generate') {
 			const input = await readJson(request) as RunInput;
 
 			if (input.weightVersion !== weights.getVersion()) {
+				await silence.waitForEnd();
 				sendJson(response, 409, {code: 'other_weight_version'});
 
 				return;
 			}
 
 			const run = engine.start(input);
+			await silence.waitForEnd();
 			response.setHeader(headerNames.load, JSON.stringify(engine.getLoad()));
-			streamRun(response, run, input.fromOffset);
-		} else if (requestId !== undefined) {
+			streamRun(response, {run, fromOffset: input.fromOffset, silence});
+
+			return;
+		}
+
+		await silence.waitForEnd();
+
+		if (requestId !== undefined) {
 			const run = engine.findRun(requestId);
 
 			if (run === undefined || run.input.organisation !== request.headers[headerNames.organisation]) {
@@ -52,7 +75,7 @@
 				engine.cancel(requestId);
 				sendJson(response, 200, {requestId});
 			} else {
-				streamRun(response, run, Number(searchParams.get('from') ?? 0));
+				streamRun(response, {run, fromOffset: Number(searchParams.get('from') ?? 0), silence});
 			}
 		} else if (request.method === 'POST' && pathname === '/v1/orders') {
 			const order = await readJson(request) as {readonly weightVersion: string};
@@ -72,8 +95,14 @@
 	return openServer({host, port}, handleRequest);
 }
 
+type RunStream = {readonly run: Run; readonly fromOffset: number; readonly silence: Silence};
+
 /** Streams the tokens of a run from an offset as server-sent events, with heartbeats in between. */
-function streamRun(response: ServerResponse, run: Run, fromOffset: number): void {
+function streamRun(response: ServerResponse, {run, fromOffset, silence}: RunStream): void {
+	if (response.destroyed) {
+		return;
+	}
+
 	let nextOffset = fromOffset;
 	let isEnded = false;
 	response.writeHead(200, {'content-type': 'text/event-stream'});
@@ -85,6 +114,10 @@
 	};
 
 	const sendNewTokens = () => {
+		if (silence.isSilent() || response.writableEnded) {
+			return;
+		}
+
 		const startOffset = run.input.fromOffset;
 		const endOffset = startOffset + run.tokens.length;
 
@@ -106,10 +139,14 @@
 	};
 
 	const heartbeat = setInterval(() => {
-		response.write(': heartbeat\n\n');
+		if (!silence.isSilent()) {
+			response.write(': heartbeat\n\n');
+		}
 	}, heartbeatIntervalMs);
 	run.listeners.add(sendNewTokens);
+	const forgetSilence = silence.watchEnd(sendNewTokens);
 	response.on('close', () => {
+		forgetSilence();
 		clearInterval(heartbeat);
 		run.listeners.delete(sendNewTokens);
 	});
--- a/packages/standins/src/service-server.ts
+++ b/packages/standins/src/service-server.ts
@@ -2,6 +2,7 @@
 import http from 'node:http';
 import {headerNames} from '@fescuestair/protocol';
 import {openHttpListener, readBody, sendJson} from '@fescuestair/transport';
+import {createSilence, parseSilence} from './silence.js';
 
 export type ServiceServerOptions = {
 	readonly host: string;
@@ -18,12 +19,23 @@
 Creates a plain service. POST records a booking, GET returns the number of bookings.
 
 `?delayMs=` delays the response; `?tooLate=1` closes the connection without a response after the booking was recorded; `?cut=1` cuts a response that has neither a length nor chunks.
+`POST /v1/silence?forMs=3500` makes it send nothing for that time, while bookings are accepted and recorded.
 */
 export async function createServiceServer({host, port, journal, requestLimit}: ServiceServerOptions) {
 	const bookings = new Map<string, number>();
+	const silence = createSilence();
 
 	const server = http.createServer(async (request, response) => {
 		const {searchParams} = new URL(request.url ?? '/', 'http://service');
+		const silentForMs = parseSilence(request.url);
+
+		if (silentForMs !== undefined) {
+			sendJson(response, 200, {silentForMs});
+			silence.start(silentForMs);
+
+			return;
+		}
+
 		await readBody(request, bodyLimits);
 
 		if (requestLimit !== undefined) {
@@ -33,6 +45,7 @@
 		const key = String(request.headers[headerNames.idempotencyKey] ?? 'none');
 
 		if (request.method === 'GET') {
+			await silence.waitForEnd();
 			sendJson(response, 200, {bookings: bookings.size});
 
 			return;
@@ -44,6 +57,8 @@
 			setTimeout(resolve, Number(searchParams.get('delayMs') ?? 0));
 		});
 
+		await silence.waitForEnd();
+
 		if (searchParams.has('tooLate')) {
 			response.destroy();
 		} else if (searchParams.has('cut')) {
