Go on with a prompt whose run ends while another one is being planned

A run that was silent, went on while its successor was planned and was lost then left its request without a run and without an end: the plan was dropped, and no attempt followed. And a successor that was planned before the silent engine crashed was sent the prompt although the report of the crash held it back.

Both have a test. Without the mechanisms the first one hangs and the second one gets a whole answer instead of a refusal.

--- a/packages/entry/src/__tests__/unit/silent-run.test.ts
+++ b/packages/entry/src/__tests__/unit/silent-run.test.ts
@@ -115,13 +115,16 @@
 type RunInput = {
 	readonly engines: readonly Engine[];
 	readonly changes?: Partial<PromptRunOptions>;
+	/** Changes how attempts are planned; gets the number of plans so far. */
+	readonly planLate?: (plans: number) => Promise<void>;
 	readonly play: (scene: Scene) => Promise<void>;
 	/** Waited for by each event. */
 	readonly drained?: Promise<void>;
 };
 
 /** Runs a prompt of four tokens at stub engines, in their order, while a test plays its scene; resolves to what the caller got and how it ended. */
-async function runAt({engines, changes, play, drained}: RunInput) {
+async function runAt({engines, changes, planLate, play, drained}: RunInput) {
+	let plans = 0;
 	const clock = createManualClock(1000);
 	// Such an agent gives up a connection that is silent, unless it is told otherwise.
 	const agent = new Agent({headersTimeout: 100, bodyTimeout: 100});
@@ -165,6 +168,8 @@
 		loadTracker: createUpstreamLoadTracker(clock),
 		standings: {recordResponse: () => undefined},
 		async planAttempt(_job, excludedIds) {
+			plans++;
+			await planLate?.(plans);
 			const record = records.find(({id}) => !excludedIds.has(id));
 
 			if (record === undefined) {
@@ -464,6 +469,93 @@
 	t.is(result.countCalls('POST engine-2'), 0);
 });
 
+/** An engine that sends one token, falls silent, goes on with another one and is lost together with its run, as a test says. */
+const createLost = () => {
+	let response: ServerResponse | undefined;
+
+	return {
+		answer: ((input => {
+			if (input.isResumed) {
+				input.response.socket!.resetAndDestroy();
+			} else {
+				response = input.response;
+				sendHead(response);
+				response.write(formatEvents(0, 1));
+			}
+		}) satisfies Engine['answer']),
+		goOn() {
+			response!.write(formatEvents(1, 2));
+		},
+		lose() {
+			response!.socket!.resetAndDestroy();
+		},
+	};
+};
+
+test('a run that goes on while its successor is planned, and is lost then, is followed by another', async t => {
+	const lost = createLost();
+	let setPlanned: () => void = () => undefined;
+	const planned = new Promise<void>(resolve => {
+		setPlanned = resolve;
+	});
+	let isPlanning = false;
+	const result = await runAt({
+		engines: [lost, createSound()],
+		async planLate(plans) {
+			if (plans === 2) {
+				isPlanning = true;
+				await planned;
+			}
+		},
+		async play({waitFor, clock, events}) {
+			await waitFor(() => events.length === 1);
+			clock.advance(silenceMs);
+			await waitFor(() => isPlanning);
+			lost.goOn();
+			await waitFor(() => events.length === 2);
+			lost.lose();
+			await waitFor(() => events.length > 2);
+			setPlanned();
+		},
+	});
+	t.like(result, whole);
+	t.is(result.countCalls('POST engine-2'), 1);
+});
+
+test('a successor that was planned before the silent engine crashed is not sent a prompt that is held back', async t => {
+	const lost = createLost();
+	let setPlanned: () => void = () => undefined;
+	const planned = new Promise<void>(resolve => {
+		setPlanned = resolve;
+	});
+	let isPlanning = false;
+	const result = await runAt({
+		engines: [lost, createSound()],
+		changes: {
+			async reportCrash() {
+				setPlanned();
+				await sleep(50);
+
+				return false;
+			},
+		},
+		async planLate(plans) {
+			if (plans === 2) {
+				isPlanning = true;
+				await planned;
+			}
+		},
+		async play({waitFor, clock, events}) {
+			await waitFor(() => events.length === 1);
+			clock.advance(silenceMs);
+			await waitFor(() => isPlanning);
+			lost.lose();
+		},
+	});
+	t.is(result.refusal?.code, RefusalCode.Quarantined);
+	t.is(result.countCalls('POST engine-2'), 0);
+});
+
 /** How an engine of the seeded test behaves. */
 enum Behaviour {
 	Sound = 'sound',
--- a/packages/entry/src/prompt-run.ts
+++ b/packages/entry/src/prompt-run.ts
@@ -174,6 +174,8 @@
 	let lastError: AttemptError | undefined;
 	let stopEvidence: RunEvidence | undefined;
 	let isHeldBack = false;
+	/** Whether the prompt may be sent again, asked after the latest crash. */
+	let crashReport: Promise<boolean> | undefined;
 	let planning: AbortController | undefined;
 	/** While no other upstream takes the request, this is not asked all the time. */
 	let planAgainAtMs = 0;
@@ -222,6 +224,7 @@
 
 	const supersedeOthers = (run: Run) => {
 		planning?.abort();
+		planning = undefined;
 
 		for (const other of runs) {
 			if (other !== run) {
@@ -367,11 +370,15 @@
 		// `NotSent`: the engine accepted no connection for the resume. `ConnectionLost`: the resumed stream was lost too. An engine that was gone before did not
 		// crash under this prompt.
 		const checkCrash = async ({plan, sentAtMs, isSent, offsetBefore}: Run, error: AttemptError) => {
-			const isCrash = isSent && (error.end === AttemptOutcome.NotSent || error.end === AttemptOutcome.ConnectionLost);
+			if (!isSent || (error.end !== AttemptOutcome.NotSent && error.end !== AttemptOutcome.ConnectionLost)) {
+				return;
+			}
 
-			if (!isCrash || await options.reportCrash(job, {
+			crashReport = options.reportCrash(job, {
 				record: plan.record, sentAtMs, isSent, isAnswered: progress.offset > offsetBefore,
-			})) {
+			});
+
+			if (await crashReport) {
 				return;
 			}
 
@@ -475,13 +482,19 @@
 				const plan = await planNext(options, {...job, signal: preparation.signal}, {
 					excluded: new Set([...excluded, ...[...runs].map(other => other.plan.record.id)]), ran: progress.ran,
 				});
+				await crashReport;
+
+				if (isSettled || preparation.signal.aborted) {
+					return;
+				}
+
 				planning = undefined;
 
 				if (plan === undefined) {
 					planAgainAtMs = clock.readMonotonicMs() + silenceTimeoutMs;
 				}
 
-				if (isSettled || preparation.signal.aborted || (runs.size > 0 && (plan === undefined || !areAllSilent()))) {
+				if (isHeldBack || (runs.size > 0 && (plan === undefined || !areAllSilent()))) {
 					return;
 				}
 
@@ -502,12 +515,12 @@
 				reportSilence(run, {action: RunAction.AddRun, successorId: plan.record.id});
 				start(plan);
 			} catch (error) {
-				planning = undefined;
-
 				if (isSettled || preparation.signal.aborted) {
 					return;
 				}
 
+				planning = undefined;
+
 				if (runs.size === 0 || !(error instanceof RefusalError)) {
 					fail(error as Error);
 
