--- a/packages/demo/src/__tests__/integration/silence.test.ts
+++ b/packages/demo/src/__tests__/integration/silence.test.ts
@@ -162,3 +162,10 @@
 	});
 });
 
+test.serial('a call that may be repeated is answered although its instance needs longer for it than it may be silent', async t => {
+	await withSystem({entries: 1}, async system => {
+		const response = await sendRequest(`http://${system.entries[0]!.address}/v1/services/work-orders/orders?delayMs=4000`, {key: system.organisationKey});
+		t.is(response.status, 200);
+		t.is(response.text, '{"bookings":0}');
+	});
+});
--- a/packages/entry/src/service-attempt.ts
+++ b/packages/entry/src/service-attempt.ts
@@ -49,11 +49,15 @@
 	readonly timeoutMs: number;
 	/** Whether the call must not be repeated; it is then sent on a new connection. */
 	readonly isAtMostOnce: boolean;
+	/** Ends the attempt; its reason is an `AttemptError`. */
+	readonly signal?: AbortSignal;
+	/** Called with each part of the response that arrives. */
+	readonly onHeard?: () => void;
 };
 
 /** Makes one attempt at an instance, and records when it was dispatched and how it ended. */
 export async function attemptCall(services: EntryServices, requestId: string, input: AttemptInput): Promise<ServiceResponse> {
-	const {record, attempt, call, timeoutMs, isAtMostOnce} = input;
+	const {record, attempt, call, timeoutMs, isAtMostOnce, signal, onHeard} = input;
 	const {clock, recordRequestEvent, loadTracker} = services;
 	recordRequestEvent({
 		kind: RequestEventKind.Dispatched, requestId, atMs: clock.readWallMs(), attempt, upstreamId: record.id,
@@ -68,6 +72,8 @@
 			agent: isAtMostOnce ? services.unpooledAgent : services.agent,
 			address: record.address,
 			timeoutMs,
+			signal,
+			onHeard,
 			onResponseHead(status, headers) {
 				services.standings.recordResponse(record, {status, headers, sentAtMs});
 			},
--- a/packages/entry/src/service-call.ts
+++ b/packages/entry/src/service-call.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {type IncomingHttpHeaders} from 'node:http';
 import {type Agent} from 'undici';
 import {AttemptOutcome, headerNames, ExecutionStatus} from '@fescuestair/protocol';
@@ -24,6 +25,10 @@
 	readonly agent: Agent;
 	readonly address: string;
 	readonly timeoutMs: number;
+	/** Ends the call; its reason is an `AttemptError`. */
+	readonly signal?: AbortSignal | undefined;
+	/** Called with each part of the response that arrives. */
+	readonly onHeard?: (() => void) | undefined;
 	/** Called with the status and the headers of the response, before its body is read. */
 	readonly onResponseHead: (status: number, headers: IncomingHttpHeaders) => void;
 };
@@ -50,8 +55,9 @@
 Sends a request to a service once. Throws an `AttemptError` whose `ran` is `not_run` only if nothing can have been sent, or if the service
 itself says so.
 */
-export async function callService({agent, address, timeoutMs: requestedTimeoutMs, onResponseHead}: CallOptions, call: ServiceCall): Promise<ServiceResponse> {
-	const timeoutMs = Math.ceil(requestedTimeoutMs);
+export async function callService(options: CallOptions, call: ServiceCall): Promise<ServiceResponse> {
+	const {agent, address, signal, onHeard, onResponseHead} = options;
+	const timeoutMs = Math.ceil(options.timeoutMs);
 
 	try {
 		const response = await agent.request({
@@ -62,10 +68,18 @@
 			body: call.body.length === 0 ? undefined : call.body,
 			headersTimeout: timeoutMs,
 			bodyTimeout: timeoutMs,
-			signal: AbortSignal.timeout(timeoutMs),
+			signal: AbortSignal.any([AbortSignal.timeout(timeoutMs), ...(signal === undefined ? [] : [signal])]),
 		});
+		onHeard?.();
 		onResponseHead(response.statusCode, response.headers);
-		const body = await response.body.bytes();
+		const chunks: Uint8Array[] = [];
+
+		for await (const chunk of response.body) {
+			onHeard?.();
+			chunks.push(chunk as Uint8Array);
+		}
+
+		const body = Buffer.concat(chunks);
 
 		if (response.headers[headerNames.ran] === ExecutionStatus.NotRun && response.statusCode >= 500) {
 			throw new AttemptError(AttemptOutcome.Refused, `the service says that it did not run: status ${response.statusCode}`, ExecutionStatus.NotRun);
--- a/packages/standins/src/service-server.ts
+++ b/packages/standins/src/service-server.ts
@@ -1,5 +1,6 @@
 import fs from 'node:fs/promises';
 import http from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {headerNames} from '@fescuestair/protocol';
 import {openHttpListener, readBody, sendJson} from '@fescuestair/transport';
 import {createSilence, parseSilence} from './silence.js';
@@ -42,10 +43,15 @@
 			response.setHeader(headerNames.requestLimit, requestLimit);
 		}
 
+		const waitForDelay = async () => {
+			await sleep(Number(searchParams.get('delayMs') ?? 0));
+			await silence.waitForEnd();
+		};
+
 		const key = String(request.headers[headerNames.idempotencyKey] ?? 'none');
 
 		if (request.method === 'GET') {
-			await silence.waitForEnd();
+			await waitForDelay();
 			sendJson(response, 200, {bookings: bookings.size});
 
 			return;
