Refuse a call to a service that an entry has to stop before it is answered

What callers saw: where the time to stop (--stop-timeout-ms) was over before a service had answered, the connection was closed without an answer or a refusal. Prompts get a refusal then; calls to services did not listen.

They get 503 "stopping" with "unknown" now. The call goes on as long as the process does, and a booking's outcome is recorded if there is still time; a resend under the same key runs nothing twice.

Measured: the new test of state.test.ts failed on ("other side closed") and passes.

--- a/packages/demo/src/__tests__/integration/state.test.ts
+++ b/packages/demo/src/__tests__/integration/state.test.ts
@@ -378,3 +378,22 @@
 		t.is(noKey.code, 1);
 	});
 });
+
+test.serial('a call that an entry has to stop before it is answered is refused, and its booking runs once', async t => {
+	await withSystem({entries: 2, entryFlags: ['--stop-timeout-ms', '500']}, async system => {
+		const read = sendRequest(`http://${system.entries[0]!.address}/v1/services/work-orders/orders?delayMs=6000`, {key: system.organisationKey});
+		const booking = bookWorkOrder(system, {idempotencyKey: 'stopped', query: '?delayMs=6000'});
+		await waitUntil(async () => await countExecutions(system, 'stopped') === 1);
+		system.entries[0]!.process.kill('SIGTERM');
+
+		for (const {status, text} of await Promise.all([read, booking])) {
+			t.is(status, 503);
+			t.like(JSON.parse(text), {error: {code: 'stopping', ran: 'unknown'}});
+		}
+
+		t.is(await system.entries[0]!.process.waitForExit(), 1, 'the requests were cut');
+		const resent = await bookWorkOrder(system, {entry: 1, idempotencyKey: 'stopped', query: '?delayMs=6000'});
+		t.not(resent.status, 503);
+		t.is(await countExecutions(system, 'stopped'), 1);
+	});
+});
--- a/packages/entry/src/services.ts
+++ b/packages/entry/src/services.ts
@@ -17,6 +17,7 @@
 
 const maxBodyBytes = 1_000_000;
 const bodyTimeoutMs = 10_000;
+const stoppingRetrySeconds = 1;
 
 /** Handles `/v1/services/{service}/...`: forwards the call to an instance of the service. */
 export async function handleService(services: EntryServices, caller: CallerRequest, {serviceName, path}: {serviceName: string; path: string}): Promise<void> {
@@ -40,7 +41,7 @@
 
 			const target = createTarget(services, caller, {service, path, body});
 			const isRepeatable = service.repeatableMethods.includes(target.call.method as 'GET');
-			const result = isRepeatable ? await callRepeatably(services, requestId, target) : await callAtMostOnce(services, caller, target);
+			const result = await waitUnlessStopped(services, isRepeatable ? callRepeatably(services, requestId, target) : callAtMostOnce(services, caller, target));
 			sendServiceResponse(response, result, requestId);
 			services.metrics.observe('service_ms', services.clock.readMonotonicMs() - caller.startedMs, tags);
 			recordRequestEnd(services, requestId, {outcome: RequestOutcome.Complete, ran: ExecutionStatus.Ran, status: result.status});
@@ -71,3 +72,26 @@
 		deadlineMs: startedMs + service.timeoutMs,
 	};
 }
+
+// An entry that can't wait any longer tells the caller. The call goes on, and its outcome is recorded if there is still time.
+async function waitUnlessStopped<Result>({stopSignal}: EntryServices, result: Promise<Result>): Promise<Result> {
+	let stop: () => void = () => undefined;
+
+	try {
+		return await Promise.race([result, new Promise<never>((_resolve, reject) => {
+			stop = () => {
+				reject(new RefusalError({
+					code: RefusalCode.Stopping, message: 'this entry stops and the service has not answered; ask another one', ran: ExecutionStatus.Unknown, retryAfterSeconds: stoppingRetrySeconds,
+				}));
+			};
+
+			stopSignal.addEventListener('abort', stop);
+
+			if (stopSignal.aborted) {
+				stop();
+			}
+		})]);
+	} finally {
+		stopSignal.removeEventListener('abort', stop);
+	}
+}
