Resume an answer at an engine that has only stopped announcing itself

What callers saw: an engine whose announcements stop for 3 s counts as dead, and a caller that came back with Last-Event-ID got 410 "no longer kept; ask anew", though the engine held the run and went on.

The engine is asked now. It is gone if it accepts no connection, or does not know the run. The test that a dead engine's answer is gone published a dead record of an engine that was never known, which membership drops, so it tested an unknown engine. It tests now an unknown engine, a dead one that accepts no connection and a dead one that does not know the run.

Measured: the new test failed before ("resume_gone") and passes; resume-stream.test.js passes.

--- a/packages/entry/src/__tests__/unit/resume-stream.test.ts
+++ b/packages/entry/src/__tests__/unit/resume-stream.test.ts
@@ -38,16 +38,22 @@
 
 const answerStatus = (status: number): Answer => response => response.writeHead(status).end('{}');
 
+const entryRecord: MemberRecord = {
+	id: 'entry-1', kind: RecordKind.Entry, incarnation: 1, version: 1, status: MemberStatus.Alive, address: '127.0.0.1:2', availabilityZone: 'z', details: {},
+};
+
 type ResumeInput = {
 	/** Answers of the engine, in order; the last one is repeated. */
 	readonly answers: readonly Answer[];
 	readonly status?: MemberStatus;
+	/** Whether the engine accepts connections. */
+	readonly isReachable?: boolean;
 	readonly changes?: Partial<ResumeServices>;
 	readonly onEvent?: (input: {readonly clock: ReturnType<typeof createManualClock>; readonly leave: () => void}) => void;
 };
 
 /** Resumes an answer of which the caller has two tokens; resolves to what the caller got and how it ended. */
-async function resumeAt({answers, status = MemberStatus.Alive, changes, onEvent}: ResumeInput) {
+async function resumeAt({answers, status = MemberStatus.Alive, isReachable = true, changes, onEvent}: ResumeInput) {
 	const clock = createManualClock(1000);
 	const agent = new Agent();
 	const abortController = new AbortController();
@@ -61,10 +67,21 @@
 		answer(response, Number(new URL(request.url!, 'http://engine').searchParams.get('from')), received);
 	}), {host: '127.0.0.1', port: 0});
 	const record: MemberRecord = {
-		id: 'engine-1', kind: RecordKind.Upstream, incarnation: 1, version: 1, status, address: `127.0.0.1:${listener.port}`, availabilityZone: 'z', details: {kind: UpstreamKind.Engine},
+		id: 'engine-1',
+		kind: RecordKind.Upstream,
+		incarnation: 1,
+		version: 1,
+		status: MemberStatus.Alive,
+		address: `127.0.0.1:${isReachable ? listener.port : 1}`,
+		availabilityZone: 'z',
+		details: {kind: UpstreamKind.Engine},
 	};
-	const self = {...record, id: 'entry-1', kind: RecordKind.Entry};
-	const membership = stepMembership(createMembership({self, nowMs: 0}), {kind: InputKind.Publish, record}, 0).state;
+	let membership = stepMembership(createMembership({self: entryRecord, nowMs: 0}), {kind: InputKind.Publish, record}, 0).state;
+
+	if (status !== MemberStatus.Alive) {
+		membership = stepMembership(membership, {kind: InputKind.Publish, record: {...record, status, version: 2}}, 0).state;
+	}
+
 	const services = {
 		agent,
 		clock,
@@ -165,13 +182,25 @@
 	const gone = {code: RefusalCode.ResumeGone, ran: ExecutionStatus.Ran};
 	const {refusal: unknownRun} = await resumeAt({answers: [answerStatus(404)]});
 	t.like(unknownRun, gone);
-	const {refusal: deadEngine} = await resumeAt({answers: [goOn], status: MemberStatus.Dead});
+	const {refusal: deadEngine} = await resumeAt({answers: [goOn], status: MemberStatus.Dead, isReachable: false});
 	t.like(deadEngine, gone);
+	const {refusal: deadRun} = await resumeAt({answers: [answerStatus(404)], status: MemberStatus.Dead});
+	t.like(deadRun, gone);
+	const {refusal: unknownEngine} = await resumeAt({answers: [goOn], changes: {gossip: {getMembership: () => createMembership({self: entryRecord, nowMs: 0})}}});
+	t.like(unknownEngine, gone);
 	const {refusal: startedOver, text} = await resumeAt({answers: [response => response.end(formatEvents(0))]});
 	t.like(startedOver, gone);
 	t.is(text, '');
 });
 
+test('an answer goes on at an engine that has only stopped announcing itself, and is not called gone at one that can\'t be reached for now', async t => {
+	const {error, text} = await resumeAt({answers: [goOn], status: MemberStatus.Dead});
+	t.is(error, undefined);
+	t.is(text, 'cde');
+	const {refusal} = await resumeAt({answers: [goOn], isReachable: false});
+	t.like(refusal, {code: RefusalCode.UpstreamFailed, ran: ExecutionStatus.Ran, retryAfterSeconds: 1});
+});
+
 test('a resumed answer without its last event is not whole', async t => {
 	for (const events of ['', ': heartbeat\n\n', formatEvents(2, 4)]) {
 		const {refusal} = await resumeAt({answers: [response => response.end(events), response => response.end('')]});
--- a/packages/entry/src/resume-stream.ts
+++ b/packages/entry/src/resume-stream.ts
@@ -39,7 +39,7 @@
 export async function resumeStream(services: ResumeServices, job: PromptJob, {callId, eventId, sink}: ResumeStreamInput): Promise<void> {
 	const record = services.gossip.getMembership().held.get(eventId.upstreamId)?.record;
 
-	if (record === undefined || record.status === MemberStatus.Dead) {
+	if (record === undefined) {
 		throw createGoneRefusal();
 	}
 
@@ -55,7 +55,7 @@
 
 			return;
 		} catch (error) {
-			checkRepeat(services, job, {error, attempt});
+			checkRepeat(services, job, {error, attempt, isDead: record.status === MemberStatus.Dead});
 		}
 	}
 }
@@ -185,8 +185,10 @@
 	}
 }
 
+type RepeatCheck = {readonly error: unknown; readonly attempt: number; readonly isDead: boolean};
+
 // Throws unless the engine may be asked again for what is missing.
-function checkRepeat({clock, withdrawRetry}: ResumeServices, job: PromptJob, {error, attempt}: {readonly error: unknown; readonly attempt: number}): void {
+function checkRepeat({clock, withdrawRetry}: ResumeServices, job: PromptJob, {error, attempt, isDead}: RepeatCheck): void {
 	if (!(error instanceof AttemptError)) {
 		throw error;
 	}
@@ -197,7 +199,10 @@
 		throw new AttemptError(end, message, ExecutionStatus.Ran);
 	}
 
-	if (end === AttemptOutcome.Invalid || (status !== undefined && goneStatuses.has(status))) {
+	// An engine that has only stopped announcing itself accepts connections.
+	const isEngineGone = isDead && end === AttemptOutcome.NotSent;
+
+	if (isEngineGone || end === AttemptOutcome.Invalid || (status !== undefined && goneStatuses.has(status))) {
 		throw createGoneRefusal();
 	}
 
