Tell the reset of a service's unframed answer from its end

Cause: undici takes such a reset for the end.

Calls to services use Node's own client now, as the gateway does, and look for a socket without a peer, since a reset that is read with the last bytes is reported as an end. A call that may run once only still gets a connection of its own. Nothing counts as sent before the connection is there, so errors before it are "not run" whatever their code.

The test "an answer that ends with its connection is relayed so" held one case with a reset, as the behaviour that was known to be wrong; three tests replace it, in which a reset is not relayed.

--- a/packages/entry/src/__tests__/unit/repeatable-call.test.ts
+++ b/packages/entry/src/__tests__/unit/repeatable-call.test.ts
@@ -1,7 +1,6 @@
-import http, {type ServerResponse} from 'node:http';
+import http, {Agent, type ServerResponse} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import test from 'ava';
-import {Agent} from 'undici';
 import {createManualClock} from '@fescuestair/core';
 import {
 	createMembership, InputKind, MemberStatus, RecordKind, stepMembership, type MemberRecord,
@@ -49,7 +48,7 @@
 /** Makes a call at stub instances while a test plays its scene; resolves to what came of it. */
 async function callAt(answers: readonly Answer[], play: (scene: Scene) => Promise<void>) {
 	const clock = createManualClock(1000);
-	const agent = new Agent();
+	const agent = new Agent({keepAlive: true});
 	const calls: string[] = [];
 	const requestEvents: RequestEvent[] = [];
 	const state = {isEnded: false};
@@ -77,7 +76,7 @@
 	}
 
 	const services = {
-		agent,
+		serviceAgent: agent,
 		availabilityZone: 'z',
 		clock,
 		follower: {getState: createPublicState},
@@ -137,7 +136,7 @@
 		await sleep(5);
 	}
 
-	await agent.destroy();
+	agent.destroy();
 	await Promise.all(listeners.map(async listener => listener.close()));
 
 	return {
--- a/packages/entry/src/__tests__/unit/service-call.test.ts
+++ b/packages/entry/src/__tests__/unit/service-call.test.ts
@@ -1,8 +1,7 @@
 import {once} from 'node:events';
-import http, {type ServerResponse} from 'node:http';
+import http, {Agent, type ServerResponse} from 'node:http';
 import net from 'node:net';
 import test from 'ava';
-import {Agent} from 'undici';
 import {AttemptOutcome} from '@fescuestair/protocol';
 import {openHttpListener} from '@fescuestair/transport';
 import {AttemptError} from '../../attempt-error.js';
@@ -17,7 +16,7 @@
 
 /** Relays the answer of a service; resolves to all that a caller of the entry got, or to how the call ended. */
 async function relay(answer: Answer, method = 'GET'): Promise<string> {
-	const agent = new Agent();
+	const agent = new Agent({keepAlive: true});
 	const received = createReceivedEvents();
 	const service = await openHttpListener(http.createServer((request, response) => {
 		request.resume();
@@ -48,7 +47,7 @@
 	});
 	socket.write(`${method} / HTTP/1.1\r\nhost: entry\r\n\r\n`);
 	await once(socket, 'close');
-	await agent.destroy();
+	agent.destroy();
 	await Promise.all([service.close(), entry.close()]);
 
 	return text;
@@ -67,20 +66,25 @@
 test('an answer that ends with its connection is relayed so: it may have been cut', async t => {
 	const answerUnframed = (text: string): Answer => response => response.socket!.end(`HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nConnection: close\r\n\r\n${text}`);
 
-	const answerThenReset: Answer = async (response, received) => {
-		response.socket!.write(`HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n${body}`);
-		await received.waitFor(1);
-		response.socket!.resetAndDestroy();
-	};
-
-	for (const [text, answer] of [...[body, body.slice(0, 9), ''].map(text => [text, answerUnframed(text)] as const), [body, answerThenReset] as const]) {
-		const relayed = await relay(answer);
+	for (const text of [body, body.slice(0, 9), '']) {
+		const relayed = await relay(answerUnframed(text));
 		t.regex(relayed, /^HTTP\/1\.1 200 .*connection: close/isv);
 		t.notRegex(relayed, /content-length|transfer-encoding/iv);
 		t.is(relayed.split('\r\n\r\n')[1], text);
 	}
 });
 
+for (const [description, text] of [['with its head', ''], ['behind a part', body.slice(0, 4)], ['behind all of it', body]] as const) {
+	test(`an answer that is to end with its connection is not relayed if that is reset ${description}`, async t => {
+		const relayed = await relay(async (response, received) => {
+			response.socket!.write(`HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n${text}`);
+			await received.waitFor(1);
+			response.socket!.resetAndDestroy();
+		});
+		t.regex(relayed, new RegExp(String.raw`^HTTP/1\.1 502 .*${AttemptOutcome.ConnectionLost}`, 'sv'));
+	});
+}
+
 test('an answer that has no body is relayed as framed', async t => {
 	t.notRegex(await relay(response => response.socket!.end('HTTP/1.1 204 No Content\r\nConnection: keep-alive\r\n\r\n')), /connection: close/iv);
 	t.notRegex(await relay(response => response.socket!.end('HTTP/1.1 200 OK\r\nConnection: keep-alive\r\n\r\n'), 'HEAD'), /connection: close/iv);
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,4 +1,5 @@
 import {setMaxListeners} from 'node:events';
+import {Agent as HttpAgent} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Agent} from 'undici';
 import {type Clock, createSystemClock} from '@fescuestair/core';
@@ -71,6 +72,8 @@
 /** Requests to upstreams time out if nothing arrives for this long. Runs and calls are not: they have time-outs of their own. */
 const upstreamIdleTimeoutMs = 2500;
 const connectTimeoutMs = 1500;
+/** Idle connections to services are closed after this time, so that few calls are sent on one that the service is about to close. */
+const serviceIdleTimeoutMs = 3000;
 /** Interval of the checks for a change of readiness and, while stopping, for running requests. */
 const pollIntervalMs = 50;
 /** Time allowed for callers whose answers break off because this entry stops to be told so. */
@@ -118,7 +121,9 @@
 	const agent = new Agent({
 		connections: maxConnectionsPerUpstream, headersTimeout: upstreamIdleTimeoutMs, bodyTimeout: upstreamIdleTimeoutMs, connectTimeout: connectTimeoutMs,
 	});
-	const unpooledAgent = new Agent({connections: maxConnectionsPerUpstream, pipelining: 0, connectTimeout: connectTimeoutMs});
+	const serviceAgent = new HttpAgent({
+		keepAlive: true, maxSockets: maxConnectionsPerUpstream, maxFreeSockets: maxConnectionsPerUpstream, scheduling: 'lifo', timeout: serviceIdleTimeoutMs,
+	});
 	let admission = createAdmission(1);
 	let retryBudget = createRetryBudget();
 	let isLeaving = false;
@@ -172,7 +177,7 @@
 		log,
 		metrics,
 		agent,
-		unpooledAgent,
+		serviceAgent,
 		gossip,
 		follower,
 		control,
@@ -305,7 +310,7 @@
 			await linkServer.close();
 			links.close();
 			await agent.close();
-			await unpooledAgent.close();
+			serviceAgent.destroy();
 
 			return {cut};
 		},
--- a/packages/entry/src/request-context.ts
+++ b/packages/entry/src/request-context.ts
@@ -1,4 +1,4 @@
-import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type Agent as HttpAgent, type IncomingMessage, type ServerResponse} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type Agent} from 'undici';
 import {type Clock} from '@fescuestair/core';
@@ -30,8 +30,8 @@
 	readonly log: Logger;
 	readonly metrics: StatsdMetrics;
 	readonly agent: Agent;
-	/** Opens a new connection for each call, so that a call is never sent on a pooled connection that no longer responds. */
-	readonly unpooledAgent: Agent;
+	/** Keeps connections to services, for calls that may be repeated. */
+	readonly serviceAgent: HttpAgent;
 	readonly gossip: GossipHost;
 	readonly follower: StateFollower;
 	readonly control: ControlClient;
--- a/packages/entry/src/service-attempt.ts
+++ b/packages/entry/src/service-attempt.ts
@@ -69,7 +69,8 @@
 
 	try {
 		return await callService({
-			agent: isAtMostOnce ? services.unpooledAgent : services.agent,
+			// A call is never sent on a connection that may no longer respond, if it may be sent once only.
+			agent: isAtMostOnce ? undefined : services.serviceAgent,
 			address: record.address,
 			timeoutMs,
 			signal,
--- a/packages/entry/src/service-call.ts
+++ b/packages/entry/src/service-call.ts
@@ -1,8 +1,8 @@
 import {Buffer} from 'node:buffer';
-import {type IncomingHttpHeaders} from 'node:http';
-import {type Agent} from 'undici';
+import http, {type Agent, type IncomingHttpHeaders, type IncomingMessage} from 'node:http';
 import {AttemptOutcome, headerNames, ExecutionStatus} from '@fescuestair/protocol';
-import {AttemptError, isConnectError} from './attempt-error.js';
+import {parseAddress} from '@fescuestair/transport';
+import {AttemptError} from './attempt-error.js';
 
 /** A request to a plain service, as it is forwarded. */
 export type ServiceCall = {
@@ -22,7 +22,8 @@
 };
 
 type CallOptions = {
-	readonly agent: Agent;
+	/** `undefined` for a new connection. */
+	readonly agent: Agent | undefined;
 	readonly address: string;
 	readonly timeoutMs: number;
 	/** Ends the call; its reason is an `AttemptError`. */
@@ -33,6 +34,7 @@
 	readonly onResponseHead: (status: number, headers: IncomingHttpHeaders) => void;
 };
 
+const connectTimeoutMs = 1500;
 const statusesWithoutBody = new Set([204, 304]);
 const forwardedHeaders = ['content-type', 'accept', 'accept-language', headerNames.idempotencyKey];
 
@@ -53,67 +55,149 @@
 
 /**
 Sends a request to a service once. Throws an `AttemptError` whose `ran` is `not_run` only if nothing can have been sent, or if the service
-itself says so.
+itself says so. Node's own client is used, and not undici, because undici takes a reset for the end of a response that has no length.
 */
 export async function callService(options: CallOptions, call: ServiceCall): Promise<ServiceResponse> {
-	const {agent, address, signal, onHeard, onResponseHead} = options;
-	const timeoutMs = Math.ceil(options.timeoutMs);
+	const response = await sendCall(options, call);
 
-	try {
-		const response = await agent.request({
-			origin: `http://${address}`,
-			path: call.path,
-			method: call.method,
-			headers: call.headers,
-			body: call.body.length === 0 ? undefined : call.body,
-			headersTimeout: timeoutMs,
-			bodyTimeout: timeoutMs,
-			signal: AbortSignal.any([AbortSignal.timeout(timeoutMs), ...(signal === undefined ? [] : [signal])]),
-		});
-		onHeard?.();
-		onResponseHead(response.statusCode, response.headers);
-		const chunks: Uint8Array[] = [];
+	if (response.headers[headerNames.ran] === ExecutionStatus.NotRun && response.status >= 500) {
+		throw new AttemptError(AttemptOutcome.Refused, `the service says that it did not run: status ${response.status}`, ExecutionStatus.NotRun);
+	}
 
-		for await (const chunk of response.body) {
-			onHeard?.();
-			chunks.push(chunk as Uint8Array);
-		}
+	return {
+		status: response.status,
+		contentType: String(response.headers['content-type'] ?? 'application/octet-stream'),
+		body: response.body,
+		isUnframed: isUnframed(call.method, response.status, response.headers),
+	};
+}
 
-		const body = Buffer.concat(chunks);
+type RawResponse = {readonly status: number; readonly headers: IncomingHttpHeaders; readonly body: Uint8Array};
 
-		if (response.headers[headerNames.ran] === ExecutionStatus.NotRun && response.statusCode >= 500) {
-			throw new AttemptError(AttemptOutcome.Refused, `the service says that it did not run: status ${response.statusCode}`, ExecutionStatus.NotRun);
-		}
+async function sendCall({agent, address, timeoutMs, signal, onHeard, onResponseHead}: CallOptions, {method, path, headers, body}: ServiceCall): Promise<RawResponse> {
+	const {host, port} = parseAddress(address);
+	let isSent = false;
+	let isSettled = false;
+	let timer: NodeJS.Timeout | undefined;
+	let connectTimer: NodeJS.Timeout | undefined;
+	let cancel: () => void = () => undefined;
 
-		return {
-			status: response.statusCode,
-			contentType: String(response.headers['content-type'] ?? 'application/octet-stream'),
-			body,
-			isUnframed: isUnframed(call.method, response.statusCode, response.headers),
-		};
-	} catch (error) {
-		throw toAttemptError(error);
+	try {
+		return await new Promise<RawResponse>((resolve, reject) => {
+			const request = http.request({
+				host, port, method, path, agent: agent ?? false, headers: {...headers, ...(body.length > 0 && {'content-length': body.length})},
+			});
+
+			const finish = (response: RawResponse) => {
+				isSettled = true;
+				resolve(response);
+			};
+
+			// A connection that is kept serves other calls already.
+			const fail = (error: AttemptError) => {
+				if (!isSettled) {
+					isSettled = true;
+					reject(error);
+					request.destroy();
+				}
+			};
+
+			const failConnection = (reason: string) => {
+				fail(isSent ? new AttemptError(AttemptOutcome.ConnectionLost, reason) : new AttemptError(AttemptOutcome.NotSent, reason, ExecutionStatus.NotRun));
+			};
+
+			cancel = () => {
+				fail(signal!.reason as AttemptError);
+			};
+
+			timer = setTimeout(() => {
+				fail(new AttemptError(AttemptOutcome.Silent, `no whole answer in ${Math.ceil(timeoutMs)} ms`, isSent ? ExecutionStatus.Unknown : ExecutionStatus.NotRun));
+			}, timeoutMs);
+			connectTimer = setTimeout(() => {
+				if (!isSent) {
+					failConnection('no connection in time');
+				}
+			}, connectTimeoutMs);
+			signal?.addEventListener('abort', cancel);
+			request.on('socket', socket => {
+				const markSent = () => {
+					isSent = true;
+				};
+
+				if (socket.connecting) {
+					socket.once('connect', markSent);
+				} else {
+					markSent();
+				}
+			});
+			request.on('error', (error: NodeJS.ErrnoException) => {
+				failConnection(`${error.code ?? 'unknown'}: ${error.message}`);
+			});
+			request.on('response', response => {
+				onHeard?.();
+				onResponseHead(response.statusCode ?? 0, response.headers);
+				readResponse(response, {
+					resolve: finish, failConnection, onHeard, isUnframed: isUnframed(method, response.statusCode ?? 0, response.headers),
+				});
+			});
+			request.on('close', () => {
+				failConnection('the connection closed without an answer');
+			});
+			request.end(body.length === 0 ? undefined : body);
+
+			if (signal?.aborted === true) {
+				cancel();
+			}
+		});
+	} finally {
+		clearTimeout(timer);
+		clearTimeout(connectTimer);
+		signal?.removeEventListener('abort', cancel);
 	}
 }
 
-function isUnframed(method: string, status: number, headers: IncomingHttpHeaders): boolean {
-	const hasNoBody = method === 'HEAD' || statusesWithoutBody.has(status);
-
-	return !hasNoBody && headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
-}
+type ResponseReading = {
+	readonly resolve: (response: RawResponse) => void;
+	readonly failConnection: (reason: string) => void;
+	readonly onHeard: (() => void) | undefined;
+	readonly isUnframed: boolean;
+};
 
-function toAttemptError(error: unknown): AttemptError {
-	if (error instanceof AttemptError) {
-		return error;
+function readResponse(response: IncomingMessage, {resolve, failConnection, onHeard, isUnframed: endsWithConnection}: ResponseReading): void {
+	const chunks: Uint8Array[] = [];
+	const {socket} = response;
+
+	if (endsWithConnection) {
+		// A reset that is read together with the last bytes is reported as the end of the body, but leaves a socket without a peer. Node keeps the address of a
+		// peer that was read before, so nothing else may read it.
+		socket.prependListener('end', () => {
+			if (socket.remoteAddress === undefined) {
+				failConnection('the connection was reset');
+			}
+		});
 	}
 
-	const {code = 'unknown', message, name} = error as NodeJS.ErrnoException;
-
-	if (isConnectError(error)) {
-		return new AttemptError(AttemptOutcome.NotSent, code, ExecutionStatus.NotRun);
-	}
+	response.on('data', (chunk: Uint8Array) => {
+		onHeard?.();
+		chunks.push(chunk);
+	});
+	response.on('end', () => {
+		if (response.complete) {
+			resolve({status: response.statusCode ?? 0, headers: response.headers, body: Buffer.concat(chunks)});
+		} else {
+			failConnection('the answer was cut short');
+		}
+	});
+	response.on('error', (error: NodeJS.ErrnoException) => {
+		failConnection(`${error.code ?? 'unknown'}: ${error.message}`);
+	});
+	response.on('close', () => {
+		failConnection('the answer was cut short');
+	});
+}
 
-	const isTimeout = name === 'TimeoutError' || code.endsWith('_TIMEOUT');
+function isUnframed(method: string, status: number, headers: IncomingHttpHeaders): boolean {
+	const hasNoBody = method === 'HEAD' || statusesWithoutBody.has(status);
 
-	return new AttemptError(isTimeout ? AttemptOutcome.Silent : AttemptOutcome.ConnectionLost, `${code}: ${message}`);
+	return !hasNoBody && headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
 }
