--- a/packages/entry/src/service-call.ts
+++ b/packages/entry/src/service-call.ts
@@ -1,7 +1,8 @@
-import {type IncomingHttpHeaders} from 'node:http';
-import {type Agent} from 'undici';
+import {Buffer} from 'node:buffer';
+import http, {type Agent, type IncomingHttpHeaders, type IncomingMessage} from 'node:http';
 import {AttemptOutcome, headerNames, ExecutionStatus} from '@fescuestair/protocol';
-import {AttemptError, isConnectError} from './attempt-error.js';
+import {parseAddress} from '@fescuestair/transport';
+import {AttemptError} from './attempt-error.js';
 
 /** A request to a plain service, as it is forwarded. */
 export type ServiceCall = {
@@ -21,13 +22,19 @@
 };
 
 type CallOptions = {
-	readonly agent: Agent;
+	/** `undefined` for a new connection. */
+	readonly agent: Agent | undefined;
 	readonly address: string;
 	readonly timeoutMs: number;
+	/** Ends the call; its reason is an `AttemptError`. */
+	readonly signal?: AbortSignal | undefined;
+	/** Called with each part of the response that arrives. */
+	readonly onHeard?: (() => void) | undefined;
 	/** Called with the status and the headers of the response, before its body is read. */
 	readonly onResponseHead: (status: number, headers: IncomingHttpHeaders) => void;
 };
 
+const connectTimeoutMs = 1500;
 const statusesWithoutBody = new Set([204, 304]);
 const forwardedHeaders = ['content-type', 'accept', 'accept-language', headerNames.idempotencyKey];
 
@@ -48,58 +55,149 @@
 
 /**
 Sends a request to a service once. Throws an `AttemptError` whose `ran` is `not_run` only if nothing can have been sent, or if the service
-itself says so.
+itself says so. Node's own client is used, and not undici, because undici takes a reset for the end of a response that has no length.
 */
-export async function callService({agent, address, timeoutMs: requestedTimeoutMs, onResponseHead}: CallOptions, call: ServiceCall): Promise<ServiceResponse> {
-	const timeoutMs = Math.ceil(requestedTimeoutMs);
+export async function callService(options: CallOptions, call: ServiceCall): Promise<ServiceResponse> {
+	const response = await sendCall(options, call);
 
-	try {
-		const response = await agent.request({
-			origin: `http://${address}`,
-			path: call.path,
-			method: call.method,
-			headers: call.headers,
-			body: call.body.length === 0 ? undefined : call.body,
-			headersTimeout: timeoutMs,
-			bodyTimeout: timeoutMs,
-			signal: AbortSignal.timeout(timeoutMs),
-		});
-		onResponseHead(response.statusCode, response.headers);
-		const body = await response.body.bytes();
-
-		if (response.headers[headerNames.ran] === ExecutionStatus.NotRun && response.statusCode >= 500) {
-			throw new AttemptError(AttemptOutcome.Refused, `the service says that it did not run: status ${response.statusCode}`, ExecutionStatus.NotRun);
-		}
-
-		return {
-			status: response.statusCode,
-			contentType: String(response.headers['content-type'] ?? 'application/octet-stream'),
-			body,
-			isUnframed: isUnframed(call.method, response.statusCode, response.headers),
-		};
-	} catch (error) {
-		throw toAttemptError(error);
+	if (response.headers[headerNames.ran] === ExecutionStatus.NotRun && response.status >= 500) {
+		throw new AttemptError(AttemptOutcome.Refused, `the service says that it did not run: status ${response.status}`, ExecutionStatus.NotRun);
 	}
+
+	return {
+		status: response.status,
+		contentType: String(response.headers['content-type'] ?? 'application/octet-stream'),
+		body: response.body,
+		isUnframed: isUnframed(call.method, response.status, response.headers),
+	};
 }
 
-function isUnframed(method: string, status: number, headers: IncomingHttpHeaders): boolean {
-	const hasNoBody = method === 'HEAD' || statusesWithoutBody.has(status);
+type RawResponse = {readonly status: number; readonly headers: IncomingHttpHeaders; readonly body: Uint8Array};
 
-	return !hasNoBody && headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
-}
+async function sendCall({agent, address, timeoutMs, signal, onHeard, onResponseHead}: CallOptions, {method, path, headers, body}: ServiceCall): Promise<RawResponse> {
+	const {host, port} = parseAddress(address);
+	let isSent = false;
+	let isSettled = false;
+	let timer: NodeJS.Timeout | undefined;
+	let connectTimer: NodeJS.Timeout | undefined;
+	let cancel: () => void = () => undefined;
 
-function toAttemptError(error: unknown): AttemptError {
-	if (error instanceof AttemptError) {
-		return error;
+	try {
+		return await new Promise<RawResponse>((resolve, reject) => {
+			const request = http.request({
+				host, port, method, path, agent: agent ?? false, headers: {...headers, ...(body.length > 0 && {'content-length': body.length})},
+			});
+
+			const finish = (response: RawResponse) => {
+				isSettled = true;
+				resolve(response);
+			};
+
+			// A connection that is kept serves other calls already.
+			const fail = (error: AttemptError) => {
+				if (!isSettled) {
+					isSettled = true;
+					reject(error);
+					request.destroy();
+				}
+			};
+
+			const failConnection = (reason: string) => {
+				fail(isSent ? new AttemptError(AttemptOutcome.ConnectionLost, reason) : new AttemptError(AttemptOutcome.NotSent, reason, ExecutionStatus.NotRun));
+			};
+
+			cancel = () => {
+				fail(signal!.reason as AttemptError);
+			};
+
+			timer = setTimeout(() => {
+				fail(new AttemptError(AttemptOutcome.Silent, `no whole answer in ${Math.ceil(timeoutMs)} ms`, isSent ? ExecutionStatus.Unknown : ExecutionStatus.NotRun));
+			}, timeoutMs);
+			connectTimer = setTimeout(() => {
+				if (!isSent) {
+					failConnection('no connection in time');
+				}
+			}, connectTimeoutMs);
+			signal?.addEventListener('abort', cancel);
+			request.on('socket', socket => {
+				const markSent = () => {
+					isSent = true;
+				};
+
+				if (socket.connecting) {
+					socket.once('connect', markSent);
+				} else {
+					markSent();
+				}
+			});
+			request.on('error', (error: NodeJS.ErrnoException) => {
+				failConnection(`${error.code ?? 'unknown'}: ${error.message}`);
+			});
+			request.on('response', response => {
+				onHeard?.();
+				onResponseHead(response.statusCode ?? 0, response.headers);
+				readResponse(response, {
+					resolve: finish, failConnection, onHeard, isUnframed: isUnframed(method, response.statusCode ?? 0, response.headers),
+				});
+			});
+			request.on('close', () => {
+				failConnection('the connection closed without an answer');
+			});
+			request.end(body.length === 0 ? undefined : body);
+
+			if (signal?.aborted === true) {
+				cancel();
+			}
+		});
+	} finally {
+		clearTimeout(timer);
+		clearTimeout(connectTimer);
+		signal?.removeEventListener('abort', cancel);
 	}
+}
 
-	const {code = 'unknown', message, name} = error as NodeJS.ErrnoException;
+type ResponseReading = {
+	readonly resolve: (response: RawResponse) => void;
+	readonly failConnection: (reason: string) => void;
+	readonly onHeard: (() => void) | undefined;
+	readonly isUnframed: boolean;
+};
 
-	if (isConnectError(error)) {
-		return new AttemptError(AttemptOutcome.NotSent, code, ExecutionStatus.NotRun);
+function readResponse(response: IncomingMessage, {resolve, failConnection, onHeard, isUnframed: endsWithConnection}: ResponseReading): void {
+	const chunks: Uint8Array[] = [];
+	const {socket} = response;
+
+	if (endsWithConnection) {
+		// A reset that is read together with the last bytes is reported as the end of the body, but leaves a socket without a peer. Node keeps the address of a
+		// peer that was read before, so nothing else may read it.
+		socket.prependListener('end', () => {
+			if (socket.remoteAddress === undefined) {
+				failConnection('the connection was reset');
+			}
+		});
 	}
 
-	const isTimeout = name === 'TimeoutError' || code.endsWith('_TIMEOUT');
+	response.on('data', (chunk: Uint8Array) => {
+		onHeard?.();
+		chunks.push(chunk);
+	});
+	response.on('end', () => {
+		if (response.complete) {
+			resolve({status: response.statusCode ?? 0, headers: response.headers, body: Buffer.concat(chunks)});
+		} else {
+			failConnection('the answer was cut short');
+		}
+	});
+	response.on('error', (error: NodeJS.ErrnoException) => {
+		failConnection(`${error.code ?? 'unknown'}: ${error.message}`);
+	});
+	response.on('close', () => {
+		failConnection('the answer was cut short');
+	});
+}
 
-	return new AttemptError(isTimeout ? AttemptOutcome.Silent : AttemptOutcome.ConnectionLost, `${code}: ${message}`);
+function isUnframed(method: string, status: number, headers: IncomingHttpHeaders): boolean {
+	const hasNoBody = method === 'HEAD' || statusesWithoutBody.has(status);
+
+	return !hasNoBody && headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
 }
