Do not take an instance for unreachable because all connections to it are in use

A request that waited 400 ms for one of a gateway's own connections, whose number a new configuration or more gateways lower, was reported like one that found no instance: the instance was rested as unreachable, and that confirmed a crash for connections that were lost there before. The same held where the caller left while a connection was being made. Change: it counts as turned away (full for 150 ms) and goes elsewhere without drawing on the budget, as before; a cancelled attempt that was not sent says nothing of the instance.

--- a/packages/gateway/src/__tests__/unit/attempt.test.ts
+++ b/packages/gateway/src/__tests__/unit/attempt.test.ts
@@ -264,3 +264,13 @@
 		t.is(result.head, undefined);
 	});
 }
+
+test('a request that gets none of the connections in use is not sent, and its instance is not taken for unreachable', async t => {
+	const upstream = await openUpstream(t, () => undefined);
+	const sent = Array.from({length: 4}, async () => upstream.send());
+	const result = await upstream.send();
+	t.like(result, {end: AttemptCompletion.NotRun, isUnreachable: false, isSent: false});
+	t.is(upstream.countConnections(), 4);
+	upstream.agent.destroy();
+	await Promise.all(sent);
+});
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -33,6 +33,8 @@
 	readonly head: ResponseHead | undefined;
 	/** The buffered body; empty where the body was handed to `onData`. */
 	readonly body: Buffer;
+	/** Whether it got a connection, so that the instance may have seen it. */
+	readonly isSent: boolean;
 	/** No connection could be established. */
 	readonly isUnreachable: boolean;
 	/** The instance closed or reset the connection before the response was complete. */
@@ -94,6 +96,8 @@
 	const chunks: Buffer[] = [];
 	let size = 0;
 	let isSent = false;
+	/** Whether no connection has been given to it yet: the bound on connections says nothing about the instance. */
+	let isQueued = true;
 	let head: ResponseHead | undefined;
 	let incoming: IncomingMessage | undefined;
 	let settle: (result: AttemptResult) => void;
@@ -112,12 +116,14 @@
 		isSettled = true;
 		clearTimeout(connectTimer);
 		settle({
-			end, reason, head, body: Buffer.concat(chunks), isUnreachable, isConnectionLost, cancelledFor, connectMs,
+			end, reason, head, body: Buffer.concat(chunks), isSent, isUnreachable, isConnectionLost, cancelledFor, connectMs,
 		});
 	};
 
 	const fail = (reason: string, {isConnectionLost = false} = {}) => {
-		finish(isSent ? AttemptCompletion.Incomplete : AttemptCompletion.NotRun, reason, {isUnreachable: !isSent, isConnectionLost: isSent && isConnectionLost});
+		finish(isSent ? AttemptCompletion.Incomplete : AttemptCompletion.NotRun, reason, {
+			isUnreachable: !isSent && !isQueued && cancelledFor === undefined, isConnectionLost: isSent && isConnectionLost,
+		});
 		request.destroy();
 	};
 
@@ -131,7 +137,7 @@
 	});
 	const connectTimer = setTimeout(() => {
 		if (!isSent) {
-			fail('no connection in time');
+			fail(isQueued ? 'all connections to the instance are in use' : 'no connection in time');
 		}
 	}, connectTimeoutMs);
 
@@ -141,6 +147,8 @@
 	};
 
 	request.on('socket', (socket: Socket) => {
+		isQueued = false;
+
 		if (socket.connecting) {
 			const startedAtMs = performance.now();
 			connectMs = 0;
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -330,7 +330,7 @@
 		}
 
 		// A request that was never sent put no load on any instance, so its retry does not draw on the budget.
-		const shouldRetry = progress.refused <= maxRefusedAttempts && (result.isUnreachable || takeRetry(options, service.name));
+		const shouldRetry = progress.refused <= maxRefusedAttempts && (!result.isSent || takeRetry(options, service.name));
 
 		return shouldRetry ? undefined : refuse(context, `turned away: ${result.reason}`, computeRetryAfterMs(run.choice.placement.expectedMs));
 	}
--- a/packages/gateway/src/start-run.ts
+++ b/packages/gateway/src/start-run.ts
@@ -283,6 +283,10 @@
 // An instance that rejects a request for lack of capacity is not at fault, and an attempt that this gateway cancelled says nothing about the health of
 // the instance, unless it was for what the instance sent.
 function recordResult({instancePool, crashes}: ForwardOptions, exchange: Exchange, {entry, result, sentAtMs, streamed, firstPieceMs}: ResultInput): void {
+	if (!result.isSent && result.cancelledFor !== undefined) {
+		return;
+	}
+
 	if (result.isConnectionLost) {
 		crashes.recordBrokenConnection(exchange, entry, {sentAtMs, pieces: streamed.pieces, firstPieceAtMs: streamed.firstAtMs});
 	} else if (result.isUnreachable) {
