Answer 500 where the metrics cannot be read, instead of ending the process

A gauge that throws left the promise of the listener rejected, which ends a process of the platform with all its requests. Read from the code; no gauge is known to throw. Evidence: the new test of prometheus-metrics.test.ts did not end before (no answer) and passes now.

--- a/packages/runtime/src/__tests__/unit/prometheus-metrics.test.ts
+++ b/packages/runtime/src/__tests__/unit/prometheus-metrics.test.ts
@@ -29,3 +29,20 @@
 	t.is(text.match(/requests_total\{/gv)?.length, 201);
 	t.regex(text, /organisation="other"\} 800/v);
 });
+
+test('a gauge that cannot be read is answered with 500 and reported, and ends no process', async t => {
+	const metrics = createPrometheusMetrics();
+	const errors: unknown[] = [];
+	metrics.registerGauge('config_version', 'Version in force', () => {
+		throw new Error('no version');
+	});
+	const listener = await openMetricsListener(metrics, {
+		listen: '127.0.0.1:0', path: '/metrics', onError(error) {
+			errors.push(error);
+		},
+	});
+	t.teardown(listener.close);
+	const {status} = await fetch(`http://127.0.0.1:${listener.port}/metrics`);
+	t.is(status, 500);
+	t.regex(String(errors), /no version/v);
+});
--- a/packages/runtime/src/prometheus-metrics.ts
+++ b/packages/runtime/src/prometheus-metrics.ts
@@ -106,8 +106,15 @@
 	};
 }
 
+export type MetricsListenerOptions = {
+	readonly listen: string;
+	readonly path: string;
+	/** Called if the metrics cannot be read; the request is answered with 500. */
+	readonly onError?: (error: unknown) => void;
+};
+
 /** Opens an HTTP listener that serves the metrics at `path` and 404 elsewhere. */
-export async function openMetricsListener(metrics: PrometheusMetrics, {listen, path}: {readonly listen: string; readonly path: string}): Promise<HttpListener> {
+export async function openMetricsListener(metrics: PrometheusMetrics, {listen, path, onError = () => undefined}: MetricsListenerOptions): Promise<HttpListener> {
 	const server = http.createServer((request, response) => {
 		if (request.url !== path) {
 			response.writeHead(404).end();
@@ -116,8 +123,13 @@
 		}
 
 		void (async () => {
-			const text = await metrics.renderText();
-			response.writeHead(200, {'content-type': 'text/plain; version=0.0.4'}).end(text);
+			try {
+				const text = await metrics.renderText();
+				response.writeHead(200, {'content-type': 'text/plain; version=0.0.4'}).end(text);
+			} catch (error) {
+				onError(error);
+				response.writeHead(500).end();
+			}
 		})();
 	});
 
