Do not take a link for silent while a large answer arrives on it

Change: bytes that arrive count, as does a whole frame. Not changed: a large message that is being sent for longer than 2 s.

--- a/packages/transport/src/__tests__/unit/links.test.ts
+++ b/packages/transport/src/__tests__/unit/links.test.ts
@@ -1,5 +1,6 @@
 import net from 'node:net';
 import {once} from 'node:events';
+import {setTimeout as sleep} from 'node:timers/promises';
 import test from 'ava';
 import {
 	createLinks, createLinkServer, LinkLostError, parseClusterKeys, type LinkHandler,
@@ -86,6 +87,35 @@
 	await server.close();
 });
 
+test('a link is not taken for silent while a large answer arrives slowly', async t => {
+	const text = 'x'.repeat(3_000_000);
+	const server = await startServer((_message, reply) => reply?.(text));
+	const proxy = net.createServer(client => {
+		const upstream = net.connect(server.port, '127.0.0.1');
+		client.pipe(upstream);
+		upstream.on('data', async chunk => {
+			upstream.pause();
+
+			for (let position = 0; position < chunk.length; position += 50_000) {
+				client.write(chunk.subarray(position, position + 50_000));
+				await sleep(60);
+			}
+
+			upstream.resume();
+		});
+		client.on('error', () => undefined).on('close', () => upstream.destroy());
+		upstream.on('error', () => undefined).on('close', () => client.destroy());
+	});
+	proxy.listen(0, '127.0.0.1');
+	await once(proxy, 'listening');
+	const links = createLinks({getKeys: () => oldKeys});
+	const answer = await links.call(`127.0.0.1:${(proxy.address() as net.AddressInfo).port}`, 1, 60_000);
+	t.true(answer === text);
+	links.close();
+	proxy.close();
+	await server.close();
+});
+
 test('all invalid lines of a key file are reported, without their content', t => {
 	const error = t.throws(() => parseClusterKeys('secretsecret\nok:aa\n', 'keys.txt'));
 	t.true(error.message.includes('keys.txt:1'));
--- a/packages/transport/src/link-monitor.ts
+++ b/packages/transport/src/link-monitor.ts
@@ -18,7 +18,7 @@
 
 /** Checks the liveness of all links of a process. One timer serves all of them and runs only while there are links. */
 export type LinkMonitor = {
-	/** Monitors the side that opened a link: closes it if a message sent is not followed by one received, at least the answer to a heartbeat. */
+	/** Monitors the side that opened a link: closes it if a message sent is not followed by any bytes, at least the answer to a heartbeat. */
 	readonly watchClientSide: (socket: Socket, channel: FrameChannel) => MonitoredChannel;
 	/** Monitors the accepting side: closes a link that has received nothing for a long time, since a live peer would have sent a heartbeat or closed it. */
 	readonly watchServerSide: (socket: Socket, channel: FrameChannel) => void;
@@ -81,8 +81,15 @@
 		watchClientSide(socket, channel) {
 			let unansweredSinceMs: number | undefined;
 			let idleDeadlineMs = clock.readMonotonicMs() + idleTimeoutMs;
+			let receivedBytes = 0;
 
 			const check = (nowMs: number) => {
+				// The peer sends, though its frame is not complete: frames that take too long end for that reason.
+				if (socket.bytesRead !== receivedBytes) {
+					receivedBytes = socket.bytesRead;
+					unansweredSinceMs = unansweredSinceMs === undefined ? undefined : nowMs;
+				}
+
 				if (unansweredSinceMs === undefined) {
 					if (nowMs >= idleDeadlineMs) {
 						socket.destroy();
@@ -106,6 +113,7 @@
 				},
 				recordReceived() {
 					unansweredSinceMs = undefined;
+					receivedBytes = socket.bytesRead;
 					idleDeadlineMs = clock.readMonotonicMs() + idleTimeoutMs;
 				},
 			};
