Keep the configuration in force where a new one cannot be used

A gateway that cannot decode a configuration that the coordinators accepted, as one of an older version may, took the coordinator that sent it for lost: the error of its own handling ended in the client of hellos. Homes changed, and nothing in the log said why. Change: the error is logged with both versions, and requests go on by the configuration before.

--- /dev/null
+++ b/packages/gateway/src/__tests__/unit/gateway.test.ts
@@ -0,0 +1,60 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import test from 'ava';
+import {type Hello} from '@fescuestair/instances';
+import {LinkMessageKind} from '@fescuestair/protocol';
+import {createLogger, createPrometheusMetrics} from '@fescuestair/runtime';
+import {createLinkServer} from '@fescuestair/transport';
+import {type TrafficConfig} from '@fescuestair/traffic';
+import {createGateway, type CallerCodec, type UpstreamCodec} from '../../index.js';
+
+const config = {
+	routes: [], services: [], limits: {
+		maxHeaderBytes: 1000, maxBodyBytes: 1000, headerTimeoutMs: 1000, idleTimeoutMs: 1000,
+	}, organisations: [],
+};
+
+test('a configuration that cannot be used leaves the one before in force, and loses no coordinator', async t => {
+	let published = {
+		revision: 1, configVersion: 1, configText: '1', weights: [],
+	};
+	const server = await createLinkServer({
+		listen: {host: '127.0.0.1', port: 0},
+		getKeys: undefined,
+		onMessage(message, reply) {
+			const {kind, hello} = message as {readonly kind: LinkMessageKind; readonly hello: Hello};
+
+			if (kind === LinkMessageKind.Hello) {
+				reply?.({kind: 'hello', reply: {published: hello.publishedRevision < published.revision ? published : undefined, isCurrent: true}});
+			}
+		},
+	});
+	const lines: Array<Record<string, unknown>> = [];
+	const log = createLogger({
+		instance: 'gateway-1', isTerminal: false, writeLine(line) {
+			lines.push(JSON.parse(line) as Record<string, unknown>);
+		},
+	});
+	const waitForLine = async (message: string) => {
+		while (!lines.some(line => line.message === message)) {
+			await sleep(10);
+		}
+	};
+
+	const gateway = await createGateway({
+		name: 'gateway-1', availabilityZone: 'north', linkAddress: '127.0.0.1:0', listen: '127.0.0.1:0', getSeeds: () => [`127.0.0.1:${server.port}`],
+		decodeConfig: text => text === '1' ? {...config, version: 1} : undefined as unknown as TrafficConfig,
+		callerCodec: {} as unknown as CallerCodec, upstreamCodec: {} as unknown as UpstreamCodec, retryAllowance: {perRequest: 0, slack: 0}, oldWeightsMs: 1000, stopTimeoutMs: 0,
+		log, metrics: createPrometheusMetrics(),
+	});
+	await waitForLine('configuration in force');
+	t.true(gateway.isReady());
+	published = {
+		...published, revision: 2, configVersion: 2, configText: 'of a newer version',
+	};
+	await waitForLine('configuration cannot be used');
+	t.true(gateway.isReady());
+	t.like(lines.find(line => line.message === 'configuration cannot be used'), {level: 'error', version: 2, inForce: 1});
+	t.deepEqual(lines.filter(line => line.message === 'coordinator lost'), []);
+	await gateway.stop();
+	await server.close();
+});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -131,11 +131,28 @@
 		},
 	});
 
+	// The coordinators check a configuration by the rules of their own version.
+	const tryBuildRouteTable = ({configText, configVersion}: PublishedSnapshot): RouteTable | undefined => {
+		try {
+			return buildRouteTable(decodeConfig(configText!));
+		} catch (error) {
+			log.error('configuration cannot be used', {version: configVersion, inForce: routeTable?.config.version, reason: String(error)});
+
+			return undefined;
+		}
+	};
+
 	const onPublished = (published: PublishedSnapshot) => {
 		targetVersionHistory = recordTargetVersions(targetVersionHistory, published.weights, clock.readMonotonicMs());
 
 		if (published.configText !== undefined) {
-			routeTable = buildRouteTable(decodeConfig(published.configText));
+			const nextTable = tryBuildRouteTable(published);
+
+			if (nextTable === undefined) {
+				return;
+			}
+
+			routeTable = nextTable;
 			server.headersTimeout = routeTable.config.limits.headerTimeoutMs;
 			server.keepAliveTimeout = routeTable.config.limits.idleTimeoutMs;
 			instancePool.applyLimits();
