Let a first member promise without the setting

What callers could see: no group at all. A first member that lost its power before its new identity was synced, and came back with the first start unset, never counted as one of the founding members, so the founder waited for ever.

Change: every replica that no leader has assigned to a group says so, and may promise; only the founder needs to know the first members.

--- a/packages/coordinator/src/replica-host.ts
+++ b/packages/coordinator/src/replica-host.ts
@@ -172,15 +172,11 @@
 	const isEmpty = () => runner !== undefined && isEmptyReplica(runner.getState());
 
 	const createJoinMessage = () => {
-		const report = groupMembership.describeFounding(isEmpty());
+		const founding = groupMembership.describeFounding(isEmpty());
 		const {id} = groupMembership.getIdentity();
 
 		return {
-			kind: LinkMessageKind.Join as const,
-			id,
-			name,
-			address: linkAddress,
-			...(report && {founding: {addresses: report.addresses, groupId: report.groupId, isEmpty: report.isEmpty}}),
+			kind: LinkMessageKind.Join as const, id, name, address: linkAddress, ...(founding && {founding}),
 		};
 	};
 
@@ -188,20 +184,16 @@
 		links.send(address, {kind: LinkMessageKind.InviteToGroup, ...invitation} satisfies LinkMessage);
 	};
 
-	const reportToFounder = (founderAddress: string) => {
-		if (founderAddress !== linkAddress) {
+	const reportToFounder = () => {
+		const founderAddress = groupMembership.getIdentity().founding?.addresses[0];
+
+		if (founderAddress !== undefined && founderAddress !== linkAddress) {
 			links.send(founderAddress, createJoinMessage());
 		}
 	};
 
 	const advanceFounding = async () => {
-		const founderAddress = groupMembership.describeFounding(isEmpty())?.addresses[0];
-
-		if (founderAddress === undefined) {
-			return;
-		}
-
-		reportToFounder(founderAddress);
+		reportToFounder();
 		const members = await groupMembership.advanceFounding(isEmpty(), invite);
 
 		if (members !== undefined) {
@@ -235,7 +227,7 @@
 			void (async () => {
 				try {
 					await groupMembership.acceptInvitation(invitation, isEmpty());
-					reportToFounder(groupMembership.describeFounding(isEmpty())?.addresses[0] ?? linkAddress);
+					reportToFounder();
 				} catch (error) {
 					log.error('the group could not be saved', {groupId: invitation.groupId, reason: String(error)});
 				}
--- a/packages/protocol/src/link-message-guards.ts
+++ b/packages/protocol/src/link-message-guards.ts
@@ -14,8 +14,6 @@
 /** Items of the configuration, instances, members and other arrays in one message. */
 const maxItems = 100_000;
 const maxRequestEvents = 10_000;
-/** First members of a group; well above the size of any group. */
-const maxFirstMembers = 100;
 /** One day, far longer than any age that is sent. */
 const maxAgeMs = 86_400_000;
 
@@ -27,7 +25,7 @@
 export const isGossipMessage = isObjectWith({fromId: isName, fromAddress: isName, gossip: isUnknown});
 export const isPollStateMessage = isObjectWith({publicVersion: isNonNegativeInteger});
 export const isFindRequestEventsMessage = isObjectWith({requestId: isName});
-const isFounding = isObjectWith({addresses: isArrayOf(isName, maxFirstMembers), groupId: isOptional(isName), isEmpty: isBoolean});
+const isFounding = isObjectWith({groupId: isOptional(isName), isEmpty: isBoolean});
 export const isJoinMessage = isObjectWith({
 	id: isName, name: isName, address: isName, founding: isOptional(isFounding),
 });
--- a/packages/protocol/src/link-messages.ts
+++ b/packages/protocol/src/link-messages.ts
@@ -81,8 +81,8 @@
 			readonly id: string;
 			readonly name: string;
 			readonly address: string;
-			/** Sent by a first member that no leader has assigned to a group. */
-			readonly founding?: {readonly addresses: readonly string[]; readonly groupId?: string; readonly isEmpty: boolean};
+			/** Sent by a replica that no leader has assigned to a group; see `FoundingReport`. */
+			readonly founding?: {readonly groupId?: string; readonly isEmpty: boolean};
 		}
 		| {readonly kind: LinkMessageKind.InviteToGroup; readonly toId: string; readonly groupId: string; readonly previousGroupId?: string};
 
--- a/packages/replication/src/founding.ts
+++ b/packages/replication/src/founding.ts
@@ -1,11 +1,9 @@
 import {type Member} from '@fescuestair/agreement';
 
-/** What a first member says of itself until it holds an entry: it has promised to belong to a group that does not exist yet, or to none. */
+/** What a replica says of itself that no leader has assigned to a group: it has promised to belong to one that may not exist yet, or to none. */
 export type FoundingReport = {
 	readonly id: string;
 	readonly address: string;
-	/** Sorted addresses of the first members. Reports that name others are not counted. */
-	readonly addresses: readonly string[];
 	/** Group that the replica has promised to belong to; saved on its disk. */
 	readonly groupId?: string;
 	/** Whether it holds no entry, no snapshot and no term, so that it cannot have acknowledged anything or voted. */
@@ -29,6 +27,14 @@
 		| {readonly kind: FoundingStepKind.Invite; readonly invitees: readonly FoundingReport[]}
 		| {readonly kind: FoundingStepKind.Create; readonly members: readonly Member[]};
 
+export type DecideFoundingInput = {
+	readonly own: FoundingReport;
+	/** Sorted addresses of the first members. */
+	readonly addresses: readonly string[];
+	/** What others said; of two with the same address, the newer one comes first. */
+	readonly reports: readonly FoundingReport[];
+};
+
 const wait: FoundingStep = {kind: FoundingStepKind.Wait};
 
 /**
@@ -38,15 +44,15 @@
 
 @example
 ```
-const step = decideFounding({own, reports});
+const step = decideFounding({own, addresses: ['10.0.0.1:1', '10.0.0.2:1'], reports});
 ```
 */
-export function decideFounding({own, reports}: {readonly own: FoundingReport; readonly reports: readonly FoundingReport[]}): FoundingStep {
-	const others = own.addresses
+export function decideFounding({own, addresses, reports}: DecideFoundingInput): FoundingStep {
+	const others = addresses
 		.filter(address => address !== own.address)
-		.map(address => reports.find(report => report.address === address && hasSameAddresses(report, own)));
+		.map(address => reports.find(report => report.address === address));
 
-	if (own.address !== own.addresses[0] || !own.isEmpty || !others.every(report => report?.isEmpty === true)) {
+	if (own.address !== addresses[0] || !own.isEmpty || !others.every(report => report?.isEmpty === true)) {
 		return wait;
 	}
 
@@ -75,7 +81,3 @@
 
 	return {kind: FoundingStepKind.Create, members};
 }
-
-function hasSameAddresses(report: FoundingReport, own: FoundingReport): boolean {
-	return report.addresses.length === own.addresses.length && own.addresses.every((address, position) => report.addresses[position] === address);
-}
--- a/packages/replication/src/group-membership.ts
+++ b/packages/replication/src/group-membership.ts
@@ -32,17 +32,19 @@
 	/** Whether a message is addressed to this identity and its group. A replica without a group joins that of the first message. */
 	readonly accept: (message: Extract<LinkMessage, {kind: LinkMessageKind.Agreement}>) => boolean;
 	readonly join: (groupId: string) => Promise<void>;
-	readonly recordCandidate: (message: Extract<LinkMessage, {kind: LinkMessageKind.Join}>) => void;
+	readonly recordCandidate: (message: JoinMessage) => void;
 	readonly listCandidates: (members: readonly Member[]) => readonly Member[];
 	readonly requireCandidate: (members: readonly Member[], name: string) => Member;
-	/** What to tell the founder; `undefined` if this replica is no first member, or a leader has assigned it to a group. */
-	readonly describeFounding: (isEmpty: boolean) => FoundingReport | undefined;
+	/** What to tell a founder; `undefined` once a leader has assigned this replica to a group. */
+	readonly describeFounding: (isEmpty: boolean) => JoinMessage['founding'];
 	/** On the founder, takes the next step towards the group; returns its members once it can be created. */
 	readonly advanceFounding: (isEmpty: boolean, invite: (address: string, invitation: Invitation) => void) => Promise<readonly Member[] | undefined>;
 	/** Promises to belong to the group, if this replica is not bound to another one; resolves once that is saved. */
 	readonly acceptInvitation: (invitation: Invitation, isEmpty: boolean) => Promise<void>;
 };
 
+type JoinMessage = Extract<LinkMessage, {kind: LinkMessageKind.Join}>;
+
 export type Invitation = Omit<Extract<LinkMessage, {kind: LinkMessageKind.InviteToGroup}>, 'kind'>;
 
 /** A candidate that has not repeated its request for this long is no longer listed. */
@@ -85,7 +87,7 @@
 	};
 
 	const promise = async (groupId: string) => {
-		saving = saveGroup({...identity, groupId});
+		saving = saveGroup({...identity, groupId, isPromised: true});
 
 		try {
 			await saving;
@@ -94,11 +96,9 @@
 		}
 	};
 
-	const describeFounding = (isEmpty: boolean): FoundingReport | undefined => identity.founding && {
-		id: identity.id, address: identity.founding.ownAddress, addresses: identity.founding.addresses, groupId: identity.groupId, isEmpty,
-	};
+	const isAssigned = () => identity.groupId !== undefined && identity.isPromised !== true;
 
-	const listFoundingReports = () => [...candidates.values()]
+	const listFoundingReports = (): readonly FoundingReport[] => [...candidates.values()]
 		.filter(candidate => candidate.deadlineMs > clock.readMonotonicMs())
 		.flatMap(({founding, member: {id, address}}) => founding === undefined ? [] : [{id, address, ...founding}])
 		// A replica whose disk was lost has reported under both identities.
@@ -152,15 +152,18 @@
 
 			return candidate;
 		},
-		describeFounding,
+		describeFounding: isEmpty => isAssigned() ? undefined : {groupId: identity.groupId, isEmpty},
 		async advanceFounding(isEmpty, invite) {
-			const own = describeFounding(isEmpty);
+			const {id: ownId, groupId, founding: first} = identity;
 
-			if (own === undefined || saving !== undefined) {
+			if (first === undefined || saving !== undefined) {
 				return undefined;
 			}
 
-			const step = decideFounding({own, reports: listFoundingReports()});
+			const own = {
+				id: ownId, address: first.ownAddress, groupId, isEmpty,
+			};
+			const step = decideFounding({own, addresses: first.addresses, reports: listFoundingReports()});
 
 			switch (step.kind) {
 				case FoundingStepKind.Wait: {
@@ -168,14 +171,14 @@
 				}
 
 				case FoundingStepKind.Choose: {
-					await promise(`g-${identity.id}`);
+					await promise(`g-${ownId}`);
 
 					return undefined;
 				}
 
 				case FoundingStepKind.Invite: {
 					for (const {id, address, groupId: previousGroupId} of step.invitees) {
-						invite(address, {toId: id, groupId: own.groupId!, previousGroupId});
+						invite(address, {toId: id, groupId: groupId!, previousGroupId});
 					}
 
 					return undefined;
@@ -187,7 +190,7 @@
 			}
 		},
 		async acceptInvitation({toId, groupId, previousGroupId}, isEmpty) {
-			if (toId === identity.id && identity.founding !== undefined && isEmpty && saving === undefined && previousGroupId === identity.groupId) {
+			if (toId === identity.id && !isAssigned() && isEmpty && saving === undefined && previousGroupId === identity.groupId) {
 				await promise(groupId);
 			}
 		},
@@ -196,6 +199,6 @@
 
 type Candidate = {
 	readonly member: Member;
-	readonly founding: Extract<LinkMessage, {kind: LinkMessageKind.Join}>['founding'];
+	readonly founding: JoinMessage['founding'];
 	readonly deadlineMs: number;
 };
--- a/packages/replication/src/identity.ts
+++ b/packages/replication/src/identity.ts
@@ -12,7 +12,9 @@
 	readonly groupId: string | undefined;
 	/** First members of a group that an earlier version founded, which named them after their addresses. */
 	readonly firstMembers?: readonly Member[];
-	/** Set on a first member until a leader assigns it to a group; kept if it founds the group or promises to belong to it. */
+	/** The group was promised to its founder, and not assigned by a leader. */
+	readonly isPromised?: boolean;
+	/** Set on a first member until a leader assigns it to a group. */
 	readonly founding?: {
 		readonly ownAddress: string;
 		/** Sorted addresses of all first members. */
--- a/packages/storage/src/simulated-disk.ts
+++ b/packages/storage/src/simulated-disk.ts
@@ -161,7 +161,7 @@
 
 				for (const write of lostWrites) {
 					if (!isAllLost) {
-						file.content = applyWrite(file.content, dropPartOfWrite(write, random));
+						file.content = applyWrite(file.content, dropWritePart(write, random));
 					}
 				}
 
@@ -199,7 +199,7 @@
 }
 
 // The write is kept, lost, cut off, or keeps its length with its end missing.
-function dropPartOfWrite(write: Write, random: () => number): Write | undefined {
+function dropWritePart(write: Write, random: () => number): Write | undefined {
 	const choice = random();
 
 	if (choice < 0.5 || 'length' in write) {
