Keep the run of a caller that lost its connection for the ten seconds that callers are promised

Cause: the entry cancels the run when the connection closes.

The run of a streamed answer that has begun is now cancelled ten seconds after its caller has gone, and sooner than that not. A request that reads it again, here or at another entry (a message to all of them), becomes responsible for it: a lost connection that is noticed only after that cancels nothing. Runs that no caller can come back for are cancelled at once: of answers that are not streamed, or have not begun. Weighed: never to cancel them would cost a place at an engine for the rest of the answer; ten seconds is what is promised. A caller that leaves for good costs its engine's place for so long.

While versions are mixed, an entry of an earlier version does not know the message and cancels as before, at once. An entry that stops cancels none of them.

Measured with processes: the caller comes back at the same entry, leaves again and comes back at another one, with more than ten seconds of the answer left. On 410, now whole, no token missing or twice.

--- a/packages/demo/src/__tests__/integration/streams.test.ts
+++ b/packages/demo/src/__tests__/integration/streams.test.ts
@@ -18,6 +18,11 @@
 		headers: {authorization: `Bearer ${system.organisationKey}`, 'content-type': 'application/json', ...headers},
 		body: JSON.stringify(createPromptBody(content, tokens)),
 	});
+
+	if (response.statusCode !== 200) {
+		throw new Error(`status ${response.statusCode}: ${await response.body.text()}`);
+	}
+
 	let text = '';
 	let isWhole = false;
 	const streamEnd = (async () => {
@@ -157,6 +162,42 @@
 	});
 });
 
+test.serial('a caller that loses its connection goes on with its answer at the same entry, and at another one', async t => {
+	await withSystem({entries: 2, engineFlags: ['--decode-ms', '20']}, async system => {
+		const first = await startStream(system, question, {tokens: 900});
+		first.leave();
+		await first.waitForEnd();
+		const firstText = sliceWholeEvents(first.readText());
+		const second = await startStream(system, question, {tokens: 900, entry: 0, headers: {'last-event-id': readLastEventId(firstText)}});
+		second.leave();
+		await second.waitForEnd();
+		const secondText = sliceWholeEvents(second.readText());
+		// What is left of the answer takes longer than its run is kept for a caller that does not come back.
+		const third = await startStream(system, question, {tokens: 900, entry: 1, headers: {'last-event-id': readLastEventId(secondText)}});
+		const {text, isWhole} = await third.waitForEnd();
+		t.true(isWhole);
+		t.is(joinStreamedText(firstText) + joinStreamedText(secondText) + joinStreamedText(text), createExpectedText(question, 900));
+	});
+});
+
+test.serial('the run of a caller that does not come back is cancelled', async t => {
+	await withSystem({entries: 1, engineFlags: ['--decode-ms', '20']}, async system => {
+		const left = await startStream(system, question, {tokens: 1500});
+		const other = await startStream(system, `${question} other`, {tokens: 1500});
+		left.leave();
+		await left.waitForEnd();
+		await waitUntil(async () => {
+			const run = await request(`http://${system.engines[0]!.address}/v1/generate/${left.requestId}?from=1500`, {headers: {'x-organisation': 'okahandja'}});
+			run.body.on('error', () => undefined).destroy();
+
+			return run.statusCode === 404;
+		});
+		t.notRegex(other.readText(), /\[DONE\]/v, 'a run that was not left, of the same length, still goes on');
+		other.leave();
+		await other.waitForEnd();
+	});
+});
+
 test.serial('an answer is resumed at its end if only its end was lost', async t => {
 	await withSystem({}, async system => {
 		const whole = await sendPrompt(system, question);
--- a/packages/entry/src/__tests__/unit/resume-stream.test.ts
+++ b/packages/entry/src/__tests__/unit/resume-stream.test.ts
@@ -90,6 +90,9 @@
 		log: createLogger({instance: 'entry-1', level: 0}),
 		metrics: {count: () => undefined},
 		withdrawRetry: () => true,
+		claimRun: () => 1,
+		leftRuns: {keep: () => undefined},
+		stopSignal: new AbortController().signal,
 		recordRequestEvent(event: RequestEvent) {
 			requestEvents.push(event);
 		},
--- a/packages/entry/src/__tests__/unit/silent-run.test.ts
+++ b/packages/entry/src/__tests__/unit/silent-run.test.ts
@@ -194,6 +194,7 @@
 				clock, log: createLogger({instance: 'entry-1', level: 0}), metrics: {count: () => undefined}, recordRequestEvent: options.recordRequestEvent,
 			}, report);
 		},
+		keepLeftRun: () => false,
 		keepsRuns: () => false,
 		...changes,
 	};
--- a/packages/entry/src/completions.ts
+++ b/packages/entry/src/completions.ts
@@ -10,7 +10,7 @@
 import {type MemberRecord} from '@fescuestair/membership';
 import {AttemptError} from './attempt-error.js';
 import {reportRunDecision, type RunDecisionReport} from './report-run-decision.js';
-import {resumeStream} from './resume-stream.js';
+import {createLeftRun, resumeStream} from './resume-stream.js';
 import {
 	checkHeldBack, checkQuarantine, clearSuspicion, computeFingerprint, listTraits, reportCrash, requireNotHeldBack,
 } from './suspect-prompts.js';
@@ -132,7 +132,7 @@
 
 	await (lastEventId === undefined
 		? runPrompt(createRunOptions(services, caller, {
-			preset, fingerprint, suspicion, hashes, traits,
+			preset, fingerprint, suspicion, hashes, traits, isStreaming: parsed.isStreaming,
 		}), job, sink)
 		: resumeStream(services, job, {callId: caller.requestId, eventId: lastEventId, sink}));
 	writer.finish();
@@ -174,9 +174,10 @@
 	readonly suspicion: CrashSuspicion;
 	readonly hashes: readonly string[];
 	readonly traits: Traits;
+	readonly isStreaming: boolean;
 };
 
-function createRunOptions(services: EntryServices, caller: CallerRequest, {preset, fingerprint, suspicion, hashes, traits}: RunInput) {
+function createRunOptions(services: EntryServices, caller: CallerRequest, {preset, fingerprint, suspicion, hashes, traits, isStreaming}: RunInput) {
 	const attempts = {refusals: 0};
 
 	return {
@@ -214,6 +215,13 @@
 		reportRunDecision(report: RunDecisionReport) {
 			reportRunDecision(services, report);
 		},
+		keepLeftRun(job: PromptJob, {address}: MemberRecord) {
+			if (isStreaming) {
+				services.leftRuns.keep(createLeftRun(services, job, address), undefined);
+			}
+
+			return isStreaming;
+		},
 		keepsRuns: () => services.stopSignal.aborted,
 	};
 }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -10,7 +10,7 @@
 	listServing, MemberStatus, RecordKind, type MemberRecord,
 } from '@fescuestair/membership';
 import {
-	createLinkCommands, isGossipMessage, isPollStateMessage, LinkMessageKind, RefusalCode,
+	createLinkCommands, isGossipMessage, isPollStateMessage, isRunResumedMessage, LinkMessageKind, RefusalCode, type LinkMessage,
 } from '@fescuestair/protocol';
 import {
 	createLinkFaultHandler, createFindRequestEvents, createGossip, createPermitClient, createRequestLimits, openCommandListener, type Logger, type StatsdMetrics,
@@ -26,6 +26,7 @@
 import {createExporter} from './exporter.js';
 import {createLinkBudgets} from './link-budgets.js';
 import {createDistributedPieceDirectory} from './distributed-piece-directory.js';
+import {createLeftRuns} from './left-runs.js';
 import {createLongPromptQueue} from './long-prompt-queue.js';
 import {createRequestEventRecorder} from './request-event-recorder.js';
 import {createRefusal, type EntryServices} from './request-context.js';
@@ -124,6 +125,7 @@
 	const serviceAgent = new HttpAgent({
 		keepAlive: true, maxSockets: maxConnectionsPerUpstream, maxFreeSockets: maxConnectionsPerUpstream, scheduling: 'lifo', timeout: serviceIdleTimeoutMs,
 	});
+	const leftRuns = createLeftRuns();
 	let admission = createAdmission(1);
 	let retryBudget = createRetryBudget();
 	let isLeaving = false;
@@ -186,6 +188,16 @@
 		permits,
 		longPromptQueue: createLongPromptQueue(clock),
 		servesStale,
+		leftRuns,
+		claimRun({organisation, requestId}) {
+			const claim = leftRuns.claim({organisation, requestId});
+
+			for (const {address} of listEntryRecords().filter(record => record.id !== name)) {
+				links.send(address, {kind: LinkMessageKind.RunResumed, organisation, requestId} satisfies LinkMessage);
+			}
+
+			return claim;
+		},
 		recordRequestEvent: requestEventRecorder.record,
 		stopSignal: stopController.signal,
 		admit(organisation, requestClass, limit) {
@@ -235,6 +247,11 @@
 
 		return true;
 	});
+	commands.registerCommand(LinkMessageKind.RunResumed, isRunResumedMessage, run => {
+		leftRuns.claim(run);
+
+		return true;
+	});
 	homes.registerCommands(commands);
 
 	const linkServer = await openCommandListener({
@@ -288,6 +305,7 @@
 			}
 
 			isClosing = true;
+			leftRuns.stop();
 			exporter.stop();
 			cacheFollower.stop();
 			const cut = listener.countRunning();
--- a/packages/entry/src/prompt-run.ts
+++ b/packages/entry/src/prompt-run.ts
@@ -64,6 +64,8 @@
 	readonly recordRequestEvent: (event: RequestEvent) => void;
 	/** Tells what was decided about a run that has not ended by itself. */
 	readonly reportRunDecision: (report: RunDecisionReport) => void;
+	/** Lets a run go on whose caller has left and may come back; `false` if it has nothing to come back for. */
+	readonly keepLeftRun: (job: PromptJob, record: MemberRecord) => boolean;
 	/** Whether a run that is no longer read is left to the engine, so that the caller can resume it at another entry. */
 	readonly keepsRuns: () => boolean;
 };
@@ -209,7 +211,10 @@
 		});
 
 		// At the stop of this entry the caller goes on with it at another one.
-		if (isDispatched && evidence !== RunEvidence.StopTimeout) {
+		const isLeft = evidence === RunEvidence.StopTimeout
+			|| (evidence === RunEvidence.CallerGone && progress.offset > run.offsetBefore && options.keepLeftRun(job, record));
+
+		if (isDispatched && !isLeft) {
 			cancelAtEngine(run);
 		}
 	};
--- a/packages/entry/src/request-context.ts
+++ b/packages/entry/src/request-context.ts
@@ -17,6 +17,7 @@
 import {type Exporter} from './exporter.js';
 import {type LinkBudgets} from './link-budgets.js';
 import {type DistributedPieceDirectory} from './distributed-piece-directory.js';
+import {type LeftRuns, type RunClaim, type RunKey} from './left-runs.js';
 import {type LongPromptQueue} from './long-prompt-queue.js';
 import {type StateFollower} from './state-follower.js';
 import {type UpstreamStates} from './upstream-states.js';
@@ -41,6 +42,10 @@
 	readonly permits: PermitClient;
 	readonly longPromptQueue: LongPromptQueue;
 	readonly servesStale: boolean;
+	/** Runs whose callers may come back. */
+	readonly leftRuns: Pick<LeftRuns, 'keep'>;
+	/** Keeps all entries from cancelling a run that is read again here. */
+	readonly claimRun: (run: RunKey) => RunClaim;
 	readonly recordRequestEvent: (event: RequestEvent) => void;
 	/** Aborted when the entry stops and does not wait any longer for answers that run. */
 	readonly stopSignal: AbortSignal;
--- a/packages/entry/src/resume-stream.ts
+++ b/packages/entry/src/resume-stream.ts
@@ -4,14 +4,15 @@
 } from '@fescuestair/protocol';
 import {decideRun, RunEvidence, type SuccessionObstacle} from '@fescuestair/streams';
 import {AttemptError} from './attempt-error.js';
-import {resume} from './engine-client.js';
+import {cancel, resume} from './engine-client.js';
+import {type LeftRun} from './left-runs.js';
 import {type PromptJob, type PromptSink} from './prompt-run.js';
 import {readRun} from './read-run.js';
 import {reportRunDecision, type RunReportServices} from './report-run-decision.js';
 import {type EntryServices} from './request-context.js';
 import {correctExecution, createLimitedRefusal, reserveUpstream} from './upstream-permits.js';
 
-export type ResumeServices = Pick<EntryServices, 'agent' | 'permits' | 'withdrawRetry'> & RunReportServices & {
+export type ResumeServices = Pick<EntryServices, 'agent' | 'claimRun' | 'leftRuns' | 'permits' | 'stopSignal' | 'withdrawRetry'> & RunReportServices & {
 	readonly gossip: Pick<EntryServices['gossip'], 'getMembership'>;
 };
 
@@ -43,6 +44,34 @@
 		throw createGoneRefusal();
 	}
 
+	const claim = services.claimRun(job);
+
+	try {
+		await resumeAtEngine(services, job, {
+			callId, eventId, sink, record,
+		});
+	} catch (error) {
+		// The caller may come back once more.
+		if (!services.stopSignal.aborted) {
+			services.leftRuns.keep(createLeftRun(services, job, record.address), claim);
+		}
+
+		throw error;
+	}
+}
+
+/** Creates the description of a run that its caller has left. */
+export function createLeftRun({agent}: Pick<EntryServices, 'agent'>, {organisation, requestId}: PromptJob, address: string): LeftRun {
+	return {
+		organisation,
+		requestId,
+		cancel() {
+			void cancel({agent, address}, requestId, organisation);
+		},
+	};
+}
+
+async function resumeAtEngine(services: ResumeServices, job: PromptJob, {callId, eventId, sink, record}: ResumeStreamInput & {readonly record: MemberRecord}): Promise<void> {
 	const progress = {offset: eventId.offset};
 
 	for (let attempt = 1; ; attempt++) {
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -23,7 +23,7 @@
 } from './link-commands.js';
 export {
 	isAgeMs, isFindRequestEventsMessage, isFindPiecesMessage, isGossipMessage, isInviteToGroupMessage, isJoinMessage, isLinkReply, isName, isRecordPiecesMessage,
-	isRecordReuseMessage, isPollStateMessage, isRecordRequestEventsMessage,
+	isRecordReuseMessage, isPollStateMessage, isRecordRequestEventsMessage, isRunResumedMessage,
 } from './link-message-guards.js';
 export {
 	callAndValidate, ReplyError, requireValid, type LinkCaller,
--- a/packages/protocol/src/link-message-guards.ts
+++ b/packages/protocol/src/link-message-guards.ts
@@ -25,6 +25,7 @@
 export const isGossipMessage = isObjectWith({fromId: isName, fromAddress: isName, gossip: isUnknown});
 export const isPollStateMessage = isObjectWith({publicVersion: isNonNegativeInteger});
 export const isFindRequestEventsMessage = isObjectWith({requestId: isName});
+export const isRunResumedMessage = isObjectWith({organisation: isName, requestId: isName});
 const isFounding = isObjectWith({groupId: isOptional(isName), isEmpty: isBoolean});
 export const isJoinMessage = isObjectWith({
 	id: isName, name: isName, address: isName, founding: isOptional(isFounding),
--- a/packages/protocol/src/link-messages.ts
+++ b/packages/protocol/src/link-messages.ts
@@ -12,6 +12,8 @@
 	PollState = 'poll_state',
 	RecordRequestEvents = 'record_fates',
 	FindRequestEvents = 'find_fates',
+	/** An entry reads a run again whose caller has left, so that no other entry cancels it. */
+	RunResumed = 'run_resumed',
 	/** Asks the home of a prompt which upstreams hold its cached pieces. */
 	FindPieces = 'find_pieces',
 	/** Reports to a home which pieces an upstream holds now and which it no longer holds. */
@@ -55,6 +57,7 @@
 		| {readonly kind: LinkMessageKind.PollState; readonly publicVersion: number}
 		| {readonly kind: LinkMessageKind.RecordRequestEvents; readonly events: readonly RequestEvent[]}
 		| {readonly kind: LinkMessageKind.FindRequestEvents; readonly requestId: string}
+		| {readonly kind: LinkMessageKind.RunResumed; readonly organisation: string; readonly requestId: string}
 		| {readonly kind: LinkMessageKind.FindPieces; readonly hashes: readonly string[]}
 		| {
 			readonly kind: LinkMessageKind.RecordPieces;
