Take an instance that does not report for a while for loading still

A report that did not arrive within 600 ms ended the wait for a load: the mark "loading" was taken off and the place given to another instance, so that an instance that was silent for a second got requests while it loaded, and more loaded at a time than the limit allows. Change: the wait goes on until a report or its deadline.

--- a/packages/coordinator/src/weight-orders.ts
+++ b/packages/coordinator/src/weight-orders.ts
@@ -110,10 +110,25 @@
 		onLoading(order.instanceId, 0);
 	};
 
+	const tryFetchReport = async ({instanceId: id, address}: WeightOrder): Promise<WeightReport | undefined> => {
+		try {
+			return await fetchReport({id, address});
+		} catch (error) {
+			log.info('no report of an instance that loads weights', {id, reason: String(error)});
+
+			return undefined;
+		}
+	};
+
 	const waitForLoad = async (order: WeightOrder, term: number, deadlineMs: number) => {
 		while (clock.readMonotonicMs() < deadlineMs && canOrder(term)) {
 			await sleep(roundIntervalMs);
-			const report = await fetchReport({id: order.instanceId, address: order.address});
+			const report = await tryFetchReport(order);
+
+			// Silence does not show that the load has ended.
+			if (report === undefined) {
+				continue;
+			}
 
 			if (hasOrderedWeights(report, order)) {
 				onLoaded(order.instanceId, {name: order.model, version: order.version});
