--- a/packages/replication/src/replica-runner.ts
+++ b/packages/replication/src/replica-runner.ts
@@ -26,6 +26,8 @@
 	readonly retainedEntries?: number;
 	readonly timing?: ReplicaTiming;
 	readonly tickMs?: number;
+	/** Calls `tick` from time to time until the returned function is called; every `tickMs` by default. */
+	readonly startTicking?: (tick: () => void) => () => void;
 	/** First members of the group; used until a snapshot holds the members. */
 	readonly firstMembers?: readonly Member[];
 };
@@ -72,7 +74,7 @@
 export async function createReplicaRunner(options: ReplicaRunnerOptions): Promise<ReplicaRunner> {
 	const {
 		id, clock, store, machine, send, onFailure, snapshotIntervalEntries = 1000, retainedEntries = defaultRetainedEntries, timing, tickMs = defaultTickMs,
-		firstMembers,
+		firstMembers, startTicking = tick => startInterval(tick, tickMs),
 	} = options;
 	const loaded = await store.load();
 	const snapshotData = loaded.snapshot?.data as SnapshotData | undefined;
@@ -303,9 +305,9 @@
 		actor.send({kind: MessageKind.Compacted, index: appliedIndex - retainedEntries});
 	};
 
-	const timer = setInterval(() => {
+	const stopTicking = startTicking(() => {
 		enqueue({kind: MessageKind.Tick});
-	}, tickMs);
+	});
 
 	const enqueueProposal = async (createMessage: (proposalId: string) => Message) => {
 		if (isStopped) {
@@ -354,7 +356,7 @@
 			});
 		},
 		async stop() {
-			clearInterval(timer);
+			stopTicking();
 			isStopped = true;
 			rejectProposals(new ProposalError(false, 'the replica stops'));
 			// Waits for a write or a snapshot in progress.
@@ -364,6 +366,14 @@
 	};
 }
 
+function startInterval(tick: () => void, intervalMs: number): () => void {
+	const timer = setInterval(tick, intervalMs);
+
+	return () => {
+		clearInterval(timer);
+	};
+}
+
 /** Content of a snapshot, as stored on disk and sent to other replicas; its field names are part of that format. */
 type SnapshotData = {
 	readonly mark: ReturnType<typeof createSnapshotMetadata>;
