Test that identities of earlier builds load and found nothing

A rolling upgrade keeps 'first-ADDRESS' identities, their groups and first members; they never count as empty.

--- a/packages/replication/src/__tests__/unit/group-membership.test.ts
+++ b/packages/replication/src/__tests__/unit/group-membership.test.ts
@@ -7,7 +7,7 @@
 import {LinkMessageKind} from '@fescuestair/protocol';
 import {createLogger} from '@fescuestair/runtime';
 import {createSimulatedDisk} from '@fescuestair/storage';
-import {createGroupMembership, loadIdentity} from '../../index.js';
+import {createGroupMembership, loadIdentity, saveIdentity} from '../../index.js';
 
 test('a replica saves only the group of the first message, also when others arrive while it is being saved', async t => {
 	const dataFolder = await fs.mkdtemp(path.join(os.tmpdir(), 'fescuestair-group-'));
@@ -77,3 +77,24 @@
 		t.deepEqual(await loadIdentity('/data', 'core-1', {fileSystem: disk.startProcess().fileSystem}), identity, `killed at operation ${killAt}`);
 	}
 });
+
+test('an identity that an earlier build derived from the address stays, and never counts as one without a group', async t => {
+	const disk = createSimulatedDisk();
+	const {fileSystem} = disk.startProcess();
+	const firstMembers = [{
+		id: 'first-127.0.0.1:1', name: '127.0.0.1:1', address: '127.0.0.1:1', isVoter: true,
+	}];
+	const stored = {id: 'first-127.0.0.1:1', groupId: 'first-127.0.0.1:1', firstMembers};
+	await saveIdentity('/data', stored, fileSystem);
+	const group = await createGroupMembership({
+		dataFolder: '/data', name: 'core-1', clock: createManualClock(), log: createLogger({instance: 'core-1', level: 0}), fileSystem,
+		firstGroup: {ownAddress: '127.0.0.1:1', addresses: ['127.0.0.1:1']},
+	});
+	t.deepEqual(group.getIdentity(), stored);
+	t.is(group.describeFounding(true), undefined);
+	const invited: string[] = [];
+	t.is(await group.advanceFounding(true, address => invited.push(address)), undefined);
+	t.deepEqual(invited, []);
+	await group.acceptInvitation({toId: stored.id, groupId: 'g', previousGroupId: stored.groupId}, true);
+	t.deepEqual(group.getIdentity(), stored);
+});
