Cut off a write whose sync failed

What callers could lose: a coordinator reopens its replica after a failed sync, and loads the write from the system's cache. The system may have taken those pages for clean, so that the sync at load succeeds and stores nothing; the replica then answers for entries that are not on its disk. Read in the code and known of Linux, not seen on a disk.

Evidence: the test loaded entries 1 and 2, of which 2 was not synced; now it loads 1. 12 tests of storage and of the replica's runner pass.

--- a/packages/storage/src/log-store.ts
+++ b/packages/storage/src/log-store.ts
@@ -107,7 +107,16 @@
 			const batchFrame = encodeFrame(batches);
 
 			await runDiskOperation(folder, 'append', async () => fileSystem.write(logHandle, batchFrame, logSize));
-			await runDiskOperation(folder, 'sync', async () => fileSystem.sync(logHandle));
+
+			try {
+				await runDiskOperation(folder, 'sync', async () => fileSystem.sync(logHandle));
+			} catch (error) {
+				// The system may take the written pages for clean now, so that a later sync would succeed and store nothing.
+				await runDiskOperation(folder, 'truncation', async () => logHandle.truncate(logSize));
+
+				throw error;
+			}
+
 			logSize += batchFrame.length;
 		},
 		async saveSnapshot(snapshot, hardState, remainingEntries) {
