Count a run that could not continue an answer as a failure of its instance

Cause: the health of an instance went by the status of a complete response, not by whether the run was part of the answer.

--- a/packages/gateway/src/start-run.ts
+++ b/packages/gateway/src/start-run.ts
@@ -195,7 +195,7 @@
 		recordFirstPiece();
 		instancePool.end(entry, inFlightRequest);
 		recordResult(options, exchange, {
-			entry, result, sentAtMs: startedAtMs, streamed, firstPieceMs,
+			entry, result, fault, sentAtMs: startedAtMs, streamed, firstPieceMs,
 		});
 
 		if (result.end === AttemptCompletion.Complete && cache !== undefined && result.head!.status < 300) {
@@ -275,6 +275,7 @@
 type ResultInput = {
 	readonly entry: PooledInstance;
 	readonly result: AttemptResult;
+	readonly fault: RunFault | undefined;
 	readonly sentAtMs: number;
 	readonly streamed: StreamedPieces;
 	readonly firstPieceMs: number | undefined;
@@ -282,7 +283,7 @@
 
 // An instance that rejects a request for lack of capacity is not at fault, and an attempt that this gateway cancelled says nothing about the health of
 // the instance, unless it was for what the instance sent.
-function recordResult({instancePool, crashes}: ForwardOptions, exchange: Exchange, {entry, result, sentAtMs, streamed, firstPieceMs}: ResultInput): void {
+function recordResult({instancePool, crashes}: ForwardOptions, exchange: Exchange, {entry, result, fault, sentAtMs, streamed, firstPieceMs}: ResultInput): void {
 	if (!result.isSent && result.cancelledFor !== undefined) {
 		return;
 	}
@@ -303,13 +304,38 @@
 
 	if ((result.end === AttemptCompletion.NotRun && !result.isUnreachable) || askedRestMs !== undefined) {
 		instancePool.recordRefusal(entry, askedRestMs);
-	} else if (result.isUnreachable) {
-		instancePool.recordHealthEvent(entry, HealthEvent.Unreachable);
-	} else if (result.end === AttemptCompletion.Complete) {
-		instancePool.recordHealthEvent(entry, result.head!.status >= 500 ? HealthEvent.Failed : HealthEvent.Answered);
-	} else if (result.end === AttemptCompletion.Incomplete && (result.cancelledFor === undefined || result.cancelledFor === RunEvidence.InvalidAnswer)) {
-		instancePool.recordHealthEvent(entry, HealthEvent.Failed);
+
+		return;
+	}
+
+	const event = classifyRun(result, fault);
+
+	if (event !== undefined) {
+		instancePool.recordHealthEvent(entry, event);
+	}
+}
+
+/**
+Classifies what the end of a run that was not refused says about the health of its instance; `undefined` where it says nothing. A run that could not be part of the
+answer that it was to continue is a failure, whatever its status.
+
+@example
+```
+classifyRun(result, RunFault.NoEvent); //=> HealthEvent.Failed
+```
+*/
+export function classifyRun({end, isUnreachable, cancelledFor}: Pick<AttemptResult, 'end' | 'isUnreachable' | 'cancelledFor'>, fault: RunFault | undefined): HealthEvent | undefined {
+	if (isUnreachable) {
+		return HealthEvent.Unreachable;
 	}
+
+	if (end === AttemptCompletion.Complete) {
+		return fault === undefined ? HealthEvent.Answered : HealthEvent.Failed;
+	}
+
+	const isOwnFailure = cancelledFor === undefined || cancelledFor === RunEvidence.InvalidAnswer;
+
+	return end === AttemptCompletion.Incomplete && isOwnFailure ? HealthEvent.Failed : undefined;
 }
 
 // A plain call that is rejected has run; a prompt that is rejected was not answered.
