--- a/packages/entry/src/__tests__/unit/silent-run.test.ts
+++ b/packages/entry/src/__tests__/unit/silent-run.test.ts
@@ -557,6 +557,57 @@
 	t.is(result.countCalls('POST engine-2'), 0);
 });
 
+test.failing('a request ends whose last run fails while a successor is planned, after another run has crashed and the prompt is held back', async t => {
+	const lost = createLost();
+	let refuse: () => void = () => undefined;
+	const refusing = createEngine(({response, isResumed}) => {
+		if (!isResumed) {
+			refuse = () => {
+				response.writeHead(500).end('{"code":"stub"}');
+			};
+		}
+	});
+	let setPlanned: () => void = () => undefined;
+	const planned = new Promise<void>(resolve => {
+		setPlanned = resolve;
+	});
+	let isPlanning = false;
+	let isReported = false;
+	const result = await runAt({
+		engines: [lost, refusing, createSound()],
+		changes: {
+			async reportCrash() {
+				isReported = true;
+
+				return false;
+			},
+		},
+		async planLate(plans) {
+			if (plans === 3) {
+				isPlanning = true;
+				await planned;
+			}
+		},
+		async play({waitFor, clock, events, calls, requestEvents, leave}) {
+			await waitFor(() => events.length === 1);
+			clock.advance(silenceMs);
+			await waitFor(() => calls.includes('POST engine-2'));
+			clock.advance(silenceMs);
+			await waitFor(() => isPlanning);
+			lost.lose();
+			await waitFor(() => isReported);
+			await sleep(50);
+			refuse();
+			await waitFor(() => requestEvents.some(event => event.kind === RequestEventKind.AttemptEnded && event.end === AttemptOutcome.Refused));
+			setPlanned();
+			clock.advance(deadlineMs);
+			await sleep(2000);
+			leave();
+		},
+	});
+	t.true(result.error instanceof RefusalError, `ended only when its caller left: ${String(result.error)}`);
+});
+
 /** How an engine of the seeded test behaves. */
 enum Behaviour {
 	Sound = 'sound',
--- a/packages/gateway/src/__tests__/unit/forward.test.ts
+++ b/packages/gateway/src/__tests__/unit/forward.test.ts
@@ -45,10 +45,11 @@
 	/** Answers a question for a trial; the request is held back where it is given. */
 	readonly requestTrial?: () => Promise<boolean>;
 	readonly timeLeftMs?: number;
+	readonly release?: () => void;
 };
 
 /** Opens a gateway's front with instances that answer as given; each of them is asked in turn. */
-async function openFront(t: ExecutionContext, {answers, routeChange = {}, retries = 10, reserve, requestTrial, timeLeftMs = 5000}: SystemOptions) {
+async function openFront(t: ExecutionContext, {answers, routeChange = {}, retries = 10, reserve, requestTrial, timeLeftMs = 5000, release = () => undefined}: SystemOptions) {
 	const asked: string[] = [];
 	const closedEarly: string[] = [];
 	const results: ForwardResult[] = [];
@@ -102,7 +103,7 @@
 		instancePool.stop();
 	});
 	const permits: Partial<PermitClient> = {
-		reserve: async () => reserve?.() ?? {outcome: PermitOutcome.Unlimited}, isUsable: () => true, release: () => undefined, getClosedUntilMs: () => Number.NEGATIVE_INFINITY,
+		reserve: async () => reserve?.() ?? {outcome: PermitOutcome.Unlimited}, isUsable: () => true, release, getClosedUntilMs: () => Number.NEGATIVE_INFINITY,
 		isUnanswered: () => false, isAnswerExpected: () => false,
 	};
 	const service = {
@@ -331,3 +332,62 @@
 		t.is(front.asked.length, 1);
 	}
 });
+
+/** Counts the permits that are granted and returned. */
+const createPermitCounter = (waitMs: (question: number) => number) => {
+	const counter = {questions: 0, granted: 0, released: 0};
+
+	return {
+		counter,
+		async reserve(): Promise<PermitResult> {
+			counter.questions++;
+			await sleep(waitMs(counter.questions));
+			counter.granted++;
+
+			return {outcome: PermitOutcome.Granted, permit};
+		},
+		release() {
+			counter.released++;
+		},
+	};
+};
+
+test.failing('a permit for another run is returned if the silent run answers meanwhile', async t => {
+	const {counter, reserve, release} = createPermitCounter(question => question === 1 ? 0 : silenceMs);
+	const front = await openFront(t, {answers: [answerAfter(silenceMs, 'whole'), answerAfter(0, 'other')], reserve, release});
+	t.like(await front.fetch(), {status: 200, body: 'whole', isWhole: true});
+	await waitUntil(() => counter.granted === 2);
+	await sleep(100);
+	t.deepEqual(counter, {questions: 2, granted: 2, released: 1});
+});
+
+test.failing('a permit for another run is used or returned if the silent run is lost meanwhile', async t => {
+	const {counter, reserve, release} = createPermitCounter(question => question === 1 ? 0 : silenceMs);
+	const front = await openFront(t, {
+		answers: [response => {
+			setTimeout(() => {
+				response.socket!.destroy();
+			}, silenceMs);
+		}, answerAfter(0, 'other')], reserve, release,
+	});
+	t.like(await front.fetch(), {status: 200, body: 'other', isWhole: true});
+	t.is(front.asked.length, 2);
+	t.is(counter.granted, front.asked.length + counter.released);
+});
+
+test.failing('permits that were refused beside a silent run do not end the request when that run is lost', async t => {
+	let questions = 0;
+	let isLost = false;
+	const front = await openFront(t, {
+		answers: [response => {
+			setTimeout(() => {
+				isLost = true;
+				response.socket!.destroy();
+			}, silenceMs);
+		}, answerAfter(0, 'other')],
+		async reserve() {
+			return questions++ > 0 && !isLost ? {outcome: PermitOutcome.Refused} : {outcome: PermitOutcome.Granted, permit};
+		},
+	});
+	t.like(await front.fetch(), {status: 200, body: 'other', isWhole: true});
+});
--- a/packages/gateway/src/__tests__/unit/instance-pool.test.ts
+++ b/packages/gateway/src/__tests__/unit/instance-pool.test.ts
@@ -241,3 +241,32 @@
 	check();
 	t.deepEqual(silent, [0, 1, 2]);
 });
+
+test.failing('a silent instance is noticed although each check is late', t => {
+	const {pool, clock, check} = openPool(t, 1);
+	let silences = 0;
+	pool.begin(pool.get('i-0')!, createRequest({
+		onSilence() {
+			silences++;
+		},
+	}));
+
+	for (let passedMs = 0; passedMs < 20_000; passedMs += 250) {
+		clock.advance(250);
+		check();
+	}
+
+	t.true(silences > 0);
+});
+
+test.failing('after its back-off an instance gets a trial request beside a run that is kept', t => {
+	const {pool, clock, check, listAvailable} = openPool(t, 1);
+	pool.begin(pool.get('i-0')!, createRequest());
+
+	for (let passedMs = 0; passedMs < 5000; passedMs += 100) {
+		clock.advance(100);
+		check();
+	}
+
+	t.deepEqual(listAvailable(), ['i-0']);
+});
