--- a/packages/gateway/src/__tests__/unit/caller-server.test.ts
+++ b/packages/gateway/src/__tests__/unit/caller-server.test.ts
@@ -182,3 +182,27 @@
 	await unread.closed;
 	t.true(unread.text.length < 50_000_000);
 });
+
+test.failing('a request behind another one on its connection is running no more once the connection is closed and its handling has ended', async t => {
+	let handled = 0;
+	const server = await openServer(t, async (_request, response) => {
+		await once(response.req.socket, 'close');
+		response.end('late');
+		handled++;
+	});
+	const caller = server.connect();
+	caller.socket.write(`${request('/a')}${request('/b')}`);
+
+	while (server.activeResponses.size < 2) {
+		await sleep(5);
+	}
+
+	caller.socket.destroy();
+
+	while (handled < 2) {
+		await sleep(5);
+	}
+
+	await sleep(50);
+	t.is(server.activeResponses.size, 0);
+});
--- a/packages/gateway/src/__tests__/unit/forward.test.ts
+++ b/packages/gateway/src/__tests__/unit/forward.test.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import net from 'node:net';
 import {once} from 'node:events';
 import {setTimeout as sleep} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
@@ -132,6 +133,7 @@
 	const ask = (): http.ClientRequest => http.get({host: '127.0.0.1', port, agent: false});
 
 	return {
+		port,
 		asked,
 		closedEarly,
 		results,
@@ -391,3 +393,31 @@
 	});
 	t.like(await front.fetch(), {status: 200, body: 'other', isWhole: true});
 });
+
+test.failing('the run of a request behind another one on its connection ends when the caller leaves', async t => {
+	const front = await openFront(t, {answers: [neverAnswer, neverAnswer], timeLeftMs: 60_000, routeChange: {maxAttempts: 1}});
+	const socket = net.connect(front.port, '127.0.0.1');
+	const head = 'GET / HTTP/1.1\r\nHost: h\r\n\r\n';
+	socket.write(head + head);
+	await waitUntil(() => front.asked.length === 2);
+	socket.destroy();
+	await waitUntil(() => front.closedEarly.length > 0);
+	await sleep(1000);
+	t.is(front.closedEarly.length, 2);
+});
+
+test.failing('a comment of another run does not end the silent one, which goes on', async t => {
+	const front = await openFront(t, {
+		answers: [response => {
+			setTimeout(() => {
+				response.end(eventOf(1));
+			}, silenceMs);
+		}, response => {
+			response.write(': wait\n\n');
+		}],
+		routeChange: {kind: CallKind.Streaming, isResumable: true}, timeLeftMs: 3000,
+	});
+	const {body, isWhole} = await front.fetch();
+	t.true(isWhole);
+	t.true(body.endsWith(eventOf(1)));
+});
