--- a/packages/entry/src/__tests__/unit/silent-run.test.ts
+++ b/packages/entry/src/__tests__/unit/silent-run.test.ts
@@ -608,6 +608,43 @@
 	t.true(result.error instanceof RefusalError, `ended only when its caller left: ${String(result.error)}`);
 });
 
+test.failing('a refusal to plan a successor does not say that a prompt has not run whose engine was lost meanwhile', async t => {
+	let lose: () => void = () => undefined;
+	const lost = createEngine(({response, isResumed}) => {
+		if (isResumed) {
+			response.socket!.resetAndDestroy();
+		} else {
+			lose = () => {
+				response.socket!.resetAndDestroy();
+			};
+		}
+	});
+	let setPlanned: () => void = () => undefined;
+	const planned = new Promise<void>(resolve => {
+		setPlanned = resolve;
+	});
+	let isPlanning = false;
+	const result = await runAt({
+		engines: [lost],
+		async planLate(plans) {
+			if (plans === 2) {
+				isPlanning = true;
+				await planned;
+			}
+		},
+		async play({waitFor, clock, calls, requestEvents}) {
+			await waitFor(() => calls.length === 1);
+			clock.advance(silenceMs);
+			await waitFor(() => isPlanning);
+			lose();
+			await waitFor(() => requestEvents.some(event => event.kind === RequestEventKind.AttemptEnded));
+			setPlanned();
+		},
+	});
+	t.is(result.refusal?.code, RefusalCode.NoUpstream);
+	t.is(result.refusal?.ran, ExecutionStatus.Unknown);
+});
+
 /** How an engine of the seeded test behaves. */
 enum Behaviour {
 	Sound = 'sound',
