End a prompt whose last run fails while another one is planned, and say that it ran

A prompt whose engines were silent and then crashed got neither an answer nor a refusal until its caller left, if the prompt was held back while a successor was planned. And a refusal to plan a successor said not_run of a prompt that an engine had got, and lost meanwhile.

Cause: the end of the planning did not look at whether a run was left, and took what was known of the execution when the planning began.

Both tests of silent-run.test.ts failed before and pass.

--- a/packages/entry/src/__tests__/unit/silent-run.test.ts
+++ b/packages/entry/src/__tests__/unit/silent-run.test.ts
@@ -557,7 +557,7 @@
 	t.is(result.countCalls('POST engine-2'), 0);
 });
 
-test.failing('a request ends whose last run fails while a successor is planned, after another run has crashed and the prompt is held back', async t => {
+test('a request ends whose last run fails while a successor is planned, after another run has crashed and the prompt is held back', async t => {
 	const lost = createLost();
 	let refuse: () => void = () => undefined;
 	const refusing = createEngine(({response, isResumed}) => {
@@ -608,7 +608,7 @@
 	t.true(result.error instanceof RefusalError, `ended only when its caller left: ${String(result.error)}`);
 });
 
-test.failing('a refusal to plan a successor does not say that a prompt has not run whose engine was lost meanwhile', async t => {
+test('a refusal to plan a successor does not say that a prompt has not run whose engine was lost meanwhile', async t => {
 	let lose: () => void = () => undefined;
 	const lost = createEngine(({response, isResumed}) => {
 		if (isResumed) {
--- a/packages/entry/src/prompt-run.ts
+++ b/packages/entry/src/prompt-run.ts
@@ -391,9 +391,7 @@
 
 			// What runs was sent before and may end well.
 			if (runs.size === 0) {
-				throw new RefusalError({
-					code: RefusalCode.Quarantined, message: 'upstreams crashed while they ran this prompt; it is not run again', ran: ExecutionStatus.Ran,
-				});
+				throw createQuarantinedRefusal();
 			}
 		};
 
@@ -499,6 +497,10 @@
 					planAgainAtMs = clock.readMonotonicMs() + silenceTimeoutMs;
 				}
 
+				if (isHeldBack && runs.size === 0) {
+					throw createQuarantinedRefusal();
+				}
+
 				if (isHeldBack || (runs.size > 0 && (plan === undefined || !areAllSilent()))) {
 					return;
 				}
@@ -527,7 +529,7 @@
 				planning = undefined;
 
 				if (runs.size === 0 || !(error instanceof RefusalError)) {
-					fail(error as Error);
+					fail(correctExecution(error, progress.ran) as Error);
 
 					return;
 				}
@@ -673,6 +675,12 @@
 	}
 }
 
+function createQuarantinedRefusal(): RefusalError {
+	return new RefusalError({
+		code: RefusalCode.Quarantined, message: 'upstreams crashed while they ran this prompt; it is not run again', ran: ExecutionStatus.Ran,
+	});
+}
+
 function createDeadlineRefusal(ran: ExecutionStatus): RefusalError {
 	return new RefusalError({
 		code: RefusalCode.DeadlinePassed,
