Count neither votes nor acknowledgements of a member that no longer holds what it acknowledged

Change: a rejection at or before the acknowledged index, of an append that was sent after the acknowledgement had arrived, marks the identity for as long as this replica runs; it is replaced like a lost voter, and the log says so.

--- a/packages/agreement/src/create.ts
+++ b/packages/agreement/src/create.ts
@@ -51,6 +51,7 @@
 		nextHeartbeatAtMs: 0,
 		votes: new Set(),
 		progress: new Map(),
+		lostLogIds: new Set(),
 		leaseDeadlineMs: Number.NEGATIVE_INFINITY,
 	};
 }
--- a/packages/agreement/src/election.ts
+++ b/packages/agreement/src/election.ts
@@ -135,6 +135,10 @@
 		return handleLaterTerm(state, reply.term, nowMs);
 	}
 
+	if (state.lostLogIds.has(from)) {
+		return {state, effects: []};
+	}
+
 	const expectedRole = reply.isPreVote ? ReplicaRole.PreCandidate : ReplicaRole.Candidate;
 	const expectedTerm = reply.isPreVote ? state.term + 1 : state.term;
 
--- a/packages/agreement/src/leader.ts
+++ b/packages/agreement/src/leader.ts
@@ -46,7 +46,7 @@
 
 function createProgress(nextIndex: number): Progress {
 	return {
-		matchIndex: 0, nextIndex, ackedSentAtMs: Number.NEGATIVE_INFINITY, snapshotRetryAtMs: 0,
+		matchIndex: 0, matchedAtMs: Number.NEGATIVE_INFINITY, nextIndex, ackedSentAtMs: Number.NEGATIVE_INFINITY, snapshotRetryAtMs: 0,
 	};
 }
 
@@ -143,7 +143,11 @@
 		return {state, effects: []};
 	}
 
-	const progress = new Map(state.progress).set(from, applyAppendReply(previousProgress, reply));
+	if (state.lostLogIds.has(from) || hasLostLog(previousProgress, reply)) {
+		return {state: dropAcknowledgements(state, from), effects: []};
+	}
+
+	const progress = new Map(state.progress).set(from, applyAppendReply(previousProgress, reply, nowMs));
 	const renewed = renewLease({...state, progress}, nowMs);
 	const backlogStep = replicateBacklog(renewed, from, nowMs);
 	const committed = advanceCommitIndex(backlogStep.state, nowMs);
@@ -151,14 +155,18 @@
 	return {state: committed.state, effects: [...backlogStep.effects, ...committed.effects]};
 }
 
-function applyAppendReply(previousProgress: Progress, reply: AppendReply): Progress {
+function applyAppendReply(previousProgress: Progress, reply: AppendReply, nowMs: number): Progress {
 	const ackedSentAtMs = Math.max(previousProgress.ackedSentAtMs, reply.sentAtMs);
 
 	if (reply.isAccepted) {
 		const matchIndex = Math.max(previousProgress.matchIndex, reply.index);
 
 		return {
-			...previousProgress, ackedSentAtMs, matchIndex, nextIndex: Math.max(previousProgress.nextIndex, matchIndex + 1),
+			...previousProgress,
+			ackedSentAtMs,
+			matchIndex,
+			matchedAtMs: matchIndex > previousProgress.matchIndex ? nowMs : previousProgress.matchedAtMs,
+			nextIndex: Math.max(previousProgress.nextIndex, matchIndex + 1),
 		};
 	}
 
@@ -172,6 +180,20 @@
 	};
 }
 
+// A follower can reject an append behind an index that it has acknowledged only if it handled the append before. One that was sent after the
+// acknowledgement had arrived shows that the follower's disk was lost, or set back.
+function hasLostLog({matchIndex, matchedAtMs}: Progress, reply: AppendReply): boolean {
+	return !reply.isAccepted && reply.rejectedIndex > 0 && reply.rejectedIndex <= matchIndex && reply.sentAtMs > matchedAtMs;
+}
+
+function dropAcknowledgements(state: ReplicaState, id: string): ReplicaState {
+	return {
+		...state,
+		lostLogIds: new Set([...state.lostLogIds, id]),
+		progress: new Map(state.progress).set(id, createProgress(getLastIndex(state.log) + 1)),
+	};
+}
+
 function renewLease(state: ReplicaState, nowMs: number): ReplicaState {
 	const sentAtMs = findMajorityValue(
 		state.members,
--- a/packages/agreement/src/types.ts
+++ b/packages/agreement/src/types.ts
@@ -41,6 +41,8 @@
 /** Replication progress of one other member, as tracked by the leader. */
 export type Progress = {
 	readonly matchIndex: number;
+	/** Time at which the leader learned of `matchIndex`. */
+	readonly matchedAtMs: number;
 	readonly nextIndex: number;
 	/** Send time, on the leader's clock, of the latest message that the member has acknowledged. */
 	readonly ackedSentAtMs: number;
@@ -79,6 +81,8 @@
 	readonly nextHeartbeatAtMs: number;
 	readonly votes: ReadonlySet<string>;
 	readonly progress: ReadonlyMap<string, Progress>;
+	/** Members that no longer hold entries that they acknowledged to this replica. Neither their votes nor their acknowledgements count. */
+	readonly lostLogIds: ReadonlySet<string>;
 	readonly leaseDeadlineMs: number;
 };
 
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -293,6 +293,8 @@
 		listen: linkAddress, getKeys: undefined, commands, log,
 	});
 
+	const reportedLostLogs = new Set<string>();
+
 	const adjustMembers = async () => {
 		const nowMs = clock.readMonotonicMs();
 
@@ -304,6 +306,14 @@
 
 		leadingSinceMs ??= nowMs;
 		const state = replica.getState()!;
+
+		for (const id of state.lostLogIds) {
+			if (!reportedLostLogs.has(id)) {
+				reportedLostLogs.add(id);
+				log.error('a member no longer holds what it has acknowledged, and counts no more', {member: id});
+			}
+		}
+
 		const nextMembers = planMembershipChange({
 			members: state.members,
 			candidates: replica.groupMembership.listCandidates(state.members),
