--- a/packages/coordinator/src/replica-host.ts
+++ b/packages/coordinator/src/replica-host.ts
@@ -205,6 +205,12 @@
 	const isFounding = () => !isStopped && groupMembership.getIdentity().founding !== undefined && (runner === undefined || isEmpty());
 
 	const runFounding = async () => {
+		if (isFounding()) {
+			log.info('waits until all first members have reported, or until a group adds this replica', {
+				founder: groupMembership.getIdentity().founding?.addresses[0], firstMembers: groupMembership.getIdentity().founding?.addresses,
+			});
+		}
+
 		while (isFounding()) {
 			try {
 				await advanceFounding();
