--- a/packages/gateway/src/forwarding-context.ts
+++ b/packages/gateway/src/forwarding-context.ts
@@ -61,12 +61,12 @@
 export function recordRefusedSuccessor({successor, options}: ForwardingContext, {cancelledFor}: Pick<AttemptResult, 'cancelledFor'>): void {
 	if (cancelledFor === undefined) {
 		successor.refused++;
-		putOffSuccessor(successor, options.clock.readMonotonicMs());
+		setSuccessorPause(successor, options.clock.readMonotonicMs());
 	}
 }
 
 /** Puts off the next run beside silent ones after a refusal. */
-export function putOffSuccessor(successor: SuccessorState, nowMs: number): void {
+export function setSuccessorPause(successor: SuccessorState, nowMs: number): void {
 	successor.nextAtMs = nowMs + refusalPauseMs;
 }
 
--- a/packages/gateway/src/start-successor.ts
+++ b/packages/gateway/src/start-successor.ts
@@ -3,7 +3,7 @@
 } from '@fescuestair/streams';
 import {chooseInstanceForRequest, type InstanceChoice} from './choose-place.js';
 import {
-	canRetryNow, countSuccessorsLeft, hasEnded, putOffSuccessor, takeRetry, type ForwardingContext,
+	canRetryNow, countSuccessorsLeft, hasEnded, setSuccessorPause, takeRetry, type ForwardingContext,
 } from './forwarding-context.js';
 import {type ForwardingProgress} from './forward-options.js';
 import {releasePermit, requestPermit} from './request-permit.js';
@@ -118,7 +118,7 @@
 	}
 
 	if (successorProgress.permitRefusals > 0) {
-		putOffSuccessor(successor, options.clock.readMonotonicMs());
+		setSuccessorPause(successor, options.clock.readMonotonicMs());
 	}
 
 	return undefined;
