Keep the requests of an instance whose restart is announced after it has got them

The connections now end with their requests in this case too: those of an earlier process are reset, or silent, and another run starts beside them. Connections are not used again.

--- a/packages/cli/src/explain.ts
+++ b/packages/cli/src/explain.ts
@@ -22,7 +22,6 @@
 /** Log messages about dependencies of all requests; they belong to the context, whichever instance the request was sent to. */
 const dependencyMessages = new Set([
 	'configuration in force',
-	'connections with requests are closed, since the instance has restarted',
 	'a trial is granted',
 	'coordinator lost',
 	'coordinator regained',
@@ -39,7 +38,7 @@
 	'log lines were dropped',
 	'no daemon grants permits for limited instances',
 	'permits for limited instances are granted again',
-	'requests go on at an instance that was announced at another address',
+	'requests go on at an instance that was announced anew',
 	'requests are held back: instances crashed under them',
 	'requests are held back no longer',
 	'store cannot be followed',
--- a/packages/gateway/src/__tests__/unit/instance-pool.test.ts
+++ b/packages/gateway/src/__tests__/unit/instance-pool.test.ts
@@ -160,52 +160,57 @@
 	t.is(pool.measureSilenceMs(instance, request), 700);
 });
 
-// Guards against giving up requests that go on because of an announcement that does not say that the instance has restarted.
-test('a request ends whole at an instance that was announced at another address while it was running, and its connection is not used again', async t => {
-	const {pool, announce} = openPool(t, 1);
-	let connections = 0;
-	const server = http.createServer((_request, response) => {
-		setTimeout(() => {
-			response.end('whole');
-		}, 100);
-	});
-	server.on('connection', () => {
-		connections++;
-	});
-	server.listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	t.teardown(() => {
-		server.close();
-		server.closeAllConnections();
-	});
-	const {port} = server.address() as {readonly port: number};
-	const ask = async (agent: http.Agent) => new Promise<string>((resolve, reject) => {
-		http.get({host: '127.0.0.1', port, agent}, response => {
-			let body = '';
-			response.on('data', (bytes: Uint8Array) => {
-				body += String(bytes);
-			});
-			response.on('end', () => {
-				resolve(body);
-			});
-		}).on('error', reject);
+// Guards against giving up requests that go on because of an announcement: an instance may have got them after it restarted.
+for (const [description, change] of [
+	['at another address', {address: '127.0.0.1:9', sequence: 2}],
+	['with another incarnation', {incarnation: 2}],
+] as const) {
+	test(`a request ends whole at an instance that was announced ${description} while it was running, and its connection is not used again`, async t => {
+		const {pool, announce} = openPool(t, 1);
+		let connections = 0;
+		const server = http.createServer((_request, response) => {
+			setTimeout(() => {
+				response.end('whole');
+			}, 100);
+		});
+		server.on('connection', () => {
+			connections++;
+		});
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		t.teardown(() => {
+			server.close();
+			server.closeAllConnections();
+		});
+		const {port} = server.address() as {readonly port: number};
+		const ask = async (agent: http.Agent) => new Promise<string>((resolve, reject) => {
+			http.get({host: '127.0.0.1', port, agent}, response => {
+				let body = '';
+				response.on('data', (bytes: Uint8Array) => {
+					body += String(bytes);
+				});
+				response.on('end', () => {
+					resolve(body);
+				});
+			}).on('error', reject);
+		});
+		const before = pool.get('i-0')!;
+		const request = createRequest();
+		const answers: Array<Promise<string>> = [];
+		pool.begin(before, request);
+		answers.push(ask(before.agent));
+		announce(createRecord('i-0', change));
+		const after = pool.get('i-0')!;
+		t.not(after, before);
+		answers.push(ask(after.agent));
+		t.deepEqual(await Promise.all(answers), ['whole', 'whole']);
+		pool.end(before, request);
+		t.is(await ask(before.agent), 'whole');
+		t.is(connections, 3);
+		t.is(await ask(after.agent), 'whole');
+		t.is(connections, 3);
 	});
-	const before = pool.get('i-0')!;
-	const request = createRequest();
-	const answers: Array<Promise<string>> = [];
-	pool.begin(before, request);
-	answers.push(ask(before.agent));
-	announce(createRecord('i-0', {address: '127.0.0.1:9', sequence: 2}));
-	const after = pool.get('i-0')!;
-	t.not(after, before);
-	answers.push(ask(after.agent));
-	t.deepEqual(await Promise.all(answers), ['whole', 'whole']);
-	pool.end(before, request);
-	t.is(await ask(before.agent), 'whole');
-	t.is(connections, 3);
-	t.is(await ask(after.agent), 'whole');
-	t.is(connections, 3);
-});
+}
 
 // Guards against taking the time in which the process itself stood still, as when its machine was frozen, for a silence of all instances.
 test('instances are not silent for the time in which the gateway itself stood still', t => {
--- a/packages/gateway/src/instance-pool.ts
+++ b/packages/gateway/src/instance-pool.ts
@@ -163,23 +163,19 @@
 
 	const listInstances = (service: string): readonly PooledInstance[] => byService.get(service) ?? [];
 
-	// A later incarnation proves that the requests at the earlier one are lost; another address does not.
+	// The connections end with their requests, some of which the instance may have got after it restarted. Those of an earlier process are reset, or silent.
 	const replaceInstance = (known: PooledInstance, record: InstanceRecord) => {
-		const hasRestarted = known.held.record.incarnation !== record.incarnation;
+		known.agent.retire();
 
-		if (known.inFlight.size > 0) {
-			log.info(hasRestarted ? 'connections with requests are closed, since the instance has restarted' : 'requests go on at an instance that was announced at another address', {
-				id: record.id, running: known.inFlight.size, address: record.address, incarnation: record.incarnation, addressBefore: known.held.record.address,
-				incarnationBefore: known.held.record.incarnation,
-			});
-			retired.add(known);
+		if (known.inFlight.size === 0) {
+			return;
 		}
 
-		if (hasRestarted) {
-			known.agent.destroy();
-		} else {
-			known.agent.retire();
-		}
+		retired.add(known);
+		log.info('requests go on at an instance that was announced anew', {
+			id: record.id, running: known.inFlight.size, address: record.address, incarnation: record.incarnation, addressBefore: known.held.record.address,
+			incarnationBefore: known.held.record.incarnation,
+		});
 	};
 
 	const groupByService = () => {
