--- a/scripts/write-pair-days.mjs
+++ b/scripts/write-pair-days.mjs
@@ -2,9 +2,12 @@
 //
 //     fleetbench kinds SITE | node scripts/write-pair-days.mjs --out FOLDER [--seed 1] [--size 7]
 //     fleetbench kinds SITE | node scripts/write-pair-days.mjs --out FOLDER --around srv_crash --others 'srv_grey errors,garble unframed'
+//     fleetbench kinds SITE | node scripts/write-pair-days.mjs --out FOLDER --silent --others 'config_change route,hup,roll_term'
 //
 // The first form writes pairs-01.toml and on: a day has four rounds, in each of which a group of kinds overlap. With `--around`, one kind strikes
-// all day beside the others, of which three take turns in a day; the files are named after `--name`. `--kinds FILE` reads the list of kinds from a file.
+// all day beside the others, of which three take turns in a day; the files are named after `--name`.
+// With `--silent`, each of the others gets a day in which instances of a service fall silent for a second and go on. `--kinds FILE` reads the list of
+// kinds from a file.
 // Kinds that the site doesn't list are left out. Build first: `npm run build`.
 import crypto from 'node:crypto';
 import fs from 'node:fs';
@@ -21,6 +24,7 @@
 		around: {type: 'string'},
 		others: {type: 'string', default: ''},
 		name: {type: 'string', default: 'around'},
+		silent: {type: 'boolean', default: false},
 	},
 });
 
@@ -32,6 +36,17 @@
 const turnStarts = [3, 12, 21];
 const turnFor = 8;
 
+/** What makes instances silent for a while, a kind for each turn of a day; the last time in a turn all of them are. */
+const silences = [
+	{kind: 'srv_cut some', fields: 'x = 1.0'},
+	{kind: 'srv_slow', fields: 'x = 300.0'},
+	{kind: 'srv_grey hang', fields: 'x = 1.0'},
+];
+const silenceStarts = [0, 1.8, 3.6, 5.4, 7.2];
+const silentFor = 1.3;
+const changeEvery = 1.6;
+const changes = ['route', 'weights', 'timeout', 'tenant', 'idle'];
+
 /**
  * A line for each kind: its name and variant, when it strikes, its fields, and those that differ where only two kinds meet. `plan` strikes like `step` and is planned work.
  * An exclamation mark stands before a kind that no list names, a caret before one that strikes machines whose loss is counted: of these the bench lets
@@ -216,20 +231,55 @@
 	console.log(`${dayCount} days of ${around} beside ${others.length} kinds`);
 };
 
+/** A kind of change is followed by the others, since one change alone would leave the rest of its turn without any. */
+const planBeside = (label, start) => label.startsWith('config_change')
+	? Array.from({length: Math.ceil(turnFor / changeEvery)}, (_, index) => ({
+		planned: true,
+		line: formatEntry(`config_change ${changes[index % changes.length]}`, start + (index * changeEvery), {}),
+	}))
+	: planEntries(label, start, {length: turnFor, alone: true});
+
+const planSilences = ({kind, fields}, start) => silenceStarts.map((late, index) => {
+	const share = index === silenceStarts.length - 1 ? '1.0' : '0.34';
+	const text = `service = "@s0", share = ${share}, ${fields}, for_s = ${silentFor}`;
+
+	return {planned: false, line: formatEntry(kind, start + late, parseFields(text))};
+});
+
+const writeSilent = others => {
+	for (const label of others) {
+		const [kind] = label.split(' ');
+		const entries = turnStarts.flatMap((start, turn) => [
+			...planBeside(label, start), ...planSilences(silences[turn], start),
+		]);
+		const turns = silences.map(silence => silence.kind).join('; then ');
+		const comment = `${kind} beside instances that fall silent and go on: ${turns}.`;
+		writeDay(`silent-beside-${kind.replaceAll('_', '-')}`, comment, entries);
+	}
+
+	console.log(`${others.length} days of silent instances`);
+};
+
 const listed = readListedKinds();
 const isListed = label => kinds.get(label).always || listed.has(label.split(' ')[0]);
 
 fs.mkdirSync(values.out, {recursive: true});
 
-if (values.around) {
+if (values.around || values.silent) {
 	const others = values.others.split(',').map(label => label.trim()).filter(Boolean);
-	const unknown = [values.around, ...others].filter(label => !kinds.has(label));
+	const unknown = [values.around, ...others].filter(label => label && !kinds.has(label));
 
 	if (unknown.length > 0) {
 		throw new Error(`not in the table of kinds: ${unknown.join(', ')}`);
 	}
 
-	writeAround(values.around, others.filter(label => isListed(label)));
+	const playable = others.filter(label => isListed(label));
+
+	if (values.silent) {
+		writeSilent(playable);
+	} else {
+		writeAround(values.around, playable);
+	}
 } else {
 	writePairs(sortBySeed([...kinds.keys()].filter(label => isListed(label))));
 }
