Continue an answer only at engines of the software version that began it

A caller that resumes is served by the engine that ran the answer, as before. An engine that names no version continues no other engine's answer. planNext moves to a file of its own.

Evidence: engine-origin.test.ts, a table of cases; prompt-run.test.ts shows that the plan behind the first event names its origin. A test with two real engines of different versions was tried and given up: the entry sent its second prompt to the first engine only.

--- a/packages/entry/src/__tests__/unit/prompt-run.test.ts
+++ b/packages/entry/src/__tests__/unit/prompt-run.test.ts
@@ -10,7 +10,9 @@
 import {Priority} from '@fescuestair/routing';
 import {createLogger} from '@fescuestair/runtime';
 import {openHttpListener} from '@fescuestair/transport';
-import {runPrompt, type PromptEvent, type PromptRunOptions} from '../../prompt-run.js';
+import {
+	runPrompt, type PromptEvent, type PromptJob, type PromptRunOptions,
+} from '../../prompt-run.js';
 import {reportRunDecision} from '../../report-run-decision.js';
 import {createUpstreamLoadTracker} from '../../upstream-load-tracker.js';
 import {createReceivedEvents, type ReceivedEvents} from './received-events.js';
@@ -58,12 +60,13 @@
 type RunInput = {
 	readonly engines: readonly Engine[];
 	readonly changes?: Partial<PromptRunOptions>;
+	readonly changeOptions?: (options: PromptRunOptions) => PromptRunOptions;
 	/** Called for each event that is passed on. */
 	readonly onEvent?: (input: {readonly clock: ReturnType<typeof createManualClock>; readonly leave: () => void}) => void;
 };
 
 /** Runs a prompt of four tokens at stub engines, in their order; resolves to what the caller got and how it ended. */
-async function runAt({engines, changes, onEvent}: RunInput) {
+async function runAt({engines, changes, changeOptions = options => options, onEvent}: RunInput) {
 	const clock = createManualClock(1000);
 	const agent = new Agent();
 	const abortController = new AbortController();
@@ -98,7 +101,7 @@
 		status: MemberStatus.Alive,
 		address: `127.0.0.1:${port}`,
 		availabilityZone: 'z',
-		details: {kind: UpstreamKind.Engine},
+		details: {kind: UpstreamKind.Engine, softwareVersion: '1.4'},
 	}));
 	const options: PromptRunOptions = {
 		agent,
@@ -141,7 +144,7 @@
 	let error: unknown;
 
 	try {
-		await runPrompt(options, {
+		await runPrompt(changeOptions(options), {
 			requestId: 'r-1', organisation: 'okahandja', model: 'assistant', weightVersion: '1', prompt: 'x', promptTokens: 1, maxTokens: words.length,
 			priority: Priority.Short, deadlineMs: 5000, signal: abortController.signal,
 		}, {
@@ -189,6 +192,25 @@
 	t.deepEqual(calls, ['POST engine-1', 'GET engine-1', 'POST engine-2']);
 });
 
+test('another engine is planned for by the software version that wrote the text so far', async t => {
+	const origins: Array<PromptJob['begunBy']> = [];
+	const {error, refusal, text} = await runAt({
+		engines: [lostBehindTwo],
+		changeOptions: options => ({
+			...options,
+			async planAttempt(job, excludedIds) {
+				origins.push(job.begunBy);
+
+				return options.planAttempt(job, excludedIds);
+			},
+		}),
+	});
+	t.is(text, 'ab');
+	t.true(error instanceof RefusalError);
+	t.is(refusal?.ran, ExecutionStatus.Ran);
+	t.deepEqual(origins, [undefined, {service: 'assistant', softwareVersion: '1.4'}]);
+});
+
 test('an answer that has all tokens asked for, and whose engine is lost before it says so, gets no more of another', async t => {
 	const lostAtEnd: Engine = {
 		async generate(response, _fromOffset, received) {
--- a/packages/entry/src/plan-prompt.ts
+++ b/packages/entry/src/plan-prompt.ts
@@ -8,6 +8,7 @@
 	chooseEngine, Priority, type EngineCandidate, type StoreView,
 } from '@fescuestair/routing';
 import {isEngineFor, listUsableUpstreams} from './upstream-load-tracker.js';
+import {canContinueAnswer} from './engine-origin.js';
 import {checkLimits, listOpenUpstreams} from './upstream-permits.js';
 import {chooseEngineForSuspect} from './suspect-prompts.js';
 import {createRefusal, type EntryServices} from './request-context.js';
@@ -82,7 +83,8 @@
 	const {gossip, follower, loadTracker, clock} = services;
 	const query = {membership: gossip.getMembership(), state: follower.getState(), isOpen: (record: MemberRecord) => services.standings.isAvailable(record)};
 	const isEngine = isEngineFor(job.model, job.weightVersion);
-	const records = listOpenUpstreams(services, isEngine, job.deadlineMs).filter(record => !excludedIds.has(record.id));
+	const open = listOpenUpstreams(services, isEngine, job.deadlineMs).filter(record => !excludedIds.has(record.id));
+	const records = open.filter(record => canContinueAnswer(record, job));
 	const held = await services.homes.findPieces(hashes);
 	const stores = listUsableUpstreams(query, details => details.kind === UpstreamKind.Store);
 	const bytesPerPiece = getBytesPerPiece(records);
@@ -103,6 +105,10 @@
 		return undefined;
 	}
 
+	if (open.length > 0 && records.length === 0) {
+		throw createRefusal(RefusalCode.NoUpstream, 'no engine of the software version that began the answer takes prompts now', 1);
+	}
+
 	if (chosen === undefined) {
 		checkLimits(services, isEngine);
 		throw createRefusal(RefusalCode.NoUpstream, `no engine serves ${job.model} in weight version ${job.weightVersion} now`, 1);
--- a/packages/entry/src/prompt-job.ts
+++ b/packages/entry/src/prompt-job.ts
@@ -3,6 +3,7 @@
 import {type Priority} from '@fescuestair/routing';
 import {type MemberRecord} from '@fescuestair/membership';
 import {type RoutingCandidate, type RequestEvent} from '@fescuestair/protocol';
+import {type StreamOrigin} from '@fescuestair/streams';
 import {type EngineEvent, type EventSink} from './engine-events.js';
 import {type FetchInput, type FetchPlan, type PieceImport} from './fetch-pieces.js';
 import {type RunDecisionReport} from './report-run-decision.js';
@@ -22,6 +23,8 @@
 	/** Monotonic; once it has passed, no further attempt is started and the request is refused. */
 	readonly deadlineMs: number;
 	readonly signal: AbortSignal;
+	/** What wrote the text so far; absent before the first event. */
+	readonly begunBy?: StreamOrigin;
 };
 
 /** The engine chosen for one attempt, and what the choice was based on. */
--- a/packages/entry/src/prompt-run.ts
+++ b/packages/entry/src/prompt-run.ts
@@ -1,7 +1,8 @@
 import {type ExecutionStatus} from '@fescuestair/protocol';
 import {type PromptJob, type PromptRunOptions, type PromptSink} from './prompt-job.js';
 import {createDeadlineRefusal, createUpstreamFailedRefusal} from './prompt-refusals.js';
-import {createPromptRuns, maxAttempts, planNext} from './prompt-runs.js';
+import {planNext} from './plan-next.js';
+import {createPromptRuns, maxAttempts} from './prompt-runs.js';
 
 export {
 	type AttemptPlan, type LostAttempt, type PromptEvent, type PromptJob, type PromptRunOptions, type PromptSink,
@@ -23,7 +24,7 @@
 	try {
 		while (prompt.progress.attempt < maxAttempts) {
 			checkDeadline(options, job, prompt.progress.ran);
-			const plan = await planNext(options, job, {excluded: prompt.excluded, ran: prompt.progress.ran});
+			const plan = await planNext(options, {...job, begunBy: prompt.progress.begunBy}, {excluded: prompt.excluded, ran: prompt.progress.ran});
 
 			if (plan !== undefined && await prompt.race(plan)) {
 				return;
--- a/packages/entry/src/prompt-runs.ts
+++ b/packages/entry/src/prompt-runs.ts
@@ -11,6 +11,8 @@
 	type AttemptPlan, type PromptJob, type PromptRunOptions, type PromptSink,
 } from './prompt-job.js';
 import {createDeadlineRefusal, createQuarantinedRefusal, overloadRetrySeconds} from './prompt-refusals.js';
+import {describeEngineOrigin} from './engine-origin.js';
+import {obstaclesByRefusal, planNext} from './plan-next.js';
 import {silenceTimeoutMs} from './read-run.js';
 import {type RunDecisionReport} from './report-run-decision.js';
 import {
@@ -136,6 +138,7 @@
 				});
 			}
 
+			progress.begunBy ??= describeEngineOrigin(run.plan.record, job.model);
 			progress.ran = ExecutionStatus.Ran;
 			progress.text += event.text;
 			progress.offset = event.offset;
@@ -360,7 +363,7 @@
 			planning = preparation;
 
 			try {
-				const plan = await planNext(options, {...job, signal: preparation.signal}, {
+				const plan = await planNext(options, {...job, signal: preparation.signal, begunBy: progress.begunBy}, {
 					excluded: new Set([...excluded, ...[...runs].map(other => other.plan.record.id)]), ran: progress.ran,
 				});
 				await crashReport;
@@ -447,22 +450,3 @@
 		},
 	};
 }
-
-/** What a refusal to plan another attempt says. */
-const obstaclesByRefusal: ReadonlyMap<RefusalCode, SuccessionObstacle> = new Map([
-	[RefusalCode.Quarantined, SuccessionObstacle.HeldBack],
-	[RefusalCode.DeadlineTooShort, SuccessionObstacle.NoTime],
-]);
-
-type NextPlanInput = {readonly excluded: ReadonlySet<string>; readonly ran: ExecutionStatus};
-
-/** Plans an attempt and waits for its permit; `undefined` where another engine has to be chosen. */
-export async function planNext(options: PromptRunOptions, job: PromptJob, {excluded, ran}: NextPlanInput): Promise<AttemptPlan | undefined> {
-	try {
-		const plan = await options.planAttempt(job, excluded);
-
-		return await options.reserveEngine(job, plan.record) ? plan : undefined;
-	} catch (error) {
-		throw correctExecution(error, ran);
-	}
-}
--- a/packages/entry/src/run-attempt.ts
+++ b/packages/entry/src/run-attempt.ts
@@ -3,7 +3,7 @@
 import {
 	AttemptOutcome, RequestEventKind, ExecutionStatus, RefusalError, type EngineLoad,
 } from '@fescuestair/protocol';
-import {type SuccessionObstacle} from '@fescuestair/streams';
+import {type StreamOrigin, type SuccessionObstacle} from '@fescuestair/streams';
 import {AttemptError} from './attempt-error.js';
 import {generate} from './engine-client.js';
 import {type EngineEvent, type EventSink} from './engine-events.js';
@@ -16,6 +16,8 @@
 	offset: number;
 	attempt: number;
 	hasFirstToken: boolean;
+	/** What wrote the first event. */
+	begunBy?: StreamOrigin;
 	/** What is known of all attempts together. */
 	ran: ExecutionStatus;
 };
--- a/packages/protocol/src/upstream.ts
+++ b/packages/protocol/src/upstream.ts
@@ -38,6 +38,8 @@
 	service: nameSchema.optional(),
 	models: z.array(nameSchema).max(64).default([]),
 	weightVersion: z.string().max(64).default('1'),
+	/** Version of its software. Another engine continues an answer only if both name the same one. */
+	softwareVersion: z.string().min(1).max(64).optional(),
 	load: engineLoadSchema.optional(),
 	prefillTokensPerSecond: z.number().positive().default(8000),
 	/** Size of one piece of the KV cache, which covers about 1,000 tokens of a prompt. */
--- a/packages/standins/src/main.ts
+++ b/packages/standins/src/main.ts
@@ -18,6 +18,7 @@
 	readonly joinKey: string;
 	readonly model: string;
 	readonly weightVersion: string;
+	readonly softwareVersion: string;
 	readonly service: string;
 	readonly journal: string;
 	readonly prefillRate: string;
@@ -57,6 +58,7 @@
 	.option('--piece-bytes <bytes>', 'size of a cached piece', '65536')
 	.option('--max-events <count>', 'cache events of an engine that are kept', '10000')
 	.option('--data-folder <folder>', 'folder of the disk tier of a store', '.data/store')
+	.option('--software-version <version>', 'version of its software that an engine announces', '1')
 	.option('--memory-pieces <count>', 'pieces in the memory of a store', '1000')
 	.option('--disk-pieces <count>', 'pieces on the disk of a store', '10000')
 	.option('--link-rate <bytes>', 'bandwidth of the link of a store, in bytes per second', '100000000')
@@ -104,6 +106,7 @@
 		address: `${host}:${server.port}`,
 		models: [flags.model],
 		weightVersion: weights.getVersion(),
+		softwareVersion: flags.softwareVersion,
 		checksFencing: flags.checksFencing ?? false,
 		checksGiver: flags.orderKey !== undefined,
 		prefillTokensPerSecond: Number(flags.prefillRate),
