End answers that bring heartbeats only, and repeat the claim of a resumed run

Cause, as read: the message by which an entry takes a run over was sent once. If it is lost, the entry before cancels the run after ten seconds; the engine goes on with heartbeats for the reader of a cancelled run, and heartbeats count against silence, so that neither silence nor the deadline ended the answer. The answer of a request's own runs had the same gap.

Change: a reader also knows when its run last brought an event. Where no run has brought one for as long as a silence may last, the passed deadline ends the answer. The claim of a resumed run is announced every two seconds while it is read.

Evidence: the two tests with heartbeats only hung before and pass; a third shows that the claim is repeated until the answer ends. That the run which failed took this way is not shown: its messages were not kept.

--- a/packages/entry/src/__tests__/unit/prompt-run.test.ts
+++ b/packages/entry/src/__tests__/unit/prompt-run.test.ts
@@ -192,6 +192,28 @@
 	t.deepEqual(calls, ['POST engine-1', 'GET engine-1', 'POST engine-2']);
 });
 
+test('an answer that gets heartbeats only ends once its deadline has passed', async t => {
+	const {refusal, text} = await runAt({
+		engines: [{
+			generate(response) {
+				response.writeHead(200, {'content-type': 'text/event-stream'});
+				response.write(formatEvents(0, 1));
+				const timer = setInterval(() => {
+					response.write(': heartbeat\n\n');
+				}, 20);
+				response.on('close', () => {
+					clearInterval(timer);
+				});
+			},
+		}],
+		onEvent({clock}) {
+			clock.advance(9000);
+		},
+	});
+	t.is(text, 'a');
+	t.like(refusal, {code: RefusalCode.DeadlinePassed});
+});
+
 test('another engine is planned for by the software version that wrote the text so far', async t => {
 	const origins: Array<PromptJob['begunBy']> = [];
 	const {error, refusal, text} = await runAt({
--- a/packages/entry/src/__tests__/unit/resume-stream.test.ts
+++ b/packages/entry/src/__tests__/unit/resume-stream.test.ts
@@ -91,6 +91,7 @@
 		metrics: {count: () => undefined},
 		withdrawRetry: () => true,
 		claimRun: () => 1,
+		announceClaim: () => undefined,
 		leftRuns: {keep: () => undefined},
 		stopSignal: new AbortController().signal,
 		recordRequestEvent(event: RequestEvent) {
@@ -229,6 +230,56 @@
 	t.true(error instanceof AttemptError && error.end === AttemptOutcome.Cancelled && error.ran === ExecutionStatus.Ran);
 });
 
+/** Sends one token and then heartbeats only, as an engine does for a run that was cancelled. */
+const sendHeartbeatsOnly: Answer = (response, fromOffset) => {
+	response.write(formatEvents(fromOffset, fromOffset + 1));
+	const timer = setInterval(() => {
+		response.write(': heartbeat\n\n');
+	}, 20);
+	response.on('close', () => {
+		clearInterval(timer);
+	});
+};
+
+test('a resumed answer that gets heartbeats only ends once its deadline has passed', async t => {
+	const {refusal, text} = await resumeAt({
+		answers: [sendHeartbeatsOnly],
+		onEvent({clock}) {
+			clock.advance(9000);
+		},
+	});
+	t.is(text, 'c');
+	t.like(refusal, {code: RefusalCode.DeadlinePassed, ran: ExecutionStatus.Ran});
+});
+
+test('the other entries are told again and again that a resumed answer is read here, until it ends', async t => {
+	let repeatClaim: (() => void) | undefined;
+	let told = 0;
+	const toldAfter: number[] = [];
+	const {error} = await resumeAt({
+		answers: [goOn],
+		changes: {
+			announceClaim() {
+				told++;
+			},
+			repeat(callback) {
+				repeatClaim = callback;
+
+				return () => {
+					repeatClaim = undefined;
+				};
+			},
+		},
+		onEvent() {
+			repeatClaim?.();
+			toldAfter.push(told);
+		},
+	});
+	t.is(error, undefined);
+	t.deepEqual(toldAfter, [1, 2, 3]);
+	t.is(repeatClaim, undefined);
+});
+
 test('a resumed answer that the limit of its engine keeps back is not refused as "not run"', async t => {
 	const {refusal} = await resumeAt({
 		answers: [goOn],
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -26,7 +26,7 @@
 import {createExporter} from './exporter.js';
 import {createLinkBudgets} from './link-budgets.js';
 import {createDistributedPieceDirectory} from './distributed-piece-directory.js';
-import {createLeftRuns} from './left-runs.js';
+import {createLeftRuns, type RunKey} from './left-runs.js';
 import {createLongPromptQueue} from './long-prompt-queue.js';
 import {createRequestEventRecorder} from './request-event-recorder.js';
 import {createRefusal, type EntryServices} from './request-context.js';
@@ -171,6 +171,12 @@
 		clock, gossip, log, requestLimits, permits,
 	});
 
+	const announceClaim = ({organisation, requestId}: RunKey) => {
+		for (const {address} of listEntryRecords().filter(record => record.id !== name)) {
+			links.send(address, {kind: LinkMessageKind.RunResumed, organisation, requestId} satisfies LinkMessage);
+		}
+	};
+
 	const services: EntryServices = {
 		name,
 		incarnation,
@@ -189,15 +195,12 @@
 		longPromptQueue: createLongPromptQueue(clock),
 		servesStale,
 		leftRuns,
-		claimRun({organisation, requestId}) {
-			const claim = leftRuns.claim({organisation, requestId});
-
-			for (const {address} of listEntryRecords().filter(record => record.id !== name)) {
-				links.send(address, {kind: LinkMessageKind.RunResumed, organisation, requestId} satisfies LinkMessage);
-			}
+		claimRun(run) {
+			announceClaim(run);
 
-			return claim;
+			return leftRuns.claim(run);
 		},
+		announceClaim,
 		recordRequestEvent: requestEventRecorder.record,
 		stopSignal: stopController.signal,
 		admit(organisation, requestClass, limit) {
--- a/packages/entry/src/prompt-runs.ts
+++ b/packages/entry/src/prompt-runs.ts
@@ -64,6 +64,8 @@
 
 	const areAllSilent = () => [...runs].every(run => run.silentMs > 0);
 
+	const isTooLate = () => clock.readMonotonicMs() >= job.deadlineMs && [...runs].every(run => run.silentMs > 0 || run.isStalled);
+
 	const cancelAtEngine = ({plan}: Run) => {
 		void cancel({agent: options.agent, address: plan.record.address}, job.requestId, job.organisation);
 	};
@@ -127,6 +129,8 @@
 				return true;
 			}
 
+			run.isStalled = false;
+
 			if (event.offset > progress.offset || event.finishReason !== undefined) {
 				supersedeOthers(run);
 			}
@@ -189,6 +193,7 @@
 				isDispatched: false,
 				isSent: false,
 				silentMs: 0,
+				isStalled: false,
 				obstacle: undefined,
 			};
 			runs.add(run);
@@ -198,7 +203,7 @@
 		const follow = async (run: Run) => {
 			try {
 				await runAttempt(options, job, {
-					run, progress, sink: createRunSink(run), onSilence, onSilenceEnd,
+					run, progress, sink: createRunSink(run), onSilence, onSilenceEnd, onStall,
 				});
 
 				if (runs.has(run)) {
@@ -306,15 +311,28 @@
 				run.reader.abort();
 				cancelAtEngine(run);
 				writeEnd(run);
-			} else if (clock.readMonotonicMs() >= job.deadlineMs && areAllSilent()) {
-				stopEvidence = RunEvidence.DeadlinePassed;
-				recordExecution(progress, ExecutionStatus.Unknown);
-				fail(createDeadlineRefusal(progress.ran));
+			} else if (isTooLate()) {
+				failTooLate();
 			} else {
 				decideSilentRun(run);
 			}
 		};
 
+		const failTooLate = () => {
+			stopEvidence = RunEvidence.DeadlinePassed;
+			recordExecution(progress, ExecutionStatus.Unknown);
+			fail(createDeadlineRefusal(progress.ran));
+		};
+
+		// An engine may send heartbeats for a run that it has cancelled.
+		const onStall = (run: Run) => {
+			run.isStalled = true;
+
+			if (!isSettled && runs.has(run) && isTooLate()) {
+				failTooLate();
+			}
+		};
+
 		const onSilenceEnd = (run: Run) => {
 			run.silentMs = 0;
 			run.obstacle = undefined;
--- a/packages/entry/src/read-run.ts
+++ b/packages/entry/src/read-run.ts
@@ -22,6 +22,8 @@
 	readonly reserveReading: () => Promise<boolean>;
 	/** Called again and again while the run sends nothing, neither tokens nor heartbeats, for longer than it should need. */
 	readonly onSilence: (silentMs: number) => void;
+	/** Called again and again while the run is heard, and has brought no event for that time: its heartbeats alone do not end an answer. */
+	readonly onStall: (stalledMs: number) => void;
 	/** Called when the run is heard after a silence. */
 	readonly onSilenceEnd: () => void;
 	/** Called when the connection over which the run was begun is lost. */
@@ -55,6 +57,8 @@
 	const readings = new Set<AbortController>();
 	let resumesLeft = options.maxResumes;
 	let heardAtMs = clock.readMonotonicMs();
+	/** When the latest event came, or the caller last went on reading. */
+	let eventAtMs = heardAtMs;
 	let readAgainAtMs = heardAtMs + silenceTimeoutMs;
 	let pauses = 0;
 	let isSilent = false;
@@ -87,6 +91,7 @@
 			}
 
 			closeOthers(reading);
+			eventAtMs = clock.readMonotonicMs();
 
 			return sink.write(event);
 		},
@@ -96,6 +101,7 @@
 			await sink.waitForDrain();
 			pauses--;
 			hear();
+			eventAtMs = heardAtMs;
 		},
 	});
 
@@ -191,7 +197,15 @@
 			const handleSilence = () => {
 				const nowMs = clock.readMonotonicMs();
 
-				if (isEnded || pauses > 0 || nowMs - heardAtMs < silenceTimeoutMs) {
+				if (isEnded || pauses > 0) {
+					return;
+				}
+
+				if (nowMs - heardAtMs < silenceTimeoutMs) {
+					if (nowMs - eventAtMs >= silenceTimeoutMs) {
+						options.onStall(nowMs - eventAtMs);
+					}
+
 					return;
 				}
 
--- a/packages/entry/src/request-context.ts
+++ b/packages/entry/src/request-context.ts
@@ -46,6 +46,8 @@
 	readonly leftRuns: Pick<LeftRuns, 'keep'>;
 	/** Keeps all entries from cancelling a run that is read again here. */
 	readonly claimRun: (run: RunKey) => RunClaim;
+	/** Tells the other entries once more that a run is read here. */
+	readonly announceClaim: (run: RunKey) => void;
 	readonly recordRequestEvent: (event: RequestEvent) => void;
 	/** Aborted when the entry stops and does not wait any longer for answers that run. */
 	readonly stopSignal: AbortSignal;
--- a/packages/entry/src/resume-stream.ts
+++ b/packages/entry/src/resume-stream.ts
@@ -12,8 +12,10 @@
 import {type EntryServices} from './request-context.js';
 import {correctExecution, createLimitedRefusal, reserveUpstream} from './upstream-permits.js';
 
-export type ResumeServices = Pick<EntryServices, 'agent' | 'claimRun' | 'leftRuns' | 'permits' | 'stopSignal' | 'withdrawRetry'> & RunReportServices & {
+export type ResumeServices = Pick<EntryServices, 'agent' | 'announceClaim' | 'claimRun' | 'leftRuns' | 'permits' | 'stopSignal' | 'withdrawRetry'> & RunReportServices & {
 	readonly gossip: Pick<EntryServices['gossip'], 'getMembership'>;
+	/** Calls a function repeatedly; returns a function that ends it. */
+	readonly repeat?: (callback: () => void, intervalMs: number) => () => void;
 };
 
 export type ResumeStreamInput = {
@@ -25,6 +27,8 @@
 };
 
 const maxAttempts = 4;
+/** An entry that has missed all claims within the time for which it keeps a run cancels it: several of these intervals. */
+const claimIntervalMs = 2000;
 const retryAfterSeconds = 1;
 const goneStatuses = new Set([404, 410]);
 
@@ -45,6 +49,10 @@
 	}
 
 	const claim = services.claimRun(job);
+	const {announceClaim, repeat = startInterval} = services;
+	const stopClaiming = repeat(() => {
+		announceClaim(job);
+	}, claimIntervalMs);
 
 	try {
 		await resumeAtEngine(services, job, {
@@ -57,9 +65,19 @@
 		}
 
 		throw error;
+	} finally {
+		stopClaiming();
 	}
 }
 
+function startInterval(callback: () => void, intervalMs: number): () => void {
+	const timer = setInterval(callback, intervalMs);
+
+	return () => {
+		clearInterval(timer);
+	};
+}
+
 /** Creates the description of a run that its caller has left. */
 export function createLeftRun({agent}: Pick<EntryServices, 'agent'>, {organisation, requestId}: PromptJob, address: string): LeftRun {
 	return {
@@ -192,6 +210,12 @@
 			onSilenceEnd() {
 				obstacle = undefined;
 			},
+			// An engine may send heartbeats for a run that it has cancelled.
+			onStall(stalledMs) {
+				if (clock.readMonotonicMs() >= job.deadlineMs) {
+					onSilence(stalledMs);
+				}
+			},
 			maxResumes: 0,
 		}, async (call, ownSink) => resume(call, {requestId, organisation: job.organisation, fromOffset: progress.offset}, ownSink));
 	} catch (error) {
--- a/packages/entry/src/run-attempt.ts
+++ b/packages/entry/src/run-attempt.ts
@@ -43,6 +43,8 @@
 	isSent: boolean;
 	/** How long it has sent nothing; 0 where that is no longer than it should need. */
 	silentMs: number;
+	/** Whether it has sent heartbeats only for longer than it should need for an event. */
+	isStalled: boolean;
 	/** Why nothing could take over when that was last decided. */
 	obstacle: SuccessionObstacle | undefined;
 };
@@ -66,6 +68,7 @@
 	readonly sink: EventSink<EngineEvent>;
 	readonly onSilence: (run: Run, silentMs: number) => void;
 	readonly onSilenceEnd: (run: Run) => void;
+	readonly onStall: (run: Run, stalledMs: number) => void;
 };
 
 /** Sends a prompt to the engine of a run and reads its answer; reports its silence. */
@@ -102,6 +105,9 @@
 		onSilenceEnd() {
 			input.onSilenceEnd(run);
 		},
+		onStall(stalledMs) {
+			input.onStall(run, stalledMs);
+		},
 		onLost(error) {
 			recordExecution(progress, error.ran);
 			run.isSent = true;
