Answer bytes that are no request behind the answers that run, at entries too

Cause: Node's own handling. Gateways had been mended in caller-server.ts; entries had not.

Evidence: client-errors.test.ts; with the registration taken out, its four tests fail. The tests of the gateway's server pass as before.

--- a/packages/entry/src/caller-listener.ts
+++ b/packages/entry/src/caller-listener.ts
@@ -4,7 +4,7 @@
 import {RefusalCode, RefusalError} from '@fescuestair/protocol';
 import {listItems, ItemKind, type PublicState} from '@fescuestair/state';
 import {
-	createKeyRing, openHttpListener, sendJson, sendRefusal, type Address, type KeyRing,
+	createKeyRing, openHttpListener, registerClientErrors, sendJson, sendRefusal, type Address, type KeyRing,
 } from '@fescuestair/transport';
 import {handleCompletion} from './completions.js';
 import {handleService} from './services.js';
@@ -123,6 +123,14 @@
 			sendRefusal(response, qualifyRefusal(services, request, refusal), requestId);
 		}
 	});
+	registerClientErrors(server, {
+		onError(reason, running) {
+			services.log.info('invalid or incomplete HTTP request', {reason, running});
+		},
+		rejectBody(response, status) {
+			response.writeHead(status, {'content-length': '0', connection: 'close'}).end();
+		},
+	});
 	const httpListener = await openHttpListener(server, listen);
 
 	return {countRunning: () => runningCount, close: httpListener.close};
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -12,4 +12,5 @@
 } from './http.js';
 export {createKeyRing, digestKey, type KeyRing} from './key-ring.js';
 export {createEventStreamParser, type ServerSentEvent} from './event-stream-parser.js';
+export {registerClientErrors, type ClientErrorOptions} from './client-errors.js';
 export {openHttpListener, type HttpListener} from './http-listener.js';
