--- a/packages/cli/src/__tests__/unit/explain.test.ts
+++ b/packages/cli/src/__tests__/unit/explain.test.ts
@@ -149,3 +149,21 @@
 	t.regex(text, /sent \(resume\) to i-2: complete with 500 after 6 ms; it did not complete the answer: status; it was to go on after event 83/v);
 	t.regex(text, /event 83; no event with an id came; its end was told by length/v);
 });
+
+test('a stream that is taken up again is explained with what began it, how that is known, and why it does not go on', t => {
+	const createLine = (requestId: string, story: readonly unknown[]) => write(3, 'front-1', 'request', {
+		requestId, outcome: 'answered', status: 200, tookMs: 40, story,
+	});
+	const known = createLine('r9', [{
+		takeUp: {
+			service: 'app', softwareVersion: 'v1', source: 'coordinator', ageMs: 900, lookUpMs: 3,
+		},
+	}, {
+		instance: 'i-1', softwareVersion: 'v1', end: 'complete', status: 200, tookMs: 9, expectedMs: 9, own: 0, peers: 0,
+	}]);
+	const knownText = formatExplanation(explainRequest('r9', parseLogLines(known)));
+	t.regex(knownText, /begun 900 ms before by software version v1 of app, as known from a coordinator \(3 ms\)\n/v);
+	t.regex(knownText, /sent to i-1 \(software v1\): complete/v);
+	const unknown = createLine('r10', [{takeUp: {source: 'none', lookUpMs: 400}, decision: 'refuse', obstacle: 'unknown_origin'}]);
+	t.regex(formatExplanation(explainRequest('r10', parseLogLines(unknown))), /no daemon that answered knew what began it \(400 ms\); not sent: unknown origin/v);
+});
--- a/packages/cli/src/explain.ts
+++ b/packages/cli/src/explain.ts
@@ -121,7 +121,7 @@
 			`${line.time}  ${line.instance}  ${formatValue(outcome)} with ${formatValue(status)} after ${formatValue(tookMs)} ms${reason === undefined ? '' : `: ${formatValue(reason)}`}`,
 			`  route ${formatValue(route)}, organisation ${formatValue(organisation)}, configuration ${formatValue(configVersion)}, the caller waited up to ${formatValue(timeLeftMs)} ms`,
 			...(streamEnd === undefined ? [] : [`  ${describeStreamEnd(formatValue(streamEnd), formatValue(streamFraming))}`]),
-			...listSteps(line).map((step, position) => `  ${position + 1}. ${step.decision === undefined ? describeAttempt(step) : describeDecision(step)}`),
+			...listSteps(line).map((step, position) => `  ${position + 1}. ${describeStep(step)}`),
 		];
 	});
 	const contextTexts = context.map(line => `  ${line.time}  ${line.instance}  ${line.message} ${JSON.stringify(line.fields)}`);
@@ -134,6 +134,28 @@
 	].join('\n');
 }
 
+function describeStep(step: StoryStep): string {
+	if (step.takeUp !== undefined) {
+		return describeTakeUp(step);
+	}
+
+	return step.decision === undefined ? describeAttempt(step) : describeDecision(step);
+}
+
+function describeTakeUp({takeUp, obstacle}: StoryStep): string {
+	const {service, softwareVersion, source, ageMs, lookUpMs} = takeUp as StoryStep;
+	const sourceText = source === 'own' ? 'this gateway itself' : 'a coordinator';
+	const originText = service === undefined
+		? 'no daemon that answered knew what began it'
+		: `begun ${formatValue(ageMs)} ms before by software version ${formatValue(softwareVersion)} of ${formatValue(service)}, as known from ${sourceText}`;
+
+	return [
+		'the caller takes a stream up again',
+		`${originText} (${formatValue(lookUpMs)} ms)`,
+		...(obstacle === undefined ? [] : [`not sent: ${formatValue(obstacle).replaceAll('_', ' ')}`]),
+	].join('; ');
+}
+
 function describeStreamEnd(end: string, framing: string): string {
 	const framingText = framing === 'close' ? 'its end is the close of the connection' : `its end is told by ${framing}`;
 
@@ -186,7 +208,7 @@
 function describeAttempt(attempt: StoryStep): string {
 	const {
 		instance, end, reason, status, tookMs, expectedMs, firstPieceMs, pieces, lastPieceMs, own, peers, queueMs, kind, limitPerSecond, resumeAfter, eventIds, framing,
-		fault, cancelledFor, silentMs, silence,
+		fault, cancelledFor, silentMs, silence, softwareVersion,
 	} = attempt;
 
 	const statusText = status === undefined ? '' : ` with ${formatValue(status)}`;
@@ -195,8 +217,10 @@
 	const silenceText = silentMs === undefined ? '' : ` after ${formatValue(silentMs)} ms of silence`;
 	const [firstId, lastId] = Array.isArray(eventIds) ? eventIds as unknown[] : [];
 
+	const instanceText = softwareVersion === undefined ? formatValue(instance) : `${formatValue(instance)} (software ${formatValue(softwareVersion)})`;
+
 	return [
-		`${sentText} to ${formatValue(instance)}: ${formatValue(end)}${statusText} after ${formatValue(tookMs)} ms${reason === undefined ? '' : ` (${formatValue(reason)})`}`,
+		`${sentText} to ${instanceText}: ${formatValue(end)}${statusText} after ${formatValue(tookMs)} ms${reason === undefined ? '' : ` (${formatValue(reason)})`}`,
 		...(cancelledFor === undefined ? [] : [`the gateway ended it (${formatValue(cancelledFor).replaceAll('_', ' ')})${silenceText}`]),
 		...(silence === undefined ? [] : [describeSilence(silence as StoryStep)]),
 		...(fault === undefined ? [] : [`it did not complete the answer: ${formatValue(fault).replaceAll('_', ' ')}`]),
