Acknowledge that an instance leaves once another coordinator knows it

Cause: a coordinator answered an announcement at once. If it lost power before its messages to the other coordinators arrived, they forgot the instance's leaving until its next announcement.

Other announcements are answered at once, as before.

--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -71,8 +71,8 @@
 	readonly readConfig: () => Promise<PublishedSnapshot>;
 	/** Proposes the target version of a model's weights; accepted once it is durable on a majority. */
 	readonly setTargetVersion: (model: string, version: number) => Promise<ChangeAnswer>;
-	/** Records an announcement of an instance and forwards it to all daemons if it changes the registry. */
-	readonly announce: (record: InstanceRecord) => void;
+	/** Records an announcement of an instance and forwards it to all daemons if it changes the registry; resolves once it may be acknowledged. */
+	readonly announce: (record: InstanceRecord) => Promise<void>;
 	/** Finds the newest record of an instance. */
 	readonly findInstance: (id: string) => InstanceRecord | undefined;
 	/** Gateways that accept callers. */
--- a/packages/coordinator/src/fleet.ts
+++ b/packages/coordinator/src/fleet.ts
@@ -2,13 +2,13 @@
 import {isBoolean, isObjectWith, type Clock} from '@fescuestair/core';
 import {isCrashReportMessage} from '@fescuestair/crashes';
 import {
-	createGatewayDirectory, createInstanceRegistry, createInstanceUpdate, DaemonRole, getHomeListVersion, HelloKind, isHello, isInstanceUpdates,
+	createGatewayDirectory, createInstanceRegistry, createInstanceUpdate, DaemonRole, getHomeListVersion, HelloKind, InstanceStage, isHello, isInstanceUpdates,
 	isPublishedSnapshot, isRequestLimitNotes, listDaemons, listGateways, listHomeGatewayAddresses, createHomeList, listUpdates, listRenewals, MergeOutcome, setLoading, setModelVersion,
 	mergeDaemonRecord, recordHomeHello, recordHomeList, mergeInstanceRecord, applyRenewals, expireGateways, expireInstances, type DaemonRecord,
 	type DaemonTable, type RegisteredInstance, type Hello, type HelloReply, type InstanceUpdate, type InstanceRecord, type PublishedSnapshot,
 } from '@fescuestair/instances';
 import {
-	isName, LinkMessageKind, type LinkCommands, type LinkMessage,
+	callAndValidate, isName, LinkMessageKind, ReplyError, type LinkCommands, type LinkMessage,
 } from '@fescuestair/protocol';
 import {
 	createHelloClient, createRequestLimits, type Logger, type PrometheusMetrics, type RequestLimits,
@@ -46,8 +46,11 @@
 export type Fleet = {
 	/** The limits that instances name in their answers, as gateways report them. */
 	readonly requestLimits: RequestLimits;
-	/** Records an announcement of an instance and forwards it to all daemons if it changes the registry. */
-	readonly announce: (record: InstanceRecord) => void;
+	/**
+	Records an announcement of an instance and forwards it to all daemons if it changes the registry. Resolves once it may be acknowledged: of an instance that leaves, another
+	coordinator has to know too, or none is reached.
+	*/
+	readonly announce: (record: InstanceRecord) => Promise<void>;
 	readonly findInstance: (id: string) => InstanceRecord | undefined;
 	readonly listInstances: () => Iterable<RegisteredInstance>;
 	readonly setLoading: (instanceId: string, deadlineMs: number) => void;
@@ -67,6 +70,8 @@
 const gatewayAgeMs = 2000;
 const coordinatorAgeMs = 10_000;
 const callTimeoutMs = 1500;
+/** Shorter than an instance waits for the acknowledgement of its announcement. */
+const confirmTimeoutMs = 500;
 /** After a start, no gateways are listed until all have had time to send a hello; until then, callers would all go to the few known ones. */
 const directoryWarmupMs = 1200;
 /** Number of coordinators polled per round for renewals, in rotation. A heartbeat of an instance reaches only the coordinator that it is sent to. */
@@ -78,7 +83,7 @@
 @example
 ```
 const fleet = createFleet({self, clock, links, log, metrics, commands, ...rest});
-fleet.announce(record);
+await fleet.announce(record);
 ```
 */
 export function createFleet(options: FleetOptions): Fleet {
@@ -152,6 +157,28 @@
 		}
 	};
 
+	// What is acknowledged has to outlast the loss of this coordinator.
+	const confirmElsewhere = async (id: string) => {
+		const notes = [createInstanceUpdate(registry.held.get(id)!, clock.readMonotonicMs())];
+		const calls = listCoordinators().map(async ({linkAddress}) => {
+			const reply = await callAndValidate(links, {address: linkAddress, message: {kind: LinkMessageKind.ReportInstances, notes}, timeoutMs: confirmTimeoutMs});
+
+			if (reply.kind !== 'noted') {
+				throw new ReplyError(linkAddress, 'did not take the report of an instance');
+			}
+		});
+
+		if (calls.length === 0) {
+			return;
+		}
+
+		try {
+			await Promise.any(calls);
+		} catch (error) {
+			log.warn('no other coordinator knows of an instance that leaves', {id, reason: String((error as AggregateError).errors[0])});
+		}
+	};
+
 	// Returns the updates that changed the registry.
 	const applyInstanceUpdates = (notes: readonly InstanceUpdate[]) => notes.filter(({record, ageMs, loadingLeftMs}) => {
 		const taken = mergeInstanceRecord(registry, record, {nowMs: clock.readMonotonicMs(), ageMs, loadingLeftMs});
@@ -344,7 +371,7 @@
 
 	return {
 		requestLimits,
-		announce(record) {
+		async announce(record) {
 			const taken = mergeInstanceRecord(registry, record, {nowMs: clock.readMonotonicMs()});
 			registry = taken.registry;
 
@@ -356,6 +383,10 @@
 					sequence: record.sequence, models: record.models,
 				});
 				sendInstance(record.id);
+
+				if (record.stage !== InstanceStage.Ready) {
+					await confirmElsewhere(record.id);
+				}
 			} else if (taken.news === MergeOutcome.Stale) {
 				log.info('announcement is stale', {id: record.id, incarnation: record.incarnation, sequence: record.sequence});
 			}
