Tell the streams of organisations apart, and look for a successor only at take-ups

Callers choose the ids of their attempts, so that one organisation could make the origin of another's stream unknown by using its id. Origins are recorded by organisation and id.

Whether an instance of the right version serves was found out for each request, also for those that begin a stream, by a scan of all instances; now only where a stream is taken up.

--- a/packages/gateway/src/__tests__/unit/caller-stream.test.ts
+++ b/packages/gateway/src/__tests__/unit/caller-stream.test.ts
@@ -265,7 +265,7 @@
 		const [{body}] = await requestTwice(t, async stream => {
 			const second = stream.startRun(undefined, {getOrigin: () => createOrigin(successor)});
 			stream.startRun(undefined, {getOrigin: () => createOrigin(begun)}).write(Buffer.from(': heartbeat\n\n'), head, () => undefined);
-			t.is(stream.findObstacle(createOrigin(successor)) === undefined, isJoined);
+			t.is(stream.findObstacle(() => createOrigin(successor)) === undefined, isJoined);
 			second.write(Buffer.from(eventOf(1)), head, () => undefined);
 			t.is(second.getEventFault(), isJoined ? undefined : RunFault.SoftwareVersion);
 			second.finish();
@@ -283,7 +283,7 @@
 		run.write(Buffer.from(eventOf(1)), head, () => undefined);
 		softwareVersion = undefined;
 		run.confirmOrigin();
-		t.is(stream.findObstacle(createOrigin('v1')), ContinuationObstacle.UnknownOrigin);
+		t.is(stream.findObstacle(() => createOrigin('v1')), ContinuationObstacle.UnknownOrigin);
 		run.finish();
 		t.false(response.destroyed);
 	}, {isResumable: true, onBegin: begunBy => recorded.push(begunBy)});
--- a/packages/gateway/src/__tests__/unit/take-up.test.ts
+++ b/packages/gateway/src/__tests__/unit/take-up.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import {ContinuationObstacle} from '@fescuestair/streams';
-import {findTakeUpRefusal} from '../../take-up.js';
+import {findTakeUpRefusal, formatStreamId} from '../../take-up.js';
 
 const v1 = {service: 'app', softwareVersion: 'v1'};
 
@@ -18,6 +18,10 @@
 	});
 }
 
-test('a request that begins a stream of its own is not refused', t => {
-	t.is(findTakeUpRefusal(undefined, {service: 'app', isServing: false}), undefined);
+test('the streams of one organisation are told from those of another with the same id', t => {
+	const organisation = {
+		name: 'a', keys: [], isIsolated: false, priority: undefined,
+	};
+	t.not(formatStreamId({organisation}, 'r-1'), formatStreamId({organisation: {...organisation, name: 'b'}}, 'r-1'));
+	t.not(formatStreamId({organisation}, 'r-1'), formatStreamId({organisation: undefined}, 'r-1'));
 });
--- a/packages/gateway/src/caller-stream.ts
+++ b/packages/gateway/src/caller-stream.ts
@@ -21,8 +21,8 @@
 	readonly startRun: (resumeAfter: string | undefined, options: StreamRunOptions) => StreamRun;
 	/** Id of the event after which another instance continues the stream; `undefined` where the request is run from its beginning. */
 	readonly getLastEventId: () => string | undefined;
-	/** Finds out why a run may not continue the stream; `undefined` where it may, or where nothing has begun it. */
-	readonly findObstacle: (successor: StreamOrigin) => ContinuationObstacle | undefined;
+	/** Finds out why a run may not continue the stream; `undefined` where it may, or where nothing has begun it, without a look at the run. */
+	readonly findObstacle: (getSuccessor: () => StreamOrigin) => ContinuationObstacle | undefined;
 	/** Whether another run can follow: no event was sent to the caller, or it is known where the run has to continue. */
 	readonly canContinue: () => boolean;
 };
@@ -125,7 +125,7 @@
 		return getFormat(head) === getFormat(begunHead) ? undefined : RunFault.Format;
 	};
 
-	const findObstacle = (successor: StreamOrigin) => begunBy === undefined ? undefined : findContinuationObstacle(begunBy.origin, successor);
+	const findObstacle = (getSuccessor: () => StreamOrigin) => begunBy === undefined ? undefined : findContinuationObstacle(begunBy.origin, getSuccessor());
 
 	const startRun = (resumeAfter: string | undefined, {getOrigin, isBeside = false, onForward = () => undefined}: StreamRunOptions): StreamRun => {
 		startedCount++;
@@ -148,7 +148,7 @@
 		const joinStream = () => {
 			const origin = getOrigin();
 
-			if (findObstacle(origin) !== undefined) {
+			if (findObstacle(() => origin) !== undefined) {
 				originFault = RunFault.SoftwareVersion;
 
 				return;
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -32,7 +32,7 @@
 import {startRun, type ActiveRun, type EndedRun} from './start-run.js';
 import {handleSilence} from './start-successor.js';
 import {
-	findTakeUp, findTakeUpRefusal, hasSuccessor, recordTakeUp, type TakeUp,
+	findTakeUp, findTakeUpRefusal, formatStreamId, hasSuccessor, recordTakeUp, type TakeUp,
 } from './take-up.js';
 
 /** Attempts that an instance rejected without running the request are cheap to repeat; after this many the service counts as overloaded. */
@@ -83,13 +83,13 @@
 		takenUp: takeUp,
 		onBegin(origin) {
 			if (route.isResumable) {
-				origins.record(caller.resumedRequestId ?? requestId, origin, startedAtMs + (caller.timeLeftMs ?? defaultReturnMs) + returnMarginMs);
+				origins.record(formatStreamId(exchange, caller.resumedRequestId ?? requestId), origin, startedAtMs + (caller.timeLeftMs ?? defaultReturnMs) + returnMarginMs);
 			}
 		},
 	}, exchange);
 	const progress: ForwardingProgress = {
 		sentCount: 0, refused: 0, waits: 0, permitRefusals: 0, permit: undefined, isTrial: false, triedInstanceIds: new Set(), story: [],
-		isEligible: record => stream.findObstacle(describeRunOrigin(options.instancePool, record)) === undefined,
+		isEligible: record => stream.findObstacle(() => describeRunOrigin(options.instancePool, record)) === undefined,
 	};
 
 	if (service === undefined) {
@@ -206,7 +206,7 @@
 		return endCallerGone();
 	}
 
-	const refusal = findTakeUpRefusal(takeUp, {service: service.name, isServing: hasSuccessor(context)});
+	const refusal = takeUp && findTakeUpRefusal(takeUp, {service: service.name, isServing: hasSuccessor(context)});
 
 	if (refusal !== undefined) {
 		return refuse(context, refusal.reason, refusal.canReturn ? computeRetryAfterMs(0) : undefined);
--- a/packages/gateway/src/take-up.ts
+++ b/packages/gateway/src/take-up.ts
@@ -22,8 +22,15 @@
 /** Why a take-up is refused, and whether the caller may come back for the rest of the stream. */
 export type TakeUpRefusal = {readonly obstacle: ContinuationObstacle; readonly reason: string; readonly canReturn: boolean};
 
+/** Formats the id under which the origin of a stream is recorded. Callers choose the ids of their attempts: those of one organisation say nothing of another's streams. */
+export function formatStreamId({organisation}: Pick<Exchange, 'organisation'>, attemptId: string): string {
+	return `${organisation?.name ?? ''} ${attemptId}`;
+}
+
 /** Finds out what began a stream that its caller takes up again; `undefined` where the request begins a stream of its own. */
-export async function findTakeUp({origins, clock}: ForwardOptions, {caller, route}: Exchange): Promise<TakeUp | undefined> {
+export async function findTakeUp({origins, clock}: ForwardOptions, exchange: Exchange): Promise<TakeUp | undefined> {
+	const {caller, route} = exchange;
+
 	if (route.kind !== CallKind.Streaming || (caller.lastEventId === undefined && caller.resumedRequestId === undefined)) {
 		return undefined;
 	}
@@ -37,7 +44,7 @@
 		};
 	}
 
-	const {recorded, source, unanswered} = await origins.find(caller.resumedRequestId);
+	const {recorded, source, unanswered} = await origins.find(formatStreamId(exchange, caller.resumedRequestId));
 	const nowMs = clock.readMonotonicMs();
 
 	return {
@@ -57,14 +64,9 @@
 findTakeUpRefusal({origin: undefined, isIncomplete: false}, {service: 'app', isServing: false})?.obstacle; //=> ContinuationObstacle.UnknownOrigin
 ```
 */
-export function findTakeUpRefusal(takeUp: Pick<TakeUp, 'origin' | 'isIncomplete'> | undefined, {service, isServing}: {
+export function findTakeUpRefusal({origin, isIncomplete}: Pick<TakeUp, 'origin' | 'isIncomplete'>, {service, isServing}: {
 	readonly service: string; readonly isServing: boolean;
 }): TakeUpRefusal | undefined {
-	if (takeUp === undefined) {
-		return undefined;
-	}
-
-	const {origin, isIncomplete} = takeUp;
 	const obstacle = findContinuationObstacle(origin, {service, softwareVersion: origin?.softwareVersion})
 		?? (isServing ? undefined : ContinuationObstacle.OtherVersion);
 
