--- a/packages/coordinator/src/fleet.ts
+++ b/packages/coordinator/src/fleet.ts
@@ -71,7 +71,7 @@
 const coordinatorAgeMs = 10_000;
 const callTimeoutMs = 1500;
 /** Shorter than an instance waits for the acknowledgement of its announcement. */
-const confirmTimeoutMs = 500;
+const reportTimeoutMs = 500;
 /** After a start, no gateways are listed until all have had time to send a hello; until then, callers would all go to the few known ones. */
 const directoryWarmupMs = 1200;
 /** Number of coordinators polled per round for renewals, in rotation. A heartbeat of an instance reaches only the coordinator that it is sent to. */
@@ -158,10 +158,10 @@
 	};
 
 	// What is acknowledged has to outlast the loss of this coordinator.
-	const confirmElsewhere = async (id: string) => {
+	const reportToOthers = async (id: string) => {
 		const notes = [createInstanceUpdate(registry.held.get(id)!, clock.readMonotonicMs())];
 		const calls = listCoordinators().map(async ({linkAddress}) => {
-			const reply = await callAndValidate(links, {address: linkAddress, message: {kind: LinkMessageKind.ReportInstances, notes}, timeoutMs: confirmTimeoutMs});
+			const reply = await callAndValidate(links, {address: linkAddress, message: {kind: LinkMessageKind.ReportInstances, notes}, timeoutMs: reportTimeoutMs});
 
 			if (reply.kind !== 'noted') {
 				throw new ReplyError(linkAddress, 'did not take the report of an instance');
@@ -385,7 +385,7 @@
 				sendInstance(record.id);
 
 				if (record.stage !== InstanceStage.Ready) {
-					await confirmElsewhere(record.id);
+					await reportToOthers(record.id);
 				}
 			} else if (taken.news === MergeOutcome.Stale) {
 				log.info('announcement is stale', {id: record.id, incarnation: record.incarnation, sequence: record.sequence});
--- a/packages/entry/src/prompt-runs.ts
+++ b/packages/entry/src/prompt-runs.ts
@@ -312,13 +312,13 @@
 				cancelAtEngine(run);
 				writeEnd(run);
 			} else if (isTooLate()) {
-				failTooLate();
+				endTooLate();
 			} else {
 				decideSilentRun(run);
 			}
 		};
 
-		const failTooLate = () => {
+		const endTooLate = () => {
 			stopEvidence = RunEvidence.DeadlinePassed;
 			recordExecution(progress, ExecutionStatus.Unknown);
 			fail(createDeadlineRefusal(progress.ran));
@@ -329,7 +329,7 @@
 			run.isStalled = true;
 
 			if (!isSettled && runs.has(run) && isTooLate()) {
-				failTooLate();
+				endTooLate();
 			}
 		};
 
--- a/packages/gateway/src/__tests__/unit/caller-stream.test.ts
+++ b/packages/gateway/src/__tests__/unit/caller-stream.test.ts
@@ -282,7 +282,7 @@
 		const run = stream.startRun(undefined, {getOrigin: () => createOrigin(softwareVersion)});
 		run.write(Buffer.from(eventOf(1)), head, () => undefined);
 		softwareVersion = undefined;
-		run.confirmOrigin();
+		run.checkOrigin();
 		t.is(stream.findObstacle(() => createOrigin('v1')), ContinuationObstacle.UnknownOrigin);
 		run.finish();
 		t.false(response.destroyed);
--- a/packages/gateway/src/caller-stream.ts
+++ b/packages/gateway/src/caller-stream.ts
@@ -63,7 +63,7 @@
 	/** Whether the incomplete event exceeds the size limit: the data is not an event stream, and would be buffered without bound. */
 	readonly isEventTooLarge: () => boolean;
 	/** Checks once more, at the end of the run, what wrote its events: its instance may have been announced anew meanwhile. */
-	readonly confirmOrigin: () => void;
+	readonly checkOrigin: () => void;
 	/** Ends a complete response; first sends the blank lines after the last event, if any. */
 	readonly finish: () => void;
 };
@@ -225,7 +225,7 @@
 			}),
 			getIds: () => splitter?.getRunIds() ?? {first: undefined, last: undefined},
 			isEventTooLarge: () => splitter?.isEventTooLarge() ?? false,
-			confirmOrigin() {
+			checkOrigin() {
 				const origin = getOrigin();
 
 				if (joinedAs !== undefined && joinedAs.softwareVersion !== origin.softwareVersion) {
--- a/packages/gateway/src/start-run.ts
+++ b/packages/gateway/src/start-run.ts
@@ -185,7 +185,7 @@
 
 	const finishRun = async (): Promise<EndedRun> => {
 		const ended = await attempt.result;
-		streamRun.confirmOrigin();
+		streamRun.checkOrigin();
 		const run = describeRun(ended, streamRun, {isStreaming});
 		const fault = ended.end === AttemptCompletion.NotRun ? undefined : findRunFault(streamRun.getBegun(), run);
 		const result = checkStreamEnd(ended, run, fault);
--- a/packages/gateway/src/stream-origins.ts
+++ b/packages/gateway/src/stream-origins.ts
@@ -97,7 +97,7 @@
 		}
 	};
 
-	const ask = async (address: string, streamId: string): Promise<RecordedOrigin | undefined> => {
+	const requestOrigin = async (address: string, streamId: string): Promise<RecordedOrigin | undefined> => {
 		const reply = await callAndValidate(links, {address, message: {kind: LinkMessageKind.FindStreamOrigin, streamId}, timeoutMs: lookUpTimeoutMs});
 		const [note] = requireValid(reply.kind === 'stream_origins' ? reply.origins : undefined, isOriginNotes, address);
 
@@ -105,7 +105,7 @@
 	};
 
 	// Resolves with the first origin that a coordinator knows, or once all have answered or failed to.
-	const askCoordinators = async (streamId: string): Promise<OriginFinding> => new Promise(resolve => {
+	const requestFromCoordinators = async (streamId: string): Promise<OriginFinding> => new Promise(resolve => {
 		const addresses = listCoordinators();
 		let pending = addresses.length;
 		let unanswered = 0;
@@ -118,9 +118,9 @@
 			}
 		};
 
-		const askOne = async (address: string) => {
+		const requestFrom = async (address: string) => {
 			try {
-				const recorded = await ask(address, streamId);
+				const recorded = await requestOrigin(address, streamId);
 
 				if (recorded !== undefined) {
 					resolve({source: OriginSource.Coordinator, recorded, unanswered});
@@ -134,7 +134,7 @@
 		};
 
 		for (const address of addresses) {
-			void askOne(address);
+			void requestFrom(address);
 		}
 
 		if (addresses.length === 0) {
@@ -159,7 +159,7 @@
 				return {source: OriginSource.Own, recorded: own, unanswered: 0};
 			}
 
-			const finding = await askCoordinators(streamId);
+			const finding = await requestFromCoordinators(streamId);
 
 			// Kept, so that this gateway too can report it again to coordinators that lose it.
 			if (finding.recorded !== undefined) {
