--- a/packages/gateway/src/stream-origins.ts
+++ b/packages/gateway/src/stream-origins.ts
@@ -50,8 +50,8 @@
 	readonly stop: () => void;
 };
 
-/** Records of so short a time share a message. */
-const sendDelayMs = 5;
+/** Records of so short a time share a message: a message costs far more than a record. */
+const sendDelayMs = 20;
 /** Records in one message. */
 const maxNotesPerMessage = 1000;
 const lookUpTimeoutMs = 400;
