Look for another instance only at the end of a run that has not made its stream whole

decideEnd asked at the end of every streamed run whether an instance of the same software version serves, by a pass over all instances, and used the answer only where the run had failed. A run that made its stream whole needs no successor. The decision and the obstacle in the log are the same; forward, caller-stream and take-up tests pass.

--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -406,12 +406,14 @@
 };
 
 // Takes a retry from the budget only where the decision is to make another attempt.
-function decideEnd(context: ForwardingContext, {run, streamRun}: EndedRun): EndDecision {
+function decideEnd(context: ForwardingContext, ended: EndedRun): EndDecision {
+	const {run, streamRun} = ended;
 	const {options, service, stream, isRetryable, runs, end} = context;
 	const begun = streamRun.getBegun();
 	const obstacle = findSuccessionObstacle({
 		isRepeatable: isRetryable, hasPosition: stream.canContinue(), isStarted: false, attemptsLeft: countAttemptsLeft(context), hasTime: !end.isExpired, isHeldBack: false,
-		hasUpstream: !stream.hasStarted() || hasSuccessor(context), hasBudget: true,
+		// Looked for only where it is needed: this passes over all instances.
+		hasUpstream: isComplete(ended) || !stream.hasStarted() || hasSuccessor(context), hasBudget: true,
 	});
 	const decision = decideAnswerEnd({begun, canRepeat: obstacle === undefined, hasOtherRun: runs.count() > 0}, run);
 
