Start intervals that return their end in one place

startInterval stood in the gateway's instance pool and in the replica runner, and the repeated claim of a resumed run wrote it a third time. It is core's now; all three call it. Behaviour is as before; the unit tests of the three pass.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -19,6 +19,7 @@
 export {createId, readIdTimeMs} from './ids.js';
 export {invariant} from './invariant.js';
 export {pickByRendezvous, rankByRendezvous} from './rendezvous.js';
+export {startInterval} from './start-interval.js';
 export {createSubject, type Subject} from './subject.js';
 export {
 	createActor, type Step, type Actor, type ActorOptions,
--- a/packages/entry/src/resume-stream.ts
+++ b/packages/entry/src/resume-stream.ts
@@ -1,3 +1,4 @@
+import {startInterval} from '@fescuestair/core';
 import {MemberStatus, type MemberRecord} from '@fescuestair/membership';
 import {
 	AttemptOutcome, ExecutionStatus, RefusalCode, RefusalError, RequestEventKind, type EventId,
@@ -70,14 +71,6 @@
 	}
 }
 
-function startInterval(callback: () => void, intervalMs: number): () => void {
-	const timer = setInterval(callback, intervalMs);
-
-	return () => {
-		clearInterval(timer);
-	};
-}
-
 /** Creates the description of a run that its caller has left. */
 export function createLeftRun({agent}: Pick<EntryServices, 'agent'>, {organisation, requestId}: PromptJob, address: string): LeftRun {
 	return {
--- a/packages/gateway/src/instance-pool.ts
+++ b/packages/gateway/src/instance-pool.ts
@@ -1,4 +1,4 @@
-import {type Clock} from '@fescuestair/core';
+import {startInterval, type Clock} from '@fescuestair/core';
 import {
 	InstanceStage, type InstanceRecord, type InstanceRegistry, type InstanceShare, type WorkDelta,
 } from '@fescuestair/instances';
@@ -463,11 +463,3 @@
 }
 
 const goneStatuses: ReadonlySet<InstanceStatus> = new Set([InstanceStatus.Leaving, InstanceStatus.Silent]);
-
-function startInterval(callback: () => void, intervalMs: number): () => void {
-	const timer = setInterval(callback, intervalMs);
-
-	return () => {
-		clearInterval(timer);
-	};
-}
--- a/packages/replication/src/replica-runner.ts
+++ b/packages/replication/src/replica-runner.ts
@@ -3,7 +3,9 @@
 	stepReplica, type Effect, type Entry, type Member, type Message,
 	type PeerMessage, type ReplicaState, type ReplicaTiming,
 } from '@fescuestair/agreement';
-import {type Clock, createId, createActor} from '@fescuestair/core';
+import {
+	type Clock, createId, createActor, startInterval,
+} from '@fescuestair/core';
 import {ProposalError} from '@fescuestair/protocol';
 import {type LogEntry, type LogStore, type PersistBatch} from '@fescuestair/storage';
 
@@ -366,14 +368,6 @@
 	};
 }
 
-function startInterval(tick: () => void, intervalMs: number): () => void {
-	const timer = setInterval(tick, intervalMs);
-
-	return () => {
-		clearInterval(timer);
-	};
-}
-
 /** Content of a snapshot, as stored on disk and sent to other replicas; its field names are part of that format. */
 type SnapshotData = {
 	readonly mark: ReturnType<typeof createSnapshotMetadata>;
