Ask in one place whether a request may still be sent to an instance

That a request was not sent to an instance before, and that the instance may continue its stream, was asked in three places by the same two conditions, once after the list of available instances was made. isOpenTo serves them. The coordinators that keep a gateway's records have one name (listRecordKeepers) on both sides. An entry refuses an answer that no engine can continue before it looks up cached pieces for it.

--- a/packages/entry/src/plan-prompt.ts
+++ b/packages/entry/src/plan-prompt.ts
@@ -85,6 +85,11 @@
 	const isEngine = isEngineFor(job.model, job.weightVersion);
 	const open = listOpenUpstreams(services, isEngine, job.deadlineMs).filter(record => !excludedIds.has(record.id));
 	const records = open.filter(record => canContinueAnswer(record, job));
+
+	if (open.length > 0 && records.length === 0) {
+		throw createRefusal(RefusalCode.NoUpstream, 'no engine of the software version that began the answer takes prompts now', 1);
+	}
+
 	const held = await services.homes.findPieces(hashes);
 	const stores = listUsableUpstreams(query, details => details.kind === UpstreamKind.Store);
 	const bytesPerPiece = getBytesPerPiece(records);
@@ -105,10 +110,6 @@
 		return undefined;
 	}
 
-	if (open.length > 0 && records.length === 0) {
-		throw createRefusal(RefusalCode.NoUpstream, 'no engine of the software version that began the answer takes prompts now', 1);
-	}
-
 	if (chosen === undefined) {
 		checkLimits(services, isEngine);
 		throw createRefusal(RefusalCode.NoUpstream, `no engine serves ${job.model} in weight version ${job.weightVersion} now`, 1);
--- a/packages/gateway/src/__tests__/unit/stream-origins.test.ts
+++ b/packages/gateway/src/__tests__/unit/stream-origins.test.ts
@@ -35,7 +35,7 @@
 		},
 		log: createLogger({instance: 'front-1', isTerminal: false, writeLine: () => true}),
 		metrics: {registerGauge: () => undefined},
-		listHomes: () => ['core-1', 'core-2'],
+		listRecordKeepers: () => ['core-1', 'core-2'],
 		listCoordinators: () => Object.keys(answers),
 		delay(callback) {
 			due.push(callback);
--- a/packages/gateway/src/choose-place.ts
+++ b/packages/gateway/src/choose-place.ts
@@ -10,6 +10,7 @@
 import {describeInstanceOption, planPromptFetch, type PromptFetchPlan} from './describe-option.js';
 import {type Exchange} from './exchange.js';
 import {type ForwardOptions, type ForwardingProgress} from './forward-options.js';
+import {isOpenTo} from './forwarding-context.js';
 import {type PooledInstance} from './pooled-instance.js';
 import {WeightsUse} from './target-version-history.js';
 
@@ -44,7 +45,7 @@
 		return [permitted];
 	}
 
-	const isOpen = ({held: {record}}: PooledInstance) => !progress.triedInstanceIds.has(record.id) && progress.isEligible(record);
+	const isOpen = (entry: PooledInstance) => isOpenTo(progress, entry);
 	const available = instancePool.listAvailable(service.name, isOpen);
 
 	if (available.length > 0) {
--- a/packages/gateway/src/forwarding-context.ts
+++ b/packages/gateway/src/forwarding-context.ts
@@ -6,6 +6,7 @@
 import {type CallerStream} from './caller-stream.js';
 import {type Exchange} from './exchange.js';
 import {type ForwardOptions, type ForwardingProgress} from './forward-options.js';
+import {type PooledInstance} from './pooled-instance.js';
 import {type TakeUp} from './take-up.js';
 
 /** State of one request while it is being forwarded. */
@@ -45,6 +46,11 @@
 /** After a refusal the next run beside a silent one is started no sooner. */
 const refusalPauseMs = 300;
 
+/** Whether a request may still be sent to an instance: it was not sent there before, and the instance may continue its stream if that has begun. */
+export function isOpenTo({triedInstanceIds, isEligible}: ForwardingProgress, {held: {record}}: PooledInstance): boolean {
+	return !triedInstanceIds.has(record.id) && isEligible(record);
+}
+
 /** Whether the request needs no further run. */
 export function hasEnded({end}: ForwardingContext): boolean {
 	return end.isCallerGone || end.isExpired || end.isAnswered;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -209,7 +209,7 @@
 	});
 
 	const origins = createStreamOrigins({
-		clock, links, log, metrics, listHomes: () => client.listRecordKeepers(), listCoordinators: () => client.listCoordinators(),
+		clock, links, log, metrics, listRecordKeepers: () => client.listRecordKeepers(), listCoordinators: () => client.listCoordinators(),
 	});
 
 	const forwardOptions: ForwardOptions = {
--- a/packages/gateway/src/request-permit.ts
+++ b/packages/gateway/src/request-permit.ts
@@ -5,6 +5,7 @@
 import {type InstanceChoice} from './choose-place.js';
 import {type Exchange} from './exchange.js';
 import {type ForwardOptions, type ForwardingProgress} from './forward-options.js';
+import {isOpenTo} from './forwarding-context.js';
 import {type InstanceFilter} from './instance-pool.js';
 
 const msPerSecond = 1000;
@@ -42,8 +43,8 @@
 		return true;
 	}
 
-	const hasAlternative = instancePool.listAvailable(service.name).some(({held: other}) => other.record.id !== record.id && progress.isEligible(other.record)
-		&& !progress.triedInstanceIds.has(other.record.id) && requestLimits.getPerSecond(other.record) === undefined);
+	const hasAlternative = instancePool.listAvailable(service.name).some(other => other.held.record.id !== record.id && isOpenTo(progress, other)
+		&& requestLimits.getPerSecond(other.held.record) === undefined);
 	const result = await permits.reserve(record, {
 		maxWaitMs: hasAlternative ? 0 : Math.min(maxReservationMs, Math.max(0, timeLeftMs - choice.placement.expectedMs)),
 		priority: isUnderWay ? underWayPriority : exchange.organisation?.priority ?? exchange.route.priority,
@@ -70,7 +71,7 @@
 }
 
 function hasOpenInstance({instancePool}: ForwardOptions, {service, progress}: Pick<PermitInput, 'service' | 'progress'>): boolean {
-	return instancePool.listAvailable(service.name, ({held: {record}}) => !progress.triedInstanceIds.has(record.id) && progress.isEligible(record)).length > 0;
+	return instancePool.listAvailable(service.name, entry => isOpenTo(progress, entry)).length > 0;
 }
 
 /** Returns the permit that a request holds and no longer needs. */
--- a/packages/gateway/src/stream-origins.ts
+++ b/packages/gateway/src/stream-origins.ts
@@ -14,7 +14,7 @@
 	readonly log: Pick<Logger, 'info'>;
 	readonly metrics: Pick<PrometheusMetrics, 'registerGauge'>;
 	/** Link addresses of the coordinators that keep the records of this gateway. */
-	readonly listHomes: () => readonly string[];
+	readonly listRecordKeepers: () => readonly string[];
 	/** Link addresses of all coordinators. */
 	readonly listCoordinators: () => readonly string[];
 	/** Calls a function once after a delay; returns a function that cancels this. */
@@ -61,12 +61,12 @@
 
 @example
 ```
-const origins = createStreamOrigins({clock, links, log, metrics, listHomes, listCoordinators});
+const origins = createStreamOrigins({clock, links, log, metrics, listRecordKeepers, listCoordinators});
 origins.record('r-1', {service: 'app', softwareVersion: 'v1'}, deadlineMs);
 const {recorded} = await origins.find('r-1');
 ```
 */
-export function createStreamOrigins({clock, links, log, metrics, listHomes, listCoordinators, delay = startDelay}: StreamOriginsOptions): StreamOrigins {
+export function createStreamOrigins({clock, links, log, metrics, listRecordKeepers, listCoordinators, delay = startDelay}: StreamOriginsOptions): StreamOrigins {
 	const table = createOriginTable();
 	const unsent = new Set<string>();
 	let cancelSend: (() => void) | undefined;
@@ -92,7 +92,7 @@
 		const notes = encode(unsent);
 		unsent.clear();
 
-		for (const address of listHomes()) {
+		for (const address of listRecordKeepers()) {
 			send(address, notes);
 		}
 	};
