Refuse a stream for good only while other versions of its service serve

Callers that took a stream up at a gateway that had heard of no instance for some seconds, as in a cut, were told that no instance of the version takes requests, without a Retry-After: to start anew, though nothing was known of the version. New streams got a Retry-After at the same moment.

Cause: the refusal asked only whether an instance of the version serves, and an instance that is not heard counts as one that does not. Where none of the whole service serves, that says nothing of the version; the request is now treated like a new one (it waits, or is refused with a Retry-After), and the choice of an instance still asks for the version. checkTakeUp is the one place that asks; the log record and the decision computed it apart before. Unit test: the first of its four cases is what differs.

--- a/packages/gateway/src/__tests__/unit/take-up.test.ts
+++ b/packages/gateway/src/__tests__/unit/take-up.test.ts
@@ -1,6 +1,9 @@
 import test from 'ava';
 import {ContinuationObstacle} from '@fescuestair/streams';
-import {findTakeUpRefusal, formatStreamId} from '../../take-up.js';
+import {type ForwardingContext} from '../../forwarding-context.js';
+import {
+	checkTakeUp, findTakeUpRefusal, formatStreamId, type TakeUp,
+} from '../../take-up.js';
 
 const v1 = {service: 'app', softwareVersion: 'v1'};
 
@@ -18,6 +21,22 @@
 	});
 }
 
+const createContext = (origin: TakeUp['origin'], servingVersions: readonly string[]) => {
+	const instances = servingVersions.map(softwareVersion => ({held: {record: {softwareVersion}}}));
+
+	return {
+		takeUp: {origin, isIncomplete: false}, service: {name: 'app'}, progress: {isEligible: ({softwareVersion}: {readonly softwareVersion: string}) => softwareVersion === 'v1'},
+		options: {instancePool: {hasServing: (_service: string, filter: (instance: typeof instances[number]) => boolean) => instances.some(instance => filter(instance))}},
+	} as unknown as ForwardingContext;
+};
+
+test('a stream that is taken up where no instance of its service serves is treated like a new one, unless its origin is unknown', t => {
+	t.is(checkTakeUp(createContext(v1, []))?.obstacle, undefined);
+	t.is(checkTakeUp(createContext(v1, ['v1', 'v2']))?.obstacle, undefined);
+	t.is(checkTakeUp(createContext(v1, ['v2']))?.obstacle, ContinuationObstacle.OtherVersion);
+	t.is(checkTakeUp(createContext(undefined, []))?.obstacle, ContinuationObstacle.UnknownOrigin);
+});
+
 test('the streams of one organisation are told from those of another with the same id', t => {
 	const organisation = {
 		name: 'a', keys: [], isIsolated: false, priority: undefined,
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -32,7 +32,7 @@
 import {startRun, type ActiveRun, type EndedRun} from './start-run.js';
 import {handleSilence} from './start-successor.js';
 import {
-	findTakeUp, findTakeUpRefusal, formatStreamId, hasSuccessor, recordTakeUp, type TakeUp,
+	checkTakeUp, findTakeUp, formatStreamId, hasSuccessor, recordTakeUp, type TakeUp,
 } from './take-up.js';
 
 /** Attempts that an instance rejected without running the request are cheap to repeat; after this many the service counts as overloaded. */
@@ -198,15 +198,13 @@
 
 // Performs the next step of a request without active runs: starts one, or waits. Returns `undefined` while the request is unfinished.
 async function advanceRequest(context: ForwardingContext): Promise<ExchangeResult | undefined> {
-	const {
-		options, exchange, service, progress, end, stream, takeUp,
-	} = context;
+	const {options, exchange, service, progress, end, stream} = context;
 
 	if (end.isCallerGone) {
 		return endCallerGone();
 	}
 
-	const refusal = takeUp && findTakeUpRefusal(takeUp, {service: service.name, isServing: hasSuccessor(context)});
+	const refusal = checkTakeUp(context);
 
 	if (refusal !== undefined) {
 		return refuse(context, refusal.reason, refusal.canReturn ? computeRetryAfterMs(0) : undefined);
--- a/packages/gateway/src/take-up.ts
+++ b/packages/gateway/src/take-up.ts
@@ -73,6 +73,24 @@
 	return obstacle && {obstacle, reason: describeContinuationObstacle(obstacle), canReturn: isIncomplete};
 }
 
+/**
+Finds out why the rest of a stream can't be served by this request; `undefined` where it can, or where the request takes none up.
+
+@example
+```
+const refusal = checkTakeUp(context);
+```
+*/
+export function checkTakeUp(context: ForwardingContext): TakeUpRefusal | undefined {
+	const {options, service, takeUp} = context;
+
+	return takeUp && findTakeUpRefusal(takeUp, {
+		service: service.name,
+		// Where no instance of the service serves at all, as in a cut, that says nothing of the version: such a request is treated like a new one.
+		isServing: hasSuccessor(context) || !options.instancePool.hasServing(service.name, () => true),
+	});
+}
+
 /** Whether an instance serves that may run the request, or continue its stream if that has begun. */
 export function hasSuccessor({options, service, progress}: ForwardingContext): boolean {
 	return options.instancePool.hasServing(service.name, ({held}) => progress.isEligible(held.record));
@@ -87,7 +105,7 @@
 	}
 
 	const {origin, source, ageMs, lookUpMs} = takeUp;
-	const refusal = findTakeUpRefusal(takeUp, {service: service.name, isServing: hasSuccessor(context)});
+	const refusal = checkTakeUp(context);
 	options.metrics.count('stream_take_ups_total', {service: service.name, source, obstacle: refusal?.obstacle ?? 'none'});
 	progress.story.push({
 		takeUp: {
