Limit late heads in their test only once a request was read

Cause, shown by a trial: Node counts the limit for a head from the connect, the test set it to 30 ms from the beginning, and a caller whose first bytes are read later than that is given up at once. The limit is set when the first request is handled, so no check depends on how fast a connection is read; the texts that are expected are the same. Ruled out: the code that moved to client-errors.ts, which did not see that connection's request.

--- a/packages/gateway/src/__tests__/unit/caller-server.test.ts
+++ b/packages/gateway/src/__tests__/unit/caller-server.test.ts
@@ -10,9 +10,8 @@
 
 const createTestLogger = () => createLogger({instance: 'gateway-1', isTerminal: false, writeLine: () => undefined});
 
-const openServer = async (t: ExecutionContext, handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>, {headersTimeoutMs = 60_000} = {}) => {
+const openServer = async (t: ExecutionContext, handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>) => {
 	const callerServer = createCallerServer({handleRequest: handle, log: createTestLogger(), checkIntervalMs: 20});
-	callerServer.server.headersTimeout = headersTimeoutMs;
 	callerServer.server.listen(0, '127.0.0.1');
 	await once(callerServer.server, 'listening');
 	t.teardown(() => {
@@ -101,8 +100,13 @@
 });
 
 test('a head that is late is answered with 408, after the answers before it', async t => {
-	const server = await openServer(t, async (_request, response) => answerInPieces(response, 20), {headersTimeoutMs: 30});
-	const [idle, busy] = [server.connect(), server.connect()];
+	const {server, connect} = await openServer(t, async (_request, response) => {
+		// Node counts from the connect. With a limit from the beginning, a connection whose first request is read late is given up before its answer.
+		server.headersTimeout = 30;
+
+		return answerInPieces(response, 20);
+	});
+	const [idle, busy] = [connect(), connect()];
 	idle.socket.write('GET /a HTTP/1.1\r\n');
 	busy.socket.write(`${request('/a')}GET /b HTTP/1.1\r\n`);
 	await Promise.all([idle.closed, busy.closed]);
