Do not send requests of callers that left before the gateway read them

A gateway that reads a request late sends it to an instance in the same turn, and only then learns that its caller left; the same where a request waited and the timer that wakes it runs before the reads. The new unit test (a caller writes a request and closes its connection before the gateway reads either) saw the instance asked, and passes since, six times of six.

Change: before each step of a request without a run the gateway lets the loop read what has arrived (two turns) and looks at the connection (hasCallerLeft). Waiting for the response's close alone was not enough: with two turns the test failed in two of three runs, as the response learns of it later than the socket. At native entries callers may come back for their answer; nothing is changed there.

--- a/packages/gateway/src/__tests__/unit/forward.test.ts
+++ b/packages/gateway/src/__tests__/unit/forward.test.ts
@@ -328,6 +328,19 @@
 	});
 }
 
+test('a request whose caller has left before the gateway reads it is not sent', async t => {
+	const front = await openFront(t, {answers: [answerAfter(0, 'whole'), answerAfter(0, 'unheard')]});
+	// The connections to the instances stay open, so that a request could be sent at once.
+	await front.fetch();
+	const socket = net.connect(front.port, '127.0.0.1');
+	await once(socket, 'connect');
+	await sleep(settleMs);
+	socket.write('GET / HTTP/1.1\r\nHost: h\r\n\r\n');
+	socket.destroy();
+	await waitUntil(() => front.results.length > 1);
+	t.is(front.asked.length, 1);
+});
+
 const eventOf = (id: number) => `id: ${id}\ndata: x\n\n`;
 
 test('a stream goes on at the silent instance or at the other one, without an event missing or twice', async t => {
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -25,6 +25,7 @@
 	addJitter, badGatewayStatus, computeRetryAfterMs, endFailed, minRetryAfterMs, refuse, unavailableStatus,
 } from './refuse-exchange.js';
 import {describeRunOrigin} from './run-origin.js';
+import {hasCallerLeft} from './has-caller-left.js';
 import {sendUpstreamResponse} from './send-response.js';
 import {
 	countAttemptsLeft, hasEnded, recordRefusedSuccessor, takeRetry, type ForwardingContext,
@@ -200,6 +201,10 @@
 async function advanceRequest(context: ForwardingContext): Promise<ExchangeResult | undefined> {
 	const {options, exchange, service, progress, end, stream} = context;
 
+	if (await hasCallerLeft(exchange)) {
+		end.isCallerGone = true;
+	}
+
 	if (end.isCallerGone) {
 		return endCallerGone();
 	}
