--- a/packages/gateway/src/has-caller-left.ts
+++ b/packages/gateway/src/has-caller-left.ts
@@ -13,7 +13,7 @@
 ```
 */
 export async function hasCallerLeft({request: {socket}, response}: Pick<Exchange, 'request' | 'response'>): Promise<boolean> {
-	// The first turn ends the reads that are under way; the second begins with new ones.
+	// After the first, the reads that were under way are done; after the second, the loop has read again.
 	await setImmediate();
 	await setImmediate();
 
