Give each test process ports of its own

Cause: each process searched free ports from process id x 97 on, and a test file uses more than 97; test processes start with ids near each other, so that their ranges run into each other, and a port that was found free is taken by another process before its daemon listens, or while its daemon restarts.

Change: a process takes a block of ports by listening on its first one for as long as it runs. Nothing outside the demo uses the search.

--- a/packages/demo/src/free-address.ts
+++ b/packages/demo/src/free-address.ts
@@ -1,40 +1,65 @@
-import net from 'node:net';
+import net, {type Server} from 'node:net';
 import {once} from 'node:events';
 import process from 'node:process';
 
 // Ports below the ephemeral range: the operating system could assign a port of that range to an outgoing connection before its listener binds it.
 const firstPort = 10_000;
-const portCount = 20_000;
-// Processes with different ids begin their search at different ports.
-const portsPerProcess = 97;
-let nextPort = process.pid * portsPerProcess;
+const blockCount = 40;
+/** More than one test file uses for all its systems. */
+const portsPerBlock = 500;
 
-async function findFreePort(): Promise<number> {
-	for (;;) {
-		const port = firstPort + (nextPort++ % portCount);
+/** Ports that no other process takes, also while no listener of this process uses them, as during a restart. */
+type PortBlock = {readonly firstPort: number; next: number};
 
-		if (await isFree(port)) {
-			return port;
+let openedBlock: Promise<PortBlock> | undefined;
+
+// A process holds a block for as long as it listens on its first port. Blocks are tried from one that depends on the process id.
+async function openBlock(): Promise<PortBlock> {
+	for (let attempt = 0; attempt < blockCount; attempt++) {
+		const guardPort = firstPort + (((process.pid + attempt) % blockCount) * portsPerBlock);
+		const guard = await tryListen(guardPort);
+
+		if (guard !== undefined) {
+			guard.unref();
+
+			return {firstPort: guardPort + 1, next: 0};
 		}
 	}
+
+	throw new Error(`all ${blockCount} blocks of ports from ${firstPort} on are taken`);
 }
 
-async function isFree(port: number): Promise<boolean> {
+async function tryListen(port: number): Promise<Server | undefined> {
 	const server = net.createServer();
 
 	try {
 		server.listen(port, '127.0.0.1');
 		await once(server, 'listening');
-		server.close();
-		await once(server, 'close');
 
-		return true;
+		return server;
 	} catch {
-		return false;
+		return undefined;
+	}
+}
+
+async function findFreePort(): Promise<number> {
+	openedBlock ??= openBlock();
+	const block = await openedBlock;
+
+	for (;;) {
+		const port = block.firstPort + (block.next++ % (portsPerBlock - 1));
+		const server = await tryListen(port);
+
+		if (server !== undefined) {
+			server.close();
+			await once(server, 'close');
+
+			return port;
+		}
 	}
 }
 
-/** Finds a loopback address whose port is free. */
+/** Finds a loopback address whose port is free, and that no other process finds. */
 export async function findFreeAddress(): Promise<string> {
 	return `127.0.0.1:${await findFreePort()}`;
 }
