--- a/packages/gateway/src/__tests__/unit/take-up.test.ts
+++ b/packages/gateway/src/__tests__/unit/take-up.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {ContinuationObstacle} from '@fescuestair/streams';
+import {ContinuationObstacle, encodeOriginNote, isOriginNotes} from '@fescuestair/streams';
 import {type ForwardingContext} from '../../forwarding-context.js';
 import {
 	checkTakeUp, findTakeUpRefusal, formatStreamId, type TakeUp,
@@ -44,3 +44,11 @@
 	t.not(formatStreamId({organisation}, 'r-1'), formatStreamId({organisation: {...organisation, name: 'b'}}, 'r-1'));
 	t.not(formatStreamId({organisation}, 'r-1'), formatStreamId({organisation: undefined}, 'r-1'));
 });
+
+test('long ids of streams are told apart, and taken with others in one message', t => {
+	const attemptIds = ['r-1', 'x'.repeat(60_000), `${'x'.repeat(60_000)}y`];
+	const streamIds = attemptIds.map(attemptId => formatStreamId({organisation: undefined}, attemptId));
+	t.is(new Set(streamIds).size, attemptIds.length);
+	t.deepEqual(attemptIds.map(attemptId => formatStreamId({organisation: undefined}, attemptId)), streamIds);
+	t.true(isOriginNotes(streamIds.map(streamId => encodeOriginNote(streamId, {origin: v1, begunAtMs: 0, deadlineMs: 1000}, 0))));
+});
--- a/packages/gateway/src/take-up.ts
+++ b/packages/gateway/src/take-up.ts
@@ -1,5 +1,6 @@
+import {createHash} from 'node:crypto';
 import {
-	ContinuationObstacle, describeContinuationObstacle, findContinuationObstacle, type StreamOrigin,
+	ContinuationObstacle, describeContinuationObstacle, findContinuationObstacle, maxOriginNameLength, type StreamOrigin,
 } from '@fescuestair/streams';
 import {WaitDecision} from '@fescuestair/routing';
 import {CallKind} from '@fescuestair/traffic';
@@ -22,9 +23,19 @@
 /** Why a take-up is refused, and whether the caller may come back for the rest of the stream. */
 export type TakeUpRefusal = {readonly obstacle: ContinuationObstacle; readonly reason: string; readonly canReturn: boolean};
 
-/** Formats the id under which the origin of a stream is recorded. Callers choose the ids of their attempts: those of one organisation say nothing of another's streams. */
+/**
+Formats the id under which the origin of a stream is recorded. Callers choose the ids of their attempts: those of one organisation say nothing of another's streams, and long ones
+give way to their digests, since records are kept and sent.
+
+@example
+```
+formatStreamId({organisation}, 'r-1'); //=> 'workshop r-1'
+```
+*/
 export function formatStreamId({organisation}: Pick<Exchange, 'organisation'>, attemptId: string): string {
-	return `${organisation?.name ?? ''} ${attemptId}`;
+	const streamId = `${organisation?.name ?? ''} ${attemptId}`;
+
+	return streamId.length > maxOriginNameLength ? createHash('sha256').update(streamId).digest('hex') : streamId;
 }
 
 /** Finds out what began a stream that its caller takes up again; `undefined` where the request begins a stream of its own. */
--- a/packages/streams/src/__tests__/unit/origin-table.test.ts
+++ b/packages/streams/src/__tests__/unit/origin-table.test.ts
@@ -56,3 +56,9 @@
 
 	t.true(isOriginNotes([]));
 });
+
+test('a record whose caller waits for longer than any is taken with the others of its message', t => {
+	const notes = [createRecord('v1'), createRecord('v1', 1e12)].map((recorded, index) => encodeOriginNote(`r-${index}`, recorded, 0));
+	t.true(isOriginNotes(notes));
+	t.true(isOriginNotes([encodeOriginNote('r', createRecord('v1', 1e12), 9e11)]));
+});
--- a/packages/streams/src/index.ts
+++ b/packages/streams/src/index.ts
@@ -9,5 +9,5 @@
 } from './decide-run.js';
 export {EventOrder, compareEventIds, isOrderedEventId} from './event-order.js';
 export {
-	createOriginTable, decodeOriginNote, encodeOriginNote, isOriginNotes, type OriginNote, type OriginTable, type OriginTableOptions, type RecordedOrigin,
+	createOriginTable, decodeOriginNote, encodeOriginNote, isOriginNotes, maxOriginNameLength, type OriginNote, type OriginTable, type OriginTableOptions, type RecordedOrigin,
 } from './origin-table.js';
--- a/packages/streams/src/origin-table.ts
+++ b/packages/streams/src/origin-table.ts
@@ -6,12 +6,13 @@
 /** What began a stream, as sent between daemons. Carries spans instead of times, since clocks differ. The version is empty where it is not known. */
 export type OriginNote = readonly [streamId: string, service: string, softwareVersion: string, leftMs: number, ageMs: number];
 
-const maxNameLength = 1000;
+/** Longest id of a stream, name of a service or version in a note. */
+export const maxOriginNameLength = 1000;
 /** One day, far longer than any caller waits. */
 const maxSpanMs = 86_400_000;
 const maxNotes = 100_000;
 
-const isName = isStringUpTo(maxNameLength);
+const isName = isStringUpTo(maxOriginNameLength);
 const isSpanMs = isNumberInRange(0, maxSpanMs);
 const isOriginNote = isTupleOf(isName, isName, isName, isSpanMs, isSpanMs) as TypeGuard<unknown> as TypeGuard<OriginNote>;
 
@@ -115,9 +116,14 @@
 	};
 }
 
-/** Encodes a record for another daemon. */
+// One note that is not taken would take the others of its message with it.
+function encodeSpan(spanMs: number): number {
+	return Math.min(maxSpanMs, Math.max(0, Math.round(spanMs)));
+}
+
+/** Encodes a record for another daemon; a caller that waits for longer than a day counts as waiting for a day. */
 export function encodeOriginNote(streamId: string, {origin, begunAtMs, deadlineMs}: RecordedOrigin, nowMs: number): OriginNote {
-	return [streamId, origin.service, origin.softwareVersion ?? '', Math.max(0, Math.round(deadlineMs - nowMs)), Math.max(0, Math.round(nowMs - begunAtMs))];
+	return [streamId, origin.service, origin.softwareVersion ?? '', encodeSpan(deadlineMs - nowMs), encodeSpan(nowMs - begunAtMs)];
 }
 
 /**
