Rank coordinators in one place for homes and record keepers

pickRecordKeepers repeated the ranking of pickHomes with another penalty; rankCandidates serves both.

--- a/packages/instances/src/pick-homes.ts
+++ b/packages/instances/src/pick-homes.ts
@@ -25,15 +25,7 @@
 ```
 */
 export function pickHomes(name: string, availabilityZone: string, candidates: readonly HomeCandidate[]): readonly string[] {
-	const byAddress = new Map(candidates.map(candidate => [candidate.address, candidate]));
-	const ranked = rankByRendezvous(name, [...byAddress.keys()]);
-	const rank = (address: string) => {
-		const {isHealthy, isLeader, availabilityZone: zone} = byAddress.get(address)!;
-
-		return (isHealthy ? 0 : 4) + (isLeader ? 2 : 0) + (zone === availabilityZone ? 0 : 1);
-	};
-
-	return ranked.toSorted((a, b) => rank(a) - rank(b)).slice(0, homeCount);
+	return rankCandidates(name, candidates, ({isHealthy, isLeader, availabilityZone: zone}) => (isHealthy ? 0 : 4) + (isLeader ? 2 : 0) + (zone === availabilityZone ? 0 : 1)).slice(0, homeCount);
 }
 
 /**
@@ -49,14 +41,16 @@
 		return [];
 	}
 
-	const byAddress = new Map(candidates.map(candidate => [candidate.address, candidate]));
-	const homeZone = byAddress.get(home)?.availabilityZone;
-	const others = rankByRendezvous(name, [...byAddress.keys()]).filter(address => address !== home);
-	const rank = (address: string) => {
-		const {isHealthy, availabilityZone} = byAddress.get(address)!;
+	const homeZone = candidates.find(({address}) => address === home)?.availabilityZone;
+	const others = candidates.filter(({address}) => address !== home);
+	const [second] = rankCandidates(name, others, ({isHealthy, availabilityZone}) => (isHealthy ? 0 : 2) + (availabilityZone === homeZone ? 1 : 0));
 
-		return (isHealthy ? 0 : 2) + (availabilityZone === homeZone ? 1 : 0);
-	};
+	return second === undefined ? [home] : [home, second];
+}
+
+// Lists the addresses of candidates with the least penalty first, and those with the same penalty in an order of the gateway's own.
+function rankCandidates(name: string, candidates: readonly HomeCandidate[], getPenalty: (candidate: HomeCandidate) => number): readonly string[] {
+	const byAddress = new Map(candidates.map(candidate => [candidate.address, candidate]));
 
-	return [home, ...others.toSorted((a, b) => rank(a) - rank(b)).slice(0, 1)];
+	return rankByRendezvous(name, [...byAddress.keys()]).toSorted((a, b) => getPenalty(byAddress.get(a)!) - getPenalty(byAddress.get(b)!));
 }
