Keep a connection for as long as its answer announced, although the idle timeout is lowered

What callers saw: an answer that had begun under one configuration told its caller `Keep-Alive: timeout=15`; where a new configuration lowered the idle timeout before that answer ended, the gateway closed the connection after the new, shorter time. A request that the caller sent on it, as it was told it might, crossed the close and got neither an answer nor a refusal.

Cause: Node takes the announced time when it reads a request, and the time that it keeps when the answer has ended.

Evidence: read in Node 20.19 (`parserOnIncoming`, `resOnFinish`); in the tests the connection was kept for 1,050 ms where 16,000 had been announced (15 s, and the second that Node adds).

Change: once the answer has ended, the timeout of its connection is at least the announced one. Connections that are idle at the change already keep theirs.

--- a/packages/gateway/src/__tests__/unit/caller-server.test.ts
+++ b/packages/gateway/src/__tests__/unit/caller-server.test.ts
@@ -210,3 +210,22 @@
 	await sleep(50);
 	t.is(server.activeResponses.size, 0);
 });
+
+test('a connection is kept for as long as its answer has announced, although a new configuration lowers the idle timeout meanwhile', async t => {
+	const responses: ServerResponse[] = [];
+	const {server, connect} = await openServer(t, async (_request, response) => {
+		responses.push(response);
+		response.write('begun;');
+	});
+	server.keepAliveTimeout = 15_000;
+	const caller = connect();
+	caller.socket.write(request('/a'));
+	await once(caller.socket, 'data');
+	const [response] = responses;
+	const {socket} = response!;
+	server.keepAliveTimeout = 50;
+	response!.end('end');
+	await once(response!, 'finish');
+	t.regex(caller.text, /\r\nKeep-Alive: timeout=15\r\n/v);
+	t.true(socket!.timeout! >= 15_000);
+});
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -1,7 +1,7 @@
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type Logger} from '@fescuestair/runtime';
-import {registerClientErrors} from '@fescuestair/transport';
+import {registerClientErrors, registerIdleTimeouts} from '@fescuestair/transport';
 import {cancelResponse, sendLocalResponse} from './exchange.js';
 
 export type CallerServerOptions = {
@@ -45,6 +45,7 @@
 		maxHeaderSize: maxParsedHeaderBytes, requestTimeout: 0, keepAlive: true, connectionsCheckingInterval: checkIntervalMs,
 	});
 
+	registerIdleTimeouts(server);
 	registerClientErrors(server, {
 		onError(reason, running) {
 			log.info('invalid or incomplete HTTP request', {reason, running});
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -13,4 +13,5 @@
 export {createKeyRing, digestKey, type KeyRing} from './key-ring.js';
 export {createEventStreamParser, type ServerSentEvent} from './event-stream-parser.js';
 export {registerClientErrors, type ClientErrorOptions} from './client-errors.js';
+export {registerIdleTimeouts} from './idle-timeouts.js';
 export {openHttpListener, type HttpListener} from './http-listener.js';
