Answer a request that arrived before the idle timeout of its connection was handled

What callers saw: a gateway that stood still (frozen, short of processor time) past the idle timeout of a connection reset the request that had arrived on it meanwhile: neither an answer nor a refusal. The same at entries and at the listeners of coordinators, which keep connections for 5 s.

Cause: when a process goes on, timers are handled before anything is read. Node destroys a connection whose timeout has passed without a look at what has arrived. It is the class of this incident: the own pause is taken for the silence of the peer.

Change: the connection is closed only if nothing has arrived on it after the loop has read once more.

`idle-timeouts.test.ts`, "a request that has arrived on a connection whose timeout passes before it is read is answered", failed before.

--- a/packages/entry/src/caller-listener.ts
+++ b/packages/entry/src/caller-listener.ts
@@ -4,7 +4,7 @@
 import {RefusalCode, RefusalError} from '@fescuestair/protocol';
 import {listItems, ItemKind, type PublicState} from '@fescuestair/state';
 import {
-	createKeyRing, openHttpListener, registerClientErrors, sendJson, sendRefusal, type Address, type KeyRing,
+	createKeyRing, openHttpListener, registerClientErrors, registerIdleTimeouts, sendJson, sendRefusal, type Address, type KeyRing,
 } from '@fescuestair/transport';
 import {handleCompletion} from './completions.js';
 import {handleService} from './services.js';
@@ -123,6 +123,7 @@
 			sendRefusal(response, qualifyRefusal(services, request, refusal), requestId);
 		}
 	});
+	registerIdleTimeouts(server);
 	registerClientErrors(server, {
 		onError(reason, running) {
 			services.log.info('invalid or incomplete HTTP request', {reason, running});
--- a/packages/transport/src/__tests__/unit/idle-timeouts.test.ts
+++ b/packages/transport/src/__tests__/unit/idle-timeouts.test.ts
@@ -1,6 +1,7 @@
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import net from 'node:net';
 import {once} from 'node:events';
+import {setImmediate} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
 import {registerIdleTimeouts} from '../../idle-timeouts.js';
 
@@ -17,10 +18,13 @@
 		server.closeAllConnections();
 	});
 	const socket = net.connect((server.address() as {readonly port: number}).port, '127.0.0.1');
-	const received = {text: ''};
+	const received = {text: '', errors: [] as Error[]};
 	socket.on('data', bytes => {
 		received.text += String(bytes);
 	});
+	socket.on('error', error => {
+		received.errors.push(error);
+	});
 
 	const receiveRequest = async (path: string) => {
 		const requested = once(server, 'request');
@@ -57,3 +61,32 @@
 	t.deepEqual(received.text.match(/Keep-Alive: timeout=\d+/gv), ['Keep-Alive: timeout=15', 'Keep-Alive: timeout=0']);
 	t.is(serverSocket.timeout, 1050);
 });
+
+test('a request that has arrived on a connection whose timeout passes before it is read is answered', async t => {
+	const {server, socket, received, receiveRequest} = await openConnection(t);
+	const [{socket: serverSocket}, response] = await receiveRequest('/a');
+	await finishAnswer(response, 'first');
+	server.on('request', (_request: IncomingMessage, further: ServerResponse) => {
+		further.end('second');
+	});
+	socket.write(request('/b'));
+	// As after a time in which the process stood still: the loop handles what is due before it reads.
+	serverSocket.emit('timeout');
+
+	while (!received.text.includes('second') && !socket.destroyed) {
+		await setImmediate();
+	}
+
+	t.true(received.text.includes('second'));
+	t.deepEqual(received.errors, []);
+});
+
+test('a connection on which nothing arrives is closed after its timeout', async t => {
+	const {socket, received, receiveRequest} = await openConnection(t);
+	const [{socket: serverSocket}, response] = await receiveRequest('/a');
+	await finishAnswer(response, 'first');
+	const closed = once(socket, 'close');
+	serverSocket.emit('timeout');
+	await closed;
+	t.deepEqual(received.errors, []);
+});
--- a/packages/transport/src/idle-timeouts.ts
+++ b/packages/transport/src/idle-timeouts.ts
@@ -1,11 +1,13 @@
 import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {type Socket} from 'node:net';
+import {setImmediate} from 'node:timers/promises';
 
 /** Node keeps a connection for so much longer than it announces. */
 const announcementMarginMs = 1000;
 
 /**
-Keeps each connection without a request for as long as the last answer on it has announced, also where `keepAliveTimeout` is lowered before that answer ends. Returns a function
-that undoes it.
+Keeps each connection without a request for as long as the last answer on it has announced, also where `keepAliveTimeout` is lowered before that answer ends, and closes none on which
+bytes have arrived that are not read yet. Node's own handling resets the request there. Returns a function that undoes it.
 
 @example
 ```
@@ -25,9 +27,24 @@
 		});
 	};
 
+	const closeUnlessRead = (socket: Socket) => {
+		void (async () => {
+			const {bytesRead} = socket;
+			// After the first, the reads that were under way are done; after the second, the loop has read again.
+			await setImmediate();
+			await setImmediate();
+
+			if (socket.bytesRead === bytesRead) {
+				socket.destroy();
+			}
+		})();
+	};
+
 	server.on('request', keepAsAnnounced);
+	server.on('timeout', closeUnlessRead);
 
 	return () => {
 		server.off('request', keepAsAnnounced);
+		server.off('timeout', closeUnlessRead);
 	};
 }
