Test that the promise of a first member outlasts the loss of its power

The test founds a group of two on simulated disks, takes the power from each and loads its identity again. It fails with the promise in memory only, at the founder already.

--- a/packages/replication/src/__tests__/unit/group-membership.test.ts
+++ b/packages/replication/src/__tests__/unit/group-membership.test.ts
@@ -6,8 +6,10 @@
 import {createManualClock} from '@fescuestair/core';
 import {LinkMessageKind} from '@fescuestair/protocol';
 import {createLogger} from '@fescuestair/runtime';
-import {createSimulatedDisk} from '@fescuestair/storage';
-import {createGroupMembership, loadIdentity, saveIdentity} from '../../index.js';
+import {createSimulatedDisk, type SimulatedDisk} from '@fescuestair/storage';
+import {
+	createGroupMembership, loadIdentity, saveIdentity, type Invitation,
+} from '../../index.js';
 
 test('a replica saves only the group of the first message, also when others arrive while it is being saved', async t => {
 	const dataFolder = await fs.mkdtemp(path.join(os.tmpdir(), 'fescuestair-group-'));
@@ -98,3 +100,45 @@
 	await group.acceptInvitation({toId: stored.id, groupId: 'g', previousGroupId: stored.groupId}, true);
 	t.deepEqual(group.getIdentity(), stored);
 });
+
+// A first member that forgot its promise could make another one, and take part in two groups.
+test('what a first member promised, or a founder chose, is not lost with the power', async t => {
+	const addresses = ['127.0.0.1:1', '127.0.0.1:2'];
+	const log = createLogger({instance: 'core', level: 0});
+	const openMember = async (disk: SimulatedDisk, ownAddress: string) => {
+		const process = disk.startProcess();
+		const group = await createGroupMembership({
+			dataFolder: '/data', name: ownAddress, clock: createManualClock(), log, firstGroup: {ownAddress, addresses}, fileSystem: process.fileSystem,
+		});
+
+		return {group, process};
+	};
+
+	const [founderDisk, otherDisk] = [createSimulatedDisk(), createSimulatedDisk()];
+	const founder = await openMember(founderDisk, addresses[0]!);
+	const other = await openMember(otherDisk, addresses[1]!);
+	const report = () => {
+		founder.group.recordCandidate({
+			kind: LinkMessageKind.Join, id: other.group.getIdentity().id, name: 'core', address: addresses[1]!, founding: other.group.describeFounding(true),
+		});
+	};
+
+	report();
+	await founder.group.advanceFounding(true, () => undefined);
+	const {groupId} = founder.group.getIdentity();
+	t.truthy(groupId);
+	const invitations: Invitation[] = [];
+	await founder.group.advanceFounding(true, (_address, invitation) => invitations.push(invitation));
+	await other.group.acceptInvitation(invitations[0]!, true);
+	report();
+	const members = await founder.group.advanceFounding(true, () => undefined);
+	t.is(members?.length, 2);
+
+	for (const [disk, {group, process}, address] of [[founderDisk, founder, addresses[0]!], [otherDisk, other, addresses[1]!]] as const) {
+		process.kill();
+		disk.losePower(() => 0);
+		const restarted = await openMember(disk, address);
+		t.deepEqual(restarted.group.getIdentity(), group.getIdentity());
+		t.is(restarted.group.getIdentity().groupId, groupId);
+	}
+});
