Test that the vote of a member that lost its log does not count

The test gives a candidate, before and after its pre-vote, the vote of the member that lost its log, and that of the other one, which counts. It fails without the check.

--- a/packages/agreement/src/__tests__/unit/lost-log.test.ts
+++ b/packages/agreement/src/__tests__/unit/lost-log.test.ts
@@ -1,5 +1,7 @@
 import test from 'ava';
-import {MessageKind, planMembershipChange} from '../../index.js';
+import {
+	MessageKind, PeerMessageKind, planMembershipChange, ReplicaRole, stepReplica,
+} from '../../index.js';
 import {createGroup, createMember, runGroup} from './group.js';
 
 /** A leader with two followers, of which one comes back with an empty disk under the id that it had. */
@@ -73,3 +75,20 @@
 	runGroup(group, {forMs: 3000});
 	t.deepEqual(group.findLeaseHolders(), [leader], 'the follower counts');
 });
+
+test('the vote of a follower whose log ends before what it has acknowledged does not count', t => {
+	const {group, leader, lost, other} = createGroupWithLostLog();
+	runGroup(group, {forMs: 500});
+	const {state} = group.nodes.get(leader)!;
+
+	for (const [role, isPreVote] of [[ReplicaRole.PreCandidate, true], [ReplicaRole.Candidate, false]] as const) {
+		const candidate = {...state, role, votes: new Set([leader])};
+		const countVote = (from: string) => stepReplica(candidate, {
+			kind: MessageKind.Peer, from, message: {
+				kind: PeerMessageKind.VoteReply, isPreVote, term: isPreVote ? state.term + 1 : state.term, isGranted: true,
+			},
+		}, group.nowMs).state;
+		t.is(countVote(lost).role, role);
+		t.not(countVote(other).role, role);
+	}
+});
