Do not run a request that is read after its connection was ended

What callers saw: a request whose head was late got 408, and once the rest of it had come it was sent to an instance all the same; the answer went nowhere, since the connection had been ended. A configuration that lowers `header_timeout_ms` makes heads that are under way late. For the instance it is a request without an answer, and an unsafe one ran although it was refused.

Cause: Node goes on parsing after the 408, as after an answer with `Connection: close`, until the connection is destroyed.

Change: gateways and entries handle no request whose connection can't be written to any more.

`caller-server.test.ts`, "a request whose head is whole only after it was refused as late is not handled", failed before: `/late` was handled. The same lines at entries are not shown by a test.

--- a/packages/entry/src/caller-listener.ts
+++ b/packages/entry/src/caller-listener.ts
@@ -105,6 +105,13 @@
 	const server = http.createServer({
 		maxHeaderSize: maxHeaderBytes, headersTimeout: headersTimeoutMs, requestTimeout: 0, connectionsCheckingInterval: 2000,
 	}, async (request, response) => {
+		// Its head was refused as late, or the answer before it closes the connection.
+		if (!request.socket.writable) {
+			services.log.info('a request is not handled, since its connection was ended before', {target: request.url});
+
+			return;
+		}
+
 		const requestId = createId('r', services.clock.readWallMs());
 		runningCount++;
 		response.once('close', () => {
--- a/packages/gateway/src/__tests__/unit/caller-server.test.ts
+++ b/packages/gateway/src/__tests__/unit/caller-server.test.ts
@@ -115,6 +115,22 @@
 	t.true(busy.text.endsWith(`\r\n\r\n${wholeChunks(20)}${timeout}`));
 });
 
+test('a request whose head is whole only after it was refused as late is not handled', async t => {
+	const handled: string[] = [];
+	const {server, connect} = await openServer(t, async ({url}, response) => {
+		handled.push(url!);
+		response.end('whole');
+	});
+	server.headersTimeout = 30;
+	const caller = connect();
+	caller.socket.write('GET /late HTTP/1.1\r\n');
+	await once(caller.socket, 'data');
+	caller.socket.write('Host: h\r\n\r\n');
+	await caller.closed;
+	t.is(caller.text, 'HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n');
+	t.deepEqual(handled, []);
+});
+
 test('an answer that announced the close of its connection is followed by nothing', async t => {
 	const server = await openServer(t, async (_request, response) => {
 		response.setHeader('Connection', 'close');
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -56,6 +56,13 @@
 	});
 
 	server.on('request', (request, response) => {
+		// Its head was refused as late, or the answer before it closes the connection.
+		if (!request.socket.writable) {
+			log.info('a request is not handled, since its connection was ended before', {target: request.url});
+
+			return;
+		}
+
 		activeResponses.add(response);
 		response.once('close', () => {
 			activeResponses.delete(response);
