Test that permits refused again and again beside a silent run do not end its request

It fails without the separate count: 502 "no instance of the service takes requests now", expected the answer of the other instance.

--- a/packages/gateway/src/__tests__/unit/forward.test.ts
+++ b/packages/gateway/src/__tests__/unit/forward.test.ts
@@ -182,6 +182,8 @@
 };
 
 const neverAnswer: UpstreamAnswer = () => undefined;
+/** A request that is not under way is refused after fewer permits were refused to it. */
+const moreThanRefusalsOfOne = 9;
 /** Longer than the gateway waits for the other run before the silent one goes on. */
 const permitMs = 1400;
 const isSilent = ({decidedSilences}: FrontState) => decidedSilences > 0;
@@ -434,6 +436,25 @@
 	t.like(await front.fetch(), {status: 200, body: 'other', isWhole: true});
 });
 
+test('permits that were refused again and again beside a silent run do not end the request when that run is lost', async t => {
+	let questions = 0;
+	let isLost = false;
+	const front = await openFront(t, {
+		answers: [response => {
+			void (async () => {
+				await waitUntil(() => questions > moreThanRefusalsOfOne);
+				isLost = true;
+				response.socket!.destroy();
+			})();
+		}, answerAfter(0, 'other')],
+		async reserve() {
+			return questions++ > 0 && !isLost ? {outcome: PermitOutcome.Refused} : {outcome: PermitOutcome.Granted, permit};
+		},
+		timeLeftMs: 20_000,
+	});
+	t.like(await front.fetch(), {status: 200, body: 'other', isWhole: true});
+});
+
 test('the run of a request behind another one on its connection ends when the caller leaves', async t => {
 	const front = await openFront(t, {answers: [neverAnswer, neverAnswer], timeLeftMs: 60_000, routeChange: {maxAttempts: 1}});
 	const socket = net.connect(front.port, '127.0.0.1');
