Test that a stream whose caller does not read is not taken for silent

The new test asks for 8 MB of events and reads none of them for 2 s. It fails without the reading time: two instances were asked, expected one.

--- a/packages/gateway/src/__tests__/unit/forward.test.ts
+++ b/packages/gateway/src/__tests__/unit/forward.test.ts
@@ -381,6 +381,28 @@
 	}
 });
 
+test('a stream whose caller does not read for a while is not taken for silent', async t => {
+	const events = Array.from({length: 8000}, (_, index) => `id: ${index + 1}\ndata: ${'x'.repeat(1000)}\n\n`).join('');
+	const front = await openFront(t, {
+		answers: [response => {
+			response.end(events);
+		}, neverAnswer],
+		routeChange: {kind: CallKind.Streaming, isResumable: true}, timeLeftMs: 20_000,
+	});
+	const request = front.ask();
+	const [response] = await once(request, 'response') as [IncomingMessage];
+	// Longer than an instance may be silent.
+	await sleep(2000);
+	let size = 0;
+	response.on('data', (bytes: Uint8Array) => {
+		size += bytes.length;
+	});
+	await once(response, 'close');
+	t.true(response.complete);
+	t.is(size, events.length);
+	t.is(front.asked.length, 1);
+});
+
 /** Counts the permits that are granted and returned. */
 const createPermitCounter = (waitMs: (question: number) => number) => {
 	const counter = {questions: 0, granted: 0, released: 0};
