Answer a request whose head arrived before it was handled as late

What callers saw: a gateway that stood still while the rest of a head arrived, or whose configuration lowered `header_timeout_ms` meanwhile, answered the whole request with 408 without a look at what had arrived.

Cause: the check for late heads is a timer, and timers are handled before anything is read.

Change: a late head is refused only if no request has come on its connection after the loop has read once more.

`client-errors.test.ts`, "a head that is whole but not read yet when it counts as late is answered", failed before.

--- a/packages/transport/src/__tests__/unit/client-errors.test.ts
+++ b/packages/transport/src/__tests__/unit/client-errors.test.ts
@@ -1,7 +1,7 @@
 import http, {type ServerResponse} from 'node:http';
 import net from 'node:net';
 import {once} from 'node:events';
-import {setTimeout as sleep} from 'node:timers/promises';
+import {setImmediate, setTimeout as sleep} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
 import {registerClientErrors} from '../../client-errors.js';
 
@@ -21,7 +21,7 @@
 /** Opens a server that answers in pieces, and a connection to it. */
 async function openConnection(t: ExecutionContext) {
 	const running: number[] = [];
-	const server = http.createServer((_request, response) => {
+	const server = http.createServer({connectionsCheckingInterval: 20}, (_request, response) => {
 		void answerInPieces(response);
 	});
 	registerClientErrors(server, {
@@ -40,7 +40,7 @@
 	});
 	const socket = net.connect((server.address() as {readonly port: number}).port, '127.0.0.1');
 	const received = {
-		text: '', socket, closed: once(socket, 'close'), running,
+		text: '', socket, closed: once(socket, 'close'), running, server,
 	};
 	socket.on('data', bytes => {
 		received.text += String(bytes);
@@ -68,3 +68,35 @@
 	t.true(caller.text.startsWith('HTTP/1.1 400 Bad Request\r\n'));
 	t.deepEqual(caller.running, [0]);
 });
+
+test('a head that is whole but not read yet when it counts as late is answered', async t => {
+	const caller = await openConnection(t);
+	const [connection] = await once(caller.server, 'connection') as [net.Socket];
+	const {bytesRead} = connection;
+	caller.socket.write('GET /a HTTP/1.1\r\n');
+
+	while (connection.bytesRead === bytesRead) {
+		await setImmediate();
+	}
+
+	caller.socket.write('Host: h\r\n\r\n');
+	// As after a time in which the process stood still: the loop handles what is due before it reads.
+	caller.server.emit('clientError', Object.assign(new Error('late'), {code: 'ERR_HTTP_REQUEST_TIMEOUT'}), connection);
+
+	while (!caller.text.endsWith(wholeAnswer) && !caller.socket.destroyed) {
+		await sleep(5);
+	}
+
+	t.true(caller.text.startsWith('HTTP/1.1 200 OK'));
+	t.true(caller.text.endsWith(wholeAnswer));
+	t.deepEqual(caller.running, []);
+});
+
+test('a head that does not become whole is answered with 408 once it is late', async t => {
+	const caller = await openConnection(t);
+	caller.server.headersTimeout = 30;
+	caller.socket.write('GET /a HTTP/1.1\r\n');
+	await caller.closed;
+	t.is(caller.text, 'HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n');
+	t.deepEqual(caller.running, [0]);
+});
--- a/packages/transport/src/client-errors.ts
+++ b/packages/transport/src/client-errors.ts
@@ -1,5 +1,6 @@
 import {type Server, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
+import {setImmediate} from 'node:timers/promises';
 
 export type ClientErrorOptions = {
 	/** Called once for each connection with bytes that are no request, with the number of answers that still run on it. */
@@ -10,9 +11,10 @@
 
 /** Time for a caller to read the answer to an invalid request before its connection is closed. */
 const lingerMs = 1000;
+const timeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT';
 const statusLineByCode: ReadonlyMap<string | undefined, string> = new Map([
 	['HPE_HEADER_OVERFLOW', '431 Request Header Fields Too Large'],
-	['ERR_HTTP_REQUEST_TIMEOUT', '408 Request Timeout'],
+	[timeoutCode, '408 Request Timeout'],
 ]);
 const defaultStatusLine = '400 Bad Request';
 
@@ -27,6 +29,7 @@
 export function registerClientErrors(server: Server, {onError, rejectBody}: ClientErrorOptions): void {
 	/** By connection, the responses that have not been sent completely, in the order of their requests. */
 	const responsesBySocket = new WeakMap<Socket, Set<ServerResponse>>();
+	const requestCounts = new WeakMap<Socket, number>();
 	const failedSockets = new WeakSet<Socket>();
 
 	const registerConnection = (socket: Socket) => {
@@ -44,15 +47,18 @@
 		return responses;
 	};
 
+	const countRequests = (socket: Socket) => requestCounts.get(socket) ?? 0;
+
 	server.on('request', ({socket}, response) => {
 		const responses = responsesBySocket.get(socket) ?? registerConnection(socket);
 		responses.add(response);
+		requestCounts.set(socket, countRequests(socket) + 1);
 		response.once('close', () => {
 			responses.delete(response);
 		});
 	});
 
-	server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+	const handleError = (error: NodeJS.ErrnoException, socket: Socket) => {
 		if (error.code === 'ECONNRESET' || !socket.writable) {
 			socket.destroy();
 
@@ -89,6 +95,26 @@
 		if (responses.size === 0) {
 			endConnection(socket, statusLine);
 		}
+	};
+
+	// What arrived while this process stood still has not been read yet.
+	const handleLate = async (error: NodeJS.ErrnoException, socket: Socket) => {
+		const requestCount = countRequests(socket);
+		// After the first, the reads that were under way are done; after the second, the loop has read again.
+		await setImmediate();
+		await setImmediate();
+
+		if (countRequests(socket) === requestCount) {
+			handleError(error, socket);
+		}
+	};
+
+	server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+		if (error.code === timeoutCode) {
+			void handleLate(error, socket);
+		} else {
+			handleError(error, socket);
+		}
 	});
 }
 
