--- a/packages/gateway/src/__tests__/unit/request-handler.test.ts
+++ b/packages/gateway/src/__tests__/unit/request-handler.test.ts
@@ -4,7 +4,7 @@
 import test, {type ExecutionContext} from 'ava';
 import {createSystemClock} from '@fescuestair/core';
 import {createLogger, createPrometheusMetrics} from '@fescuestair/runtime';
-import {buildRouteTable, CallKind} from '@fescuestair/traffic';
+import {buildRouteTable, CallKind, type RouteTable} from '@fescuestair/traffic';
 import {type ForwardOptions} from '../../forward-options.js';
 import {createRequestHandler} from '../../request-handler.js';
 
@@ -23,8 +23,8 @@
 	organisations: [],
 });
 
-const openHandler = async (t: ExecutionContext, {forwardOptions = {}, decodeThrows = false}: {
-	readonly forwardOptions?: Partial<ForwardOptions>; readonly decodeThrows?: boolean;
+const openHandler = async (t: ExecutionContext, {forwardOptions = {}, decodeThrows = false, getCurrentTable = () => table}: {
+	readonly forwardOptions?: Partial<ForwardOptions>; readonly decodeThrows?: boolean; readonly getCurrentTable?: () => RouteTable;
 } = {}) => {
 	const lines: string[] = [];
 	const log = createLogger({
@@ -36,7 +36,7 @@
 	const metrics = createPrometheusMetrics();
 	const handle = createRequestHandler({
 		forwardOptions: {
-			clock, metrics, getTable: () => table, isLeaving: () => false, waiting: new Map(), ...forwardOptions,
+			clock, metrics, getTable: getCurrentTable, isLeaving: () => false, waiting: new Map(), ...forwardOptions,
 		} as unknown as ForwardOptions,
 		callerCodec: {
 			decodeRequest({'x-id': id}) {
@@ -50,7 +50,7 @@
 			},
 			isForwarded: () => true,
 		},
-		clock, log, metrics, getTable: () => table, isStopping: () => false, depositRetryTokens: () => undefined,
+		clock, log, metrics, getTable: getCurrentTable, isStopping: () => false, depositRetryTokens: () => undefined,
 	});
 	const server = http.createServer((request, response) => {
 		handle(request, response).catch(() => {
@@ -67,6 +67,7 @@
 	return {
 		lines,
 		metrics,
+		server,
 		async send(target: string) {
 			const socket = net.connect((server.address() as {readonly port: number}).port, '127.0.0.1');
 			socket.write(`POST ${target} HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi`);
@@ -105,3 +106,33 @@
 	const handler = await openHandler(t);
 	t.regex(await handler.send('/a\tb'), /^HTTP\/1.1 400 [\s\S]*\{"error":"the target has characters that cannot be forwarded"\}$/v);
 });
+
+test('a request whose service is dropped by a new configuration while its body is read is refused with a whole 503, and its connection stays', async t => {
+	let current = table;
+	const handler = await openHandler(t, {getCurrentTable: () => current});
+	const socket = net.connect((handler.server.address() as {readonly port: number}).port, '127.0.0.1');
+	t.teardown(() => socket.destroy());
+	let text = '';
+	socket.on('data', bytes => {
+		text += String(bytes);
+	});
+
+	for (const isDropped of [true, false]) {
+		current = table;
+		const requested = once(handler.server, 'request');
+		socket.write('POST /a HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\nContent-Length: 2\r\n\r\nh');
+		await requested;
+		current = buildRouteTable({
+			...table.config, version: 8, routes: isDropped ? [] : table.config.routes, services: [],
+		});
+		text = '';
+		socket.write('i');
+
+		while (!text.endsWith('}') && !socket.closed) {
+			await Promise.race([once(socket, 'data'), once(socket, 'close')]);
+		}
+
+		t.regex(text, /^HTTP\/1.1 503 Service Unavailable\r\n[\s\S]*retry-after: [\s\S]*\{"error":"the service is not declared"\}$/v);
+		t.notRegex(text, /connection: close/iv);
+	}
+});
