Let no reset overtake the refusal of a request whose body is still being sent

What callers saw: a request that a gateway rejects by its head (no route, an unknown key) or for the size of its body was answered and its connection closed while the caller still sent the body. The system resets such a connection, and a caller that writes first and reads then gets the reset for an answer: neither an answer nor a refusal. A configuration that drops a route or a key, or lowers `max_body_bytes`, is when such requests come.

Node's client reads while it sends, so our own tests had not seen it.

Change: the refusal is sent as before, and the rest of the body is read and discarded, so that the connection goes on. It is closed as before where the body has no length or announces more than 8 MB, and while the gateway leaves: there a reset may still overtake the answer.

`request-handler.test.ts`: the cases of 404, 413 and 400 failed before (the connection was closed).

--- a/packages/gateway/src/__tests__/unit/request-handler.test.ts
+++ b/packages/gateway/src/__tests__/unit/request-handler.test.ts
@@ -136,3 +136,55 @@
 		t.notRegex(text, /connection: close/iv);
 	}
 });
+
+for (const [target, host, size, status] of [['/a', 'other', 4_000_000, 404], ['/a', 'h', 4_000_000, 413], ['/a\tb', 'h', 400_000, 400]] as const) {
+	test(`a rejection with ${status} is not overtaken by a reset while its caller still sends the body, and the connection goes on`, async t => {
+		const handler = await openHandler(t);
+		const socket = net.connect((handler.server.address() as {readonly port: number}).port, '127.0.0.1');
+		t.teardown(() => socket.destroy());
+		let text = '';
+		const errors: Error[] = [];
+		socket.on('data', bytes => {
+			text += String(bytes);
+		});
+		socket.on('error', error => {
+			errors.push(error);
+		});
+		const post = `POST ${target} HTTP/1.1\r\nHost: ${host}\r\nX-Id: r1\r\nContent-Length: ${size}\r\n\r\n`;
+		const countAnswers = () => text.split(`HTTP/1.1 ${status} `).length - 1;
+
+		for (const count of [1, 2]) {
+			socket.write(post + 'x'.repeat(size / 2));
+
+			while (countAnswers() < count && !socket.closed) {
+				await Promise.race([once(socket, 'data'), once(socket, 'close')]);
+			}
+
+			t.is(countAnswers(), count);
+			await new Promise<void>(resolve => {
+				socket.write('x'.repeat(size / 2), () => {
+					resolve();
+				});
+			});
+		}
+
+		t.deepEqual(errors, []);
+		t.notRegex(text, /connection: close/iv);
+	});
+}
+
+test('a rejected request whose body is longer than what is discarded, or has no length, closes its connection', async t => {
+	const handler = await openHandler(t);
+
+	for (const header of ['Content-Length: 9000000', 'Transfer-Encoding: chunked']) {
+		const socket = net.connect((handler.server.address() as {readonly port: number}).port, '127.0.0.1');
+		socket.write(`POST /a HTTP/1.1\r\nHost: other\r\nX-Id: r1\r\n${header}\r\n\r\n`);
+		let text = '';
+
+		for await (const chunk of socket) {
+			text += String(chunk);
+		}
+
+		t.regex(text, /^HTTP\/1.1 404 [\s\S]*connection: close/iv);
+	}
+});
--- a/packages/gateway/src/read-bytes.ts
+++ b/packages/gateway/src/read-bytes.ts
@@ -2,7 +2,7 @@
 import {type IncomingMessage} from 'node:http';
 
 /**
-Reads a message body to its end; returns `undefined` as soon as it is too large. Throws if the connection is lost before the end.
+Reads a message body to its end; returns `undefined` as soon as it is too large, and leaves the rest unread. Throws if the connection is lost before the end.
 
 @example
 ```
@@ -13,7 +13,7 @@
 	const chunks: Buffer[] = [];
 	let size = 0;
 
-	for await (const chunk of message) {
+	for await (const chunk of message.iterator({destroyOnReturn: false})) {
 		size += (chunk as Buffer).length;
 
 		if (isTooLarge(size)) {
