Let no reset overtake a refusal of an entry whose caller still sends the body

Change: `sendRefusal` lets the rest of the body be discarded, by the rule of the gateway, which moves to `transport`; up to 32 MB, twice the longest body that is accepted anywhere.

`refusals.test.ts` failed before. `streams.test.ts`, "invalid requests get specific errors ...", passed once after.

--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -5,6 +5,7 @@
 import {
 	findRoute, type CallerLimits, type CallKind, type RouteTable,
 } from '@fescuestair/traffic';
+import {canDiscardBody} from '@fescuestair/transport';
 import {type CallerCodec} from './codecs.js';
 import {ExchangeOutcome, sendLocalResponse, type ExchangeResult} from './exchange.js';
 import {forwardExchange} from './forward.js';
@@ -40,8 +41,6 @@
 const unforwardablePattern = /[^\u0021-\u00FF]/v;
 /** Upper bound for the bodies of all requests in progress; a request that would exceed it is rejected. */
 const maxBufferedBodyBytes = 64_000_000;
-/** The rest of a rejected request is read and discarded if it has announced no more than this; otherwise its connection is closed. */
-const maxDiscardedBytes = 8_000_000;
 
 /**
 Creates the handler of callers' requests. It checks a request against the configuration in force, reads its body, forwards it, and records it
@@ -61,7 +60,7 @@
 	let bufferedBodyBytes = 0;
 
 	const reject = (response: ServerResponse, status: number, message: string): ExchangeResult => {
-		sendLocalResponse(response, {status, message, shouldClose: isLeaving() || !canDiscardRest(response.req)});
+		sendLocalResponse(response, {status, message, shouldClose: isLeaving() || !canDiscardBody(response.req)});
 		// The connection goes on behind the rest of the body.
 		response.req.resume();
 
@@ -225,11 +224,6 @@
 	};
 }
 
-// A connection that is closed while its caller still sends is reset, and the reset may overtake the refusal.
-function canDiscardRest({complete, headers}: IncomingMessage): boolean {
-	return complete || (headers['transfer-encoding'] === undefined && Number(headers['content-length'] ?? 0) <= maxDiscardedBytes);
-}
-
 function findHeadFault({rawHeaders, url = ''}: IncomingMessage, {maxHeaderBytes}: CallerLimits): {readonly status: number; readonly message: string} | undefined {
 	if (countHeaderBytes(rawHeaders) > maxHeaderBytes) {
 		return {status: 431, message: 'the headers are too large'};
--- a/packages/transport/src/http.ts
+++ b/packages/transport/src/http.ts
@@ -10,6 +10,9 @@
 	readonly timeoutMs: number;
 };
 
+/** Twice the longest body that is accepted anywhere. */
+const maxDiscardedBytes = 32_000_000;
+
 function createBodyRefusal(code: RefusalCode, message: string): RefusalError {
 	return new RefusalError({code, message, ran: ExecutionStatus.NotRun});
 }
@@ -75,7 +78,21 @@
 	response.end(body);
 }
 
-/** Sends a refusal. Closes the connection if the request body was not read completely, and destroys it if headers have been sent already. */
+/**
+Whether the body of a refused request may be read to its end and discarded. Otherwise its connection has to be closed; while the caller still sends, it is reset so, and the reset may
+overtake the refusal.
+
+@example
+```
+sendLocalResponse(response, {status: 404, message: 'no route', shouldClose: !canDiscardBody(request)});
+request.resume();
+```
+*/
+export function canDiscardBody({complete, headers}: IncomingMessage): boolean {
+	return complete || (headers['transfer-encoding'] === undefined && Number(headers['content-length'] ?? 0) <= maxDiscardedBytes);
+}
+
+/** Sends a refusal. Discards the rest of the request body or closes the connection, and destroys it if headers have been sent already. */
 export function sendRefusal(response: ServerResponse, refusal: Refusal, requestId: string): void {
 	if (response.headersSent || response.destroyed) {
 		response.destroy();
@@ -90,7 +107,8 @@
 		[headerNames.requestId]: requestId,
 		[headerNames.ran]: refusal.ran,
 		...(refusal.retryAfterSeconds !== undefined && {'retry-after': String(refusal.retryAfterSeconds)}),
-		...(!response.req.complete && {connection: 'close'}),
+		...(!canDiscardBody(response.req) && {connection: 'close'}),
 	});
 	response.end(body);
+	response.req.resume();
 }
