Let no limit of a configuration end a gateway's process

What callers saw: after a change of the configuration to an `idle_timeout_ms` below -1000, the gateway's process ended with the next answer, and each request on it got neither an answer nor a refusal. Such a configuration is accepted: it is none of those that the interface calls invalid.

Cause: Node adds a second to the idle time-out and sets it on the connection when an answer has ended; it throws for a time below 0.

Evidence, a trial: a server with `keepAliveTimeout` -5000 ended with ERR_OUT_OF_RANGE; with 0.5, 1500.5, 5e9 and 1e308 it answered.

Change: the caller server takes the limits, and brings both into the range of timers.

`caller-server.test.ts`, "limits of a configuration that are out of the range of timers end no answer": the test process ended with an uncaught ERR_OUT_OF_RANGE without the range.

--- a/packages/gateway/src/__tests__/unit/caller-server.test.ts
+++ b/packages/gateway/src/__tests__/unit/caller-server.test.ts
@@ -245,3 +245,24 @@
 	t.regex(caller.text, /\r\nKeep-Alive: timeout=15\r\n/v);
 	t.true(socket!.timeout! >= 15_000);
 });
+
+// Node throws where an answer ends, and the process with it.
+test('limits of a configuration that are out of the range of timers end no answer', async t => {
+	for (const limitMs of [-5000, 1e300, 0.5]) {
+		const server = await openServer(t, async (_request, response) => {
+			response.end('whole');
+		});
+		server.applyLimits({headerTimeoutMs: limitMs, idleTimeoutMs: limitMs});
+		const caller = server.connect();
+
+		for (const count of [1, 2]) {
+			caller.socket.write(request('/a'));
+
+			while (caller.text.split('whole').length <= count && !caller.socket.closed) {
+				await Promise.race([once(caller.socket, 'data'), caller.closed]);
+			}
+
+			t.is(caller.text.split('whole').length, count + 1);
+		}
+	}
+});
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -1,6 +1,7 @@
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type Logger} from '@fescuestair/runtime';
+import {type CallerLimits} from '@fescuestair/traffic';
 import {registerClientErrors, registerIdleTimeouts} from '@fescuestair/transport';
 import {cancelResponse, sendLocalResponse} from './exchange.js';
 
@@ -16,6 +17,8 @@
 	readonly server: http.Server;
 	/** Responses that have not been sent completely. */
 	readonly activeResponses: ReadonlySet<ServerResponse>;
+	/** Sets how long a caller may take for a head, and stay idle. */
+	readonly applyLimits: (limits: Pick<CallerLimits, 'headerTimeoutMs' | 'idleTimeoutMs'>) => void;
 	/** Answers what has no answer yet, aborts begun answers and closes all connections; ended answers get a short time to reach their callers. */
 	readonly close: () => Promise<void>;
 };
@@ -26,6 +29,8 @@
 /** Time for answers that have ended to reach their callers before a close. */
 const flushTimeoutMs = 400;
 const flushPollMs = 10;
+/** Node's timers hold no more than 2^31 - 1 ms. */
+const maxTimeoutMs = 2_000_000_000;
 /** Callers may retry almost at once, since other gateways accept them. */
 const stoppingRetryAfterMs = 50;
 
@@ -86,6 +91,10 @@
 	return {
 		server,
 		activeResponses,
+		applyLimits({headerTimeoutMs, idleTimeoutMs}) {
+			server.headersTimeout = toTimeout(headerTimeoutMs);
+			server.keepAliveTimeout = toTimeout(idleTimeoutMs);
+		},
 		async close() {
 			isClosing = true;
 
@@ -126,3 +135,8 @@
 		status: 503, message: 'this gateway stops', retryAfterMs: stoppingRetryAfterMs, shouldClose: true,
 	});
 }
+
+// Node throws at the end of an answer where its time-out is out of range. 0 means none.
+function toTimeout(limitMs: number): number {
+	return Math.trunc(Math.min(maxTimeoutMs, Math.max(0, limitMs)));
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -154,8 +154,7 @@
 			}
 
 			routeTable = nextTable;
-			server.headersTimeout = routeTable.config.limits.headerTimeoutMs;
-			server.keepAliveTimeout = routeTable.config.limits.idleTimeoutMs;
+			callerServer.applyLimits(routeTable.config.limits);
 			instancePool.applyLimits();
 		}
 
