--- a/packages/entry/src/__tests__/unit/silent-run.test.ts
+++ b/packages/entry/src/__tests__/unit/silent-run.test.ts
@@ -523,6 +523,37 @@
 	t.is(result.countCalls('POST engine-2'), 1);
 });
 
+test('an answer whose silent engine is lost while its successor is planned goes on at the successor', async t => {
+	const lost = createLost();
+	let setPlanned: () => void = () => undefined;
+	const planned = new Promise<void>(resolve => {
+		setPlanned = resolve;
+	});
+	let isPlanning = false;
+	const result = await runAt({
+		engines: [lost, createSound()],
+		async planLate(plans) {
+			if (plans === 2) {
+				isPlanning = true;
+				await planned;
+			}
+		},
+		async play({waitFor, clock, events, requestEvents, leave}) {
+			await waitFor(() => events.length === 1);
+			clock.advance(silenceMs);
+			await waitFor(() => isPlanning);
+			lost.lose();
+			await waitFor(() => requestEvents.some(event => event.kind === RequestEventKind.AttemptEnded));
+			setPlanned();
+			const timer = setTimeout(leave, 5000);
+			await waitFor(() => events.length === words.length);
+			clearTimeout(timer);
+		},
+	});
+	t.like(result, whole);
+	t.is(result.countCalls('POST engine-2'), 1);
+});
+
 test('a successor that was planned before the silent engine crashed is not sent a prompt that is held back', async t => {
 	const lost = createLost();
 	let setPlanned: () => void = () => undefined;
