Refuse requests that arrived before the close of a gateway and are not read yet

What callers saw: a request on a kept connection that had arrived when the time to stop was over, and was not read yet, got ECONNRESET: the close looked only for requests that had been read.

Change: the close lets the loop read once more; what it reads is refused with 503, as during the rest of the close.

`caller-server.test.ts`, "a request that has arrived before a close and is not read yet is refused with 503", failed before in three of three runs (ECONNRESET), and passed in three of three after.

--- a/packages/gateway/src/__tests__/unit/caller-server.test.ts
+++ b/packages/gateway/src/__tests__/unit/caller-server.test.ts
@@ -203,6 +203,18 @@
 	t.true(unread.text.length < 50_000_000);
 });
 
+test('a request that has arrived before a close and is not read yet is refused with 503', async t => {
+	const server = await openServer(t, async (_request, response) => {
+		response.end('whole');
+	});
+	const kept = server.connect();
+	kept.socket.write(request('/a'));
+	await once(kept.socket, 'data');
+	kept.socket.write(request('/b'));
+	await Promise.all([server.close(), kept.closed]);
+	t.regex(kept.text, /whole[\s\S]*HTTP\/1.1 503 Service Unavailable\r\n[\s\S]*connection: close[\s\S]*\{"error":"this gateway stops"\}$/v);
+});
+
 test('a request behind another one on its connection is running no more once the connection is closed and its handling has ended', async t => {
 	const handled: string[] = [];
 	const server = await openServer(t, async (_request, response) => {
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -1,5 +1,5 @@
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
-import {setTimeout as sleep} from 'node:timers/promises';
+import {setImmediate, setTimeout as sleep} from 'node:timers/promises';
 import {type Logger} from '@fescuestair/runtime';
 import {type CallerLimits} from '@fescuestair/traffic';
 import {registerClientErrors, registerIdleTimeouts} from '@fescuestair/transport';
@@ -97,6 +97,9 @@
 		},
 		async close() {
 			isClosing = true;
+			// After the first, the reads that were under way are done; after the second, the loop has read again.
+			await setImmediate();
+			await setImmediate();
 
 			for (const response of activeResponses) {
 				if (!response.headersSent) {
