--- a/packages/entry/src/caller-listener.ts
+++ b/packages/entry/src/caller-listener.ts
@@ -4,7 +4,7 @@
 import {RefusalCode, RefusalError} from '@fescuestair/protocol';
 import {listItems, ItemKind, type PublicState} from '@fescuestair/state';
 import {
-	createKeyRing, openHttpListener, registerClientErrors, sendJson, sendRefusal, type Address, type KeyRing,
+	createKeyRing, openHttpListener, registerClientErrors, registerIdleTimeouts, sendJson, sendRefusal, type Address, type KeyRing,
 } from '@fescuestair/transport';
 import {handleCompletion} from './completions.js';
 import {handleService} from './services.js';
@@ -105,6 +105,13 @@
 	const server = http.createServer({
 		maxHeaderSize: maxHeaderBytes, headersTimeout: headersTimeoutMs, requestTimeout: 0, connectionsCheckingInterval: 2000,
 	}, async (request, response) => {
+		// Its head was refused as late, or the answer before it closes the connection.
+		if (!request.socket.writable) {
+			services.log.info('a request is not handled, since its connection was ended before', {target: request.url});
+
+			return;
+		}
+
 		const requestId = createId('r', services.clock.readWallMs());
 		runningCount++;
 		response.once('close', () => {
@@ -123,6 +130,7 @@
 			sendRefusal(response, qualifyRefusal(services, request, refusal), requestId);
 		}
 	});
+	registerIdleTimeouts(server);
 	registerClientErrors(server, {
 		onError(reason, running) {
 			services.log.info('invalid or incomplete HTTP request', {reason, running});
--- a/packages/gateway/src/__tests__/unit/caller-server.test.ts
+++ b/packages/gateway/src/__tests__/unit/caller-server.test.ts
@@ -115,6 +115,22 @@
 	t.true(busy.text.endsWith(`\r\n\r\n${wholeChunks(20)}${timeout}`));
 });
 
+test('a request whose head is whole only after it was refused as late is not handled', async t => {
+	const handled: string[] = [];
+	const {server, connect} = await openServer(t, async ({url}, response) => {
+		handled.push(url!);
+		response.end('whole');
+	});
+	server.headersTimeout = 30;
+	const caller = connect();
+	caller.socket.write('GET /late HTTP/1.1\r\n');
+	await once(caller.socket, 'data');
+	caller.socket.write('Host: h\r\n\r\n');
+	await caller.closed;
+	t.is(caller.text, 'HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n');
+	t.deepEqual(handled, []);
+});
+
 test('an answer that announced the close of its connection is followed by nothing', async t => {
 	const server = await openServer(t, async (_request, response) => {
 		response.setHeader('Connection', 'close');
@@ -187,6 +203,18 @@
 	t.true(unread.text.length < 50_000_000);
 });
 
+test('a request that has arrived before a close and is not read yet is refused with 503', async t => {
+	const server = await openServer(t, async (_request, response) => {
+		response.end('whole');
+	});
+	const kept = server.connect();
+	kept.socket.write(request('/a'));
+	await once(kept.socket, 'data');
+	kept.socket.write(request('/b'));
+	await Promise.all([server.close(), kept.closed]);
+	t.regex(kept.text, /whole[\s\S]*HTTP\/1.1 503 Service Unavailable\r\n[\s\S]*connection: close[\s\S]*\{"error":"this gateway stops"\}$/v);
+});
+
 test('a request behind another one on its connection is running no more once the connection is closed and its handling has ended', async t => {
 	const handled: string[] = [];
 	const server = await openServer(t, async (_request, response) => {
@@ -210,3 +238,43 @@
 	await sleep(50);
 	t.is(server.activeResponses.size, 0);
 });
+
+test('a connection is kept for as long as its answer has announced, although a new configuration lowers the idle timeout meanwhile', async t => {
+	const responses: ServerResponse[] = [];
+	const {server, connect} = await openServer(t, async (_request, response) => {
+		responses.push(response);
+		response.write('begun;');
+	});
+	server.keepAliveTimeout = 15_000;
+	const caller = connect();
+	caller.socket.write(request('/a'));
+	await once(caller.socket, 'data');
+	const [response] = responses;
+	const {socket} = response!;
+	server.keepAliveTimeout = 50;
+	response!.end('end');
+	await once(response!, 'finish');
+	t.regex(caller.text, /\r\nKeep-Alive: timeout=15\r\n/v);
+	t.true(socket!.timeout! >= 15_000);
+});
+
+// Node throws where an answer ends, and the process with it.
+test('limits of a configuration that are out of the range of timers end no answer', async t => {
+	for (const limitMs of [-5000, 1e300, 0.5]) {
+		const server = await openServer(t, async (_request, response) => {
+			response.end('whole');
+		});
+		server.applyLimits({headerTimeoutMs: limitMs, idleTimeoutMs: limitMs});
+		const caller = server.connect();
+
+		for (const count of [1, 2]) {
+			caller.socket.write(request('/a'));
+
+			while (caller.text.split('whole').length <= count && !caller.socket.closed) {
+				await Promise.race([once(caller.socket, 'data'), caller.closed]);
+			}
+
+			t.is(caller.text.split('whole').length, count + 1);
+		}
+	}
+});
--- a/packages/gateway/src/__tests__/unit/forward.test.ts
+++ b/packages/gateway/src/__tests__/unit/forward.test.ts
@@ -182,6 +182,8 @@
 };
 
 const neverAnswer: UpstreamAnswer = () => undefined;
+/** A request that is not under way is refused after fewer permits were refused to it. */
+const moreThanRefusalsOfOne = 9;
 /** Longer than the gateway waits for the other run before the silent one goes on. */
 const permitMs = 1400;
 const isSilent = ({decidedSilences}: FrontState) => decidedSilences > 0;
@@ -379,6 +381,28 @@
 	}
 });
 
+test('a stream whose caller does not read for a while is not taken for silent', async t => {
+	const events = Array.from({length: 8000}, (_, index) => `id: ${index + 1}\ndata: ${'x'.repeat(1000)}\n\n`).join('');
+	const front = await openFront(t, {
+		answers: [response => {
+			response.end(events);
+		}, neverAnswer],
+		routeChange: {kind: CallKind.Streaming, isResumable: true}, timeLeftMs: 20_000,
+	});
+	const request = front.ask();
+	const [response] = await once(request, 'response') as [IncomingMessage];
+	// Longer than an instance may be silent.
+	await sleep(2000);
+	let size = 0;
+	response.on('data', (bytes: Uint8Array) => {
+		size += bytes.length;
+	});
+	await once(response, 'close');
+	t.true(response.complete);
+	t.is(size, events.length);
+	t.is(front.asked.length, 1);
+});
+
 /** Counts the permits that are granted and returned. */
 const createPermitCounter = (waitMs: (question: number) => number) => {
 	const counter = {questions: 0, granted: 0, released: 0};
@@ -434,6 +458,25 @@
 	t.like(await front.fetch(), {status: 200, body: 'other', isWhole: true});
 });
 
+test('permits that were refused again and again beside a silent run do not end the request when that run is lost', async t => {
+	let questions = 0;
+	let isLost = false;
+	const front = await openFront(t, {
+		answers: [response => {
+			void (async () => {
+				await waitUntil(() => questions > moreThanRefusalsOfOne);
+				isLost = true;
+				response.socket!.destroy();
+			})();
+		}, answerAfter(0, 'other')],
+		async reserve() {
+			return questions++ > 0 && !isLost ? {outcome: PermitOutcome.Refused} : {outcome: PermitOutcome.Granted, permit};
+		},
+		timeLeftMs: 20_000,
+	});
+	t.like(await front.fetch(), {status: 200, body: 'other', isWhole: true});
+});
+
 test('the run of a request behind another one on its connection ends when the caller leaves', async t => {
 	const front = await openFront(t, {answers: [neverAnswer, neverAnswer], timeLeftMs: 60_000, routeChange: {maxAttempts: 1}});
 	const socket = net.connect(front.port, '127.0.0.1');
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -1,7 +1,8 @@
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
-import {setTimeout as sleep} from 'node:timers/promises';
+import {setImmediate, setTimeout as sleep} from 'node:timers/promises';
 import {type Logger} from '@fescuestair/runtime';
-import {registerClientErrors} from '@fescuestair/transport';
+import {type CallerLimits} from '@fescuestair/traffic';
+import {registerClientErrors, registerIdleTimeouts} from '@fescuestair/transport';
 import {cancelResponse, sendLocalResponse} from './exchange.js';
 
 export type CallerServerOptions = {
@@ -16,6 +17,8 @@
 	readonly server: http.Server;
 	/** Responses that have not been sent completely. */
 	readonly activeResponses: ReadonlySet<ServerResponse>;
+	/** Sets how long a caller may take for a head, and stay idle. */
+	readonly applyLimits: (limits: Pick<CallerLimits, 'headerTimeoutMs' | 'idleTimeoutMs'>) => void;
 	/** Answers what has no answer yet, aborts begun answers and closes all connections; ended answers get a short time to reach their callers. */
 	readonly close: () => Promise<void>;
 };
@@ -26,6 +29,8 @@
 /** Time for answers that have ended to reach their callers before a close. */
 const flushTimeoutMs = 400;
 const flushPollMs = 10;
+/** Node's timers hold no more than 2^31 - 1 ms. */
+const maxTimeoutMs = 2_000_000_000;
 /** Callers may retry almost at once, since other gateways accept them. */
 const stoppingRetryAfterMs = 50;
 
@@ -45,6 +50,7 @@
 		maxHeaderSize: maxParsedHeaderBytes, requestTimeout: 0, keepAlive: true, connectionsCheckingInterval: checkIntervalMs,
 	});
 
+	registerIdleTimeouts(server);
 	registerClientErrors(server, {
 		onError(reason, running) {
 			log.info('invalid or incomplete HTTP request', {reason, running});
@@ -55,6 +61,13 @@
 	});
 
 	server.on('request', (request, response) => {
+		// Its head was refused as late, or the answer before it closes the connection.
+		if (!request.socket.writable) {
+			log.info('a request is not handled, since its connection was ended before', {target: request.url});
+
+			return;
+		}
+
 		activeResponses.add(response);
 		response.once('close', () => {
 			activeResponses.delete(response);
@@ -78,8 +91,15 @@
 	return {
 		server,
 		activeResponses,
+		applyLimits({headerTimeoutMs, idleTimeoutMs}) {
+			server.headersTimeout = toTimeout(headerTimeoutMs);
+			server.keepAliveTimeout = toTimeout(idleTimeoutMs);
+		},
 		async close() {
 			isClosing = true;
+			// After the first, the reads that were under way are done; after the second, the loop has read again.
+			await setImmediate();
+			await setImmediate();
 
 			for (const response of activeResponses) {
 				if (!response.headersSent) {
@@ -118,3 +138,8 @@
 		status: 503, message: 'this gateway stops', retryAfterMs: stoppingRetryAfterMs, shouldClose: true,
 	});
 }
+
+// Node throws at the end of an answer where its time-out is out of range. 0 means none.
+function toTimeout(limitMs: number): number {
+	return Math.trunc(Math.min(maxTimeoutMs, Math.max(0, limitMs)));
+}
