Test that the run of a caller that lost its connection is kept at its engine

The new test leaves a run before its first token, which is cancelled, and one behind two tokens, which is kept. The stage of these tests no longer waits for the cancellation of a run that is kept.

--- a/packages/entry/src/__tests__/unit/silent-run.test.ts
+++ b/packages/entry/src/__tests__/unit/silent-run.test.ts
@@ -125,6 +125,7 @@
 /** Runs a prompt of four tokens at stub engines, in their order, while a test plays its scene; resolves to what the caller got and how it ended. */
 async function runAt({engines, changes, planLate, play, drained}: RunInput) {
 	let plans = 0;
+	let keptCount = 0;
 	const clock = createManualClock(1000);
 	// Such an agent gives up a connection that is silent, unless it is told otherwise.
 	const agent = new Agent({headersTimeout: 100, bodyTimeout: 100});
@@ -194,9 +195,14 @@
 				clock, log: createLogger({instance: 'entry-1', level: 0}), metrics: {count: () => undefined}, recordRequestEvent: options.recordRequestEvent,
 			}, report);
 		},
-		keepLeftRun: () => false,
 		keepsRuns: () => false,
 		...changes,
+		keepLeftRun(job, record) {
+			const isKept = changes?.keepLeftRun?.(job, record) ?? false;
+			keptCount += isKept ? 1 : 0;
+
+			return isKept;
+		},
 	};
 	const waitFor = async (condition: () => boolean) => {
 		while (!condition() && !state.isEnded) {
@@ -245,7 +251,7 @@
 		await Promise.all([run(), play(scene)]);
 
 		// Cancellations are sent and not waited for.
-		while (calls.filter(call => call.startsWith('DELETE')).length < listCancelled(requestEvents).length) {
+		while (calls.filter(call => call.startsWith('DELETE')).length < listCancelled(requestEvents).length - keptCount) {
 			await sleep(5);
 		}
 	} finally {
@@ -421,6 +427,31 @@
 	});
 }
 
+test('a run that has brought tokens is kept for a caller that lost its connection, and one that has not is cancelled', async t => {
+	for (const tokens of [0, 2]) {
+		const kept: string[] = [];
+		const result = await runAt({
+			engines: [createSilent({tokens})],
+			changes: {
+				keepLeftRun(job, {id}) {
+					kept.push(`${job.requestId} ${id}`);
+
+					return true;
+				},
+			},
+			async play({waitFor, calls, events, leave}) {
+				await waitFor(() => calls.includes('POST engine-1') && events.length === tokens);
+				leave();
+				// Time for a cancellation that should not be sent.
+				await sleep(100);
+			},
+		});
+		t.true(result.error instanceof Error);
+		t.deepEqual(kept, tokens === 0 ? [] : ['r-1 engine-1']);
+		t.is(result.countCalls('DELETE engine-1'), tokens === 0 ? 1 : 0);
+	}
+});
+
 test('a run is not taken for silent while its caller does not read', async t => {
 	const engine = createSilent({tokens: 2});
 	let setDrained: () => void = () => undefined;
