--- a/packages/entry/src/__tests__/unit/left-runs.test.ts
+++ b/packages/entry/src/__tests__/unit/left-runs.test.ts
@@ -2,8 +2,8 @@
 import test from 'ava';
 import {createLeftRuns, type RunClaim} from '../../left-runs.js';
 
-function createList() {
-	const leftRuns = createLeftRuns({keepMs: 20});
+function createList(keepMs = 20) {
+	const leftRuns = createLeftRuns({keepMs});
 	const cancelled: string[] = [];
 
 	const keep = (organisation: string, requestId: string, claim?: RunClaim) => {
@@ -63,3 +63,16 @@
 	leftRuns.stop();
 	t.deepEqual(await listCancelled(), []);
 });
+
+test('a run that was left is kept for its time', async t => {
+	const {leftRuns} = createList(60_000);
+	let cancelledCount = 0;
+	leftRuns.keep({
+		organisation: 'okahandja', requestId: 'r-1', cancel() {
+			cancelledCount++;
+		},
+	}, undefined);
+	await sleep(100);
+	t.is(cancelledCount, 0);
+	leftRuns.stop();
+});
