--- a/packages/entry/src/__tests__/unit/resume-stream.test.ts
+++ b/packages/entry/src/__tests__/unit/resume-stream.test.ts
@@ -205,6 +205,12 @@
 	t.like(refusal, {code: RefusalCode.UpstreamFailed, ran: ExecutionStatus.Ran, retryAfterSeconds: 1});
 });
 
+test('a resumed answer whose connection is lost goes on at an engine that has only stopped announcing itself', async t => {
+	const {error, text} = await resumeAt({answers: [breakOff, goOn], status: MemberStatus.Dead});
+	t.is(error, undefined);
+	t.is(text, 'cde');
+});
+
 test('a resumed answer without its last event is not whole', async t => {
 	for (const events of ['', ': heartbeat\n\n', formatEvents(2, 4)]) {
 		const {refusal} = await resumeAt({answers: [response => response.end(events), response => response.end('')]});
