Check the instance before a stream goes on there, not once its restart is announced

Callers got a text of two software versions where an instance was back under its id and at its address with other software, and the continuation of a stream was sent there before a daemon had heard of the restart: the gateway took the software from the last announcement, answers do not name it, and Expect-Instance compares the id only. The record was compared again at the first event and at the end, which is no help until the new announcement is there.

software-versions.test.ts shows it with processes: both instances restart as v2 unannounced, and streams that v1 began are taken up.

Change: the first data of a run that continues a stream is held back until it is known which incarnation sent it (checkRunOrigin). Connections do not outlive a process. So it is known where the connection was open 5 s before an announcement of the incarnation (announcements may be late by seconds), or where the instance answers after the connection was opened that it is still that incarnation: reports name it as announcements do. Else the next announcement is waited for, 2 s at most, and unknown counts as different. The run is under way meanwhile, so that a report costs the first event a round trip at most. Only continuations pay: a report, on a connection of its own, where theirs is young. The story of a request names the proof (originProof), and stream_origin_checks_total counts them.

The end of a whole answer can be read together with data that is held back, whatever is paused: Node ends a body that is paused in the turn in which it began to flow.

--- a/packages/gateway/src/__tests__/unit/gateway.test.ts
+++ b/packages/gateway/src/__tests__/unit/gateway.test.ts
@@ -43,7 +43,8 @@
 	const gateway = await createGateway({
 		name: 'gateway-1', availabilityZone: 'north', linkAddress: '127.0.0.1:0', listen: '127.0.0.1:0', getSeeds: () => [`127.0.0.1:${server.port}`],
 		decodeConfig: text => text === '1' ? {...config, version: 1} : undefined as unknown as TrafficConfig,
-		callerCodec: {} as unknown as CallerCodec, upstreamCodec: {} as unknown as UpstreamCodec, retryAllowance: {perRequest: 0, slack: 0}, oldWeightsMs: 1000, stopTimeoutMs: 0,
+		callerCodec: {} as unknown as CallerCodec, upstreamCodec: {} as unknown as UpstreamCodec, fetchIncarnation: async () => undefined,
+		retryAllowance: {perRequest: 0, slack: 0}, oldWeightsMs: 1000, stopTimeoutMs: 0,
 		log, metrics: createPrometheusMetrics(),
 	});
 	await waitForLine('configuration in force');
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -60,6 +60,8 @@
 	readonly onHead?: (head: ResponseHead) => void;
 	/** Called whenever the instance sends anything. */
 	readonly onBytes: () => void;
+	/** Called once the request has a connection, with the time at which that was opened, on the monotonic clock. */
+	readonly onConnection?: (openedAtMs: number) => void;
 };
 
 export type Attempt = {
@@ -72,6 +74,8 @@
 /** Time limit for establishing a connection: some hundred times the round-trip time. */
 const connectTimeoutMs = 400;
 const chunkedEncoding = 'chunked';
+/** When connections were opened, or were first used here, on the monotonic clock. */
+const openedTimes = new WeakMap<Socket, number>();
 const minFinalStatus = 200;
 const noContentStatus = 204;
 const notModifiedStatus = 304;
@@ -90,7 +94,7 @@
 */
 export function startAttempt(options: AttemptOptions): Attempt {
 	const {
-		address, agent, codec, requestId, method, target, headers, body, onData, onHead, onBytes,
+		address, agent, codec, requestId, method, target, headers, body, onData, onHead, onBytes, onConnection,
 	} = options;
 	const {host, port} = parseAddress(address);
 	const chunks: Buffer[] = [];
@@ -141,9 +145,12 @@
 		}
 	}, connectTimeoutMs);
 
-	const markSent = () => {
+	const markSent = (socket: Socket) => {
 		isSent = true;
 		clearTimeout(connectTimer);
+		const openedAtMs = openedTimes.get(socket) ?? performance.now();
+		openedTimes.set(socket, openedAtMs);
+		onConnection?.(openedAtMs);
 	};
 
 	request.on('socket', (socket: Socket) => {
@@ -154,10 +161,10 @@
 			connectMs = 0;
 			socket.once('connect', () => {
 				connectMs = performance.now() - startedAtMs;
-				markSent();
+				markSent(socket);
 			});
 		} else {
-			markSent();
+			markSent(socket);
 		}
 	});
 	request.on('error', (error: NodeJS.ErrnoException) => {
--- a/packages/gateway/src/caller-stream.ts
+++ b/packages/gateway/src/caller-stream.ts
@@ -50,6 +50,8 @@
 export type StreamRun = {
 	/** Forwards bytes to the caller; returns false to pause until `onDrain` is called. */
 	readonly write: (bytes: Buffer, head: ResponseHead, onDrain: () => void) => boolean;
+	/** Whether other runs have begun the stream and this one has not contributed to it, so that its software has to be known. */
+	readonly isContinuation: () => boolean;
 	/** Whether another run has continued the stream since this one started, or since it last did itself. */
 	readonly isSuperseded: () => boolean;
 	/** What the caller has got, where this run is the last one; `undefined` before the stream has started. */
@@ -215,6 +217,7 @@
 
 				return false;
 			},
+			isContinuation: () => begunBy !== undefined && joinedAs === undefined && !isSuperseded(),
 			isSuperseded,
 			getBegun: () => describeBegun(splitter),
 			getEventFault: () => isLengthExceeded ? RunFault.OtherLength : headFault ?? originFault ?? splitter?.getEventFault(),
--- a/packages/gateway/src/describe-attempt.ts
+++ b/packages/gateway/src/describe-attempt.ts
@@ -1,6 +1,7 @@
 import {type InstanceLoad} from '@fescuestair/routing';
 import {type RunDecision, type RunFault} from '@fescuestair/streams';
 import {AttemptCompletion, type AttemptResult} from './attempt.js';
+import {type OriginProof} from './check-run-origin.js';
 import {type RunIds} from './event-stream-splitter.js';
 import {type RunInput} from './start-run.js';
 
@@ -43,6 +44,8 @@
 	/** The latest decision about a silence of the instance; `undefined` where it was never silent. */
 	readonly silence: RecordedSilence | undefined;
 	readonly runIds: RunIds;
+	/** How it became known that the instance had not restarted with other software; `undefined` where that was not asked. */
+	readonly originProof: OriginProof | undefined;
 	readonly nowMs: number;
 };
 
@@ -56,13 +59,14 @@
 */
 export function describeAttempt(input: AttemptLogInput): Readonly<Record<string, unknown>> {
 	const {
-		entry, placement, cache, uncachedTokens, progress, result, fault, loadBefore, limitPerSecond, kind, startedAtMs, firstPieceMs, streamed, silence, silentMs, nowMs,
+		entry, placement, cache, uncachedTokens, progress, result, fault, loadBefore, limitPerSecond, kind, startedAtMs, firstPieceMs, streamed, silence, silentMs, nowMs, originProof,
 	} = input;
 	const {report} = loadBefore;
 
 	return {
 		instance: entry.held.record.id,
 		...(entry.held.record.softwareVersion !== undefined && {softwareVersion: entry.held.record.softwareVersion}),
+		...(originProof !== undefined && {originProof}),
 		end: result.end,
 		...(result.reason !== '' && {reason: result.reason}),
 		...(result.cancelledFor !== undefined && {cancelledFor: result.cancelledFor, silentMs: Math.round(silentMs)}),
--- a/packages/gateway/src/forward-options.ts
+++ b/packages/gateway/src/forward-options.ts
@@ -7,6 +7,7 @@
 } from '@fescuestair/runtime';
 import {type RouteTable} from '@fescuestair/traffic';
 import {type CallerCodec, type UpstreamCodec} from './codecs.js';
+import {type FetchIncarnation} from './check-run-origin.js';
 import {type CrashDetector} from './crash-detector.js';
 import {type Exchange} from './exchange.js';
 import {type WeightsUse} from './target-version-history.js';
@@ -26,10 +27,12 @@
 	readonly crashes: CrashDetector;
 	/** What began the streams that callers may take up again. */
 	readonly origins: StreamOrigins;
+	/** Asks an instance whether it has restarted. */
+	readonly fetchIncarnation: FetchIncarnation;
 	readonly requestLimits: RequestLimits;
 	/** Permits to send requests to instances that name a limit. */
 	readonly permits: PermitClient;
-	readonly log: Pick<Logger, 'error'>;
+	readonly log: Pick<Logger, 'error' | 'info'>;
 	readonly metrics: Pick<PrometheusMetrics, 'count'>;
 	readonly getTable: () => RouteTable;
 	/** Decides whether new requests may start on a version of a model's weights; `startMs` is the expected delay until the start. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -23,6 +23,7 @@
 	createLinks, openHttpListener, parseAddress,
 } from '@fescuestair/transport';
 import {type CallerCodec, type UpstreamCodec} from './codecs.js';
+import {type FetchIncarnation} from './check-run-origin.js';
 import {createCallerServer} from './caller-server.js';
 import {createRequestHandler} from './request-handler.js';
 import {createCoordinatorClient} from './coordinator-client.js';
@@ -46,6 +47,8 @@
 	readonly decodeConfig: (text: string) => TrafficConfig;
 	readonly callerCodec: CallerCodec;
 	readonly upstreamCodec: UpstreamCodec;
+	/** Asks an instance for its incarnation; called where a stream is continued on a connection that is younger than its announcements can be late. */
+	readonly fetchIncarnation: FetchIncarnation;
 	readonly retryAllowance: RetryAllowance;
 	/** Policy by which instances are chosen; policies other than the default exist for comparison in benchmarks. */
 	readonly placement?: PlacementPolicy;
@@ -97,7 +100,7 @@
 */
 export async function createGateway(options: GatewayOptions): Promise<Gateway> {
 	const {
-		name, availabilityZone, linkAddress, listen, getSeeds, decodeConfig, callerCodec, upstreamCodec, retryAllowance, stopTimeoutMs, oldWeightsMs,
+		name, availabilityZone, linkAddress, listen, getSeeds, decodeConfig, callerCodec, upstreamCodec, fetchIncarnation, retryAllowance, stopTimeoutMs, oldWeightsMs,
 		placement = PlacementPolicy.LeastCost,
 		clock = createSystemClock(), log, metrics,
 	} = options;
@@ -222,6 +225,7 @@
 		parts: partsClient,
 		crashes: crashDetector,
 		origins,
+		fetchIncarnation,
 		requestLimits,
 		permits,
 		returns: new Map(),
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,3 +1,4 @@
+export {type FetchIncarnation} from './check-run-origin.js';
 export {
 	AttemptCompletion, startAttempt, type Attempt, type ResponseHead, type AttemptOptions, type AttemptResult,
 } from './attempt.js';
--- a/packages/gateway/src/start-run.ts
+++ b/packages/gateway/src/start-run.ts
@@ -8,6 +8,7 @@
 	AttemptCompletion, startAttempt, type ResponseHead, type AttemptResult,
 } from './attempt.js';
 import {type CallerStream, type StreamRun} from './caller-stream.js';
+import {checkRunOrigin, OriginProof} from './check-run-origin.js';
 import {answerProofMs} from './crash-detector.js';
 import {type InstanceChoice} from './choose-place.js';
 import {type CacheInstructions} from './codecs.js';
@@ -88,9 +89,16 @@
 	const limitPerSecond = requestLimits.getPerSecond(record);
 	const kind = stream.hasStarted() ? DispatchKind.Resume : (progress.triedInstanceIds.size > 0 ? DispatchKind.Repeat : DispatchKind.First);
 	progress.triedInstanceIds.add(record.id);
+	/** How it is known that the instance had not restarted; `undefined` before that is asked, which only the continuation of a stream needs. */
+	let originProof: OriginProof | undefined;
+	let originCheck: Promise<void> | undefined;
+	let openedAtMs = startedAtMs;
+	let hasEnded = false;
+	let isCancelled = false;
+	let endCheck: () => void = () => undefined;
 	const streamRun = stream.startRun(resumeAfter, {
 		isBeside: input.isBeside,
-		getOrigin: () => describeRunOrigin(instancePool, record),
+		getOrigin: () => originProof === OriginProof.None ? {service: record.service, softwareVersion: undefined} : describeRunOrigin(instancePool, record),
 		onForward() {
 			input.onForward(activeRun);
 		},
@@ -120,6 +128,41 @@
 		entry.agent.closeIdle(maxIdleMs);
 	}
 
+	const forwardData = (bytes: Buffer, head: ResponseHead): boolean => {
+		const canContinue = streamRun.write(bytes, head, () => {
+			readingSinceMs = clock.readMonotonicMs();
+			attempt.resume();
+		});
+		readingSinceMs = canContinue ? readingSinceMs : undefined;
+
+		const eventFault = streamRun.getEventFault();
+
+		if (eventFault !== undefined) {
+			attempt.cancel(RunEvidence.InvalidAnswer, describeRunFault(eventFault));
+		} else if (streamRun.isEventTooLarge()) {
+			attempt.cancel(RunEvidence.InvalidAnswer, 'an event without end');
+		}
+
+		return canContinue;
+	};
+
+	// Nothing more is read from the instance meanwhile.
+	const forwardOnceChecked = async (bytes: Buffer, head: ResponseHead) => {
+		readingSinceMs = undefined;
+		originProof = await checkRunOrigin(options, {record, openedAtMs, hasEnded: () => hasEnded});
+		options.metrics.count('stream_origin_checks_total', {service: service.name, proof: originProof});
+
+		if (isCancelled || (hasEnded && originProof === OriginProof.None)) {
+			return;
+		}
+
+		readingSinceMs = clock.readMonotonicMs();
+
+		if (forwardData(bytes, head)) {
+			attempt.resume();
+		}
+	};
+
 	const attempt = startAttempt({
 		address: record.address,
 		agent: entry.agent,
@@ -134,6 +177,9 @@
 		onBytes() {
 			instancePool.recordActivity(entry);
 		},
+		onConnection(atMs) {
+			openedAtMs = atMs;
+		},
 		onHead({answer}) {
 			if (answer.load !== undefined) {
 				entry.load = {...entry.load, report: {...answer.load, atMs: clock.readMonotonicMs(), ownAtReport: entry.load.own}};
@@ -158,21 +204,13 @@
 					crashes.recordAnswer(exchange, streamed.firstAtMs);
 				}
 
-				const canContinue = streamRun.write(bytes, head, () => {
-					readingSinceMs = clock.readMonotonicMs();
-					attempt.resume();
-				});
-				readingSinceMs = canContinue ? readingSinceMs : undefined;
+				if (originProof === undefined && streamRun.isContinuation()) {
+					originCheck = forwardOnceChecked(bytes, head);
 
-				const eventFault = streamRun.getEventFault();
-
-				if (eventFault !== undefined) {
-					attempt.cancel(RunEvidence.InvalidAnswer, describeRunFault(eventFault));
-				} else if (streamRun.isEventTooLarge()) {
-					attempt.cancel(RunEvidence.InvalidAnswer, 'an event without end');
+					return false;
 				}
 
-				return canContinue;
+				return forwardData(bytes, head);
 			},
 		}),
 	});
@@ -185,6 +223,17 @@
 
 	const finishRun = async (): Promise<EndedRun> => {
 		const ended = await attempt.result;
+
+		hasEnded = ended.end !== AttemptCompletion.Complete;
+
+		// The end of an answer, or of its connection, may have been read together with what is held back.
+		if (originCheck !== undefined && !isCancelled) {
+			await Promise.race([originCheck, new Promise<void>(resolve => {
+				endCheck = resolve;
+			})]);
+		}
+
+		hasEnded = true;
 		streamRun.checkOrigin();
 		const run = describeRun(ended, streamRun, {isStreaming});
 		const fault = ended.end === AttemptCompletion.NotRun ? undefined : findRunFault(streamRun.getBegun(), run);
@@ -201,7 +250,7 @@
 		}
 
 		progress.story.push(describeAttempt({
-			...input, result, fault, loadBefore, limitPerSecond, kind, startedAtMs, firstPieceMs, streamed, resumeAfter, silence, silentMs, runIds: streamRun.getIds(),
+			...input, result, fault, loadBefore, limitPerSecond, kind, startedAtMs, firstPieceMs, streamed, resumeAfter, silence, silentMs, runIds: streamRun.getIds(), originProof,
 			nowMs: clock.readMonotonicMs(),
 		}));
 
@@ -222,7 +271,10 @@
 		choice: input,
 		ended: finishRun(),
 		cancel(evidence) {
+			hasEnded = true;
+			isCancelled = true;
 			attempt.cancel(evidence);
+			endCheck();
 		},
 		isSilent: () => instancePool.isSilent(entry, inFlightRequest),
 		recordSilence({action, obstacle}) {
