Count what began a stream as unknown where its instance had restarted before, unheard

Callers got a text of two software versions where an instance was back under its id with other software and began streams before its restart was heard: their origin was recorded from the old announcement, and nothing corrected it if the stream broke off before the new one came. Taken up again, they went on at an instance of the old version.

Change: a gateway keeps in mind which streams were begun on connections that are younger than announcements can be late (createUnprovenOrigins). Where the instance is heard to be back with other software first, the origin is recorded again as unknown, here and with the coordinators, which refuses take-ups. No message is sent but in that case. How long and under which id an origin is kept moves to take-up.ts, since two places need it.

Not covered: a take-up that arrives before any daemon has heard of the restart, and streams whose gateway is lost before.

--- a/packages/gateway/src/__tests__/unit/forward.test.ts
+++ b/packages/gateway/src/__tests__/unit/forward.test.ts
@@ -129,7 +129,8 @@
 			recordBrokenConnection: () => undefined, recordUnreachable: () => undefined, recordCompletion: () => undefined, recordAnswer: () => undefined,
 		},
 		getTable: () => ({services: new Map([['app', service]])}), retryBudgets: new Map(), createRetryBudget: () => createRetryBudget({capacity: retries, sharePerSuccess: 0}),
-		origins: {record: () => undefined}, fetchIncarnation: async () => 1, isLeaving: () => false, waiting: new Map(), returns: new Map(), countGateways: () => 1,
+		origins: {record: () => undefined}, fetchIncarnation: async () => 1, unprovenOrigins: {add: () => undefined},
+		isLeaving: () => false, waiting: new Map(), returns: new Map(), countGateways: () => 1,
 	} as unknown as ForwardOptions;
 	const handleRequest = async (request: IncomingMessage, response: ServerResponse) => {
 		const startedAtMs = clock.readMonotonicMs();
--- a/packages/gateway/src/caller-stream.ts
+++ b/packages/gateway/src/caller-stream.ts
@@ -39,6 +39,8 @@
 	readonly getOrigin: () => StreamOrigin;
 	/** Whether another run is under way. */
 	readonly isBeside?: boolean;
+	/** Called when the run begins the stream. */
+	readonly onBegin?: () => void;
 	/** Called when an event of the run is forwarded, so that no other run may continue the stream from where it was. */
 	readonly onForward?: () => void;
 };
@@ -129,7 +131,7 @@
 
 	const findObstacle = (getSuccessor: () => StreamOrigin) => begunBy === undefined ? undefined : findContinuationObstacle(begunBy.origin, getSuccessor());
 
-	const startRun = (resumeAfter: string | undefined, {getOrigin, isBeside = false, onForward = () => undefined}: StreamRunOptions): StreamRun => {
+	const startRun = (resumeAfter: string | undefined, {getOrigin, isBeside = false, onBegin: onOwnBegin = () => undefined, onForward = () => undefined}: StreamRunOptions): StreamRun => {
 		startedCount++;
 		const splitter = route.isResumable ? latestSplitter?.fork(resumeAfter, {holdsComments: isBeside}) ?? createEventStreamSplitter() : undefined;
 		let headFault: RunFault | undefined;
@@ -161,6 +163,7 @@
 			if (begunBy === undefined) {
 				begunBy = {origin};
 				onBegin(origin);
+				onOwnBegin();
 			}
 		};
 
--- a/packages/gateway/src/forward-options.ts
+++ b/packages/gateway/src/forward-options.ts
@@ -14,6 +14,7 @@
 import {type InstancePool} from './instance-pool.js';
 import {type PartsClient} from './parts-client.js';
 import {type StreamOrigins} from './stream-origins.js';
+import {type UnprovenOrigins} from './unproven-origins.js';
 
 /** Dependencies of forwarding that the gateway supplies. */
 export type ForwardOptions = {
@@ -27,6 +28,7 @@
 	readonly crashes: CrashDetector;
 	/** What began the streams that callers may take up again. */
 	readonly origins: StreamOrigins;
+	readonly unprovenOrigins: UnprovenOrigins;
 	/** Asks an instance whether it has restarted. */
 	readonly fetchIncarnation: FetchIncarnation;
 	readonly requestLimits: RequestLimits;
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -33,7 +33,7 @@
 import {startRun, type ActiveRun, type EndedRun} from './start-run.js';
 import {handleSilence} from './start-successor.js';
 import {
-	checkTakeUp, findTakeUp, formatStreamId, hasSuccessor, recordTakeUp, type TakeUp,
+	checkTakeUp, describeStreamRecord, findTakeUp, hasSuccessor, recordTakeUp, type TakeUp,
 } from './take-up.js';
 
 /** Attempts that an instance rejected without running the request are cheap to repeat; after this many the service counts as overloaded. */
@@ -43,10 +43,6 @@
 /** With less time than this before the deadline a request is no longer sent: it could not be answered in time. */
 const minTimeLeftMs = 20;
 const gatewayTimeoutStatus = 504;
-/** Callers that state no time may return for so long. */
-const defaultReturnMs = 30_000;
-/** What began a stream is kept for so much longer than its caller waits, since its last attempt may be on its way. */
-const returnMarginMs = 2000;
 /**
 A waiting request is evaluated again when the queue of the best instance should have emptied, within these bounds. The upper bound applies
 because other instances may finish their work earlier than estimated.
@@ -76,15 +72,17 @@
 */
 export async function forwardExchange(options: ForwardOptions, exchange: Exchange): Promise<ForwardResult> {
 	const {clock, getTable, waiting, origins} = options;
-	const {route, response, caller, requestId, startedAtMs} = exchange;
+	const {route, response} = exchange;
 	const takeUp = await findTakeUp(options, exchange);
 	const service = getTable().services.get(chooseService(route, takeUp));
 	const stream = createCallerStream({
 		isLeaving: options.isLeaving,
 		takenUp: takeUp,
 		onBegin(origin) {
-			if (route.isResumable) {
-				origins.record(formatStreamId(exchange, caller.resumedRequestId ?? requestId), origin, startedAtMs + (caller.timeLeftMs ?? defaultReturnMs) + returnMarginMs);
+			const streamRecord = describeStreamRecord(exchange);
+
+			if (streamRecord !== undefined) {
+				origins.record(streamRecord.streamId, origin, streamRecord.deadlineMs);
 			}
 		},
 	}, exchange);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -34,6 +34,7 @@
 import {createLoadExchange} from './load-exchange.js';
 import {createPartsClient} from './parts-client.js';
 import {createStreamOrigins} from './stream-origins.js';
+import {createUnprovenOrigins} from './unproven-origins.js';
 
 export type GatewayOptions = {
 	readonly name: string;
@@ -215,6 +216,13 @@
 		clock, links, log, metrics, listRecordKeepers: () => client.listRecordKeepers(), listCoordinators: () => client.listCoordinators(),
 	});
 
+	const unprovenOrigins = createUnprovenOrigins({
+		clock, instancePool, onDoubt({streamId, deadlineMs, record}, origin) {
+			log.info('what began a stream is not known any more: its instance is back with other software', {streamId, instance: record.id});
+			origins.record(streamId, origin, deadlineMs);
+		},
+	});
+
 	const forwardOptions: ForwardOptions = {
 		clock,
 		availabilityZone,
@@ -225,6 +233,7 @@
 		parts: partsClient,
 		crashes: crashDetector,
 		origins,
+		unprovenOrigins,
 		fetchIncarnation,
 		requestLimits,
 		permits,
@@ -267,6 +276,7 @@
 	metrics.registerGauge('requests_waiting', 'Requests that wait here for a free instance', () => forwardOptions.waiting.size);
 	metrics.registerGauge('instances_limited', 'Instances that name a limit of requests', requestLimits.countLimited);
 	metrics.registerGauge('traits_held_back', 'Prompt parts and requests that are held back because instances crashed under them', crashDetector.countHeldBack);
+	metrics.registerGauge('stream_origins_unproven', 'Streams that may have been begun by other software than their instances had announced', unprovenOrigins.count);
 	metrics.registerGauge('gateways_known', 'Gateways that coordinators heard lately', countGateways);
 	metrics.registerGauge('parts_known', 'Stored parts that requests may fetch', () => partsClient.getView().locations.size);
 
@@ -281,6 +291,7 @@
 		},
 		onRegistryUpdate(registry) {
 			instancePool.applyRegistry(registry);
+			unprovenOrigins.check();
 			crashDetector.applyRegistry(registry);
 			instancePool.applyLimits();
 		},
--- a/packages/gateway/src/start-run.ts
+++ b/packages/gateway/src/start-run.ts
@@ -19,6 +19,7 @@
 import {type ForwardOptions, type ForwardingProgress} from './forward-options.js';
 import {recordCachedParts, type PooledInstance, type InFlightRequest} from './pooled-instance.js';
 import {describeRunOrigin} from './run-origin.js';
+import {describeStreamRecord} from './take-up.js';
 
 /**
 An instance counts as unresponsive after this multiple of the expected time to its first output, but not before the minimum for the kind of
@@ -99,6 +100,13 @@
 	const streamRun = stream.startRun(resumeAfter, {
 		isBeside: input.isBeside,
 		getOrigin: () => originProof === OriginProof.None ? {service: record.service, softwareVersion: undefined} : describeRunOrigin(instancePool, record),
+		onBegin() {
+			const streamRecord = describeStreamRecord(exchange);
+
+			if (streamRecord !== undefined) {
+				options.unprovenOrigins.add({...streamRecord, record, openedAtMs});
+			}
+		},
 		onForward() {
 			input.onForward(activeRun);
 		},
--- a/packages/gateway/src/take-up.ts
+++ b/packages/gateway/src/take-up.ts
@@ -20,6 +20,17 @@
 	readonly isIncomplete: boolean;
 };
 
+export type StreamRecord = {
+	readonly streamId: string;
+	/** Until when the caller may take the stream up again, on the monotonic clock. */
+	readonly deadlineMs: number;
+};
+
+/** Callers that state no time may return for so long. */
+const defaultReturnMs = 30_000;
+/** What began a stream is kept for so much longer than its caller waits, since its last attempt may be on its way. */
+const returnMarginMs = 2000;
+
 /** Why a take-up is refused, and whether the caller may come back for the rest of the stream. */
 export type TakeUpRefusal = {readonly obstacle: ContinuationObstacle; readonly reason: string; readonly canReturn: boolean};
 
@@ -38,6 +49,15 @@
 	return streamId.length > maxOriginNameLength ? createHash('sha256').update(streamId).digest('hex') : streamId;
 }
 
+/** Describes how long, and under which id, it is kept what began the stream of a request; `undefined` where the stream can't be taken up again. */
+export function describeStreamRecord(exchange: Exchange): StreamRecord | undefined {
+	const {route, caller, requestId, startedAtMs} = exchange;
+
+	return route.isResumable
+		? {streamId: formatStreamId(exchange, caller.resumedRequestId ?? requestId), deadlineMs: startedAtMs + (caller.timeLeftMs ?? defaultReturnMs) + returnMarginMs}
+		: undefined;
+}
+
 /** Finds out what began a stream that its caller takes up again; `undefined` where the request begins a stream of its own. */
 export async function findTakeUp({origins, clock}: ForwardOptions, exchange: Exchange): Promise<TakeUp | undefined> {
 	const {caller, route} = exchange;
