--- a/packages/gateway/src/caller-stream.ts
+++ b/packages/gateway/src/caller-stream.ts
@@ -39,6 +39,8 @@
 	readonly getOrigin: () => StreamOrigin;
 	/** Whether another run is under way. */
 	readonly isBeside?: boolean;
+	/** Called when the run begins the stream. */
+	readonly onBegin?: () => void;
 	/** Called when an event of the run is forwarded, so that no other run may continue the stream from where it was. */
 	readonly onForward?: () => void;
 };
@@ -50,6 +52,8 @@
 export type StreamRun = {
 	/** Forwards bytes to the caller; returns false to pause until `onDrain` is called. */
 	readonly write: (bytes: Buffer, head: ResponseHead, onDrain: () => void) => boolean;
+	/** Whether other runs have begun the stream and this one has not contributed to it, so that its software has to be known. */
+	readonly isContinuation: () => boolean;
 	/** Whether another run has continued the stream since this one started, or since it last did itself. */
 	readonly isSuperseded: () => boolean;
 	/** What the caller has got, where this run is the last one; `undefined` before the stream has started. */
@@ -127,7 +131,7 @@
 
 	const findObstacle = (getSuccessor: () => StreamOrigin) => begunBy === undefined ? undefined : findContinuationObstacle(begunBy.origin, getSuccessor());
 
-	const startRun = (resumeAfter: string | undefined, {getOrigin, isBeside = false, onForward = () => undefined}: StreamRunOptions): StreamRun => {
+	const startRun = (resumeAfter: string | undefined, {getOrigin, isBeside = false, onBegin: onOwnBegin = () => undefined, onForward = () => undefined}: StreamRunOptions): StreamRun => {
 		startedCount++;
 		const splitter = route.isResumable ? latestSplitter?.fork(resumeAfter, {holdsComments: isBeside}) ?? createEventStreamSplitter() : undefined;
 		let headFault: RunFault | undefined;
@@ -159,6 +163,7 @@
 			if (begunBy === undefined) {
 				begunBy = {origin};
 				onBegin(origin);
+				onOwnBegin();
 			}
 		};
 
@@ -215,6 +220,7 @@
 
 				return false;
 			},
+			isContinuation: () => begunBy !== undefined && joinedAs === undefined && !isSuperseded(),
 			isSuperseded,
 			getBegun: () => describeBegun(splitter),
 			getEventFault: () => isLengthExceeded ? RunFault.OtherLength : headFault ?? originFault ?? splitter?.getEventFault(),
--- a/packages/gateway/src/forward-options.ts
+++ b/packages/gateway/src/forward-options.ts
@@ -7,12 +7,14 @@
 } from '@fescuestair/runtime';
 import {type RouteTable} from '@fescuestair/traffic';
 import {type CallerCodec, type UpstreamCodec} from './codecs.js';
+import {type FetchIncarnation} from './check-run-origin.js';
 import {type CrashDetector} from './crash-detector.js';
 import {type Exchange} from './exchange.js';
 import {type WeightsUse} from './target-version-history.js';
 import {type InstancePool} from './instance-pool.js';
 import {type PartsClient} from './parts-client.js';
 import {type StreamOrigins} from './stream-origins.js';
+import {type UnprovenOrigins} from './unproven-origins.js';
 
 /** Dependencies of forwarding that the gateway supplies. */
 export type ForwardOptions = {
@@ -26,10 +28,13 @@
 	readonly crashes: CrashDetector;
 	/** What began the streams that callers may take up again. */
 	readonly origins: StreamOrigins;
+	readonly unprovenOrigins: UnprovenOrigins;
+	/** Asks an instance whether it has restarted. */
+	readonly fetchIncarnation: FetchIncarnation;
 	readonly requestLimits: RequestLimits;
 	/** Permits to send requests to instances that name a limit. */
 	readonly permits: PermitClient;
-	readonly log: Pick<Logger, 'error'>;
+	readonly log: Pick<Logger, 'error' | 'info'>;
 	readonly metrics: Pick<PrometheusMetrics, 'count'>;
 	readonly getTable: () => RouteTable;
 	/** Decides whether new requests may start on a version of a model's weights; `startMs` is the expected delay until the start. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -23,6 +23,7 @@
 	createLinks, openHttpListener, parseAddress,
 } from '@fescuestair/transport';
 import {type CallerCodec, type UpstreamCodec} from './codecs.js';
+import {type FetchIncarnation} from './check-run-origin.js';
 import {createCallerServer} from './caller-server.js';
 import {createRequestHandler} from './request-handler.js';
 import {createCoordinatorClient} from './coordinator-client.js';
@@ -33,6 +34,7 @@
 import {createLoadExchange} from './load-exchange.js';
 import {createPartsClient} from './parts-client.js';
 import {createStreamOrigins} from './stream-origins.js';
+import {createUnprovenOrigins} from './unproven-origins.js';
 
 export type GatewayOptions = {
 	readonly name: string;
@@ -46,6 +48,8 @@
 	readonly decodeConfig: (text: string) => TrafficConfig;
 	readonly callerCodec: CallerCodec;
 	readonly upstreamCodec: UpstreamCodec;
+	/** Asks an instance for its incarnation; called where a stream is continued on a connection that is younger than its announcements can be late. */
+	readonly fetchIncarnation: FetchIncarnation;
 	readonly retryAllowance: RetryAllowance;
 	/** Policy by which instances are chosen; policies other than the default exist for comparison in benchmarks. */
 	readonly placement?: PlacementPolicy;
@@ -97,7 +101,7 @@
 */
 export async function createGateway(options: GatewayOptions): Promise<Gateway> {
 	const {
-		name, availabilityZone, linkAddress, listen, getSeeds, decodeConfig, callerCodec, upstreamCodec, retryAllowance, stopTimeoutMs, oldWeightsMs,
+		name, availabilityZone, linkAddress, listen, getSeeds, decodeConfig, callerCodec, upstreamCodec, fetchIncarnation, retryAllowance, stopTimeoutMs, oldWeightsMs,
 		placement = PlacementPolicy.LeastCost,
 		clock = createSystemClock(), log, metrics,
 	} = options;
@@ -211,6 +215,13 @@
 		clock, links, log, metrics, listRecordKeepers: () => client.listRecordKeepers(), listCoordinators: () => client.listCoordinators(),
 	});
 
+	const unprovenOrigins = createUnprovenOrigins({
+		clock, instancePool, onDoubt({streamId, deadlineMs, record}, origin) {
+			log.info('what began a stream is not known any more: its instance is back with other software', {streamId, instance: record.id});
+			origins.record(streamId, origin, deadlineMs);
+		},
+	});
+
 	const forwardOptions: ForwardOptions = {
 		clock,
 		availabilityZone,
@@ -221,6 +232,8 @@
 		parts: partsClient,
 		crashes: crashDetector,
 		origins,
+		unprovenOrigins,
+		fetchIncarnation,
 		requestLimits,
 		permits,
 		returns: new Map(),
@@ -262,6 +275,7 @@
 	metrics.registerGauge('requests_waiting', 'Requests that wait here for a free instance', () => forwardOptions.waiting.size);
 	metrics.registerGauge('instances_limited', 'Instances that name a limit of requests', requestLimits.countLimited);
 	metrics.registerGauge('traits_held_back', 'Prompt parts and requests that are held back because instances crashed under them', crashDetector.countHeldBack);
+	metrics.registerGauge('stream_origins_unproven', 'Streams that may have been begun by other software than their instances had announced', unprovenOrigins.count);
 	metrics.registerGauge('gateways_known', 'Gateways that coordinators heard lately', countGateways);
 	metrics.registerGauge('parts_known', 'Stored parts that requests may fetch', () => partsClient.getView().locations.size);
 
@@ -276,6 +290,7 @@
 		},
 		onRegistryUpdate(registry) {
 			instancePool.applyRegistry(registry);
+			unprovenOrigins.check();
 			crashDetector.applyRegistry(registry);
 			instancePool.applyLimits();
 		},
