Send the last piece of an answer only after the bytes behind it in the tests of client errors

The answer now waits for its last piece until the bytes were read, so the tests check what they say at any load. As strict as before: they fail where the connection is ended at once.

--- a/packages/transport/src/__tests__/unit/client-errors.test.ts
+++ b/packages/transport/src/__tests__/unit/client-errors.test.ts
@@ -9,20 +9,24 @@
 const wholeAnswer = `${pieces.map(text => `${text.length.toString(16)}\r\n${text}\r\n`).join('')}0\r\n\r\n`;
 const request = 'GET /a HTTP/1.1\r\nHost: h\r\n\r\n';
 
-async function answerInPieces(response: ServerResponse): Promise<void> {
+async function answerInPieces(response: ServerResponse, canEnd: () => boolean): Promise<void> {
 	for (const piece of pieces.slice(0, -1)) {
 		response.write(piece);
 		await sleep(5);
 	}
 
+	while (!canEnd()) {
+		await sleep(5);
+	}
+
 	response.end(pieces.at(-1));
 }
 
-/** Opens a server that answers in pieces, and a connection to it. */
-async function openConnection(t: ExecutionContext) {
+/** Opens a server that answers in pieces, and a connection to it. `waitsForError` puts off the last piece until bytes that are no request were read. */
+async function openConnection(t: ExecutionContext, {waitsForError = false} = {}) {
 	const running: number[] = [];
 	const server = http.createServer({connectionsCheckingInterval: 20}, (_request, response) => {
-		void answerInPieces(response);
+		void answerInPieces(response, () => !waitsForError || running.length > 0);
 	});
 	registerClientErrors(server, {
 		onError(_reason, runningCount) {
@@ -51,7 +55,7 @@
 
 for (const bytes of ['\u0000\u0001', 'no request\r\n\r\n', 'GET /b HTTP/1.1\r\nHost: h\r\nX(: y\r\n\r\n']) {
 	test(`bytes that are no request end a connection only after the answer before them is whole: ${JSON.stringify(bytes)}`, async t => {
-		const caller = await openConnection(t);
+		const caller = await openConnection(t, {waitsForError: true});
 		caller.socket.write(request);
 		await once(caller.socket, 'data');
 		caller.socket.write(bytes);
