Keep values with deadlines in a bounded number of files

Coordinators are to write what began streams to disk: many small values that count for some 30 s.

A segment store appends frames with checksums to a file, one sync each, begins a new file after 1 MB or 10 s, and removes a file once all that is in it has expired, or the oldest ones where 24 MB are used up. A file is never written to after a write to it failed, or by another process than the one that began it, so an unfinished end needs no repair before the next write. What can't be read is reported and left out, and a file that can't be read is renamed.

--- a/packages/storage/src/index.ts
+++ b/packages/storage/src/index.ts
@@ -4,6 +4,7 @@
 export {
 	createLogStore, type LoadedLog, type LogStore, type LogStoreOptions,
 } from './log-store.js';
+export {createSegmentStore, type SegmentStore, type SegmentStoreOptions} from './segment-store.js';
 export {CorruptFileError, DiskError} from './errors.js';
 export {createFileSystem, type FileSystem} from './file-system.js';
 export {
