Keep the origins of streams on the coordinators' disks, so that streams go on after all gateways and coordinators were lost

Cause: what began a stream was held in memory only; gateways tell coordinators that have started anew, and coordinators tell gateways, but nobody tells where both are new.

Change: a coordinator writes what it takes to files of its own, 50 ms after the first record, one write and one sync for all that came meanwhile, at most one write under way. No event and no reply waits for it. Its writer keeps ids and reads the records from the table when it writes, so what waits for a full or stalled disk is bounded by the table's 100,000 records; it is reported once and tried again each second. A record that says nothing new is not written. Times on the disk are those of the wall clock: where it was set ahead, a record expires early; where it was set back, a record stays for no longer than its caller waited in all. Records that differ are merged at the start as in memory, expired ones too, and written again as one, so that neither outlives the other. Until the disk is read, questions are answered with an error, so that gateways refuse with a Retry-After; a disk that can't be read doesn't keep the coordinator from answering.

--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -1,3 +1,5 @@
+import fs from 'node:fs/promises';
+import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {isPeerMessage, planMembershipChange, type ReplicaTiming} from '@fescuestair/agreement';
 import {
@@ -11,6 +13,7 @@
 } from '@fescuestair/protocol';
 import {isPartsPoll, encodePartsReply} from '@fescuestair/parts';
 import {proposeAtLeader} from '@fescuestair/replication';
+import {createSegmentStore} from '@fescuestair/storage';
 import {
 	createLinkFaultHandler, createPermitGrantor, openCommandListener, registerLinkMetrics, type Logger, type PrometheusMetrics,
 } from '@fescuestair/runtime';
@@ -88,6 +91,8 @@
 /** A replica counts as current if it received a message from the leader, or led itself, within this time. */
 const leaderTimeoutMs = 1500;
 const leadershipTransferMs = 200;
+/** Longest time that the end waits for the origins of streams to be written. */
+const originsFlushMs = 500;
 /** With this many voters, the group tolerates the loss of one while another is being replaced. */
 const targetVoters = 5;
 /**
@@ -261,7 +266,18 @@
 			}
 		},
 	});
-	createStreamOriginsHost({clock, commands, metrics});
+	const originsFolder = path.join(dataFolder, 'origins');
+	await fs.mkdir(originsFolder, {recursive: true});
+	const origins = createStreamOriginsHost({
+		clock, commands, log, metrics,
+		store: createSegmentStore({
+			folder: originsFolder,
+			clock,
+			onFinding({place, message}) {
+				log.warn('origins of streams on the disk were repaired', {place, reason: message});
+			},
+		}),
+	});
 	const grantor = createPermitGrantor({
 		clock, links, log, commands, requestLimits: fleet.requestLimits, getLeadingTerm: replica.getLeadingTerm, findLeaderAddress, leaseMs: timing.leaseMs,
 	});
@@ -424,6 +440,8 @@
 			replica.getRunner()?.transferLeadership();
 			await sleep(leadershipTransferMs);
 			await server.close();
+			// A disk that stalls must not keep the process from ending.
+			await Promise.race([origins.stop(), sleep(originsFlushMs)]);
 			await replica.stop();
 			links.close();
 		},
--- a/packages/streams/src/__tests__/unit/origin-table.test.ts
+++ b/packages/streams/src/__tests__/unit/origin-table.test.ts
@@ -62,3 +62,14 @@
 	t.true(isOriginNotes(notes));
 	t.true(isOriginNotes([encodeOriginNote('r', createRecord('v1', 1e12), 9e11)]));
 });
+
+test('a record tells whether it made anything known', t => {
+	const table = createOriginTable();
+	t.true(table.record('a', createRecord('v1'), 0));
+	t.false(table.record('a', createRecord('v1'), 0));
+	t.false(table.record('a', createRecord('v1', 10_200), 0));
+	t.true(table.record('a', createRecord('v1', 15_000), 0));
+	t.true(table.record('a', createRecord('v2'), 0));
+	t.false(table.record('a', createRecord('v1'), 0));
+	t.true(table.record('a', createRecord('v1', 25_000), 20_000));
+});
--- a/packages/streams/src/index.ts
+++ b/packages/streams/src/index.ts
@@ -9,5 +9,9 @@
 } from './decide-run.js';
 export {EventOrder, compareEventIds, isOrderedEventId} from './event-order.js';
 export {
-	createOriginTable, decodeOriginNote, encodeOriginNote, isOriginNotes, maxOriginNameLength, type OriginNote, type OriginTable, type OriginTableOptions, type RecordedOrigin,
+	createOriginTable, decodeOriginNote, encodeOriginNote, isOriginNotes, maxOriginNameLength, mergeOrigins, type OriginNote, type OriginTable, type OriginTableOptions,
+	type RecordedOrigin,
 } from './origin-table.js';
+export {
+	decodeSavedOrigin, encodeSavedOrigin, isSavedOrigins, type ClockReading, type SavedOrigin,
+} from './saved-origin.js';
--- a/packages/streams/src/origin-table.ts
+++ b/packages/streams/src/origin-table.ts
@@ -28,8 +28,11 @@
 
 /** What began each of the streams that callers may still take up again, by the id of the attempt that brought the first event. Owned by one task. */
 export type OriginTable = {
-	/** Records what began a stream. Two records of one stream that differ make its origin unknown for good. */
-	readonly record: (streamId: string, recorded: RecordedOrigin, nowMs: number) => void;
+	/**
+	Records what began a stream. Two records of one stream that differ make its origin unknown for good. Returns whether anything is known now that was not before,
+	but for a deadline that is little later.
+	*/
+	readonly record: (streamId: string, recorded: RecordedOrigin, nowMs: number) => boolean;
 	readonly get: (streamId: string, nowMs: number) => RecordedOrigin | undefined;
 	readonly list: (nowMs: number) => Iterable<readonly [streamId: string, recorded: RecordedOrigin]>;
 	readonly count: () => number;
@@ -45,6 +48,8 @@
 const defaultMaxRecords = 100_000;
 /** Interval at which expired records are removed. */
 const expiryIntervalMs = 1000;
+/** Deadlines of one record that was sent twice differ by the time on the way. */
+const minLaterMs = 1000;
 
 /**
 Creates an empty table.
@@ -85,13 +90,16 @@
 		record(streamId, recorded, nowMs) {
 			expire(nowMs);
 			const known = get(streamId, nowMs);
-			records.set(streamId, known === undefined ? recorded : mergeOrigins(known, recorded));
+			const merged = known === undefined ? recorded : mergeOrigins(known, recorded);
+			records.set(streamId, merged);
 
 			if (records.size > maxRecords) {
 				const [oldest] = records.keys();
 				records.delete(oldest!);
 				droppedCount++;
 			}
+
+			return known === undefined || merged.origin.softwareVersion !== known.origin.softwareVersion || merged.deadlineMs > known.deadlineMs + minLaterMs;
 		},
 		get,
 		* list(nowMs) {
@@ -106,7 +114,15 @@
 	};
 }
 
-function mergeOrigins(known: RecordedOrigin, recorded: RecordedOrigin): RecordedOrigin {
+/**
+Merges two records of one stream; where they differ, the version is unknown.
+
+@example
+```
+mergeOrigins(recordOfV1, recordOfV2).origin.softwareVersion; //=> undefined
+```
+*/
+export function mergeOrigins(known: RecordedOrigin, recorded: RecordedOrigin): RecordedOrigin {
 	const isSame = known.origin.service === recorded.origin.service && known.origin.softwareVersion === recorded.origin.softwareVersion;
 
 	return {
