Give callers a time to return while a gateway that has just started may not know all coordinators

After the loss of all daemons at once, the coordinators that keep a record may be others, which start at the same time; the seeds answer that they do not know the stream, and the caller was refused without a Retry-After, for good.

For 5 s after the gateway's start, what nobody knows now counts as incomplete, as where a coordinator does not answer: the refusal carries a Retry-After. Coordinators greet one another each 0.5 s and gateways ask for their list each 1.5 s. A stream that is truly unknown costs its caller one more try in these seconds.

--- a/packages/gateway/src/__tests__/unit/stream-origins.test.ts
+++ b/packages/gateway/src/__tests__/unit/stream-origins.test.ts
@@ -103,6 +103,21 @@
 	});
 }
 
+// After the loss of all daemons, the coordinators that keep a record may start later than those that are asked.
+test('what nobody knows may be known to a coordinator that a gateway has not heard of, for some seconds after its start', async t => {
+	for (const [answers, afterMs, isIncomplete] of [
+		[{'core-1': unknownReply}, 4999, true],
+		[{'core-1': unknownReply}, 5000, false],
+		[{'core-1': unknownReply, 'core-2': new Error('cut off')}, 5000, true],
+		[{'core-1': foundReply, 'core-2': new Error('cut off')}, 0, false],
+	] as const) {
+		const {origins, clock} = openOrigins(answers);
+		clock.advance(afterMs);
+		const finding = await origins.find('r');
+		t.is(finding.isIncomplete, isIncomplete);
+	}
+});
+
 test('what was found out is kept, and reported again', async t => {
 	const {origins, asked, sent} = openOrigins({'core-1': foundReply});
 	await origins.find('r');
--- a/packages/gateway/src/stream-origins.ts
+++ b/packages/gateway/src/stream-origins.ts
@@ -36,6 +36,8 @@
 	readonly recorded: RecordedOrigin | undefined;
 	/** Number of coordinators that did not answer in time. */
 	readonly unanswered: number;
+	/** Whether a coordinator may know it that did not answer, or that this gateway has not heard of yet. */
+	readonly isIncomplete: boolean;
 };
 
 /** What began the streams that callers may take up again: records it, keeps it at two coordinators as well, and finds it. */
@@ -55,6 +57,11 @@
 /** Records in one message. */
 const maxNotesPerMessage = 1000;
 const lookUpTimeoutMs = 400;
+/**
+Until it has run for so long, a gateway may lack coordinators other than its seeds. They greet one another each 500 ms, and a gateway asks one of them for the others
+each 1500 ms.
+*/
+const discoveryMs = 5000;
 
 /**
 Creates the records of a gateway. The first event of a stream does not wait for them: the streams that began in the last few ms before this process ends cannot go on elsewhere.
@@ -69,6 +76,7 @@
 export function createStreamOrigins({clock, links, log, metrics, listRecordKeepers, listCoordinators, delay = startDelay}: StreamOriginsOptions): StreamOrigins {
 	const table = createOriginTable();
 	const unsent = new Set<string>();
+	const discoveredAtMs = clock.readMonotonicMs() + discoveryMs;
 	let cancelSend: (() => void) | undefined;
 
 	const encode = (streamIds: Iterable<string>): readonly OriginNote[] => {
@@ -114,7 +122,9 @@
 			pending--;
 
 			if (pending <= 0) {
-				resolve({source: OriginSource.None, recorded: undefined, unanswered});
+				resolve({
+					source: OriginSource.None, recorded: undefined, unanswered, isIncomplete: unanswered > 0 || clock.readMonotonicMs() < discoveredAtMs,
+				});
 			}
 		};
 
@@ -123,7 +133,9 @@
 				const recorded = await requestOrigin(address, streamId);
 
 				if (recorded !== undefined) {
-					resolve({source: OriginSource.Coordinator, recorded, unanswered});
+					resolve({
+						source: OriginSource.Coordinator, recorded, unanswered, isIncomplete: false,
+					});
 				}
 			} catch (error) {
 				unanswered++;
@@ -156,7 +168,9 @@
 			const own = table.get(streamId, clock.readMonotonicMs());
 
 			if (own !== undefined) {
-				return {source: OriginSource.Own, recorded: own, unanswered: 0};
+				return {
+					source: OriginSource.Own, recorded: own, unanswered: 0, isIncomplete: false,
+				};
 			}
 
 			const finding = await requestFromCoordinators(streamId);
--- a/packages/gateway/src/take-up.ts
+++ b/packages/gateway/src/take-up.ts
@@ -16,7 +16,7 @@
 	/** How long ago the stream began. */
 	readonly ageMs: number | undefined;
 	readonly lookUpMs: number;
-	/** Whether a coordinator that may know more did not answer. */
+	/** Whether a coordinator may know more that did not answer, or that is not known yet. */
 	readonly isIncomplete: boolean;
 };
 
@@ -55,7 +55,7 @@
 		};
 	}
 
-	const {recorded, source, unanswered} = await origins.find(formatStreamId(exchange, caller.resumedRequestId));
+	const {recorded, source, isIncomplete} = await origins.find(formatStreamId(exchange, caller.resumedRequestId));
 	const nowMs = clock.readMonotonicMs();
 
 	return {
@@ -63,7 +63,7 @@
 		source,
 		ageMs: recorded === undefined ? undefined : nowMs - recorded.begunAtMs,
 		lookUpMs: nowMs - startedAtMs,
-		isIncomplete: recorded === undefined && unanswered > 0,
+		isIncomplete,
 	};
 }
 
