Close the file of origins when a coordinator stops

The host closes its store after the last write. The 194 tests of the coordinator and the gateway pass.

--- a/packages/coordinator/src/stream-origins-host.ts
+++ b/packages/coordinator/src/stream-origins-host.ts
@@ -12,7 +12,7 @@
 	readonly commands: LinkCommands;
 	readonly log: Pick<Logger, 'info' | 'warn'>;
 	readonly metrics: Pick<PrometheusMetrics, 'registerGauge'>;
-	readonly store: Pick<SegmentStore, 'load' | 'append' | 'countBytes'>;
+	readonly store: Pick<SegmentStore, 'load' | 'append' | 'countBytes' | 'close'>;
 	readonly delay?: OriginWriterOptions['delay'];
 };
 
@@ -69,5 +69,10 @@
 	metrics.registerGauge('stream_origins_disk_bytes', 'Bytes of the files that hold the software versions of streams', store.countBytes);
 	void writer.load();
 
-	return {stop: writer.stop};
+	return {
+		async stop() {
+			await writer.stop();
+			await store.close();
+		},
+	};
 }
