Measure the origins of streams on a coordinator's disk at the target size

A benchmark area, run by name: 2,860 records/s through the host beside changes of one replica, in turn with no origins and with syncs left out; then the load of what 32 s leave. No three replicas and no slow disk were measured.

--- a/packages/bench/src/benchmarks.ts
+++ b/packages/bench/src/benchmarks.ts
@@ -3,6 +3,7 @@
 import {limitsBenchmark} from './limits.js';
 import {quarantineBenchmark} from './quarantine.js';
 import {membershipBenchmark, membershipLargeBenchmark, membershipLoadsBenchmark} from './membership.js';
+import {originsBenchmark} from './origins.js';
 import {pathBenchmark} from './path.js';
 import {routingBenchmark, routingFullBenchmark} from './routing.js';
 import {stateBenchmark} from './state.js';
@@ -21,4 +22,5 @@
 	membershipLoadsBenchmark,
 	routingFullBenchmark,
 	capacityBenchmark,
+	originsBenchmark,
 ];
--- a/packages/coordinator/src/index.ts
+++ b/packages/coordinator/src/index.ts
@@ -14,3 +14,4 @@
 	applyPublish, createPublishedState, decodePublishedState, describePublished, encodePublishedState, PublishKind, type PublishAnswer,
 	type PublishCommand, type PublishedState,
 } from './published-state.js';
+export {createStreamOriginsHost, type StreamOriginsHost, type StreamOriginsHostOptions} from './stream-origins-host.js';
