--- a/packages/gateway/src/__tests__/unit/stream-origins.test.ts
+++ b/packages/gateway/src/__tests__/unit/stream-origins.test.ts
@@ -98,6 +98,7 @@
 		const finding = await origins.find('r');
 		t.is(finding.source, source);
 		t.is(finding.unanswered, unanswered);
+		t.is(finding.asked, Object.keys(answers).length);
 		t.deepEqual(finding.recorded?.origin, source === OriginSource.Coordinator ? v1 : undefined);
 		t.is(asked.length, Object.keys(answers).length);
 	});
--- a/packages/gateway/src/stream-origins.ts
+++ b/packages/gateway/src/stream-origins.ts
@@ -34,6 +34,8 @@
 	readonly source: OriginSource;
 	/** `undefined` where no daemon that answered knows it. */
 	readonly recorded: RecordedOrigin | undefined;
+	/** Number of coordinators that were asked. */
+	readonly asked: number;
 	/** Number of coordinators that did not answer in time. */
 	readonly unanswered: number;
 	/** Whether a coordinator may know it that did not answer, or that this gateway has not heard of yet. */
@@ -123,7 +125,7 @@
 
 			if (pending <= 0) {
 				resolve({
-					source: OriginSource.None, recorded: undefined, unanswered, isIncomplete: unanswered > 0 || clock.readMonotonicMs() < discoveredAtMs,
+					source: OriginSource.None, recorded: undefined, asked: addresses.length, unanswered, isIncomplete: unanswered > 0 || clock.readMonotonicMs() < discoveredAtMs,
 				});
 			}
 		};
@@ -134,7 +136,7 @@
 
 				if (recorded !== undefined) {
 					resolve({
-						source: OriginSource.Coordinator, recorded, unanswered, isIncomplete: false,
+						source: OriginSource.Coordinator, recorded, asked: addresses.length, unanswered, isIncomplete: false,
 					});
 				}
 			} catch (error) {
@@ -169,7 +171,7 @@
 
 			if (own !== undefined) {
 				return {
-					source: OriginSource.Own, recorded: own, unanswered: 0, isIncomplete: false,
+					source: OriginSource.Own, recorded: own, asked: 0, unanswered: 0, isIncomplete: false,
 				};
 			}
 
--- a/packages/gateway/src/take-up.ts
+++ b/packages/gateway/src/take-up.ts
@@ -16,6 +16,8 @@
 	/** How long ago the stream began. */
 	readonly ageMs: number | undefined;
 	readonly lookUpMs: number;
+	/** Number of coordinators that were asked. */
+	readonly asked: number;
 	/** Whether a coordinator may know more that did not answer, or that is not known yet. */
 	readonly isIncomplete: boolean;
 };
@@ -51,11 +53,11 @@
 	// Without the id of the attempt that brought the first event, nobody can be asked.
 	if (caller.resumedRequestId === undefined) {
 		return {
-			origin: undefined, source: OriginSource.None, ageMs: undefined, lookUpMs: 0, isIncomplete: false,
+			origin: undefined, source: OriginSource.None, ageMs: undefined, lookUpMs: 0, asked: 0, isIncomplete: false,
 		};
 	}
 
-	const {recorded, source, isIncomplete} = await origins.find(formatStreamId(exchange, caller.resumedRequestId));
+	const {recorded, source, asked, isIncomplete} = await origins.find(formatStreamId(exchange, caller.resumedRequestId));
 	const nowMs = clock.readMonotonicMs();
 
 	return {
@@ -63,6 +65,7 @@
 		source,
 		ageMs: recorded === undefined ? undefined : nowMs - recorded.begunAtMs,
 		lookUpMs: nowMs - startedAtMs,
+		asked,
 		isIncomplete,
 	};
 }
@@ -109,18 +112,23 @@
 
 /** Records for the log and the metrics that a stream is taken up again, and whether it may go on. */
 export function recordTakeUp(context: ForwardingContext): void {
-	const {options, service, takeUp, progress} = context;
+	const {
+		options, exchange, service, takeUp, progress,
+	} = context;
 
 	if (takeUp === undefined) {
 		return;
 	}
 
-	const {origin, source, ageMs, lookUpMs} = takeUp;
+	const {
+		origin, source, ageMs, lookUpMs, asked, isIncomplete,
+	} = takeUp;
 	const refusal = checkTakeUp(context);
 	options.metrics.count('stream_take_ups_total', {service: service.name, source, obstacle: refusal?.obstacle ?? 'none'});
 	progress.story.push({
 		takeUp: {
-			...(origin !== undefined && {service: origin.service, softwareVersion: origin.softwareVersion ?? 'unknown'}), source, lookUpMs: Math.round(lookUpMs),
+			...(origin !== undefined && {service: origin.service, softwareVersion: origin.softwareVersion ?? 'unknown'}),
+			resumes: exchange.caller.resumedRequestId, source, lookUpMs: Math.round(lookUpMs), asked, isIncomplete,
 			...(ageMs !== undefined && {ageMs: Math.round(ageMs)}),
 		},
 		...(refusal !== undefined && {decision: WaitDecision.Refuse, obstacle: refusal.obstacle}),
