Answer requests that arrived before an HTTP listener closes and are not read yet

What callers saw: a request on a kept connection that had arrived when an entry closed its listener at the end of its stop, and was not read yet, got ECONNRESET instead of the 503 of an entry that stops. The same at the listeners of metrics.

Cause: the close ended all connections without a look at what had arrived.

Change: the close lets the loop read once more before. An answer that the handler sends at once, as that refusal is, reaches its caller.

The entry itself was not run.

--- a/packages/transport/src/http-listener.ts
+++ b/packages/transport/src/http-listener.ts
@@ -1,12 +1,13 @@
 import {type Server} from 'node:http';
 import {once} from 'node:events';
+import {setImmediate} from 'node:timers/promises';
 import {type Address} from './address.js';
 
 /** A listening HTTP server. */
 export type HttpListener = {
 	/** The actual port, also if the server was asked to listen on port 0. */
 	readonly port: number;
-	/** Closes all connections, in use or not. */
+	/** Closes all connections, in use or not. Requests that have arrived are passed to the handler before; an answer that it sends at once reaches its caller. */
 	readonly close: () => Promise<void>;
 };
 
@@ -26,6 +27,9 @@
 	return {
 		port: typeof address === 'object' && address !== null ? address.port : port,
 		async close() {
+			// After the first, the reads that were under way are done; after the second, the loop has read again.
+			await setImmediate();
+			await setImmediate();
 			const closed = once(server, 'close');
 			server.close();
 			server.closeAllConnections();
