Refuse invalid bytes also behind a request whose head was late for a while

What callers saw: where a head counted as late while the answer before it was being sent, and was whole before that answer had ended, its request was answered; then bytes that are no request, or a further late head, on that connection got no refusal and no close, for as long as the caller kept it.

Cause: a connection is refused once only, and the refusal of the late head, which was not sent, counted.

Change: a request that is read takes it back. Nothing but a late head can be followed by a request.

`caller-server.test.ts`, "a request whose late head is whole before its refusal is answered, and invalid bytes behind it are refused", failed before in nine of nine runs (no 400 within 3 s), and passed in three of three after.

--- a/packages/gateway/src/__tests__/unit/caller-server.test.ts
+++ b/packages/gateway/src/__tests__/unit/caller-server.test.ts
@@ -131,6 +131,37 @@
 	t.deepEqual(handled, []);
 });
 
+// The head is late while the answer before it is being sent, and whole before that answer has ended.
+test('a request whose late head is whole before its refusal is answered, and invalid bytes behind it are refused', async t => {
+	const responses: ServerResponse[] = [];
+	const {server, connect} = await openServer(t, async ({url}, response) => {
+		responses.push(response);
+
+		if (url === '/a') {
+			response.write('begun;');
+			server.headersTimeout = 30;
+		} else {
+			response.end('second');
+		}
+	});
+	const caller = connect();
+	const late = once(server, 'clientError');
+	caller.socket.write(`${request('/a')}GET /b HTTP/1.1\r\n`);
+	await late;
+	await sleep(20);
+	caller.socket.write('Host: h\r\n\r\n');
+
+	while (responses.length < 2) {
+		await sleep(5);
+	}
+
+	responses[0]!.end('end');
+	await once(responses[1]!, 'finish');
+	caller.socket.write('no request\r\n\r\n');
+	await Promise.race([caller.closed, sleep(3000)]);
+	t.regex(caller.text, /begun;[\s\S]*end[\s\S]*HTTP\/1.1 200 OK[\s\S]*second[\s\S]*HTTP\/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n$/v);
+});
+
 test('an answer that announced the close of its connection is followed by nothing', async t => {
 	const server = await openServer(t, async (_request, response) => {
 		response.setHeader('Connection', 'close');
--- a/packages/transport/src/client-errors.ts
+++ b/packages/transport/src/client-errors.ts
@@ -53,6 +53,8 @@
 		const responses = responsesBySocket.get(socket) ?? registerConnection(socket);
 		responses.add(response);
 		requestCounts.set(socket, countRequests(socket) + 1);
+		// Only a late head can be followed by a request, which is answered since its refusal has not been sent.
+		failedSockets.delete(socket);
 		response.once('close', () => {
 			responses.delete(response);
 		});
