Let no deadline beyond the range of timers end a request at once

What callers saw: a caller that states more than 2^31 - 1 ms (24 days) on a route whose `timeout_ms` is as long got 503 "the deadline passed before it was sent" for each request, as soon as a configuration with that time-out was in force; it is none of those that the interface calls invalid. A run that had been sent would have been cancelled.

Cause: Node fires a timer after 1 ms if its delay is longer than it can hold.

Change: the timer of a deadline is brought into the range. The times of prompts at entries are bounded already; their timers were not looked through otherwise.

`forward.test.ts`, "a request whose deadline is beyond the range of timers is answered", failed before (503, expected 200).

--- a/packages/gateway/src/__tests__/unit/forward.test.ts
+++ b/packages/gateway/src/__tests__/unit/forward.test.ts
@@ -270,6 +270,12 @@
 	});
 }
 
+// Node fires a timer at once if its delay is beyond its range.
+test('a request whose deadline is beyond the range of timers is answered', async t => {
+	const front = await openFront(t, {answers: [answerAfter(100, 'whole')], timeLeftMs: 3_000_000_000});
+	t.like(await front.fetch(), {status: 200, body: 'whole', isWhole: true});
+});
+
 test('a request whose deadline passes while all its runs are silent gets a failure', async t => {
 	const front = await openFront(t, {answers: [neverAnswer, neverAnswer], timeLeftMs: 4000});
 	t.like(await front.fetch(), {status: 504, isWhole: true});
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -4,6 +4,7 @@
 import {type CallerLimits} from '@fescuestair/traffic';
 import {registerClientErrors, registerIdleTimeouts} from '@fescuestair/transport';
 import {cancelResponse, sendLocalResponse} from './exchange.js';
+import {maxTimerMs} from './max-timer-ms.js';
 
 export type CallerServerOptions = {
 	/** Handles one request until its response has ended. */
@@ -29,8 +30,6 @@
 /** Time for answers that have ended to reach their callers before a close. */
 const flushTimeoutMs = 400;
 const flushPollMs = 10;
-/** Node's timers hold no more than 2^31 - 1 ms. */
-const maxTimeoutMs = 2_000_000_000;
 /** Callers may retry almost at once, since other gateways accept them. */
 const stoppingRetryAfterMs = 50;
 
@@ -141,5 +140,5 @@
 
 // Node throws at the end of an answer where its time-out is out of range. 0 means none.
 function toTimeout(limitMs: number): number {
-	return Math.trunc(Math.min(maxTimeoutMs, Math.max(0, limitMs)));
+	return Math.trunc(Math.min(maxTimerMs, Math.max(0, limitMs)));
 }
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -26,6 +26,7 @@
 } from './refuse-exchange.js';
 import {describeRunOrigin} from './run-origin.js';
 import {hasCallerLeft} from './has-caller-left.js';
+import {maxTimerMs} from './max-timer-ms.js';
 import {sendUpstreamResponse} from './send-response.js';
 import {
 	countAttemptsLeft, hasEnded, recordRefusedSuccessor, takeRetry, type ForwardingContext,
@@ -124,7 +125,7 @@
 	const timer = setTimeout(() => {
 		ending.isExpired = true;
 		runs.cancel(RunEvidence.DeadlinePassed);
-	}, Math.max(0, exchange.deadlineMs - clock.readMonotonicMs()));
+	}, Math.min(maxTimerMs, Math.max(0, exchange.deadlineMs - clock.readMonotonicMs())));
 	let end: ExchangeResult | undefined;
 
 	try {
