Let no reset overtake the refusal of a request whose body comes in chunks

What callers saw: a request with a body in chunks that a gateway or an entry rejects before the body is whole, as one whose route a configuration has dropped, was answered and its connection closed while the caller still sent. A caller that writes first and reads then gets the reset for an answer.

Change: such a body is discarded like one that has a length. Since its head doesn't tell the length, no more than 32 MB are read; the connection is closed then, after the refusal and the answers before it.

The test that a rejected body without a length closes its connection asserted what is mended here. Its other half, a length beyond the bound, stays as it was; the half on chunks is replaced by the new test, which asserts the answers, the connection that goes on, and the close beyond the bound. Not tested: that close while an earlier answer on the connection is still being sent.

--- a/packages/gateway/src/__tests__/unit/request-handler.test.ts
+++ b/packages/gateway/src/__tests__/unit/request-handler.test.ts
@@ -173,18 +173,68 @@
 	});
 }
 
-test('a rejected request whose body is longer than what is discarded, or has no length, closes its connection', async t => {
+test('a rejected request whose body is longer than what is discarded closes its connection', async t => {
 	const handler = await openHandler(t);
+	const socket = net.connect((handler.server.address() as {readonly port: number}).port, '127.0.0.1');
+	socket.write('POST /a HTTP/1.1\r\nHost: other\r\nX-Id: r1\r\nContent-Length: 33000000\r\n\r\n');
+	let text = '';
 
-	for (const header of ['Content-Length: 33000000', 'Transfer-Encoding: chunked']) {
-		const socket = net.connect((handler.server.address() as {readonly port: number}).port, '127.0.0.1');
-		socket.write(`POST /a HTTP/1.1\r\nHost: other\r\nX-Id: r1\r\n${header}\r\n\r\n`);
-		let text = '';
+	for await (const chunk of socket) {
+		text += String(chunk);
+	}
+
+	t.regex(text, /^HTTP\/1.1 404 [\s\S]*connection: close/iv);
+});
 
-		for await (const chunk of socket) {
-			text += String(chunk);
+test('a rejection is not overtaken by a reset while its caller still sends a body in chunks, which is discarded up to a bound', async t => {
+	const handler = await openHandler(t);
+	const socket = net.connect((handler.server.address() as {readonly port: number}).port, '127.0.0.1');
+	t.teardown(() => socket.destroy());
+	let text = '';
+	const errors: Error[] = [];
+	socket.on('data', bytes => {
+		text += String(bytes);
+	});
+	socket.on('error', error => {
+		errors.push(error);
+	});
+	const closed = new Promise<void>(resolve => {
+		socket.once('close', () => {
+			resolve();
+		});
+	});
+	const countAnswers = () => text.split('HTTP/1.1 404 ').length - 1;
+	const sendChunk = async () => Promise.race([closed, new Promise<void>(resolve => {
+		socket.write(`f4240\r\n${'x'.repeat(1_000_000)}\r\n`, () => {
+			resolve();
+		});
+	})]);
+
+	const sendChunks = async (chunkCount: number) => {
+		for (let sent = 0; sent < chunkCount && !socket.closed; sent++) {
+			await sendChunk();
 		}
+	};
+
+	for (const [count, chunkCount] of [[1, 4], [2, 4], [3, 0]] as const) {
+		socket.write('POST /a HTTP/1.1\r\nHost: other\r\nX-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n');
 
-		t.regex(text, /^HTTP\/1.1 404 [\s\S]*connection: close/iv);
+		while (countAnswers() < count && !socket.closed) {
+			await Promise.race([once(socket, 'data'), closed]);
+		}
+
+		t.is(countAnswers(), count);
+		await sendChunks(chunkCount);
+
+		if (chunkCount > 0) {
+			socket.write('0\r\n\r\n');
+		}
 	}
+
+	t.deepEqual(errors, []);
+	t.notRegex(text, /connection: close/iv);
+
+	await sendChunks(100);
+	await closed;
+	t.is(countAnswers(), 3);
 });
--- a/packages/transport/src/http.ts
+++ b/packages/transport/src/http.ts
@@ -79,17 +79,46 @@
 }
 
 /**
-Whether the body of a refused request may be read to its end and discarded. Otherwise its connection has to be closed; while the caller still sends, it is reset so, and the reset may
-overtake the refusal.
+Whether the connection of a refused request may go on behind the rest of its body, as far as its head tells. Otherwise it has to be closed; while the caller still sends, it is
+reset so, and the reset may overtake the refusal.
 
 @example
 ```
 sendLocalResponse(response, {status: 404, message: 'no route', shouldClose: !canDiscardBody(request)});
-request.resume();
+discardBody(response);
 ```
 */
 export function canDiscardBody({complete, headers}: IncomingMessage): boolean {
-	return complete || (headers['transfer-encoding'] === undefined && Number(headers['content-length'] ?? 0) <= maxDiscardedBytes);
+	return complete || Number(headers['content-length'] ?? 0) <= maxDiscardedBytes;
+}
+
+/**
+Reads the rest of the body of a refused request and discards it. Closes the connection of one in chunks that is longer than any that is accepted, after the refusal and the answers
+before it.
+*/
+export function discardBody(response: ServerResponse): void {
+	const {req: request} = response;
+	let size = 0;
+
+	const closeConnection = () => {
+		request.socket.destroy();
+	};
+
+	request.on('data', (chunk: Uint8Array) => {
+		size += chunk.length;
+
+		if (size <= maxDiscardedBytes) {
+			return;
+		}
+
+		if (response.writableFinished) {
+			closeConnection();
+		} else {
+			request.pause();
+			response.once('finish', closeConnection);
+		}
+	});
+	request.resume();
 }
 
 /** Sends a refusal. Discards the rest of the request body or closes the connection, and destroys it if headers have been sent already. */
@@ -110,5 +139,5 @@
 		...(!canDiscardBody(response.req) && {connection: 'close'}),
 	});
 	response.end(body);
-	response.req.resume();
+	discardBody(response);
 }
