Reject proposals whose places in the log another leader has taken

What callers saw: a change that was proposed at a leader which was then deposed got neither an answer nor a refusal until the log had grown past its place, which takes until the next changes; and none ever where the replica led again and a later change took that place. Operators wait for a second and send it again; at control replicas a caller's request waits for such an answer.

Cause: a proposal was looked after only when an entry at its own index was applied, and a new proposal replaced the one before it in the table.

Change: the first committed entry of a later term rejects all proposals of earlier terms, which can't be committed behind it any more. Where a new proposal takes the place of one, the earlier one is rejected with an unknown outcome: the entry that was cut off here may be in another member's log.

--- a/packages/replication/src/replica-runner.ts
+++ b/packages/replication/src/replica-runner.ts
@@ -85,6 +85,7 @@
 	const appendedProposals = new Map<number, AppendedProposal>();
 	let storedSnapshot = snapshotData;
 	let appliedIndex = loaded.snapshot?.index ?? 0;
+	let appliedTerm = loaded.snapshot?.term ?? 0;
 	let queue: Message[] = [];
 	const pendingReads = new Set<{readonly requestedAtMs: number; readonly resolve: () => void}>();
 	let isDraining = false;
@@ -238,6 +239,7 @@
 			case EffectKind.InstallSnapshot: {
 				machine.decode((effect.data as SnapshotData).machine);
 				appliedIndex = effect.mark.index;
+				appliedTerm = effect.mark.term;
 				rejectProposals(new ProposalError(false, 'another replica leads'));
 				break;
 			}
@@ -247,6 +249,8 @@
 				submittedProposals.delete(effect.proposalId);
 
 				if (proposal !== undefined) {
+					// An entry that was cut off here may still be in the log of another member, which may lead.
+					appendedProposals.get(effect.index)?.reject(new ProposalError(false, 'another entry took its place'));
 					appendedProposals.set(effect.index, {...proposal, term: effect.term});
 				}
 
@@ -274,9 +278,25 @@
 		}
 	};
 
+	// No log with the committed entry holds a later entry of an earlier term.
+	const rejectEarlierTerms = (term: number) => {
+		for (const [index, proposal] of appendedProposals) {
+			if (proposal.term < term) {
+				appendedProposals.delete(index);
+				proposal.reject(new ProposalError(true, 'another leader\'s entry took its place'));
+			}
+		}
+	};
+
 	const applyEntry = (entry: Entry) => {
 		const answer = entry.payload.kind === EntryKind.Command ? machine.apply(entry.payload.command) : undefined;
 		appliedIndex = entry.index;
+
+		if (entry.term > appliedTerm) {
+			appliedTerm = entry.term;
+			rejectEarlierTerms(entry.term);
+		}
+
 		const proposal = appendedProposals.get(entry.index);
 		appendedProposals.delete(entry.index);
 
