Let gateways that stop go on while too few others serve

Cause: each gateway accepted for 2.5 s, refused from then on, and ended only 1.5 s after the last request, refused ones included, 6.8 s after its signal; none knew of the others.

The daemon record of a gateway that stops says since when, and whether it accepts; the reply to its hello says how many others are ready, and how many accept that were told to stop after it (four numbers, to gateways that stop only). Where these are half of all, callers get the time to turn to them and it ends as soon as its work is done; else it goes on accepting what can end before its grace, by the longest recent request of the route. The directory lists such gateways while fewer than half are ready. A refusal says when a successor is expected. During the close, requests on connections just opened are answered with 503 instead of a reset.

The test of the close fails with lateRequestsMs 0.

Tests changed: message-guards.test.ts covers the new fields; request-handler.test.ts passes the new options. The product's own entry (packages/entry) is unchanged.

--- a/packages/cli/src/__tests__/unit/explain.test.ts
+++ b/packages/cli/src/__tests__/unit/explain.test.ts
@@ -87,6 +87,21 @@
 	t.regex(formatExplanation(explanation), /not sent: held back for part m 5c1e; 3 instances crashed under it and none has answered it since/v);
 });
 
+test('a refusal of a gateway that stops is explained with what it knew of the others', t => {
+	const line = write(3, 'front-1', 'request', {
+		requestId: 'r8', outcome: 'refused', status: 503, reason: 'this gateway stops', tookMs: 1, route: 'stories',
+		stop: {
+			phase: 'accepting', why: 'it might not end in time', longestMs: 3197, leftMs: 3900, known: 5, ready: 1, acceptingAfter: 0, ending: 2, heardAgoMs: 120, running: 6,
+		},
+	});
+	const decision = write(2.9, 'front-1', 'stop decision', {phase: 'accepting', reason: 'too few others serve'});
+	const explanation = explainRequest('r8', parseLogLines([decision, line].join('\n')));
+	t.deepEqual(explanation.context.map(({message}) => message), ['stop decision']);
+	const text = formatExplanation(explanation);
+	t.regex(text, /accepting: it might not end in time; of 5 gateways 1 were ready, 0 accepted.* 2 ended, as heard 120 ms before/v);
+	t.regex(text, /3900 ms were left, the route took up to 3197 ms/v);
+});
+
 test('a request without an available instance is explained with the status of the instances', t => {
 	const line = write(3, 'front-1', 'request', {
 		requestId: 'r5', outcome: 'refused', status: 503, reason: 'no instance of the service takes requests now', tookMs: 1,
--- a/packages/cli/src/explain.ts
+++ b/packages/cli/src/explain.ts
@@ -41,6 +41,7 @@
 	'requests go on at an instance that was announced anew',
 	'requests are held back: instances crashed under them',
 	'requests are held back no longer',
+	'stop decision',
 	'store cannot be followed',
 ]);
 
@@ -114,13 +115,14 @@
 export function formatExplanation({requestId, lines, context, findings}: Explanation): string {
 	const requestTexts = lines.flatMap(line => {
 		const {
-			outcome, status, reason, tookMs, route, organisation, timeLeftMs, configVersion, streamEnd, streamFraming,
+			outcome, status, reason, tookMs, route, organisation, timeLeftMs, configVersion, streamEnd, streamFraming, stop,
 		} = line.fields;
 
 		return [
 			`${line.time}  ${line.instance}  ${formatValue(outcome)} with ${formatValue(status)} after ${formatValue(tookMs)} ms${reason === undefined ? '' : `: ${formatValue(reason)}`}`,
 			`  route ${formatValue(route)}, organisation ${formatValue(organisation)}, configuration ${formatValue(configVersion)}, the caller waited up to ${formatValue(timeLeftMs)} ms`,
 			...(streamEnd === undefined ? [] : [`  ${describeStreamEnd(formatValue(streamEnd), formatValue(streamFraming))}`]),
+			...(stop === undefined ? [] : [`  ${describeStop(stop as StoryStep)}`]),
 			...listSteps(line).map((step, position) => `  ${position + 1}. ${describeStep(step)}`),
 		];
 	});
@@ -134,6 +136,14 @@
 	].join('\n');
 }
 
+function describeStop({phase, why, ready, acceptingAfter, ending, known, heardAgoMs, longestMs, leftMs}: StoryStep): string {
+	const countsText = `of ${formatValue(known)} gateways ${formatValue(ready)} were ready, ${formatValue(acceptingAfter)} accepted that were told to stop after it, `
+		+ `${formatValue(ending)} ended, as heard ${formatValue(heardAgoMs)} ms before`;
+	const othersText = heardAgoMs === undefined ? 'it had heard nothing of the others' : countsText;
+
+	return `the gateway stops and is ${formatValue(phase)}: ${formatValue(why)}; ${othersText}; ${formatValue(leftMs)} ms were left, the route took up to ${formatValue(longestMs)} ms lately`;
+}
+
 function describeStep(step: StoryStep): string {
 	if (step.takeUp !== undefined) {
 		return describeTakeUp(step);
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -4,7 +4,7 @@
 	createSystemClock, isOneOf, isObjectWith, type Clock, type Finding,
 } from '@fescuestair/core';
 import {
-	DaemonRole, isPublishedSnapshot, type DaemonRecord, type InstanceRecord, type PublishedSnapshot,
+	DaemonRole, isPublishedSnapshot, type DaemonRecord, type InstanceRecord, type PublishedSnapshot, listGatewaysForCallers,
 } from '@fescuestair/instances';
 import {
 	callAndValidate, createLinkCommands, isInviteToGroupMessage, isJoinMessage, isName, LinkMessageKind, ProposalError, requireValid, type LinkReply,
@@ -75,7 +75,7 @@
 	readonly announce: (record: InstanceRecord) => Promise<void>;
 	/** Finds the newest record of an instance. */
 	readonly findInstance: (id: string) => InstanceRecord | undefined;
-	/** Gateways that accept callers. */
+	/** Gateways that callers are to use. */
 	readonly listGateways: () => readonly DaemonRecord[];
 	readonly isReady: () => boolean;
 	readonly stop: () => Promise<void>;
@@ -412,7 +412,7 @@
 		},
 		announce: fleet.announce,
 		findInstance: fleet.findInstance,
-		listGateways: () => fleet.listGateways().filter(card => card.isReady),
+		listGateways: () => listGatewaysForCallers(fleet.listGateways()),
 		isReady: isCurrent,
 		async stop() {
 			clearInterval(timer);
--- a/packages/coordinator/src/fleet.ts
+++ b/packages/coordinator/src/fleet.ts
@@ -2,7 +2,7 @@
 import {isBoolean, isObjectWith, type Clock} from '@fescuestair/core';
 import {isCrashReportMessage} from '@fescuestair/crashes';
 import {
-	createGatewayDirectory, createInstanceRegistry, createInstanceUpdate, DaemonRole, getHomeListVersion, HelloKind, InstanceStage, isHello, isInstanceUpdates,
+	createGatewayDirectory, createInstanceRegistry, createInstanceUpdate, DaemonRole, describePeers, getHomeListVersion, HelloKind, InstanceStage, isHello, isInstanceUpdates,
 	isPublishedSnapshot, isRequestLimitNotes, listDaemons, listGateways, listHomeGatewayAddresses, createHomeList, listUpdates, listRenewals, MergeOutcome, setLoading, setModelVersion,
 	mergeDaemonRecord, recordHomeHello, recordHomeList, mergeInstanceRecord, applyRenewals, expireGateways, expireInstances, type DaemonRecord,
 	type DaemonTable, type RegisteredInstance, type Hello, type HelloReply, type InstanceUpdate, type InstanceRecord, type PublishedSnapshot,
@@ -218,6 +218,7 @@
 		recordHello(hello);
 		const nowMs = clock.readMonotonicMs();
 		const {newsAfter} = hello;
+		const isGatewayLeaving = hello.greeting !== HelloKind.Peer && hello.card.leaving !== undefined;
 
 		return {
 			news: newsAfter && {
@@ -233,6 +234,8 @@
 			published: describePublishedSince(hello.publishedRevision, hello.configVersion),
 			leaderAddress: getLeaderAddress(),
 			isCurrent: isCurrent(),
+			// Until all gateways had time to send a hello, the few known ones would be taken for all.
+			...(isGatewayLeaving && isCurrent() && nowMs >= directoryReadyAtMs && {peers: describePeers(listGateways(directory, getTimes()), hello.card)}),
 			heldHomes: hello.greeting === HelloKind.Peer ? getHomeListVersion(directory, hello.card.linkAddress) : undefined,
 			...(hello.greeting === HelloKind.Peer
 				? {crashReport: crashEvidence.describeEvidence(hello.card.linkAddress, hello.evidenceDigest)}
--- a/packages/gateway/src/__tests__/unit/caller-server.test.ts
+++ b/packages/gateway/src/__tests__/unit/caller-server.test.ts
@@ -187,6 +187,19 @@
 	t.true(unread.text.length < 50_000_000);
 });
 
+test('a request on a connection that was opened shortly before a close is refused with a whole 503', async t => {
+	const server = await openServer(t, async (_request, response) => {
+		response.end('whole');
+	});
+	const caller = server.connect();
+	await once(server.server, 'connection');
+	const closed = server.close();
+	await sleep(10);
+	caller.socket.write(request('/a'));
+	await Promise.all([closed, caller.closed]);
+	t.regex(caller.text, /^HTTP\/1.1 503 Service Unavailable\r\n[\s\S]*\{"error":"this gateway stops"\}$/v);
+});
+
 test('a request behind another one on its connection is running no more once the connection is closed and its handling has ended', async t => {
 	const handled: string[] = [];
 	const server = await openServer(t, async (_request, response) => {
--- a/packages/gateway/src/__tests__/unit/request-handler.test.ts
+++ b/packages/gateway/src/__tests__/unit/request-handler.test.ts
@@ -50,7 +50,7 @@
 			},
 			isForwarded: () => true,
 		},
-		clock, log, metrics, getTable: () => table, isStopping: () => false, depositRetryTokens: () => undefined,
+		clock, log, metrics, getTable: () => table, findStopRefusal: () => undefined, recordLength: () => undefined, depositRetryTokens: () => undefined,
 	});
 	const server = http.createServer((request, response) => {
 		handle(request, response).catch(() => {
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -8,6 +8,8 @@
 	/** Handles one request until its response has ended. */
 	readonly handleRequest: (request: IncomingMessage, response: ServerResponse) => Promise<void>;
 	readonly log: Logger;
+	/** When callers that are refused during the close should return; by default almost at once, since other gateways accept them. */
+	readonly computeReturnMs?: () => number;
 	/** Interval of the check for heads that are late. */
 	readonly checkIntervalMs?: number;
 };
@@ -26,8 +28,9 @@
 /** Time for answers that have ended to reach their callers before a close. */
 const flushTimeoutMs = 400;
 const flushPollMs = 10;
-/** Callers may retry almost at once, since other gateways accept them. */
-const stoppingRetryAfterMs = 50;
+/** Time for requests on connections that were opened shortly before a close. */
+const lateRequestsMs = 150;
+const defaultReturnMs = 50;
 
 /**
 Creates the HTTP server for callers. Bytes that are no request end their connection, but only after the answers to the requests before them.
@@ -38,7 +41,9 @@
 server.listen(8005, '10.1.0.40');
 ```
 */
-export function createCallerServer({handleRequest, log, checkIntervalMs = defaultCheckIntervalMs}: CallerServerOptions): CallerServer {
+export function createCallerServer({
+	handleRequest, log, computeReturnMs = () => defaultReturnMs, checkIntervalMs = defaultCheckIntervalMs,
+}: CallerServerOptions): CallerServer {
 	const activeResponses = new Set<ServerResponse>();
 	let isClosing = false;
 	const server = http.createServer({
@@ -61,7 +66,7 @@
 		});
 
 		if (isClosing) {
-			refuseStopping(response);
+			refuseStopping(response, computeReturnMs());
 
 			return;
 		}
@@ -83,7 +88,7 @@
 
 			for (const response of activeResponses) {
 				if (!response.headersSent) {
-					answerUnfinished(response);
+					answerUnfinished(response, computeReturnMs());
 				} else if (!response.writableEnded) {
 					cancelResponse(response);
 				}
@@ -98,23 +103,37 @@
 				cancelResponse(response);
 			}
 
+			// From here on no caller connects. Those that just have, and whose requests arrive now, are told to use another gateway.
 			server.close();
+
+			for (let waitedMs = 0; waitedMs < lateRequestsMs && await hasConnections(server); waitedMs += flushPollMs) {
+				await sleep(flushPollMs);
+			}
+
 			server.closeAllConnections();
 		},
 	};
 }
 
 // A request that is not whole can't have been sent to an instance.
-function answerUnfinished(response: ServerResponse): void {
+function answerUnfinished(response: ServerResponse, returnMs: number): void {
 	if (response.req.complete) {
 		sendLocalResponse(response, {status: 502, message: 'the gateway stopped before there was an answer', shouldClose: true});
 	} else {
-		refuseStopping(response);
+		refuseStopping(response, returnMs);
 	}
 }
 
-function refuseStopping(response: ServerResponse): void {
+function refuseStopping(response: ServerResponse, retryAfterMs: number): void {
 	sendLocalResponse(response, {
-		status: 503, message: 'this gateway stops', retryAfterMs: stoppingRetryAfterMs, shouldClose: true,
+		status: 503, message: 'this gateway stops', retryAfterMs, shouldClose: true,
+	});
+}
+
+async function hasConnections(server: http.Server): Promise<boolean> {
+	return new Promise(resolve => {
+		server.getConnections((error, count) => {
+			resolve(error === null && count > 0);
+		});
 	});
 }
--- a/packages/gateway/src/coordinator-client.ts
+++ b/packages/gateway/src/coordinator-client.ts
@@ -1,7 +1,7 @@
 import {type Clock} from '@fescuestair/core';
 import {
 	createInstanceRegistry, createInstanceUpdate, HelloKind, InstanceStage, setDraining, pickHomes, pickRecordKeepers, mergeInstanceRecord,
-	applyRenewals, expireInstances, type DaemonRecord, type FleetSummary, type HelloReply,
+	applyRenewals, expireInstances, type DaemonRecord, type FleetSummary, type GatewayPeers, type HelloReply,
 	type InstanceUpdate, type InstanceRecord, type InstanceRegistry, type PublishedSnapshot, type RequestLimitNote,
 } from '@fescuestair/instances';
 import {callAndValidate, LinkMessageKind} from '@fescuestair/protocol';
@@ -16,6 +16,8 @@
 	readonly log: Logger;
 	/** Called with each published snapshot whose revision is higher than that of the one before. */
 	readonly onPublished: (published: PublishedSnapshot) => void;
+	/** Called with what a coordinator tells of the other gateways, once this one stops. */
+	readonly onPeers: (peers: GatewayPeers) => void;
 	readonly onRegistryUpdate: (registry: InstanceRegistry) => void;
 	/** Called with the request limits that a coordinator knows, which repairs notes that were missed. */
 	readonly onRequestLimits: (notes: readonly RequestLimitNote[]) => void;
@@ -56,6 +58,8 @@
 const helloIntervalMs = 500;
 /** Interval of hellos until a configuration is received: shorter, since callers are refused until then. */
 const bootstrapHelloIntervalMs = 200;
+/** Interval of hellos while this gateway stops, since what it does next depends on the others. */
+const leavingHelloIntervalMs = 250;
 /**
 Interval at which the primary home is asked for its fleet summary, which renews the records of unchanged instances. An instance counts as lost
 after more than three times as long.
@@ -85,12 +89,12 @@
 
 @example
 ```
-const client = createCoordinatorClient({getDaemonRecord, getSeeds, links, clock, log, onPublished, onRegistryUpdate, onRequestLimits, onQuarantine, onRound, onHomeChange, onRecordKeeperChange});
+const client = createCoordinatorClient({getDaemonRecord, getSeeds, links, clock, log, onPublished, onPeers, onRegistryUpdate, ...rest});
 ```
 */
 export function createCoordinatorClient(options: CoordinatorClientOptions): CoordinatorClient {
 	const {
-		getDaemonRecord, getSeeds, links, clock, log, onPublished, onRegistryUpdate, onRequestLimits, onQuarantine, onRound, onHomeChange, onRecordKeeperChange,
+		getDaemonRecord, getSeeds, links, clock, log, onPublished, onPeers, onRegistryUpdate, onRequestLimits, onQuarantine, onRound, onHomeChange, onRecordKeeperChange,
 	} = options;
 	const coordinators = new Map<string, KnownCoordinator>();
 	const startedAtMs = clock.readMonotonicMs();
@@ -218,6 +222,10 @@
 			applyPublished(reply.published);
 		}
 
+		if (reply.peers !== undefined) {
+			onPeers(reply.peers);
+		}
+
 		if (homes.length === 0 || homes.includes(address)) {
 			onQuarantine(address, reply.quarantine);
 		}
@@ -318,9 +326,17 @@
 
 	let timer: NodeJS.Timeout;
 
+	const getRoundIntervalMs = () => {
+		if (configVersion === 0) {
+			return bootstrapHelloIntervalMs;
+		}
+
+		return getDaemonRecord().leaving === undefined ? helloIntervalMs : leavingHelloIntervalMs;
+	};
+
 	const runNextRound = () => {
 		runRound();
-		timer = setTimeout(runNextRound, configVersion === 0 ? bootstrapHelloIntervalMs : helloIntervalMs);
+		timer = setTimeout(runNextRound, getRoundIntervalMs());
 	};
 
 	runNextRound();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,4 +1,4 @@
-import {setTimeout as sleep} from 'node:timers/promises';
+import process from 'node:process';
 import {
 	createSystemClock, isBoolean, isObjectWith, type Clock,
 } from '@fescuestair/core';
@@ -32,6 +32,7 @@
 import {createTargetVersionHistory, classifyWeights, recordTargetVersions} from './target-version-history.js';
 import {createLoadExchange} from './load-exchange.js';
 import {createPartsClient} from './parts-client.js';
+import {createPlannedStop} from './planned-stop.js';
 import {createStreamOrigins} from './stream-origins.js';
 
 export type GatewayOptions = {
@@ -68,23 +69,17 @@
 
 export type Gateway = {
 	readonly isReady: () => boolean;
-	/** Reports that it is leaving, serves new requests for a short time, finishes the running ones and closes. */
+	/** Reports that it is leaving, serves new requests for as long as others need it, finishes the running ones and closes. */
 	readonly stop: () => Promise<void>;
 };
 
+/** A start that took longer waited for a configuration, as the first one of a system does. */
+const maxStartMs = 3000;
 /** Share of the system's retry budget that is used: the remainder covers requests that are counted late. */
 const usableBudgetShare = 0.75;
 /** Share of an instance's connections that all gateways use together. */
 const usableConnectionShare = 0.8;
 const minConnections = 4;
-/**
-Time for which a stopping gateway accepts new requests. Later ones might not end before the stop and are refused, so that callers use another
-gateway.
-*/
-const admissionPeriodMs = 2500;
-/** Callers use an outdated list of addresses for a while, so a stopping gateway keeps serving until no request has arrived for this long. */
-const drainQuietPeriodMs = 1500;
-const drainPollMs = 50;
 
 /**
 Creates a gateway, which serves callers by the newest configuration and forwards their requests to instances.
@@ -108,8 +103,7 @@
 	let isLeaving = false;
 	let wasReady = false;
 	let recordSequence = 0;
-	let admissionDeadlineMs = Number.POSITIVE_INFINITY;
-	let lastRequestAtMs = 0;
+	let startTookMs = 0;
 	const budgets = new Map<string, RetryBudget>();
 
 	const countGateways = () => client.countGateways();
@@ -162,6 +156,13 @@
 		log.info('configuration in force', {version: published.configVersion, revision: published.revision, weights: published.weights});
 	};
 
+	const planned = createPlannedStop({
+		clock, log, metrics, countGateways, countRunning: () => activeResponses.size, getStartMs: () => startTookMs,
+		onChange() {
+			client.sendHelloToAll();
+		},
+	});
+
 	const isReady = () => !isLeaving && routeTable !== undefined && client.isCurrent();
 
 	const loadExchange = createLoadExchange({
@@ -178,10 +179,12 @@
 		if (isReadyNow !== wasReady) {
 			wasReady = isReadyNow;
 			recordSequence++;
+			startTookMs ||= Math.min(maxStartMs, process.uptime() * 1000);
 		}
 
 		return {
-			name, role: DaemonRole.Gateway, incarnation, linkAddress, serviceAddress: listen, availabilityZone, isReady: isReadyNow, sequence: recordSequence,
+			name, role: DaemonRole.Gateway, incarnation, linkAddress, serviceAddress: listen, availabilityZone, isReady: isReadyNow, sequence: recordSequence + planned.countChanges(),
+			leaving: planned.describeLeaving(),
 		};
 	};
 
@@ -245,15 +248,17 @@
 	};
 
 	const answerCaller = createRequestHandler({
-		forwardOptions, callerCodec, clock, log, metrics, depositRetryTokens: depositRequest, getTable: () => routeTable, isStopping: () => clock.readMonotonicMs() >= admissionDeadlineMs,
+		forwardOptions, callerCodec, clock, log, metrics, depositRetryTokens: depositRequest, getTable: () => routeTable,
+		findStopRefusal: planned.findRefusal, recordLength: planned.recordLength,
 	});
 
 	const callerServer = createCallerServer({
 		async handleRequest(request, response) {
-			lastRequestAtMs = clock.readMonotonicMs();
+			planned.recordRequest();
 
 			return answerCaller(request, response);
 		},
+		computeReturnMs: planned.computeReturnMs,
 		log,
 	});
 	const {server, activeResponses} = callerServer;
@@ -267,7 +272,7 @@
 	metrics.registerGauge('parts_known', 'Stored parts that requests may fetch', () => partsClient.getView().locations.size);
 
 	const client = createCoordinatorClient({
-		getDaemonRecord, getSeeds, links, clock, log, onPublished,
+		getDaemonRecord, getSeeds, links, clock, log, onPublished, onPeers: planned.recordPeers,
 		onRequestLimits: requestLimits.merge,
 		onQuarantine(address, quarantine) {
 			// A coordinator of an older version names none.
@@ -336,16 +341,8 @@
 	return {
 		isReady,
 		async stop() {
-			const deadlineMs = clock.readMonotonicMs() + stopTimeoutMs;
 			isLeaving = true;
-			admissionDeadlineMs = clock.readMonotonicMs() + admissionPeriodMs;
-			lastRequestAtMs = Math.max(lastRequestAtMs, clock.readMonotonicMs());
-			client.sendHelloToAll();
-			log.info('gateway leaves', {running: activeResponses.size});
-
-			while (clock.readMonotonicMs() < deadlineMs && (activeResponses.size > 0 || clock.readMonotonicMs() - lastRequestAtMs < drainQuietPeriodMs)) {
-				await sleep(drainPollMs);
-			}
+			await planned.run(clock.readMonotonicMs() + stopTimeoutMs);
 
 			client.stop();
 			origins.stop();
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -3,11 +3,11 @@
 import {type Clock} from '@fescuestair/core';
 import {type Logger, type PrometheusMetrics} from '@fescuestair/runtime';
 import {
-	findRoute, type CallerLimits, type CallKind, type RouteTable,
+	findRoute, type CallerLimits, type CallKind, type Route, type RouteTable,
 } from '@fescuestair/traffic';
 import {type CallerCodec} from './codecs.js';
 import {ExchangeOutcome, sendLocalResponse, type ExchangeResult} from './exchange.js';
-import {forwardExchange} from './forward.js';
+import {forwardExchange, type ForwardResult} from './forward.js';
 import {type ForwardOptions} from './forward-options.js';
 import {readBytes} from './read-bytes.js';
 
@@ -19,12 +19,20 @@
 	readonly metrics: PrometheusMetrics;
 	/** The configuration in force; `undefined` before one is known. */
 	readonly getTable: () => RouteTable | undefined;
-	/** Whether the gateway is about to stop, so that new requests might not finish in time. */
-	readonly isStopping: () => boolean;
+	/** Decides whether a request is refused because the gateway stops. `limitMs` is the time that its caller and route leave it. */
+	readonly findStopRefusal: (request: {readonly route: string; readonly limitMs: number}) => StopRefusal | undefined;
+	/** Called for each request that ended with an answer of an instance, or failed. */
+	readonly recordLength: (route: string, tookMs: number) => void;
 	/** Called for each request to a service; adds to the retry budget of that service. */
 	readonly depositRetryTokens: (service: string) => void;
 };
 
+export type StopRefusal = {
+	readonly retryAfterMs: number;
+	/** Further fields of the log line of the request. */
+	readonly fields: Readonly<Record<string, unknown>>;
+};
+
 type RequestResult = ExchangeResult & {
 	readonly kind?: CallKind;
 	/** Further fields of the log line of the request. */
@@ -34,8 +42,6 @@
 /** Timeout of requests whose caller states none. */
 const defaultTimeoutMs = 30_000;
 const notReadyRetryAfterMs = 500;
-/** Retry-After of a gateway that is stopping. Callers may retry almost at once, since other gateways accept them. */
-const stoppingRetryAfterMs = 50;
 /** Characters that Node's parser takes in a target, and its client refuses by throwing. */
 const unforwardablePattern = /[^\u0021-\u00FF]/v;
 /** Upper bound for the bodies of all requests in progress; a request that would exceed it is rejected. */
@@ -47,13 +53,13 @@
 
 @example
 ```
-const handleRequest = createRequestHandler({forwardOptions, callerCodec, clock, log, metrics, getTable, isStopping, depositRetryTokens});
+const handleRequest = createRequestHandler({forwardOptions, callerCodec, clock, log, metrics, getTable, findStopRefusal, recordLength, depositRetryTokens});
 server.on('request', handleRequest);
 ```
 */
 export function createRequestHandler(options: RequestHandlerOptions): (request: IncomingMessage, response: ServerResponse) => Promise<void> {
 	const {
-		forwardOptions, callerCodec, clock, log, metrics, getTable, isStopping, depositRetryTokens,
+		forwardOptions, callerCodec, clock, log, metrics, getTable, findStopRefusal, recordLength, depositRetryTokens,
 	} = options;
 	const {isLeaving} = forwardOptions;
 	let bufferedBodyBytes = 0;
@@ -64,6 +70,18 @@
 		return {outcome: ExchangeOutcome.Rejected, status, reason: message};
 	};
 
+	const describeForwarded = ({story, streamEnd, ...end}: ForwardResult, {route, startedAtMs, fields}: {
+		readonly route: Route; readonly startedAtMs: number; readonly fields: RequestResult['fields'];
+	}): RequestResult => {
+		if (end.outcome === ExchangeOutcome.Answered || end.outcome === ExchangeOutcome.Failed) {
+			recordLength(route.name, clock.readMonotonicMs() - startedAtMs);
+		}
+
+		return {
+			...end, kind: route.kind, fields: {...fields, ...(streamEnd !== undefined && {streamEnd: streamEnd.end, streamFraming: streamEnd.framing}), story},
+		};
+	};
+
 	const handleRequest = async (request: IncomingMessage, response: ServerResponse, {startedAtMs, onForward}: {
 		readonly startedAtMs: number; readonly onForward: () => void;
 	}): Promise<RequestResult> => {
@@ -87,14 +105,11 @@
 			return {...reject(response, 404, 'no route'), fields};
 		}
 
-		if (isStopping()) {
-			sendLocalResponse(response, {
-				status: 503, message: 'this gateway stops', retryAfterMs: stoppingRetryAfterMs, shouldClose: true,
-			});
+		const limitMs = Math.min(route.timeoutMs, caller.timeLeftMs ?? defaultTimeoutMs);
+		const stopRefusal = findStopRefusal({route: route.name, limitMs});
 
-			return {
-				outcome: ExchangeOutcome.Refused, status: 503, reason: 'this gateway stops', fields,
-			};
+		if (stopRefusal !== undefined) {
+			return {...refuseStopping(response, stopRefusal.retryAfterMs), fields: {...fields, route: route.name, ...stopRefusal.fields}};
 		}
 
 		const fault = findHeadFault(request, table.config.limits);
@@ -133,21 +148,20 @@
 		onForward();
 
 		try {
-			const {story, streamEnd, ...end} = await forwardExchange(forwardOptions, {
+			const result = await forwardExchange(forwardOptions, {
 				requestId: caller.requestId, request, response, caller, route, organisation, body, startedAtMs,
-				deadlineMs: startedAtMs + Math.min(route.timeoutMs, caller.timeLeftMs ?? defaultTimeoutMs),
+				deadlineMs: startedAtMs + limitMs,
 			});
 
 			if (organisation !== undefined) {
-				metrics.count('organisation_requests_total', {organisation: organisation.name, outcome: end.outcome});
+				metrics.count('organisation_requests_total', {organisation: organisation.name, outcome: result.outcome});
 			}
 
-			return {
-				...end, kind: route.kind, fields: {
+			return describeForwarded(result, {
+				route, startedAtMs, fields: {
 					...fields, route: route.name, organisation: organisation?.name, timeLeftMs: caller.timeLeftMs,
-					...(streamEnd !== undefined && {streamEnd: streamEnd.end, streamFraming: streamEnd.framing}), story,
 				},
-			};
+			});
 		} finally {
 			bufferedBodyBytes -= body.length;
 		}
@@ -221,6 +235,15 @@
 	};
 }
 
+function refuseStopping(response: ServerResponse, retryAfterMs: number): ExchangeResult {
+	const reason = 'this gateway stops';
+	sendLocalResponse(response, {
+		status: 503, message: reason, retryAfterMs, shouldClose: true,
+	});
+
+	return {outcome: ExchangeOutcome.Refused, status: 503, reason};
+}
+
 function findHeadFault({rawHeaders, url = ''}: IncomingMessage, {maxHeaderBytes}: CallerLimits): {readonly status: number; readonly message: string} | undefined {
 	if (countHeaderBytes(rawHeaders) > maxHeaderBytes) {
 		return {status: 431, message: 'the headers are too large'};
--- a/packages/instances/src/__tests__/unit/message-guards.test.ts
+++ b/packages/instances/src/__tests__/unit/message-guards.test.ts
@@ -9,7 +9,7 @@
 };
 const hello: Hello = {
 	card, greeting: HelloKind.PrimaryHome, publishedRevision: 1, configVersion: 1, newsAfter: {bootId: undefined, revision: 0}, wantsFleet: true,
-	homes: {incarnation: 1, revision: 1, cards: [card]},
+	homes: {incarnation: 1, revision: 1, cards: [card, {...card, leaving: {sinceWallMs: 1, isAccepting: true}}]},
 };
 const note: InstanceUpdate = {
 	ageMs: 10, loadingLeftMs: 0, record: {
@@ -23,6 +23,9 @@
 const reply: HelloReply = {
 	news: {cursor: {bootId: 'b', revision: 1}, notes: [note]}, fleet: {renewals: [['i', 1, 1, 10]], coordinators: [card], gateways: 1}, published: undefined,
 	leaderAddress: undefined, isCurrent: true, heldHomes: {incarnation: 1, revision: 1},
+	peers: {
+		known: 2, ready: 1, acceptingAfter: 0, ending: 0,
+	},
 };
 const loads = {shares: [['i', 1, 100]], work: [['i', 10, -5]]};
 const messages = [
--- a/packages/instances/src/daemons.ts
+++ b/packages/instances/src/daemons.ts
@@ -9,6 +9,25 @@
 	Coordinator = 'coordinator',
 }
 
+/** How far the stop of a gateway is. */
+export type GatewayLeaving = {
+	/** Wall clock of the gateway when it was told to stop; used only to order the gateways that stop, so that all see them in the same order. */
+	readonly sinceWallMs: number;
+	/** Accepts new requests of any length. */
+	readonly isAccepting: boolean;
+};
+
+/** What a gateway that stops is told about the others. */
+export type GatewayPeers = {
+	/** All gateways that are known, with the one that asks. */
+	readonly known: number;
+	readonly ready: number;
+	/** Gateways that stop, still accept requests, and were told to stop after the one that asks. */
+	readonly acceptingAfter: number;
+	/** Other gateways that stop and accept nothing any more, so that their successors are next. */
+	readonly ending: number;
+};
+
 /** What a daemon announces about itself. */
 export type DaemonRecord = {
 	readonly name: string;
@@ -19,8 +38,10 @@
 	/** Address for callers on a gateway; for operators and instances on a coordinator. */
 	readonly serviceAddress: string;
 	readonly availabilityZone: string;
-	/** Accepts new requests. */
+	/** Takes new callers. */
 	readonly isReady: boolean;
+	/** Of a gateway that stops; absent before. */
+	readonly leaving?: GatewayLeaving;
 	/** Increases within one incarnation with each change of the other fields. */
 	readonly sequence: number;
 };
@@ -83,6 +104,8 @@
 	readonly isCurrent: boolean;
 	/** Version of the sender's home list that the coordinator holds. */
 	readonly heldHomes: Pick<HomeList, 'incarnation' | 'revision'> | undefined;
+	/** For a gateway that stops, from a coordinator that is current. */
+	readonly peers?: GatewayPeers;
 	/** For a gateway: what it is to hold back. Checked by the package that reads it, as the next field. */
 	readonly quarantine?: unknown;
 	/** For another coordinator: the evidence about crashes, if its own differs. */
--- a/packages/instances/src/directory.ts
+++ b/packages/instances/src/directory.ts
@@ -13,7 +13,7 @@
 /** The gateways known to one coordinator: those that use it as a home, and those on the home lists of other coordinators. Immutable. */
 export type GatewayDirectory = {
 	readonly homes: ReadonlyMap<string, HomeGateway>;
-	/** Increases when a home gateway is added, removed or restarted, or its readiness changes. */
+	/** Increases when a home gateway is added, removed or restarted, or changes whether it is ready or accepts. */
 	readonly revision: number;
 	/** Home lists of the other coordinators, by link address of the coordinator. */
 	readonly listsByCoordinator: ReadonlyMap<string, {readonly list: HomeList; readonly atMs: number}>;
@@ -41,7 +41,8 @@
 		return directory;
 	}
 
-	const isChanged = known?.card.incarnation !== card.incarnation || known.card.isReady !== card.isReady;
+	const isChanged = known?.card.incarnation !== card.incarnation || known.card.isReady !== card.isReady
+		|| known.card.leaving?.isAccepting !== card.leaving?.isAccepting;
 
 	return {
 		...directory,
--- a/packages/instances/src/index.ts
+++ b/packages/instances/src/index.ts
@@ -6,13 +6,15 @@
 	InstanceStage, type RegisteredInstance, type InstanceUpdate, type InstanceRecord, type InstanceRegistry, type InstanceRenewal, type LoadedModel,
 } from './types.js';
 export {
-	DaemonRole, HelloKind, listDaemons, mergeDaemonRecord, type DaemonRecord, type DaemonTable, type FleetSummary, type Hello, type HelloReply, type InstanceUpdateBatch,
+	DaemonRole, HelloKind, listDaemons, mergeDaemonRecord, type DaemonRecord, type DaemonTable, type FleetSummary, type GatewayLeaving, type GatewayPeers, type Hello,
+	type HelloReply, type InstanceUpdateBatch,
 	type ListDaemonsOptions, type UpdateCursor, type PublishedSnapshot,
 } from './daemons.js';
 export {
 	createGatewayDirectory, getHomeListVersion, listGateways, listHomeGatewayAddresses, createHomeList, pickRandomDaemons, recordHomeHello, recordHomeList, expireGateways,
 	type DirectoryExpiry, type GatewayDirectory, type HomeList,
 } from './directory.js';
+export {countEnoughGateways, describePeers, listGatewaysForCallers} from './gateway-peers.js';
 export {pickHomes, pickRecordKeepers, type HomeCandidate} from './pick-homes.js';
 export {
 	sumShares, sumWork, type InstanceShare, type LoadUpdate, type WorkDelta,
--- a/packages/instances/src/message-guards.ts
+++ b/packages/instances/src/message-guards.ts
@@ -37,7 +37,7 @@
 
 const isDaemonRecord = isObjectWith({
 	name: isName, role: isOneOf(Object.values(DaemonRole)), incarnation: isNonNegativeInteger, linkAddress: isName, serviceAddress: isName, availabilityZone: isName,
-	isReady: isBoolean, sequence: isNonNegativeInteger,
+	isReady: isBoolean, sequence: isNonNegativeInteger, leaving: isOptional(isObjectWith({sinceWallMs: isNonNegativeInteger, isAccepting: isBoolean})),
 });
 const isDaemonRecords = isArrayOf(isDaemonRecord, maxListLength);
 const isHomeList = isObjectWith({incarnation: isNonNegativeInteger, revision: isNonNegativeInteger, cards: isDaemonRecords});
@@ -63,6 +63,9 @@
 	leaderAddress: isOptional(isName),
 	isCurrent: isBoolean,
 	heldHomes: isOptional(isObjectWith({incarnation: isNonNegativeInteger, revision: isNonNegativeInteger})),
+	peers: isOptional(isObjectWith({
+		known: isNonNegativeInteger, ready: isNonNegativeInteger, acceptingAfter: isNonNegativeInteger, ending: isNonNegativeInteger,
+	})),
 }) as TypeGuard<unknown> as TypeGuard<HelloReply>;
 
 export const isLoadUpdate = isObjectWith({
