Count a coordinator as current only once it has applied what was committed before

Cause: a coordinator counted as current as soon as it heard a leader.

Change: a message of the leader counts only where this replica has applied what the message before it stated as committed, and an entry of the leader's own term, which is committed behind all of earlier terms.

`replica-runner.test.ts`, "a replica that hears a leader lacks what was committed before ...", tests the condition; that the coordinator asks it is read only.

--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -1,7 +1,9 @@
 import fs from 'node:fs/promises';
 import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {isPeerMessage, planMembershipChange, type ReplicaTiming} from '@fescuestair/agreement';
+import {
+	isPeerMessage, PeerMessageKind, planMembershipChange, type PeerMessage, type ReplicaTiming,
+} from '@fescuestair/agreement';
 import {
 	createSystemClock, isOneOf, isObjectWith, type Clock, type Finding,
 } from '@fescuestair/core';
@@ -88,7 +90,7 @@
 const membersCheckIntervalMs = 250;
 /** A voter that has acknowledged nothing for this long may be replaced. */
 const voterTimeoutMs = 2500;
-/** A replica counts as current if it received a message from the leader, or led itself, within this time. */
+/** A replica counts as current if it received a message from the leader within this time and lacked nothing that was committed, or led itself. */
 const leaderTimeoutMs = 1500;
 const leadershipTransferMs = 200;
 /** Longest time that the end waits for the origins of streams to be written. */
@@ -129,6 +131,8 @@
 	};
 	const targetAges = createTargetAges(clock);
 	let leaderHeardAtMs = Number.NEGATIVE_INFINITY;
+	/** The last entry that is committed, as the last message of a leader stated. */
+	let statedCommitIndex = Number.POSITIVE_INFINITY;
 	let leadingSinceMs: number | undefined;
 	/** Leader's address as reported by other coordinators; used while this one is not a current member of the group. */
 	let hintedLeaderAddress: string | undefined;
@@ -173,6 +177,19 @@
 		return clock.readMonotonicMs() - leaderHeardAtMs < leaderTimeoutMs;
 	};
 
+	const recordLeaderMessage = (message: PeerMessage) => {
+		if (message.kind !== PeerMessageKind.Append) {
+			return;
+		}
+
+		// What the message before stated had the time to be applied, unless this replica lags, as after a start.
+		if (replica.getRunner()?.hasApplied(statedCommitIndex) === true) {
+			leaderHeardAtMs = clock.readMonotonicMs();
+		}
+
+		statedCommitIndex = message.commitIndex;
+	};
+
 	const requiredVoters = computeRequiredVoters(lossesBorne);
 
 	const proposeHere = async (command: PublishCommand) => {
@@ -211,7 +228,7 @@
 		const state = replica.getState();
 
 		if (state?.leaderId === message.fromId) {
-			leaderHeardAtMs = clock.readMonotonicMs();
+			recordLeaderMessage(message.message);
 		}
 
 		return true;
--- a/packages/replication/src/__tests__/unit/replica-runner.test.ts
+++ b/packages/replication/src/__tests__/unit/replica-runner.test.ts
@@ -88,3 +88,13 @@
 	t.deepEqual(settled.toSorted(), ['first true', 'second false', 'third third']);
 	await runner.stop();
 });
+
+test('a replica that hears a leader lacks what was committed before, until it has applied an entry of the leader\'s term', async t => {
+	const {runner, follow} = await openLeader();
+	await follow([noop], 0);
+	t.false(runner.hasApplied(0));
+	await follow([noop], 1);
+	t.true(runner.hasApplied(1));
+	t.false(runner.hasApplied(2));
+	await runner.stop();
+});
--- a/packages/replication/src/replica-runner.ts
+++ b/packages/replication/src/replica-runner.ts
@@ -44,6 +44,8 @@
 	readonly getState: () => ReplicaState;
 	/** Whether this replica holds the leader's lease and its applied state is the latest. */
 	readonly canServeReads: () => boolean;
+	/** Whether this replica has applied all entries up to an index, and all that was committed before the current term. */
+	readonly hasApplied: (index: number) => boolean;
 	/**
 	Resolves once a majority has confirmed, after the call, that this replica leads. Its applied state then includes everything that was
 	committed before the call.
@@ -344,6 +346,13 @@
 		});
 	};
 
+	// Each leader begins its term with an entry; whoever has applied one of a term has applied all that was committed before it.
+	const hasAppliedCurrentTerm = () => {
+		const {log, term} = actor.getState();
+
+		return getTermAt(log, appliedIndex) === term;
+	};
+
 	return {
 		receive(from, message) {
 			enqueue({kind: MessageKind.Peer, from, message});
@@ -357,10 +366,9 @@
 		},
 		getState: actor.getState,
 		canServeReads() {
-			const state = actor.getState();
-
-			return isLeaseHeld(state, clock.readMonotonicMs()) && getTermAt(state.log, appliedIndex) === state.term;
+			return isLeaseHeld(actor.getState(), clock.readMonotonicMs()) && hasAppliedCurrentTerm();
 		},
+		hasApplied: index => appliedIndex >= index && hasAppliedCurrentTerm(),
 		async confirmRead() {
 			if (isStopped || actor.getState().role !== ReplicaRole.Leader) {
 				throw new ProposalError(true, 'not_leader');
