Do not reject a request for good by a configuration that no coordinator has confirmed

Cause: a gateway answers by the newest configuration that it has heard of, also before a coordinator that is current has confirmed one. It is not ready then, but callers that keep its address still come. 401, 404, 413 and 431 are final.

Change: until a current coordinator has confirmed the configuration, what it would reject is refused with 503 and a time to return. What it allows is served, as before: better an old route than none.

`request-handler.test.ts`, four cases: with the check taken out they are answered 404, 401, 413 and 431.

--- a/packages/gateway/src/__tests__/unit/request-handler.test.ts
+++ b/packages/gateway/src/__tests__/unit/request-handler.test.ts
@@ -23,8 +23,8 @@
 	organisations: [],
 });
 
-const openHandler = async (t: ExecutionContext, {forwardOptions = {}, decodeThrows = false, getCurrentTable = () => table}: {
-	readonly forwardOptions?: Partial<ForwardOptions>; readonly decodeThrows?: boolean; readonly getCurrentTable?: () => RouteTable;
+const openHandler = async (t: ExecutionContext, {forwardOptions = {}, decodeThrows = false, getCurrentTable = () => table, isConfigConfirmed = true}: {
+	readonly forwardOptions?: Partial<ForwardOptions>; readonly decodeThrows?: boolean; readonly getCurrentTable?: () => RouteTable; readonly isConfigConfirmed?: boolean;
 } = {}) => {
 	const lines: string[] = [];
 	const log = createLogger({
@@ -50,7 +50,7 @@
 			},
 			isForwarded: () => true,
 		},
-		clock, log, metrics, getTable: getCurrentTable, findStopRefusal: () => undefined, recordLength: () => undefined, depositRetryTokens: () => undefined,
+		clock, log, metrics, getTable: getCurrentTable, isConfigConfirmed: () => isConfigConfirmed, findStopRefusal: () => undefined, recordLength: () => undefined, depositRetryTokens: () => undefined,
 	});
 	const server = http.createServer((request, response) => {
 		handle(request, response).catch(() => {
@@ -102,6 +102,23 @@
 	t.regex(await handler.send('/a'), /^HTTP\/1.1 503 [\s\S]*retry-after: [\s\S]*\{"error":"the gateway failed before it forwarded the request"\}$/v);
 });
 
+for (const [description, status, change, target] of [
+	['no route', 404, {routes: []}, '/a'],
+	['no key', 401, {organisations: [{name: 'o', keys: ['k'], priority: 0}]}, '/a'],
+	['a body that is too large', 413, {limits: {...table.config.limits, maxBodyBytes: 1}}, '/a'],
+	['a head that is too large', 431, {limits: {...table.config.limits, maxHeaderBytes: 10}}, '/a'],
+] as const) {
+	test(`${description} in a configuration that no coordinator has confirmed is no reason to reject a request for good`, async t => {
+		const current = buildRouteTable({...table.config, ...change} as unknown as Parameters<typeof buildRouteTable>[0]);
+
+		for (const isConfigConfirmed of [false, true]) {
+			const handler = await openHandler(t, {getCurrentTable: () => current, isConfigConfirmed});
+			const text = await handler.send(target);
+			t.regex(text, isConfigConfirmed ? new RegExp(`^HTTP/1.1 ${status} `, 'v') : /^HTTP\/1.1 503 [\s\S]*retry-after: [\s\S]*may be out of date"\}$/v);
+		}
+	});
+}
+
 test('a target with characters that can\'t be forwarded is refused with a whole 400', async t => {
 	const handler = await openHandler(t);
 	t.regex(await handler.send('/a\tb'), /^HTTP\/1.1 400 [\s\S]*\{"error":"the target has characters that cannot be forwarded"\}$/v);
--- a/packages/gateway/src/coordinator-client.ts
+++ b/packages/gateway/src/coordinator-client.ts
@@ -42,6 +42,8 @@
 	start.
 	*/
 	readonly isCurrent: () => boolean;
+	/** Whether a current coordinator has confirmed the configuration since the start. */
+	readonly isConfirmed: () => boolean;
 	readonly countGateways: () => number;
 	/** Link address of the primary home. */
 	readonly getHome: () => string | undefined;
@@ -350,6 +352,7 @@
 			onRegistryUpdate(registry);
 			void sendLeavingReport();
 		},
+		isConfirmed: () => hasCurrent,
 		isCurrent: () => hasCurrent || (configVersion > 0 && clock.readMonotonicMs() - startedAtMs >= staleServingDelayMs),
 		countGateways: () => gatewayCount ?? 1,
 		getHome: () => home,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -261,7 +261,7 @@
 
 	const answerCaller = createRequestHandler({
 		forwardOptions, callerCodec, clock, log, metrics, depositRetryTokens: depositRequest, getTable: () => routeTable,
-		findStopRefusal: planned.findRefusal, recordLength: planned.recordLength,
+		isConfigConfirmed: () => client.isConfirmed(), findStopRefusal: planned.findRefusal, recordLength: planned.recordLength,
 	});
 
 	const callerServer = createCallerServer({
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -20,6 +20,8 @@
 	readonly metrics: PrometheusMetrics;
 	/** The configuration in force; `undefined` before one is known. */
 	readonly getTable: () => RouteTable | undefined;
+	/** Whether the configuration is known to be the newest one that was accepted, or was since the start. */
+	readonly isConfigConfirmed: () => boolean;
 	/** Decides whether a request is refused because the gateway stops. `limitMs` is the time that its caller and route leave it. */
 	readonly findStopRefusal: (request: {readonly route: string; readonly limitMs: number}) => StopRefusal | undefined;
 	/** Called for each request that ended with an answer of an instance, or failed. */
@@ -43,6 +45,7 @@
 /** Timeout of requests whose caller states none. */
 const defaultTimeoutMs = 30_000;
 const notReadyRetryAfterMs = 500;
+const headTooLargeStatus = 431;
 /** Characters that Node's parser takes in a target, and its client refuses by throwing. */
 const unforwardablePattern = /[^\u0021-\u00FF]/v;
 /** Upper bound for the bodies of all requests in progress; a request that would exceed it is rejected. */
@@ -54,25 +57,36 @@
 
 @example
 ```
-const handleRequest = createRequestHandler({forwardOptions, callerCodec, clock, log, metrics, getTable, findStopRefusal, recordLength, depositRetryTokens});
+const handleRequest = createRequestHandler({forwardOptions, callerCodec, clock, log, metrics, getTable, isConfigConfirmed, findStopRefusal, recordLength, depositRetryTokens});
 server.on('request', handleRequest);
 ```
 */
 export function createRequestHandler(options: RequestHandlerOptions): (request: IncomingMessage, response: ServerResponse) => Promise<void> {
 	const {
-		forwardOptions, callerCodec, clock, log, metrics, getTable, findStopRefusal, recordLength, depositRetryTokens,
+		forwardOptions, callerCodec, clock, log, metrics, getTable, isConfigConfirmed, findStopRefusal, recordLength, depositRetryTokens,
 	} = options;
 	const {isLeaving} = forwardOptions;
 	let bufferedBodyBytes = 0;
 
-	const reject = (response: ServerResponse, status: number, message: string): ExchangeResult => {
-		sendLocalResponse(response, {status, message, shouldClose: isLeaving() || !canDiscardBody(response.req)});
+	const endBeforeForward = (response: ServerResponse, {outcome, ...local}: Pick<ExchangeResult, 'outcome'> & {
+		readonly status: number; readonly message: string; readonly retryAfterMs?: number;
+	}): ExchangeResult => {
+		sendLocalResponse(response, {...local, shouldClose: isLeaving() || !canDiscardBody(response.req)});
 		// The connection goes on behind the rest of the body.
 		discardBody(response);
 
-		return {outcome: ExchangeOutcome.Rejected, status, reason: message};
+		return {outcome, status: local.status, reason: local.message};
 	};
 
+	const reject = (response: ServerResponse, status: number, message: string) => endBeforeForward(response, {outcome: ExchangeOutcome.Rejected, status, message});
+
+	// After a loss of all power, the first configuration that is heard may be older than the newest one that was accepted, which may allow the request.
+	const rejectByConfig = (response: ServerResponse, status: number, message: string) => isConfigConfirmed()
+		? reject(response, status, message)
+		: endBeforeForward(response, {
+			outcome: ExchangeOutcome.Refused, status: 503, message: `${message} in a configuration that may be out of date`, retryAfterMs: notReadyRetryAfterMs,
+		});
+
 	const describeForwarded = ({story, streamEnd, ...end}: ForwardResult, {route, startedAtMs, fields}: {
 		readonly route: Route; readonly startedAtMs: number; readonly fields: RequestResult['fields'];
 	}): RequestResult => {
@@ -105,7 +119,7 @@
 		const route = findRoute(table, request.headers.host ?? '', request.url ?? '');
 
 		if (route === undefined) {
-			return {...reject(response, 404, 'no route'), fields};
+			return {...rejectByConfig(response, 404, 'no route'), fields};
 		}
 
 		const limitMs = Math.min(route.timeoutMs, caller.timeLeftMs ?? defaultTimeoutMs);
@@ -118,13 +132,13 @@
 		const fault = findHeadFault(request, table.config.limits);
 
 		if (fault !== undefined) {
-			return {...reject(response, fault.status, fault.message), fields};
+			return {...(fault.status === headTooLargeStatus ? rejectByConfig : reject)(response, fault.status, fault.message), fields};
 		}
 
 		const organisation = caller.key === undefined ? undefined : table.organisationsByKey.get(caller.key);
 
 		if (table.config.organisations.length > 0 && !route.isPublic && organisation === undefined) {
-			return {...reject(response, 401, 'the key is not known'), fields};
+			return {...rejectByConfig(response, 401, 'the key is not known'), fields};
 		}
 
 		if (caller.requestId === undefined) {
@@ -138,7 +152,7 @@
 				? {
 					outcome: ExchangeOutcome.CallerGone, status: 0, reason: 'the caller left before its request was read', fields,
 				}
-				: {...reject(response, 413, 'the body is too large'), fields};
+				: {...rejectByConfig(response, 413, 'the body is too large'), fields};
 		}
 
 		const targets = route.targets.map(target => target.service);
@@ -249,7 +263,7 @@
 
 function findHeadFault({rawHeaders, url = ''}: IncomingMessage, {maxHeaderBytes}: CallerLimits): {readonly status: number; readonly message: string} | undefined {
 	if (countHeaderBytes(rawHeaders) > maxHeaderBytes) {
-		return {status: 431, message: 'the headers are too large'};
+		return {status: headTooLargeStatus, message: 'the headers are too large'};
 	}
 
 	return unforwardablePattern.test(url) ? {status: 400, message: 'the target has characters that cannot be forwarded'} : undefined;
