--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -5,7 +5,7 @@
 import {
 	findRoute, type CallerLimits, type CallKind, type Route, type RouteTable,
 } from '@fescuestair/traffic';
-import {canDiscardBody, discardBody} from '@fescuestair/transport';
+import {canDiscardBody, dropBody} from '@fescuestair/transport';
 import {type CallerCodec} from './codecs.js';
 import {ExchangeOutcome, sendLocalResponse, type ExchangeResult} from './exchange.js';
 import {forwardExchange, type ForwardResult} from './forward.js';
@@ -73,7 +73,7 @@
 	}): ExchangeResult => {
 		sendLocalResponse(response, {...local, shouldClose: isLeaving() || !canDiscardBody(response.req)});
 		// The connection goes on behind the rest of the body.
-		discardBody(response);
+		dropBody(response);
 
 		return {outcome, status: local.status, reason: local.message};
 	};
