Compare the software that an engine's answer names before the answer goes on there

Callers of the native interface got a text of two software versions where an engine was back under its id and at its address with other software, before it had announced itself: an answer whose engine was lost went on there, since the software was taken from the old announcement. An answer that such an engine began itself was taken for one of the old version, and went on at an engine of that.

Change: an engine may name the version of its software in its answers (x-software-version). An answer that names another version than began the text is not read (fault software_version), and another engine is asked; what an answer names decides what began the text. Where an answer names none, the announcement counts, as before. The stand-in engine names it, and can be started to announce itself late.

--- a/packages/demo/src/__tests__/integration/test-helpers.ts
+++ b/packages/demo/src/__tests__/integration/test-helpers.ts
@@ -53,8 +53,8 @@
 }
 
 /** Creates the text that a simulated engine generates for a prompt with one user message. */
-export function createExpectedText(content: string, tokens: number): string {
-	return createResponseText(`user\n${content}\n`, tokens);
+export function createExpectedText(content: string, tokens: number, softwareVersion?: string): string {
+	return createResponseText(`user\n${content}\n`, tokens, softwareVersion);
 }
 
 export async function sendPrompt(system: System, content: string, {entry = 0, tokens = 20, isStreaming = true}: {entry?: number; tokens?: number; isStreaming?: boolean} = {}) {
--- a/packages/entry/src/engine-client.ts
+++ b/packages/entry/src/engine-client.ts
@@ -39,6 +39,8 @@
 	readonly onLoad?: (load: EngineLoad) => void;
 	/** Called when the response status and headers arrive. */
 	readonly onResponseHead?: (status: number, headers: IncomingHttpHeaders) => void;
+	/** Finds out from its headers why a response can't be part of the answer; it is not read then. */
+	readonly findHeadFault?: (headers: IncomingHttpHeaders) => string | undefined;
 };
 
 const okStatus = 200;
@@ -98,7 +100,7 @@
 
 // Uses undici's dispatch callbacks instead of an async iterator over the body, since an entry passes on thousands of tokens per second. Its time-outs are off:
 // silence does not end a run.
-async function readEventStream({agent, address, signal, onHeard, onLoad, onResponseHead}: EngineCall, request: RunRequest, parser: RunEventParser): Promise<void> {
+async function readEventStream({agent, address, signal, onHeard, onLoad, onResponseHead, findHeadFault}: EngineCall, request: RunRequest, parser: RunEventParser): Promise<void> {
 	const decoder = new TextDecoder();
 	let response: ResponseHead | undefined;
 	let errorBody = '';
@@ -122,7 +124,7 @@
 						abort();
 					}
 				},
-				onResponseStart(_controller, statusCode, headers) {
+				onResponseStart(controller, statusCode, headers) {
 					onHeard?.();
 					response = {status: statusCode, headers};
 					onResponseHead?.(statusCode, headers);
@@ -131,6 +133,12 @@
 					if (load !== undefined) {
 						onLoad?.(load);
 					}
+
+					const headFault = statusCode === okStatus ? findHeadFault?.(headers) : undefined;
+
+					if (headFault !== undefined) {
+						controller.abort(new AttemptError(AttemptOutcome.Invalid, headFault));
+					}
 				},
 				onResponseData(controller, chunk) {
 					onHeard?.();
--- a/packages/entry/src/prompt-runs.ts
+++ b/packages/entry/src/prompt-runs.ts
@@ -142,7 +142,7 @@
 				});
 			}
 
-			progress.begunBy ??= describeEngineOrigin(run.plan.record, job.model);
+			progress.begunBy ??= describeEngineOrigin(run.plan.record, {model: job.model, answeredVersion: run.answeredVersion});
 			progress.ran = ExecutionStatus.Ran;
 			progress.text += event.text;
 			progress.offset = event.offset;
@@ -192,6 +192,7 @@
 				endDispatch: options.loadTracker.beginDispatch(plan.record.id, job.priority, plan.prefillTokens),
 				isDispatched: false,
 				isSent: false,
+				answeredVersion: undefined,
 				silentMs: 0,
 				isStalled: false,
 				obstacle: undefined,
--- a/packages/entry/src/read-run.ts
+++ b/packages/entry/src/read-run.ts
@@ -30,6 +30,8 @@
 	readonly onLost?: (error: AttemptError) => void;
 	readonly onLoad?: (load: EngineLoad) => void;
 	readonly onResponseHead?: (status: number, response: {readonly headers: IncomingHttpHeaders; readonly sentAtMs: number}) => void;
+	/** Finds out from its headers why the response that begins the run can't be part of the answer. */
+	readonly findHeadFault?: (headers: IncomingHttpHeaders) => string | undefined;
 	/** How often the run is resumed after its last connection was lost. */
 	readonly maxResumes: number;
 };
@@ -127,6 +129,7 @@
 						signal: reading.signal,
 						onHeard: hear,
 						...(options.onLoad !== undefined && {onLoad: options.onLoad}),
+						...(options.findHeadFault !== undefined && readOnce === begin && {findHeadFault: options.findHeadFault}),
 						onResponseHead(status, headers) {
 							options.onResponseHead?.(status, {headers, sentAtMs});
 						},
--- a/packages/entry/src/run-attempt.ts
+++ b/packages/entry/src/run-attempt.ts
@@ -1,11 +1,14 @@
 import {type IncomingHttpHeaders} from 'node:http';
 import {type MemberRecord} from '@fescuestair/membership';
 import {
-	AttemptOutcome, RequestEventKind, ExecutionStatus, RefusalError, type EngineLoad,
+	AttemptOutcome, RequestEventKind, ExecutionStatus, RefusalError, headerNames, type EngineLoad,
 } from '@fescuestair/protocol';
-import {type StreamOrigin, type SuccessionObstacle} from '@fescuestair/streams';
+import {
+	describeRunFault, RunFault, type StreamOrigin, type SuccessionObstacle,
+} from '@fescuestair/streams';
 import {AttemptError} from './attempt-error.js';
 import {generate} from './engine-client.js';
+import {canContinueAnswer} from './engine-origin.js';
 import {type EngineEvent, type EventSink} from './engine-events.js';
 import {type AttemptPlan, type PromptJob, type PromptRunOptions} from './prompt-job.js';
 import {readRun} from './read-run.js';
@@ -41,6 +44,8 @@
 	isDispatched: boolean;
 	/** Whether its upstream has got the prompt. */
 	isSent: boolean;
+	/** Version of the software that its answer names; `undefined` where it names none, or has not begun. */
+	answeredVersion: string | undefined;
 	/** How long it has sent nothing; 0 where that is no longer than it should need. */
 	silentMs: number;
 	/** Whether it has sent heartbeats only for longer than it should need for an event. */
@@ -118,6 +123,20 @@
 		onResponseHead(status: number, {headers, sentAtMs}: {readonly headers: IncomingHttpHeaders; readonly sentAtMs: number}) {
 			options.standings.recordResponse(record, {status, headers, sentAtMs});
 		},
+		findHeadFault(headers: IncomingHttpHeaders) {
+			const answeredVersion = headers[headerNames.softwareVersion];
+
+			// What the engine has announced was compared when it was chosen.
+			if (typeof answeredVersion !== 'string') {
+				return undefined;
+			}
+
+			run.answeredVersion = answeredVersion;
+
+			return canContinueAnswer(record, {model: job.model, begunBy: progress.begunBy, answeredVersion})
+				? undefined
+				: describeRunFault(RunFault.SoftwareVersion);
+		},
 		maxResumes: 1,
 	}, async (call, ownSink) => generate(call, {
 		requestId: job.requestId,
--- a/packages/protocol/src/headers.ts
+++ b/packages/protocol/src/headers.ts
@@ -5,6 +5,8 @@
 	attempt: 'x-attempt',
 	priority: 'x-priority',
 	weightVersion: 'x-weight-version',
+	/** Version of an engine's software, in its answers. */
+	softwareVersion: 'x-software-version',
 	fencingToken: 'x-fencing-token',
 	/** Time left until the end-to-end deadline of a request, in ms, counted from when the request was sent. */
 	timeoutMs: 'x-timeout-ms',
--- a/packages/standins/src/engine-server.ts
+++ b/packages/standins/src/engine-server.ts
@@ -13,6 +13,8 @@
 	readonly port: number;
 	readonly engine: Engine;
 	readonly weights: Weights;
+	/** Version of its software, which its answers name. */
+	readonly softwareVersion: string;
 	/** Requests per second that it names as its limit in its responses; `undefined` for none. */
 	readonly requestLimit: string | undefined;
 };
@@ -25,12 +27,14 @@
 `POST /v1/silence?forMs=3500` makes it send nothing for that time, while runs go on and requests are accepted.
 */
 export async function createEngineServer(options: EngineServerOptions) {
-	const {host, port, engine, weights, requestLimit} = options;
+	const {host, port, engine, weights, softwareVersion, requestLimit} = options;
 	const silence = createSilence();
 
 	const handleRequest = async (request: IncomingMessage, response: ServerResponse) => {
 		const {pathname, searchParams} = new URL(request.url ?? '/', 'http://engine');
 
+		response.setHeader(headerNames.softwareVersion, softwareVersion);
+
 		if (requestLimit !== undefined) {
 			response.setHeader(headerNames.requestLimit, requestLimit);
 		}
--- a/packages/standins/src/engine.ts
+++ b/packages/standins/src/engine.ts
@@ -11,6 +11,8 @@
 	/** Time between two tokens of one run. */
 	readonly decodeIntervalMs: number;
 	readonly slots: number;
+	/** Version of its software, which shows in its text. */
+	readonly softwareVersion?: string;
 	/** Cached pieces that fit into memory. */
 	readonly maxCachedPieces: number;
 	/** Size of one cached piece. */
@@ -81,7 +83,7 @@
 */
 export function createEngine(options: EngineOptions): Engine {
 	const {
-		prefillTokensPerSecond, decodeIntervalMs, slots, maxCachedPieces, onCrash, keepMs = 10_000, maxEvents = defaultMaxEvents, pieceBytes = defaultPieceBytes,
+		prefillTokensPerSecond, decodeIntervalMs, slots, softwareVersion, maxCachedPieces, onCrash, keepMs = 10_000, maxEvents = defaultMaxEvents, pieceBytes = defaultPieceBytes,
 	} = options;
 	const runs = new Map<string, Run>();
 	const cache = createEngineCache(maxCachedPieces, maxEvents);
@@ -135,7 +137,7 @@
 			return;
 		}
 
-		const token = createResponseToken(run.input.prompt, run.input.fromOffset + run.tokens.length);
+		const token = createResponseToken(run.input.prompt, run.input.fromOffset + run.tokens.length, softwareVersion);
 		run.tokens.push(run.hasIntactPrefix ? token : corruptToken);
 
 		if (run.input.fromOffset + run.tokens.length >= run.input.maxTokens) {
--- a/packages/standins/src/main.ts
+++ b/packages/standins/src/main.ts
@@ -1,9 +1,11 @@
 import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {Command} from 'commander';
 import {UpstreamKind} from '@fescuestair/protocol';
 import {announce} from './announce.js';
 import {createEngine} from './engine.js';
 import {createEngineServer} from './engine-server.js';
+import {defaultSoftwareVersion} from './response-text.js';
 import {createWeights} from './weights.js';
 import {openStore, type ReadFault} from './store.js';
 import {createStoreServer} from './store-server.js';
@@ -38,6 +40,7 @@
 	readonly dieAtWrite: string;
 	readonly dieAtRead: string;
 	readonly requestLimit?: string;
+	readonly announceAfterMs: string;
 };
 
 const program = new Command('standin')
@@ -58,13 +61,14 @@
 	.option('--piece-bytes <bytes>', 'size of a cached piece', '65536')
 	.option('--max-events <count>', 'cache events of an engine that are kept', '10000')
 	.option('--data-folder <folder>', 'folder of the disk tier of a store', '.data/store')
-	.option('--software-version <version>', 'version of its software that an engine announces', '1')
+	.option('--software-version <version>', 'version of its software that an engine announces', defaultSoftwareVersion)
 	.option('--memory-pieces <count>', 'pieces in the memory of a store', '1000')
 	.option('--disk-pieces <count>', 'pieces on the disk of a store', '10000')
 	.option('--link-rate <bytes>', 'bandwidth of the link of a store, in bytes per second', '100000000')
 	.option('--fault <fault>', 'fault injected while pieces are read from a store: freed (block overwritten), torn (data truncated) or flipped (bit error)', 'none')
 	.option('--die-at-write <number>', 'number of the write of a piece during which a store exits; 0 for never', '0')
 	.option('--die-at-read <number>', 'the same for reads', '0')
+	.option('--announce-after-ms <ms>', 'time after its start in which it serves without having announced itself', '0')
 	.option('--load-ms <ms>', 'time that an engine takes to load weights', '500')
 	.option('--request-limit <number>', 'requests per second that an engine or a service names as its limit')
 	.option('--checks-fencing', 'reject orders whose fencing token is not higher than the highest seen')
@@ -83,6 +87,7 @@
 		prefillTokensPerSecond: Number(flags.prefillRate),
 		decodeIntervalMs: Number(flags.decodeMs),
 		slots: Number(flags.slots),
+		softwareVersion: flags.softwareVersion,
 		maxCachedPieces: Number(flags.cachePieces),
 		pieceBytes: Number(flags.pieceBytes),
 		maxEvents: Number(flags.maxEvents),
@@ -98,7 +103,7 @@
 		onLoaded: engine.clearCache,
 	});
 	const server = await createEngineServer({
-		host, port: Number(port), engine, weights, requestLimit: flags.requestLimit,
+		host, port: Number(port), engine, weights, softwareVersion: flags.softwareVersion, requestLimit: flags.requestLimit,
 	});
 
 	return () => ({
@@ -159,6 +164,7 @@
 	});
 }
 
+await sleep(Number(flags.announceAfterMs));
 await announce({
 	entries: flags.entries.split(','), joinKey: flags.joinKey, id: flags.id, createAnnouncement, signal: abort.signal,
 });
