Do not close a link whose answer arrived while the process stood still

What callers saw: a daemon that stood still for 2 s after it had sent a message closed the link without a look at what had arrived. A call on it failed although it had been answered: an operator whose change the leader had accepted got 503 for it.

Cause: the check of links is a timer, and timers are handled before anything is read. The own pause is taken for the silence of the peer.

Change: the link is closed only if nothing has arrived on it after the loop has read once more.

The time limit of a call itself is still a timer that is handled first.

--- a/packages/transport/src/__tests__/unit/links.test.ts
+++ b/packages/transport/src/__tests__/unit/links.test.ts
@@ -1,10 +1,12 @@
 import net from 'node:net';
 import {once} from 'node:events';
+import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 import test from 'ava';
 import {
 	createLinks, createLinkServer, LinkLostError, parseClusterKeys, type LinkHandler,
 } from '../../index.js';
+import {livenessTimeoutMs} from '../../link-constants.js';
 
 const keyLine = (id: string, digit: string) => `${id}:${digit.repeat(64)}`;
 const oldKeys = parseClusterKeys(keyLine('old', 'a'), 'keys');
@@ -87,6 +89,29 @@
 	await server.close();
 });
 
+// It blocks the process, so no other test may run beside it.
+test.serial('a link is not taken for silent if its answer has arrived while this process stood still', async t => {
+	const server = await startServer((message, reply) => {
+		reply?.('accepted');
+
+		if (message === 'stall') {
+			setImmediate(() => {
+				const endMs = performance.now() + livenessTimeoutMs + 500;
+
+				while (performance.now() < endMs) {
+					// The loop does not turn meanwhile.
+				}
+			});
+		}
+	});
+	const address = `127.0.0.1:${server.port}`;
+	const links = createLinks({getKeys: () => oldKeys});
+	await links.call(address, 'first', 60_000);
+	t.is(await links.call(address, 'stall', 60_000), 'accepted');
+	links.close();
+	await server.close();
+});
+
 test('a link is not taken for silent while a large answer arrives slowly', async t => {
 	const text = 'x'.repeat(3_000_000);
 	const server = await startServer((_message, reply) => reply?.(text));
--- a/packages/transport/src/link-monitor.ts
+++ b/packages/transport/src/link-monitor.ts
@@ -1,4 +1,5 @@
 import {type Socket} from 'node:net';
+import {setImmediate} from 'node:timers/promises';
 import {createSystemClock, type Clock} from '@fescuestair/core';
 import {
 	InvalidFrameError, FrameKind, type Frame, type FrameChannel,
@@ -95,7 +96,7 @@
 						socket.destroy();
 					}
 				} else if (nowMs >= unansweredSinceMs + livenessTimeoutMs) {
-					socket.destroy(new Error('silent'));
+					void destroyUnlessRead(socket, new Error('silent'));
 				} else if (nowMs >= unansweredSinceMs + heartbeatIntervalMs) {
 					channel.write([FrameKind.Heartbeat, 0, undefined]);
 				}
@@ -146,3 +147,15 @@
 		},
 	};
 }
+
+// What arrived while this process stood still has not been read yet.
+async function destroyUnlessRead(socket: Socket, error: Error): Promise<void> {
+	const {bytesRead} = socket;
+	// After the first, the reads that were under way are done; after the second, the loop has read again.
+	await setImmediate();
+	await setImmediate();
+
+	if (socket.bytesRead === bytesRead) {
+		socket.destroy(error);
+	}
+}
