--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -5,7 +5,7 @@
 import {
 	findRoute, type CallerLimits, type CallKind, type RouteTable,
 } from '@fescuestair/traffic';
-import {canDiscardBody, discardBody} from '@fescuestair/transport';
+import {canDiscardBody, dropBody} from '@fescuestair/transport';
 import {type CallerCodec} from './codecs.js';
 import {ExchangeOutcome, sendLocalResponse, type ExchangeResult} from './exchange.js';
 import {forwardExchange} from './forward.js';
@@ -62,7 +62,7 @@
 	const reject = (response: ServerResponse, status: number, message: string): ExchangeResult => {
 		sendLocalResponse(response, {status, message, shouldClose: isLeaving() || !canDiscardBody(response.req)});
 		// The connection goes on behind the rest of the body.
-		discardBody(response);
+		dropBody(response);
 
 		return {outcome: ExchangeOutcome.Rejected, status, reason: message};
 	};
--- a/packages/transport/src/http.ts
+++ b/packages/transport/src/http.ts
@@ -85,7 +85,7 @@
 @example
 ```
 sendLocalResponse(response, {status: 404, message: 'no route', shouldClose: !canDiscardBody(request)});
-discardBody(response);
+dropBody(response);
 ```
 */
 export function canDiscardBody({complete, headers}: IncomingMessage): boolean {
@@ -96,7 +96,7 @@
 Reads the rest of the body of a refused request and discards it. Closes the connection of one in chunks that is longer than any that is accepted, after the refusal and the answers
 before it.
 */
-export function discardBody(response: ServerResponse): void {
+export function dropBody(response: ServerResponse): void {
 	const {req: request} = response;
 	let size = 0;
 
@@ -139,5 +139,5 @@
 		...(!canDiscardBody(response.req) && {connection: 'close'}),
 	});
 	response.end(body);
-	discardBody(response);
+	dropBody(response);
 }
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -8,7 +8,7 @@
 export {InvalidFrameError} from './link-frames.js';
 export {parseAddress, type Address} from './address.js';
 export {
-	canDiscardBody, discardBody, readBody, sendJson, sendRefusal, type BodyLimits,
+	canDiscardBody, dropBody, readBody, sendJson, sendRefusal, type BodyLimits,
 } from './http.js';
 export {createKeyRing, digestKey, type KeyRing} from './key-ring.js';
 export {createEventStreamParser, type ServerSentEvent} from './event-stream-parser.js';
--- a/packages/transport/src/link-monitor.ts
+++ b/packages/transport/src/link-monitor.ts
@@ -96,7 +96,7 @@
 						socket.destroy();
 					}
 				} else if (nowMs >= unansweredSinceMs + livenessTimeoutMs) {
-					void destroyUnlessRead(socket, new Error('silent'));
+					void endUnlessRead(socket, new Error('silent'));
 				} else if (nowMs >= unansweredSinceMs + heartbeatIntervalMs) {
 					channel.write([FrameKind.Heartbeat, 0, undefined]);
 				}
@@ -149,7 +149,7 @@
 }
 
 // What arrived while this process stood still has not been read yet.
-async function destroyUnlessRead(socket: Socket, error: Error): Promise<void> {
+async function endUnlessRead(socket: Socket, error: Error): Promise<void> {
 	const {bytesRead} = socket;
 	// After the first, the reads that were under way are done; after the second, the loop has read again.
 	await setImmediate();
