--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -1,8 +1,8 @@
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
-import {setImmediate, setTimeout as sleep} from 'node:timers/promises';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {type Logger} from '@fescuestair/runtime';
 import {type CallerLimits} from '@fescuestair/traffic';
-import {registerClientErrors, registerIdleTimeouts} from '@fescuestair/transport';
+import {registerClientErrors, registerIdleTimeouts, waitForReads} from '@fescuestair/transport';
 import {cancelResponse, sendLocalResponse} from './exchange.js';
 import {maxTimerMs} from './max-timer-ms.js';
 
@@ -101,9 +101,7 @@
 		},
 		async close() {
 			isClosing = true;
-			// After the first, the reads that were under way are done; after the second, the loop has read again.
-			await setImmediate();
-			await setImmediate();
+			await waitForReads();
 
 			for (const response of activeResponses) {
 				if (!response.headersSent) {
--- a/packages/gateway/src/has-caller-left.ts
+++ b/packages/gateway/src/has-caller-left.ts
@@ -1,4 +1,4 @@
-import {setImmediate} from 'node:timers/promises';
+import {waitForReads} from '@fescuestair/transport';
 import {type Exchange} from './exchange.js';
 
 /**
@@ -13,9 +13,7 @@
 ```
 */
 export async function hasCallerLeft({request: {socket}, response}: Pick<Exchange, 'request' | 'response'>): Promise<boolean> {
-	// After the first, the reads that were under way are done; after the second, the loop has read again.
-	await setImmediate();
-	await setImmediate();
+	await waitForReads();
 
 	// The response learns of it later than the socket.
 	return response.destroyed || socket.destroyed || socket.readableEnded;
--- a/packages/transport/src/client-errors.ts
+++ b/packages/transport/src/client-errors.ts
@@ -1,6 +1,6 @@
 import {type Server, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
-import {setImmediate} from 'node:timers/promises';
+import {waitForReads} from './wait-for-reads.js';
 
 export type ClientErrorOptions = {
 	/** Called once for each connection with bytes that are no request, with the number of answers that still run on it. */
@@ -102,9 +102,7 @@
 	// What arrived while this process stood still has not been read yet.
 	const handleLate = async (error: NodeJS.ErrnoException, socket: Socket) => {
 		const requestCount = countRequests(socket);
-		// After the first, the reads that were under way are done; after the second, the loop has read again.
-		await setImmediate();
-		await setImmediate();
+		await waitForReads();
 
 		if (countRequests(socket) === requestCount) {
 			handleError(error, socket);
--- a/packages/transport/src/http-listener.ts
+++ b/packages/transport/src/http-listener.ts
@@ -1,7 +1,7 @@
 import {type Server} from 'node:http';
 import {once} from 'node:events';
-import {setImmediate} from 'node:timers/promises';
 import {type Address} from './address.js';
+import {waitForReads} from './wait-for-reads.js';
 
 /** A listening HTTP server. */
 export type HttpListener = {
@@ -27,9 +27,7 @@
 	return {
 		port: typeof address === 'object' && address !== null ? address.port : port,
 		async close() {
-			// After the first, the reads that were under way are done; after the second, the loop has read again.
-			await setImmediate();
-			await setImmediate();
+			await waitForReads();
 			const closed = once(server, 'close');
 			server.close();
 			server.closeAllConnections();
--- a/packages/transport/src/idle-timeouts.ts
+++ b/packages/transport/src/idle-timeouts.ts
@@ -1,6 +1,6 @@
 import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
-import {setImmediate} from 'node:timers/promises';
+import {waitForReads} from './wait-for-reads.js';
 
 /** Node keeps a connection for so much longer than it announces. */
 const announcementMarginMs = 1000;
@@ -30,9 +30,7 @@
 	const closeUnlessRead = (socket: Socket) => {
 		void (async () => {
 			const {bytesRead} = socket;
-			// After the first, the reads that were under way are done; after the second, the loop has read again.
-			await setImmediate();
-			await setImmediate();
+			await waitForReads();
 
 			if (socket.bytesRead === bytesRead) {
 				socket.destroy();
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -14,4 +14,5 @@
 export {createEventStreamParser, type ServerSentEvent} from './event-stream-parser.js';
 export {registerClientErrors, type ClientErrorOptions} from './client-errors.js';
 export {registerIdleTimeouts} from './idle-timeouts.js';
+export {waitForReads} from './wait-for-reads.js';
 export {openHttpListener, type HttpListener} from './http-listener.js';
--- a/packages/transport/src/link-monitor.ts
+++ b/packages/transport/src/link-monitor.ts
@@ -1,5 +1,4 @@
 import {type Socket} from 'node:net';
-import {setImmediate} from 'node:timers/promises';
 import {createSystemClock, type Clock} from '@fescuestair/core';
 import {
 	InvalidFrameError, FrameKind, type Frame, type FrameChannel,
@@ -7,6 +6,7 @@
 import {
 	frameTimeoutMs, heartbeatIntervalMs, idleTimeoutMs, livenessTimeoutMs,
 } from './link-constants.js';
+import {waitForReads} from './wait-for-reads.js';
 
 /** One side of a link, as the monitor checks it periodically. */
 type MonitoredEndpoint = {
@@ -151,9 +151,7 @@
 // What arrived while this process stood still has not been read yet.
 async function endUnlessRead(socket: Socket, error: Error): Promise<void> {
 	const {bytesRead} = socket;
-	// After the first, the reads that were under way are done; after the second, the loop has read again.
-	await setImmediate();
-	await setImmediate();
+	await waitForReads();
 
 	if (socket.bytesRead === bytesRead) {
 		socket.destroy(error);
