Use a connection that was made while the gateway stood still

What callers saw: a gateway that stood still for 400 ms after it had begun to connect took the instance for unreachable, although the connection had been made: the request went elsewhere or was refused, and the loss counted as evidence of a crash.

Cause: timers are handled before anything is read; the class of this incident, the own pause taken for the silence of the peer.

Change: the limit holds only once the loop has read again.

--- a/packages/gateway/src/__tests__/unit/attempt.test.ts
+++ b/packages/gateway/src/__tests__/unit/attempt.test.ts
@@ -1,6 +1,8 @@
 import {Buffer} from 'node:buffer';
 import net, {type Socket} from 'node:net';
 import {once} from 'node:events';
+import {performance} from 'node:perf_hooks';
+import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
 import {BodyFraming} from '@fescuestair/streams';
@@ -54,6 +56,24 @@
 
 const head = (lines: readonly string[]) => `HTTP/1.1 200 OK\r\nX-Id: r1\r\n${lines.map(line => `${line}\r\n`).join('')}\r\n`;
 
+// Timers run before anything is read, so the time limit for connections passed first.
+test.serial('a connection that is made while the process stands still is used, and its instance is not taken for unreachable', async t => {
+	const upstream = await openUpstream(t, socket => {
+		socket.write(`${head(['Content-Length: 4'])}good`);
+	});
+	const sent = upstream.send();
+	await new Promise<void>(resolve => {
+		process.nextTick(resolve);
+	});
+	const untilMs = performance.now() + 600;
+
+	while (performance.now() < untilMs) {
+		// Stands still.
+	}
+
+	t.like(await sent, {end: AttemptCompletion.Complete, isUnreachable: false});
+});
+
 test('a complete response is reported as such, and its connection is reused', async t => {
 	const upstream = await openUpstream(t, socket => {
 		socket.write(`${head(['Content-Length: 4'])}good`);
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -3,7 +3,7 @@
 import {type Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {BodyFraming, describeRunEvidence, type RunEvidence} from '@fescuestair/streams';
-import {parseAddress} from '@fescuestair/transport';
+import {parseAddress, waitForReads} from '@fescuestair/transport';
 import {type UpstreamResponseMetadata, type UpstreamCodec} from './codecs.js';
 import {type UpstreamAgent} from './upstream-agent.js';
 
@@ -139,10 +139,16 @@
 	const request = http.request({
 		host, port, method, path: target, headers, agent, setHost: false,
 	});
-	const connectTimer = setTimeout(() => {
+	const failUnlessSent = async () => {
+		await waitForReads();
+
 		if (!isSent) {
 			fail(isQueued ? 'all connections to the instance are in use' : 'no connection in time');
 		}
+	};
+
+	const connectTimer = setTimeout(() => {
+		void failUnlessSent();
 	}, connectTimeoutMs);
 
 	const markSent = (socket: Socket) => {
