Start a coordinator also where the folder for the origins of streams cannot be created

A disk that is full when a coordinator of this version starts first would have kept it from starting. Found by reading; not shown by a test.

--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -284,7 +284,13 @@
 		},
 	});
 	const originsFolder = path.join(dataFolder, 'origins');
-	await fs.mkdir(originsFolder, {recursive: true});
+
+	try {
+		await fs.mkdir(originsFolder, {recursive: true});
+	} catch (error) {
+		log.warn('the folder for the origins of streams cannot be created, so they are kept in memory only', {folder: originsFolder, reason: String(error)});
+	}
+
 	const origins = createStreamOriginsHost({
 		clock, commands, log, metrics,
 		store: createSegmentStore({
