--- a/scripts/write-pair-days.mjs
+++ b/scripts/write-pair-days.mjs
@@ -3,11 +3,13 @@
 //     fleetbench kinds SITE | node scripts/write-pair-days.mjs --out FOLDER [--seed 1] [--size 7]
 //     fleetbench kinds SITE | node scripts/write-pair-days.mjs --out FOLDER --around srv_crash --others 'srv_grey errors,garble unframed'
 //     fleetbench kinds SITE | node scripts/write-pair-days.mjs --out FOLDER --silent --others 'config_change route,hup,roll_term'
+//     fleetbench kinds SITE | node scripts/write-pair-days.mjs --out FOLDER --planned --services '@s0,workshop-app'
 //
 // The first form writes pairs-01.toml and on: a day has four rounds, in each of which a group of kinds overlap. With `--around`, one kind strikes
 // all day beside the others, of which three take turns in a day; the files are named after `--name`.
-// With `--silent`, each of the others gets a day in which instances of a service fall silent for a second and go on. `--kinds FILE` reads the list of
-// kinds from a file.
+// With `--silent`, each of the others gets a day in which instances of a service fall silent for a second and go on. With `--planned`, three kinds of
+// planned work take place in each round, beside more kinds of trouble, so that each meets each; what strikes instances strikes those of all `--services`.
+// `--kinds FILE` reads the list of kinds from a file.
 // Kinds that the site doesn't list are left out. Build first: `npm run build`.
 import crypto from 'node:crypto';
 import fs from 'node:fs';
@@ -25,6 +27,8 @@
 		others: {type: 'string', default: ''},
 		name: {type: 'string', default: 'around'},
 		silent: {type: 'boolean', default: false},
+		planned: {type: 'boolean', default: false},
+		services: {type: 'string', default: '@s0'},
 	},
 });
 
@@ -47,10 +51,18 @@
 const changeEvery = 1.6;
 const changes = ['route', 'weights', 'timeout', 'tenant', 'idle'];
 
+/** With `--planned`: how many kinds of planned work meet in a round, how many counted kinds of trouble, one after the other, and when cheap work is repeated. */
+const workPerRound = 3;
+const countedPerRound = 2;
+const countedFor = 2.2;
+const countedAts = [0.2, 2.8];
+const repeatAfter = 2.4;
+const isRepeated = label => /^(?:config_|bad_config|hup|revoke)/v.test(label);
+
 /**
  * A line for each kind: its name and variant, when it strikes, its fields, and those that differ where only two kinds meet. `plan` strikes like `step` and is planned work.
- * An exclamation mark stands before a kind that no list names, a caret before one that strikes machines whose loss is counted: of these the bench lets
- * one strike at a time, so no two are in a group. All days stay playable: what several kinds take together leaves the larger part of the instances.
+ * An exclamation mark stands before a kind that no list names, a plus sign before one of `--planned` only, a caret before one that strikes machines whose loss
+ * is counted: of these the bench lets one strike at a time, so no two are in a group. All days stay playable: what several kinds take together leaves the larger part of the instances.
  */
 const table = `
 # Instances
@@ -126,6 +138,9 @@
 config_change timeout | plan
 config_change weights | plan
 config_change quota | plan
++config_change tenant | plan
++config_change idle | plan
++config_change topup | plan
 config_race | plan | count = 3, gap_s = 0.8
 bad_config | plan | count = 3, gap_s = 0.6
 big_config | plan | count = 200
@@ -144,8 +159,14 @@
 const kinds = new Map(table.split('\n').filter(line => line && !line.startsWith('#')).map(line => {
 	const [label, when, fields = '', alone = ''] = line.split('|').map(column => column.trim());
 
-	return [label.replace(/^[!^]/v, ''), {
-		always: label.startsWith('!'), counted: label.startsWith('^'), planned: when === 'plan', when: when === 'plan' ? 'step' : when, fields: parseFields(fields), alone: parseFields(alone),
+	return [label.replace(/^[!+^]/v, ''), {
+		always: label.startsWith('!'),
+		plannedOnly: label.startsWith('+'),
+		counted: label.startsWith('^'),
+		planned: when === 'plan',
+		when: when === 'plan' ? 'step' : when,
+		fields: parseFields(fields),
+		alone: parseFields(alone),
 	}];
 }));
 
@@ -169,10 +190,12 @@
 };
 
 /** The entries of a kind for the time from `start` on, which lasts `length` seconds; `late` staggers them. */
-const planEntries = (label, start, {length = spanFor, late = 0, alone = false} = {}) => {
+const planEntries = (label, start, {length = spanFor, late = 0, alone = false, service} = {}) => {
 	const kind = kinds.get(label);
 	const lasting = {span: [['for_s', (length - late).toFixed(1)]], pulse: [['for_s', pulseFor]], step: []}[kind.when];
-	const fields = {...kind.fields, ...alone && kind.alone, ...Object.fromEntries(lasting)};
+	const where = service ? {service: `"${service}"`} : {};
+	const strength = {...kind.fields, ...alone && kind.alone};
+	const fields = {...strength, ...where, ...Object.fromEntries(lasting)};
 
 	const entries = strikes[kind.when].map(at => ({planned: kind.planned, line: formatEntry(label, start + at + late, fields)}));
 
@@ -231,6 +254,57 @@
 	console.log(`${dayCount} days of ${around} beside ${others.length} kinds`);
 };
 
+/** The services whose instances a kind strikes; a kind that isn't of the model service strikes where its fields say. */
+const listServices = label => kinds.get(label).fields.service === '"@s0"' ? values.services.split(',') : [undefined];
+
+/** Troubles of counted machines take half of the round each, since they wait for each other; those of instances strike each service. */
+const planTroubles = (labels, start) => {
+	const counted = labels.filter(label => kinds.get(label).counted);
+	const others = labels.filter(label => !kinds.get(label).counted);
+
+	return [
+		...counted.flatMap((label, index) => planCounted(label, start + countedAts[index])),
+		...others.flatMap((label, place) => listServices(label).flatMap(service => planEntries(label, start, {late: place / 10, service}))),
+	];
+};
+
+const planCounted = (label, at) => planEntries(label, at - strikes[kinds.get(label).when][0], {length: countedFor});
+
+const planWork = (labels, start) => labels.flatMap((label, place) => {
+	const late = (place * 0.3) - 1;
+
+	return listServices(label).flatMap(service => [
+		...planEntries(label, start, {late, service}),
+		...isRepeated(label) ? planEntries(label, start + repeatAfter, {late}) : [],
+	]);
+});
+
+/** The order spreads rounds that share work or troubles over the days, and puts those with a planned replacement last in theirs. */
+const writePlanned = labels => {
+	const work = labels.filter(label => kinds.get(label).planned);
+	const troubles = labels.filter(label => !kinds.get(label).planned);
+	const counted = troubles.filter(label => kinds.get(label).counted);
+	const partCount = Math.max(Math.ceil(troubles.length / Number(values.size)), Math.ceil(counted.length / countedPerRound));
+	const dealt = [...counted, ...troubles.filter(label => !kinds.get(label).counted)];
+	const parts = Array.from({length: partCount}, (_, part) => dealt.filter((_, place) => place % partCount === part));
+	const teamCount = Math.ceil(work.length / workPerRound);
+	const teams = Array.from({length: teamCount}, (_, team) => work.filter((_, place) => place % teamCount === team));
+	const isLast = team => team.includes('replace_core planned');
+	const rounds = teams
+		.toSorted((a, b) => Number(isLast(a)) - Number(isLast(b)))
+		.flatMap(team => parts.map(part => ({team, troubles: part})));
+	const dayCount = Math.ceil(rounds.length / roundStarts.length);
+
+	for (let day = 0; day < dayCount; day++) {
+		const ofDay = rounds.filter((_, index) => index % dayCount === day);
+		const entries = ofDay.flatMap(({team, troubles}, index) => [...planWork(team, roundStarts[index]), ...planTroubles(troubles, roundStarts[index])]);
+		const comment = ofDay.map(({team, troubles}) => `${team.join(', ')} beside ${troubles.join(', ')}`).join('; then ');
+		writeDay(`planned-${formatNumber(day)}`, `${comment}.`, entries);
+	}
+
+	console.log(`${dayCount} days for ${work.length} kinds of planned work beside ${troubles.length} kinds of trouble`);
+};
+
 /** A kind of change is followed by the others, since one change alone would leave the rest of its turn without any. */
 const planBeside = (label, start) => label.startsWith('config_change')
 	? Array.from({length: Math.ceil(turnFor / changeEvery)}, (_, index) => ({
@@ -280,6 +354,8 @@
 	} else {
 		writeAround(values.around, playable);
 	}
+} else if (values.planned) {
+	writePlanned(sortBySeed([...kinds.keys()].filter(label => isListed(label))));
 } else {
-	writePairs(sortBySeed([...kinds.keys()].filter(label => isListed(label))));
+	writePairs(sortBySeed([...kinds.keys()].filter(label => isListed(label) && !kinds.get(label).plannedOnly)));
 }
