Add a review case: a ping with a port that is none takes the requests of a service

Rule: CONFIG, routes that were added later. Disruption: pings of another writer whose address has the port 99999. Seen: 196 of 200 requests to the service were answered 502, while its four workers were idle.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec node "$(dirname "$0")/run.mjs"
