--- a/review/lib/system.mjs
+++ b/review/lib/system.mjs
@@ -16,6 +16,23 @@
 const pingTimeoutMs = 1000;
 const incarnationBase = Date.now();
 const waitPollMs = 50;
+const caseTimeoutMs = 110_000;
+const couldNotRunCode = 2;
+
+/** Processes that were started here and have not ended. */
+const children = new Set();
+
+process.on('exit', () => {
+	for (const child of children) {
+		child.kill('SIGKILL');
+	}
+});
+
+for (const signal of ['SIGINT', 'SIGTERM']) {
+	process.on(signal, () => {
+		process.exit(couldNotRunCode);
+	});
+}
 
 /** The bounds of the users' pages that the cases use. */
 export const bounds = {
@@ -102,6 +119,7 @@
 		const child = spawn(process.execPath, [`--max-old-space-size=${role === 'gateway' ? 160 : 140}`, 'target/fescuestaird.mjs', role], {
 			cwd: repository, env: {PATH: process.env.PATH, HOME: process.env.HOME, FESCUESTAIR_CONFIG: path.join(folder, `${name}.env`)}, stdio: ['ignore', 'pipe', 'pipe'],
 		});
+		children.add(child);
 		daemon.process = child;
 		daemon.isExpectedToRun = true;
 
@@ -112,6 +130,7 @@
 		}
 
 		child.once('exit', (code, signal) => {
+			children.delete(child);
 			record.write(`${name} ended (${signal ?? code})${daemon.isExpectedToRun ? ' by itself' : ''}`);
 		});
 	};
@@ -407,7 +426,12 @@
 export async function runCase(folder, run) {
 	const record = openRecord(folder);
 	let system;
-	let code = 2;
+	let code = couldNotRunCode;
+	const timer = setTimeout(async () => {
+		record.write(`the case could not run within ${caseTimeoutMs} ms`);
+		await record.save();
+		process.exit(couldNotRunCode);
+	}, caseTimeoutMs);
 
 	try {
 		const isBroken = await run({
@@ -430,6 +454,7 @@
 		}
 	}
 
+	clearTimeout(timer);
 	await system?.stop();
 	await record.save();
 	process.exit(code);
