Write the records of the review cases line by line

record.txt now lists what was sent, answered and run, and keeps what it has if a case is ended. Case 4 judges framed streams by their framing.

--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -47,6 +47,9 @@
 
 /** Sends a request on a channel that the requester keeps; resolves with whether it was answered. */
 async function sendOnKeptChannel(system, gateway, {agent, id, target}) {
+	const {record} = system;
+	record.write(`sent ${id} to ${gateway.name} on the channel that its requester keeps: POST ${target}`);
+
 	return new Promise(resolve => {
 		const request = http.request({
 			host: gateway.ip, port: system.ports.caller, method: 'POST', path: target, agent,
@@ -56,18 +59,20 @@
 		}, response => {
 			response.resume();
 			response.on('close', () => {
+				record.write(`answered ${id}: ${response.statusCode}${response.complete ? '' : ', not whole'}`);
 				resolve(response.complete);
 			});
 			response.on('error', () => undefined);
 		});
-		request.on('error', () => {
+		request.on('error', error => {
+			record.write(`not answered ${id}: ${error.code ?? error.message}`);
 			resolve(false);
 		});
 		request.end('x');
 	});
 }
 
-await runCase(new URL('.', import.meta.url).pathname, async ({record, start}) => {
+await runCase({recordFile: new URL('record.txt', import.meta.url)}, async ({record, start}) => {
 	const system = await start({coordinators: 3, gateways: 2});
 	const sent = {bytes: 0, answers: 0};
 	await openWorker(system, {
--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -49,7 +49,7 @@
 	send();
 }
 
-await runCase(new URL('.', import.meta.url).pathname, async ({record, start}) => {
+await runCase({recordFile: new URL('record.txt', import.meta.url)}, async ({record, start}) => {
 	const system = await start({coordinators: 3, gateways: 2});
 	const sent = {bytes: 0, streams: 0};
 	await openWorker(system, {
--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -31,8 +31,33 @@
 	});
 }
 
+function describeFraming(head) {
+	const isChunked = /^transfer-encoding:.*chunked/imv.test(head);
+
+	return isChunked ? 'chunks' : (/^content-length:/imv.test(head) ? 'a length' : 'no length and no chunks');
+}
+
+// Whether a requester takes the answer for whole: by its last chunk, by its length, or by the end of its connection, which was not reset, after an event.
+function isWhole({head, body, end}) {
+	switch (describeFraming(head)) {
+		case 'chunks': {
+			return body.endsWith('0\r\n\r\n');
+		}
+
+		case 'a length': {
+			return body.length >= Number(/^content-length: (?<bytes>\d+)/imv.exec(head).groups.bytes);
+		}
+
+		default: {
+			return end === 'end' && body.endsWith('\n\n');
+		}
+	}
+}
+
 // A requester at the level of its connection: an end is told from a reset.
 async function readStream(system, gateway, {target, id}) {
+	system.record.write(`sent ${id} to ${gateway.name}: POST ${target}`);
+
 	return new Promise(resolve => {
 		let received = '';
 		let end = 'open';
@@ -53,16 +78,15 @@
 			const body = rest.join('\r\n\r\n');
 			resolve({
 				status: Number(head.split(' ')[1]), body, end,
-				isUnframed: !/^(?:content-length|transfer-encoding):/imv.test(head),
+				framing: describeFraming(head), isWhole: isWhole({head, body, end}),
 				hasSeal: /^response-seal:/imv.test(head),
 				events: (body.match(/^id: /gmv) ?? []).length,
-				endsAfterEvent: body.endsWith('\n\n'),
 			});
 		});
 	});
 }
 
-await runCase(new URL('.', import.meta.url).pathname, async ({record, start}) => {
+await runCase({recordFile: new URL('record.txt', import.meta.url)}, async ({record, start}) => {
 	const system = await start({coordinators: 3, gateways: 5});
 	await openWorker(system, {
 		id: 'i-1', service: 'app', lastOctet: 201, answer: answerUnframed,
@@ -91,13 +115,10 @@
 	const answers = await Promise.all(streams);
 	let broken = 0;
 
-	for (const [index, {status, end, events, isUnframed, hasSeal, endsAfterEvent}] of answers.entries()) {
-		// What a requester takes for complete: a success without length or chunks whose connection ended, and was not reset, after an event.
-		const looksComplete = status === 200 && hasSeal && isUnframed && end === 'end' && endsAfterEvent;
-		const isBroken = looksComplete && events < eventCount;
-		broken += isBroken ? 1 : 0;
-		const framing = isUnframed ? 'no length and no chunks' : 'framed';
-		record.write(`r-${index}: status ${status}, ${events} of ${eventCount} events, connection: ${end}, ${framing}, looks ${looksComplete ? 'complete' : 'broken off'}`);
+	for (const [index, {status, end, events, framing, hasSeal, isWhole: looksWhole}] of answers.entries()) {
+		const looksComplete = status === 200 && hasSeal && looksWhole;
+		broken += looksComplete && events < eventCount ? 1 : 0;
+		record.write(`answered r-${index}: status ${status}, ${events} of ${eventCount} events, ${framing}, connection: ${end}, looks ${looksComplete ? 'complete' : 'broken off'}`);
 	}
 
 	record.write(`${broken} of ${streamCount} streams ended as complete before their last piece`);
--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -12,7 +12,7 @@
 /** The worker goes on serving for so long after its deregistration was acknowledged, and then exits. */
 const servesOnMs = 11_000;
 
-await runCase(new URL('.', import.meta.url).pathname, async ({record, start}) => {
+await runCase({recordFile: new URL('record.txt', import.meta.url)}, async ({record, start}) => {
 	const system = await start({coordinators: 3, gateways: 2});
 	const all = [...system.coordinators, ...system.gateways];
 	const answer = (request, response) => {
--- a/review/lib/system.mjs
+++ b/review/lib/system.mjs
@@ -2,6 +2,7 @@
 // Starts the project's own programs as separate processes on loopback addresses, with the commands of the deploy file.
 import {spawn} from 'node:child_process';
 import {once} from 'node:events';
+import {openSync, writeSync} from 'node:fs';
 import fs from 'node:fs/promises';
 import http from 'node:http';
 import net from 'node:net';
@@ -73,17 +74,14 @@
 	throw new Error('no free ports');
 }
 
-/** Opens the record of a case: `record.txt` in its folder. */
-export function openRecord(folder) {
-	const lines = [];
+/** Opens the record of a case, `record.txt` in its folder. Each line is written at once, so that a case that is ended keeps what it has. */
+export function openRecord(file) {
+	const descriptor = openSync(file, 'w');
 	const startedAtMs = performance.now();
 
 	return {
 		write(text) {
-			lines.push(`${((performance.now() - startedAtMs) / 1000).toFixed(2).padStart(7)} s  ${text}`);
-		},
-		async save() {
-			await fs.writeFile(path.join(folder, 'record.txt'), `${lines.join('\n')}\n`);
+			writeSync(descriptor, `${((performance.now() - startedAtMs) / 1000).toFixed(2).padStart(7)} s  ${text}\n`);
 		},
 	};
 }
@@ -177,6 +175,7 @@
 	};
 
 	return {
+		record,
 		prefix,
 		ports,
 		folder,
@@ -314,6 +313,7 @@
 		}
 
 		ran.push({requestId, atMs: performance.now()});
+		system.record.write(`ran ${requestId} at ${id}`);
 		response.setHeader('request-id', requestId);
 		response.setHeader('response-seal', `seal-${id}-${requestId}`);
 		answer(request, response, worker);
@@ -377,6 +377,9 @@
 
 /** Sends a request to a gateway on a connection of its own; resolves with what came back. */
 export async function sendRequest(system, gateway, {target, id, method = 'GET', headers = {}, body, timeLeftMs = 5000}) {
+	const {record} = system;
+	record.write(`sent ${id} to ${gateway.name}: ${method} ${target}`);
+
 	return new Promise(resolve => {
 		const request = http.request({
 			host: gateway.ip, port: system.ports.caller, method, path: target, agent: false, signal: AbortSignal.timeout(timeLeftMs + 2000),
@@ -389,6 +392,7 @@
 				received += String(bytes);
 			});
 			response.on('close', () => {
+				record.write(`answered ${id}: ${response.statusCode}${response.complete ? '' : ', not whole'}`);
 				resolve({
 					status: response.statusCode, body: received, headers: response.headers, isWhole: response.complete,
 				});
@@ -396,6 +400,7 @@
 			response.on('error', () => undefined);
 		});
 		request.on('error', error => {
+			record.write(`not answered ${id}: ${error.code ?? error.message}`);
 			resolve({
 				status: 0, body: '', headers: {}, isWhole: false, error: error.code ?? error.message,
 			});
@@ -423,13 +428,12 @@
 }
 
 /** Runs a case: the exit code is 1 if its rule was broken, 0 if it held, and 2 if the case could not run. */
-export async function runCase(folder, run) {
-	const record = openRecord(folder);
+export async function runCase({recordFile}, run) {
+	const record = openRecord(recordFile);
 	let system;
 	let code = couldNotRunCode;
-	const timer = setTimeout(async () => {
+	const timer = setTimeout(() => {
 		record.write(`the case could not run within ${caseTimeoutMs} ms`);
-		await record.save();
 		process.exit(couldNotRunCode);
 	}, caseTimeoutMs);
 
@@ -456,6 +460,5 @@
 
 	clearTimeout(timer);
 	await system?.stop();
-	await record.save();
 	process.exit(code);
 }
