Bound the memory of bodies by their bytes, not by their chunks

What callers saw: one instance that answered plain calls with a body without end, in chunks of 8 characters, ended the process of its gateway ("Reached heap limit", SIGABRT). Control calls in chunks of one character ended coordinators.

Cause: the limit counted bytes, but each chunk was kept as a buffer object until the end, in seven places. Answers had no bound together.

Change: createByteCollector copies chunks into one growing buffer; all seven places use it. The buffered parts of all answers of a gateway are bounded together; the largest gives way. Bodies of requests count from their first byte on.

--- a/packages/cli/src/explain-commands.ts
+++ b/packages/cli/src/explain-commands.ts
@@ -3,6 +3,7 @@
 import process from 'node:process';
 import {gunzipSync} from 'node:zlib';
 import {type Command} from 'commander';
+import {readAllBytes} from '@fescuestair/transport';
 import {ExitCode} from './exit-codes.js';
 import {explainRequest, formatExplanation, parseLogLines} from './explain.js';
 
@@ -14,23 +15,13 @@
 		.description('explains from the logs of the daemons what happened to a request and why; reads standard input if no files are given; accepts gzip')
 		.option('--json', 'print JSON')
 		.action(async (requestId: string, files: readonly string[], {json}: {readonly json?: boolean}) => {
-			const inputs = files.length === 0 ? [await readStandardInput()] : await Promise.all(files.map(async file => fs.readFile(file)));
+			const inputs = files.length === 0 ? [(await readAllBytes(process.stdin))!] : await Promise.all(files.map(async file => fs.readFile(file)));
 			const explanation = explainRequest(requestId, inputs.flatMap(input => parseLogLines(readText(input))));
 			console.log(json === true ? JSON.stringify(explanation) : formatExplanation(explanation));
 			process.exitCode = explanation.lines.length === 0 ? ExitCode.NotFound : ExitCode.Done;
 		});
 }
 
-async function readStandardInput(): Promise<Uint8Array> {
-	const chunks: Uint8Array[] = [];
-
-	for await (const chunk of process.stdin) {
-		chunks.push(chunk as Uint8Array);
-	}
-
-	return Buffer.concat(chunks);
-}
-
 function readText(input: Uint8Array): string {
 	const isGzipped = gzipMagic.every((byte, position) => input[position] === byte);
 
--- a/packages/control/src/order-dispatcher.ts
+++ b/packages/control/src/order-dispatcher.ts
@@ -114,7 +114,8 @@
 			body: JSON.stringify({kind: 'load', model, weightVersion}),
 			signal: AbortSignal.timeout(sendTimeoutMs),
 		});
-		await response.arrayBuffer();
+		// The status says it all; a body that does not end is cancelled.
+		await response.body?.cancel();
 
 		if (!response.ok) {
 			throw new Error(`the engine refused the load order with status ${response.status}`);
--- a/packages/entry/src/kv-client.ts
+++ b/packages/entry/src/kv-client.ts
@@ -1,6 +1,10 @@
 import {type Agent} from 'undici';
 import {type z} from 'zod';
 import {BaseError} from '@fescuestair/core';
+import {readAllBytes} from '@fescuestair/transport';
+
+/** Manifests of the longest prompts have less. */
+const maxBodyBytes = 16_000_000;
 
 /** A call about pieces to an engine or a store failed. */
 export class KvError extends BaseError {
@@ -47,7 +51,13 @@
 			bodyTimeout: timeoutMs,
 			signal: AbortSignal.any([AbortSignal.timeout(timeoutMs), ...(signal === undefined ? [] : [signal])]),
 		});
-		const value = await response.body.json();
+		const bytes = await readAllBytes(response.body, {maxBytes: maxBodyBytes});
+
+		if (bytes === undefined) {
+			throw new KvError(address, `${path}: the answer is too large`);
+		}
+
+		const value: unknown = JSON.parse(bytes.toString('utf8'));
 
 		if (response.statusCode !== 200) {
 			throw new KvError(address, `${path}: status ${response.statusCode}`);
--- a/packages/entry/src/service-call.ts
+++ b/packages/entry/src/service-call.ts
@@ -1,7 +1,6 @@
-import {Buffer} from 'node:buffer';
 import http, {type Agent, type IncomingHttpHeaders, type IncomingMessage} from 'node:http';
 import {AttemptOutcome, headerNames, ExecutionStatus} from '@fescuestair/protocol';
-import {parseAddress} from '@fescuestair/transport';
+import {createByteCollector, parseAddress} from '@fescuestair/transport';
 import {AttemptError} from './attempt-error.js';
 
 /** A request to a plain service, as it is forwarded. */
@@ -35,6 +34,8 @@
 };
 
 const connectTimeoutMs = 1500;
+/** The longest answer of a service. */
+const maxAnswerBytes = 16_000_000;
 const statusesWithoutBody = new Set([204, 304]);
 const forwardedHeaders = ['content-type', 'accept', 'accept-language', headerNames.idempotencyKey];
 
@@ -106,6 +107,10 @@
 				fail(isSent ? new AttemptError(AttemptOutcome.ConnectionLost, reason) : new AttemptError(AttemptOutcome.NotSent, reason, ExecutionStatus.NotRun));
 			};
 
+			const failInvalid = (reason: string) => {
+				fail(new AttemptError(AttemptOutcome.Invalid, reason));
+			};
+
 			cancel = () => {
 				fail(signal!.reason as AttemptError);
 			};
@@ -137,7 +142,7 @@
 				onHeard?.();
 				onResponseHead(response.statusCode ?? 0, response.headers);
 				readResponse(response, {
-					resolve: finish, failConnection, onHeard, isUnframed: isUnframed(method, response.statusCode ?? 0, response.headers),
+					resolve: finish, failConnection, failInvalid, onHeard, isUnframed: isUnframed(method, response.statusCode ?? 0, response.headers),
 				});
 			});
 			request.on('close', () => {
@@ -159,12 +164,13 @@
 type ResponseReading = {
 	readonly resolve: (response: RawResponse) => void;
 	readonly failConnection: (reason: string) => void;
+	readonly failInvalid: (reason: string) => void;
 	readonly onHeard: (() => void) | undefined;
 	readonly isUnframed: boolean;
 };
 
-function readResponse(response: IncomingMessage, {resolve, failConnection, onHeard, isUnframed: endsWithConnection}: ResponseReading): void {
-	const chunks: Uint8Array[] = [];
+function readResponse(response: IncomingMessage, {resolve, failConnection, failInvalid, onHeard, isUnframed: endsWithConnection}: ResponseReading): void {
+	const collector = createByteCollector({maxBytes: maxAnswerBytes});
 	const {socket} = response;
 
 	if (endsWithConnection) {
@@ -179,11 +185,14 @@
 
 	response.on('data', (chunk: Uint8Array) => {
 		onHeard?.();
-		chunks.push(chunk);
+
+		if (!collector.push(chunk)) {
+			failInvalid('the answer is too large');
+		}
 	});
 	response.on('end', () => {
 		if (response.complete) {
-			resolve({status: response.statusCode ?? 0, headers: response.headers, body: Buffer.concat(chunks)});
+			resolve({status: response.statusCode ?? 0, headers: response.headers, body: collector.take()});
 		} else {
 			failConnection('the answer was cut short');
 		}
--- a/packages/gateway/src/__tests__/unit/caller-server.test.ts
+++ b/packages/gateway/src/__tests__/unit/caller-server.test.ts
@@ -5,8 +5,8 @@
 import test, {type ExecutionContext} from 'ava';
 import fc from 'fast-check';
 import {createLogger} from '@fescuestair/runtime';
+import {readMessage} from '@fescuestair/transport';
 import {createCallerServer} from '../../caller-server.js';
-import {readBytes} from '../../read-bytes.js';
 
 const createTestLogger = () => createLogger({instance: 'gateway-1', isTerminal: false, writeLine: () => undefined});
 
@@ -86,7 +86,7 @@
 
 test('a request with an invalid body is answered with a whole 400, after the answers before it', async t => {
 	const server = await openServer(t, async (message, response) => {
-		if (await readBytes(message, () => false).then(() => true, () => false)) {
+		if (await readMessage(message, {canTake: () => true}).then(() => true, () => false)) {
 			await answerInPieces(response, 4);
 		}
 	});
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -3,7 +3,7 @@
 import {type Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {BodyFraming, describeRunEvidence, type RunEvidence} from '@fescuestair/streams';
-import {parseAddress, waitForReads} from '@fescuestair/transport';
+import {createByteCollector, parseAddress, waitForReads} from '@fescuestair/transport';
 import {type UpstreamResponseMetadata, type UpstreamCodec} from './codecs.js';
 import {type UpstreamAgent} from './upstream-agent.js';
 
@@ -58,6 +58,8 @@
 	/** Receives the body of a 2xx response of an instance that ran the request in chunks; without it the body is buffered. Returns false to pause reading until `resume`. */
 	readonly onData?: (bytes: Buffer, head: ResponseHead) => boolean;
 	readonly onHead?: (head: ResponseHead) => void;
+	/** Called with the memory that the buffered body takes, in bytes, whenever that changes. */
+	readonly onBuffer?: (memoryBytes: number) => void;
 	/** Called whenever the instance sends anything. */
 	readonly onBytes: () => void;
 	/** Called once the request has a connection, with the time at which that was opened, on the monotonic clock. */
@@ -74,6 +76,7 @@
 /** Time limit for establishing a connection: some hundred times the round-trip time. */
 const connectTimeoutMs = 400;
 const chunkedEncoding = 'chunked';
+const emptyBody = Buffer.alloc(0);
 /** When connections were opened, or were first used here, on the monotonic clock. */
 const openedTimes = new WeakMap<Socket, number>();
 const minFinalStatus = 200;
@@ -94,11 +97,10 @@
 */
 export function startAttempt(options: AttemptOptions): Attempt {
 	const {
-		address, agent, codec, requestId, method, target, headers, body, onData, onHead, onBytes, onConnection,
+		address, agent, codec, requestId, method, target, headers, body, onData, onHead, onBuffer, onBytes, onConnection,
 	} = options;
 	const {host, port} = parseAddress(address);
-	const chunks: Buffer[] = [];
-	let size = 0;
+	const collector = createByteCollector({maxBytes: maxBufferedBytes});
 	let isSent = false;
 	/** Whether no connection has been given to it yet: the bound on connections says nothing about the instance. */
 	let isQueued = true;
@@ -120,7 +122,7 @@
 		isSettled = true;
 		clearTimeout(connectTimer);
 		settle({
-			end, reason, head, body: Buffer.concat(chunks), isSent, isUnreachable, isConnectionLost, cancelledFor, connectMs,
+			end, reason, head, body: end === AttemptCompletion.Incomplete ? emptyBody : collector.take(), isSent, isUnreachable, isConnectionLost, cancelledFor, connectMs,
 		});
 	};
 
@@ -236,11 +238,12 @@
 				return;
 			}
 
-			size += bytes.length;
-			chunks.push(bytes);
+			const memoryBytes = collector.countMemoryBytes();
 
-			if (size > maxBufferedBytes) {
+			if (!collector.push(bytes)) {
 				fail('the answer is too large');
+			} else if (collector.countMemoryBytes() !== memoryBytes) {
+				onBuffer?.(collector.countMemoryBytes());
 			}
 		});
 		response.on('end', () => {
--- a/packages/gateway/src/forward-options.ts
+++ b/packages/gateway/src/forward-options.ts
@@ -6,6 +6,7 @@
 	type Logger, type PermitClient, type PrometheusMetrics, type RequestLimits,
 } from '@fescuestair/runtime';
 import {type RouteTable} from '@fescuestair/traffic';
+import {type BufferedAnswers} from './buffered-answers.js';
 import {type CallerCodec, type UpstreamCodec} from './codecs.js';
 import {type FetchIncarnation} from './check-run-origin.js';
 import {type CrashDetector} from './crash-detector.js';
@@ -48,6 +49,7 @@
 	/** By service, when the next caller that is refused because of limits should return. */
 	readonly returns: Map<string, number>;
 	readonly countGateways: () => number;
+	readonly bufferedAnswers: BufferedAnswers;
 };
 
 /** A permit, and the instance that it is for. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -22,6 +22,7 @@
 import {
 	createLinks, openHttpListener, parseAddress,
 } from '@fescuestair/transport';
+import {createBufferedAnswers} from './buffered-answers.js';
 import {type CallerCodec, type UpstreamCodec} from './codecs.js';
 import {type FetchIncarnation} from './check-run-origin.js';
 import {createCallerServer} from './caller-server.js';
@@ -253,6 +254,7 @@
 		isLeaving: () => isLeaving,
 		waiting: new Map(),
 		countGateways,
+		bufferedAnswers: createBufferedAnswers(),
 	};
 
 	const depositRequest = (service: string) => {
@@ -278,6 +280,7 @@
 	metrics.registerGauge('config_version', 'Version of the configuration in force', () => routeTable?.config.version ?? 0);
 	metrics.registerGauge('requests_running', 'Requests that have no final answer yet', () => activeResponses.size);
 	metrics.registerGauge('requests_waiting', 'Requests that wait here for a free instance', () => forwardOptions.waiting.size);
+	metrics.registerGauge('answers_buffered_bytes', 'Memory of the answers that are buffered until they are complete, or until an event is', forwardOptions.bufferedAnswers.countBytes);
 	metrics.registerGauge('instances_limited', 'Instances that name a limit of requests', requestLimits.countLimited);
 	metrics.registerGauge('traits_held_back', 'Prompt parts and requests that are held back because instances crashed under them', crashDetector.countHeldBack);
 	metrics.registerGauge('stream_origins_unproven', 'Streams that may have been begun by other software than their instances had announced', unprovenOrigins.count);
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -5,7 +5,6 @@
 export {
 	type CacheInstructions, type CallerCodec, type CallerRequestMetadata, type DispatchMetadata, type PromptDescription, type UpstreamResponseMetadata, type UpstreamCodec,
 } from './codecs.js';
-export {readBytes} from './read-bytes.js';
 export {createCoordinatorClient, type CoordinatorClient, type CoordinatorClientOptions} from './coordinator-client.js';
 export {createEventStreamSplitter, type EventStreamSplitter} from './event-stream-splitter.js';
 export {filterHeaders, ExchangeOutcome} from './exchange.js';
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -5,12 +5,11 @@
 import {
 	findRoute, type CallerLimits, type CallKind, type Route, type RouteTable,
 } from '@fescuestair/traffic';
-import {canDiscardBody, dropBody} from '@fescuestair/transport';
+import {canDiscardBody, dropBody, readMessage} from '@fescuestair/transport';
 import {type CallerCodec} from './codecs.js';
 import {ExchangeOutcome, sendLocalResponse, type ExchangeResult} from './exchange.js';
 import {forwardExchange, type ForwardResult} from './forward.js';
 import {type ForwardOptions} from './forward-options.js';
-import {readBytes} from './read-bytes.js';
 
 export type RequestHandlerOptions = {
 	readonly forwardOptions: ForwardOptions;
@@ -155,16 +154,12 @@
 				: {...rejectByConfig(response, 413, 'the body is too large'), fields};
 		}
 
-		const targets = route.targets.map(target => target.service);
-
-		for (const service of targets) {
-			depositRetryTokens(service);
-		}
-
-		bufferedBodyBytes += body.length;
-		onForward();
-
 		try {
+			for (const {service} of route.targets) {
+				depositRetryTokens(service);
+			}
+
+			onForward();
 			const result = await forwardExchange(forwardOptions, {
 				requestId: caller.requestId, request, response, caller, route, organisation, body, startedAtMs,
 				deadlineMs: startedAtMs + limitMs,
@@ -184,11 +179,35 @@
 		}
 	};
 
+	// Counts the body among those of all requests from its first byte on; the caller of this function takes it out again.
 	const readWholeBody = async (request: IncomingMessage, maxBytes: number): Promise<Buffer | undefined> => {
+		let countedBytes = 0;
+
 		try {
-			return await readBytes(request, size => size > maxBytes || bufferedBodyBytes + size > maxBufferedBodyBytes);
+			const body = await readMessage(request, {
+				canTake(size) {
+					const addedBytes = size - countedBytes;
+
+					if (size > maxBytes || bufferedBodyBytes + addedBytes > maxBufferedBodyBytes) {
+						return false;
+					}
+
+					bufferedBodyBytes += addedBytes;
+					countedBytes = size;
+
+					return true;
+				},
+			});
+
+			if (body === undefined) {
+				bufferedBodyBytes -= countedBytes;
+			}
+
+			return body;
 		} catch {
 			// The caller closed the connection before the body was complete.
+			bufferedBodyBytes -= countedBytes;
+
 			return undefined;
 		}
 	};
--- a/packages/gateway/src/start-run.ts
+++ b/packages/gateway/src/start-run.ts
@@ -75,7 +75,7 @@
 	const {
 		entry, placement, cache, uncachedTokens, service, progress, stream, isRetryable,
 	} = input;
-	const {request, requestId, body, route, caller} = exchange;
+	const {request, response, requestId, body, route, caller} = exchange;
 	const {record} = entry.held;
 	const startedAtMs = clock.readMonotonicMs();
 	const isStreaming = route.kind === CallKind.Streaming;
@@ -136,6 +136,10 @@
 		entry.agent.closeIdle(maxIdleMs);
 	}
 
+	const buffered = options.bufferedAnswers.open(() => {
+		attempt.cancel(RunEvidence.OutOfMemory);
+	});
+
 	const forwardData = (bytes: Buffer, head: ResponseHead): boolean => {
 		const canContinue = streamRun.write(bytes, head, () => {
 			readingSinceMs = clock.readMonotonicMs();
@@ -182,6 +186,7 @@
 			entry, cache, lastEventId: resumeAfter, nowMs: startedAtMs,
 		}),
 		body,
+		onBuffer: buffered.resize,
 		onBytes() {
 			instancePool.recordActivity(entry);
 		},
@@ -249,6 +254,14 @@
 		const silentMs = instancePool.measureSilenceMs(entry, inFlightRequest);
 		recordFirstPiece();
 		instancePool.end(entry, inFlightRequest);
+
+		// A buffered body takes its memory until its caller has got it.
+		if (result.end === AttemptCompletion.Complete && !response.closed) {
+			response.once('close', buffered.release);
+		} else {
+			buffered.release();
+		}
+
 		recordResult(options, exchange, {
 			entry, result, fault, sentAtMs: startedAtMs, streamed, firstPieceMs,
 		});
--- a/packages/streams/src/decide-run.ts
+++ b/packages/streams/src/decide-run.ts
@@ -12,6 +12,8 @@
 	DeadlinePassed = 'deadline_passed',
 	/** The time in which this process may finish its requests is over. */
 	StopTimeout = 'stop_timeout',
+	/** The answers in progress take too much memory, and its own the most. */
+	OutOfMemory = 'out_of_memory',
 }
 
 /** What is done about a run. */
@@ -114,4 +116,5 @@
 	[RunEvidence.CallerGone]: 'the caller left',
 	[RunEvidence.DeadlinePassed]: 'the deadline passed',
 	[RunEvidence.StopTimeout]: 'the time to finish requests was over',
+	[RunEvidence.OutOfMemory]: 'the answers in progress take too much memory',
 };
--- a/packages/transport/src/http.ts
+++ b/packages/transport/src/http.ts
@@ -3,6 +3,7 @@
 import {
 	formatRefusal, getRefusalStatus, headerNames, ExecutionStatus, RefusalCode, RefusalError, type Refusal,
 } from '@fescuestair/protocol';
+import {IncompleteMessageError, readMessage} from './read-message.js';
 
 export type BodyLimits = {
 	readonly maxBytes: number;
@@ -32,43 +33,24 @@
 		throw createBodyRefusal(RefusalCode.TooLarge, `the body may have at most ${maxBytes} bytes`);
 	}
 
-	return new Promise((resolve, reject) => {
-		const chunks: Uint8Array[] = [];
-		let size = 0;
-
-		const finish = (error?: Error) => {
-			clearTimeout(timer);
-			request.off('data', onData);
-
-			if (error === undefined) {
-				resolve(Buffer.concat(chunks));
-			} else {
-				reject(error);
-			}
-		};
-
-		const onData = (chunk: Uint8Array) => {
-			size += chunk.length;
-			chunks.push(chunk);
-
-			if (size > maxBytes) {
-				finish(createBodyRefusal(RefusalCode.TooLarge, `the body may have at most ${maxBytes} bytes`));
-			}
-		};
-
-		const timer = setTimeout(() => {
-			finish(createBodyRefusal(RefusalCode.TooSlow, `the body did not arrive within ${timeoutMs} ms`));
-		}, timeoutMs);
-
-		request.on('data', onData);
-		request.once('end', () => {
-			finish();
-		});
-		request.once('error', finish);
-		request.once('close', () => {
-			finish(createBodyRefusal(RefusalCode.BadRequest, 'the connection closed before the body had arrived'));
-		});
-	});
+	const abort = new AbortController();
+	const timer = setTimeout(() => {
+		abort.abort(createBodyRefusal(RefusalCode.TooSlow, `the body did not arrive within ${timeoutMs} ms`));
+	}, timeoutMs);
+
+	try {
+		const body = await readMessage(request, {canTake: size => size <= maxBytes, signal: abort.signal});
+
+		if (body === undefined) {
+			throw createBodyRefusal(RefusalCode.TooLarge, `the body may have at most ${maxBytes} bytes`);
+		}
+
+		return body;
+	} catch (error) {
+		throw error instanceof IncompleteMessageError ? createBodyRefusal(RefusalCode.BadRequest, 'the connection closed before the body had arrived') : error;
+	} finally {
+		clearTimeout(timer);
+	}
 }
 
 /** Sends a JSON response. */
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -16,3 +16,7 @@
 export {registerIdleTimeouts} from './idle-timeouts.js';
 export {waitForReads} from './wait-for-reads.js';
 export {openHttpListener, type HttpListener} from './http-listener.js';
+export {
+	readAllBytes, createByteCollector, type ByteCollector, type ByteCollectorOptions,
+} from './byte-collector.js';
+export {IncompleteMessageError, readMessage, type MessageReadOptions} from './read-message.js';
--- a/packages/transport/src/link-frames.ts
+++ b/packages/transport/src/link-frames.ts
@@ -2,6 +2,7 @@
 import {type Duplex} from 'node:stream';
 import {Packr} from 'msgpackr';
 import {BaseError} from '@fescuestair/core';
+import {createByteCollector} from './byte-collector.js';
 import {isBoundedMessagePackValue} from './message-pack-bounds.js';
 import {defaultMaxFrameBytes} from './link-constants.js';
 
@@ -54,14 +55,12 @@
 ```
 */
 export function openFrameChannel(socket: Duplex, {onFrame, maxFrameBytes = defaultMaxFrameBytes, canBuffer = () => true}: FrameChannelOptions): FrameChannel {
-	let chunks: Buffer[] = [];
-	let bufferedBytes = 0;
+	const collector = createByteCollector();
 	let requiredBytes = lengthBytes;
 	let isCorked = false;
 
 	const closeWithError = (reason: string) => {
-		chunks = [];
-		bufferedBytes = 0;
+		collector.take();
 		socket.destroy(new InvalidFrameError(reason));
 	};
 
@@ -95,25 +94,29 @@
 	};
 
 	socket.on('data', (chunk: Buffer) => {
-		chunks.push(chunk);
-		bufferedBytes += chunk.length;
+		if (collector.countBytes() + chunk.length < requiredBytes) {
+			collector.push(chunk);
 
-		if (bufferedBytes < requiredBytes) {
-			if (!canBuffer(bufferedBytes)) {
+			if (!canBuffer(collector.countMemoryBytes())) {
 				closeWithError('too many bytes are held for incomplete frames');
 			}
 
 			return;
 		}
 
-		const rest = readFrames(chunks.length === 1 ? chunk : Buffer.concat(chunks, bufferedBytes));
+		const isChunkWhole = collector.countBytes() === 0;
+
+		if (!isChunkWhole) {
+			collector.push(chunk);
+		}
+
+		const rest = readFrames(isChunkWhole ? chunk : collector.take());
 
 		if (socket.destroyed) {
 			return;
 		}
 
-		chunks = rest.length === 0 ? [] : [rest];
-		bufferedBytes = rest.length;
+		collector.push(rest);
 		requiredBytes = lengthBytes + (rest.length >= lengthBytes ? rest.readUInt32BE(0) : 0);
 	});
 
@@ -133,7 +136,7 @@
 			socket.write(encodeFrame(frame));
 		},
 		getSendBacklogBytes: () => socket.writableLength,
-		getIncompleteFrameBytes: () => bufferedBytes,
+		getIncompleteFrameBytes: collector.countMemoryBytes,
 	};
 }
 
