Read small pieces in constant time a byte, and leave the event loop to others

Comments and interim responses without end, and uploads in chunks of one character, did the same.

Causes: the splitter joined and searched all that waited again with each chunk; a connection that always has data could take every turn of the event loop; interim responses had no bound.

Change: each byte is searched once; connections beyond 1,000 pieces a turn are held, and one at a time is read again for at most half of the time; a hundred interim responses end an attempt; what is read of a stream in a turn is forwarded in one piece.

--- a/packages/entry/src/engine-client.ts
+++ b/packages/entry/src/engine-client.ts
@@ -142,10 +142,9 @@
 				},
 				onResponseData(controller, chunk) {
 					onHeard?.();
-					const text = decoder.decode(chunk, {stream: true});
 
 					if (response?.status !== okStatus) {
-						errorBody += text;
+						errorBody += decoder.decode(chunk, {stream: true});
 
 						if (errorBody.length > maxErrorCharacters) {
 							controller.abort(new Error('the body of the failure is too long'));
@@ -154,7 +153,7 @@
 						return;
 					}
 
-					const canAcceptMore = parser.parseChunk(text);
+					const canAcceptMore = parser.parseChunk(chunk);
 
 					if (parser.getFault() !== undefined) {
 						controller.abort(new AttemptError(AttemptOutcome.Invalid, 'invalid event'));
--- a/packages/entry/src/engine-events.ts
+++ b/packages/entry/src/engine-events.ts
@@ -21,7 +21,7 @@
 /** Parses the event stream of one run and passes on to a sink the events that go on behind those that the caller has. */
 export type RunEventParser = {
 	/** Returns `false` when the sink is full. */
-	readonly parseChunk: (text: string) => boolean;
+	readonly parseChunk: (chunk: Uint8Array | string) => boolean;
 	readonly waitForDrain: () => Promise<void>;
 	/** What was wrong with the events; nothing is passed on after it. */
 	readonly getFault: () => RunFault | undefined;
@@ -45,7 +45,11 @@
 ```
 */
 export function createRunEventParser(fromOffset: number, {write, waitForDrain}: EventSink<EngineEvent>): RunEventParser {
-	const read = createEventStreamParser();
+	const read = createEventStreamParser({
+		onEventTooLarge() {
+			fault ??= RunFault.NotAnEvent;
+		},
+	});
 	let offset = fromOffset;
 	let hasEvents = false;
 	let isEnded = false;
@@ -72,10 +76,10 @@
 	};
 
 	return {
-		parseChunk(text) {
+		parseChunk(chunk) {
 			let canAcceptMore = true;
 
-			for (const block of read(text)) {
+			for (const block of read(chunk)) {
 				canAcceptMore = forwardEvent(block);
 			}
 
--- a/packages/entry/src/service-call.ts
+++ b/packages/entry/src/service-call.ts
@@ -1,6 +1,8 @@
 import http, {type Agent, type IncomingHttpHeaders, type IncomingMessage} from 'node:http';
 import {AttemptOutcome, headerNames, ExecutionStatus} from '@fescuestair/protocol';
-import {createByteCollector, parseAddress} from '@fescuestair/transport';
+import {
+	createByteCollector, parseAddress, processReadPacer, registerInterimLimit,
+} from '@fescuestair/transport';
 import {AttemptError} from './attempt-error.js';
 
 /** A request to a plain service, as it is forwarded. */
@@ -138,6 +140,9 @@
 			request.on('error', (error: NodeJS.ErrnoException) => {
 				failConnection(`${error.code ?? 'unknown'}: ${error.message}`);
 			});
+			registerInterimLimit(request, () => {
+				failInvalid('too many interim responses');
+			});
 			request.on('response', response => {
 				onHeard?.();
 				onResponseHead(response.statusCode ?? 0, response.headers);
@@ -172,6 +177,7 @@
 function readResponse(response: IncomingMessage, {resolve, failConnection, failInvalid, onHeard, isUnframed: endsWithConnection}: ResponseReading): void {
 	const collector = createByteCollector({maxBytes: maxAnswerBytes});
 	const {socket} = response;
+	const recordPiece = processReadPacer.register(socket);
 
 	if (endsWithConnection) {
 		// A reset that is read together with the last bytes is reported as the end of the body, but leaves a socket without a peer. Node keeps the address of a
@@ -185,6 +191,7 @@
 
 	response.on('data', (chunk: Uint8Array) => {
 		onHeard?.();
+		recordPiece();
 
 		if (!collector.push(chunk)) {
 			failInvalid('the answer is too large');
--- a/packages/gateway/src/__tests__/unit/event-stream-splitter.test.ts
+++ b/packages/gateway/src/__tests__/unit/event-stream-splitter.test.ts
@@ -48,6 +48,57 @@
 	t.is(splitter.push(Buffer.from('id: 1\n\n'))?.toString(), 'id: 1\n\n');
 });
 
+/** Counts the bytes that are searched, decoded or joined while a function runs. */
+const countSeenBytes = (run: () => void): number => {
+	const seen = {bytes: 0};
+	const {concat} = Buffer;
+	const {lastIndexOf, toString} = Buffer.prototype as Buffer;
+	Object.assign(Buffer, {
+		concat(list: readonly Uint8Array[]) {
+			const joined = concat(list);
+			seen.bytes += joined.length;
+
+			return joined;
+		},
+	});
+	Object.assign(Buffer.prototype as Buffer, {
+		lastIndexOf(this: Buffer, text: string) {
+			seen.bytes += this.length;
+
+			return lastIndexOf.call(this, text, 'utf8');
+		},
+		toString(this: Buffer, encoding?: 'latin1') {
+			seen.bytes += this.length;
+
+			return toString.call(this, encoding);
+		},
+	});
+
+	try {
+		run();
+	} finally {
+		Object.assign(Buffer, {concat});
+		Object.assign(Buffer.prototype as Buffer, {lastIndexOf, toString});
+	}
+
+	return seen.bytes;
+};
+
+// Guards against work that grows with the square of the number of chunks, for which a gateway stood still.
+for (const [description, chunk] of [['an event', 'nonsense'], ['comments', ':c\n\n']] as const) {
+	test.serial(`each byte of ${description} without end is looked at a bounded number of times, however small the chunks are`, t => {
+		const splitter = createEventStreamSplitter().fork(undefined, {holdsComments: true});
+		const chunks = 5000;
+		const seenBytes = countSeenBytes(() => {
+			for (let count = 0; count < chunks; count++) {
+				splitter.push(Buffer.from(chunk));
+			}
+		});
+
+		t.true(seenBytes < 20 * chunks * chunk.length, `${seenBytes} bytes were looked at`);
+	});
+}
+
 const event = (id: number | string) => `id: ${id}\ndata: x\n\n`;
 
 for (const [description, text, fault] of [
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -2,8 +2,11 @@
 import http, {type IncomingHttpHeaders, type IncomingMessage} from 'node:http';
 import {type Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
+import process from 'node:process';
 import {BodyFraming, describeRunEvidence, type RunEvidence} from '@fescuestair/streams';
-import {createByteCollector, parseAddress, waitForReads} from '@fescuestair/transport';
+import {
+	createByteCollector, getReadGate, parseAddress, processReadPacer, ReadHold, registerInterimLimit, waitForReads, type ReadGate,
+} from '@fescuestair/transport';
 import {type UpstreamResponseMetadata, type UpstreamCodec} from './codecs.js';
 import {type UpstreamAgent} from './upstream-agent.js';
 
@@ -55,7 +58,10 @@
 	/** Alternating names and values. */
 	readonly headers: readonly string[];
 	readonly body: Buffer;
-	/** Receives the body of a 2xx response of an instance that ran the request in chunks; without it the body is buffered. Returns false to pause reading until `resume`. */
+	/**
+	Receives the body of a 2xx response of an instance that ran the request, all that was read at once in one call; without it the body is buffered. Returns false to pause until
+	`resume`.
+	*/
 	readonly onData?: (bytes: Buffer, head: ResponseHead) => boolean;
 	readonly onHead?: (head: ResponseHead) => void;
 	/** Called with the memory that the buffered body takes, in bytes, whenever that changes. */
@@ -101,6 +107,12 @@
 	} = options;
 	const {host, port} = parseAddress(address);
 	const collector = createByteCollector({maxBytes: maxBufferedBytes});
+	/** What was read since the event loop's last turn, or while the receiver takes nothing. */
+	const unread = createByteCollector();
+	let isPaused = false;
+	let heldGate: ReadGate | undefined;
+	let isFlushScheduled = false;
+	let finishOnceRead: (() => void) | undefined;
 	let isSent = false;
 	/** Whether no connection has been given to it yet: the bound on connections says nothing about the instance. */
 	let isQueued = true;
@@ -133,8 +145,31 @@
 		request.destroy();
 	};
 
+	const forwardUnread = () => {
+		isFlushScheduled = false;
+
+		if (!isSettled && !isPaused && unread.countBytes() > 0 && !onData!(unread.take(), head!)) {
+			isPaused = true;
+			holdReads();
+		}
+	};
+
+	const holdReads = () => {
+		// Once the response has ended, its connection serves other requests.
+		if (finishOnceRead === undefined) {
+			heldGate = getReadGate(incoming!.socket);
+			heldGate.hold(ReadHold.Backpressure);
+		}
+	};
+
+	const releaseReads = () => {
+		heldGate?.release(ReadHold.Backpressure);
+		heldGate = undefined;
+	};
+
 	// The instance closed or reset the connection.
 	const failConnectionLost = (reason: string) => {
+		forwardUnread();
 		fail(reason, {isConnectionLost: true});
 	};
 
@@ -181,6 +216,9 @@
 			failConnectionLost(error.code ?? error.message);
 		}
 	});
+	registerInterimLimit(request, () => {
+		fail('too many interim responses');
+	});
 	request.on('response', response => {
 		incoming = response;
 		onBytes();
@@ -223,7 +261,9 @@
 
 		onHead?.(head);
 		const isStreamed = onData !== undefined && head.status >= 200 && head.status < 300 && !head.answer.isNotRun;
+		const recordPiece = processReadPacer.register(response.socket);
 		response.on('data', (bytes: Buffer) => {
+			recordPiece();
 			onBytes();
 
 			if (isSettled) {
@@ -231,8 +271,11 @@
 			}
 
 			if (isStreamed) {
-				if (!onData(bytes, head!)) {
-					response.pause();
+				unread.push(bytes);
+
+				if (!isFlushScheduled) {
+					isFlushScheduled = true;
+					process.nextTick(forwardUnread);
 				}
 
 				return;
@@ -248,7 +291,16 @@
 		});
 		response.on('end', () => {
 			if (response.complete) {
-				finish(head!.answer.isNotRun ? AttemptCompletion.NotRun : AttemptCompletion.Complete, head!.answer.isNotRun ? `refused with ${head!.status}` : '');
+				finishOnceRead = () => {
+					finish(head!.answer.isNotRun ? AttemptCompletion.NotRun : AttemptCompletion.Complete, head!.answer.isNotRun ? `refused with ${head!.status}` : '');
+				};
+
+				releaseReads();
+				forwardUnread();
+
+				if (!isPaused) {
+					finishOnceRead();
+				}
 			} else {
 				failConnectionLost('the answer was cut short');
 			}
@@ -276,7 +328,15 @@
 			fail(reason);
 		},
 		resume() {
-			incoming?.resume();
+			isPaused = false;
+			forwardUnread();
+
+			if (isPaused) {
+				return;
+			}
+
+			releaseReads();
+			finishOnceRead?.();
 		},
 	};
 }
--- a/packages/gateway/src/caller-stream.ts
+++ b/packages/gateway/src/caller-stream.ts
@@ -2,9 +2,10 @@
 import {
 	BodyFraming, EndMark, findContinuationObstacle, RunFault, type BegunAnswer, type ContinuationObstacle, type StreamOrigin, type StreamResult,
 } from '@fescuestair/streams';
+import {maxDelimiterBytes} from '@fescuestair/transport';
 import {type ResponseHead} from './attempt.js';
 import {
-	createEventStreamSplitter, hasEvent, isEventEnd, maxDelimiterBytes, type EventStreamSplitter, type RunIds,
+	createEventStreamSplitter, hasEvent, isEventEnd, type EventStreamSplitter, type RunIds,
 } from './event-stream-splitter.js';
 import {type Exchange} from './exchange.js';
 import {type ForwardOptions} from './forward-options.js';
@@ -66,6 +67,8 @@
 	readonly getIds: () => RunIds;
 	/** Whether the incomplete event exceeds the size limit: the data is not an event stream, and would be buffered without bound. */
 	readonly isEventTooLarge: () => boolean;
+	/** Memory that is in use for what has not been forwarded, in bytes. */
+	readonly countMemoryBytes: () => number;
 	/** Checks once more, at the end of the run, what wrote its events: its instance may have been announced anew meanwhile. */
 	readonly checkOrigin: () => void;
 	/** Ends a complete response; first sends the blank lines after the last event, if any. */
@@ -231,6 +234,7 @@
 			}),
 			getIds: () => splitter?.getRunIds() ?? {first: undefined, last: undefined},
 			isEventTooLarge: () => splitter?.isEventTooLarge() ?? false,
+			countMemoryBytes: () => splitter?.countMemoryBytes() ?? 0,
 			checkOrigin() {
 				const origin = getOrigin();
 
--- a/packages/gateway/src/event-stream-splitter.ts
+++ b/packages/gateway/src/event-stream-splitter.ts
@@ -2,6 +2,7 @@
 import {
 	EventOrder, RunFault, compareEventIds, isOrderedEventId,
 } from '@fescuestair/streams';
+import {createByteCollector, createEventCollector, eventDelimiters} from '@fescuestair/transport';
 
 /**
 Splits a server-sent event stream at event boundaries, so that another instance can continue it after the last complete event. Checks that a run which
@@ -35,6 +36,8 @@
 	/** Whether bytes of an event that is not complete were received. */
 	readonly isInsideEvent: () => boolean;
 	readonly countPartialBytes: () => number;
+	/** Memory that is in use for what has not been returned yet, in bytes. */
+	readonly countMemoryBytes: () => number;
 	/** Returns and removes the bytes after the last complete event, as when the stream ends there. */
 	readonly takePartialEvent: () => Buffer | undefined;
 };
@@ -42,11 +45,6 @@
 /** Ids of the events of one run; both are `undefined` where no event has one. */
 export type RunIds = {readonly first: string | undefined; readonly last: string | undefined};
 
-const eventDelimiters = ['\n\n', '\r\n\r\n'];
-/** Length of the longest delimiter of events. */
-export const maxDelimiterBytes = 4;
-const lineFeed = 0x0A;
-const carriageReturn = 0x0D;
 const idField = 'id:';
 const dataField = 'data';
 /** Events hold a few tokens each. An incomplete event beyond this size is rejected before it exhausts the memory. */
@@ -77,14 +75,14 @@
 };
 
 function createSplitter(position: StreamPosition): EventStreamSplitter {
-	let partialEvent: Buffer | undefined;
+	const collector = createEventCollector();
 	/** The latest bytes that contain an event id. Ids are parsed only on demand, when a stream is resumed. */
 	let {lastEventsWithId, hasDataAfterLastId, hasEvents, hasReturnedBytes} = position;
 	let isLaterRun = hasReturnedBytes;
 	/** The first bytes of the current run that contain an event id. */
 	let firstEventsOfRun: Buffer | undefined;
 	/** Comments of a later run that has not sent an event yet. */
-	let pendingComments: Buffer = Buffer.alloc(0);
+	const pendingComments = createByteCollector();
 	let hasRunEvents = false;
 	/** Id of the event that the next one of a continuing run has to follow; `undefined` in the run that begins the stream. */
 	let previousId: string | undefined;
@@ -116,25 +114,19 @@
 				return undefined;
 			}
 
-			const buffered = partialEvent === undefined ? bytes : Buffer.concat([partialEvent, bytes]);
-			const completeLength = findCompleteLength(buffered);
-
-			if (completeLength === 0) {
-				partialEvent = buffered;
+			const completeEvents = collector.push(bytes);
 
+			if (completeEvents === undefined) {
 				return undefined;
 			}
 
-			const completeEvents = buffered.subarray(0, completeLength);
-			partialEvent = completeLength === buffered.length ? undefined : buffered.subarray(completeLength);
-
 			if (previousId !== undefined && !checkEvents(completeEvents)) {
 				return undefined;
 			}
 
 			// Comments of a later run are not sent before its first event: without one, the run is no part of the stream.
 			if (isLaterRun && !hasRunEvents && !hasEvent(completeEvents)) {
-				pendingComments = Buffer.concat([pendingComments, completeEvents]);
+				pendingComments.push(completeEvents);
 
 				return undefined;
 			}
@@ -152,24 +144,17 @@
 
 			hasReturnedBytes = true;
 
-			if (pendingComments.length === 0) {
-				return completeEvents;
-			}
-
-			const bytesWithComments = Buffer.concat([pendingComments, completeEvents]);
-			pendingComments = Buffer.alloc(0);
-
-			return bytesWithComments;
+			return pendingComments.countBytes() === 0 ? completeEvents : Buffer.concat([pendingComments.take(), completeEvents]);
 		},
-		isEventTooLarge: () => (partialEvent?.length ?? 0) + pendingComments.length > maxEventBytes,
+		isEventTooLarge: () => collector.countBytes() + pendingComments.countBytes() > maxEventBytes,
 		startRun(resumeAfter) {
 			previousId = resumeAfter !== undefined && isOrderedEventId(resumeAfter) ? resumeAfter : undefined;
 			isLaterRun = hasReturnedBytes;
 			firstEventsOfRun = undefined;
 			hasRunEvents = false;
 			eventFault = undefined;
-			partialEvent = undefined;
-			pendingComments = Buffer.alloc(0);
+			collector.takePartial();
+			pendingComments.take();
 		},
 		fork(resumeAfter, {holdsComments = false} = {}) {
 			const splitter = createSplitter({
@@ -197,14 +182,10 @@
 
 			return id !== undefined && isOrderedEventId(id) && !hasDataAfterId ? id : undefined;
 		},
-		isInsideEvent: () => partialEvent !== undefined && !isBlank(partialEvent),
-		countPartialBytes: () => partialEvent?.length ?? 0,
-		takePartialEvent() {
-			const remainder = partialEvent;
-			partialEvent = undefined;
-
-			return remainder;
-		},
+		isInsideEvent: () => !collector.isBlank(),
+		countPartialBytes: collector.countBytes,
+		countMemoryBytes: () => collector.countMemoryBytes() + pendingComments.countMemoryBytes(),
+		takePartialEvent: () => collector.countBytes() === 0 ? undefined : collector.takePartial(),
 	};
 }
 
@@ -215,22 +196,6 @@
 	return eventDelimiters.some(delimiter => text.endsWith(delimiter));
 }
 
-function findCompleteLength(bytes: Buffer): number {
-	let end = 0;
-
-	for (const delimiter of eventDelimiters) {
-		const position = bytes.lastIndexOf(delimiter);
-		end = position === -1 ? end : Math.max(end, position + delimiter.length);
-	}
-
-	return end;
-}
-
-// Blank lines after the last event begin no other one.
-function isBlank(bytes: Buffer): boolean {
-	return bytes.every(byte => byte === lineFeed || byte === carriageReturn);
-}
-
 function hasId(events: Buffer): boolean {
 	return events.includes(`\n${idField}`, 0, 'latin1') || events.subarray(0, idField.length).toString('latin1') === idField;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -20,7 +20,7 @@
 	buildRouteTable, type RouteTable, type TrafficConfig,
 } from '@fescuestair/traffic';
 import {
-	createLinks, openHttpListener, parseAddress,
+	createLinks, openHttpListener, parseAddress, processReadPacer,
 } from '@fescuestair/transport';
 import {createBufferedAnswers} from './buffered-answers.js';
 import {type CallerCodec, type UpstreamCodec} from './codecs.js';
@@ -281,6 +281,7 @@
 	metrics.registerGauge('requests_running', 'Requests that have no final answer yet', () => activeResponses.size);
 	metrics.registerGauge('requests_waiting', 'Requests that wait here for a free instance', () => forwardOptions.waiting.size);
 	metrics.registerGauge('answers_buffered_bytes', 'Memory of the answers that are buffered until they are complete, or until an event is', forwardOptions.bufferedAnswers.countBytes);
+	metrics.registerGauge('connections_paced', 'Connections that wait for their share of the event loop, since they send very small pieces', processReadPacer.countHeld);
 	metrics.registerGauge('instances_limited', 'Instances that name a limit of requests', requestLimits.countLimited);
 	metrics.registerGauge('traits_held_back', 'Prompt parts and requests that are held back because instances crashed under them', crashDetector.countHeldBack);
 	metrics.registerGauge('stream_origins_unproven', 'Streams that may have been begun by other software than their instances had announced', unprovenOrigins.count);
--- a/packages/gateway/src/start-run.ts
+++ b/packages/gateway/src/start-run.ts
@@ -146,6 +146,7 @@
 			attempt.resume();
 		});
 		readingSinceMs = canContinue ? readingSinceMs : undefined;
+		buffered.resize(streamRun.countMemoryBytes());
 
 		const eventFault = streamRun.getEventFault();
 
--- a/packages/transport/src/http.ts
+++ b/packages/transport/src/http.ts
@@ -4,6 +4,7 @@
 	formatRefusal, getRefusalStatus, headerNames, ExecutionStatus, RefusalCode, RefusalError, type Refusal,
 } from '@fescuestair/protocol';
 import {IncompleteMessageError, readMessage} from './read-message.js';
+import {processReadPacer} from './read-pacer.js';
 
 export type BodyLimits = {
 	readonly maxBytes: number;
@@ -80,6 +81,7 @@
 */
 export function dropBody(response: ServerResponse): void {
 	const {req: request} = response;
+	const recordPiece = processReadPacer.register(request.socket);
 	let size = 0;
 
 	const closeConnection = () => {
@@ -87,6 +89,7 @@
 	};
 
 	request.on('data', (chunk: Uint8Array) => {
+		recordPiece();
 		size += chunk.length;
 
 		if (size <= maxDiscardedBytes) {
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -19,4 +19,12 @@
 export {
 	readAllBytes, createByteCollector, type ByteCollector, type ByteCollectorOptions,
 } from './byte-collector.js';
+export {getReadGate, ReadHold, type ReadGate} from './read-gate.js';
+export {
+	createReadPacer, processReadPacer, type ReadPacer, type ReadPacerOptions,
+} from './read-pacer.js';
 export {IncompleteMessageError, readMessage, type MessageReadOptions} from './read-message.js';
+export {registerInterimLimit} from './interim-limit.js';
+export {
+	createEventCollector, eventDelimiters, maxDelimiterBytes, type EventCollector,
+} from './event-collector.js';
--- a/packages/transport/src/read-message.ts
+++ b/packages/transport/src/read-message.ts
@@ -2,6 +2,7 @@
 import {type IncomingMessage} from 'node:http';
 import {BaseError} from '@fescuestair/core';
 import {createByteCollector} from './byte-collector.js';
+import {processReadPacer} from './read-pacer.js';
 
 /** The connection of a message closed before its body was complete. */
 export class IncompleteMessageError extends BaseError {
@@ -27,6 +28,7 @@
 */
 export async function readMessage(message: IncomingMessage, {canTake, signal}: MessageReadOptions): Promise<Buffer | undefined> {
 	const collector = createByteCollector();
+	const recordPiece = processReadPacer.register(message.socket);
 
 	return new Promise((resolve, reject) => {
 		const finish = (settle: () => void) => {
@@ -39,6 +41,8 @@
 		};
 
 		const onData = (chunk: Buffer) => {
+			recordPiece();
+
 			if (canTake(collector.countBytes() + chunk.length)) {
 				collector.push(chunk);
 			} else {
