Give every answer a length or chunks, which a killed gateway cannot end

Cause: the framing by the close of the connection was passed on, and the operating system closes the connections of a killed process like those of a finished answer.

Change: an answer has a length, or chunks whose last one is sent only when the instance's answer has ended whole. A reset of the instance still breaks it. Streams for callers with HTTP/1.0, which has no chunks, are refused with 505 before they are sent. The native entry sends lengths too.

--- a/packages/entry/src/__tests__/unit/service-call.test.ts
+++ b/packages/entry/src/__tests__/unit/service-call.test.ts
@@ -63,13 +63,14 @@
 	}), length);
 });
 
-test('an answer that ends with its connection is relayed so: it may have been cut', async t => {
+// Guards against a relayed answer that ends with its connection, which the operating system closes alike when the entry is killed.
+test('an answer that ends with its connection is relayed with the length that it had', async t => {
 	const answerUnframed = (text: string): Answer => response => response.socket!.end(`HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nConnection: close\r\n\r\n${text}`);
 
 	for (const text of [body, body.slice(0, 9), '']) {
 		const relayed = await relay(answerUnframed(text));
-		t.regex(relayed, /^HTTP\/1\.1 200 .*connection: close/isv);
-		t.notRegex(relayed, /content-length|transfer-encoding/iv);
+		t.regex(relayed, new RegExp(String.raw`^HTTP/1\.1 200 .*content-length: ${text.length}\r\n`, 'isv'));
+		t.notRegex(relayed, /transfer-encoding/iv);
 		t.is(relayed.split('\r\n\r\n')[1], text);
 	}
 });
--- a/packages/entry/src/claimed-call.ts
+++ b/packages/entry/src/claimed-call.ts
@@ -162,11 +162,11 @@
 	}
 }
 
-function toClaimOutcome({status, contentType, body, isUnframed}: ServiceResponse): ClaimOutcome {
+function toClaimOutcome({status, contentType, body}: ServiceResponse): ClaimOutcome {
 	const isBodyOmitted = body.length > maxRecordedBodyBytes;
 
 	return {
-		status, contentType, body: isBodyOmitted ? new Uint8Array() : body, isBodyOmitted, ...(isUnframed && {isUnframed}),
+		status, contentType, body: isBodyOmitted ? new Uint8Array() : body, isBodyOmitted,
 	};
 }
 
@@ -229,15 +229,15 @@
 function replayOutcome(answer: CommandResponse): ServiceResult {
 	switch (answer.kind) {
 		case CommandResponseKind.OutcomeRecorded: {
-			const {status, contentType, body, isBodyOmitted, isUnframed = false} = answer.outcome;
+			const {status, contentType, body, isBodyOmitted} = answer.outcome;
 			const notice = {message: 'the call ran; its answer was too large to keep', requestId: answer.requestId};
 
 			return isBodyOmitted
 				? {
-					status, contentType: 'application/json', body: Buffer.from(JSON.stringify(notice)), isUnframed: false, isReplay: true,
+					status, contentType: 'application/json', body: Buffer.from(JSON.stringify(notice)), isReplay: true,
 				}
 				: {
-					status, contentType, body, isUnframed, isReplay: true,
+					status, contentType, body, isReplay: true,
 				};
 		}
 
--- a/packages/entry/src/service-call.ts
+++ b/packages/entry/src/service-call.ts
@@ -18,8 +18,6 @@
 	readonly status: number;
 	readonly contentType: string;
 	readonly body: Uint8Array;
-	/** Whether the end of the body was told by the close of the connection alone, so that it may have been cut. */
-	readonly isUnframed: boolean;
 };
 
 type CallOptions = {
@@ -71,7 +69,6 @@
 		status: response.status,
 		contentType: String(response.headers['content-type'] ?? 'application/octet-stream'),
 		body: response.body,
-		isUnframed: isUnframed(call.method, response.status, response.headers),
 	};
 }
 
--- a/packages/gateway/src/__tests__/unit/send-response.test.ts
+++ b/packages/gateway/src/__tests__/unit/send-response.test.ts
@@ -35,10 +35,11 @@
 	return text;
 };
 
-test('a response without Content-Length or chunked encoding is sent to the caller without either', async t => {
+// Guards against a response that ends with its connection, which the operating system closes alike when the process is killed.
+test('a response without Content-Length or chunked encoding is sent to the caller with its length', async t => {
 	const text = await receive(t, {framing: BodyFraming.Close, rawHeaders: ['Response-Seal', 's', 'Connection', 'close']});
-	t.notRegex(text, /content-length|transfer-encoding/iv);
-	t.regex(text, /Connection: close/v);
+	t.is(text.match(/Content-Length: 12\r\n/gv)?.length, 1);
+	t.notRegex(text, /transfer-encoding/iv);
 	t.true(text.endsWith('\r\n\r\nhalf an answ'));
 });
 
--- a/packages/gateway/src/caller-stream.ts
+++ b/packages/gateway/src/caller-stream.ts
@@ -85,7 +85,7 @@
 	/** The last bytes that were forwarded as they came, enough to recognise the end of an event. */
 	let lastBytes: Buffer = Buffer.alloc(0);
 	let begunHead: ResponseHead | undefined;
-	let framing = BodyFraming.Close;
+	let isChunked = false;
 	let announcedBytes: number | undefined;
 	let sentBytes = 0;
 	let forwardedCount = 0;
@@ -94,18 +94,19 @@
 
 	// A caller that was told a length takes the answer for complete with its last byte, before the last run has proved it.
 	const hasLength = !route.isResumable;
-	const getUnchunkedFraming = (head: ResponseHead) => hasLength && head.framing === BodyFraming.Length ? BodyFraming.Length : BodyFraming.Close;
+	// Runs have to tell their end as firmly as the first one would have; the caller gets chunks either way.
+	const getPromisedFraming = (head: ResponseHead) => head.framing === BodyFraming.Length && !hasLength ? BodyFraming.Chunks : head.framing;
 
 	const start = (head: ResponseHead) => {
 		begunHead = head;
 		sendResponseHead(response, {head, isLeaving: isLeaving(), hasLength});
-		framing = response.chunkedEncoding ? BodyFraming.Chunks : getUnchunkedFraming(head);
+		isChunked = response.chunkedEncoding;
 		announcedBytes = head.framing === BodyFraming.Length ? Number(head.headers['content-length']) : undefined;
 		// Frames chunks here, with one write per chunk: Node's chunked encoding makes three, and an event is only a few dozen bytes.
 		response.chunkedEncoding = false;
 	};
 
-	const formatChunk = (bytes: Buffer) => framing === BodyFraming.Chunks ? Buffer.concat([Buffer.from(`${bytes.length.toString(16)}\r\n`), bytes, Buffer.from('\r\n')]) : bytes;
+	const formatChunk = (bytes: Buffer) => isChunked ? Buffer.concat([Buffer.from(`${bytes.length.toString(16)}\r\n`), bytes, Buffer.from('\r\n')]) : bytes;
 
 	const send = (bytes: Buffer) => {
 		sentBytes += bytes.length;
@@ -114,7 +115,7 @@
 	};
 
 	const describeBegun = (splitter: EventStreamSplitter | undefined): BegunAnswer | undefined => begunHead && {
-		status: begunHead.status, framing, missingBytes: announcedBytes === undefined ? undefined : announcedBytes - sentBytes - (splitter?.countPartialBytes() ?? 0),
+		status: begunHead.status, framing: getPromisedFraming(begunHead), missingBytes: announcedBytes === undefined ? undefined : announcedBytes - sentBytes - (splitter?.countPartialBytes() ?? 0),
 	};
 
 	// Comments alone do not move the position in a stream.
@@ -250,7 +251,7 @@
 					send(partialEvent);
 				}
 
-				response.end(framing === BodyFraming.Chunks ? lastChunk : undefined);
+				response.end(isChunked ? lastChunk : undefined);
 			},
 		};
 	};
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -87,7 +87,7 @@
 	return forwarded;
 }
 
-/** Aborts a response so that its caller does not take it for complete. One that has neither a length nor chunks ends with its connection, which is reset. */
+/** Aborts a response so that its caller does not take it for complete. HTTP/1.0 has no chunks: there its connection is reset. */
 export function cancelResponse(response: ServerResponse): void {
 	if (response.useChunkedEncodingByDefault || response.socket === null) {
 		response.destroy();
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -3,7 +3,7 @@
 import {type Clock} from '@fescuestair/core';
 import {type Logger, type PrometheusMetrics} from '@fescuestair/runtime';
 import {
-	findRoute, type CallerLimits, type CallKind, type Route, type RouteTable,
+	CallKind, findRoute, type CallerLimits, type Route, type RouteTable,
 } from '@fescuestair/traffic';
 import {canDiscardBody, dropBody, readMessage} from '@fescuestair/transport';
 import {type CallerCodec} from './codecs.js';
@@ -45,6 +45,7 @@
 const defaultTimeoutMs = 30_000;
 const notReadyRetryAfterMs = 500;
 const headTooLargeStatus = 431;
+const versionNotSupportedStatus = 505;
 /** Characters that Node's parser takes in a target, and its client refuses by throwing. */
 const unforwardablePattern = /[^\u0021-\u00FF]/v;
 /** Upper bound for the bodies of all requests in progress; a request that would exceed it is rejected. */
@@ -128,7 +129,7 @@
 			return {...refuseStopping(response, stopRefusal.retryAfterMs), fields: {...fields, route: route.name, ...stopRefusal.fields}};
 		}
 
-		const fault = findHeadFault(request, table.config.limits);
+		const fault = findVersionFault(route, response) ?? findHeadFault(request, table.config.limits);
 
 		if (fault !== undefined) {
 			return {...(fault.status === headTooLargeStatus ? rejectByConfig : reject)(response, fault.status, fault.message), fields};
@@ -280,7 +281,16 @@
 	return {outcome: ExchangeOutcome.Refused, status: 503, reason};
 }
 
-function findHeadFault({rawHeaders, url = ''}: IncomingMessage, {maxHeaderBytes}: CallerLimits): {readonly status: number; readonly message: string} | undefined {
+// A stream has no length, so without chunks its end could not be told from the end of this process.
+function findVersionFault({kind}: Route, {useChunkedEncodingByDefault}: ServerResponse): HeadFault | undefined {
+	return kind === CallKind.Streaming && !useChunkedEncodingByDefault
+		? {status: versionNotSupportedStatus, message: 'streams are sent in chunks, which need HTTP/1.1'}
+		: undefined;
+}
+
+type HeadFault = {readonly status: number; readonly message: string};
+
+function findHeadFault({rawHeaders, url = ''}: IncomingMessage, {maxHeaderBytes}: CallerLimits): HeadFault | undefined {
 	if (countHeaderBytes(rawHeaders) > maxHeaderBytes) {
 		return {status: headTooLargeStatus, message: 'the headers are too large'};
 	}
--- a/packages/gateway/src/send-response.ts
+++ b/packages/gateway/src/send-response.ts
@@ -1,6 +1,5 @@
 import {type Buffer} from 'node:buffer';
 import {type ServerResponse} from 'node:http';
-import {BodyFraming} from '@fescuestair/streams';
 import {type ResponseHead} from './attempt.js';
 import {filterHeaders} from './exchange.js';
 
@@ -14,22 +13,17 @@
 };
 
 /**
-Sends the status and headers of an instance's response. A response that the instance delimited by the close of its connection is delimited
-so for the caller too: with a length or chunked encoding added, a truncated response would look complete.
+Sends the status and headers of an instance's response. Its body has a length or comes in chunks, also where that of the instance ends with its connection: the operating system closes
+the connections of a killed process, and a response that ends so would look complete.
 */
 export function sendResponseHead(response: ServerResponse, {head, isLeaving, contentLength, hasLength = true}: ResponseHeadOptions): void {
 	const headers = filterHeaders(head.rawHeaders, name => name !== 'content-length' || (hasLength && contentLength === undefined));
 
-	const isFramed = head.framing !== BodyFraming.Close;
-
-	if (!isFramed) {
-		response.useChunkedEncodingByDefault = false;
-		response.shouldKeepAlive = false;
-	} else if (contentLength !== undefined) {
+	if (contentLength !== undefined) {
 		headers.push('Content-Length', String(contentLength));
 	}
 
-	if (isLeaving || !isFramed) {
+	if (isLeaving) {
 		headers.push('Connection', 'close');
 	}
 
--- a/packages/state/src/types.ts
+++ b/packages/state/src/types.ts
@@ -47,7 +47,7 @@
 	readonly body: Uint8Array;
 	/** The body was too large to store; only the status is known. */
 	readonly isBodyOmitted: boolean;
-	/** Whether the end of the body was told by the close of the connection alone, so that it may have been cut. */
+	/** Only in claims of earlier versions: the service's end of the body was told by the close of its connection alone. */
 	readonly isUnframed?: boolean;
 };
 
