Save on a majority's disks which instances leave before that is acknowledged

Cause: that an instance drains or is gone was in the memory of daemons only. A repetition of a departure that had reached nobody was acknowledged too.

Change: coordinators write departures to their disks, and acknowledge one once a majority of the voters has it there; without a majority within 500 ms the call is answered 503, and the instance gets no new requests all the same.

--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -25,6 +25,7 @@
 	describePublished, isPublishCommand, PublishKind, type PublishAnswer, type PublishCommand, type PublishedState,
 } from './published-state.js';
 import {computeRequiredVoters, waitForVoters} from './group-size.js';
+import {createDepartureStore} from './departure-store.js';
 import {createFleet} from './fleet.js';
 import {createCoalescer} from './coalescer.js';
 import {createPartsIndexHost, type StoreClient} from './parts-index-host.js';
@@ -93,8 +94,8 @@
 /** A replica counts as current if it received a message from the leader within this time and lacked nothing that was committed, or led itself. */
 const leaderTimeoutMs = 1500;
 const leadershipTransferMs = 200;
-/** Longest time that the end waits for the origins of streams to be written. */
-const originsFlushMs = 500;
+/** Longest time that the end waits for the disk. */
+const flushMs = 500;
 /** With this many voters, the group tolerates the loss of one while another is being replaced. */
 const targetVoters = 5;
 /**
@@ -253,8 +254,30 @@
 
 		return true;
 	});
+	const openSegments = async (folderName: string, content: string) => {
+		const folder = path.join(dataFolder, folderName);
+
+		try {
+			await fs.mkdir(folder, {recursive: true});
+		} catch (error) {
+			log.warn('a folder cannot be created, so its content is kept in memory only', {folder, content, reason: String(error)});
+		}
+
+		return createSegmentStore({
+			folder,
+			clock,
+			onFinding({place, message}) {
+				log.warn('files on the disk were repaired', {place, content, reason: message});
+			},
+		});
+	};
+
+	const departures = createDepartureStore({clock, log, store: await openSegments('departures', 'departures of instances')});
 	const fleet = createFleet({
 		self,
+		departures,
+		knownDepartures: await departures.load(),
+		listVoterAddresses: () => (replica.getState()?.members ?? []).filter(member => member.isVoter).map(member => member.address),
 		clock,
 		links,
 		log,
@@ -283,24 +306,10 @@
 			}
 		},
 	});
-	const originsFolder = path.join(dataFolder, 'origins');
-
-	try {
-		await fs.mkdir(originsFolder, {recursive: true});
-	} catch (error) {
-		log.warn('the folder for the origins of streams cannot be created, so they are kept in memory only', {folder: originsFolder, reason: String(error)});
-	}
-
 	const origins = createStreamOriginsHost({
-		clock, commands, log, metrics,
-		store: createSegmentStore({
-			folder: originsFolder,
-			clock,
-			onFinding({place, message}) {
-				log.warn('origins of streams on the disk were repaired', {place, reason: message});
-			},
-		}),
+		clock, commands, log, metrics, store: await openSegments('origins', 'origins of streams'),
 	});
+	metrics.registerGauge('departures_disk_bytes', 'Bytes of the files that hold which instances leave or have left', departures.countBytes);
 	const grantor = createPermitGrantor({
 		clock, links, log, commands, requestLimits: fleet.requestLimits, getLeadingTerm: replica.getLeadingTerm, findLeaderAddress, leaseMs: timing.leaseMs,
 	});
@@ -464,7 +473,7 @@
 			await sleep(leadershipTransferMs);
 			await server.close();
 			// A disk that stalls must not keep the process from ending.
-			await Promise.race([origins.stop(), sleep(originsFlushMs)]);
+			await Promise.race([Promise.all([origins.stop(), departures.stop()]), sleep(flushMs)]);
 			await replica.stop();
 			links.close();
 		},
--- /dev/null
+++ b/packages/coordinator/src/departure-store.ts
@@ -0,0 +1,138 @@
+import {type Clock} from '@fescuestair/core';
+import {
+	InstanceStage, isInstanceUpdates, type InstanceRecord, type InstanceUpdate,
+} from '@fescuestair/instances';
+import {type Logger} from '@fescuestair/runtime';
+import {type SegmentStore} from '@fescuestair/storage';
+
+export type DepartureStoreOptions = {
+	readonly clock: Pick<Clock, 'readMonotonicMs'>;
+	readonly log: Pick<Logger, 'info' | 'warn' | 'error'>;
+	readonly store: Pick<SegmentStore, 'load' | 'append' | 'countBytes' | 'close'>;
+};
+
+/**
+Keeps on the disk which instances are leaving or have left, so that a late announcement of one of them does not bring it back after a loss of all processes. An announcement loses by its
+incarnation and sequence number; the records themselves expire.
+*/
+export type DepartureStore = {
+	/** Reads what the process before has saved. Resolves also where the disk fails. */
+	readonly load: () => Promise<readonly InstanceUpdate[]>;
+	/** Resolves once the departure of this incarnation is on the disk; throws a `DiskError`. Departures that come at once share a write and its sync. */
+	readonly save: (record: InstanceRecord) => Promise<void>;
+	/** Forgets in memory what was saved of instances that are no longer held. */
+	readonly retain: (isHeld: (id: string) => boolean) => void;
+	readonly countBytes: () => number;
+	/** Waits for the write that is under way. */
+	readonly stop: () => Promise<void>;
+};
+
+type SavedDeparture = {readonly incarnation: number; readonly savedAtMs: number};
+type WaitingDeparture = {readonly record: InstanceRecord; readonly resolve: () => void; readonly reject: (error: unknown) => void};
+
+/** A departure that was saved this long ago is saved again, as of an instance that drains for long. */
+const refreshMs = 30_000;
+/** Longer than the time until the next refresh and that for which the registry keeps a record after it. */
+const retentionMs = 120_000;
+const maxBatchRecords = 1000;
+
+/** Whether an instance takes no further requests. */
+export function isLeaving({stage}: Pick<InstanceRecord, 'stage'>): boolean {
+	return stage !== InstanceStage.Ready;
+}
+
+/**
+Creates the store of departures.
+
+@example
+```
+const departures = createDepartureStore({clock, log, store});
+const updates = await departures.load();
+await departures.save(record);
+```
+*/
+export function createDepartureStore({clock, log, store}: DepartureStoreOptions): DepartureStore {
+	const saved = new Map<string, SavedDeparture>();
+	let waiting: readonly WaitingDeparture[] = [];
+	let underWay: Promise<void> | undefined;
+
+	const getDeadlineMs = () => clock.readMonotonicMs() + retentionMs;
+
+	const recordSaved = ({id, incarnation}: InstanceRecord) => {
+		saved.set(id, {incarnation, savedAtMs: clock.readMonotonicMs()});
+	};
+
+	const isSaved = ({id, incarnation}: InstanceRecord) => {
+		const known = saved.get(id);
+
+		return known?.incarnation === incarnation && clock.readMonotonicMs() - known.savedAtMs < refreshMs;
+	};
+
+	const writeWaiting = async () => {
+		while (waiting.length > 0) {
+			const batch = waiting.slice(0, maxBatchRecords);
+			waiting = waiting.slice(maxBatchRecords);
+
+			try {
+				await store.append(batch.map(({record}): InstanceUpdate => ({record, ageMs: 0, loadingLeftMs: 0})), getDeadlineMs());
+
+				for (const {record, resolve} of batch) {
+					recordSaved(record);
+					resolve();
+				}
+			} catch (error) {
+				log.warn('departures of instances cannot be saved', {instances: batch.length, reason: String(error)});
+
+				for (const {reject} of batch) {
+					reject(error);
+				}
+			}
+		}
+
+		underWay = undefined;
+	};
+
+	return {
+		async load() {
+			try {
+				// Without a clock that survives the process, each value counts from now on again.
+				const values = await store.load(getDeadlineMs);
+				const updates = values.flatMap(value => isInstanceUpdates(value) ? value : []).filter(({record}) => isLeaving(record));
+
+				for (const {record} of updates) {
+					recordSaved(record);
+				}
+
+				log.info('departures of instances were loaded', {departures: updates.length, unknownValues: values.filter(value => !isInstanceUpdates(value)).length});
+
+				return updates;
+			} catch (error) {
+				log.error('departures of instances cannot be loaded', {reason: String(error)});
+
+				return [];
+			}
+		},
+		async save(record) {
+			if (isSaved(record)) {
+				return;
+			}
+
+			await new Promise<void>((resolve, reject) => {
+				waiting = [...waiting, {record, resolve, reject}];
+				underWay ??= writeWaiting();
+			});
+		},
+		retain(isHeld) {
+			for (const id of saved.keys()) {
+				if (!isHeld(id)) {
+					saved.delete(id);
+				}
+			}
+		},
+		countBytes: store.countBytes,
+		async stop() {
+			await underWay;
+			await store.close();
+		},
+	};
+}
--- a/packages/coordinator/src/fleet.ts
+++ b/packages/coordinator/src/fleet.ts
@@ -1,21 +1,32 @@
 import {randomBytes} from 'node:crypto';
-import {isBoolean, isObjectWith, type Clock} from '@fescuestair/core';
+import {
+	BaseError, isBoolean, isObjectWith, type Clock,
+} from '@fescuestair/core';
 import {isCrashReportMessage} from '@fescuestair/crashes';
 import {
 	createGatewayDirectory, createInstanceRegistry, createInstanceUpdate, DaemonRole, describePeers, getHomeListVersion, HelloKind, InstanceStage, isHello, isInstanceUpdates,
 	isPublishedSnapshot, isRequestLimitNotes, listDaemons, listGateways, listHomeGatewayAddresses, createHomeList, listUpdates, listRenewals, MergeOutcome, setLoading, setModelVersion,
 	mergeDaemonRecord, recordHomeHello, recordHomeList, mergeInstanceRecord, applyRenewals, expireGateways, expireInstances, type DaemonRecord,
-	type DaemonTable, type RegisteredInstance, type Hello, type HelloReply, type InstanceUpdate, type InstanceRecord, type PublishedSnapshot,
+	type DaemonTable, type RegisteredInstance, type Hello, type HelloReply, type InstanceRegistry, type InstanceUpdate, type InstanceRecord, type PublishedSnapshot,
 } from '@fescuestair/instances';
 import {
-	callAndValidate, isName, LinkMessageKind, ReplyError, type LinkCommands, type LinkMessage,
+	callAndValidate, isName, LinkMessageKind, ReplyError, type LinkCommands, type LinkMessage, type LinkReply,
 } from '@fescuestair/protocol';
 import {
 	createHelloClient, createRequestLimits, type Logger, type PrometheusMetrics, type RequestLimits,
 } from '@fescuestair/runtime';
 import {type Links} from '@fescuestair/transport';
 import {createCrashEvidenceHost} from './crash-evidence-host.js';
+import {isLeaving, type DepartureStore} from './departure-store.js';
 import {createLoadRelayHost} from './load-relay-host.js';
+import {waitForMajority} from './wait-for-majority.js';
+
+/** That an instance leaves cannot be acknowledged now, since a majority of the group does not have it on its disks. */
+export class DepartureNotSavedError extends BaseError {
+	constructor(id: string) {
+		super('departure_not_saved', `no majority has saved that instance ${id} leaves`);
+	}
+}
 
 export type FleetOptions = {
 	readonly self: DaemonRecord;
@@ -26,6 +37,11 @@
 	readonly commands: LinkCommands;
 	/** Link addresses of coordinators known from other sources: seeds and members of the group. */
 	readonly listCoordinatorAddresses: () => readonly string[];
+	/** Link addresses of the members of the group whose votes count; empty where there is no group yet. */
+	readonly listVoterAddresses: () => readonly string[];
+	readonly departures: Pick<DepartureStore, 'save' | 'retain'>;
+	/** Instances that were leaving, or had left, when the process before ended. */
+	readonly knownDepartures: readonly InstanceUpdate[];
 	/** The published state for a daemon that has a given revision and version of the configuration; `undefined` if it is up to date. */
 	readonly describePublishedSince: (revision: number, configVersion: number) => PublishedSnapshot | undefined;
 	readonly getConfigVersion: () => number;
@@ -47,8 +63,8 @@
 	/** The limits that instances name in their answers, as gateways report them. */
 	readonly requestLimits: RequestLimits;
 	/**
-	Records an announcement of an instance and forwards it to all daemons if it changes the registry. Resolves once it may be acknowledged: of an instance that leaves, another
-	coordinator has to know too, or none is reached.
+	Records an announcement of an instance and forwards it to all daemons if it changes the registry. Resolves once it may be acknowledged: that an instance leaves has to be on the disks of
+	a majority of the group. Throws a `DepartureNotSavedError` where that is not reached.
 	*/
 	readonly announce: (record: InstanceRecord) => Promise<void>;
 	readonly findInstance: (id: string) => InstanceRecord | undefined;
@@ -72,6 +88,8 @@
 const callTimeoutMs = 1500;
 /** Shorter than an instance waits for the acknowledgement of its announcement. */
 const reportTimeoutMs = 500;
+/** The disks keep a departure for longer than this. */
+const securedMs = 30_000;
 /** After a start, no gateways are listed until all have had time to send a hello; until then, callers would all go to the few known ones. */
 const directoryWarmupMs = 1200;
 /** Number of coordinators polled per round for renewals, in rotation. A heartbeat of an instance reaches only the coordinator that it is sent to. */
@@ -88,14 +106,16 @@
 */
 export function createFleet(options: FleetOptions): Fleet {
 	const {
-		self, clock, links, log, metrics, commands, listCoordinatorAddresses, describePublishedSince, getConfigVersion, isCurrent, getLeaderAddress,
+		self, clock, links, log, metrics, commands, listCoordinatorAddresses, listVoterAddresses, departures, knownDepartures, describePublishedSince, getConfigVersion, isCurrent, getLeaderAddress,
 		isLeader, findLeaderAddress, onLeaderReported, onRound,
 	} = options;
 	const bootId = randomBytes(bootIdBytes).toString('hex');
 	const directoryReadyAtMs = clock.readMonotonicMs() + directoryWarmupMs;
 	/** Version of this coordinator's home list that each other coordinator holds, by link address. */
 	const acknowledgedHomes = new Map<string, HelloReply['heldHomes']>();
-	let registry = createInstanceRegistry();
+	/** Departures that a majority has on its disks, by id of the instance. */
+	const securedDepartures = new Map<string, {readonly incarnation: number; readonly securedAtMs: number}>();
+	let registry = mergeUpdates(createInstanceRegistry(), knownDepartures, clock.readMonotonicMs());
 	let daemons: DaemonTable = new Map();
 	let directory = createGatewayDirectory();
 	let sourceOffset = 0;
@@ -157,28 +177,58 @@
 		}
 	};
 
-	// What is acknowledged has to outlast the loss of this coordinator.
-	const reportToOthers = async (id: string) => {
-		const notes = [createInstanceUpdate(registry.held.get(id)!, clock.readMonotonicMs())];
-		const calls = listCoordinators().map(async ({linkAddress}) => {
-			const reply = await callAndValidate(links, {address: linkAddress, message: {kind: LinkMessageKind.ReportInstances, notes}, timeoutMs: reportTimeoutMs});
+	const reportDeparture = async (linkAddress: string, update: InstanceUpdate) => {
+		const reply = await callAndValidate(links, {address: linkAddress, message: {kind: LinkMessageKind.ReportInstances, notes: [update]}, timeoutMs: reportTimeoutMs});
 
-			if (reply.kind !== 'noted') {
-				throw new ReplyError(linkAddress, 'did not take the report of an instance');
-			}
+		if (reply.kind !== 'noted') {
+			throw new ReplyError(linkAddress, 'did not take the report of an instance');
+		}
+	};
+
+	const rejectInTime = async () => {
+		await new Promise((_resolve, reject) => {
+			setTimeout(() => {
+				reject(new Error(`not saved within ${reportTimeoutMs} ms`));
+			}, reportTimeoutMs).unref();
 		});
+	};
 
-		if (calls.length === 0) {
+	// What is acknowledged has to outlast the loss of all processes, and of the disks that the group bears to lose.
+	const secureDeparture = async ({id, incarnation}: InstanceRecord) => {
+		const held = registry.held.get(id);
+
+		if (held?.record.incarnation !== incarnation || isSecured(held.record)) {
 			return;
 		}
 
+		const update = createInstanceUpdate(held, clock.readMonotonicMs());
+		const otherVotes = new Map(listPeerAddresses().map(address => [address, reportDeparture(address, update)]));
+		const ownVote = Promise.race([departures.save(held.record), rejectInTime()]);
+		// Before there is a group, each coordinator that is known counts.
+		const voters = listVoterAddresses();
+		const isVoter = (address: string) => voters.length === 0 || voters.includes(address);
+		const votes = [[self.linkAddress, ownVote] as const, ...otherVotes].filter(([address]) => isVoter(address)).map(async ([, vote]) => vote);
+		void Promise.allSettled([ownVote, ...otherVotes.values()]);
+
 		try {
-			await Promise.any(calls);
+			await waitForMajority({votes, voterCount: voters.length === 0 ? votes.length : voters.length});
+			securedDepartures.set(id, {incarnation, securedAtMs: clock.readMonotonicMs()});
 		} catch (error) {
-			log.warn('no other coordinator knows of an instance that leaves', {id, reason: String((error as AggregateError).errors[0])});
+			metrics.count('departures_unsecured_total', {});
+			log.warn('that an instance leaves is not acknowledged, since no majority has it on its disks', {
+				id, incarnation, reason: String(error), errors: (error as AggregateError).errors.map(String),
+			});
+
+			throw new DepartureNotSavedError(id);
 		}
 	};
 
+	const isSecured = ({id, incarnation}: InstanceRecord) => {
+		const secured = securedDepartures.get(id);
+
+		return secured?.incarnation === incarnation && clock.readMonotonicMs() - secured.securedAtMs < securedMs;
+	};
+
 	// Returns the updates that changed the registry.
 	const applyInstanceUpdates = (notes: readonly InstanceUpdate[]) => notes.filter(({record, ageMs, loadingLeftMs}) => {
 		const taken = mergeInstanceRecord(registry, record, {nowMs: clock.readMonotonicMs(), ageMs, loadingLeftMs});
@@ -187,6 +237,15 @@
 		return taken.news === MergeOutcome.Changed;
 	});
 
+	const answerReport = async (notes: readonly InstanceUpdate[], reply: ((reply: LinkReply) => void) | undefined) => {
+		try {
+			await Promise.all(notes.filter(({record}) => isLeaving(record)).map(async ({record}) => departures.save(registry.held.get(record.id)?.record ?? record)));
+			reply?.({kind: 'noted'});
+		} catch (error) {
+			reply?.({kind: 'error', message: String(error)});
+		}
+	};
+
 	const crashEvidence = createCrashEvidenceHost({
 		linkAddress: self.linkAddress, clock, links, log, metrics, commands, isLeader, findLeaderAddress, sendToCoordinators,
 		// A coordinator that is cut off from the others lacks answers that they know of.
@@ -306,9 +365,20 @@
 		return addresses;
 	};
 
+	const forgetDepartures = () => {
+		departures.retain(id => registry.held.has(id));
+
+		for (const id of securedDepartures.keys()) {
+			if (!registry.held.has(id)) {
+				securedDepartures.delete(id);
+			}
+		}
+	};
+
 	const runRound = () => {
 		const {nowMs} = getTimes();
 		registry = expireInstances(registry, nowMs);
+		forgetDepartures();
 		directory = expireGateways(directory, getTimes());
 		const addresses = sendHellos();
 		sourceOffset += fleetSourcesPerRound;
@@ -331,14 +401,13 @@
 	});
 	commands.registerCommand(LinkMessageKind.ReportInstances, isObjectWith({notes: isInstanceUpdates}), ({notes, reply}) => {
 		const news = applyInstanceUpdates(notes);
+		void answerReport(notes, reply);
 
 		if (news.length > 0) {
 			log.info('a gateway reports instances', {instances: news.map(({record}) => ({id: record.id, incarnation: record.incarnation, stage: record.stage}))});
 			sendInstanceUpdates(news.map(({record}) => createInstanceUpdate(registry.held.get(record.id)!, clock.readMonotonicMs())));
 		}
 
-		reply?.({kind: 'noted'});
-
 		return true;
 	});
 	commands.registerCommand(LinkMessageKind.RequestLimits, isObjectWith({from: isName, notes: isRequestLimitNotes, isRelayed: isBoolean}), ({from, notes, isRelayed}) => {
@@ -386,13 +455,13 @@
 					sequence: record.sequence, models: record.models,
 				});
 				sendInstance(record.id);
-
-				if (record.stage !== InstanceStage.Ready) {
-					await reportToOthers(record.id);
-				}
 			} else if (taken.news === MergeOutcome.Stale) {
 				log.info('announcement is stale', {id: record.id, incarnation: record.incarnation, sequence: record.sequence});
 			}
+
+			if (isLeaving(record)) {
+				await secureDeparture(record);
+			}
 		},
 		findInstance: id => registry.held.get(id)?.record,
 		listInstances: () => registry.held.values(),
@@ -418,3 +487,13 @@
 		},
 	};
 }
+
+function mergeUpdates(registry: InstanceRegistry, updates: readonly InstanceUpdate[], nowMs: number): InstanceRegistry {
+	let merged = registry;
+
+	for (const {record, ageMs} of updates) {
+		merged = mergeInstanceRecord(merged, record, {nowMs, ageMs}).registry;
+	}
+
+	return merged;
+}
