Refuse a body for which there is no room now with 503 instead of 413

What callers saw: of 34 bookings of 4 MiB at once, each within max_body_bytes, 16 were served and 18 answered 413, which tells callers not to come back.

Cause: the bound on the bodies of all requests together was answered like the bound on one body.

Change: request-bodies.ts tells the two apart; 503 with Retry-After for the first.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -26,6 +26,7 @@
 import {type CallerCodec, type UpstreamCodec} from './codecs.js';
 import {type FetchIncarnation} from './check-run-origin.js';
 import {createCallerServer} from './caller-server.js';
+import {createRequestBodies} from './request-bodies.js';
 import {createRequestHandler} from './request-handler.js';
 import {createCoordinatorClient} from './coordinator-client.js';
 import {createCrashDetector} from './crash-detector.js';
@@ -261,7 +262,9 @@
 		budgets.set(service, depositSuccess(budgets.get(service) ?? forwardOptions.createRetryBudget(service)));
 	};
 
+	const bodies = createRequestBodies();
 	const answerCaller = createRequestHandler({
+		bodies,
 		forwardOptions, callerCodec, clock, log, metrics, depositRetryTokens: depositRequest, getTable: () => routeTable,
 		isConfigConfirmed: () => client.isConfirmed(), findStopRefusal: planned.findRefusal, recordLength: planned.recordLength,
 	});
@@ -281,6 +284,7 @@
 	metrics.registerGauge('requests_running', 'Requests that have no final answer yet', () => activeResponses.size);
 	metrics.registerGauge('requests_waiting', 'Requests that wait here for a free instance', () => forwardOptions.waiting.size);
 	metrics.registerGauge('answers_buffered_bytes', 'Memory of the answers that are buffered until they are complete, or until an event is', forwardOptions.bufferedAnswers.countBytes);
+	metrics.registerGauge('bodies_buffered_bytes', 'Bytes of the bodies of requests in progress', bodies.countBytes);
 	metrics.registerGauge('connections_paced', 'Connections that wait for their share of the event loop, since they send very small pieces', processReadPacer.countHeld);
 	metrics.registerGauge('instances_limited', 'Instances that name a limit of requests', requestLimits.countLimited);
 	metrics.registerGauge('traits_held_back', 'Prompt parts and requests that are held back because instances crashed under them', crashDetector.countHeldBack);
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -1,15 +1,15 @@
-import {type Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Clock} from '@fescuestair/core';
 import {type Logger, type PrometheusMetrics} from '@fescuestair/runtime';
 import {
 	CallKind, findRoute, type CallerLimits, type Route, type RouteTable,
 } from '@fescuestair/traffic';
-import {canDiscardBody, dropBody, readMessage} from '@fescuestair/transport';
+import {canDiscardBody, dropBody} from '@fescuestair/transport';
 import {type CallerCodec} from './codecs.js';
 import {ExchangeOutcome, sendLocalResponse, type ExchangeResult} from './exchange.js';
 import {forwardExchange, type ForwardResult} from './forward.js';
 import {type ForwardOptions} from './forward-options.js';
+import {BodyReadEnd, createRequestBodies, type RequestBodies} from './request-bodies.js';
 
 export type RequestHandlerOptions = {
 	readonly forwardOptions: ForwardOptions;
@@ -27,6 +27,7 @@
 	readonly recordLength: (route: string, tookMs: number) => void;
 	/** Called for each request to a service; adds to the retry budget of that service. */
 	readonly depositRetryTokens: (service: string) => void;
+	readonly bodies?: RequestBodies;
 };
 
 export type StopRefusal = {
@@ -48,8 +49,8 @@
 const versionNotSupportedStatus = 505;
 /** Characters that Node's parser takes in a target, and its client refuses by throwing. */
 const unforwardablePattern = /[^\u0021-\u00FF]/v;
-/** Upper bound for the bodies of all requests in progress; a request that would exceed it is rejected. */
-const maxBufferedBodyBytes = 64_000_000;
+/** About the time in which the body of another request is answered. */
+const noRoomRetryAfterMs = 500;
 
 /**
 Creates the handler of callers' requests. It checks a request against the configuration in force, reads its body, forwards it, and records it
@@ -63,10 +64,9 @@
 */
 export function createRequestHandler(options: RequestHandlerOptions): (request: IncomingMessage, response: ServerResponse) => Promise<void> {
 	const {
-		forwardOptions, callerCodec, clock, log, metrics, getTable, isConfigConfirmed, findStopRefusal, recordLength, depositRetryTokens,
+		forwardOptions, callerCodec, clock, log, metrics, getTable, isConfigConfirmed, findStopRefusal, recordLength, depositRetryTokens, bodies = createRequestBodies(),
 	} = options;
 	const {isLeaving} = forwardOptions;
-	let bufferedBodyBytes = 0;
 
 	const endBeforeForward = (response: ServerResponse, {outcome, ...local}: Pick<ExchangeResult, 'outcome'> & {
 		readonly status: number; readonly message: string; readonly retryAfterMs?: number;
@@ -145,16 +145,14 @@
 			return {...reject(response, 400, 'the request has no id'), fields};
 		}
 
-		const body = await readWholeBody(request, table.config.limits.maxBodyBytes);
+		const read = await bodies.read(request, table.config.limits.maxBodyBytes);
 
-		if (body === undefined) {
-			return response.destroyed
-				? {
-					outcome: ExchangeOutcome.CallerGone, status: 0, reason: 'the caller left before its request was read', fields,
-				}
-				: {...rejectByConfig(response, 413, 'the body is too large'), fields};
+		if (read.end !== BodyReadEnd.Complete) {
+			return {...refuseBody(response, read.end), fields};
 		}
 
+		const {body} = read;
+
 		try {
 			for (const {service} of route.targets) {
 				depositRetryTokens(service);
@@ -176,40 +174,25 @@
 				},
 			});
 		} finally {
-			bufferedBodyBytes -= body.length;
+			bodies.release(body);
 		}
 	};
 
-	// Counts the body among those of all requests from its first byte on; the caller of this function takes it out again.
-	const readWholeBody = async (request: IncomingMessage, maxBytes: number): Promise<Buffer | undefined> => {
-		let countedBytes = 0;
-
-		try {
-			const body = await readMessage(request, {
-				canTake(size) {
-					const addedBytes = size - countedBytes;
-
-					if (size > maxBytes || bufferedBodyBytes + addedBytes > maxBufferedBodyBytes) {
-						return false;
-					}
-
-					bufferedBodyBytes += addedBytes;
-					countedBytes = size;
-
-					return true;
-				},
-			});
-
-			if (body === undefined) {
-				bufferedBodyBytes -= countedBytes;
+	const refuseBody = (response: ServerResponse, end: Exclude<BodyReadEnd, BodyReadEnd.Complete>): ExchangeResult => {
+		switch (end) {
+			case BodyReadEnd.CallerGone: {
+				return {outcome: ExchangeOutcome.CallerGone, status: 0, reason: 'the caller left before its request was read'};
 			}
 
-			return body;
-		} catch {
-			// The caller closed the connection before the body was complete.
-			bufferedBodyBytes -= countedBytes;
+			case BodyReadEnd.NoRoom: {
+				return endBeforeForward(response, {
+					outcome: ExchangeOutcome.Refused, status: 503, message: 'the bodies of other requests leave no room for this one now', retryAfterMs: noRoomRetryAfterMs,
+				});
+			}
 
-			return undefined;
+			case BodyReadEnd.TooLarge: {
+				return rejectByConfig(response, 413, 'the body is too large');
+			}
 		}
 	};
 
