Check announcements at the edge by the guard of the messages between daemons

Cause: the edge and the messages between daemons had different limits, and a port was any five digits.

--- a/packages/instances/src/index.ts
+++ b/packages/instances/src/index.ts
@@ -23,7 +23,7 @@
 	createLoadRelay, hasPendingLoad, relayLoads, sharesIntervalMs, maxSharesAgeMs, addGatewayUpdate, addRelayUpdate, type LoadRelay, type RelayRound,
 } from './load-relay.js';
 export {
-	isHello, isHelloReply, isInstanceUpdates, isLoadUpdate, isPublishedSnapshot,
+	isHello, isHelloReply, isInstanceRecord, isInstanceUpdates, isLoadUpdate, isPublishedSnapshot,
 } from './message-guards.js';
 export {
 	isRequestLimitNote, isRequestLimitNotes, requestLimitNoteGuards, type RequestLimitNote,
--- a/packages/instances/src/message-guards.ts
+++ b/packages/instances/src/message-guards.ts
@@ -6,7 +6,7 @@
 } from './daemons.js';
 import {type LoadUpdate} from './load-update.js';
 import {isRequestLimitNotes} from './request-limit-note.js';
-import {InstanceStage, type InstanceUpdate} from './types.js';
+import {InstanceStage, type InstanceRecord, type InstanceUpdate} from './types.js';
 
 /** Length limit of names and addresses. */
 const maxNameLength = 500;
@@ -26,7 +26,8 @@
 const isName = isStringUpTo(maxNameLength);
 const isAgeMs = isNumberInRange(0, maxAgeMs);
 
-const isInstanceRecord = isObjectWith({
+/** Whether a record of an instance is within the limits that all daemons check, so that none refuses the messages that hold it. */
+export const isInstanceRecord: TypeGuard<InstanceRecord> = isObjectWith({
 	id: isName, service: isName, address: isName, availabilityZone: isName, softwareVersion: isOptional(isName), slots: isNonNegativeInteger, stage: isOneOf(Object.values(InstanceStage)),
 	coldLeftMs: isNumberInRange(-maxAgeMs, maxAgeMs), models: isArrayOf(isObjectWith({name: isName, version: isNonNegativeInteger}), maxModelsPerInstance),
 	incarnation: isNonNegativeInteger, sequence: isNonNegativeInteger,
