Keep a departure apart from the start that serves now, and share one write while the disk stalls

A report of the departure of an earlier start marked the one that serves now as saved, so that its own departure would not have been written. And each repetition of a departure waited for a write of its own while the disk stalled.

Evidence: the two new tests in fleet.test.ts and departure-store.test.ts.

--- a/packages/coordinator/src/__tests__/unit/departure-store.test.ts
+++ b/packages/coordinator/src/__tests__/unit/departure-store.test.ts
@@ -62,6 +62,17 @@
 	t.is(appended.length, 3);
 });
 
+test('a departure that is reported again while the disk stalls waits for the same write', async t => {
+	const {departures, appended, ends} = openStore();
+	const saves = Array.from({length: 5}, async () => departures.save(createRecord('a')));
+	await waitForTurn();
+	ends[0]!();
+	await Promise.all(saves);
+	await waitForTurn();
+	t.is(appended.length, 1);
+	t.is((appended[0] as unknown[]).length, 1);
+});
+
 test('a departure that the disk does not take is not saved, and is tried again', async t => {
 	const {departures, ends} = openStore();
 	const failing = departures.save(createRecord('a'));
--- a/packages/coordinator/src/__tests__/unit/fleet.test.ts
+++ b/packages/coordinator/src/__tests__/unit/fleet.test.ts
@@ -176,6 +176,19 @@
 	t.like(replies[1], {kind: 'error'});
 });
 
+test('the report of an earlier start that left is not taken for the departure of the one that serves now', async t => {
+	const {commands, writes, fleet} = openFleet(t, {others: []});
+	await fleet.announce({...record, incarnation: 2});
+	const replies: unknown[] = [];
+	commands.dispatch({kind: LinkMessageKind.ReportInstances, notes: [{record: {...record, stage: InstanceStage.Gone}, ageMs: 0, loadingLeftMs: 0}]}, answer => {
+		replies.push(answer);
+	});
+	await waitForTurn();
+	t.deepEqual(replies, [{kind: 'noted'}]);
+	t.is(writes.length, 0);
+	t.is(fleet.findInstance('i-1')?.stage, InstanceStage.Ready);
+});
+
 test('a late announcement of an instance that had left when the process before ended does not bring it back, and a restart under its id does', async t => {
 	for (const stage of [InstanceStage.Draining, InstanceStage.Gone]) {
 		const {announce, fleet} = openFleet(t, {others: ['core-2'], knownDepartures: [{record: {...record, stage, sequence: 7}, ageMs: 0, loadingLeftMs: 0}]});
--- a/packages/coordinator/src/departure-store.ts
+++ b/packages/coordinator/src/departure-store.ts
@@ -28,6 +28,7 @@
 };
 
 type SavedDeparture = {readonly incarnation: number; readonly savedAtMs: number};
+type PendingDeparture = {readonly incarnation: number; readonly result: Promise<void>};
 type WaitingDeparture = {readonly record: InstanceRecord; readonly resolve: () => void; readonly reject: (error: unknown) => void};
 
 /** A departure that was saved this long ago is saved again, as of an instance that drains for long. */
@@ -54,6 +55,8 @@
 export function createDepartureStore({clock, log, store}: DepartureStoreOptions): DepartureStore {
 	const saved = new Map<string, SavedDeparture>();
 	let waiting: readonly WaitingDeparture[] = [];
+	/** Departures that wait for the disk, by id of the instance. */
+	const pending = new Map<string, PendingDeparture>();
 	let underWay: Promise<void> | undefined;
 
 	const getDeadlineMs = () => clock.readMonotonicMs() + retentionMs;
@@ -117,10 +120,25 @@
 				return;
 			}
 
-			await new Promise<void>((resolve, reject) => {
+			const known = pending.get(record.id);
+
+			if (known?.incarnation === record.incarnation) {
+				return known.result;
+			}
+
+			const result = new Promise<void>((resolve, reject) => {
 				waiting = [...waiting, {record, resolve, reject}];
-				underWay ??= writeWaiting();
 			});
+			pending.set(record.id, {incarnation: record.incarnation, result});
+			underWay ??= writeWaiting();
+
+			try {
+				await result;
+			} finally {
+				if (pending.get(record.id)?.result === result) {
+					pending.delete(record.id);
+				}
+			}
 		},
 		retain(isHeld) {
 			for (const id of saved.keys()) {
--- a/packages/coordinator/src/fleet.ts
+++ b/packages/coordinator/src/fleet.ts
@@ -239,7 +239,9 @@
 
 	const answerReport = async (notes: readonly InstanceUpdate[], reply: ((reply: LinkReply) => void) | undefined) => {
 		try {
-			await Promise.all(notes.filter(({record}) => isLeaving(record)).map(async ({record}) => departures.save(registry.held.get(record.id)?.record ?? record)));
+			// The departure of an earlier start says nothing about the one that is known.
+			const reported = notes.map(({record}) => record).filter(record => isLeaving(record) && registry.held.get(record.id)?.record.incarnation === record.incarnation);
+			await Promise.all(reported.map(async record => departures.save(record)));
 			reply?.({kind: 'noted'});
 		} catch (error) {
 			reply?.({kind: 'error', message: String(error)});
