Use one memory budget for buffered answers and for request bodies

Both counted bytes against a bound and evicted something beyond it; they differ only in what gives way, which is a function now (pickLargest, pickLatest). Behaviour and the assertions of the tests are unchanged.

--- a/packages/gateway/src/__tests__/unit/forward.test.ts
+++ b/packages/gateway/src/__tests__/unit/forward.test.ts
@@ -12,13 +12,13 @@
 	createLogger, createPrometheusMetrics, createRequestLimits, PermitOutcome, type PermitClient, type PermitResult,
 } from '@fescuestair/runtime';
 import {CallKind, type Route} from '@fescuestair/traffic';
-import {createBufferedAnswers} from '../../buffered-answers.js';
 import {createCallerServer} from '../../caller-server.js';
 import {type UpstreamCodec} from '../../codecs.js';
 import {type Exchange} from '../../exchange.js';
 import {type ForwardOptions} from '../../forward-options.js';
 import {forwardExchange, type ForwardResult} from '../../forward.js';
 import {createInstancePool} from '../../instance-pool.js';
+import {createMemoryBudget, pickLargest} from '../../memory-budget.js';
 
 const clock = createSystemClock();
 const permit: Permit = {perSecond: 5, startAtMs: 0, endAtMs: Number.POSITIVE_INFINITY};
@@ -131,7 +131,7 @@
 		},
 		getTable: () => ({services: new Map([['app', service]])}), retryBudgets: new Map(), createRetryBudget: () => createRetryBudget({capacity: retries, sharePerSuccess: 0}),
 		origins: {record: () => undefined}, fetchIncarnation: async () => 1, unprovenOrigins: {add: () => undefined},
-		isLeaving: () => false, waiting: new Map(), returns: new Map(), countGateways: () => 1, bufferedAnswers: createBufferedAnswers(),
+		isLeaving: () => false, waiting: new Map(), returns: new Map(), countGateways: () => 1, answerMemory: createMemoryBudget({maxBytes: 64_000_000, pickVictim: pickLargest}),
 	} as unknown as ForwardOptions;
 	const handleRequest = async (request: IncomingMessage, response: ServerResponse) => {
 		const startedAtMs = clock.readMonotonicMs();
--- a/packages/gateway/src/__tests__/unit/buffered-answers.test.ts
+++ b/packages/gateway/src/__tests__/unit/memory-budget.test.ts
@@ -1,9 +1,9 @@
 import test from 'ava';
-import {createBufferedAnswers} from '../../buffered-answers.js';
+import {createMemoryBudget, pickLargest} from '../../memory-budget.js';
 
 // Guards against answers without end that take the memory of all others.
 test('the largest answers give way once all together exceed the bound, and small ones stay', t => {
-	const answers = createBufferedAnswers({maxBytes: 1000});
+	const answers = createMemoryBudget({maxBytes: 1000, pickVictim: pickLargest});
 	const evicted: string[] = [];
 	const open = (name: string) => answers.open(() => {
 		evicted.push(name);
--- a/packages/gateway/src/forward-options.ts
+++ b/packages/gateway/src/forward-options.ts
@@ -6,13 +6,13 @@
 	type Logger, type PermitClient, type PrometheusMetrics, type RequestLimits,
 } from '@fescuestair/runtime';
 import {type RouteTable} from '@fescuestair/traffic';
-import {type BufferedAnswers} from './buffered-answers.js';
 import {type CallerCodec, type UpstreamCodec} from './codecs.js';
 import {type FetchIncarnation} from './check-run-origin.js';
 import {type CrashDetector} from './crash-detector.js';
 import {type Exchange} from './exchange.js';
 import {type WeightsUse} from './target-version-history.js';
 import {type InstancePool} from './instance-pool.js';
+import {type MemoryBudget} from './memory-budget.js';
 import {type PartsClient} from './parts-client.js';
 import {type StreamOrigins} from './stream-origins.js';
 import {type UnprovenOrigins} from './unproven-origins.js';
@@ -49,7 +49,8 @@
 	/** By service, when the next caller that is refused because of limits should return. */
 	readonly returns: Map<string, number>;
 	readonly countGateways: () => number;
-	readonly bufferedAnswers: BufferedAnswers;
+	/** The memory of the answers that are buffered until they, or an event of them, are complete. */
+	readonly answerMemory: MemoryBudget;
 };
 
 /** A permit, and the instance that it is for. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -22,7 +22,6 @@
 import {
 	createLinks, openHttpListener, parseAddress, processReadPacer,
 } from '@fescuestair/transport';
-import {createBufferedAnswers} from './buffered-answers.js';
 import {type CallerCodec, type UpstreamCodec} from './codecs.js';
 import {type FetchIncarnation} from './check-run-origin.js';
 import {createCallerServer} from './caller-server.js';
@@ -32,6 +31,7 @@
 import {createCrashDetector} from './crash-detector.js';
 import {type ForwardOptions} from './forward-options.js';
 import {createInstancePool} from './instance-pool.js';
+import {createMemoryBudget, pickLargest} from './memory-budget.js';
 import {createTargetVersionHistory, classifyWeights, recordTargetVersions} from './target-version-history.js';
 import {createLoadExchange} from './load-exchange.js';
 import {createPartsClient} from './parts-client.js';
@@ -86,6 +86,8 @@
 /** Share of an instance's connections that all gateways use together. */
 const usableConnectionShare = 0.8;
 const minConnections = 4;
+/** Upper bound for the answers that are buffered, together. */
+const maxBufferedAnswerBytes = 64_000_000;
 
 /**
 Creates a gateway, which serves callers by the newest configuration and forwards their requests to instances.
@@ -255,7 +257,7 @@
 		isLeaving: () => isLeaving,
 		waiting: new Map(),
 		countGateways,
-		bufferedAnswers: createBufferedAnswers(),
+		answerMemory: createMemoryBudget({maxBytes: maxBufferedAnswerBytes, pickVictim: pickLargest}),
 	};
 
 	const depositRequest = (service: string) => {
@@ -283,7 +285,7 @@
 	metrics.registerGauge('config_version', 'Version of the configuration in force', () => routeTable?.config.version ?? 0);
 	metrics.registerGauge('requests_running', 'Requests that have no final answer yet', () => activeResponses.size);
 	metrics.registerGauge('requests_waiting', 'Requests that wait here for a free instance', () => forwardOptions.waiting.size);
-	metrics.registerGauge('answers_buffered_bytes', 'Memory of the answers that are buffered until they are complete, or until an event is', forwardOptions.bufferedAnswers.countBytes);
+	metrics.registerGauge('answers_buffered_bytes', 'Memory of the answers that are buffered until they are complete, or until an event is', forwardOptions.answerMemory.countBytes);
 	metrics.registerGauge('bodies_buffered_bytes', 'Bytes of the bodies of requests in progress', bodies.countBytes);
 	metrics.registerGauge('connections_paced', 'Connections that wait for their share of the event loop, since they send very small pieces', processReadPacer.countHeld);
 	metrics.registerGauge('instances_limited', 'Instances that name a limit of requests', requestLimits.countLimited);
--- a/packages/gateway/src/request-bodies.ts
+++ b/packages/gateway/src/request-bodies.ts
@@ -1,6 +1,7 @@
 import {type Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
 import {readMessage} from '@fescuestair/transport';
+import {createMemoryBudget, pickLatest} from './memory-budget.js';
 
 /** How the reading of a request's body ended. */
 export enum BodyReadEnd {
@@ -13,13 +14,16 @@
 	CallerGone = 'caller_gone',
 }
 
-export type BodyRead = {readonly end: BodyReadEnd.Complete; readonly body: Buffer} | {readonly end: Exclude<BodyReadEnd, BodyReadEnd.Complete>};
+/** A complete body counts until it is released. */
+export type BodyRead
+	= | {readonly end: BodyReadEnd.Complete; readonly body: Buffer; readonly release: () => void}
+		| {readonly end: BodyRefusal};
+
+export type BodyRefusal = Exclude<BodyReadEnd, BodyReadEnd.Complete>;
 
 /** The bodies of all requests in progress, which are bounded together. */
 export type RequestBodies = {
-	/** Reads the body of a request. One that is complete counts until `release` is called. */
 	readonly read: (request: IncomingMessage, maxBodyBytes: number) => Promise<BodyRead>;
-	readonly release: (body: Buffer) => void;
 	readonly countBytes: () => number;
 };
 
@@ -31,7 +35,7 @@
 const defaultMaxBytes = 64_000_000;
 
 /**
-Creates the account of request bodies.
+Creates the account of request bodies. Where there is no room for all, the latest request whose body is not complete gives way.
 
 @example
 ```
@@ -40,79 +44,33 @@
 ```
 */
 export function createRequestBodies({maxBytes = defaultMaxBytes}: RequestBodiesOptions = {}): RequestBodies {
-	let totalBytes = 0;
-	/** Bodies that are not complete, in the order in which their requests came. */
-	const reading = new Set<ReadingBody>();
-
-	const drop = (partial: ReadingBody, end: BodyReadEnd.NoRoom | BodyReadEnd.CallerGone) => {
-		reading.delete(partial);
-		totalBytes -= partial.bytes;
-		partial.bytes = 0;
-		partial.refusal = end;
-	};
-
-	// The latest request gives way, so that those before it come to their end.
-	const makeRoom = (addedBytes: number, asking: ReadingBody) => {
-		for (const latest of [...reading].toReversed()) {
-			if (totalBytes + addedBytes <= maxBytes || latest === asking) {
-				return;
-			}
-
-			drop(latest, BodyReadEnd.NoRoom);
-			latest.abort.abort();
-		}
-	};
+	const budget = createMemoryBudget({maxBytes, pickVictim: pickLatest});
 
 	return {
 		async read(request, maxBodyBytes) {
-			const partial: ReadingBody = {bytes: 0, abort: new AbortController(), refusal: BodyReadEnd.TooLarge};
-			reading.add(partial);
-
-			const canTake = (size: number) => {
-				const addedBytes = size - partial.bytes;
-
-				if (size > maxBodyBytes) {
-					return false;
-				}
-
-				makeRoom(addedBytes, partial);
-
-				if (totalBytes + addedBytes > maxBytes) {
-					drop(partial, BodyReadEnd.NoRoom);
-
-					return false;
-				}
-
-				totalBytes += addedBytes;
-				partial.bytes = size;
-
-				return true;
-			};
+			const abort = new AbortController();
+			const {resize, keep, release} = budget.open(() => {
+				abort.abort();
+			});
 
 			try {
-				const body = await readMessage(request, {canTake, signal: partial.abort.signal});
+				const body = await readMessage(request, {canTake: size => size <= maxBodyBytes && resize(size), signal: abort.signal});
 
 				if (body !== undefined) {
-					reading.delete(partial);
+					keep();
 
-					return {end: BodyReadEnd.Complete, body};
+					return {end: BodyReadEnd.Complete, body, release};
 				}
 			} catch {
-				if (!partial.abort.signal.aborted) {
-					drop(partial, BodyReadEnd.CallerGone);
-				}
+				release();
+
+				return {end: abort.signal.aborted ? BodyReadEnd.NoRoom : BodyReadEnd.CallerGone};
 			}
 
-			reading.delete(partial);
-			totalBytes -= partial.bytes;
+			release();
 
-			return {end: partial.refusal};
+			return {end: BodyReadEnd.TooLarge};
 		},
-		release(body) {
-			totalBytes -= body.length;
-		},
-		countBytes: () => totalBytes,
+		countBytes: budget.countBytes,
 	};
 }
-
-type ReadingBody = {bytes: number; readonly abort: AbortController; refusal: Exclude<BodyReadEnd, BodyReadEnd.Complete>};
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -9,7 +9,9 @@
 import {ExchangeOutcome, sendLocalResponse, type ExchangeResult} from './exchange.js';
 import {forwardExchange, type ForwardResult} from './forward.js';
 import {type ForwardOptions} from './forward-options.js';
-import {BodyReadEnd, createRequestBodies, type RequestBodies} from './request-bodies.js';
+import {
+	BodyReadEnd, createRequestBodies, type BodyRefusal, type RequestBodies,
+} from './request-bodies.js';
 
 export type RequestHandlerOptions = {
 	readonly forwardOptions: ForwardOptions;
@@ -151,7 +153,7 @@
 			return {...refuseBody(response, read.end), fields};
 		}
 
-		const {body} = read;
+		const {body, release} = read;
 
 		try {
 			for (const {service} of route.targets) {
@@ -174,11 +176,11 @@
 				},
 			});
 		} finally {
-			bodies.release(body);
+			release();
 		}
 	};
 
-	const refuseBody = (response: ServerResponse, end: Exclude<BodyReadEnd, BodyReadEnd.Complete>): ExchangeResult => {
+	const refuseBody = (response: ServerResponse, end: BodyRefusal): ExchangeResult => {
 		switch (end) {
 			case BodyReadEnd.CallerGone: {
 				return {outcome: ExchangeOutcome.CallerGone, status: 0, reason: 'the caller left before its request was read'};
--- a/packages/gateway/src/start-run.ts
+++ b/packages/gateway/src/start-run.ts
@@ -136,7 +136,7 @@
 		entry.agent.closeIdle(maxIdleMs);
 	}
 
-	const buffered = options.bufferedAnswers.open(() => {
+	const buffered = options.answerMemory.open(() => {
 		attempt.cancel(RunEvidence.OutOfMemory);
 	});
 
