Move the persistence of departures out of the registry of a coordinator

fleet.ts remembered which departures a majority has, and departure-store.ts which its own disk has, by the same rule; one small table serves both (recent-departures.ts). What makes a departure durable is in departure-persister.ts. The departures of the process before are merged by the function that merges updates. isLeaving stands once, in the package of instances, and the gateway uses it. Behaviour and the assertions of the tests are unchanged.

--- a/packages/coordinator/src/__tests__/unit/fleet.test.ts
+++ b/packages/coordinator/src/__tests__/unit/fleet.test.ts
@@ -6,7 +6,8 @@
 } from '@fescuestair/instances';
 import {createLinkCommands, LinkMessageKind, type LinkMessage} from '@fescuestair/protocol';
 import {createLogger, createPrometheusMetrics} from '@fescuestair/runtime';
-import {createFleet, DepartureNotSavedError} from '../../fleet.js';
+import {DepartureNotSavedError} from '../../departure-persister.js';
+import {createFleet} from '../../fleet.js';
 
 const createCard = (name: string): DaemonRecord => ({
 	name, role: DaemonRole.Coordinator, incarnation: 1, linkAddress: `${name}:7200`, serviceAddress: `${name}:8000`, availabilityZone: 'north', isReady: true, sequence: 0,
--- a/packages/coordinator/src/departure-store.ts
+++ b/packages/coordinator/src/departure-store.ts
@@ -1,9 +1,10 @@
 import {type Clock} from '@fescuestair/core';
 import {
-	InstanceStage, isInstanceUpdates, type InstanceRecord, type InstanceUpdate,
+	isInstanceUpdates, isLeaving, type InstanceRecord, type InstanceUpdate,
 } from '@fescuestair/instances';
 import {type Logger} from '@fescuestair/runtime';
 import {type SegmentStore} from '@fescuestair/storage';
+import {createRecentDepartures, type RecentDepartures} from './recent-departures.js';
 
 export type DepartureStoreOptions = {
 	readonly clock: Pick<Clock, 'readMonotonicMs'>;
@@ -21,27 +22,19 @@
 	/** Resolves once the departure of this incarnation is on the disk; throws a `DiskError`. Departures that come at once share a write and its sync. */
 	readonly save: (record: InstanceRecord) => Promise<void>;
 	/** Forgets in memory what was saved of instances that are no longer held. */
-	readonly retain: (isHeld: (id: string) => boolean) => void;
+	readonly retain: RecentDepartures['retain'];
 	readonly countBytes: () => number;
 	/** Waits for the write that is under way. */
 	readonly stop: () => Promise<void>;
 };
 
-type SavedDeparture = {readonly incarnation: number; readonly savedAtMs: number};
 type PendingDeparture = {readonly incarnation: number; readonly result: Promise<void>};
 type WaitingDeparture = {readonly record: InstanceRecord; readonly resolve: () => void; readonly reject: (error: unknown) => void};
 
-/** A departure that was saved this long ago is saved again, as of an instance that drains for long. */
-const refreshMs = 30_000;
-/** Longer than the time until the next refresh and that for which the registry keeps a record after it. */
+/** Longer than the time until a departure is saved again and that for which the registry keeps a record after it. */
 const retentionMs = 120_000;
 const maxBatchRecords = 1000;
 
-/** Whether an instance takes no further requests. */
-export function isLeaving({stage}: Pick<InstanceRecord, 'stage'>): boolean {
-	return stage !== InstanceStage.Ready;
-}
-
 /**
 Creates the store of departures.
 
@@ -53,7 +46,7 @@
 ```
 */
 export function createDepartureStore({clock, log, store}: DepartureStoreOptions): DepartureStore {
-	const saved = new Map<string, SavedDeparture>();
+	const saved = createRecentDepartures({clock});
 	let waiting: readonly WaitingDeparture[] = [];
 	/** Departures that wait for the disk, by id of the instance. */
 	const pending = new Map<string, PendingDeparture>();
@@ -61,16 +54,6 @@
 
 	const getDeadlineMs = () => clock.readMonotonicMs() + retentionMs;
 
-	const recordSaved = ({id, incarnation}: InstanceRecord) => {
-		saved.set(id, {incarnation, savedAtMs: clock.readMonotonicMs()});
-	};
-
-	const isSaved = ({id, incarnation}: InstanceRecord) => {
-		const known = saved.get(id);
-
-		return known?.incarnation === incarnation && clock.readMonotonicMs() - known.savedAtMs < refreshMs;
-	};
-
 	const writeWaiting = async () => {
 		while (waiting.length > 0) {
 			const batch = waiting.slice(0, maxBatchRecords);
@@ -80,7 +63,7 @@
 				await store.append(batch.map(({record}): InstanceUpdate => ({record, ageMs: 0, loadingLeftMs: 0})), getDeadlineMs());
 
 				for (const {record, resolve} of batch) {
-					recordSaved(record);
+					saved.record(record);
 					resolve();
 				}
 			} catch (error) {
@@ -103,7 +86,7 @@
 				const updates = values.flatMap(value => isInstanceUpdates(value) ? value : []).filter(({record}) => isLeaving(record));
 
 				for (const {record} of updates) {
-					recordSaved(record);
+					saved.record(record);
 				}
 
 				log.info('departures of instances were loaded', {departures: updates.length, unknownValues: values.filter(value => !isInstanceUpdates(value)).length});
@@ -116,7 +99,7 @@
 			}
 		},
 		async save(record) {
-			if (isSaved(record)) {
+			if (saved.has(record)) {
 				return;
 			}
 
@@ -140,13 +123,7 @@
 				}
 			}
 		},
-		retain(isHeld) {
-			for (const id of saved.keys()) {
-				if (!isHeld(id)) {
-					saved.delete(id);
-				}
-			}
-		},
+		retain: saved.retain,
 		countBytes: store.countBytes,
 		async stop() {
 			await underWay;
--- a/packages/coordinator/src/fleet.ts
+++ b/packages/coordinator/src/fleet.ts
@@ -1,32 +1,23 @@
 import {randomBytes} from 'node:crypto';
-import {
-	BaseError, isBoolean, isObjectWith, type Clock,
-} from '@fescuestair/core';
+import {isBoolean, isObjectWith, type Clock} from '@fescuestair/core';
 import {isCrashReportMessage} from '@fescuestair/crashes';
 import {
-	createGatewayDirectory, createInstanceRegistry, createInstanceUpdate, DaemonRole, describePeers, getHomeListVersion, HelloKind, InstanceStage, isHello, isInstanceUpdates,
+	createGatewayDirectory, createInstanceRegistry, createInstanceUpdate, DaemonRole, describePeers, getHomeListVersion, HelloKind, InstanceStage, isHello, isInstanceUpdates, isLeaving,
 	isPublishedSnapshot, isRequestLimitNotes, listDaemons, listGateways, listHomeGatewayAddresses, createHomeList, listUpdates, listRenewals, MergeOutcome, setLoading, setModelVersion,
 	mergeDaemonRecord, recordHomeHello, recordHomeList, mergeInstanceRecord, applyRenewals, expireGateways, expireInstances, type DaemonRecord,
-	type DaemonTable, type RegisteredInstance, type Hello, type HelloReply, type InstanceRegistry, type InstanceUpdate, type InstanceRecord, type PublishedSnapshot,
+	type DaemonTable, type RegisteredInstance, type Hello, type HelloReply, type InstanceUpdate, type InstanceRecord, type PublishedSnapshot,
 } from '@fescuestair/instances';
 import {
-	callAndValidate, isName, LinkMessageKind, ReplyError, type LinkCommands, type LinkMessage, type LinkReply,
+	callAndValidate, isName, LinkMessageKind, type LinkCommands, type LinkMessage, type LinkReply,
 } from '@fescuestair/protocol';
 import {
 	createHelloClient, createRequestLimits, type Logger, type PrometheusMetrics, type RequestLimits,
 } from '@fescuestair/runtime';
 import {type Links} from '@fescuestair/transport';
 import {createCrashEvidenceHost} from './crash-evidence-host.js';
-import {isLeaving, type DepartureStore} from './departure-store.js';
+import {createDeparturePersister} from './departure-persister.js';
+import {type DepartureStore} from './departure-store.js';
 import {createLoadRelayHost} from './load-relay-host.js';
-import {waitForMajority} from './wait-for-majority.js';
-
-/** That an instance leaves cannot be acknowledged now, since a majority of the group does not have it on its disks. */
-export class DepartureNotSavedError extends BaseError {
-	constructor(id: string) {
-		super('departure_not_saved', `no majority has saved that instance ${id} leaves`);
-	}
-}
 
 export type FleetOptions = {
 	readonly self: DaemonRecord;
@@ -86,10 +77,6 @@
 const gatewayAgeMs = 2000;
 const coordinatorAgeMs = 10_000;
 const callTimeoutMs = 1500;
-/** Shorter than an instance waits for the acknowledgement of its announcement. */
-const reportTimeoutMs = 500;
-/** The disks keep a departure for longer than this. */
-const securedMs = 30_000;
 /** After a start, no gateways are listed until all have had time to send a hello; until then, callers would all go to the few known ones. */
 const directoryWarmupMs = 1200;
 /** Number of coordinators polled per round for renewals, in rotation. A heartbeat of an instance reaches only the coordinator that it is sent to. */
@@ -113,9 +100,7 @@
 	const directoryReadyAtMs = clock.readMonotonicMs() + directoryWarmupMs;
 	/** Version of this coordinator's home list that each other coordinator holds, by link address. */
 	const acknowledgedHomes = new Map<string, HelloReply['heldHomes']>();
-	/** Departures that a majority has on its disks, by id of the instance. */
-	const securedDepartures = new Map<string, {readonly incarnation: number; readonly securedAtMs: number}>();
-	let registry = mergeUpdates(createInstanceRegistry(), knownDepartures, clock.readMonotonicMs());
+	let registry = createInstanceRegistry();
 	let daemons: DaemonTable = new Map();
 	let directory = createGatewayDirectory();
 	let sourceOffset = 0;
@@ -177,58 +162,6 @@
 		}
 	};
 
-	const reportDeparture = async (linkAddress: string, update: InstanceUpdate) => {
-		const reply = await callAndValidate(links, {address: linkAddress, message: {kind: LinkMessageKind.ReportInstances, notes: [update]}, timeoutMs: reportTimeoutMs});
-
-		if (reply.kind !== 'noted') {
-			throw new ReplyError(linkAddress, 'did not take the report of an instance');
-		}
-	};
-
-	const rejectInTime = async () => {
-		await new Promise((_resolve, reject) => {
-			setTimeout(() => {
-				reject(new Error(`not saved within ${reportTimeoutMs} ms`));
-			}, reportTimeoutMs).unref();
-		});
-	};
-
-	// What is acknowledged has to outlast the loss of all processes, and of the disks that the group bears to lose.
-	const secureDeparture = async ({id, incarnation}: InstanceRecord) => {
-		const held = registry.held.get(id);
-
-		if (held?.record.incarnation !== incarnation || isSecured(held.record)) {
-			return;
-		}
-
-		const update = createInstanceUpdate(held, clock.readMonotonicMs());
-		const otherVotes = new Map(listPeerAddresses().map(address => [address, reportDeparture(address, update)]));
-		const ownVote = Promise.race([departures.save(held.record), rejectInTime()]);
-		// Before there is a group, each coordinator that is known counts.
-		const voters = listVoterAddresses();
-		const isVoter = (address: string) => voters.length === 0 || voters.includes(address);
-		const votes = [[self.linkAddress, ownVote] as const, ...otherVotes].filter(([address]) => isVoter(address)).map(async ([, vote]) => vote);
-		void Promise.allSettled([ownVote, ...otherVotes.values()]);
-
-		try {
-			await waitForMajority({votes, voterCount: voters.length === 0 ? votes.length : voters.length});
-			securedDepartures.set(id, {incarnation, securedAtMs: clock.readMonotonicMs()});
-		} catch (error) {
-			metrics.count('departures_unsecured_total', {});
-			log.warn('that an instance leaves is not acknowledged, since no majority has it on its disks', {
-				id, incarnation, reason: String(error), errors: (error as AggregateError).errors.map(String),
-			});
-
-			throw new DepartureNotSavedError(id);
-		}
-	};
-
-	const isSecured = ({id, incarnation}: InstanceRecord) => {
-		const secured = securedDepartures.get(id);
-
-		return secured?.incarnation === incarnation && clock.readMonotonicMs() - secured.securedAtMs < securedMs;
-	};
-
 	// Returns the updates that changed the registry.
 	const applyInstanceUpdates = (notes: readonly InstanceUpdate[]) => notes.filter(({record, ageMs, loadingLeftMs}) => {
 		const taken = mergeInstanceRecord(registry, record, {nowMs: clock.readMonotonicMs(), ageMs, loadingLeftMs});
@@ -367,20 +300,11 @@
 		return addresses;
 	};
 
-	const forgetDepartures = () => {
-		departures.retain(id => registry.held.has(id));
-
-		for (const id of securedDepartures.keys()) {
-			if (!registry.held.has(id)) {
-				securedDepartures.delete(id);
-			}
-		}
-	};
-
 	const runRound = () => {
 		const {nowMs} = getTimes();
 		registry = expireInstances(registry, nowMs);
-		forgetDepartures();
+		departures.retain(id => registry.held.has(id));
+		persister.retain(id => registry.held.has(id));
 		directory = expireGateways(directory, getTimes());
 		const addresses = sendHellos();
 		sourceOffset += fleetSourcesPerRound;
@@ -440,7 +364,11 @@
 	metrics.registerGauge('gateways_known', 'Gateways that were heard lately', () => listGateways(directory, getTimes()).length);
 	metrics.registerGauge('gateways_at_home', 'Gateways that have this coordinator as a home', () => directory.homes.size);
 
+	const persister = createDeparturePersister({
+		ownAddress: self.linkAddress, clock, links, log, metrics, store: departures, listPeerAddresses, listVoterAddresses,
+	});
 	const timer = setInterval(runRound, helloIntervalMs);
+	applyInstanceUpdates(knownDepartures);
 	runRound();
 
 	return {
@@ -461,8 +389,10 @@
 				log.info('announcement is stale', {id: record.id, incarnation: record.incarnation, sequence: record.sequence});
 			}
 
-			if (isLeaving(record)) {
-				await secureDeparture(record);
+			const held = registry.held.get(record.id);
+
+			if (isLeaving(record) && held?.record.incarnation === record.incarnation) {
+				await persister.persist(createInstanceUpdate(held, clock.readMonotonicMs()));
 			}
 		},
 		findInstance: id => registry.held.get(id)?.record,
@@ -489,13 +419,3 @@
 		},
 	};
 }
-
-function mergeUpdates(registry: InstanceRegistry, updates: readonly InstanceUpdate[], nowMs: number): InstanceRegistry {
-	let merged = registry;
-
-	for (const {record, ageMs} of updates) {
-		merged = mergeInstanceRecord(merged, record, {nowMs, ageMs}).registry;
-	}
-
-	return merged;
-}
--- a/packages/gateway/src/pooled-instance.ts
+++ b/packages/gateway/src/pooled-instance.ts
@@ -1,4 +1,4 @@
-import {InstanceStage, type RegisteredInstance} from '@fescuestair/instances';
+import {isLeaving, type RegisteredInstance} from '@fescuestair/instances';
 import {
 	createCachedParts, createInstanceLoad, createInstanceState, type AnnouncedState, type CachedParts, type InstanceLoad, type InstanceState, noPauses, type Pauses,
 	type PromptPart, type WorkEstimate,
@@ -56,7 +56,7 @@
 export function describeAnnouncedStanding({record, heardAtMs, loadingDeadlineMs}: RegisteredInstance): AnnouncedState {
 	return {
 		incarnation: record.incarnation,
-		isLeaving: record.stage !== InstanceStage.Ready,
+		isLeaving: isLeaving(record),
 		heardAtMs,
 		loadingDeadlineMs,
 		coldDeadlineMs: heardAtMs + Math.min(record.coldLeftMs, maxColdMs),
--- a/packages/instances/src/index.ts
+++ b/packages/instances/src/index.ts
@@ -15,6 +15,7 @@
 	type DirectoryExpiry, type GatewayDirectory, type HomeList,
 } from './directory.js';
 export {countEnoughGateways, describePeers, listGatewaysForCallers} from './gateway-peers.js';
+export {isLeaving} from './is-leaving.js';
 export {pickHomes, pickRecordKeepers, type HomeCandidate} from './pick-homes.js';
 export {
 	sumShares, sumWork, type InstanceShare, type LoadUpdate, type WorkDelta,
