Take the forwarding of what is read out of the attempt, and hold connections only where it is needed

The pacer made a gate with a listener for each connection; now only for one that is held. What returned no undo is not called register: processReadPacer.open, watchInterimResponses. Behaviour is unchanged.

--- a/packages/entry/src/service-call.ts
+++ b/packages/entry/src/service-call.ts
@@ -1,7 +1,7 @@
 import http, {type Agent, type IncomingHttpHeaders, type IncomingMessage} from 'node:http';
 import {AttemptOutcome, headerNames, ExecutionStatus} from '@fescuestair/protocol';
 import {
-	createByteCollector, parseAddress, processReadPacer, registerInterimLimit,
+	createByteCollector, parseAddress, processReadPacer, watchInterimResponses,
 } from '@fescuestair/transport';
 import {AttemptError} from './attempt-error.js';
 
@@ -137,7 +137,7 @@
 			request.on('error', (error: NodeJS.ErrnoException) => {
 				failConnection(`${error.code ?? 'unknown'}: ${error.message}`);
 			});
-			registerInterimLimit(request, () => {
+			watchInterimResponses(request, () => {
 				failInvalid('too many interim responses');
 			});
 			request.on('response', response => {
@@ -174,7 +174,7 @@
 function readResponse(response: IncomingMessage, {resolve, failConnection, failInvalid, onHeard, isUnframed: endsWithConnection}: ResponseReading): void {
 	const collector = createByteCollector({maxBytes: maxAnswerBytes});
 	const {socket} = response;
-	const recordPiece = processReadPacer.register(socket);
+	const recordPiece = processReadPacer.open(socket);
 
 	if (endsWithConnection) {
 		// A reset that is read together with the last bytes is reported as the end of the body, but leaves a socket without a peer. Node keeps the address of a
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -2,12 +2,12 @@
 import http, {type IncomingHttpHeaders, type IncomingMessage} from 'node:http';
 import {type Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
-import process from 'node:process';
 import {BodyFraming, describeRunEvidence, type RunEvidence} from '@fescuestair/streams';
 import {
-	createByteCollector, getReadGate, parseAddress, processReadPacer, ReadHold, registerInterimLimit, waitForReads, type ReadGate,
+	createByteCollector, parseAddress, processReadPacer, waitForReads, watchInterimResponses,
 } from '@fescuestair/transport';
 import {type UpstreamResponseMetadata, type UpstreamCodec} from './codecs.js';
+import {createReadForwarder, type ReadForwarder} from './read-forwarder.js';
 import {type UpstreamAgent} from './upstream-agent.js';
 
 /** How one attempt to run a request on one instance ended. */
@@ -107,12 +107,8 @@
 	} = options;
 	const {host, port} = parseAddress(address);
 	const collector = createByteCollector({maxBytes: maxBufferedBytes});
-	/** What was read since the event loop's last turn, or while the receiver takes nothing. */
-	const unread = createByteCollector();
-	let isPaused = false;
-	let heldGate: ReadGate | undefined;
-	let isFlushScheduled = false;
-	let finishOnceRead: (() => void) | undefined;
+	/** Where the body is handed to `onData`. */
+	let forwarder: ReadForwarder | undefined;
 	let isSent = false;
 	/** Whether no connection has been given to it yet: the bound on connections says nothing about the instance. */
 	let isQueued = true;
@@ -145,31 +141,9 @@
 		request.destroy();
 	};
 
-	const forwardUnread = () => {
-		isFlushScheduled = false;
-
-		if (!isSettled && !isPaused && unread.countBytes() > 0 && !onData!(unread.take(), head!)) {
-			isPaused = true;
-			holdReads();
-		}
-	};
-
-	const holdReads = () => {
-		// Once the response has ended, its connection serves other requests.
-		if (finishOnceRead === undefined) {
-			heldGate = getReadGate(incoming!.socket);
-			heldGate.hold(ReadHold.Backpressure);
-		}
-	};
-
-	const releaseReads = () => {
-		heldGate?.release(ReadHold.Backpressure);
-		heldGate = undefined;
-	};
-
 	// The instance closed or reset the connection.
 	const failConnectionLost = (reason: string) => {
-		forwardUnread();
+		forwarder?.flush();
 		fail(reason, {isConnectionLost: true});
 	};
 
@@ -216,7 +190,7 @@
 			failConnectionLost(error.code ?? error.message);
 		}
 	});
-	registerInterimLimit(request, () => {
+	watchInterimResponses(request, () => {
 		fail('too many interim responses');
 	});
 	request.on('response', response => {
@@ -260,8 +234,12 @@
 		}
 
 		onHead?.(head);
-		const isStreamed = onData !== undefined && head.status >= 200 && head.status < 300 && !head.answer.isNotRun;
-		const recordPiece = processReadPacer.register(response.socket);
+
+		if (onData !== undefined && head.status >= 200 && head.status < 300 && !head.answer.isNotRun) {
+			forwarder = createReadForwarder({socket: response.socket, forward: bytes => isSettled || onData(bytes, head!)});
+		}
+
+		const recordPiece = processReadPacer.open(response.socket);
 		response.on('data', (bytes: Buffer) => {
 			recordPiece();
 			onBytes();
@@ -270,13 +248,8 @@
 				return;
 			}
 
-			if (isStreamed) {
-				unread.push(bytes);
-
-				if (!isFlushScheduled) {
-					isFlushScheduled = true;
-					process.nextTick(forwardUnread);
-				}
+			if (forwarder !== undefined) {
+				forwarder.push(bytes);
 
 				return;
 			}
@@ -290,19 +263,14 @@
 			}
 		});
 		response.on('end', () => {
-			if (response.complete) {
-				finishOnceRead = () => {
-					finish(head!.answer.isNotRun ? AttemptCompletion.NotRun : AttemptCompletion.Complete, head!.answer.isNotRun ? `refused with ${head!.status}` : '');
-				};
-
-				releaseReads();
-				forwardUnread();
-
-				if (!isPaused) {
-					finishOnceRead();
-				}
-			} else {
+			if (!response.complete) {
 				failConnectionLost('the answer was cut short');
+			} else if (forwarder === undefined) {
+				finish(head!.answer.isNotRun ? AttemptCompletion.NotRun : AttemptCompletion.Complete, head!.answer.isNotRun ? `refused with ${head!.status}` : '');
+			} else {
+				forwarder.end(() => {
+					finish(AttemptCompletion.Complete, '');
+				});
 			}
 		});
 		response.on('error', (error: NodeJS.ErrnoException) => {
@@ -328,15 +296,7 @@
 			fail(reason);
 		},
 		resume() {
-			isPaused = false;
-			forwardUnread();
-
-			if (isPaused) {
-				return;
-			}
-
-			releaseReads();
-			finishOnceRead?.();
+			forwarder?.resume();
 		},
 	};
 }
--- a/packages/transport/src/__tests__/unit/read-pacer.test.ts
+++ b/packages/transport/src/__tests__/unit/read-pacer.test.ts
@@ -25,7 +25,7 @@
 		},
 		maxPiecesPerTurn: 3,
 	});
-	const open = (name: string) => pacer.register({name} as unknown as Socket);
+	const open = (name: string) => pacer.open({name} as unknown as Socket);
 
 	return {
 		pacer, open, events, delays,
--- a/packages/transport/src/http.ts
+++ b/packages/transport/src/http.ts
@@ -81,7 +81,7 @@
 */
 export function dropBody(response: ServerResponse): void {
 	const {req: request} = response;
-	const recordPiece = processReadPacer.register(request.socket);
+	const recordPiece = processReadPacer.open(request.socket);
 	let size = 0;
 
 	const closeConnection = () => {
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -24,7 +24,7 @@
 	createReadPacer, processReadPacer, type ReadPacer, type ReadPacerOptions,
 } from './read-pacer.js';
 export {IncompleteMessageError, readMessage, type MessageReadOptions} from './read-message.js';
-export {registerInterimLimit} from './interim-limit.js';
+export {watchInterimResponses} from './interim-responses.js';
 export {
 	createEventCollector, eventDelimiters, maxDelimiterBytes, type EventCollector,
 } from './event-collector.js';
--- a/packages/transport/src/interim-limit.ts
+++ b/packages/transport/src/interim-responses.ts
@@ -10,17 +10,17 @@
 
 @example
 ```
-registerInterimLimit(request, () => {
+watchInterimResponses(request, () => {
 	request.destroy();
 });
 ```
 */
-export function registerInterimLimit(request: ClientRequest, onExceeded: () => void): void {
+export function watchInterimResponses(request: ClientRequest, onExceeded: () => void): void {
 	let count = 0;
 	let recordPiece: (() => void) | undefined;
 
 	request.on('socket', (socket: Socket) => {
-		recordPiece = processReadPacer.register(socket);
+		recordPiece = processReadPacer.open(socket);
 	});
 	request.on('information', () => {
 		recordPiece?.();
--- a/packages/transport/src/read-message.ts
+++ b/packages/transport/src/read-message.ts
@@ -28,7 +28,7 @@
 */
 export async function readMessage(message: IncomingMessage, {canTake, signal}: MessageReadOptions): Promise<Buffer | undefined> {
 	const collector = createByteCollector();
-	const recordPiece = processReadPacer.register(message.socket);
+	const recordPiece = processReadPacer.open(message.socket);
 
 	return new Promise((resolve, reject) => {
 		const finish = (settle: () => void) => {
--- a/packages/transport/src/read-pacer.ts
+++ b/packages/transport/src/read-pacer.ts
@@ -5,7 +5,7 @@
 /** Keeps connections whose bytes come in very many small pieces from taking the event loop from all others. */
 export type ReadPacer = {
 	/** Returns the function to be called for each piece that is read from a connection: a chunk of a body, or an interim response. */
-	readonly register: (socket: Socket) => () => void;
+	readonly open: (socket: Socket) => () => void;
 	/** Connections that wait for their turn. */
 	readonly countHeld: () => number;
 };
@@ -22,7 +22,7 @@
 };
 
 type PacedConnection = {
-	readonly gate: ReadGate;
+	readonly socket: Socket;
 	turn: number;
 	pieces: number;
 };
@@ -35,7 +35,7 @@
 @example
 ```
 const pacer = createReadPacer();
-const recordPiece = pacer.register(response.socket);
+const recordPiece = pacer.open(response.socket);
 response.on('data', recordPiece);
 ```
 */
@@ -69,7 +69,7 @@
 
 		waiting.delete(connection);
 		const startedAtMs = readNowMs();
-		connection.gate.release(ReadHold.Pace);
+		getGate(connection.socket).release(ReadHold.Pace);
 		// After the first turn, what was buffered has been handled; after the second, what the loop has read since.
 		runNextTurn(() => {
 			runNextTurn(() => {
@@ -79,7 +79,7 @@
 	};
 
 	const hold = (connection: PacedConnection) => {
-		connection.gate.hold(ReadHold.Pace);
+		getGate(connection.socket).hold(ReadHold.Pace);
 		waiting.add(connection);
 
 		if (!isReleasing) {
@@ -88,16 +88,16 @@
 		}
 	};
 
-	const getConnection = (socket: Socket): PacedConnection => {
-		const connection = connections.get(socket) ?? {gate: getGate(socket), turn, pieces: 0};
+	const addConnection = (socket: Socket): PacedConnection => {
+		const connection = {socket, turn, pieces: 0};
 		connections.set(socket, connection);
 
 		return connection;
 	};
 
 	return {
-		register(socket) {
-			const connection = getConnection(socket);
+		open(socket) {
+			const connection = connections.get(socket) ?? addConnection(socket);
 
 			return () => {
 				if (connection.turn !== turn) {
