Log which weights runs begin on, who told the age of a target, and which instances stay on older weights

- Requests that waited: an attempt's line has the version that the answer names (`servedVersion`), the newer target that was known when it was sent, with its age and source, and the time until its first event.
`a run began on weights that are too old` repeats it for runs past the limit.
- Unknown version: the same lines, with `believedVersion` missing.

Metrics: `runs_on_older_weights_total` by age (`a_moment`, `within_limit`, `past_limit`), `instances_overdue_for_weights`. No decision changes.

--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -30,7 +30,7 @@
 import {createCoalescer} from './coalescer.js';
 import {createPartsIndexHost, type StoreClient} from './parts-index-host.js';
 import {createPartsMirrorHost} from './parts-mirror-host.js';
-import {createReplicaHost} from './replica-host.js';
+import {createReplicaHost, PublishedSource} from './replica-host.js';
 import {createStreamOriginsHost} from './stream-origins-host.js';
 import {createTargetAges} from './target-ages.js';
 import {createWeightOrders, type WeightOrdersOptions} from './weight-orders.js';
@@ -131,6 +131,7 @@
 		name, role: DaemonRole.Coordinator, incarnation: clock.readWallMs(), linkAddress, serviceAddress, availabilityZone, isReady: true, sequence: 0,
 	};
 	const targetAges = createTargetAges(clock);
+	const startedAtMs = clock.readMonotonicMs();
 	let leaderHeardAtMs = Number.NEGATIVE_INFINITY;
 	/** The last entry that is committed, as the last message of a leader stated. */
 	let statedCommitIndex = Number.POSITIVE_INFINITY;
@@ -153,9 +154,14 @@
 		}
 	});
 
-	const onPublished = (state: PublishedState, isLeading: boolean) => {
-		targetAges.record(state);
-		applyPublished({state, isLeading});
+	const onPublished = (state: PublishedState, source: PublishedSource) => {
+		for (const [model, version] of targetAges.record(state)) {
+			log.info('target version of weights known', {
+				model, version, source, ageMs: Math.round(targetAges.getAgeMs(model, version)), sinceStartMs: Math.round(clock.readMonotonicMs() - startedAtMs),
+			});
+		}
+
+		applyPublished({state, isLeading: source === PublishedSource.OwnCommit});
 	};
 
 	const replica = await createReplicaHost({
@@ -375,6 +381,8 @@
 		handoverMs: orderHandoverMs,
 	});
 
+	metrics.registerGauge('instances_overdue_for_weights', 'Instances that stay on older weights for longer than a rollout should take, as the leader knows them', orders.countOverdue);
+
 	const partsIndex = createPartsIndexHost({
 		clock,
 		log,
--- a/packages/coordinator/src/index.ts
+++ b/packages/coordinator/src/index.ts
@@ -8,7 +8,7 @@
 	createPartsIndexHost, type PartsIndexHostOptions, type StoreClient, type StoreEvents, type StoreListing,
 } from './parts-index-host.js';
 export {
-	computeMaxConcurrentLoads, planWeightOrders, type WeightOrder, type PlanWeightOrdersInput,
+	computeMaxConcurrentLoads, listOutdatedInstances, OrderObstacle, planWeightOrders, type OutdatedInstance, type WeightOrder, type PlanWeightOrdersInput,
 } from './plan-weight-orders.js';
 export {
 	applyPublish, createPublishedState, decodePublishedState, describePublished, encodePublishedState, PublishKind, type PublishAnswer,
--- a/packages/coordinator/src/plan-weight-orders.ts
+++ b/packages/coordinator/src/plan-weight-orders.ts
@@ -1,4 +1,4 @@
-import {InstanceStage, type RegisteredInstance} from '@fescuestair/instances';
+import {InstanceStage, type InstanceRecord, type RegisteredInstance} from '@fescuestair/instances';
 
 /** An order to an instance to load another version of a model's weights. */
 export type WeightOrder = {
@@ -8,6 +8,25 @@
 	readonly version: number;
 };
 
+/** Why an instance with older weights gets no order now. */
+export enum OrderObstacle {
+	/** It leaves, or has left. */
+	Leaving = 'leaving',
+	/** It has not announced itself for too long. */
+	Silent = 'silent',
+	/** It has an order in progress. */
+	InProgress = 'in_progress',
+	/** Enough others load weights. */
+	NoTurn = 'no_turn',
+}
+
+/** An instance whose weights are older than the target, and the order that it should get. */
+export type OutdatedInstance = WeightOrder & {
+	readonly currentVersion: number;
+	/** `undefined` where it gets the order now. */
+	readonly obstacle: OrderObstacle | undefined;
+};
+
 export type PlanWeightOrdersInput = {
 	readonly instances: Iterable<RegisteredInstance>;
 	/** The target version of the weights of each model. */
@@ -46,11 +65,18 @@
 ```
 */
 export function planWeightOrders(plan: PlanWeightOrdersInput): readonly WeightOrder[] {
+	return listOutdatedInstances(plan)
+		.filter(({obstacle}) => obstacle === undefined)
+		.map(({currentVersion: _currentVersion, obstacle: _obstacle, ...order}) => order);
+}
+
+/** Lists the instances whose weights are older than the target, with what keeps each of them from an order. */
+export function listOutdatedInstances(plan: PlanWeightOrdersInput): readonly OutdatedInstance[] {
 	const {instances, weights, busyInstanceIds, maxConcurrentLoads, nowMs, silenceTimeoutMs} = plan;
-	const outdated: Array<WeightOrder & {readonly lag: number}> = [];
+	const outdated: OutdatedInstance[] = [];
 
 	for (const {record, heardAtMs} of instances) {
-		if (record.stage !== InstanceStage.Ready || busyInstanceIds.has(record.id) || nowMs - heardAtMs >= silenceTimeoutMs) {
+		if (record.stage === InstanceStage.Gone) {
 			continue;
 		}
 
@@ -59,14 +85,28 @@
 
 			if (targetVersion !== undefined && version < targetVersion) {
 				outdated.push({
-					instanceId: record.id, address: record.address, model: name, version: targetVersion, lag: targetVersion - version,
+					instanceId: record.id, address: record.address, model: name, version: targetVersion, currentVersion: version,
+					obstacle: findObstacle(record, {isBusy: busyInstanceIds.has(record.id), isSilent: nowMs - heardAtMs >= silenceTimeoutMs}),
 				});
 			}
 		}
 	}
 
+	let freePlaces = Math.max(0, maxConcurrentLoads - busyInstanceIds.size);
+
 	return outdated
-		.toSorted((a, b) => b.lag - a.lag || (a.instanceId < b.instanceId ? -1 : 1))
-		.slice(0, Math.max(0, maxConcurrentLoads - busyInstanceIds.size))
-		.map(({lag: _lag, ...order}) => order);
+		.toSorted((a, b) => (b.version - b.currentVersion) - (a.version - a.currentVersion) || (a.instanceId < b.instanceId ? -1 : 1))
+		.map(one => one.obstacle === undefined && freePlaces-- <= 0 ? {...one, obstacle: OrderObstacle.NoTurn} : one);
+}
+
+function findObstacle({stage}: InstanceRecord, {isBusy, isSilent}: {readonly isBusy: boolean; readonly isSilent: boolean}): OrderObstacle | undefined {
+	if (stage !== InstanceStage.Ready) {
+		return OrderObstacle.Leaving;
+	}
+
+	if (isBusy) {
+		return OrderObstacle.InProgress;
+	}
+
+	return isSilent ? OrderObstacle.Silent : undefined;
 }
--- a/packages/coordinator/src/replica-host.ts
+++ b/packages/coordinator/src/replica-host.ts
@@ -16,6 +16,18 @@
 	applyPublish, createPublishedState, decodePublishedState, encodePublishedState, type PublishAnswer, type PublishCommand, type PublishedState,
 } from './published-state.js';
 
+/** How this replica learnt of a state. */
+export enum PublishedSource {
+	/** It leads, and the command was committed under it. */
+	OwnCommit = 'own_commit',
+	/** From its log, which another leader has committed; entries from before its start included. */
+	Log = 'log',
+	/** From the snapshot on its disk. */
+	StoredSnapshot = 'stored_snapshot',
+	/** From a snapshot that another replica sent. */
+	ReceivedSnapshot = 'received_snapshot',
+}
+
 export type ReplicaHostOptions = {
 	readonly name: string;
 	readonly linkAddress: string;
@@ -27,7 +39,7 @@
 	readonly log: Logger;
 	readonly timing: ReplicaTiming;
 	/** Called with each state that is newer than the previous one, also while the log is replayed on opening. */
-	readonly onPublished: (state: PublishedState, isLeading: boolean) => void;
+	readonly onPublished: (state: PublishedState, source: PublishedSource) => void;
 };
 
 /** The replica of this coordinator. It is reopened after a disk failure until the host is stopped. */
@@ -81,13 +93,15 @@
 	let wasLeading = false;
 
 	// A reopened replica first replays older states from its disk; the newest state that was published stays in place.
-	const publish = (state: PublishedState) => {
+	const publish = (state: PublishedState, source: PublishedSource) => {
 		if (state.revision > published.revision) {
 			published = state;
-			onPublished(state, runner?.getState().role === ReplicaRole.Leader);
+			onPublished(state, source);
 		}
 	};
 
+	const isLeader = () => runner?.getState().role === ReplicaRole.Leader;
+
 	const send = (toId: string, message: PeerMessage) => {
 		const address = findMember(runner?.getState().members ?? [], toId)?.address ?? groupMembership.findAddress(toId);
 		const {id: fromId, groupId} = groupMembership.getIdentity();
@@ -111,14 +125,14 @@
 				apply(command) {
 					const answer = applyPublish(state, command as PublishCommand);
 					state = answer.state;
-					publish(state);
+					publish(state, isLeader() ? PublishedSource.OwnCommit : PublishedSource.Log);
 
 					return answer;
 				},
 				encode: () => encodePublishedState(state),
 				decode(data) {
 					state = decodePublishedState(data);
-					publish(state);
+					publish(state, runner === undefined ? PublishedSource.StoredSnapshot : PublishedSource.ReceivedSnapshot);
 				},
 			},
 			send,
--- a/packages/coordinator/src/target-ages.ts
+++ b/packages/coordinator/src/target-ages.ts
@@ -3,8 +3,8 @@
 
 /** How long ago the target versions of weights were set, as far as this process can know. */
 export type TargetAges = {
-	/** Records the target versions that are in force now. */
-	readonly record: (state: Pick<PublishedState, 'weights'>) => void;
+	/** Records the target versions that are in force now; returns those that were not known before. */
+	readonly record: (state: Pick<PublishedState, 'weights'>) => ReadonlyArray<readonly [model: string, version: number]>;
 	readonly getAgeMs: (model: string, version: number) => number;
 };
 
@@ -31,6 +31,7 @@
 	return {
 		record({weights}) {
 			const nowMs = clock.readMonotonicMs();
+			const added: Array<readonly [string, number]> = [];
 
 			for (const [model, version] of weights) {
 				const key = `${model} ${version}`;
@@ -38,8 +39,11 @@
 				if (!setAtMs.has(key)) {
 					// Right after a start, replayed changes may be arbitrarily old.
 					setAtMs.set(key, nowMs - startedAtMs < replayWindowMs ? nowMs - unknownAgeMs : nowMs);
+					added.push([model, version]);
 				}
 			}
+
+			return added;
 		},
 		// Target versions loaded from disk may have been set at any time.
 		getAgeMs(model, version) {
--- a/packages/coordinator/src/weight-orders.ts
+++ b/packages/coordinator/src/weight-orders.ts
@@ -2,7 +2,8 @@
 import {type Clock} from '@fescuestair/core';
 import {InstanceStage, type RegisteredInstance} from '@fescuestair/instances';
 import {type Logger} from '@fescuestair/runtime';
-import {computeMaxConcurrentLoads, planWeightOrders, type WeightOrder} from './plan-weight-orders.js';
+import {createOutdatedInstances} from './outdated-instances.js';
+import {computeMaxConcurrentLoads, listOutdatedInstances, type WeightOrder} from './plan-weight-orders.js';
 
 /** An instance's answer to an order. */
 export enum OrderAnswer {
@@ -52,6 +53,12 @@
 	readonly handoverMs: number;
 };
 
+export type WeightOrders = {
+	/** Counts the instances that have stayed on older weights for longer than a rollout should take; 0 where this replica does not lead. */
+	readonly countOverdue: () => number;
+	readonly stop: () => void;
+};
+
 const roundIntervalMs = 200;
 /** A load that has not finished by then is ordered again. The instance first completes its running requests, which can take their full timeout. */
 const loadTimeoutMs = 6000;
@@ -67,11 +74,12 @@
 orders.stop();
 ```
 */
-export function createWeightOrders(options: WeightOrdersOptions): {readonly stop: () => void} {
+export function createWeightOrders(options: WeightOrdersOptions): WeightOrders {
 	const {
 		holder, clock, log, listInstances, getTargetVersions, getLeadingTerm, confirmLeading, sendOrder, fetchReport, onLoading, onLoaded, handoverMs,
 	} = options;
 	const busyInstanceIds = new Set<string>();
+	const outdatedInstances = createOutdatedInstances({clock, log});
 	let leadership: {readonly term: number; readonly canOrderFromMs: number} | undefined;
 
 	const canOrder = (term: number) => leadership?.term === term && getLeadingTerm() === term;
@@ -86,7 +94,9 @@
 			return;
 		}
 
-		if (!before.isBusy) {
+		if (before.isBusy) {
+			outdatedInstances.recordOutcome(order, 'another order is in progress');
+		} else {
 			await confirmLeading();
 
 			if (!canOrder(term)) {
@@ -99,6 +109,7 @@
 			log.info('order to load weights', {
 				...order, fencingToken: term, expectedOrderCount: before.orderCount, answer,
 			});
+			outdatedInstances.recordOutcome(order, answer);
 
 			if (answer === OrderAnswer.Refused) {
 				return;
@@ -151,6 +162,7 @@
 			await runOrder(order, term);
 		} catch (error) {
 			log.warn('weights could not be ordered', {...order, reason: String(error)});
+			outdatedInstances.recordOutcome(order, String(error));
 			onLoading(order.instanceId, 0);
 		} finally {
 			busyInstanceIds.delete(order.instanceId);
@@ -163,6 +175,7 @@
 
 		if (term === undefined) {
 			leadership = undefined;
+			outdatedInstances.clear();
 
 			return;
 		}
@@ -177,18 +190,23 @@
 
 		const instances = [...listInstances()];
 		const serving = instances.filter(({record, heardAtMs}) => record.stage === InstanceStage.Ready && record.models.length > 0 && nowMs - heardAtMs < silenceTimeoutMs);
-		const orders = planWeightOrders({
+		const outdated = listOutdatedInstances({
 			instances, weights: getTargetVersions(), busyInstanceIds, maxConcurrentLoads: computeMaxConcurrentLoads(serving.length), nowMs, silenceTimeoutMs,
 		});
 
-		for (const order of orders) {
-			void startOrder(order, term);
+		outdatedInstances.replace(outdated);
+
+		for (const {currentVersion: _currentVersion, obstacle, ...order} of outdated) {
+			if (obstacle === undefined) {
+				void startOrder(order, term);
+			}
 		}
 	};
 
 	const timer = setInterval(runRound, roundIntervalMs);
 
 	return {
+		countOverdue: outdatedInstances.countOverdue,
 		stop() {
 			clearInterval(timer);
 			leadership = undefined;
--- a/packages/gateway/src/__tests__/unit/target-version-history.test.ts
+++ b/packages/gateway/src/__tests__/unit/target-version-history.test.ts
@@ -7,7 +7,7 @@
 	let weights = createTargetVersionHistory();
 
 	for (const [newVersion, atMs] of announced) {
-		weights = recordTargetVersions(weights, [['guide', newVersion, 0]], atMs);
+		weights = recordTargetVersions(weights, [['guide', newVersion, 0]], {nowMs: atMs});
 	}
 
 	return classifyWeights(weights, {
@@ -26,14 +26,14 @@
 });
 
 test('a gateway that started after the change of the target version uses the reported age', t => {
-	const weights = recordTargetVersions(createTargetVersionHistory(), [['guide', 2, 7500]], 100);
+	const weights = recordTargetVersions(createTargetVersionHistory(), [['guide', 2, 7500]], {nowMs: 100});
 	t.is(classifyWeights(weights, {
 		model: 'guide', version: 1, nowMs: 200, oldWeightsMs: 8000,
 	}), WeightsUse.Barred);
 });
 
 test('a request that would begin after the bound is not sent to older weights, however early it is sent', t => {
-	const weights = recordTargetVersions(createTargetVersionHistory(), [['guide', 2, 0]], 0);
+	const weights = recordTargetVersions(createTargetVersionHistory(), [['guide', 2, 0]], {nowMs: 0});
 	const query = {
 		model: 'guide', version: 1, nowMs: 5000, oldWeightsMs: 8000,
 	};
--- a/packages/gateway/src/codecs.ts
+++ b/packages/gateway/src/codecs.ts
@@ -75,6 +75,8 @@
 	parsed.
 	*/
 	readonly requestsPerSecond: number | undefined;
+	/** Version of the weights that the response began on; `undefined` where the instance names none. */
+	readonly weightVersion?: number | undefined;
 };
 
 /** Encodes the metadata of requests to instances, and decodes that of their responses. */
--- a/packages/gateway/src/coordinator-client.ts
+++ b/packages/gateway/src/coordinator-client.ts
@@ -14,8 +14,8 @@
 	readonly links: Links;
 	readonly clock: Clock;
 	readonly log: Logger;
-	/** Called with each published snapshot whose revision is higher than that of the one before. */
-	readonly onPublished: (published: PublishedSnapshot) => void;
+	/** Called with each published snapshot whose revision is higher than that of the one before, and who told it; `undefined` where it was a push. */
+	readonly onPublished: (published: PublishedSnapshot, toldBy: string | undefined) => void;
 	/** Called with what a coordinator tells of the other gateways, once this one stops. */
 	readonly onPeers: (peers: GatewayPeers) => void;
 	readonly onRegistryUpdate: (registry: InstanceRegistry) => void;
@@ -117,7 +117,7 @@
 	/** Incarnations of leaving instances, by id, that have not been reported to a home yet. */
 	const unreportedLeaving = new Map<string, number>();
 
-	const applyPublished = (published: PublishedSnapshot) => {
+	const applyPublished = (published: PublishedSnapshot, toldBy?: string) => {
 		const lacksText = published.configText === undefined && published.configVersion > configVersion;
 
 		if (published.revision <= revision || lacksText) {
@@ -126,7 +126,7 @@
 
 		revision = published.revision;
 		configVersion = Math.max(configVersion, published.configVersion);
-		onPublished(published);
+		onPublished(published, toldBy);
 	};
 
 	const applyInstanceNotes = (notes: readonly InstanceUpdate[]) => {
@@ -221,7 +221,7 @@
 		}
 
 		if (reply.published !== undefined) {
-			applyPublished(reply.published);
+			applyPublished(reply.published, address);
 		}
 
 		if (reply.peers !== undefined) {
--- a/packages/gateway/src/describe-attempt.ts
+++ b/packages/gateway/src/describe-attempt.ts
@@ -3,6 +3,7 @@
 import {AttemptCompletion, type AttemptResult} from './attempt.js';
 import {type OriginProof} from './check-run-origin.js';
 import {type RunIds} from './event-stream-splitter.js';
+import {type NewerTarget} from './target-version-history.js';
 import {type RunInput} from './start-run.js';
 
 /** Why a request is sent to an instance. */
@@ -46,6 +47,8 @@
 	readonly runIds: RunIds;
 	/** How it became known that the instance had not restarted with other software; `undefined` where that was not asked. */
 	readonly originProof: OriginProof | undefined;
+	/** The target that was newer than the instance's weights when the request was sent; `undefined` where none was known. */
+	readonly newerTarget: NewerTarget | undefined;
 	readonly nowMs: number;
 };
 
@@ -59,7 +62,7 @@
 */
 export function describeAttempt(input: AttemptLogInput): Readonly<Record<string, unknown>> {
 	const {
-		entry, placement, cache, uncachedTokens, progress, result, fault, loadBefore, limitPerSecond, kind, startedAtMs, firstPieceMs, streamed, silence, silentMs, nowMs, originProof,
+		entry, placement, cache, uncachedTokens, progress, result, fault, loadBefore, limitPerSecond, kind, startedAtMs, firstPieceMs, streamed, silence, silentMs, nowMs, originProof, newerTarget,
 	} = input;
 	const {report} = loadBefore;
 
@@ -92,6 +95,9 @@
 			fetched: cache.fetchAddresses.filter(address => address !== undefined).length,
 			saved: cache.saveAddresses.filter(address => address !== undefined).length,
 		}),
+		...(result.head?.answer.weightVersion !== undefined && {servedVersion: result.head.answer.weightVersion}),
+		...(newerTarget !== undefined && {newerTarget: {...newerTarget, ageMs: Math.round(newerTarget.ageMs)}}),
+		...(streamed.firstAtMs !== undefined && {firstEventMs: Math.round(streamed.firstAtMs - startedAtMs)}),
 	};
 }
 
--- a/packages/gateway/src/forward-options.ts
+++ b/packages/gateway/src/forward-options.ts
@@ -10,7 +10,7 @@
 import {type FetchIncarnation} from './check-run-origin.js';
 import {type CrashDetector} from './crash-detector.js';
 import {type Exchange} from './exchange.js';
-import {type WeightsUse} from './target-version-history.js';
+import {type NewerTarget, type WeightsUse} from './target-version-history.js';
 import {type InstancePool} from './instance-pool.js';
 import {type MemoryBudget} from './memory-budget.js';
 import {type PartsClient} from './parts-client.js';
@@ -40,6 +40,10 @@
 	readonly getTable: () => RouteTable;
 	/** Decides whether new requests may start on a version of a model's weights; `startMs` is the expected delay until the start. */
 	readonly classifyWeights: (model: string, version: number | undefined, startMs?: number) => WeightsUse;
+	/** Finds the first target that is newer than a version of a model's weights. */
+	readonly findNewerTarget: (model: string, version: number | undefined) => NewerTarget | undefined;
+	/** Time after a change of the target version in which requests may still begin on older weights. */
+	readonly oldWeightsMs: number;
 	/** By service, this gateway's share of the retry budget of the whole system. */
 	readonly retryBudgets: Map<string, RetryBudget>;
 	readonly createRetryBudget: (service: string) => RetryBudget;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -32,7 +32,9 @@
 import {type ForwardOptions} from './forward-options.js';
 import {createInstancePool} from './instance-pool.js';
 import {createMemoryBudget, pickLargest} from './memory-budget.js';
-import {createTargetVersionHistory, classifyWeights, recordTargetVersions} from './target-version-history.js';
+import {
+	createTargetVersionHistory, classifyWeights, findNewerTarget, recordTargetVersions,
+} from './target-version-history.js';
 import {createLoadExchange} from './load-exchange.js';
 import {createPartsClient} from './parts-client.js';
 import {createPlannedStop} from './planned-stop.js';
@@ -145,8 +147,21 @@
 		}
 	};
 
-	const onPublished = (published: PublishedSnapshot) => {
-		targetVersionHistory = recordTargetVersions(targetVersionHistory, published.weights, clock.readMonotonicMs());
+	const recordTargets = ({weights}: PublishedSnapshot, toldBy: string | undefined) => {
+		const before = targetVersionHistory;
+		targetVersionHistory = recordTargetVersions(before, weights, {nowMs: clock.readMonotonicMs(), toldBy});
+
+		for (const [model, version, ageMs] of weights) {
+			if (targetVersionHistory.get(model) !== before.get(model)) {
+				log.info('target version of weights learnt', {
+					model, version, ageMs, toldBy: toldBy ?? 'push',
+				});
+			}
+		}
+	};
+
+	const onPublished = (published: PublishedSnapshot, toldBy: string | undefined) => {
+		recordTargets(published, toldBy);
 
 		if (published.configText !== undefined) {
 			const nextTable = tryBuildRouteTable(published);
@@ -250,6 +265,8 @@
 		classifyWeights: (model, version, startDelayMs) => classifyWeights(targetVersionHistory, {
 			model, version, nowMs: clock.readMonotonicMs(), oldWeightsMs, startDelayMs,
 		}),
+		findNewerTarget: (model, version) => findNewerTarget(targetVersionHistory, {model, version, nowMs: clock.readMonotonicMs()}),
+		oldWeightsMs,
 		retryBudgets: budgets,
 		createRetryBudget: () => createRetryBudget({
 			capacity: Math.max(1, retryAllowance.slack * usableBudgetShare / countGateways()), sharePerSuccess: retryAllowance.perRequest * usableBudgetShare,
--- a/packages/gateway/src/start-run.ts
+++ b/packages/gateway/src/start-run.ts
@@ -20,6 +20,7 @@
 import {recordCachedParts, type PooledInstance, type InFlightRequest} from './pooled-instance.js';
 import {describeRunOrigin} from './run-origin.js';
 import {describeStreamRecord} from './take-up.js';
+import {classifyOutdatedAge, OutdatedAge} from './target-version-history.js';
 
 /**
 An instance counts as unresponsive after this multiple of the expected time to its first output, but not before the minimum for the kind of
@@ -87,6 +88,7 @@
 		pieces: 0, lastMs: 0, firstAtMs: undefined, isAnswerRecorded: false,
 	};
 	const loadBefore = entry.load;
+	const newerTarget = caller.prompt && options.findNewerTarget(caller.prompt.model, cache?.weightVersion);
 	const limitPerSecond = requestLimits.getPerSecond(record);
 	const kind = stream.hasStarted() ? DispatchKind.Resume : (progress.triedInstanceIds.size > 0 ? DispatchKind.Repeat : DispatchKind.First);
 	progress.triedInstanceIds.add(record.id);
@@ -210,6 +212,11 @@
 			onData(bytes: Buffer, head: ResponseHead) {
 				const nowMs = clock.readMonotonicMs();
 				streamed.pieces++;
+
+				if (streamed.pieces === 1) {
+					recordBeginning(options, exchange, {...input, head, startedAtMs});
+				}
+
 				streamed.lastMs = nowMs - startedAtMs;
 				streamed.firstAtMs ??= nowMs;
 
@@ -272,7 +279,7 @@
 		}
 
 		progress.story.push(describeAttempt({
-			...input, result, fault, loadBefore, limitPerSecond, kind, startedAtMs, firstPieceMs, streamed, resumeAfter, silence, silentMs, runIds: streamRun.getIds(), originProof,
+			...input, result, fault, loadBefore, limitPerSecond, kind, startedAtMs, firstPieceMs, streamed, resumeAfter, silence, silentMs, runIds: streamRun.getIds(), originProof, newerTarget,
 			nowMs: clock.readMonotonicMs(),
 		}));
 
@@ -313,6 +320,29 @@
 	return activeRun;
 }
 
+type Beginning = Pick<RunInput, 'entry' | 'cache' | 'service'> & {readonly head: ResponseHead; readonly startedAtMs: number};
+
+// Records that a run has begun on older weights than the target, as the instance states them, or as it was believed to have them.
+function recordBeginning(options: ForwardOptions, {requestId, caller}: Exchange, {entry, cache, service, head, startedAtMs}: Beginning): void {
+	const believedVersion = cache?.weightVersion;
+	const servedVersion = head.answer.weightVersion ?? believedVersion;
+	const newer = caller.prompt && options.findNewerTarget(caller.prompt.model, servedVersion);
+
+	if (newer === undefined) {
+		return;
+	}
+
+	const age = classifyOutdatedAge(newer.ageMs, options.oldWeightsMs);
+	options.metrics.count('runs_on_older_weights_total', {service: service.name, age});
+
+	if (age === OutdatedAge.PastLimit) {
+		options.log.info('a run began on weights that are too old', {
+			requestId, instance: entry.held.record.id, model: caller.prompt!.model, servedVersion, believedVersion, targetVersion: newer.version, targetAgeMs: Math.round(newer.ageMs),
+			toldBy: newer.toldBy, waitedMs: Math.round(options.clock.readMonotonicMs() - startedAtMs),
+		});
+	}
+}
+
 function describeRun({end, head}: AttemptResult, streamRun: StreamRun, {isStreaming}: {readonly isStreaming: boolean}): RunResult {
 	return {
 		isComplete: end === AttemptCompletion.Complete,
--- a/packages/gateway/src/target-version-history.ts
+++ b/packages/gateway/src/target-version-history.ts
@@ -8,8 +8,26 @@
 	Barred = 'barred',
 }
 
-/** By model, when each version of the weights became the target version, on this gateway's monotonic clock; oldest first. Immutable. */
-export type TargetVersionHistory = ReadonlyMap<string, ReadonlyArray<{readonly version: number; readonly atMs: number}>>;
+export type TargetVersion = {
+	readonly version: number;
+	/** When it became the target, on this gateway's monotonic clock. */
+	readonly atMs: number;
+	/** Link address of the coordinator that told so; `undefined` where it was a push, which names none. */
+	readonly toldBy: string | undefined;
+};
+
+/** By model, when each version of the weights became the target version; oldest first. Immutable. */
+export type TargetVersionHistory = ReadonlyMap<string, readonly TargetVersion[]>;
+
+/** The first target that made a version outdated. */
+export type NewerTarget = Pick<TargetVersion, 'version' | 'toldBy'> & {readonly ageMs: number};
+
+/** How old the first newer target was when a run began on older weights: the label of a metric. */
+export enum OutdatedAge {
+	Moment = 'a_moment',
+	WithinLimit = 'within_limit',
+	PastLimit = 'past_limit',
+}
 
 /** Time after a change of the target version from which responses on older weights are worth less to callers. */
 const lateAfterMs = 1500;
@@ -27,23 +45,27 @@
 
 @example
 ```
-const weights = recordTargetVersions(createTargetVersionHistory(), [['guide', 2, 0]], nowMs);
+const weights = recordTargetVersions(createTargetVersionHistory(), [['guide', 2, 0]], {nowMs});
 ```
 */
-export function recordTargetVersions(weights: TargetVersionHistory, announced: ReadonlyArray<readonly [model: string, version: number, ageMs: number]>, nowMs: number): TargetVersionHistory {
+export function recordTargetVersions(weights: TargetVersionHistory, announced: AnnouncedTargets, {nowMs, toldBy}: {
+	readonly nowMs: number; readonly toldBy?: string | undefined;
+}): TargetVersionHistory {
 	const next = new Map(weights);
 
 	for (const [model, version, ageMs] of announced) {
 		const versions = next.get(model) ?? [];
 
 		if (versions.every(entry => entry.version < version)) {
-			next.set(model, [...versions, {version, atMs: nowMs - ageMs}].slice(-maxKeptVersions));
+			next.set(model, [...versions, {version, atMs: nowMs - ageMs, toldBy}].slice(-maxKeptVersions));
 		}
 	}
 
 	return next;
 }
 
+type AnnouncedTargets = ReadonlyArray<readonly [model: string, version: number, ageMs: number]>;
+
 export type WeightsQuery = {
 	readonly model: string;
 	/** `undefined` where the version is unknown. */
@@ -60,17 +82,33 @@
 begin within it, so the expected wait counts: a request that waits in an engine's queue past the bound begins too late.
 */
 export function classifyWeights(weights: TargetVersionHistory, {model, version, nowMs, oldWeightsMs, startDelayMs = 0}: WeightsQuery): WeightsUse {
-	const newer = weights.get(model)?.find(entry => entry.version > (version ?? 0));
+	const newer = findNewerTarget(weights, {model, version, nowMs});
 
-	if (newer === undefined || (version === undefined && newer.version <= 1)) {
+	if (newer === undefined) {
 		return WeightsUse.Current;
 	}
 
-	const supersededForMs = nowMs - newer.atMs;
-
-	if (supersededForMs + startDelayMs >= oldWeightsMs * usablePeriodShare) {
+	if (newer.ageMs + startDelayMs >= oldWeightsMs * usablePeriodShare) {
 		return WeightsUse.Barred;
 	}
 
-	return supersededForMs >= lateAfterMs ? WeightsUse.Late : WeightsUse.Current;
+	return newer.ageMs >= lateAfterMs ? WeightsUse.Late : WeightsUse.Current;
+}
+
+/** Finds the first target that is newer than a version, with its age; `undefined` where none is. */
+export function findNewerTarget(weights: TargetVersionHistory, {model, version, nowMs}: Pick<WeightsQuery, 'model' | 'version' | 'nowMs'>): NewerTarget | undefined {
+	const newer = weights.get(model)?.find(entry => entry.version > (version ?? 0));
+
+	return newer === undefined || (version === undefined && newer.version <= 1)
+		? undefined
+		: {version: newer.version, ageMs: nowMs - newer.atMs, toldBy: newer.toldBy};
+}
+
+/** Classifies the age of the first newer target for the metric. */
+export function classifyOutdatedAge(ageMs: number, oldWeightsMs: number): OutdatedAge {
+	if (ageMs >= oldWeightsMs) {
+		return OutdatedAge.PastLimit;
+	}
+
+	return ageMs >= lateAfterMs ? OutdatedAge.WithinLimit : OutdatedAge.Moment;
 }
