--- a/packages/coordinator/src/__tests__/unit/weight-orders.test.ts
+++ b/packages/coordinator/src/__tests__/unit/weight-orders.test.ts
@@ -57,3 +57,40 @@
 	t.true(marks.indexOf('c loads') > Math.min(marks.indexOf('a ends'), marks.indexOf('b ends')));
 	t.deepEqual(ordered, ['a', 'b', 'c']);
 });
+
+// Issue 57: two instances that answered each order with a conflict took both places, and the others stayed on older weights.
+test('instances whose orders fail do not keep the others from theirs', async t => {
+	const clock = createSystemClock();
+	const ordered: string[] = [];
+	const loaded: string[] = [];
+	const orders = createWeightOrders({
+		holder: 'core-1', clock, log: createLogger({instance: 'core-1', isTerminal: false, writeLine: () => undefined}),
+		listInstances: () => ['a', 'b', 'c', 'd'].filter(id => !loaded.includes(id)).map(id => ({
+			record: {
+				id, service: 's', address: `${id}:1`, availabilityZone: 'north', slots: 6, stage: InstanceStage.Ready, coldLeftMs: 0, models: [{name: 'm', version: 1}], incarnation: 1, sequence: 1,
+			},
+			heardAtMs: clock.readMonotonicMs(), revision: 1, loadingDeadlineMs: 0,
+		})),
+		getTargetVersions: () => new Map([['m', 2]]),
+		getLeadingTerm: () => 1,
+		confirmLeading: async () => undefined,
+		async sendOrder({instanceId}) {
+			ordered.push(instanceId);
+
+			return instanceId < 'c' ? OrderAnswer.Conflict : OrderAnswer.Accepted;
+		},
+		fetchReport: async ({id}) => ({models: [{name: 'm', version: ordered.includes(id) && id >= 'c' ? 2 : 1}], isBusy: false, orderCount: 0}),
+		onLoading: () => undefined,
+		onLoaded(id) {
+			loaded.push(id);
+		},
+		handoverMs: 0,
+	});
+	t.teardown(orders.stop);
+
+	while (loaded.length < 2 && ordered.filter(id => id === 'a').length < 10) {
+		await sleep(20);
+	}
+
+	t.deepEqual(loaded.toSorted(), ['c', 'd']);
+});
