Record the ages of target versions in the group's log, and let gateways keep the oldest age that they are told

Callers saw answers on weights that had been replaced long before, from all gateways that had started again after a loss of all processes.

Cause: what the group kept of a target was its number. When it was set was guessed by each process from when that process learnt of it: 60 s within 3 s of its start, 0 later. A replica that replays its log late (no majority for 3 s), or that gets it from another one after losing its disk, told an old target as new; a gateway kept the first age that it heard and ignored an older one from another coordinator. A gateway that started after a second naming knew only the second, and judged all older weights by it.

Change: a naming and the leader's later commands carry the age of the target; the leader records it each second until it is 20 s. No wall clock is involved: those of the machines differ and step. A replica tells a bound that is never too young: since it was last current without the target, or the last recorded age and the time until the next record, and 60 s as long as it knows neither. The last eight targets of a model are kept and sent. While one of them is young, each reply to a hello repeats the ages; the gateway adds the round trip and keeps the oldest. An age that its coordinator cannot know bars older weights until one that can has told it.

--- a/packages/coordinator/src/__tests__/unit/fleet.test.ts
+++ b/packages/coordinator/src/__tests__/unit/fleet.test.ts
@@ -57,6 +57,7 @@
 			},
 			countBytes: () => 0, countOpen: () => 0, close: () => undefined,
 		},
+		listTargetAges: () => undefined,
 		departures: {
 			save: async () => new Promise((resolve, reject) => {
 				writes.push({
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -22,7 +22,7 @@
 import {type StoreSettings, type TrafficConfig} from '@fescuestair/traffic';
 import {createLinks} from '@fescuestair/transport';
 import {
-	describePublished, isPublishCommand, PublishKind, type PublishAnswer, type PublishCommand, type PublishedState,
+	describePublished, isPublishCommand, listTargetAges, PublishKind, type PublishAnswer, type PublishCommand, type PublishedState,
 } from './published-state.js';
 import {computeRequiredVoters, waitForVoters} from './group-size.js';
 import {createDepartureStore} from './departure-store.js';
@@ -130,9 +130,9 @@
 	const self: DaemonRecord = {
 		name, role: DaemonRole.Coordinator, incarnation: clock.readWallMs(), linkAddress, serviceAddress, availabilityZone, isReady: true, sequence: 0,
 	};
-	const targetAges = createTargetAges(clock);
 	const startedAtMs = clock.readMonotonicMs();
 	let leaderHeardAtMs = Number.NEGATIVE_INFINITY;
+	const targetAges = createTargetAges({clock, getCurrentAtMs: () => Number.isFinite(leaderHeardAtMs) ? leaderHeardAtMs : undefined});
 	/** The last entry that is committed, as the last message of a leader stated. */
 	let statedCommitIndex = Number.POSITIVE_INFINITY;
 	let leadingSinceMs: number | undefined;
@@ -165,7 +165,7 @@
 	};
 
 	const replica = await createReplicaHost({
-		name, linkAddress, dataFolder, clock, links, log, timing, onPublished,
+		name, linkAddress, dataFolder, clock, links, log, timing, onPublished, onAgesRecorded: targetAges.record,
 		firstGroup: isFirstStart && seeds.includes(linkAddress) ? {ownAddress: linkAddress, addresses: seeds} : undefined,
 	});
 
@@ -297,6 +297,11 @@
 		},
 		getConfigVersion: () => replica.getPublished().configVersion,
 		isCurrent,
+		listTargetAges() {
+			const state = replica.getPublished();
+
+			return isCurrent() && targetAges.hasYoung(state) ? listTargetAges(state, targetAges.getAgeMs) : undefined;
+		},
 		getLeaderAddress: () => replica.getLeadingTerm() === undefined ? replica.findLeaderAddress() : linkAddress,
 		isLeader: () => replica.getLeadingTerm() !== undefined,
 		findLeaderAddress,
@@ -366,6 +371,26 @@
 		}
 	};
 
+	let isRecordingAges = false;
+
+	const recordTargetAges = async () => {
+		if (!isCurrent() || replica.getLeadingTerm() === undefined || isRecordingAges) {
+			return;
+		}
+
+		isRecordingAges = true;
+
+		try {
+			for (const command of targetAges.listDueRecords(replica.getPublished())) {
+				await replica.propose(command);
+			}
+		} catch (error) {
+			log.info('the age of a target version was not recorded', {reason: String(error)});
+		} finally {
+			isRecordingAges = false;
+		}
+	};
+
 	const orders = createWeightOrders({
 		holder: name,
 		clock,
@@ -421,6 +446,7 @@
 	const timer = setInterval(() => {
 		grantor.refresh();
 		void adjustMembers();
+		void recordTargetAges();
 	}, membersCheckIntervalMs);
 	log.info('coordinator started', {...self, identity: replica.groupMembership.getIdentity().id, isFirstStart});
 
@@ -461,7 +487,9 @@
 			return requireValid(answer.published, isPublishedSnapshot, leaderAddress);
 		},
 		async setTargetVersion(model, version) {
-			const answer = await propose({kind: PublishKind.SetTargetVersion, model, version});
+			const answer = await propose({
+				kind: PublishKind.SetTargetVersion, model, version, ageMs: 0,
+			});
 			log.info('weights named', {model, version, outcome: answer.outcome});
 
 			return answer;
--- a/packages/coordinator/src/fleet.ts
+++ b/packages/coordinator/src/fleet.ts
@@ -37,6 +37,8 @@
 	readonly describePublishedSince: (revision: number, configVersion: number) => PublishedSnapshot | undefined;
 	readonly getConfigVersion: () => number;
 	readonly isCurrent: () => boolean;
+	/** Lists the target versions of weights with their ages; `undefined` where this replica is not current, or no target is young. */
+	readonly listTargetAges: () => PublishedSnapshot['weights'] | undefined;
 	/** Link address of the leader, which may be this replica. */
 	readonly getLeaderAddress: () => string | undefined;
 	/** Whether this replica leads the group and its lease lasts. */
@@ -93,8 +95,8 @@
 */
 export function createFleet(options: FleetOptions): Fleet {
 	const {
-		self, clock, links, log, metrics, commands, listCoordinatorAddresses, listVoterAddresses, departures, knownDepartures, describePublishedSince, getConfigVersion, isCurrent, getLeaderAddress,
-		isLeader, findLeaderAddress, onLeaderReported, onRound,
+		self, clock, links, log, metrics, commands, listCoordinatorAddresses, listVoterAddresses, departures, knownDepartures, describePublishedSince, getConfigVersion, isCurrent,
+		listTargetAges, getLeaderAddress, isLeader, findLeaderAddress, onLeaderReported, onRound,
 	} = options;
 	const bootId = randomBytes(bootIdBytes).toString('hex');
 	const directoryReadyAtMs = clock.readMonotonicMs() + directoryWarmupMs;
@@ -228,6 +230,7 @@
 			published: describePublishedSince(hello.publishedRevision, hello.configVersion),
 			leaderAddress: getLeaderAddress(),
 			isCurrent: isCurrent(),
+			targetAges: listTargetAges(),
 			// Until all gateways had time to send a hello, the few known ones would be taken for all.
 			...(isGatewayLeaving && isCurrent() && nowMs >= directoryReadyAtMs && {peers: describePeers(listGateways(directory, getTimes()), hello.card)}),
 			heldHomes: hello.greeting === HelloKind.Peer ? getHomeListVersion(directory, hello.card.linkAddress) : undefined,
@@ -238,6 +241,7 @@
 	};
 
 	const helloClient = createHelloClient({
+		clock,
 		links,
 		timeoutMs: callTimeoutMs,
 		// Coordinators receive published state by replication, so none is requested here.
--- a/packages/coordinator/src/index.ts
+++ b/packages/coordinator/src/index.ts
@@ -11,7 +11,7 @@
 	computeMaxConcurrentLoads, listOutdatedInstances, OrderObstacle, planWeightOrders, type OutdatedInstance, type WeightOrder, type PlanWeightOrdersInput,
 } from './plan-weight-orders.js';
 export {
-	applyPublish, createPublishedState, decodePublishedState, describePublished, encodePublishedState, PublishKind, type PublishAnswer,
-	type PublishCommand, type PublishedState,
+	applyPublish, createPublishedState, decodePublishedState, describePublished, encodePublishedState, listTargetAges, PublishKind, type PublishAnswer,
+	type PublishCommand, type PublishedState, type RecordedTarget, type SetTargetVersionCommand,
 } from './published-state.js';
 export {createStreamOriginsHost, type StreamOriginsHost, type StreamOriginsHostOptions} from './stream-origins-host.js';
--- a/packages/coordinator/src/published-state.ts
+++ b/packages/coordinator/src/published-state.ts
@@ -1,5 +1,5 @@
 import {
-	isAnyOf, isNonNegativeInteger, isOneOf, isObjectWith, isStringUpTo, type TypeGuard,
+	isAnyOf, isNonNegativeInteger, isOneOf, isOptional, isObjectWith, isStringUpTo, type TypeGuard,
 } from '@fescuestair/core';
 import {type PublishedSnapshot} from '@fescuestair/instances';
 
@@ -11,16 +11,38 @@
 /** A change to the published state, which all daemons follow. */
 export type PublishCommand
 	= | {readonly kind: PublishKind.PutConfig; readonly version: number; readonly text: string}
-		| {readonly kind: PublishKind.SetTargetVersion; readonly model: string; readonly version: number};
+		| SetTargetVersionCommand;
+
+export type SetTargetVersionCommand = {
+	readonly kind: PublishKind.SetTargetVersion;
+	readonly model: string;
+	readonly version: number;
+	/**
+	How long the version had been the target when the command was proposed: 0 in the command that sets it, more in those in which the leader records
+	its age. Absent in commands of older software.
+	*/
+	readonly ageMs?: number | undefined;
+};
+
+/** A target version of a model's weights, as all replicas hold it. */
+export type RecordedTarget = {
+	readonly version: number;
+	/** The latest age that a leader recorded; `undefined` where older software set the version. */
+	readonly ageMs: number | undefined;
+};
 
 /** More than the largest request body that is accepted from operators. */
 const maxConfigLength = 16_000_000;
 const maxNameLength = 500;
+/** Earlier targets that are kept for each model: an instance that is several versions behind is judged by the first newer one. */
+const maxKeptTargets = 8;
 
 /** Checks a change that another coordinator proposes. */
 export const isPublishCommand = isAnyOf(
 	isObjectWith({kind: isOneOf([PublishKind.PutConfig]), version: isNonNegativeInteger, text: isStringUpTo(maxConfigLength)}),
-	isObjectWith({kind: isOneOf([PublishKind.SetTargetVersion]), model: isStringUpTo(maxNameLength), version: isNonNegativeInteger}),
+	isObjectWith({
+		kind: isOneOf([PublishKind.SetTargetVersion]), model: isStringUpTo(maxNameLength), version: isNonNegativeInteger, ageMs: isOptional(isNonNegativeInteger),
+	}),
 ) as TypeGuard<unknown> as TypeGuard<PublishCommand>;
 
 /** The replicated state of the coordinators. Immutable. */
@@ -31,6 +53,8 @@
 	readonly configText: string | undefined;
 	/** The target version of the weights of each model. */
 	readonly weights: ReadonlyMap<string, number>;
+	/** The latest target versions of each model, oldest first. */
+	readonly targets: ReadonlyMap<string, readonly RecordedTarget[]>;
 };
 
 export type PublishAnswer = {
@@ -42,7 +66,7 @@
 /** Creates the initial state of a new group. */
 export function createPublishedState(): PublishedState {
 	return {
-		revision: 0, configVersion: 0, configText: undefined, weights: new Map(),
+		revision: 0, configVersion: 0, configText: undefined, weights: new Map(), targets: new Map(),
 	};
 }
 
@@ -72,17 +96,34 @@
 
 		case PublishKind.SetTargetVersion: {
 			if (command.version <= (state.weights.get(command.model) ?? 0)) {
-				return {isNew: false, state};
+				return {isNew: false, state: recordTargetAge(state, command)};
 			}
 
+			const targets = [...state.targets.get(command.model) ?? [], {version: command.version, ageMs: command.ageMs}].slice(-maxKeptTargets);
+
 			return {
 				isNew: true,
-				state: {...state, revision: state.revision + 1, weights: new Map(state.weights).set(command.model, command.version)},
+				state: {
+					...state,
+					revision: state.revision + 1,
+					weights: new Map(state.weights).set(command.model, command.version),
+					targets: new Map(state.targets).set(command.model, targets),
+				},
 			};
 		}
 	}
 }
 
+// An age changes nothing that daemons have to be sent, so the revision stays. A resent naming says nothing about the age.
+function recordTargetAge(state: PublishedState, {model, version, ageMs = 0}: SetTargetVersionCommand): PublishedState {
+	const targets = state.targets.get(model) ?? [];
+	const known = targets.find(target => target.version === version);
+
+	return known === undefined || ageMs <= (known.ageMs ?? 0)
+		? state
+		: {...state, targets: new Map(state.targets).set(model, targets.map(target => target === known ? {version, ageMs} : target))};
+}
+
 /**
 Describes the state for a daemon; the text of the configuration is left out if the daemon already has that version.
 
@@ -96,25 +137,46 @@
 		revision: state.revision,
 		configVersion: state.configVersion,
 		configText: state.configVersion === knownConfigVersion ? undefined : state.configText,
-		weights: [...state.weights].map(([model, version]) => [model, version, Math.round(getWeightsAgeMs(model, version))]),
+		weights: listTargetAges(state, getWeightsAgeMs),
 	};
 }
 
+/** Lists the target versions with their ages, of each model oldest first. */
+export function listTargetAges({targets}: Pick<PublishedState, 'targets'>, getAgeMs: (model: string, version: number) => number): PublishedSnapshot['weights'] {
+	return [...targets].flatMap(([model, list]) => list.map(({version}) => [model, version, Math.round(getAgeMs(model, version))] as const));
+}
+
 type DescribePublishedOptions = {
 	readonly knownConfigVersion: number;
 	readonly getWeightsAgeMs: (model: string, version: number) => number;
 };
 
-type EncodedState = Omit<PublishedState, 'weights'> & {readonly weights: ReadonlyArray<readonly [string, number]>};
+type EncodedState = Omit<PublishedState, 'weights' | 'targets'> & {
+	readonly weights: ReadonlyArray<readonly [string, number]>;
+	/** Absent in snapshots of older software. */
+	readonly targets?: ReadonlyArray<readonly [model: string, targets: readonly RecordedTarget[]]>;
+};
 
 /** Encodes the state for a snapshot. */
 export function encodePublishedState(state: PublishedState): EncodedState {
-	return {...state, weights: [...state.weights]};
+	return {...state, weights: [...state.weights], targets: [...state.targets]};
 }
 
 /** Decodes the state from a snapshot. */
 export function decodePublishedState(data: unknown): PublishedState {
 	const encoded = data as EncodedState;
+	const weights = new Map(encoded.weights);
+
+	return {
+		...encoded, configText: encoded.configText ?? undefined, weights, targets: encoded.targets === undefined ? createTargetsOfUnknownAge(weights) : decodeTargets(encoded.targets),
+	};
+}
+
+function createTargetsOfUnknownAge(weights: ReadonlyMap<string, number>): PublishedState['targets'] {
+	return new Map([...weights].map(([model, version]) => [model, [{version, ageMs: undefined}]]));
+}
 
-	return {...encoded, configText: encoded.configText ?? undefined, weights: new Map(encoded.weights)};
+// JSON leaves out a field that is undefined.
+function decodeTargets(encoded: NonNullable<EncodedState['targets']>): PublishedState['targets'] {
+	return new Map(encoded.map(([model, targets]) => [model, targets.map(({version, ageMs}) => ({version, ageMs}))]));
 }
--- a/packages/coordinator/src/replica-host.ts
+++ b/packages/coordinator/src/replica-host.ts
@@ -40,6 +40,8 @@
 	readonly timing: ReplicaTiming;
 	/** Called with each state that is newer than the previous one, also while the log is replayed on opening. */
 	readonly onPublished: (state: PublishedState, source: PublishedSource) => void;
+	/** Called with each state that differs from the one before only in the recorded ages of targets. */
+	readonly onAgesRecorded: (state: PublishedState) => void;
 };
 
 /** The replica of this coordinator. It is reopened after a disk failure until the host is stopped. */
@@ -80,7 +82,7 @@
 */
 export async function createReplicaHost(options: ReplicaHostOptions): Promise<ReplicaHost> {
 	const {
-		name, linkAddress, dataFolder, firstGroup, clock, links, log, timing, onPublished,
+		name, linkAddress, dataFolder, firstGroup, clock, links, log, timing, onPublished, onAgesRecorded,
 	} = options;
 	const folder = path.join(dataFolder, 'agreement');
 	await fs.mkdir(folder, {recursive: true});
@@ -97,6 +99,9 @@
 		if (state.revision > published.revision) {
 			published = state;
 			onPublished(state, source);
+		} else if (state.revision === published.revision && state.targets !== published.targets) {
+			published = state;
+			onAgesRecorded(state);
 		}
 	};
 
--- a/packages/gateway/src/coordinator-client.ts
+++ b/packages/gateway/src/coordinator-client.ts
@@ -8,14 +8,24 @@
 import {createHelloClient, type Logger} from '@fescuestair/runtime';
 import {type Links} from '@fescuestair/transport';
 
+/** Where a gateway heard target versions of weights. */
+export type TargetSource = {
+	/** Link address of the coordinator; `undefined` where it was a push of the leader. */
+	readonly toldBy: string | undefined;
+	/** Whether the coordinator had contact with a leader recently. */
+	readonly isCurrent: boolean;
+};
+
 export type CoordinatorClientOptions = {
 	readonly getDaemonRecord: () => DaemonRecord;
 	readonly getSeeds: () => readonly string[];
 	readonly links: Links;
 	readonly clock: Clock;
 	readonly log: Logger;
-	/** Called with each published snapshot whose revision is higher than that of the one before, and who told it; `undefined` where it was a push. */
-	readonly onPublished: (published: PublishedSnapshot, toldBy: string | undefined) => void;
+	/** Called with each published snapshot whose revision is higher than that of the one before. */
+	readonly onPublished: (published: PublishedSnapshot, source: TargetSource) => void;
+	/** Called with the target versions of weights and their ages, as coordinators tell them while a target is young. */
+	readonly onTargetAges: (weights: PublishedSnapshot['weights'], source: TargetSource) => void;
 	/** Called with what a coordinator tells of the other gateways, once this one stops. */
 	readonly onPeers: (peers: GatewayPeers) => void;
 	readonly onRegistryUpdate: (registry: InstanceRegistry) => void;
@@ -96,7 +106,7 @@
 */
 export function createCoordinatorClient(options: CoordinatorClientOptions): CoordinatorClient {
 	const {
-		getDaemonRecord, getSeeds, links, clock, log, onPublished, onPeers, onRegistryUpdate, onRequestLimits, onQuarantine, onRound, onHomeChange, onRecordKeeperChange,
+		getDaemonRecord, getSeeds, links, clock, log, onPublished, onTargetAges, onPeers, onRegistryUpdate, onRequestLimits, onQuarantine, onRound, onHomeChange, onRecordKeeperChange,
 	} = options;
 	const coordinators = new Map<string, KnownCoordinator>();
 	const startedAtMs = clock.readMonotonicMs();
@@ -117,7 +127,7 @@
 	/** Incarnations of leaving instances, by id, that have not been reported to a home yet. */
 	const unreportedLeaving = new Map<string, number>();
 
-	const applyPublished = (published: PublishedSnapshot, toldBy?: string) => {
+	const applyPublished = (published: PublishedSnapshot, source: TargetSource) => {
 		const lacksText = published.configText === undefined && published.configVersion > configVersion;
 
 		if (published.revision <= revision || lacksText) {
@@ -126,7 +136,7 @@
 
 		revision = published.revision;
 		configVersion = Math.max(configVersion, published.configVersion);
-		onPublished(published, toldBy);
+		onPublished(published, source);
 	};
 
 	const applyInstanceNotes = (notes: readonly InstanceUpdate[]) => {
@@ -199,7 +209,8 @@
 		}
 	};
 
-	const handleReply = (address: string, reply: HelloReply) => {
+	const handleReply = (address: string, reply: HelloReply, roundTripMs: number) => {
+		const source: TargetSource = {toldBy: address, isCurrent: reply.isCurrent};
 		const previous = coordinators.get(address);
 		coordinators.set(address, {
 			availabilityZone: previous?.availabilityZone, heardAtMs: clock.readMonotonicMs(), isCurrent: reply.isCurrent, isLost: false,
@@ -221,7 +232,11 @@
 		}
 
 		if (reply.published !== undefined) {
-			applyPublished(reply.published, address);
+			applyPublished({...reply.published, weights: addToAges(reply.published.weights, roundTripMs)}, source);
+		}
+
+		if (reply.targetAges !== undefined) {
+			onTargetAges(addToAges(reply.targetAges, roundTripMs), source);
 		}
 
 		if (reply.peers !== undefined) {
@@ -237,6 +252,7 @@
 	};
 
 	const helloClient = createHelloClient({
+		clock,
 		links,
 		timeoutMs: callTimeoutMs,
 		getHello: () => ({card: getDaemonRecord(), publishedRevision: revision, configVersion}),
@@ -344,7 +360,10 @@
 	runNextRound();
 
 	return {
-		applyPublished,
+		applyPublished(published) {
+			// A leader may send what it has just replayed, of which it cannot tell the age yet.
+			applyPublished(published, {toldBy: undefined, isCurrent: false});
+		},
 		applyInstanceUpdates: applyInstanceNotes,
 		reportLeaving({id, incarnation}) {
 			registry = setDraining(registry, {id, incarnation});
@@ -372,3 +391,8 @@
 		},
 	};
 }
+
+// A reply may have been under way, or unread, for as long as the hello went unanswered.
+function addToAges(weights: PublishedSnapshot['weights'], addedMs: number): PublishedSnapshot['weights'] {
+	return weights.map(([model, version, ageMs]) => [model, version, ageMs + addedMs]);
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -27,7 +27,7 @@
 import {createCallerServer} from './caller-server.js';
 import {createRequestBodies} from './request-bodies.js';
 import {createRequestHandler} from './request-handler.js';
-import {createCoordinatorClient} from './coordinator-client.js';
+import {createCoordinatorClient, type TargetSource} from './coordinator-client.js';
 import {createCrashDetector} from './crash-detector.js';
 import {type ForwardOptions} from './forward-options.js';
 import {createInstancePool} from './instance-pool.js';
@@ -147,21 +147,21 @@
 		}
 	};
 
-	const recordTargets = ({weights}: PublishedSnapshot, toldBy: string | undefined) => {
+	const recordTargets = (weights: PublishedSnapshot['weights'], {toldBy, isCurrent}: TargetSource) => {
 		const before = targetVersionHistory;
-		targetVersionHistory = recordTargetVersions(before, weights, {nowMs: clock.readMonotonicMs(), toldBy});
+		targetVersionHistory = recordTargetVersions(before, weights, {nowMs: clock.readMonotonicMs(), toldBy, isCurrent});
 
 		for (const [model, version, ageMs] of weights) {
 			if (targetVersionHistory.get(model) !== before.get(model)) {
 				log.info('target version of weights learnt', {
-					model, version, ageMs, toldBy: toldBy ?? 'push',
+					model, version, ageMs, toldBy: toldBy ?? 'push', isCurrent,
 				});
 			}
 		}
 	};
 
-	const onPublished = (published: PublishedSnapshot, toldBy: string | undefined) => {
-		recordTargets(published, toldBy);
+	const onPublished = (published: PublishedSnapshot, source: TargetSource) => {
+		recordTargets(published.weights, source);
 
 		if (published.configText !== undefined) {
 			const nextTable = tryBuildRouteTable(published);
@@ -312,7 +312,7 @@
 	metrics.registerGauge('parts_known', 'Stored parts that requests may fetch', () => partsClient.getView().locations.size);
 
 	const client = createCoordinatorClient({
-		getDaemonRecord, getSeeds, links, clock, log, onPublished, onPeers: planned.recordPeers,
+		getDaemonRecord, getSeeds, links, clock, log, onPublished, onTargetAges: recordTargets, onPeers: planned.recordPeers,
 		onRequestLimits: requestLimits.merge,
 		onQuarantine(address, quarantine) {
 			// A coordinator of an older version names none.
--- a/packages/gateway/src/target-version-history.ts
+++ b/packages/gateway/src/target-version-history.ts
@@ -14,13 +14,15 @@
 	readonly atMs: number;
 	/** Link address of the coordinator that told so; `undefined` where it was a push, which names none. */
 	readonly toldBy: string | undefined;
+	/** Whether the one that told so could know the age; where it could not, the version may have been the target for any time. */
+	readonly isAgeKnown: boolean;
 };
 
 /** By model, when each version of the weights became the target version; oldest first. Immutable. */
 export type TargetVersionHistory = ReadonlyMap<string, readonly TargetVersion[]>;
 
 /** The first target that made a version outdated. */
-export type NewerTarget = Pick<TargetVersion, 'version' | 'toldBy'> & {readonly ageMs: number};
+export type NewerTarget = Pick<TargetVersion, 'version' | 'toldBy' | 'isAgeKnown'> & {readonly ageMs: number};
 
 /** How old the first newer target was when a run began on older weights: the label of a metric. */
 export enum OutdatedAge {
@@ -34,6 +36,10 @@
 /** Share of `oldWeightsMs` in which requests may still begin on older weights; the remainder covers requests in transit. */
 const usablePeriodShare = 0.85;
 const maxKeptVersions = 8;
+/** The age that coordinators tell for a target whose time they do not know. */
+const unknownAgeMs = 60_000;
+/** Differences of ages below this come from the messages that tell them. */
+const ageToleranceMs = 100;
 
 /** Creates a history without target versions. */
 export function createTargetVersionHistory(): TargetVersionHistory {
@@ -41,29 +47,40 @@
 }
 
 /**
-Records the target versions of the models; a version that is not newer than all recorded ones is ignored.
+Records the target versions of the models. A target may be older than the one that told of it can know, never younger, so of several known ages the oldest counts.
 
 @example
 ```
 const weights = recordTargetVersions(createTargetVersionHistory(), [['guide', 2, 0]], {nowMs});
 ```
 */
-export function recordTargetVersions(weights: TargetVersionHistory, announced: AnnouncedTargets, {nowMs, toldBy}: {
-	readonly nowMs: number; readonly toldBy?: string | undefined;
+export function recordTargetVersions(weights: TargetVersionHistory, announced: AnnouncedTargets, {nowMs, toldBy, isCurrent = true}: {
+	readonly nowMs: number;
+	readonly toldBy?: string | undefined;
+	/** Whether the coordinator that tells the targets is current. */
+	readonly isCurrent?: boolean;
 }): TargetVersionHistory {
 	const next = new Map(weights);
 
 	for (const [model, version, ageMs] of announced) {
 		const versions = next.get(model) ?? [];
+		const known = versions.find(entry => entry.version === version);
+		const told: TargetVersion = {
+			version, atMs: nowMs - ageMs, toldBy, isAgeKnown: isCurrent || ageMs < unknownAgeMs,
+		};
 
-		if (versions.every(entry => entry.version < version)) {
-			next.set(model, [...versions, {version, atMs: nowMs - ageMs, toldBy}].slice(-maxKeptVersions));
+		if (known === undefined || isBetter(told, known)) {
+			next.set(model, [...versions.filter(entry => entry !== known), told].toSorted((a, b) => a.version - b.version).slice(-maxKeptVersions));
 		}
 	}
 
 	return next;
 }
 
+function isBetter(told: TargetVersion, known: TargetVersion): boolean {
+	return told.isAgeKnown && (!known.isAgeKnown || told.atMs < known.atMs - ageToleranceMs);
+}
+
 type AnnouncedTargets = ReadonlyArray<readonly [model: string, version: number, ageMs: number]>;
 
 export type WeightsQuery = {
@@ -88,7 +105,7 @@
 		return WeightsUse.Current;
 	}
 
-	if (newer.ageMs + startDelayMs >= oldWeightsMs * usablePeriodShare) {
+	if (!newer.isAgeKnown || newer.ageMs + startDelayMs >= oldWeightsMs * usablePeriodShare) {
 		return WeightsUse.Barred;
 	}
 
@@ -101,7 +118,9 @@
 
 	return newer === undefined || (version === undefined && newer.version <= 1)
 		? undefined
-		: {version: newer.version, ageMs: nowMs - newer.atMs, toldBy: newer.toldBy};
+		: {
+			version: newer.version, ageMs: nowMs - newer.atMs, toldBy: newer.toldBy, isAgeKnown: newer.isAgeKnown,
+		};
 }
 
 /** Classifies the age of the first newer target for the metric. */
--- a/packages/instances/src/daemons.ts
+++ b/packages/instances/src/daemons.ts
@@ -53,7 +53,7 @@
 	readonly configVersion: number;
 	/** The configuration as it was accepted; omitted if the receiver already has this version. */
 	readonly configText: string | undefined;
-	/** Target weight version of each model, with its age. An unknown age is given as longer than any limit on the use of old weights. */
+	/** Latest target weight versions of each model, oldest first, with their ages. An unknown age is given as longer than any limit on the use of old weights. */
 	readonly weights: ReadonlyArray<readonly [model: string, version: number, ageMs: number]>;
 };
 
@@ -102,6 +102,8 @@
 	readonly leaderAddress: string | undefined;
 	/** Whether the coordinator had contact with a leader recently, so that its state is current. */
 	readonly isCurrent: boolean;
+	/** From a current coordinator: the target weight versions with their ages, while one of them is young. */
+	readonly targetAges?: PublishedSnapshot['weights'] | undefined;
 	/** Version of the sender's home list that the coordinator holds. */
 	readonly heldHomes: Pick<HomeList, 'incarnation' | 'revision'> | undefined;
 	/** For a gateway that stops, from a coordinator that is current. */
--- a/packages/instances/src/message-guards.ts
+++ b/packages/instances/src/message-guards.ts
@@ -44,9 +44,10 @@
 const isHomeList = isObjectWith({incarnation: isNonNegativeInteger, revision: isNonNegativeInteger, cards: isDaemonRecords});
 const isUpdateCursor = isObjectWith({bootId: isOptional(isName), revision: isNonNegativeInteger});
 
+const isTargetAges = isArrayOf(isTupleOf(isName, isNonNegativeInteger, isNumberInRange(0, Number.MAX_SAFE_INTEGER)), maxListLength);
+
 export const isPublishedSnapshot = isObjectWith({
-	revision: isNonNegativeInteger, configVersion: isNonNegativeInteger, configText: isOptional(isStringUpTo(maxConfigLength)),
-	weights: isArrayOf(isTupleOf(isName, isNonNegativeInteger, isNumberInRange(0, Number.MAX_SAFE_INTEGER)), maxListLength),
+	revision: isNonNegativeInteger, configVersion: isNonNegativeInteger, configText: isOptional(isStringUpTo(maxConfigLength)), weights: isTargetAges,
 }) as TypeGuard<unknown> as TypeGuard<PublishedSnapshot>;
 
 export const isHello = isObjectWith({
@@ -63,6 +64,7 @@
 	published: isOptional(isPublishedSnapshot),
 	leaderAddress: isOptional(isName),
 	isCurrent: isBoolean,
+	targetAges: isOptional(isTargetAges),
 	heldHomes: isOptional(isObjectWith({incarnation: isNonNegativeInteger, revision: isNonNegativeInteger})),
 	peers: isOptional(isObjectWith({
 		known: isNonNegativeInteger, ready: isNonNegativeInteger, acceptingAfter: isNonNegativeInteger, ending: isNonNegativeInteger,
--- a/packages/runtime/src/__tests__/unit/hello-client.test.ts
+++ b/packages/runtime/src/__tests__/unit/hello-client.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import {createSystemClock} from '@fescuestair/core';
 import {HelloKind, type Hello} from '@fescuestair/instances';
 import {createHelloClient} from '../../index.js';
 
@@ -8,6 +9,7 @@
 	const replied: string[] = [];
 	const lost: string[] = [];
 	const helloClient = createHelloClient({
+		clock: createSystemClock(),
 		timeoutMs: 1000,
 		links: {
 			async call(address, message) {
--- a/packages/runtime/src/hello-client.ts
+++ b/packages/runtime/src/hello-client.ts
@@ -1,3 +1,4 @@
+import {type Clock} from '@fescuestair/core';
 import {
 	isHelloReply, type HelloKind, type Hello, type HelloReply, type HomeList, type UpdateCursor,
 } from '@fescuestair/instances';
@@ -6,11 +7,13 @@
 } from '@fescuestair/protocol';
 
 export type HelloClientOptions = {
+	readonly clock: Pick<Clock, 'readMonotonicMs'>;
 	readonly links: LinkCaller;
 	readonly timeoutMs: number;
 	/** Returns the fields that are the same for every coordinator at this moment. */
 	readonly getHello: () => Pick<Hello, 'card' | 'publishedRevision' | 'configVersion' | 'evidenceDigest'>;
-	readonly onReply: (address: string, reply: HelloReply) => void;
+	/** `roundTripMs` is the time since the hello was sent, by which what the reply tells may be out of date. */
+	readonly onReply: (address: string, reply: HelloReply, roundTripMs: number) => void;
 	/** Called when a coordinator did not answer in time, or answered with an invalid reply. */
 	readonly onFailure: (address: string, error: unknown) => void;
 };
@@ -38,11 +41,11 @@
 
 @example
 ```
-const helloClient = createHelloClient({links, timeoutMs: 1500, getHello, onReply, onFailure});
+const helloClient = createHelloClient({clock, links, timeoutMs: 1500, getHello, onReply, onFailure});
 helloClient.sendHello('10.0.0.1:7200', {greeting: HelloKind.Visitor, wantsUpdates: true});
 ```
 */
-export function createHelloClient({links, timeoutMs, getHello, onReply, onFailure}: HelloClientOptions): HelloClient {
+export function createHelloClient({clock, links, timeoutMs, getHello, onReply, onFailure}: HelloClientOptions): HelloClient {
 	const cursors = new Map<string, UpdateCursor>();
 	const pendingCallCounts = new Map<string, number>();
 
@@ -53,6 +56,8 @@
 		};
 		pendingCallCounts.set(address, (pendingCallCounts.get(address) ?? 0) + 1);
 
+		const sentAtMs = clock.readMonotonicMs();
+
 		try {
 			const answer = await callAndValidate(links, {address, message: {kind: LinkMessageKind.Hello, hello}, timeoutMs});
 
@@ -61,7 +66,7 @@
 			}
 
 			const reply = requireValid(answer.reply, isHelloReply, address);
-			onReply(address, reply);
+			onReply(address, reply, clock.readMonotonicMs() - sentAtMs);
 
 			if (reply.news !== undefined) {
 				cursors.set(address, reply.news.cursor);
