Take weights of an unknown version for the oldest, also for requests that name no model

Cause: for an unknown version the first target that was named decided. If that was version 1, nothing counted as newer, however many versions followed. A request that does not say which model it is for was placed without any look at the weights.

Change: an unknown version counts as version 1. A request without a described prompt goes to an engine only if none of the models that it names is barred; an engine that names none may hold any. Unit tests fail without each of the two.

--- a/packages/gateway/src/__tests__/unit/choose-place.test.ts
+++ b/packages/gateway/src/__tests__/unit/choose-place.test.ts
@@ -20,11 +20,11 @@
 	},
 };
 
-const createHeld = (id: string, version: number): RegisteredInstance => ({
+const createHeld = (id: string, version: number, models = [{name: 'guide', version}]): RegisteredInstance => ({
 	heardAtMs: performance.now(), revision: 1, loadingDeadlineMs: 0,
 	record: {
 		id, service: service.name, address: `127.0.0.1:${9000 + version}`, availabilityZone: 'north', slots: 16, stage: InstanceStage.Ready, coldLeftMs: 0,
-		models: [{name: 'guide', version}], incarnation: 1, sequence: 1,
+		models, incarnation: 1, sequence: 1,
 	},
 });
 
@@ -45,11 +45,11 @@
 			getView: () => createPartsView(), pollHome: () => undefined, recordUse: () => undefined, recordSave: () => undefined, countPendingTokens: () => 0,
 			isBeingSaved: () => false, stop: () => undefined,
 		},
-		getTable: () => ({stores: []}),
+		getTable: () => ({stores: []}), listTargetModels: () => ['guide'],
 	} as unknown as ForwardOptions;
 
 	return {
-		instancePool, choose: (partId: string) => chooseInstanceForRequest(options, createExchange(partId), {
+		instancePool, choose: (partId?: string) => chooseInstanceForRequest(options, createExchange(partId), {
 			service, progress: {
 				sentCount: 0, refused: 0, waits: 0, permitRefusals: 0, permit: undefined, isTrial: false, triedInstanceIds: new Set(), isEligible: () => true, story: [],
 			},
@@ -57,16 +57,18 @@
 	};
 };
 
-const createExchange = (partId: string): Exchange => ({
+const createExchange = (partId?: string): Exchange => ({
 	requestId: 'r1', request: {} as unknown as IncomingMessage, response: {} as unknown as ServerResponse, organisation: undefined, body: Buffer.alloc(0),
 	startedAtMs: 0, deadlineMs: 4000,
 	route: {kind: CallKind.Streaming} as unknown as Exchange['route'],
 	caller: {
 		requestId: 'r1', timeLeftMs: 4000, key: undefined, lastEventId: undefined, resumedRequestId: undefined,
-		prompt: {
-			model: 'guide', promptTokens: 380, maxOutputTokens: 20, expectedOutputTokens: undefined,
-			parts: [{id: partId, tokens: 300}, {id: `${partId}-own`, tokens: 80}],
-		},
+		prompt: partId === undefined
+			? undefined
+			: {
+				model: 'guide', promptTokens: 380, maxOutputTokens: 20, expectedOutputTokens: undefined,
+				parts: [{id: partId, tokens: 300}, {id: `${partId}-own`, tokens: 80}],
+			},
 	},
 });
 
@@ -101,3 +103,12 @@
 	instancePool.addPeerWork([['i-1', 600, 0], ['i-2', 3000, 0]]);
 	t.deepEqual([...new Set(partIds.map(id => choose(id)?.entry.held.record.id))], ['i-2']);
 });
+
+// Issue 57: what is not known of a request or of an engine counted as current.
+test('a request that names no model is not sent to engines on barred weights, nor to those that name no model', t => {
+	const {choose, instancePool} = openGateway(t, (_model, version) => version === 2 ? WeightsUse.Current : WeightsUse.Barred);
+	t.is(choose()?.entry.held.record.id, 'i-2');
+	instancePool.applyRegistry({held: new Map([['i-1', createHeld('i-1', 1)], ['i-2', createHeld('i-2', 2, [])]]), revision: 2});
+	t.is(choose(), undefined);
+	t.is(choose('part'), undefined);
+});
--- a/packages/gateway/src/__tests__/unit/target-version-history.test.ts
+++ b/packages/gateway/src/__tests__/unit/target-version-history.test.ts
@@ -72,3 +72,12 @@
 	t.is(classifyWeights(weights, {...query, version: 1}), WeightsUse.Barred);
 	t.is(classifyWeights(weights, {...query, version: 2}), WeightsUse.Current);
 });
+
+// Issue 57: an unknown version counted as current once the first version had been named.
+test('an unknown version counts as the first one', t => {
+	t.is(classify([], undefined, 99_000), WeightsUse.Current);
+	t.is(classify([[1, 0]], undefined, 99_000), WeightsUse.Current);
+	t.is(classify([[1, 0], [2, 10]], undefined, 9000), WeightsUse.Barred);
+	t.is(classify([[1, 0], [2, 8000]], undefined, 9000), WeightsUse.Current);
+	t.is(classify([[2, 10]], undefined, 9000), WeightsUse.Barred);
+});
--- a/packages/gateway/src/choose-place.ts
+++ b/packages/gateway/src/choose-place.ts
@@ -32,7 +32,7 @@
 	const openEntries = listOpenEntries(options, {service, progress});
 
 	return service.engine === undefined || prompt === undefined
-		? choosePlainInstance(options, openEntries)
+		? choosePlainInstance(options, service.engine === undefined ? openEntries : openEntries.filter(entry => !hasBarredWeights(options, entry)))
 		: chooseEngineInstance(options, exchange, {service, openEntries, prompt});
 }
 
@@ -68,6 +68,13 @@
 	};
 }
 
+// A request that does not say which model it is for may run on any of those that its engine holds. An engine that names none may hold any, on any version.
+function hasBarredWeights({classifyWeights, listTargetModels}: ForwardOptions, {held: {record: {models}}}: PooledInstance): boolean {
+	return models.length > 0
+		? models.some(({name, version}) => classifyWeights(name, version) === WeightsUse.Barred)
+		: [...listTargetModels()].some(model => classifyWeights(model, undefined) === WeightsUse.Barred);
+}
+
 type EngineChoiceInput = {readonly openEntries: readonly PooledInstance[]; readonly service: Service; readonly prompt: PromptDescription};
 
 /** Data shared by all engines that serve the same version of the weights. */
--- a/packages/gateway/src/forward-options.ts
+++ b/packages/gateway/src/forward-options.ts
@@ -40,6 +40,8 @@
 	readonly getTable: () => RouteTable;
 	/** Decides whether new requests may start on a version of a model's weights; `startMs` is the expected delay until the start. */
 	readonly classifyWeights: (model: string, version: number | undefined, startMs?: number) => WeightsUse;
+	/** Lists the models that have a target version. */
+	readonly listTargetModels: () => Iterable<string>;
 	/** Finds the first target that is newer than a version of a model's weights. */
 	readonly findNewerTarget: (model: string, version: number | undefined) => NewerTarget | undefined;
 	/** Time after a change of the target version in which requests may still begin on older weights. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -265,6 +265,7 @@
 		classifyWeights: (model, version, startDelayMs) => classifyWeights(targetVersionHistory, {
 			model, version, nowMs: clock.readMonotonicMs(), oldWeightsMs, startDelayMs,
 		}),
+		listTargetModels: () => targetVersionHistory.keys(),
 		findNewerTarget: (model, version) => findNewerTarget(targetVersionHistory, {model, version, nowMs: clock.readMonotonicMs()}),
 		oldWeightsMs,
 		retryBudgets: budgets,
--- a/packages/gateway/src/target-version-history.ts
+++ b/packages/gateway/src/target-version-history.ts
@@ -36,6 +36,8 @@
 /** Share of `oldWeightsMs` in which requests may still begin on older weights; the remainder covers requests in transit. */
 const usablePeriodShare = 0.85;
 const maxKeptVersions = 8;
+/** The version of weights that never changed. */
+const firstVersion = 1;
 /** The age that coordinators tell for a target whose time they do not know. */
 const unknownAgeMs = 60_000;
 /** Differences of ages below this come from the messages that tell them. */
@@ -85,7 +87,7 @@
 
 export type WeightsQuery = {
 	readonly model: string;
-	/** `undefined` where the version is unknown. */
+	/** `undefined` where the version is unknown: it may be the first. */
 	readonly version: number | undefined;
 	readonly nowMs: number;
 	readonly oldWeightsMs: number;
@@ -114,9 +116,9 @@
 
 /** Finds the first target that is newer than a version, with its age; `undefined` where none is. */
 export function findNewerTarget(weights: TargetVersionHistory, {model, version, nowMs}: Pick<WeightsQuery, 'model' | 'version' | 'nowMs'>): NewerTarget | undefined {
-	const newer = weights.get(model)?.find(entry => entry.version > (version ?? 0));
+	const newer = weights.get(model)?.find(entry => entry.version > (version ?? firstVersion));
 
-	return newer === undefined || (version === undefined && newer.version <= 1)
+	return newer === undefined
 		? undefined
 		: {
 			version: newer.version, ageMs: nowMs - newer.atMs, toldBy: newer.toldBy, isAgeKnown: newer.isAgeKnown,
