Take runs back that do not begin while the weights of their instance may still be used

Cause: the promise is about the beginning of a run, and was checked where the run is sent. What is sent may wait in a queue, in a silent instance, behind a preemption or for a connection, and a newer version may be named after it was sent. The estimate that is to prevent this was asked only once newer weights were 1.5 s old, when a long queue had been filled.

Change: each run at an engine holds the version that it is to begin on until its first event. When 95% of the limit has passed since the first newer target, it is cancelled, so that its instance sees the connection end. It is repeated elsewhere within the attempts and the retry budget where it may run twice; else its caller gets 502, since it may have run. The estimate is asked as soon as a newer version is named, and the choice is checked again after a wait for a permit.

--- a/packages/gateway/src/__tests__/unit/choose-place.test.ts
+++ b/packages/gateway/src/__tests__/unit/choose-place.test.ts
@@ -46,6 +46,7 @@
 			isBeingSaved: () => false, stop: () => undefined,
 		},
 		getTable: () => ({stores: []}), listTargetModels: () => ['guide'],
+		findNewerTarget: (model: string, version: number | undefined) => classifyWeights(model, version, Number.POSITIVE_INFINITY) === WeightsUse.Current ? undefined : {},
 	} as unknown as ForwardOptions;
 
 	return {
@@ -112,3 +113,10 @@
 	t.is(choose(), undefined);
 	t.is(choose('part'), undefined);
 });
+
+// Issue 57: a long queue was filled while newer weights were a moment old.
+test('an engine whose queue delays the start beyond the deadline is not chosen, however new the newer weights are', t => {
+	const {choose, instancePool} = openGateway(t, (_model, version, startMs = 0) => version === 1 && startMs >= 1000 ? WeightsUse.Barred : WeightsUse.Current);
+	instancePool.addPeerWork([['i-1', 600, 0], ['i-2', 3000, 0]]);
+	t.deepEqual([...new Set(partIds.map(id => choose(id)?.entry.held.record.id))], ['i-2']);
+});
--- a/packages/gateway/src/choose-place.ts
+++ b/packages/gateway/src/choose-place.ts
@@ -80,6 +80,9 @@
 /** Data shared by all engines that serve the same version of the weights. */
 type WeightVersionPlan = {
 	readonly isBarred: boolean;
+	/** A newer version is the target, for however short a time. */
+	readonly isSuperseded: boolean;
+	/** A newer version has been the target for so long that responses are worth less. */
 	readonly isOutdated: boolean;
 	readonly cache: CacheInstructions | undefined;
 	readonly prompt: PromptFetchPlan | undefined;
@@ -103,7 +106,7 @@
 		const version = findVersion(entry, prompt.model);
 		const plan = getPlan(version);
 
-		if (!plan.isBarred && !(plan.isOutdated && isStartTooLate(options, entry, {model: prompt.model, version, nowMs}))) {
+		if (!plan.isBarred && !(plan.isSuperseded && isStartTooLate(options, entry, {model: prompt.model, version, nowMs}))) {
 			candidates.push(describeInstanceOption(entry, {nowMs, prompt: plan.prompt, isOutdated: plan.isOutdated}));
 		}
 	}
@@ -124,6 +127,11 @@
 	};
 }
 
+/** Whether the weights of the chosen instance have become too old since it was chosen, as during the wait for a permit. */
+export function hasBecomeBarred(options: ForwardOptions, {caller: {prompt}}: Exchange, {entry}: InstanceChoice): boolean {
+	return prompt !== undefined && options.classifyWeights(prompt.model, findVersion(entry, prompt.model)) === WeightsUse.Barred;
+}
+
 /** Factor by which the wait in an engine's queue may exceed its estimate, as it does in bursts. */
 const queueGrowthFactor = 2;
 
@@ -143,6 +151,7 @@
 
 	return {
 		isBarred: use === WeightsUse.Barred,
+		isSuperseded: options.findNewerTarget(model, version) !== undefined,
 		isOutdated: use === WeightsUse.Late,
 		cache,
 		prompt: cache && planPromptFetch({
--- a/packages/gateway/src/forward-options.ts
+++ b/packages/gateway/src/forward-options.ts
@@ -14,6 +14,7 @@
 import {type InstancePool} from './instance-pool.js';
 import {type MemoryBudget} from './memory-budget.js';
 import {type PartsClient} from './parts-client.js';
+import {type StartDeadlines} from './start-deadlines.js';
 import {type StreamOrigins} from './stream-origins.js';
 import {type UnprovenOrigins} from './unproven-origins.js';
 
@@ -40,6 +41,8 @@
 	readonly getTable: () => RouteTable;
 	/** Decides whether new requests may start on a version of a model's weights; `startMs` is the expected delay until the start. */
 	readonly classifyWeights: (model: string, version: number | undefined, startMs?: number) => WeightsUse;
+	/** Takes back runs that do not begin while the weights of their instances may still be used. */
+	readonly startDeadlines: Pick<StartDeadlines, 'registerRun'>;
 	/** Lists the models that have a target version. */
 	readonly listTargetModels: () => Iterable<string>;
 	/** Finds the first target that is newer than a version of a model's weights. */
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -11,7 +11,7 @@
 import {createActiveRuns, type RunEnd} from './active-runs.js';
 import {AttemptCompletion} from './attempt.js';
 import {createCallerStream} from './caller-stream.js';
-import {chooseInstanceForRequest, type InstanceChoice} from './choose-place.js';
+import {chooseInstanceForRequest, hasBecomeBarred, type InstanceChoice} from './choose-place.js';
 import {
 	ExchangeOutcome, ResponseEnd, sendLocalResponse, type Exchange, type ExchangeResult,
 } from './exchange.js';
@@ -256,16 +256,21 @@
 		return undefined;
 	}
 
-	// The wait for a trial or the permit may have outlasted the caller, or the evidence that the request is to be held back.
-	if (hasEnded(context) || (!progress.isTrial && options.crashes.findHeldBack(exchange) !== undefined)) {
-		return undefined;
+	if (canStillStart(context, choice)) {
+		startRunAt(context, choice);
 	}
 
-	startRunAt(context, choice);
-
 	return undefined;
 }
 
+// The wait for a trial or the permit may have outlasted the caller, the weights of the instance, or the evidence that the request is to be held back.
+function canStillStart(context: ForwardingContext, choice: InstanceChoice): boolean {
+	const {options, exchange, progress} = context;
+	const isHeldBack = !progress.isTrial && options.crashes.findHeldBack(exchange) !== undefined;
+
+	return !hasEnded(context) && !isHeldBack && !hasBecomeBarred(options, exchange, choice);
+}
+
 // No instance accepts requests now. Waits until one does, provided that this is early enough for the request; refuses the request otherwise.
 async function waitForInstance(context: ForwardingContext): Promise<ExchangeResult | undefined> {
 	const {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -33,11 +33,12 @@
 import {createInstancePool} from './instance-pool.js';
 import {createMemoryBudget, pickLargest} from './memory-budget.js';
 import {
-	createTargetVersionHistory, classifyWeights, findNewerTarget, recordTargetVersions,
+	createTargetVersionHistory, classifyWeights, findNewerTarget, findStartDeadlineMs, recordTargetVersions,
 } from './target-version-history.js';
 import {createLoadExchange} from './load-exchange.js';
 import {createPartsClient} from './parts-client.js';
 import {createPlannedStop} from './planned-stop.js';
+import {createStartDeadlines} from './start-deadlines.js';
 import {createStreamOrigins} from './stream-origins.js';
 import {createUnprovenOrigins} from './unproven-origins.js';
 
@@ -136,6 +137,10 @@
 		},
 	});
 
+	const startDeadlines = createStartDeadlines({
+		clock, findDeadlineMs: weights => findStartDeadlineMs(targetVersionHistory, {...weights, oldWeightsMs}),
+	});
+
 	// The coordinators check a configuration by the rules of their own version.
 	const tryBuildRouteTable = ({configText, configVersion}: PublishedSnapshot): RouteTable | undefined => {
 		try {
@@ -158,6 +163,8 @@
 				});
 			}
 		}
+
+		startDeadlines.applyTargets();
 	};
 
 	const onPublished = (published: PublishedSnapshot, source: TargetSource) => {
@@ -265,6 +272,7 @@
 		classifyWeights: (model, version, startDelayMs) => classifyWeights(targetVersionHistory, {
 			model, version, nowMs: clock.readMonotonicMs(), oldWeightsMs, startDelayMs,
 		}),
+		startDeadlines,
 		listTargetModels: () => targetVersionHistory.keys(),
 		findNewerTarget: (model, version) => findNewerTarget(targetVersionHistory, {model, version, nowMs: clock.readMonotonicMs()}),
 		oldWeightsMs,
@@ -303,6 +311,7 @@
 	metrics.registerGauge('config_version', 'Version of the configuration in force', () => routeTable?.config.version ?? 0);
 	metrics.registerGauge('requests_running', 'Requests that have no final answer yet', () => activeResponses.size);
 	metrics.registerGauge('requests_waiting', 'Requests that wait here for a free instance', () => forwardOptions.waiting.size);
+	metrics.registerGauge('runs_to_begin', 'Runs at engines that have been sent and have not begun', startDeadlines.countWaiting);
 	metrics.registerGauge('answers_buffered_bytes', 'Memory of the answers that are buffered until they are complete, or until an event is', forwardOptions.answerMemory.countBytes);
 	metrics.registerGauge('bodies_buffered_bytes', 'Bytes of the bodies of requests in progress', bodies.countBytes);
 	metrics.registerGauge('connections_paced', 'Connections that wait for their share of the event loop, since they send very small pieces', processReadPacer.countHeld);
@@ -391,6 +400,7 @@
 			partsClient.stop();
 			loadExchange.stop();
 			permits.stop();
+			startDeadlines.stop();
 
 			await callerServer.close();
 			instancePool.stop();
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -14,6 +14,6 @@
 export {sendResponseHead, sendUpstreamResponse, type ResponseHeadOptions} from './send-response.js';
 export {UpstreamAgent, type UpstreamAgentOptions} from './upstream-agent.js';
 export {
-	createTargetVersionHistory, classifyOutdatedAge, classifyWeights, findNewerTarget, OutdatedAge, recordTargetVersions, WeightsUse,
+	createTargetVersionHistory, classifyOutdatedAge, classifyWeights, findNewerTarget, findStartDeadlineMs, OutdatedAge, recordTargetVersions, WeightsUse,
 	type NewerTarget, type TargetVersion, type TargetVersionHistory, type WeightsQuery,
 } from './target-version-history.js';
--- a/packages/gateway/src/start-run.ts
+++ b/packages/gateway/src/start-run.ts
@@ -20,6 +20,7 @@
 import {recordCachedParts, type PooledInstance, type InFlightRequest} from './pooled-instance.js';
 import {describeRunOrigin} from './run-origin.js';
 import {describeStreamRecord} from './take-up.js';
+import {type RunWeights} from './start-deadlines.js';
 import {classifyOutdatedAge, OutdatedAge} from './target-version-history.js';
 
 /**
@@ -35,6 +36,7 @@
 after a few tenths of a second at the earliest.
 */
 const maxIdleMs = 200;
+const minFailureStatus = 300;
 
 /** What a run needs besides the request: the chosen instance and the state of forwarding. */
 export type RunInput = InstanceChoice & {
@@ -127,6 +129,16 @@
 		},
 	};
 
+	const unregisterFunctions = listRunWeights(input, exchange).map(weights => options.startDeadlines.registerRun(weights, () => {
+		attempt.cancel(RunEvidence.WeightsTooOld);
+	}));
+
+	const recordStart = () => {
+		for (const unregister of unregisterFunctions.splice(0)) {
+			unregister();
+		}
+	};
+
 	const recordFirstPiece = () => {
 		if (firstPieceMs === undefined) {
 			firstPieceMs = clock.readMonotonicMs() - startedAtMs;
@@ -196,7 +208,11 @@
 		onConnection(atMs) {
 			openedAtMs = atMs;
 		},
-		onHead({answer}) {
+		onHead({answer, status}) {
+			if (!isStreaming || status >= minFailureStatus) {
+				recordStart();
+			}
+
 			if (answer.load !== undefined) {
 				entry.load = {...entry.load, report: {...answer.load, atMs: clock.readMonotonicMs(), ownAtReport: entry.load.own}};
 			}
@@ -214,6 +230,7 @@
 				streamed.pieces++;
 
 				if (streamed.pieces === 1) {
+					recordStart();
 					recordBeginning(options, exchange, {...input, head, startedAtMs});
 				}
 
@@ -244,6 +261,7 @@
 
 	const finishRun = async (): Promise<EndedRun> => {
 		const ended = await attempt.result;
+		recordStart();
 
 		hasEnded = ended.end !== AttemptCompletion.Complete;
 
@@ -320,6 +338,19 @@
 	return activeRun;
 }
 
+// A request that does not say which model it is for may begin on any of those that its engine names.
+function listRunWeights({entry, service}: RunInput, {caller}: Exchange): readonly RunWeights[] {
+	if (service.engine === undefined) {
+		return [];
+	}
+
+	const {models} = entry.held.record;
+
+	return caller.prompt === undefined
+		? models.map(({name, version}) => ({model: name, version}))
+		: [{model: caller.prompt.model, version: models.find(({name}) => name === caller.prompt!.model)?.version}];
+}
+
 type Beginning = Pick<RunInput, 'entry' | 'cache' | 'service'> & {readonly head: ResponseHead; readonly startedAtMs: number};
 
 // Records that a run has begun on older weights than the target, as the instance states them, or as it was believed to have them.
--- a/packages/gateway/src/start-successor.ts
+++ b/packages/gateway/src/start-successor.ts
@@ -1,7 +1,7 @@
 import {
 	RunAction, RunEvidence, SuccessionObstacle, decideRun, type RunDecision,
 } from '@fescuestair/streams';
-import {chooseInstanceForRequest, type InstanceChoice} from './choose-place.js';
+import {chooseInstanceForRequest, hasBecomeBarred, type InstanceChoice} from './choose-place.js';
 import {
 	canRetryNow, countSuccessorsLeft, hasEnded, setSuccessorPause, takeRetry, type ForwardingContext,
 } from './forwarding-context.js';
@@ -45,7 +45,7 @@
 		recordDecision(context, run, silence);
 		const choice = silence.action === RunAction.AddRun ? await waitForPermit(context, {choice: silence.choice!, successorProgress, minTimeLeftMs}) : undefined;
 
-		if (choice !== undefined && !hasEnded(context) && takeRetry(options, service.name)) {
+		if (choice !== undefined && !hasEnded(context) && !hasBecomeBarred(options, exchange, choice) && takeRetry(options, service.name)) {
 			startRun(choice);
 		}
 	} catch (error) {
--- a/packages/gateway/src/target-version-history.ts
+++ b/packages/gateway/src/target-version-history.ts
@@ -35,6 +35,8 @@
 const lateAfterMs = 1500;
 /** Share of `oldWeightsMs` in which requests may still begin on older weights; the remainder covers requests in transit. */
 const usablePeriodShare = 0.85;
+/** Share of `oldWeightsMs` after which a run that has not begun is taken back; the remainder covers the time until its instance sees that. */
+const latestStartShare = 0.95;
 const maxKeptVersions = 8;
 /** The version of weights that never changed. */
 const firstVersion = 1;
@@ -114,9 +116,13 @@
 	return newer.ageMs >= lateAfterMs ? WeightsUse.Late : WeightsUse.Current;
 }
 
+function findFirstNewer(weights: TargetVersionHistory, {model, version}: Pick<WeightsQuery, 'model' | 'version'>): TargetVersion | undefined {
+	return weights.get(model)?.find(entry => entry.version > (version ?? firstVersion));
+}
+
 /** Finds the first target that is newer than a version, with its age; `undefined` where none is. */
 export function findNewerTarget(weights: TargetVersionHistory, {model, version, nowMs}: Pick<WeightsQuery, 'model' | 'version' | 'nowMs'>): NewerTarget | undefined {
-	const newer = weights.get(model)?.find(entry => entry.version > (version ?? firstVersion));
+	const newer = findFirstNewer(weights, {model, version});
 
 	return newer === undefined
 		? undefined
@@ -125,6 +131,20 @@
 		};
 }
 
+/**
+Finds the time on the monotonic clock until which a request may begin on a version: a promise about the beginning, however early the request was sent. `undefined` while no
+newer version is the target.
+*/
+export function findStartDeadlineMs(weights: TargetVersionHistory, {model, version, oldWeightsMs}: Pick<WeightsQuery, 'model' | 'version' | 'oldWeightsMs'>): number | undefined {
+	const newer = findFirstNewer(weights, {model, version});
+
+	if (newer === undefined) {
+		return undefined;
+	}
+
+	return newer.isAgeKnown ? newer.atMs + (oldWeightsMs * latestStartShare) : Number.NEGATIVE_INFINITY;
+}
+
 /** Classifies the age of the first newer target for the metric. */
 export function classifyOutdatedAge(ageMs: number, oldWeightsMs: number): OutdatedAge {
 	if (ageMs >= oldWeightsMs) {
--- a/packages/streams/src/decide-run.ts
+++ b/packages/streams/src/decide-run.ts
@@ -14,6 +14,8 @@
 	StopTimeout = 'stop_timeout',
 	/** The answers in progress take too much memory, and its own the most. */
 	OutOfMemory = 'out_of_memory',
+	/** It has not begun, and the weights of its upstream have become too old for that. */
+	WeightsTooOld = 'weights_too_old',
 }
 
 /** What is done about a run. */
@@ -117,4 +119,5 @@
 	[RunEvidence.DeadlinePassed]: 'the deadline passed',
 	[RunEvidence.StopTimeout]: 'the time to finish requests was over',
 	[RunEvidence.OutOfMemory]: 'the answers in progress take too much memory',
+	[RunEvidence.WeightsTooOld]: 'the weights of the instance became too old before the run began',
 };
