Let an instance whose order failed wait before the next one, so that the others get theirs

Cause: an order that fails (conflict, refusal, no report) was repeated in the next round of 200 ms.

Change: after a failure an instance waits 0.4 s, doubling up to 2 s, and takes no place; of those that are equally far behind the one that failed least goes first. What an operator sees: `instance stays on older weights` names `backing_off` and the outcome of the last order.

--- a/packages/coordinator/src/__tests__/unit/plan-weight-orders.test.ts
+++ b/packages/coordinator/src/__tests__/unit/plan-weight-orders.test.ts
@@ -1,6 +1,8 @@
 import test from 'ava';
 import {InstanceStage, type RegisteredInstance} from '@fescuestair/instances';
-import {computeMaxConcurrentLoads, planWeightOrders} from '../../index.js';
+import {
+	addOrderFailure, computeMaxConcurrentLoads, listOutdatedInstances, OrderObstacle, planWeightOrders,
+} from '../../index.js';
 
 const createHeld = (id: string, version: number, overrides: {readonly stage?: InstanceStage; readonly heardAtMs?: number} = {}): RegisteredInstance => ({
 	record: {
@@ -49,3 +51,39 @@
 
 	t.true(rounds <= 5, `${rounds}`);
 });
+
+test('an instance whose order failed waits longer after each failure, and takes no place meanwhile', t => {
+	const instances = ['a', 'b', 'c'].map(id => createHeld(id, 1));
+	const once = addOrderFailure(undefined, 1000);
+	t.true(once.retryAtMs > 1000);
+	const failures = new Map([['a', once], ['b', addOrderFailure(once, 1000)]]);
+	t.deepEqual(planWeightOrders({...base, instances, failures}).map(order => order.instanceId), ['c']);
+	t.deepEqual(planWeightOrders({
+		...base, instances, failures, nowMs: once.retryAtMs, silenceTimeoutMs: 9000,
+	}).map(order => order.instanceId), ['c', 'a']);
+	let many = once;
+
+	for (let index = 0; index < 20; index++) {
+		many = addOrderFailure(many, 1000);
+	}
+
+	t.is(many.retryAtMs, 3000);
+});
+
+test('each instance on older weights is listed with what keeps it from an order', t => {
+	const instances = [
+		createHeld('a', 1, {stage: InstanceStage.Draining}), createHeld('b', 1, {heardAtMs: 400}), createHeld('c', 1), createHeld('d', 1), createHeld('e', 2), createHeld('f', 3), createHeld('g', 2),
+		createHeld('h', 1, {stage: InstanceStage.Gone}),
+	];
+	const outdated = listOutdatedInstances({
+		...base, instances, busyInstanceIds: new Set(['c']), failures: new Map([['d', {count: 1, retryAtMs: 2000}]]),
+	});
+	t.deepEqual(outdated.map(({instanceId, obstacle}) => [instanceId, obstacle]), [
+		['a', OrderObstacle.Leaving],
+		['b', OrderObstacle.Silent],
+		['c', OrderObstacle.InProgress],
+		['d', OrderObstacle.BackingOff],
+		['e', undefined],
+		['g', OrderObstacle.NoTurn],
+	]);
+});
--- a/packages/coordinator/src/index.ts
+++ b/packages/coordinator/src/index.ts
@@ -8,7 +8,7 @@
 	createPartsIndexHost, type PartsIndexHostOptions, type StoreClient, type StoreEvents, type StoreListing,
 } from './parts-index-host.js';
 export {
-	computeMaxConcurrentLoads, listOutdatedInstances, OrderObstacle, planWeightOrders, type OutdatedInstance, type WeightOrder, type PlanWeightOrdersInput,
+	addOrderFailure, computeMaxConcurrentLoads, listOutdatedInstances, OrderObstacle, planWeightOrders, type OrderFailures, type OutdatedInstance, type WeightOrder, type PlanWeightOrdersInput,
 } from './plan-weight-orders.js';
 export {
 	applyPublish, createPublishedState, decodePublishedState, describePublished, encodePublishedState, listTargetAges, PublishKind, type PublishAnswer,
--- a/packages/coordinator/src/outdated-instances.ts
+++ b/packages/coordinator/src/outdated-instances.ts
@@ -1,5 +1,4 @@
 import {type Clock} from '@fescuestair/core';
-import {type Logger} from '@fescuestair/runtime';
 import {type OutdatedInstance, type WeightOrder} from './plan-weight-orders.js';
 
 /** What became of an order to load weights. */
@@ -36,7 +35,10 @@
 outdatedInstances.replace(listOutdatedInstances(plan));
 ```
 */
-export function createOutdatedInstances({clock, log}: {readonly clock: Clock; readonly log: Pick<Logger, 'warn'>}): OutdatedInstances {
+export function createOutdatedInstances({clock, log}: {
+	readonly clock: Clock;
+	readonly log: {readonly warn: (message: string, fields: Readonly<Record<string, unknown>>) => void};
+}): OutdatedInstances {
 	const outcomes = new Map<string, OrderOutcome>();
 	/** By instance, model and target version. */
 	let tracked = new Map<string, Tracked>();
--- a/packages/coordinator/src/plan-weight-orders.ts
+++ b/packages/coordinator/src/plan-weight-orders.ts
@@ -16,6 +16,8 @@
 	Silent = 'silent',
 	/** It has an order in progress. */
 	InProgress = 'in_progress',
+	/** An order to it failed a moment ago. */
+	BackingOff = 'backing_off',
 	/** Enough others load weights. */
 	NoTurn = 'no_turn',
 }
@@ -27,12 +29,17 @@
 	readonly obstacle: OrderObstacle | undefined;
 };
 
+/** The orders to one instance that failed one after the other. */
+export type OrderFailures = {readonly count: number; readonly retryAtMs: number};
+
 export type PlanWeightOrdersInput = {
 	readonly instances: Iterable<RegisteredInstance>;
 	/** The target version of the weights of each model. */
 	readonly weights: ReadonlyMap<string, number>;
 	/** Instances that have an order in progress. */
 	readonly busyInstanceIds: ReadonlySet<string>;
+	/** Instances whose latest orders failed, by id. */
+	readonly failures?: ReadonlyMap<string, OrderFailures> | undefined;
 	readonly maxConcurrentLoads: number;
 	readonly nowMs: number;
 	/** Instances whose last announcement is at least this old get no order. */
@@ -42,6 +49,9 @@
 /** Share of the instances that may load at the same time: the others keep serving, and a rollout takes only a few rounds. */
 const maxLoadingShare = 1 / 4;
 const minConcurrentLoads = 2;
+/** Delay of the next order after the first failure; it doubles with each further one, up to the maximum. */
+const minRetryDelayMs = 400;
+const maxRetryDelayMs = 2000;
 
 /**
 Computes how many of a number of instances may load weights at the same time.
@@ -56,8 +66,8 @@
 }
 
 /**
-Plans the next orders to load weights. Only ready instances get orders, those furthest behind the target version first, and the number of
-concurrent loads is limited, so that most instances keep serving during a rollout, also under full load.
+Plans the next orders to load weights. Only ready instances get orders, those furthest behind the target version first, and of these the ones whose orders failed least often, so
+that they do not keep the others from theirs. The number of concurrent loads is limited, so that most instances keep serving during a rollout, also under full load.
 
 @example
 ```
@@ -72,7 +82,8 @@
 
 /** Lists the instances whose weights are older than the target, with what keeps each of them from an order. */
 export function listOutdatedInstances(plan: PlanWeightOrdersInput): readonly OutdatedInstance[] {
-	const {instances, weights, busyInstanceIds, maxConcurrentLoads, nowMs, silenceTimeoutMs} = plan;
+	const {instances, weights, busyInstanceIds, failures, maxConcurrentLoads, nowMs, silenceTimeoutMs} = plan;
+	const countFailures = ({instanceId}: WeightOrder) => failures?.get(instanceId)?.count ?? 0;
 	const outdated: OutdatedInstance[] = [];
 
 	for (const {record, heardAtMs} of instances) {
@@ -86,7 +97,9 @@
 			if (targetVersion !== undefined && version < targetVersion) {
 				outdated.push({
 					instanceId: record.id, address: record.address, model: name, version: targetVersion, currentVersion: version,
-					obstacle: findObstacle(record, {isBusy: busyInstanceIds.has(record.id), isSilent: nowMs - heardAtMs >= silenceTimeoutMs}),
+					obstacle: findObstacle(record, {
+						isBusy: busyInstanceIds.has(record.id), isSilent: nowMs - heardAtMs >= silenceTimeoutMs, isBackingOff: nowMs < (failures?.get(record.id)?.retryAtMs ?? 0),
+					}),
 				});
 			}
 		}
@@ -95,11 +108,13 @@
 	let freePlaces = Math.max(0, maxConcurrentLoads - busyInstanceIds.size);
 
 	return outdated
-		.toSorted((a, b) => (b.version - b.currentVersion) - (a.version - a.currentVersion) || (a.instanceId < b.instanceId ? -1 : 1))
+		.toSorted((a, b) => (b.version - b.currentVersion) - (a.version - a.currentVersion) || countFailures(a) - countFailures(b) || (a.instanceId < b.instanceId ? -1 : 1))
 		.map(one => one.obstacle === undefined && freePlaces-- <= 0 ? {...one, obstacle: OrderObstacle.NoTurn} : one);
 }
 
-function findObstacle({stage}: InstanceRecord, {isBusy, isSilent}: {readonly isBusy: boolean; readonly isSilent: boolean}): OrderObstacle | undefined {
+function findObstacle({stage}: InstanceRecord, {isBusy, isSilent, isBackingOff}: {
+	readonly isBusy: boolean; readonly isSilent: boolean; readonly isBackingOff: boolean;
+}): OrderObstacle | undefined {
 	if (stage !== InstanceStage.Ready) {
 		return OrderObstacle.Leaving;
 	}
@@ -108,5 +123,23 @@
 		return OrderObstacle.InProgress;
 	}
 
-	return isSilent ? OrderObstacle.Silent : undefined;
+	if (isSilent) {
+		return OrderObstacle.Silent;
+	}
+
+	return isBackingOff ? OrderObstacle.BackingOff : undefined;
+}
+
+/**
+Adds a failed order to those of an instance.
+
+@example
+```
+addOrderFailure(undefined, 1000); //=> {count: 1, retryAtMs: 1400}
+```
+*/
+export function addOrderFailure(failures: OrderFailures | undefined, nowMs: number): OrderFailures {
+	const count = (failures?.count ?? 0) + 1;
+
+	return {count, retryAtMs: nowMs + Math.min(maxRetryDelayMs, minRetryDelayMs * (2 ** (count - 1)))};
 }
--- a/packages/coordinator/src/weight-orders.ts
+++ b/packages/coordinator/src/weight-orders.ts
@@ -3,7 +3,9 @@
 import {InstanceStage, type RegisteredInstance} from '@fescuestair/instances';
 import {type Logger} from '@fescuestair/runtime';
 import {createOutdatedInstances} from './outdated-instances.js';
-import {computeMaxConcurrentLoads, listOutdatedInstances, type WeightOrder} from './plan-weight-orders.js';
+import {
+	addOrderFailure, computeMaxConcurrentLoads, listOutdatedInstances, type OrderFailures, type WeightOrder,
+} from './plan-weight-orders.js';
 
 /** An instance's answer to an order. */
 export enum OrderAnswer {
@@ -79,19 +81,21 @@
 		holder, clock, log, listInstances, getTargetVersions, getLeadingTerm, confirmLeading, sendOrder, fetchReport, onLoading, onLoaded, handoverMs,
 	} = options;
 	const busyInstanceIds = new Set<string>();
+	const failures = new Map<string, OrderFailures>();
 	const outdatedInstances = createOutdatedInstances({clock, log});
 	let leadership: {readonly term: number; readonly canOrderFromMs: number} | undefined;
 
 	const canOrder = (term: number) => leadership?.term === term && getLeadingTerm() === term;
 
-	const runOrder = async (order: WeightOrder, term: number) => {
+	// Resolves to whether the instance has the ordered weights.
+	const runOrder = async (order: WeightOrder, term: number): Promise<boolean> => {
 		const deadlineMs = clock.readMonotonicMs() + loadTimeoutMs;
 		const before = await fetchReport({id: order.instanceId, address: order.address});
 
 		if (hasOrderedWeights(before, order)) {
 			onLoaded(order.instanceId, {name: order.model, version: order.version});
 
-			return;
+			return true;
 		}
 
 		if (before.isBusy) {
@@ -100,7 +104,7 @@
 			await confirmLeading();
 
 			if (!canOrder(term)) {
-				return;
+				return false;
 			}
 
 			const answer = await sendOrder({
@@ -112,13 +116,15 @@
 			outdatedInstances.recordOutcome(order, answer);
 
 			if (answer === OrderAnswer.Refused) {
-				return;
+				return false;
 			}
 		}
 
 		onLoading(order.instanceId, deadlineMs);
-		await waitForLoad(order, term, deadlineMs);
+		const isLoaded = await waitForLoad(order, term, deadlineMs);
 		onLoading(order.instanceId, 0);
+
+		return isLoaded;
 	};
 
 	const tryFetchReport = async ({instanceId: id, address}: WeightOrder): Promise<WeightReport | undefined> => {
@@ -131,7 +137,7 @@
 		}
 	};
 
-	const waitForLoad = async (order: WeightOrder, term: number, deadlineMs: number) => {
+	const waitForLoad = async (order: WeightOrder, term: number, deadlineMs: number): Promise<boolean> => {
 		while (clock.readMonotonicMs() < deadlineMs && canOrder(term)) {
 			await sleep(roundIntervalMs);
 			const report = await tryFetchReport(order);
@@ -145,27 +151,36 @@
 				onLoaded(order.instanceId, {name: order.model, version: order.version});
 				log.info('weights loaded', {...order});
 
-				return;
+				return true;
 			}
 
 			// No load is in progress: the order was lost or conflicted with another one.
 			if (!report.isBusy) {
-				return;
+				return false;
 			}
 		}
+
+		return false;
 	};
 
 	const startOrder = async (order: WeightOrder, term: number) => {
 		busyInstanceIds.add(order.instanceId);
+		let isLoaded = false;
 
 		try {
-			await runOrder(order, term);
+			isLoaded = await runOrder(order, term);
 		} catch (error) {
 			log.warn('weights could not be ordered', {...order, reason: String(error)});
 			outdatedInstances.recordOutcome(order, String(error));
 			onLoading(order.instanceId, 0);
 		} finally {
 			busyInstanceIds.delete(order.instanceId);
+
+			if (isLoaded) {
+				failures.delete(order.instanceId);
+			} else {
+				failures.set(order.instanceId, addOrderFailure(failures.get(order.instanceId), clock.readMonotonicMs()));
+			}
 		}
 	};
 
@@ -175,6 +190,7 @@
 
 		if (term === undefined) {
 			leadership = undefined;
+			failures.clear();
 			outdatedInstances.clear();
 
 			return;
@@ -191,10 +207,17 @@
 		const instances = [...listInstances()];
 		const serving = instances.filter(({record, heardAtMs}) => record.stage === InstanceStage.Ready && record.models.length > 0 && nowMs - heardAtMs < silenceTimeoutMs);
 		const outdated = listOutdatedInstances({
-			instances, weights: getTargetVersions(), busyInstanceIds, maxConcurrentLoads: computeMaxConcurrentLoads(serving.length), nowMs, silenceTimeoutMs,
+			instances, weights: getTargetVersions(), busyInstanceIds, failures, maxConcurrentLoads: computeMaxConcurrentLoads(serving.length), nowMs, silenceTimeoutMs,
 		});
 
 		outdatedInstances.replace(outdated);
+		const heldIds = new Set(instances.map(({record}) => record.id));
+
+		for (const id of failures.keys()) {
+			if (!heldIds.has(id)) {
+				failures.delete(id);
+			}
+		}
 
 		for (const {currentVersion: _currentVersion, obstacle, ...order} of outdated) {
 			if (obstacle === undefined) {
