--- a/packages/coordinator/src/__tests__/unit/plan-weight-orders.test.ts
+++ b/packages/coordinator/src/__tests__/unit/plan-weight-orders.test.ts
@@ -72,7 +72,13 @@
 
 test('each instance on older weights is listed with what keeps it from an order', t => {
 	const instances = [
-		createHeld('a', 1, {stage: InstanceStage.Draining}), createHeld('b', 1, {heardAtMs: 400}), createHeld('c', 1), createHeld('d', 1), createHeld('e', 2), createHeld('f', 3), createHeld('g', 2),
+		createHeld('a', 1, {stage: InstanceStage.Draining}),
+		createHeld('b', 1, {heardAtMs: 400}),
+		createHeld('c', 1),
+		createHeld('d', 1),
+		createHeld('e', 2),
+		createHeld('f', 3),
+		createHeld('g', 2),
 		createHeld('h', 1, {stage: InstanceStage.Gone}),
 	];
 	const outdated = listOutdatedInstances({
