Send no prompt of an isolated organisation without its salt, and keep the models of an instance whose announcement names none

An announcement without models replaced one that had them, and a prompt for an engine of unknown weights was sent with no cache instructions at all.

An announcement that names no models leaves those that are known, also after a restart, since an instance restarts with the weights that it had. Both unit tests fail without the change.

--- a/packages/gateway/src/__tests__/unit/choose-place.test.ts
+++ b/packages/gateway/src/__tests__/unit/choose-place.test.ts
@@ -50,7 +50,7 @@
 	} as unknown as ForwardOptions;
 
 	return {
-		instancePool, choose: (partId?: string) => chooseInstanceForRequest(options, createExchange(partId), {
+		instancePool, choose: (partId?: string, organisation?: Exchange['organisation']) => chooseInstanceForRequest(options, {...createExchange(partId), organisation}, {
 			service, progress: {
 				sentCount: 0, refused: 0, waits: 0, permitRefusals: 0, permit: undefined, isTrial: false, triedInstanceIds: new Set(), isEligible: () => true, story: [],
 			},
@@ -120,3 +120,14 @@
 	instancePool.addPeerWork([['i-1', 600, 0], ['i-2', 3000, 0]]);
 	t.deepEqual([...new Set(partIds.map(id => choose(id)?.entry.held.record.id))], ['i-2']);
 });
+
+// Review case 3: prompts of an isolated organisation went without a salt to engines whose announcements named no models.
+test('a prompt of an isolated organisation is not sent to an engine whose version of the weights is not known', t => {
+	const {choose, instancePool} = openGateway(t, () => WeightsUse.Current);
+	instancePool.applyRegistry({held: new Map([['i-1', createHeld('i-1', 1, [])], ['i-2', createHeld('i-2', 2)]]), revision: 2});
+	const isolated = {
+		name: 'o', keys: [], priority: undefined, isIsolated: true,
+	} as unknown as Exchange['organisation'];
+	t.deepEqual([...new Set(partIds.map(id => choose(id, isolated)?.entry.held.record.id))], ['i-2']);
+	t.is(new Set(partIds.map(id => choose(id)?.entry.held.record.id)).size, 2);
+});
--- a/packages/gateway/src/choose-place.ts
+++ b/packages/gateway/src/choose-place.ts
@@ -106,6 +106,11 @@
 		const version = findVersion(entry, prompt.model);
 		const plan = getPlan(version);
 
+		// Without a version there is no salt that would keep the prompts of an isolated organisation apart.
+		if (version === undefined && exchange.organisation?.isIsolated === true) {
+			continue;
+		}
+
 		if (!plan.isBarred && !(plan.isSuperseded && isStartTooLate(options, entry, {model: prompt.model, version, nowMs}))) {
 			candidates.push(describeInstanceOption(entry, {nowMs, prompt: plan.prompt, isOutdated: plan.isOutdated}));
 		}
--- a/packages/instances/src/__tests__/unit/registry.test.ts
+++ b/packages/instances/src/__tests__/unit/registry.test.ts
@@ -133,3 +133,13 @@
 	t.is(loaded.news, MergeOutcome.Changed);
 	t.is(mergeInstanceRecord(loaded.registry, record, {nowMs, loadingLeftMs: 0}).news, MergeOutcome.Stale, 'an update from before the order');
 });
+
+// Review case 3: an announcement without models took those of a sound instance away, and with them the salt of its prompts.
+test('an announcement that names no models leaves those that are known, also after a restart', t => {
+	const models = [{name: 'guide', version: 3}];
+	const {registry} = mergeAll([{models}, {sequence: 2}, {incarnation: 2000}]);
+	t.deepEqual(registry.held.get('i-1')?.record.models, models);
+	t.is(registry.held.get('i-1')?.record.incarnation, 2000);
+	t.deepEqual(mergeAll([{models}, {incarnation: 2000, service: 'other'}]).registry.held.get('i-1')?.record.models, []);
+	t.deepEqual(mergeAll([{models}, {sequence: 2, models: [{name: 'guide', version: 4}]}]).registry.held.get('i-1')?.record.models, [{name: 'guide', version: 4}]);
+});
--- a/packages/instances/src/registry.ts
+++ b/packages/instances/src/registry.ts
@@ -51,7 +51,7 @@
 } {
 	const {nowMs, ageMs = 0, loadingLeftMs} = options;
 	const known = registry.held.get(announced.id);
-	const record = known === undefined ? announced : mergeStages(announced, known.record);
+	const record = known === undefined ? announced : mergeModels(mergeStages(announced, known.record), known.record);
 
 	if ((known !== undefined && isStale(record, known, {nowMs, loadingLeftMs})) || isSuperseded(registry, record)) {
 		return {registry, news: MergeOutcome.Stale};
@@ -98,6 +98,11 @@
 	return (knownLoadingLeftMs > 0) !== (loadingLeftMs > 0) || loadingLeftMs > knownLoadingLeftMs + loadingToleranceMs;
 }
 
+// An instance restarts with the weights that it had, so an announcement that names no models says nothing new about them.
+function mergeModels(record: InstanceRecord, {models, service}: InstanceRecord): InstanceRecord {
+	return record.models.length === 0 && record.service === service ? {...record, models} : record;
+}
+
 // A draining instance stays draining until it restarts, whatever it announces and in whichever order daemons learn of it.
 function mergeStages(record: InstanceRecord, known: InstanceRecord): InstanceRecord {
 	const isEitherGone = record.stage === InstanceStage.Gone || known.stage === InstanceStage.Gone;
