Bound a target of unknown age by the time since the gateway was last current without it

What callers would have seen: all coordinators are lost just after a naming and before it was sent to the gateways. The first one that is back tells a gateway that went on of a target whose age it cannot know yet, and all runs that had not begun were taken back, most of them with 502, until a second later the age is known.

A gateway that has been current without the target knows that it was set since then; it adds the 1.5 s for which a coordinator counts as current. Not shown with processes.

--- a/packages/gateway/src/coordinator-client.ts
+++ b/packages/gateway/src/coordinator-client.ts
@@ -7,6 +7,7 @@
 import {callAndValidate, LinkMessageKind} from '@fescuestair/protocol';
 import {createHelloClient, type Logger} from '@fescuestair/runtime';
 import {type Links} from '@fescuestair/transport';
+import {boundTargetAges} from './bound-target-ages.js';
 
 /** Where a gateway heard target versions of weights. */
 export type TargetSource = {
@@ -127,6 +128,13 @@
 	/** Incarnations of leaving instances, by id, that have not been reported to a home yet. */
 	const unreportedLeaving = new Map<string, number>();
 
+	/** When the latest hello was sent that a current coordinator has answered, and by which this gateway has learnt all that it lacked. */
+	let currentAtMs: number | undefined;
+
+	const boundAges = (weights: PublishedSnapshot['weights'], {isCurrent, transitMs}: {readonly isCurrent: boolean; readonly transitMs: number}) => boundTargetAges(weights, {
+		isCurrent, transitMs, sinceCurrentMs: currentAtMs === undefined ? undefined : clock.readMonotonicMs() - currentAtMs,
+	});
+
 	const applyPublished = (published: PublishedSnapshot, source: TargetSource) => {
 		const lacksText = published.configText === undefined && published.configVersion > configVersion;
 
@@ -139,6 +147,23 @@
 		onPublished(published, source);
 	};
 
+	const applyPublishedReply = (address: string, {published, targetAges, isCurrent}: HelloReply, roundTripMs: number) => {
+		const source: TargetSource = {toldBy: address, isCurrent};
+		const transit = {isCurrent, transitMs: roundTripMs};
+
+		if (published !== undefined) {
+			applyPublished({...published, weights: boundAges(published.weights, transit)}, source);
+		}
+
+		if (targetAges !== undefined) {
+			onTargetAges(boundAges(targetAges, transit), source);
+		}
+
+		if (isCurrent && (published === undefined || published.revision <= revision)) {
+			currentAtMs = Math.max(currentAtMs ?? Number.NEGATIVE_INFINITY, clock.readMonotonicMs() - roundTripMs);
+		}
+	};
+
 	const applyInstanceNotes = (notes: readonly InstanceUpdate[]) => {
 		const previousRegistry = registry;
 
@@ -210,7 +235,6 @@
 	};
 
 	const handleReply = (address: string, reply: HelloReply, roundTripMs: number) => {
-		const source: TargetSource = {toldBy: address, isCurrent: reply.isCurrent};
 		const previous = coordinators.get(address);
 		coordinators.set(address, {
 			availabilityZone: previous?.availabilityZone, heardAtMs: clock.readMonotonicMs(), isCurrent: reply.isCurrent, isLost: false,
@@ -231,13 +255,7 @@
 			applyFleetSummary(reply.fleet, reply.isCurrent);
 		}
 
-		if (reply.published !== undefined) {
-			applyPublished({...reply.published, weights: addToAges(reply.published.weights, roundTripMs)}, source);
-		}
-
-		if (reply.targetAges !== undefined) {
-			onTargetAges(addToAges(reply.targetAges, roundTripMs), source);
-		}
+		applyPublishedReply(address, reply, roundTripMs);
 
 		if (reply.peers !== undefined) {
 			onPeers(reply.peers);
@@ -362,7 +380,7 @@
 	return {
 		applyPublished(published) {
 			// A leader may send what it has just replayed, of which it cannot tell the age yet.
-			applyPublished(published, {toldBy: undefined, isCurrent: false});
+			applyPublished({...published, weights: boundAges(published.weights, {isCurrent: false, transitMs: 0})}, {toldBy: undefined, isCurrent: false});
 		},
 		applyInstanceUpdates: applyInstanceNotes,
 		reportLeaving({id, incarnation}) {
@@ -391,8 +409,3 @@
 		},
 	};
 }
-
-// A reply may have been under way, or unread, for as long as the hello went unanswered.
-function addToAges(weights: PublishedSnapshot['weights'], addedMs: number): PublishedSnapshot['weights'] {
-	return weights.map(([model, version, ageMs]) => [model, version, ageMs + addedMs]);
-}
