--- a/packages/coordinator/src/__tests__/unit/outdated-instances.test.ts
+++ b/packages/coordinator/src/__tests__/unit/outdated-instances.test.ts
@@ -28,7 +28,10 @@
 		}
 	}
 
-	t.deepEqual(lines.map(([message, {id, obstacle, forMs}]) => [message, id, obstacle, forMs]), [5000, 10_000, 15_000].map(forMs => ['instance stays on older weights', 'a', OrderObstacle.BackingOff, forMs]));
+	t.deepEqual(
+		lines.map(([message, {id, obstacle, forMs}]) => [message, id, obstacle, forMs]),
+		[5000, 10_000, 15_000].map(forMs => ['instance stays on older weights', 'a', OrderObstacle.BackingOff, forMs]),
+	);
 	t.deepEqual(lines[0]![1].lastOrder, {outcome: 'conflict', version: 2, agoMs: 4000});
 	t.is(outdatedInstances.countOverdue(), 1);
 	outdatedInstances.clear();
--- a/packages/gateway/src/bound-target-ages.ts
+++ b/packages/gateway/src/adjust-target-ages.ts
@@ -13,15 +13,15 @@
 const coordinatorStalenessMs = 1500;
 
 /**
-Bounds the ages of targets, as a coordinator tells them, by what this gateway knows. A target is as much older as the message was under way. One of unknown age, of which this gateway hears
+Adjusts the ages of targets, as a coordinator tells them, to what this gateway knows. A target is as much older as the message was under way. One of unknown age, of which this gateway hears
 for the first time, has been set since it last knew all that a current coordinator did.
 
 @example
 ```
-boundTargetAges([['guide', 2, 60_000]], {transitMs: 0, isCurrent: false, sinceCurrentMs: 400}); //=> [['guide', 2, 1900]]
+adjustTargetAges([['guide', 2, 60_000]], {transitMs: 0, isCurrent: false, sinceCurrentMs: 400}); //=> [['guide', 2, 1900]]
 ```
 */
-export function boundTargetAges(weights: PublishedSnapshot['weights'], {transitMs, isCurrent, sinceCurrentMs}: TargetAgesContext): PublishedSnapshot['weights'] {
+export function adjustTargetAges(weights: PublishedSnapshot['weights'], {transitMs, isCurrent, sinceCurrentMs}: TargetAgesContext): PublishedSnapshot['weights'] {
 	const mostMs = isCurrent || sinceCurrentMs === undefined ? Number.POSITIVE_INFINITY : sinceCurrentMs + coordinatorStalenessMs;
 
 	return weights.map(([model, version, ageMs]) => [model, version, Math.min(mostMs, ageMs + transitMs)]);
--- a/packages/gateway/src/coordinator-client.ts
+++ b/packages/gateway/src/coordinator-client.ts
@@ -7,7 +7,7 @@
 import {callAndValidate, LinkMessageKind} from '@fescuestair/protocol';
 import {createHelloClient, type Logger} from '@fescuestair/runtime';
 import {type Links} from '@fescuestair/transport';
-import {boundTargetAges} from './bound-target-ages.js';
+import {adjustTargetAges} from './adjust-target-ages.js';
 
 /** Where a gateway heard target versions of weights. */
 export type TargetSource = {
@@ -131,7 +131,7 @@
 	/** When the latest hello was sent that a current coordinator has answered, and by which this gateway has learnt all that it lacked. */
 	let currentAtMs: number | undefined;
 
-	const boundAges = (weights: PublishedSnapshot['weights'], {isCurrent, transitMs}: {readonly isCurrent: boolean; readonly transitMs: number}) => boundTargetAges(weights, {
+	const adjustAges = (weights: PublishedSnapshot['weights'], {isCurrent, transitMs}: {readonly isCurrent: boolean; readonly transitMs: number}) => adjustTargetAges(weights, {
 		isCurrent, transitMs, sinceCurrentMs: currentAtMs === undefined ? undefined : clock.readMonotonicMs() - currentAtMs,
 	});
 
@@ -152,11 +152,11 @@
 		const transit = {isCurrent, transitMs: roundTripMs};
 
 		if (published !== undefined) {
-			applyPublished({...published, weights: boundAges(published.weights, transit)}, source);
+			applyPublished({...published, weights: adjustAges(published.weights, transit)}, source);
 		}
 
 		if (targetAges !== undefined) {
-			onTargetAges(boundAges(targetAges, transit), source);
+			onTargetAges(adjustAges(targetAges, transit), source);
 		}
 
 		if (isCurrent && (published === undefined || published.revision <= revision)) {
@@ -380,7 +380,7 @@
 	return {
 		applyPublished(published) {
 			// A leader may send what it has just replayed, of which it cannot tell the age yet.
-			applyPublished({...published, weights: boundAges(published.weights, {isCurrent: false, transitMs: 0})}, {toldBy: undefined, isCurrent: false});
+			applyPublished({...published, weights: adjustAges(published.weights, {isCurrent: false, transitMs: 0})}, {toldBy: undefined, isCurrent: false});
 		},
 		applyInstanceUpdates: applyInstanceNotes,
 		reportLeaving({id, incarnation}) {
