Keep the age that stands for an unknown one, and the choice of due orders, in one place each

- Coordinators tell 60,000 ms for a target of unknown age and gateways compare with it; the two constants had to be equal.
It is `unknownTargetAgeMs` beside the message now.
- The rounds of orders picked the due ones out of the listed instances by themselves, beside `planWeightOrders`, which only tests called by then.
Both use `listDueOrders`.
- `minFailureStatus` serves the two other places of start-run.ts that compared with 300.

--- a/packages/coordinator/src/plan-weight-orders.ts
+++ b/packages/coordinator/src/plan-weight-orders.ts
@@ -75,7 +75,12 @@
 ```
 */
 export function planWeightOrders(plan: PlanWeightOrdersInput): readonly WeightOrder[] {
-	return listOutdatedInstances(plan)
+	return listDueOrders(listOutdatedInstances(plan));
+}
+
+/** Lists the orders to those instances that nothing keeps from one. */
+export function listDueOrders(outdated: readonly OutdatedInstance[]): readonly WeightOrder[] {
+	return outdated
 		.filter(({obstacle}) => obstacle === undefined)
 		.map(({currentVersion: _currentVersion, obstacle: _obstacle, ...order}) => order);
 }
--- a/packages/coordinator/src/target-ages.ts
+++ b/packages/coordinator/src/target-ages.ts
@@ -1,4 +1,5 @@
 import {type Clock} from '@fescuestair/core';
+import {unknownTargetAgeMs} from '@fescuestair/instances';
 import {type PublishedState, type SetTargetVersionCommand, PublishKind} from './published-state.js';
 
 /** How long ago the target versions of weights were set: never less than it really is, as far as this process can tell. */
@@ -18,8 +19,6 @@
 	readonly getCurrentAtMs: () => number | undefined;
 };
 
-/** Told as the age of a target whose time is unknown: longer than any limit on the use of older weights. */
-export const unknownAgeMs = 60_000;
 /** The leader records an age once it has grown by this much. */
 const recordIntervalMs = 1000;
 /** Time from when a record is due until it is committed. */
@@ -63,14 +62,14 @@
 		const known = knownTargets.get(createKey(model, version));
 
 		if (known === undefined) {
-			return unknownAgeMs;
+			return unknownTargetAgeMs;
 		}
 
 		applyRecord(known);
 		const {notBeforeMs, recorded} = known;
 
 		if (notBeforeMs === undefined) {
-			return unknownAgeMs;
+			return unknownTargetAgeMs;
 		}
 
 		return clock.readMonotonicMs() - (recorded === undefined ? notBeforeMs : Math.min(notBeforeMs, recorded.atMs - recorded.ageMs));
@@ -101,15 +100,15 @@
 			return added;
 		},
 		getAgeMs,
-		hasYoung: ({targets}) => [...targets].some(([model, list]) => list.some(({version}) => getAgeMs(model, version) < unknownAgeMs)),
+		hasYoung: ({targets}) => [...targets].some(([model, list]) => list.some(({version}) => getAgeMs(model, version) < unknownTargetAgeMs)),
 		listDueRecords: ({targets}) => [...targets].flatMap(([model, list]) => list.flatMap(({version, ageMs: recordedMs}) => {
 			const ageMs = Math.floor(getAgeMs(model, version));
-			const isFinal = recordedMs !== undefined && recordedMs >= unknownAgeMs;
+			const isFinal = recordedMs !== undefined && recordedMs >= unknownTargetAgeMs;
 			const isDue = !isFinal && ageMs >= (recordedMs ?? 0) + recordIntervalMs;
 
 			return isDue
 				? [{
-					kind: PublishKind.SetTargetVersion as const, model, version, ageMs: ageMs >= maxRecordedAgeMs ? Math.max(ageMs, unknownAgeMs) : ageMs,
+					kind: PublishKind.SetTargetVersion as const, model, version, ageMs: ageMs >= maxRecordedAgeMs ? Math.max(ageMs, unknownTargetAgeMs) : ageMs,
 				}]
 				: [];
 		})),
--- a/packages/coordinator/src/weight-orders.ts
+++ b/packages/coordinator/src/weight-orders.ts
@@ -4,7 +4,7 @@
 import {type Logger} from '@fescuestair/runtime';
 import {createOutdatedInstances} from './outdated-instances.js';
 import {
-	addOrderFailure, computeMaxConcurrentLoads, listOutdatedInstances, type OrderFailures, type WeightOrder,
+	addOrderFailure, computeMaxConcurrentLoads, listDueOrders, listOutdatedInstances, type OrderFailures, type WeightOrder,
 } from './plan-weight-orders.js';
 
 /** An instance's answer to an order. */
@@ -219,10 +219,8 @@
 			}
 		}
 
-		for (const {currentVersion: _currentVersion, obstacle, ...order} of outdated) {
-			if (obstacle === undefined) {
-				void startOrder(order, term);
-			}
+		for (const order of listDueOrders(outdated)) {
+			void startOrder(order, term);
 		}
 	};
 
--- a/packages/gateway/src/start-run.ts
+++ b/packages/gateway/src/start-run.ts
@@ -292,7 +292,7 @@
 			entry, result, fault, sentAtMs: startedAtMs, streamed, firstPieceMs,
 		});
 
-		if (result.end === AttemptCompletion.Complete && cache !== undefined && result.head!.status < 300) {
+		if (result.end === AttemptCompletion.Complete && cache !== undefined && result.head!.status < minFailureStatus) {
 			recordCachedParts(entry, caller.prompt!.parts, {salt: cache.salt, capacityTokens: service.engine!.cacheTokens});
 		}
 
@@ -380,7 +380,7 @@
 		status: head?.status,
 		framing: head?.framing,
 		eventFault: streamRun.getEventFault(),
-		stream: isStreaming && head !== undefined && head.status < 300 ? streamRun.getResult() : undefined,
+		stream: isStreaming && head !== undefined && head.status < minFailureStatus ? streamRun.getResult() : undefined,
 	};
 }
 
--- a/packages/gateway/src/target-version-history.ts
+++ b/packages/gateway/src/target-version-history.ts
@@ -1,3 +1,5 @@
+import {unknownTargetAgeMs} from '@fescuestair/instances';
+
 /** Whether new requests may begin on some version of a model's weights. */
 export enum WeightsUse {
 	/** No newer version has become the target, or only a moment ago. */
@@ -40,8 +42,6 @@
 const maxKeptVersions = 8;
 /** The version of weights that never changed. */
 const firstVersion = 1;
-/** The age that coordinators tell for a target whose time they do not know. */
-const unknownAgeMs = 60_000;
 /** Differences of ages below this come from the messages that tell them. */
 const ageToleranceMs = 100;
 
@@ -70,7 +70,7 @@
 		const versions = next.get(model) ?? [];
 		const known = versions.find(entry => entry.version === version);
 		const told: TargetVersion = {
-			version, atMs: nowMs - ageMs, toldBy, isAgeKnown: isCurrent || ageMs < unknownAgeMs,
+			version, atMs: nowMs - ageMs, toldBy, isAgeKnown: isCurrent || ageMs < unknownTargetAgeMs,
 		};
 
 		if (known === undefined || isBetter(told, known)) {
--- a/packages/instances/src/daemons.ts
+++ b/packages/instances/src/daemons.ts
@@ -46,6 +46,9 @@
 	readonly sequence: number;
 };
 
+/** Told as the age of a target weight version whose time is not known, in ms: longer than any limit on the use of older weights. */
+export const unknownTargetAgeMs = 60_000;
+
 /** The part of the durable state that is distributed to all daemons. */
 export type PublishedSnapshot = {
 	/** Increases with each committed change. */
@@ -53,7 +56,7 @@
 	readonly configVersion: number;
 	/** The configuration as it was accepted; omitted if the receiver already has this version. */
 	readonly configText: string | undefined;
-	/** Latest target weight versions of each model, oldest first, with their ages. An unknown age is given as longer than any limit on the use of old weights. */
+	/** Latest target weight versions of each model, oldest first, with their ages; `unknownTargetAgeMs` or more where the age is not known. */
 	readonly weights: ReadonlyArray<readonly [model: string, version: number, ageMs: number]>;
 };
 
--- a/packages/instances/src/index.ts
+++ b/packages/instances/src/index.ts
@@ -8,7 +8,7 @@
 export {
 	DaemonRole, HelloKind, listDaemons, mergeDaemonRecord, type DaemonRecord, type DaemonTable, type FleetSummary, type GatewayLeaving, type GatewayPeers, type Hello,
 	type HelloReply, type InstanceUpdateBatch,
-	type ListDaemonsOptions, type UpdateCursor, type PublishedSnapshot,
+	type ListDaemonsOptions, type UpdateCursor, type PublishedSnapshot, unknownTargetAgeMs,
 } from './daemons.js';
 export {
 	createGatewayDirectory, getHomeListVersion, listGateways, listHomeGatewayAddresses, createHomeList, pickRandomDaemons, recordHomeHello, recordHomeList, expireGateways,
