Make the test of targets that cannot be forwarded independent of the HTTP parser's build

The handler's own check was not reached. The tests now put the tab in behind the parser, so that they check the same answer and the same handling of the body on each build.

--- a/packages/gateway/src/__tests__/unit/request-handler.test.ts
+++ b/packages/gateway/src/__tests__/unit/request-handler.test.ts
@@ -54,6 +54,8 @@
 		depositRetryTokens: () => undefined,
 	});
 	const server = http.createServer((request, response) => {
+		// Whether a tab in a target gets past the HTTP parser depends on its build.
+		request.url = request.url?.replaceAll('%09', '\t');
 		handle(request, response).catch(() => {
 			response.destroy();
 		});
@@ -122,7 +124,7 @@
 
 test('a target with characters that can\'t be forwarded is refused with a whole 400', async t => {
 	const handler = await openHandler(t);
-	t.regex(await handler.send('/a\tb'), /^HTTP\/1.1 400 [\s\S]*\{"error":"the target has characters that cannot be forwarded"\}$/v);
+	t.regex(await handler.send('/a%09b'), /^HTTP\/1.1 400 [\s\S]*\{"error":"the target has characters that cannot be forwarded"\}$/v);
 });
 
 test('a request whose service is dropped by a new configuration while its body is read is refused with a whole 503, and its connection stays', async t => {
@@ -155,7 +157,7 @@
 	}
 });
 
-for (const [target, host, size, status] of [['/a', 'other', 4_000_000, 404], ['/a', 'h', 4_000_000, 413], ['/a\tb', 'h', 400_000, 400]] as const) {
+for (const [target, host, size, status] of [['/a', 'other', 4_000_000, 404], ['/a', 'h', 4_000_000, 413], ['/a%09b', 'h', 400_000, 400]] as const) {
 	test(`a rejection with ${status} is not overtaken by a reset while its caller still sends the body, and the connection goes on`, async t => {
 		const handler = await openHandler(t);
 		const socket = net.connect((handler.server.address() as {readonly port: number}).port, '127.0.0.1');
