--- a/packages/gateway/src/codecs.ts
+++ b/packages/gateway/src/codecs.ts
@@ -63,7 +63,13 @@
 	readonly requestId: string | undefined;
 	/** Whether the instance states that it did not execute the request and never will. */
 	readonly isNotRun: boolean;
-	readonly load: {readonly running: number; readonly waiting: number; readonly slots: number} | undefined;
+	readonly load: {
+		readonly running: number; readonly waiting: number; readonly slots: number;
+		/** Time that work takes on the instance's machine at this moment, as a factor of the usual time; absent where the instance does not tell. */
+		readonly slowdown?: number | undefined;
+	} | undefined;
+	/** How much longer the instance is cold, as a duration; `undefined` where it does not tell. */
+	readonly coldLeftMs?: number | undefined;
 	/** How long the instance keeps idle connections open, as a duration. */
 	readonly idleTimeoutMs: number | undefined;
 	/** Whether the instance states that it is shutting down and accepts no new requests. */
--- a/packages/traffic/src/index.ts
+++ b/packages/traffic/src/index.ts
@@ -3,6 +3,6 @@
 	buildRouteTable, chooseTarget, findRoute, type RouteTable,
 } from './route-table.js';
 export {
-	CallKind, type CallerLimits, type EngineSettings, type Organisation, type Route, type RouteTarget, type Service, type StoreSettings,
+	CallKind, type CallerLimits, type ColdSettings, type EngineSettings, type Organisation, type Route, type RouteTarget, type Service, type StoreSettings,
 	type TrafficConfig,
 } from './types.js';
--- a/packages/traffic/src/types.ts
+++ b/packages/traffic/src/types.ts
@@ -34,6 +34,8 @@
 	readonly patienceMs: number | undefined;
 	/** Latency target for the gap between two events of a stream. */
 	readonly targetGapMs: number | undefined;
+	/** Regions in which its requests may be served and their data kept; absent if any region will do. */
+	readonly allowedRegions?: readonly string[] | undefined;
 };
 
 /** Capacity of each engine of a service. */
@@ -66,6 +68,15 @@
 	readonly maxConnections: number;
 	readonly engine: EngineSettings | undefined;
 	readonly store: StoreSettings | undefined;
+	/** How an instance that has just started, or otherwise become cold, may be used; absent if it bears the same as any other. */
+	readonly cold?: ColdSettings | undefined;
+};
+
+export type ColdSettings = {
+	/** How long an instance stays cold after a start. */
+	readonly durationMs: number;
+	/** Requests per second that a cold instance accepts from all daemons together. */
+	readonly requestsPerSecond: number;
 };
 
 /** Limits on the size of a caller's request and on how slowly it may be sent. */
@@ -83,6 +94,8 @@
 	readonly priority: number | undefined;
 	/** Shares no cached parts with other organisations. */
 	readonly isIsolated: boolean;
+	/** Regions in which its requests may be served and their data kept; absent if any region will do. */
+	readonly allowedRegions?: readonly string[] | undefined;
 };
 
 /** One version of the traffic configuration: routes, services, limits and organisations. */
