Add no crash again that was dropped from the evidence, so that coordinators do not pass it on without end

Cause: evidence keeps 64 crashes. With more, each coordinator drops others, and took what it had dropped for news when another one sent it: it was merged, explained, passed on and dropped again. 9 coordinators logged 8,182 crashes of 76 runs in 38 s, up to 252 times one, and found and lost 94 causes 1,235 times. Change: the evidence remembers the runs that it has dropped.

--- a/packages/crashes/src/crash-evidence.ts
+++ b/packages/crashes/src/crash-evidence.ts
@@ -20,6 +20,8 @@
 	/** By trait that was in a crash: when an instance last began an answer that went on. */
 	readonly answeredAtMs: ReadonlyMap<string, number>;
 	readonly trials: ReadonlyMap<string, TrialRecord>;
+	/** Runs whose crashes were dropped because there were too many, the latest last. Other daemons may still report them. */
+	readonly droppedRuns: ReadonlySet<string>;
 };
 
 /** New evidence, on the clock of the receiver. */
@@ -34,13 +36,18 @@
 const maxCrashes = 64;
 /** Requests that are kept of one crash: as many as an instance runs at once. */
 const maxRequestsPerCrash = 256;
+/** More runs than instances crash in the time in which other daemons report a crash again. */
+const maxDroppedRuns = 4096;
 
 /** Evidence of a daemon that knows of no crash. */
-export const noCrashEvidence: CrashEvidence = {crashes: new Map(), answeredAtMs: new Map(), trials: new Map()};
+export const noCrashEvidence: CrashEvidence = {
+	crashes: new Map(), answeredAtMs: new Map(), trials: new Map(), droppedRuns: new Set(),
+};
 
 /**
 Adds a report to the evidence. Reports may come late, twice and in any order; returns the same object where a report adds nothing, so that it need
-not be passed on.
+not be passed on. A crash that was dropped is not added again. Load pattern: more crashes than are kept, of which each daemon drops others; if
+what one has dropped came back from another as news, they would pass it on to each other without end.
 
 @example
 ```
@@ -64,6 +71,10 @@
 }
 
 function mergeCrash(evidence: CrashEvidence, {run, atMs, requests}: NonNullable<CrashReport['crashes']>[number]): CrashEvidence {
+	if (evidence.droppedRuns.has(run)) {
+		return evidence;
+	}
+
 	const known = evidence.crashes.get(run);
 	const merged = new Map(known?.requests);
 
@@ -142,18 +153,22 @@
 
 /** Drops crashes whose retention is over, and what was known of traits that are in no crash any more. */
 export function dropOldCrashes(evidence: CrashEvidence, nowMs: number): CrashEvidence {
-	const kept = dropClosestCrashes([...evidence.crashes].filter(([, {atMs}]) => nowMs - atMs < crashRetentionMs));
+	const retained = [...evidence.crashes].filter(([, {atMs}]) => nowMs - atMs < crashRetentionMs);
+	const crashes = new Map(dropClosestCrashes(retained));
 
-	if (kept.length === evidence.crashes.size) {
+	if (crashes.size === evidence.crashes.size) {
 		return evidence;
 	}
 
-	const crashes = new Map(kept);
 	const crashTimes = getCrashTimes(crashes);
 	const isInCrash = ([trait]: readonly [string, unknown]) => crashTimes.has(trait);
+	const droppedRuns = retained.map(([run]) => run).filter(run => !crashes.has(run));
 
 	return {
-		crashes, answeredAtMs: new Map([...evidence.answeredAtMs].filter(entry => isInCrash(entry))), trials: new Map([...evidence.trials].filter(entry => isInCrash(entry))),
+		crashes,
+		answeredAtMs: new Map([...evidence.answeredAtMs].filter(entry => isInCrash(entry))),
+		trials: new Map([...evidence.trials].filter(entry => isInCrash(entry))),
+		droppedRuns: droppedRuns.length === 0 ? evidence.droppedRuns : new Set([...evidence.droppedRuns, ...droppedRuns].slice(-maxDroppedRuns)),
 	};
 }
 
