Accept evacuations of availability zones, and send nothing to instances there

Operators had no way to empty a zone: both calls were answered 404.

A change is a command of the replicated log (begin, finish of a zone), accepted by a majority before it is acknowledged, and told to gateways in the published state, by push and in the replies to hellos. Gateways give the instances of an evacuated zone a status of their own, before any other but leaving, so that placement, waiting requests, holders of permits, successors, trials and repeats all pass them over. A request that only instances of evacuated zones could serve is refused at once.

--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -5,8 +5,11 @@
 	isPeerMessage, PeerMessageKind, planMembershipChange, type PeerMessage, type ReplicaTiming,
 } from '@fescuestair/agreement';
 import {
-	createSystemClock, isOneOf, isObjectWith, type Clock, type Finding,
+	createFinding, createSystemClock, isOneOf, isObjectWith, type Clock, type Finding,
 } from '@fescuestair/core';
+import {
+	createEvacuationView, diffEvacuations, EvacuationStep, isEvacuationZone, recordEvacuatedZones, type EvacuationView,
+} from '@fescuestair/evacuations';
 import {
 	DaemonRole, isPublishedSnapshot, type DaemonRecord, type InstanceRecord, type PublishedSnapshot, listGatewaysForCallers,
 } from '@fescuestair/instances';
@@ -55,6 +58,8 @@
 	readonly orderHandoverMs: number;
 	/** Number of disks that can be lost at the same time without losing an accepted change. */
 	readonly lossesBorne?: number;
+	/** The region of each availability zone; where it names none, any zone can be evacuated. */
+	readonly regionsByZone?: ReadonlyMap<string, string>;
 	readonly clock?: Clock;
 	readonly log: Logger;
 	readonly metrics: PrometheusMetrics;
@@ -64,6 +69,8 @@
 	/** Durable, and in force unless superseded by a newer version. */
 	Accepted = 'accepted',
 	Invalid = 'invalid',
+	/** The change names something that does not exist. */
+	Unknown = 'unknown',
 	/** The change may or may not come into force; the sender should retry. */
 	Unavailable = 'unavailable',
 }
@@ -77,6 +84,10 @@
 	readonly readConfig: () => Promise<PublishedSnapshot>;
 	/** Proposes the target version of a model's weights; accepted once it is durable on a majority. */
 	readonly setTargetVersion: (model: string, version: number) => Promise<ChangeAnswer>;
+	/** Begins or finishes the evacuation of an availability zone; accepted once it is durable on a majority. */
+	readonly changeEvacuation: (zone: string, step: EvacuationStep) => Promise<ChangeAnswer>;
+	/** What this coordinator knows of evacuations, and when it learnt that they ended. */
+	readonly getEvacuations: () => EvacuationView;
 	/** Records an announcement of an instance and forwards it to all daemons if it changes the registry; resolves once it may be acknowledged. */
 	readonly announce: (record: InstanceRecord) => Promise<void>;
 	/** Finds the newest record of an instance. */
@@ -88,6 +99,7 @@
 };
 
 const callTimeoutMs = 1500;
+const maxLoggedNameLength = 100;
 const membersCheckIntervalMs = 250;
 /** A voter that has acknowledged nothing for this long may be replaced. */
 const voterTimeoutMs = 2500;
@@ -124,7 +136,7 @@
 	const {
 		name, availabilityZone, linkAddress, serviceAddress, dataFolder, getSeeds, isFirstStart, decodeConfig, orderHandoverMs,
 		storeClient,
-		lossesBorne = 1, clock = createSystemClock(), log, metrics,
+		lossesBorne = 1, regionsByZone = new Map(), clock = createSystemClock(), log, metrics,
 	} = options;
 	const links = createLinks({getKeys: undefined});
 	const self: DaemonRecord = {
@@ -139,6 +151,7 @@
 	/** Leader's address as reported by other coordinators; used while this one is not a current member of the group. */
 	let hintedLeaderAddress: string | undefined;
 	let stores: readonly StoreSettings[] = [];
+	let evacuations = createEvacuationView();
 	const seeds = getSeeds();
 
 	const describe = (state: PublishedState, knownConfigVersion: number) => describePublished(state, {knownConfigVersion, getWeightsAgeMs: targetAges.getAgeMs});
@@ -146,7 +159,7 @@
 	const applyPublished = createCoalescer(({state, isLeading}: {readonly state: PublishedState; readonly isLeading: boolean}) => {
 		const config = state.configText === undefined ? undefined : decodeConfig(state.configText).config;
 		stores = (config?.services ?? []).flatMap(service => service.store?.isManaged === true ? [service.store] : []);
-		log.info('published', {revision: state.revision, configVersion: state.configVersion, weights: Object.fromEntries(state.weights)});
+		log.info('published', {revision: state.revision, configVersion: state.configVersion, weights: Object.fromEntries(state.weights), evacuatedZones: state.evacuatedZones});
 
 		// Only the leader sends the state to all daemons; a daemon that missed it gets it in the reply to its next hello.
 		if (isLeading) {
@@ -161,6 +174,13 @@
 			});
 		}
 
+		const {begun, ended} = diffEvacuations(evacuations, state.evacuatedZones);
+		evacuations = recordEvacuatedZones(evacuations, state.evacuatedZones, clock.readMonotonicMs());
+
+		if (begun.length > 0 || ended.length > 0) {
+			log.info('evacuated zones changed', {begun, ended, source, revision: state.revision});
+		}
+
 		applyPublished({state, isLeading: source === PublishedSource.OwnCommit});
 	};
 
@@ -434,7 +454,7 @@
 
 			return {outcome: ChangeOutcome.Accepted, findings: []};
 		} catch (error) {
-			log.warn('change was not committed', {kind: command.kind, version: command.version, reason: String(error)});
+			log.warn('change was not committed', {...describeCommand(command), reason: String(error)});
 
 			return {outcome: ChangeOutcome.Unavailable, findings: []};
 		}
@@ -442,6 +462,7 @@
 
 	metrics.registerGauge('published_revision', 'Changes that were agreed on', () => replica.getPublished().revision);
 	metrics.registerGauge('config_version', 'Version of the configuration in force', () => replica.getPublished().configVersion);
+	metrics.registerGauge('zones_evacuated', 'Availability zones to whose instances nothing is to be sent', () => replica.getPublished().evacuatedZones.length);
 	metrics.registerGauge('leads', 'Whether this replica leads the group', () => replica.getLeadingTerm() === undefined ? 0 : 1);
 	const timer = setInterval(() => {
 		grantor.refresh();
@@ -494,6 +515,20 @@
 
 			return answer;
 		},
+		async changeEvacuation(zone, step) {
+			if (!isEvacuationZone(zone) || (regionsByZone.size > 0 && !regionsByZone.has(zone))) {
+				log.warn('evacuation of an unknown zone refused', {zone: zone.slice(0, maxLoggedNameLength), step});
+
+				return {outcome: ChangeOutcome.Unknown, findings: [createFinding('zone', `is none of the availability zones ${[...regionsByZone.keys()].join(', ')}`)]};
+			}
+
+			const answer = await propose({kind: PublishKind.ChangeEvacuation, step, zone});
+			metrics.count('changes_total', {kind: 'evacuation', outcome: answer.outcome});
+			log.info('evacuation received', {zone, step, outcome: answer.outcome});
+
+			return answer;
+		},
+		getEvacuations: () => evacuations,
 		announce: fleet.announce,
 		findInstance: fleet.findInstance,
 		listGateways: () => listGatewaysForCallers(fleet.listGateways()),
@@ -516,3 +551,7 @@
 	};
 }
 
+// The text of a configuration is too long for a log line.
+function describeCommand(command: PublishCommand): Readonly<Record<string, unknown>> {
+	return command.kind === PublishKind.ChangeEvacuation ? command : {kind: command.kind, version: command.version};
+}
--- a/packages/coordinator/src/published-state.ts
+++ b/packages/coordinator/src/published-state.ts
@@ -1,17 +1,23 @@
 import {
 	isAnyOf, isNonNegativeInteger, isOneOf, isOptional, isObjectWith, isStringUpTo, type TypeGuard,
 } from '@fescuestair/core';
+import {
+	applyEvacuationStep, decodeEvacuatedZones, EvacuationStep, isEvacuationZone, type EvacuatedZones,
+} from '@fescuestair/evacuations';
 import {type PublishedSnapshot} from '@fescuestair/instances';
 
 export enum PublishKind {
 	PutConfig = 'put_config',
 	SetTargetVersion = 'name_weights',
+	/** Begins or finishes the evacuation of an availability zone. */
+	ChangeEvacuation = 'change_evacuation',
 }
 
 /** A change to the published state, which all daemons follow. */
 export type PublishCommand
 	= | {readonly kind: PublishKind.PutConfig; readonly version: number; readonly text: string}
-		| SetTargetVersionCommand;
+		| SetTargetVersionCommand
+		| {readonly kind: PublishKind.ChangeEvacuation; readonly step: EvacuationStep; readonly zone: string};
 
 export type SetTargetVersionCommand = {
 	readonly kind: PublishKind.SetTargetVersion;
@@ -43,6 +49,7 @@
 	isObjectWith({
 		kind: isOneOf([PublishKind.SetTargetVersion]), model: isStringUpTo(maxNameLength), version: isNonNegativeInteger, ageMs: isOptional(isNonNegativeInteger),
 	}),
+	isObjectWith({kind: isOneOf([PublishKind.ChangeEvacuation]), step: isOneOf(Object.values(EvacuationStep)), zone: isEvacuationZone}),
 ) as TypeGuard<unknown> as TypeGuard<PublishCommand>;
 
 /** The replicated state of the coordinators. Immutable. */
@@ -55,6 +62,7 @@
 	readonly weights: ReadonlyMap<string, number>;
 	/** The latest target versions of each model, oldest first. */
 	readonly targets: ReadonlyMap<string, readonly RecordedTarget[]>;
+	readonly evacuatedZones: EvacuatedZones;
 };
 
 export type PublishAnswer = {
@@ -66,7 +74,7 @@
 /** Creates the initial state of a new group. */
 export function createPublishedState(): PublishedState {
 	return {
-		revision: 0, configVersion: 0, configText: undefined, weights: new Map(), targets: new Map(),
+		revision: 0, configVersion: 0, configText: undefined, weights: new Map(), targets: new Map(), evacuatedZones: [],
 	};
 }
 
@@ -111,6 +119,12 @@
 				},
 			};
 		}
+
+		case PublishKind.ChangeEvacuation: {
+			const evacuatedZones = applyEvacuationStep(state.evacuatedZones, command);
+
+			return evacuatedZones === state.evacuatedZones ? {isNew: false, state} : {isNew: true, state: {...state, revision: state.revision + 1, evacuatedZones}};
+		}
 	}
 }
 
@@ -138,6 +152,7 @@
 		configVersion: state.configVersion,
 		configText: state.configVersion === knownConfigVersion ? undefined : state.configText,
 		weights: listTargetAges(state, getWeightsAgeMs),
+		evacuatedZones: state.evacuatedZones,
 	};
 }
 
@@ -151,10 +166,12 @@
 	readonly getWeightsAgeMs: (model: string, version: number) => number;
 };
 
-type EncodedState = Omit<PublishedState, 'weights' | 'targets'> & {
+type EncodedState = Omit<PublishedState, 'weights' | 'targets' | 'evacuatedZones'> & {
 	readonly weights: ReadonlyArray<readonly [string, number]>;
 	/** Absent in snapshots of older software. */
 	readonly targets?: ReadonlyArray<readonly [model: string, targets: readonly RecordedTarget[]]>;
+	/** Absent in snapshots of older software. */
+	readonly evacuatedZones?: EvacuatedZones;
 };
 
 /** Encodes the state for a snapshot. */
@@ -169,6 +186,7 @@
 
 	return {
 		...encoded, configText: encoded.configText ?? undefined, weights, targets: encoded.targets === undefined ? createTargetsOfUnknownAge(weights) : decodeTargets(encoded.targets),
+		evacuatedZones: decodeEvacuatedZones(encoded.evacuatedZones),
 	};
 }
 
--- a/packages/gateway/src/choose-place.ts
+++ b/packages/gateway/src/choose-place.ts
@@ -132,9 +132,10 @@
 	};
 }
 
-/** Whether the weights of the chosen instance have become too old since it was chosen, as during the wait for a permit. */
+/** Whether the zone of the chosen instance has been evacuated, or its weights have become too old, since it was chosen, as during the wait for a permit. */
 export function hasBecomeBarred(options: ForwardOptions, {caller: {prompt}}: Exchange, {entry}: InstanceChoice): boolean {
-	return prompt !== undefined && options.classifyWeights(prompt.model, findVersion(entry, prompt.model)) === WeightsUse.Barred;
+	return options.instancePool.isEvacuated(entry)
+		|| (prompt !== undefined && options.classifyWeights(prompt.model, findVersion(entry, prompt.model)) === WeightsUse.Barred);
 }
 
 /** Factor by which the wait in an engine's queue may exceed its estimate, as it does in bursts. */
--- a/packages/gateway/src/forward-options.ts
+++ b/packages/gateway/src/forward-options.ts
@@ -58,6 +58,8 @@
 	/** By service, when the next caller that is refused because of limits should return. */
 	readonly returns: Map<string, number>;
 	readonly countGateways: () => number;
+	/** When the evacuation of a zone ended, on the monotonic clock; `undefined` where none ended within the last minute. */
+	readonly findEvacuationEndMs: (availabilityZone: string) => number | undefined;
 	/** The memory of the answers that are buffered until they, or an event of them, are complete. */
 	readonly answerMemory: MemoryBudget;
 };
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -211,7 +211,7 @@
 	const refusal = checkTakeUp(context);
 
 	if (refusal !== undefined) {
-		return refuse(context, refusal.reason, refusal.canReturn ? computeRetryAfterMs(0) : undefined);
+		return refuseEvacuated(context) ?? refuse(context, refusal.reason, refusal.canReturn ? computeRetryAfterMs(0) : undefined);
 	}
 
 	if (end.isExpired || exchange.deadlineMs - options.clock.readMonotonicMs() < minTimeLeftMs) {
@@ -276,6 +276,12 @@
 	const {
 		options, exchange, service, progress, stream,
 	} = context;
+	const evacuated = refuseEvacuated(context);
+
+	if (evacuated !== undefined) {
+		return evacuated;
+	}
+
 	const nowMs = options.clock.readMonotonicMs();
 	const computeLeftMs = (endMs: number | undefined) => endMs === undefined ? undefined : Math.max(0, endMs - nowMs);
 	const isEligible: InstanceFilter = ({held}) => progress.isEligible(held.record);
@@ -305,6 +311,20 @@
 	return undefined;
 }
 
+// Refuses a request that only instances of evacuated zones could serve. Nobody knows when the operator ends that, so waiting would be in vain.
+function refuseEvacuated(context: ForwardingContext): ExchangeResult | undefined {
+	const {options, service, progress} = context;
+	const evacuated = options.instancePool.countOnlyEvacuated(service.name, ({held}) => progress.isEligible(held.record));
+
+	if (evacuated === undefined) {
+		return undefined;
+	}
+
+	progress.story.push({decision: WaitDecision.Refuse, evacuated, standings: options.instancePool.countStandings(service.name)});
+
+	return refuse(context, 'all instances that may serve the request are in evacuated availability zones', computeRetryAfterMs(Number.POSITIVE_INFINITY));
+}
+
 function refuseUnavailable(context: ForwardingContext, {restLeftMs, limitLeftMs}: Pick<ReopeningInput, 'restLeftMs' | 'limitLeftMs'>): ExchangeResult {
 	const {options, service} = context;
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,6 +3,9 @@
 	createSystemClock, isBoolean, isObjectWith, type Clock,
 } from '@fescuestair/core';
 import {isQuarantineMessage} from '@fescuestair/crashes';
+import {
+	createEvacuationView, diffEvacuations, getEvacuationEndedAtMs, recordEvacuatedZones,
+} from '@fescuestair/evacuations';
 import {
 	DaemonRole, isInstanceUpdates, isLoadUpdate, isPublishedSnapshot, isRequestLimitNotes, type DaemonRecord, type PublishedSnapshot,
 } from '@fescuestair/instances';
@@ -111,6 +114,7 @@
 	const incarnation = clock.readWallMs();
 	let routeTable: RouteTable | undefined;
 	let targetVersionHistory = createTargetVersionHistory();
+	let evacuations = createEvacuationView();
 	let isLeaving = false;
 	let wasReady = false;
 	let recordSequence = 0;
@@ -129,6 +133,7 @@
 			return Math.max(minConnections, Math.floor(maxConnections * usableConnectionShare / countGateways()));
 		},
 		getLimitedUntilMs: record => permits.getClosedUntilMs(record),
+		isZoneEvacuated: zone => evacuations.zones.has(zone),
 		onWorkChange(workMs) {
 			loadExchange.recordWorkChange(workMs);
 		},
@@ -167,8 +172,20 @@
 		startDeadlines.applyTargets();
 	};
 
+	const recordEvacuations = ({revision, evacuatedZones = [...evacuations.zones]}: PublishedSnapshot, {toldBy}: TargetSource) => {
+		const {begun, ended} = diffEvacuations(evacuations, evacuatedZones);
+		evacuations = recordEvacuatedZones(evacuations, evacuatedZones, clock.readMonotonicMs());
+
+		if (begun.length > 0 || ended.length > 0) {
+			log.info('evacuations in force', {
+				zones: evacuatedZones, begun, ended, revision, toldBy: toldBy ?? 'push',
+			});
+		}
+	};
+
 	const onPublished = (published: PublishedSnapshot, source: TargetSource) => {
 		recordTargets(published.weights, source);
+		recordEvacuations(published, source);
 
 		if (published.configText !== undefined) {
 			const nextTable = tryBuildRouteTable(published);
@@ -283,6 +300,7 @@
 		isLeaving: () => isLeaving,
 		waiting: new Map(),
 		countGateways,
+		findEvacuationEndMs: zone => getEvacuationEndedAtMs(evacuations, zone, clock.readMonotonicMs()),
 		answerMemory: createMemoryBudget({maxBytes: maxBufferedAnswerBytes, pickVictim: pickLargest}),
 	};
 
@@ -318,6 +336,7 @@
 	metrics.registerGauge('instances_limited', 'Instances that name a limit of requests', requestLimits.countLimited);
 	metrics.registerGauge('traits_held_back', 'Prompt parts and requests that are held back because instances crashed under them', crashDetector.countHeldBack);
 	metrics.registerGauge('stream_origins_unproven', 'Streams that may have been begun by other software than their instances had announced', unprovenOrigins.count);
+	metrics.registerGauge('zones_evacuated', 'Availability zones to whose instances this gateway sends nothing', () => evacuations.zones.size);
 	metrics.registerGauge('gateways_known', 'Gateways that coordinators heard lately', countGateways);
 	metrics.registerGauge('parts_known', 'Stored parts that requests may fetch', () => partsClient.getView().locations.size);
 
--- a/packages/gateway/src/instance-pool.ts
+++ b/packages/gateway/src/instance-pool.ts
@@ -20,6 +20,8 @@
 	readonly getMaxConnections: (service: string) => number;
 	/** Until when no request may be sent to an instance because of the limit that it names; a past time if none applies. */
 	readonly getLimitedUntilMs: (record: InstanceRecord) => number;
+	/** Whether nothing is to be sent to the instances of an availability zone. */
+	readonly isZoneEvacuated?: (availabilityZone: string) => boolean;
 	/** Called when work was added, or an estimate corrected, that has not been sent to the other gateways yet. */
 	readonly onWorkChange: (workMs: number) => void;
 	/** Called when a response of an instance reports for the first time that this incarnation is leaving. */
@@ -37,8 +39,12 @@
 	readonly get: (id: string) => PooledInstance | undefined;
 	/** Instances of a service, of those that pass the filter, that may accept a request now; full ones only if there is no other. */
 	readonly listAvailable: (service: string, filter?: InstanceFilter) => readonly PooledInstance[];
-	/** Whether an instance that passes the filter has not said that it leaves, and is heard. */
+	/** Whether an instance that passes the filter has not said that it leaves, is heard, and is not in an evacuated zone. */
 	readonly hasServing: (service: string, filter: InstanceFilter) => boolean;
+	/** Whether the zone of an instance is evacuated, so that nothing is to be sent to it. */
+	readonly isEvacuated: (instance: PooledInstance) => boolean;
+	/** Counts by zone the instances that pass the filter and lie in evacuated zones; `undefined` where there are none, or others serve. */
+	readonly countOnlyEvacuated: (service: string, filter: InstanceFilter) => Readonly<Record<string, number>> | undefined;
 	/** Instances of a service that would take requests but for the limits that they named. */
 	readonly listLimited: (service: string) => readonly PooledInstance[];
 	/** Finds an instance that a request with a permit may be sent to, whatever its limit; `undefined` where it takes none or has restarted. */
@@ -95,7 +101,7 @@
 ```
 */
 export function createInstancePool({
-	clock, log, metrics, getMaxConnections, getLimitedUntilMs, onWorkChange, onLeaving, repeat = startInterval,
+	clock, log, metrics, getMaxConnections, getLimitedUntilMs, isZoneEvacuated = () => false, onWorkChange, onLeaving, repeat = startInterval,
 }: InstancePoolOptions): InstancePool {
 	const instances = new Map<string, PooledInstance>();
 	/** Instances that were replaced by others of the same id, while requests have not ended there. */
@@ -151,8 +157,10 @@
 		? instance.load.own
 		: instance.load.own - [...instance.inFlight.keys()].filter(request => isSilent(instance, request)).length;
 
+	const isEvacuated = ({held}: PooledInstance) => isZoneEvacuated(held.record.availabilityZone);
+
 	const classify = (instance: PooledInstance) => classifyInstance(instance.standing, {
-		own: countOwn(instance), limitedUntilMs: getLimitedUntilMs(instance.held.record), nowMs: clock.readMonotonicMs(),
+		own: countOwn(instance), limitedUntilMs: getLimitedUntilMs(instance.held.record), isEvacuated: isEvacuated(instance), nowMs: clock.readMonotonicMs(),
 	});
 
 	const listInstances = (service: string): readonly PooledInstance[] => byService.get(service) ?? [];
@@ -287,13 +295,36 @@
 			return free.length > 0 ? free : full;
 		},
 		hasServing: (service, filter) => listInstances(service).some(instance => filter(instance) && !goneStatuses.has(classify(instance))),
+		isEvacuated,
+		countOnlyEvacuated(service, filter) {
+			const counts: Record<string, number> = {};
+
+			for (const instance of listInstances(service).filter(instance => filter(instance))) {
+				const status = classify(instance);
+
+				if (!goneStatuses.has(status)) {
+					return undefined;
+				}
+
+				if (status === InstanceStatus.Evacuated) {
+					const {availabilityZone} = instance.held.record;
+					counts[availabilityZone] = (counts[availabilityZone] ?? 0) + 1;
+				}
+			}
+
+			return Object.keys(counts).length === 0 ? undefined : counts;
+		},
 		listLimited: service => listInstances(service).filter(instance => classify(instance) === InstanceStatus.Limited),
 		findSendable({id, incarnation}) {
 			const instance = instances.get(id);
 
-			return instance?.held.record.incarnation === incarnation && canSendTo(classifyInstance(instance.standing, {own: countOwn(instance), nowMs: clock.readMonotonicMs()}))
-				? instance
-				: undefined;
+			if (instance?.held.record.incarnation !== incarnation) {
+				return undefined;
+			}
+
+			const status = classifyInstance(instance.standing, {own: countOwn(instance), isEvacuated: isEvacuated(instance), nowMs: clock.readMonotonicMs()});
+
+			return canSendTo(status) ? instance : undefined;
 		},
 		findRestEndMs(service, filter = () => true) {
 			const ends = listInstances(service).filter(instance => filter(instance) && classify(instance) === InstanceStatus.BackingOff).map(({standing}) => standing.backoffDeadlineMs);
@@ -462,4 +493,4 @@
 	};
 }
 
-const goneStatuses: ReadonlySet<InstanceStatus> = new Set([InstanceStatus.Leaving, InstanceStatus.Silent]);
+const goneStatuses: ReadonlySet<InstanceStatus> = new Set([InstanceStatus.Leaving, InstanceStatus.Evacuated, InstanceStatus.Silent]);
--- a/packages/instances/src/daemons.ts
+++ b/packages/instances/src/daemons.ts
@@ -58,6 +58,8 @@
 	readonly configText: string | undefined;
 	/** Latest target weight versions of each model, oldest first, with their ages; `unknownTargetAgeMs` or more where the age is not known. */
 	readonly weights: ReadonlyArray<readonly [model: string, version: number, ageMs: number]>;
+	/** Availability zones to whose instances nothing is to be sent; absent from a coordinator whose software knows no evacuations. */
+	readonly evacuatedZones?: readonly string[] | undefined;
 };
 
 /** The relation of the sender of a hello to the coordinator that receives it. */
--- a/packages/instances/src/message-guards.ts
+++ b/packages/instances/src/message-guards.ts
@@ -48,6 +48,7 @@
 
 export const isPublishedSnapshot = isObjectWith({
 	revision: isNonNegativeInteger, configVersion: isNonNegativeInteger, configText: isOptional(isStringUpTo(maxConfigLength)), weights: isTargetAges,
+	evacuatedZones: isOptional(isArrayOf(isName, maxListLength)),
 }) as TypeGuard<unknown> as TypeGuard<PublishedSnapshot>;
 
 export const isHello = isObjectWith({
--- a/packages/routing/src/instance-state.ts
+++ b/packages/routing/src/instance-state.ts
@@ -6,6 +6,8 @@
 export enum InstanceStatus {
 	/** Draining: it finishes its requests and accepts no new ones. */
 	Leaving = 'leaving',
+	/** Its availability zone is evacuated: it finishes its requests and gets no new ones. */
+	Evacuated = 'evacuated',
 	/** Loading other weights. */
 	Loading = 'loading',
 	/** No announcement and no answer arrived within `livenessTimeoutMs`. */
@@ -159,15 +161,21 @@
 	readonly own: number;
 	/** Until then no request may be sent there because of the limit that it names. */
 	readonly limitedUntilMs?: number;
+	/** Whether its availability zone is evacuated. */
+	readonly isEvacuated?: boolean;
 	readonly nowMs: number;
 };
 
 /** Derives the status of an instance. */
-export function classifyInstance(state: InstanceState, {own, limitedUntilMs = Number.NEGATIVE_INFINITY, nowMs}: ClassifyOptions): InstanceStatus {
+export function classifyInstance(state: InstanceState, {own, limitedUntilMs = Number.NEGATIVE_INFINITY, isEvacuated = false, nowMs}: ClassifyOptions): InstanceStatus {
 	if (state.isLeaving) {
 		return InstanceStatus.Leaving;
 	}
 
+	if (isEvacuated) {
+		return InstanceStatus.Evacuated;
+	}
+
 	if (state.loadingDeadlineMs > nowMs) {
 		return InstanceStatus.Loading;
 	}
--- a/scripts/check-layers.mjs
+++ b/scripts/check-layers.mjs
@@ -11,6 +11,7 @@
 	parts: 1,
 	crashes: 1,
 	streams: 1,
+	evacuations: 1,
 	state: 2,
 	fates: 2,
 	agreement: 2,
