--- a/packages/coordinator/src/__tests__/integration/deployment.ts
+++ b/packages/coordinator/src/__tests__/integration/deployment.ts
@@ -36,12 +36,13 @@
 }
 
 /** Creates a deployment; `seeds` are the names of the coordinators that form the initial group. */
-export async function openDeployment(t: ExecutionContext, {names, seeds, lossesBorne, isFirstStartKept = false}: {
+export async function openDeployment(t: ExecutionContext, {names, seeds, lossesBorne, isFirstStartKept = false, regionsByZone}: {
 	readonly names: readonly string[];
 	readonly seeds: readonly string[];
 	readonly lossesBorne: number;
 	/** Restarts coordinators whose data was deleted with `isFirstStart` still set. */
 	readonly isFirstStartKept?: boolean;
+	readonly regionsByZone?: ReadonlyMap<string, string>;
 }): Promise<Deployment> {
 	const folder = await fs.mkdtemp(path.join(os.tmpdir(), 'fescuestair-coordinator-'));
 	const addresses = new Map<string, string>();
@@ -68,7 +69,7 @@
 			metrics.set(name, ownMetrics);
 			const coordinator = await createCoordinator({
 				name, availabilityZone: 'north', linkAddress: addresses.get(name)!, serviceAddress: '127.0.0.1:1', dataFolder, getSeeds: () => seedAddresses,
-				isFirstStart: isFirstStartKept || !wiped.has(name), decodeConfig, orderHandoverMs: 0, lossesBorne,
+				isFirstStart: isFirstStartKept || !wiped.has(name), decodeConfig, orderHandoverMs: 0, lossesBorne, ...(regionsByZone && {regionsByZone}),
 				storeClient: undefined as never, sendOrder: undefined as never, fetchReport: undefined as never,
 				log: createLogger({instance: name, isTerminal: false, writeLine: () => true}), metrics: ownMetrics,
 			});
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -8,7 +8,7 @@
 	createFinding, createSystemClock, isOneOf, isObjectWith, type Clock, type Finding,
 } from '@fescuestair/core';
 import {
-	createEvacuationView, diffEvacuations, EvacuationStep, isEvacuationZone, recordEvacuatedZones, type EvacuationView,
+	createEvacuationView, diffEvacuations, type EvacuationStep, isEvacuationZone, recordEvacuatedZones, type EvacuationView,
 } from '@fescuestair/evacuations';
 import {
 	DaemonRole, isPublishedSnapshot, type DaemonRecord, type InstanceRecord, type PublishedSnapshot, listGatewaysForCallers,
@@ -159,7 +159,9 @@
 	const applyPublished = createCoalescer(({state, isLeading}: {readonly state: PublishedState; readonly isLeading: boolean}) => {
 		const config = state.configText === undefined ? undefined : decodeConfig(state.configText).config;
 		stores = (config?.services ?? []).flatMap(service => service.store?.isManaged === true ? [service.store] : []);
-		log.info('published', {revision: state.revision, configVersion: state.configVersion, weights: Object.fromEntries(state.weights), evacuatedZones: state.evacuatedZones});
+		log.info('published', {
+			revision: state.revision, configVersion: state.configVersion, weights: Object.fromEntries(state.weights), evacuatedZones: state.evacuatedZones,
+		});
 
 		// Only the leader sends the state to all daemons; a daemon that missed it gets it in the reply to its next hello.
 		if (isLeading) {
@@ -178,7 +180,9 @@
 		evacuations = recordEvacuatedZones(evacuations, state.evacuatedZones, clock.readMonotonicMs());
 
 		if (begun.length > 0 || ended.length > 0) {
-			log.info('evacuated zones changed', {begun, ended, source, revision: state.revision});
+			log.info('evacuated zones changed', {
+				begun, ended, source, revision: state.revision,
+			});
 		}
 
 		applyPublished({state, isLeading: source === PublishedSource.OwnCommit});
--- a/packages/gateway/src/__tests__/unit/forward.test.ts
+++ b/packages/gateway/src/__tests__/unit/forward.test.ts
@@ -52,18 +52,21 @@
 	readonly requestTrial?: () => Promise<boolean>;
 	readonly timeLeftMs?: number;
 	readonly release?: () => void;
+	/** Availability zones of the instances; `north` for those without one here. */
+	readonly zones?: readonly string[];
 };
 
 /** Opens a gateway's front with instances that answer as given; each of them is asked in turn. */
-async function openFront(t: ExecutionContext, {answers, routeChange = {}, retries = 10, reserve, requestTrial, timeLeftMs = 5000, release = () => undefined}: SystemOptions) {
+async function openFront(t: ExecutionContext, {answers, routeChange = {}, retries = 10, reserve, requestTrial, timeLeftMs = 5000, release = () => undefined, zones = []}: SystemOptions) {
+	const evacuated = new Set<string>();
 	const asked: string[] = [];
 	const state = {asked, decidedSilences: 0};
 	const closedEarly: string[] = [];
 	const results: ForwardResult[] = [];
 	const requestLimits = createRequestLimits({clock, log});
 	const instancePool = createInstancePool({
-		clock, log, metrics: createPrometheusMetrics(), getMaxConnections: () => 8, getLimitedUntilMs: () => Number.NEGATIVE_INFINITY, onWorkChange: () => undefined,
-		onLeaving: () => undefined,
+		clock, log, metrics: createPrometheusMetrics(), getMaxConnections: () => 8, getLimitedUntilMs: () => Number.NEGATIVE_INFINITY, isZoneEvacuated: zone => evacuated.has(zone),
+		onWorkChange: () => undefined, onLeaving: () => undefined,
 	});
 	const records: InstanceRecord[] = [];
 
@@ -92,7 +95,7 @@
 			answer(response, request, state);
 		}));
 		const record: InstanceRecord = {
-			id, service: 'app', address: `127.0.0.1:${port}`, availabilityZone: 'north', softwareVersion: 'v1', slots: 6, stage: InstanceStage.Ready, coldLeftMs: 0, models: [],
+			id, service: 'app', address: `127.0.0.1:${port}`, availabilityZone: zones[index] ?? 'north', softwareVersion: 'v1', slots: 6, stage: InstanceStage.Ready, coldLeftMs: 0, models: [],
 			incarnation: 1, sequence: 1,
 		};
 		records.push(record);
@@ -148,6 +151,8 @@
 	return {
 		port,
 		asked,
+		evacuated,
+		instancePool,
 		closedEarly,
 		results,
 		ask,
@@ -162,7 +167,9 @@
 			await once(response, 'close');
 			await waitUntil(() => results.length > 0);
 
-			return {status: response.statusCode, body, isWhole: response.complete};
+			return {
+				status: response.statusCode, body, isWhole: response.complete, headers: response.headers,
+			};
 		},
 	};
 }
@@ -537,3 +544,71 @@
 	t.log(front.asked.length);
 	t.deepEqual({status, body}, {status: 200, body: 'other'});
 });
+
+const twoZones = ['north', 'south'];
+
+test('a request that only instances of evacuated zones could serve is refused at once', async t => {
+	const front = await openFront(t, {answers: [answerAfter(0, 'whole')], zones: twoZones});
+	front.evacuated.add('north');
+	const {status, headers} = await front.fetch();
+	t.is(status, 503);
+	t.true(Number(headers['retry-after']) >= 2);
+	t.deepEqual(front.asked, []);
+	t.like(front.results[0], {outcome: 'refused', story: [{decision: 'refuse', evacuated: {north: 1}, standings: {evacuated: 1}}]});
+	t.regex(front.results[0]!.reason, /evacuated/v);
+});
+
+test('a request that waits for an instance is placed in another zone once that of the instance is evacuated', async t => {
+	const front = await openFront(t, {answers: [answerAfter(0, 'whole'), neverAnswer], zones: twoZones});
+	front.instancePool.recordRefusal(front.instancePool.get('i-0')!, 300);
+	front.instancePool.recordRefusal(front.instancePool.get('i-1')!, 700);
+	const response = front.fetch();
+	await sleep(100);
+	front.evacuated.add('north');
+	t.like(await response, {status: 200, body: 'whole'});
+	t.deepEqual(front.asked, ['i-1']);
+});
+
+test('a permit for an instance of a zone that was evacuated meanwhile is not used', async t => {
+	let reserved = 0;
+	let released = 0;
+	const front = await openFront(t, {
+		answers: [answerAfter(0, 'whole'), neverAnswer], zones: twoZones, release() {
+			released++;
+		},
+		async reserve() {
+			reserved++;
+			front.evacuated.add('north');
+
+			return {outcome: PermitOutcome.Granted, permit};
+		},
+	});
+	t.like(await front.fetch(), {status: 200, body: 'whole'});
+	t.deepEqual(front.asked, ['i-1']);
+	t.is(reserved, 2);
+	t.is(released, 1);
+});
+
+test('what runs in a zone that is evacuated ends there, and nothing is started beside it in the zone while it is silent', async t => {
+	const front = await openFront(t, {answers: [answerOnce(isSilent, 'whole'), answerAfter(0, 'other')]});
+	const response = front.fetch();
+	await waitUntil(() => front.asked.length > 0);
+	front.evacuated.add('north');
+	t.like(await response, {status: 200, body: 'whole', isWhole: true});
+	t.is(front.asked.length, 1);
+	t.like(front.results[0]!.story[0], {silence: {action: 'keep', obstacle: 'no_upstream'}});
+});
+
+test('a request that failed in a zone that was evacuated meanwhile is repeated in another one only', async t => {
+	for (const [zones, status] of [[twoZones, 200], [['north', 'north'], 500]] as const) {
+		const front = await openFront(t, {
+			answers: [(response, _request, state) => {
+				front.evacuated.add('north');
+				answerAfter(0, 'failed', 500)(response, _request, state);
+			}, answerAfter(0, 'whole')], zones,
+		});
+		front.instancePool.get('i-1')!.load = {...front.instancePool.get('i-1')!.load, own: 3};
+		t.is((await front.fetch()).status, status); // eslint-disable-line unicorn/no-await-expression-member
+		t.deepEqual(front.asked, zones === twoZones ? ['i-0', 'i-1'] : ['i-0']);
+	}
+});
--- a/packages/gateway/src/__tests__/unit/gateway.test.ts
+++ b/packages/gateway/src/__tests__/unit/gateway.test.ts
@@ -59,3 +59,61 @@
 	await gateway.stop();
 	await server.close();
 });
+
+test('a gateway follows the evacuations that coordinators tell it, whichever order messages arrive in, and is ready only once a current one has', async t => {
+	let reply: Record<string, unknown> = {isCurrent: false};
+	const server = await createLinkServer({
+		listen: {host: '127.0.0.1', port: 0},
+		getKeys: undefined,
+		onMessage(message, answer) {
+			if ((message as {readonly kind: LinkMessageKind}).kind === LinkMessageKind.Hello) {
+				answer?.({kind: 'hello', reply});
+			}
+		},
+	});
+	const lines: Array<Record<string, unknown>> = [];
+	const metrics = createPrometheusMetrics();
+	const gateway = await createGateway({
+		name: 'gateway-1', availabilityZone: 'north', linkAddress: '127.0.0.1:0', listen: '127.0.0.1:0', getSeeds: () => [`127.0.0.1:${server.port}`],
+		decodeConfig: () => ({...config, version: 1}), callerCodec: {} as unknown as CallerCodec, upstreamCodec: {} as unknown as UpstreamCodec, fetchIncarnation: async () => undefined,
+		retryAllowance: {perRequest: 0, slack: 0}, oldWeightsMs: 1000, stopTimeoutMs: 0, metrics,
+		log: createLogger({
+			instance: 'gateway-1', isTerminal: false, writeLine(line) {
+				lines.push(JSON.parse(line) as Record<string, unknown>);
+			},
+		}),
+	});
+	const listChanges = () => lines.filter(line => line.message === 'evacuations in force').map(({begun, ended}) => ({begun, ended}));
+
+	const waitForChanges = async (count: number) => {
+		while (listChanges().length < count) {
+			await sleep(10);
+		}
+	};
+
+	t.false(gateway.isReady());
+
+	const tell = (revision: number, evacuatedZones: readonly string[] | undefined) => {
+		reply = {
+			isCurrent: true, published: {
+				revision, configVersion: 1, configText: '1', weights: [], evacuatedZones,
+			},
+		};
+	};
+
+	tell(3, ['north', 'south']);
+	await waitForChanges(1);
+	t.true(gateway.isReady());
+	tell(2, []);
+	await sleep(1200);
+	// Older software says nothing of evacuations.
+	tell(4, undefined);
+	await sleep(1200);
+	t.regex(await metrics.renderText(), /zones_evacuated 2/v);
+	tell(5, ['north']);
+	await waitForChanges(2);
+	t.deepEqual(listChanges(), [{begun: ['north', 'south'], ended: []}, {begun: [], ended: ['south']}]);
+	t.regex(await metrics.renderText(), /zones_evacuated 1/v);
+	await gateway.stop();
+	await server.close();
+});
--- a/packages/gateway/src/__tests__/unit/instance-pool.test.ts
+++ b/packages/gateway/src/__tests__/unit/instance-pool.test.ts
@@ -16,6 +16,7 @@
 const openPool = (t: ExecutionContext, count: number) => {
 	const clock = createManualClock();
 	const left: string[] = [];
+	const evacuated = new Set<string>();
 	const lines: string[] = [];
 	let check: () => void = () => undefined;
 	const pool = createInstancePool({
@@ -23,6 +24,7 @@
 		metrics: createPrometheusMetrics(),
 		getMaxConnections: () => 4,
 		getLimitedUntilMs: () => Number.NEGATIVE_INFINITY,
+		isZoneEvacuated: zone => evacuated.has(zone),
 		onWorkChange: () => undefined,
 		repeat(callback) {
 			check = callback;
@@ -59,7 +61,7 @@
 	announce();
 
 	return {
-		pool, clock, left, lines, announce, check() {
+		pool, clock, left, lines, evacuated, announce, check() {
 			check();
 		}, listAvailable: () => pool.listAvailable('app').map(instance => instance.held.record.id),
 	};
@@ -275,3 +277,25 @@
 
 	t.deepEqual(listAvailable(), ['i-0']);
 });
+
+test('nothing is sent to the instances of an evacuated zone, in whatever state they are, until that ends', t => {
+	const {pool, evacuated, announce, listAvailable} = openPool(t, 3);
+	const any = () => true;
+	announce(createRecord('i-0', {availabilityZone: 'south'}), createRecord('i-1', {availabilityZone: 'south', stage: InstanceStage.Draining}));
+	t.deepEqual(listAvailable(), ['i-0', 'i-2']);
+	evacuated.add('south');
+	t.deepEqual(listAvailable(), ['i-2']);
+	t.is(pool.findSendable(pool.get('i-0')!.held.record), undefined);
+	t.false(pool.hasServing('app', ({held}) => held.record.availabilityZone === 'south'));
+	t.deepEqual(pool.countStandings('app'), {evacuated: 1, leaving: 1, ready: 1});
+	t.is(pool.countOnlyEvacuated('app', any), undefined);
+	t.deepEqual(pool.countOnlyEvacuated('app', ({held}) => held.record.id !== 'i-2'), {south: 1});
+	t.is(pool.countOnlyEvacuated('app', ({held}) => held.record.id === 'i-1'), undefined);
+	pool.recordRefusal(pool.get('i-0')!, 500);
+	t.is(pool.findRestEndMs('app'), undefined);
+	evacuated.clear();
+	announce();
+	t.deepEqual(listAvailable(), ['i-2']);
+	t.not(pool.findRestEndMs('app'), undefined);
+	t.true(pool.hasServing('app', ({held}) => held.record.availabilityZone === 'south'));
+});
