Serve and keep the requests of a route or an organisation in the regions that they allow

Allowed regions were read and ignored. Now both bind: the instances that may be chosen, the stores that parts are saved to and fetched from, and the gateways that the directory names for a host. Prompts with allowed regions have salts of their own, so that their parts are found by requests that allow the same regions only. A request without a common region is refused at once as not run. A configuration that names a region unknown to the settings is refused with the place.

Without allowed regions nothing changes, the salts neither.

The fake context of take-up.test.ts has the new field, and one more case.

--- a/packages/coordinator/src/__tests__/integration/deployment.ts
+++ b/packages/coordinator/src/__tests__/integration/deployment.ts
@@ -22,7 +22,9 @@
 };
 
 const decodeConfig = (text: string) => ({
-	config: {...JSON.parse(text) as {readonly version: number}, services: []} as unknown as TrafficConfig, findings: [],
+	config: {
+		routes: [], organisations: [], services: [], ...JSON.parse(text) as {readonly version: number},
+	} as unknown as TrafficConfig, findings: [],
 });
 
 async function findFreePort(): Promise<number> {
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -22,7 +22,9 @@
 import {
 	createLinkFaultHandler, createPermitGrantor, openCommandListener, registerLinkMetrics, type Logger, type PrometheusMetrics,
 } from '@fescuestair/runtime';
-import {type StoreSettings, type TrafficConfig} from '@fescuestair/traffic';
+import {
+	checkAllowedRegions, filterGateways, type GatewayLookup, type RegionsByZone, type Route, type StoreSettings, type TrafficConfig,
+} from '@fescuestair/traffic';
 import {createLinks} from '@fescuestair/transport';
 import {
 	describePublished, isPublishCommand, listTargetAges, PublishKind, type PublishAnswer, type PublishCommand, type PublishedState,
@@ -59,7 +61,7 @@
 	/** Number of disks that can be lost at the same time without losing an accepted change. */
 	readonly lossesBorne?: number;
 	/** The region of each availability zone; where it names none, any zone can be evacuated. */
-	readonly regionsByZone?: ReadonlyMap<string, string>;
+	readonly regionsByZone?: RegionsByZone;
 	readonly clock?: Clock;
 	readonly log: Logger;
 	readonly metrics: PrometheusMetrics;
@@ -92,8 +94,8 @@
 	readonly announce: (record: InstanceRecord) => Promise<void>;
 	/** Finds the newest record of an instance. */
 	readonly findInstance: (id: string) => InstanceRecord | undefined;
-	/** Gateways that callers are to use. */
-	readonly listGateways: () => readonly DaemonRecord[];
+	/** Gateways that a caller is to use. */
+	readonly listGateways: (lookup: GatewayLookup) => readonly DaemonRecord[];
 	readonly isReady: () => boolean;
 	readonly stop: () => Promise<void>;
 };
@@ -151,6 +153,7 @@
 	/** Leader's address as reported by other coordinators; used while this one is not a current member of the group. */
 	let hintedLeaderAddress: string | undefined;
 	let stores: readonly StoreSettings[] = [];
+	let routes: readonly Route[] = [];
 	let evacuations = createEvacuationView();
 	const seeds = getSeeds();
 
@@ -159,6 +162,7 @@
 	const applyPublished = createCoalescer(({state, isLeading}: {readonly state: PublishedState; readonly isLeading: boolean}) => {
 		const config = state.configText === undefined ? undefined : decodeConfig(state.configText).config;
 		stores = (config?.services ?? []).flatMap(service => service.store?.isManaged === true ? [service.store] : []);
+		routes = config?.routes ?? routes;
 		log.info('published', {
 			revision: state.revision, configVersion: state.configVersion, weights: Object.fromEntries(state.weights), evacuatedZones: state.evacuatedZones,
 		});
@@ -477,7 +481,8 @@
 
 	return {
 		async putConfig(text) {
-			const {config, findings} = decodeConfig(text);
+			const {config, findings: ownFindings} = decodeConfig(text);
+			const findings = [...ownFindings, ...(config === undefined ? [] : checkAllowedRegions(config, regionsByZone))];
 			const version = config?.version;
 
 			if (version === undefined || findings.length > 0) {
@@ -535,7 +540,7 @@
 		getEvacuations: () => evacuations,
 		announce: fleet.announce,
 		findInstance: fleet.findInstance,
-		listGateways: () => listGatewaysForCallers(fleet.listGateways()),
+		listGateways: lookup => filterGateways(listGatewaysForCallers(fleet.listGateways()), lookup, {routes, regionsByZone, getZone: card => card.availabilityZone}),
 		isReady: isCurrent,
 		async stop() {
 			clearInterval(timer);
--- a/packages/gateway/src/__tests__/unit/choose-place.test.ts
+++ b/packages/gateway/src/__tests__/unit/choose-place.test.ts
@@ -3,10 +3,10 @@
 import test, {type ExecutionContext} from 'ava';
 import {createSystemClock} from '@fescuestair/core';
 import {InstanceStage, type RegisteredInstance} from '@fescuestair/instances';
-import {createPartsView} from '@fescuestair/parts';
+import {applyPartsReply, createPartsView, formatSalt} from '@fescuestair/parts';
 import {chooseInstance} from '@fescuestair/routing';
 import {createLogger, createPrometheusMetrics} from '@fescuestair/runtime';
-import {CallKind, type Service} from '@fescuestair/traffic';
+import {CallKind, type Service, type StoreSettings} from '@fescuestair/traffic';
 import {chooseInstanceForRequest} from '../../choose-place.js';
 import {type Exchange} from '../../exchange.js';
 import {type ForwardOptions} from '../../forward-options.js';
@@ -29,7 +29,9 @@
 });
 
 // Creates a gateway with two engines, on versions 1 and 2 of the weights; the test supplies the judgement of each version.
-const openGateway = (t: ExecutionContext, classifyWeights: ForwardOptions['classifyWeights']) => {
+const openGateway = (t: ExecutionContext, classifyWeights: ForwardOptions['classifyWeights'], {stores = [], view = createPartsView()}: {
+	readonly stores?: readonly StoreSettings[]; readonly view?: ReturnType<typeof createPartsView>;
+} = {}) => {
 	const clock = createSystemClock();
 	const log = createLogger({instance: 'test', isTerminal: false, writeLine: () => true});
 	const instancePool = createInstancePool({
@@ -42,10 +44,10 @@
 	const options = {
 		clock, instancePool, availabilityZone: 'north', classifyWeights, chooseInstance,
 		parts: {
-			getView: () => createPartsView(), pollHome: () => undefined, recordUse: () => undefined, recordSave: () => undefined, countPendingTokens: () => 0,
+			getView: () => view, pollHome: () => undefined, recordUse: () => undefined, recordSave: () => undefined, countPendingTokens: () => 0,
 			isBeingSaved: () => false, stop: () => undefined,
 		},
-		getTable: () => ({stores: []}), listTargetModels: () => ['guide'],
+		countGateways: () => 1, getTable: () => ({stores}), regionsByZone: new Map([['north', 'east'], ['south', 'west']]), listTargetModels: () => ['guide'],
 		findNewerTarget: (model: string, version: number | undefined) => classifyWeights(model, version, Number.POSITIVE_INFINITY) === WeightsUse.Current ? undefined : {},
 	} as unknown as ForwardOptions;
 
@@ -131,3 +133,43 @@
 	t.deepEqual([...new Set(partIds.map(id => choose(id, isolated)?.entry.held.record.id))], ['i-2']);
 	t.is(new Set(partIds.map(id => choose(id)?.entry.held.record.id)).size, 2);
 });
+
+const createStore = (address: string, availabilityZone: string): StoreSettings => ({
+	address, availabilityZone, capacityTokens: 1_000_000, linkMegabitsPerSecond: 100_000, firstByteMs: 1, isManaged: true,
+});
+
+// Parts are found under the salt that they were saved with, whichever store holds them.
+test('prompts with allowed regions have salts of their own, and use stores in these regions only', t => {
+	const stores = [createStore('10.0.0.1:1', 'north'), createStore('10.0.0.2:1', 'south'), createStore('10.0.0.3:1', 'elsewhere')];
+	const saltOf = (allowedRegions?: readonly string[]) => formatSalt({
+		isolatedOrganisation: undefined, model: 'guide', weightVersion: 2, allowedRegions,
+	});
+	const held = [saltOf(), saltOf(['west']), saltOf(['east', 'west'])].flatMap(salt => [
+		{
+			salt, id: 'in-north', tokens: 300, storeAddress: stores[0]!.address,
+		},
+		{
+			salt, id: 'in-south', tokens: 300, storeAddress: stores[1]!.address,
+		},
+	]);
+	const view = applyPartsReply(createPartsView(), {
+		epoch: 'e', revision: 1, clockMs: 1000, isWhole: true, added: held, removed: [],
+	}, performance.now());
+	const {choose} = openGateway(t, (_model, version) => version === 1 ? WeightsUse.Barred : WeightsUse.Current, {stores, view});
+	const organisationOf = (allowedRegions?: readonly string[]) => ({
+		name: 'o', keys: [], priority: undefined, isIsolated: false, ...(allowedRegions && {allowedRegions}),
+	});
+	const describe = (partId: string, allowedRegions?: readonly string[]) => {
+		const {salt, fetchAddresses, saveAddresses} = choose(partId, organisationOf(allowedRegions))!.cache!;
+
+		return {salt, fetch: fetchAddresses[0], save: saveAddresses[0]};
+	};
+
+	t.deepEqual(describe('in-north'), {salt: 'shared/guide/2', fetch: '10.0.0.1:1', save: undefined});
+	t.deepEqual(describe('in-north', ['west', 'east']), {salt: 'shared/guide/2/in-east+west', fetch: '10.0.0.1:1', save: undefined});
+	t.deepEqual(describe('in-south', ['west']), {salt: 'shared/guide/2/in-west', fetch: '10.0.0.2:1', save: undefined});
+	t.deepEqual(describe('in-north', ['west']), {salt: 'shared/guide/2/in-west', fetch: undefined, save: '10.0.0.2:1'});
+	t.deepEqual(new Set(partIds.map(id => describe(id, ['east']).save)), new Set(['10.0.0.1:1']));
+	t.is(new Set(partIds.map(id => describe(id).save)).size, 3);
+	t.is(describe('new', ['far']).save, undefined);
+});
--- a/packages/gateway/src/__tests__/unit/forward.test.ts
+++ b/packages/gateway/src/__tests__/unit/forward.test.ts
@@ -54,10 +54,11 @@
 	readonly release?: () => void;
 	/** Availability zones of the instances; `north` for those without one here. */
 	readonly zones?: readonly string[];
+	readonly organisation?: Exchange['organisation'];
 };
 
 /** Opens a gateway's front with instances that answer as given; each of them is asked in turn. */
-async function openFront(t: ExecutionContext, {answers, routeChange = {}, retries = 10, reserve, requestTrial, timeLeftMs = 5000, release = () => undefined, zones = []}: SystemOptions) {
+async function openFront(t: ExecutionContext, {answers, routeChange = {}, retries = 10, reserve, requestTrial, timeLeftMs = 5000, release = () => undefined, zones = [], organisation}: SystemOptions) {
 	const evacuated = new Set<string>();
 	const asked: string[] = [];
 	const state = {asked, decidedSilences: 0};
@@ -121,7 +122,7 @@
 		name: 'app', healthPath: '/health', maxConnections: 10, engine: undefined, store: undefined,
 	};
 	const options = {
-		clock, log, availabilityZone: 'north', upstreamCodec, instancePool, requestLimits, permits,
+		clock, log, availabilityZone: 'north', regionsByZone: new Map([['north', 'east'], ['south', 'west'], ['mid', 'west']]), upstreamCodec, instancePool, requestLimits, permits,
 		metrics: {
 			count(name: string) {
 				state.decidedSilences += name === 'silences_total' ? 1 : 0;
@@ -139,7 +140,7 @@
 	const handleRequest = async (request: IncomingMessage, response: ServerResponse) => {
 		const startedAtMs = clock.readMonotonicMs();
 		const exchange = {
-			requestId: 'r1', request, response, caller: {lastEventId: undefined, prompt: undefined}, route: {...route, ...routeChange}, organisation: undefined, body: Buffer.alloc(0),
+			requestId: 'r1', request, response, caller: {lastEventId: undefined, prompt: undefined}, route: {...route, ...routeChange}, organisation, body: Buffer.alloc(0),
 			startedAtMs, deadlineMs: startedAtMs + timeLeftMs,
 		} as unknown as Exchange;
 		results.push(await forwardExchange(options, exchange));
@@ -612,3 +613,27 @@
 		t.deepEqual(front.asked, zones === twoZones ? ['i-0', 'i-1'] : ['i-0']);
 	}
 });
+
+const createOrganisation = (allowedRegions: readonly string[]) => ({
+	name: 'o', keys: [], priority: undefined, isIsolated: false, allowedRegions,
+});
+
+test('a request is sent to instances in regions that its route and its organisation allow only, also when it is repeated', async t => {
+	for (const restriction of [{routeChange: {allowedRegions: ['west']}}, {organisation: createOrganisation(['west'])}]) {
+		const front = await openFront(t, {answers: [answerAfter(0, 'failed', 500), answerAfter(0, 'whole'), neverAnswer], zones: ['north', 'south', 'mid'], ...restriction});
+		t.like(await front.fetch(), {status: 200, body: 'whole'});
+		t.deepEqual([...front.asked].toSorted(), ['i-1', 'i-2']);
+	}
+});
+
+test('a request that no instance in its regions can serve is refused, and one without a common region is not asked to return', async t => {
+	const outside = await openFront(t, {answers: [answerAfter(0, 'whole'), neverAnswer], zones: ['north', 'elsewhere'], routeChange: {allowedRegions: ['west']}});
+	t.is((await outside.fetch()).status, 503); // eslint-disable-line unicorn/no-await-expression-member
+	t.like(outside.results[0], {outcome: 'refused', reason: 'no instance of the service serves in a region that the request may use'});
+	const apart = await openFront(t, {answers: [answerAfter(0, 'whole')], routeChange: {allowedRegions: ['east']}, organisation: createOrganisation(['west'])});
+	const {status, headers} = await apart.fetch();
+	t.is(status, 503);
+	t.is(headers['retry-after'], undefined);
+	t.like(apart.results[0], {outcome: 'refused', reason: 'the route and the organisation allow no common region'});
+	t.deepEqual([...outside.asked, ...apart.asked], []);
+});
--- a/packages/gateway/src/__tests__/unit/take-up.test.ts
+++ b/packages/gateway/src/__tests__/unit/take-up.test.ts
@@ -21,11 +21,11 @@
 	});
 }
 
-const createContext = (origin: TakeUp['origin'], servingVersions: readonly string[]) => {
-	const instances = servingVersions.map(softwareVersion => ({held: {record: {softwareVersion}}}));
+const createContext = (origin: TakeUp['origin'], servingVersions: readonly string[], isAllowedZone = () => true) => {
+	const instances = servingVersions.map(softwareVersion => ({held: {record: {softwareVersion, availabilityZone: 'north'}}}));
 
 	return {
-		takeUp: {origin, isIncomplete: false}, service: {name: 'app'}, progress: {isEligible: ({softwareVersion}: {readonly softwareVersion: string}) => softwareVersion === 'v1'},
+		takeUp: {origin, isIncomplete: false}, service: {name: 'app'}, isAllowedZone, progress: {isEligible: ({softwareVersion}: {readonly softwareVersion: string}) => softwareVersion === 'v1'},
 		options: {instancePool: {hasServing: (_service: string, filter: (instance: typeof instances[number]) => boolean) => instances.some(instance => filter(instance))}},
 	} as unknown as ForwardingContext;
 };
@@ -34,6 +34,7 @@
 	t.is(checkTakeUp(createContext(v1, []))?.obstacle, undefined);
 	t.is(checkTakeUp(createContext(v1, ['v1', 'v2']))?.obstacle, undefined);
 	t.is(checkTakeUp(createContext(v1, ['v2']))?.obstacle, ContinuationObstacle.OtherVersion);
+	t.is(checkTakeUp(createContext(v1, ['v2'], () => false))?.obstacle, undefined);
 	t.is(checkTakeUp(createContext(undefined, []))?.obstacle, ContinuationObstacle.UnknownOrigin);
 });
 
--- a/packages/gateway/src/choose-place.ts
+++ b/packages/gateway/src/choose-place.ts
@@ -5,7 +5,9 @@
 import {
 	chooseStore, computeFetchDeadline, locateParts, formatSalt, type PartLocation,
 } from '@fescuestair/parts';
-import {type Service} from '@fescuestair/traffic';
+import {
+	createZoneFilter, mergeAllowedRegions, type Service, type StoreSettings,
+} from '@fescuestair/traffic';
 import {type CacheInstructions, type PromptDescription} from './codecs.js';
 import {describeInstanceOption, planPromptFetch, type PromptFetchPlan} from './describe-option.js';
 import {type Exchange} from './exchange.js';
@@ -170,20 +172,29 @@
 	return entry.held.record.models.find(one => one.name === model)?.version;
 }
 
-// The salt separates cache entries: an isolated organisation shares none with others, and no weight version shares any with another version.
-function createCacheInstructions(options: ForwardOptions, {organisation, caller}: Exchange, weightVersion: number): CacheInstructions {
+// The salt separates cache entries: an isolated organisation shares none with others, no weight version shares any with another version, and what must not leave some regions is
+// shared only by requests that allow the same ones. Parts are saved to, and fetched from, stores in allowed regions only.
+function createCacheInstructions(options: ForwardOptions, {route, organisation, caller}: Exchange, weightVersion: number): CacheInstructions {
 	const {model, parts} = caller.prompt!;
-	const salt = formatSalt({isolatedOrganisation: organisation?.isIsolated === true ? organisation.name : undefined, model, weightVersion});
+	const allowedRegions = mergeAllowedRegions(route, organisation);
+	const isAllowedZone = createZoneFilter(allowedRegions, options.regionsByZone);
+	const stores = options.getTable().stores.filter(({availabilityZone}) => isAllowedZone(availabilityZone));
+	const isAllowedStore = (address: string) => allowedRegions === undefined || stores.some(store => store.address === address);
+	const salt = formatSalt({
+		isolatedOrganisation: organisation?.isIsolated === true ? organisation.name : undefined, model, weightVersion, allowedRegions,
+	});
 	const view = options.parts.getView();
 	const fetchDeadlineMs = computeFetchDeadline(view, options.clock.readMonotonicMs());
-	const places = locateParts(view, salt, parts);
+	const places = locateParts(view, salt, parts).map(place => place !== undefined && isAllowedStore(place.storeAddress) ? place : undefined);
 
 	return {
 		salt,
 		weightVersion,
 		fetchAddresses: fetchDeadlineMs === undefined ? [] : places.map(place => place?.storeAddress),
 		fetchDeadlineMs,
-		saveAddresses: planSaves(options, {salt, parts, places}),
+		saveAddresses: planSaves(options, {
+			salt, parts, places, stores,
+		}),
 	};
 }
 
@@ -191,11 +202,11 @@
 	readonly salt: string;
 	readonly parts: readonly PromptPart[];
 	readonly places: ReadonlyArray<PartLocation | undefined>;
+	readonly stores: readonly StoreSettings[];
 };
 
 // Chooses a store for each part that is in none yet. The last part is not saved: it belongs to this request alone and will not be used again.
-function planSaves(options: ForwardOptions, {salt, parts, places}: SaveInput): ReadonlyArray<string | undefined> {
-	const {stores} = options.getTable();
+function planSaves(options: ForwardOptions, {salt, parts, places, stores}: SaveInput): ReadonlyArray<string | undefined> {
 	const {heldTokens} = options.parts.getView();
 	// Assumes that every other gateway has as many tokens being saved to the store.
 	const countHeldTokens = (address: string) => (heldTokens.get(address) ?? 0) + (options.parts.countPendingTokens(address) * options.countGateways());
--- a/packages/gateway/src/forward-options.ts
+++ b/packages/gateway/src/forward-options.ts
@@ -5,7 +5,7 @@
 import {
 	type Logger, type PermitClient, type PrometheusMetrics, type RequestLimits,
 } from '@fescuestair/runtime';
-import {type RouteTable} from '@fescuestair/traffic';
+import {type RegionsByZone, type RouteTable} from '@fescuestair/traffic';
 import {type CallerCodec, type UpstreamCodec} from './codecs.js';
 import {type FetchIncarnation} from './check-run-origin.js';
 import {type CrashDetector} from './crash-detector.js';
@@ -22,6 +22,8 @@
 export type ForwardOptions = {
 	readonly clock: Clock;
 	readonly availabilityZone: string;
+	/** The region of each availability zone, which decides where requests with allowed regions may go. */
+	readonly regionsByZone: RegionsByZone;
 	readonly callerCodec: CallerCodec;
 	readonly upstreamCodec: UpstreamCodec;
 	readonly instancePool: InstancePool;
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -6,7 +6,7 @@
 	AnswerEnd, RunEvidence, RunFault, SuccessionObstacle, decideAnswerEnd, describeRunFault, findSuccessionObstacle, type BodyFraming,
 } from '@fescuestair/streams';
 import {
-	CallKind, chooseTarget, type Route, type Service,
+	CallKind, chooseTarget, createZoneFilter, mergeAllowedRegions, type Route, type Service,
 } from '@fescuestair/traffic';
 import {createActiveRuns, type RunEnd} from './active-runs.js';
 import {AttemptCompletion} from './attempt.js';
@@ -87,23 +87,26 @@
 			}
 		},
 	}, exchange);
+	const allowedRegions = mergeAllowedRegions(route, exchange.organisation);
+	const isAllowedZone = createZoneFilter(allowedRegions, options.regionsByZone);
 	const progress: ForwardingProgress = {
 		sentCount: 0, refused: 0, waits: 0, permitRefusals: 0, permit: undefined, isTrial: false, triedInstanceIds: new Set(), story: [],
-		isEligible: record => stream.findObstacle(() => describeRunOrigin(options.instancePool, record)) === undefined,
+		isEligible: record => isAllowedZone(record.availabilityZone) && stream.findObstacle(() => describeRunOrigin(options.instancePool, record)) === undefined,
 	};
 
 	if (service === undefined) {
-		sendLocalResponse(response, {status: unavailableStatus, message: 'the service is not declared', retryAfterMs: computeRetryAfterMs(0)});
+		return refuseUnplaced(exchange, 'the service is not declared', computeRetryAfterMs(0));
+	}
 
-		return {
-			outcome: ExchangeOutcome.Refused, status: unavailableStatus, reason: 'the service is not declared', story: progress.story,
-		};
+	// Only another configuration changes that, so the caller is not asked to return.
+	if (allowedRegions?.length === 0) {
+		return refuseUnplaced(exchange, 'the route and the organisation allow no common region');
 	}
 
 	const runs = createActiveRuns();
 	const ending: ForwardingContext['end'] = {isCallerGone: response.destroyed, isExpired: false, isAnswered: false};
 	const context: ForwardingContext = {
-		options, exchange, service, progress, runs, end: ending, stream, takeUp, isRetryable: canRetry(route),
+		options, exchange, service, progress, runs, end: ending, stream, takeUp, isAllowedZone, isRetryable: canRetry(route),
 		successor: {
 			isPreparing: false, preparation: Promise.resolve(), refused: 0, nextAtMs: 0,
 		},
@@ -152,6 +155,15 @@
 	return {...end, story: progress.story, streamEnd: {end: responseEnd, framing: begun.framing}};
 }
 
+// Refuses a request for which no instance was looked for.
+function refuseUnplaced({response}: Exchange, reason: string, retryAfterMs?: number): ForwardResult {
+	sendLocalResponse(response, {status: unavailableStatus, message: reason, retryAfterMs});
+
+	return {
+		outcome: ExchangeOutcome.Refused, status: unavailableStatus, reason, story: [],
+	};
+}
+
 // The rest of a stream is served by the service that began it, if the route still names that.
 function chooseService({targets}: Route, takeUp: TakeUp | undefined): string {
 	return targets.find(({service}) => service === takeUp?.origin?.service)?.service ?? chooseTarget(targets, Math.random()).service;
@@ -334,7 +346,12 @@
 		return refuse(context, reason, computeReturnDelayMs(options, service.name, Math.min(limitLeftMs, restLeftMs ?? limitLeftMs)));
 	}
 
-	return refuse(context, 'no instance of the service takes requests now', restLeftMs === undefined ? computeRetryAfterMs(0) : addJitter(restLeftMs));
+	const hasServing = options.instancePool.hasServing(service.name, ({held}) => context.isAllowedZone(held.record.availabilityZone));
+	const reason = hasServing || !options.instancePool.hasServing(service.name, () => true)
+		? 'no instance of the service takes requests now'
+		: 'no instance of the service serves in a region that the request may use';
+
+	return refuse(context, reason, restLeftMs === undefined ? computeRetryAfterMs(0) : addJitter(restLeftMs));
 }
 
 function computePatienceMs({deadlineMs, startedAtMs, route}: Exchange): number {
--- a/packages/gateway/src/forwarding-context.ts
+++ b/packages/gateway/src/forwarding-context.ts
@@ -18,6 +18,8 @@
 	readonly stream: CallerStream;
 	/** What is known of the stream that the caller takes up again; `undefined` where the request begins one. */
 	readonly takeUp: TakeUp | undefined;
+	/** Whether the request may be served in an availability zone, by the regions that its route and its organisation allow. */
+	readonly isAllowedZone: (availabilityZone: string) => boolean;
 	/** Whether the request may be executed more than once. */
 	readonly isRetryable: boolean;
 	readonly runs: ActiveRuns;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -20,7 +20,7 @@
 	createLinkFaultHandler, createPermitClient, createRequestLimits, openCommandListener, registerLinkMetrics, type Logger, type PrometheusMetrics,
 } from '@fescuestair/runtime';
 import {
-	buildRouteTable, type RouteTable, type TrafficConfig,
+	buildRouteTable, type RegionsByZone, type RouteTable, type TrafficConfig,
 } from '@fescuestair/traffic';
 import {
 	createLinks, openHttpListener, parseAddress, processReadPacer,
@@ -48,6 +48,8 @@
 export type GatewayOptions = {
 	readonly name: string;
 	readonly availabilityZone: string;
+	/** The region of each availability zone; where it is empty, requests with allowed regions can be served nowhere. */
+	readonly regionsByZone?: RegionsByZone;
 	readonly linkAddress: string;
 	/** Where callers connect. */
 	readonly listen: string;
@@ -107,6 +109,7 @@
 export async function createGateway(options: GatewayOptions): Promise<Gateway> {
 	const {
 		name, availabilityZone, linkAddress, listen, getSeeds, decodeConfig, callerCodec, upstreamCodec, fetchIncarnation, retryAllowance, stopTimeoutMs, oldWeightsMs,
+		regionsByZone = new Map(),
 		placement = PlacementPolicy.LeastCost,
 		clock = createSystemClock(), log, metrics,
 	} = options;
@@ -271,6 +274,7 @@
 	const forwardOptions: ForwardOptions = {
 		clock,
 		availabilityZone,
+		regionsByZone,
 		callerCodec,
 		upstreamCodec,
 		instancePool,
--- a/packages/gateway/src/take-up.ts
+++ b/packages/gateway/src/take-up.ts
@@ -116,12 +116,14 @@
 ```
 */
 export function checkTakeUp(context: ForwardingContext): TakeUpRefusal | undefined {
-	const {options, service, takeUp} = context;
+	const {
+		options, service, takeUp, isAllowedZone,
+	} = context;
 
 	return takeUp && findTakeUpRefusal(takeUp, {
 		service: service.name,
 		// Where no instance of the service serves at all, as in a cut, that says nothing of the version: such a request is treated like a new one.
-		isServing: hasSuccessor(context) || !options.instancePool.hasServing(service.name, () => true),
+		isServing: hasSuccessor(context) || !options.instancePool.hasServing(service.name, ({held}) => isAllowedZone(held.record.availabilityZone)),
 	});
 }
 
--- a/packages/parts/src/__tests__/unit/parts.test.ts
+++ b/packages/parts/src/__tests__/unit/parts.test.ts
@@ -9,12 +9,21 @@
 const storeAddress = '172.20.0.2:8746';
 const createPart = (id: string, tokens = 100) => ({salt, id, tokens});
 
-test('salts differ by weight version and isolated organisation, and parse back to their fields', t => {
+test('salts differ by weight version, isolated organisation and allowed regions, and parse back to their fields', t => {
 	const salts = [
 		{isolatedOrganisation: undefined, model: 'a/b', weightVersion: 1},
 		{isolatedOrganisation: undefined, model: 'a/b', weightVersion: 2},
 		{isolatedOrganisation: 'shared', model: 'a/b', weightVersion: 1},
 		{isolatedOrganisation: 'x/y', model: 'a', weightVersion: 1},
+		{
+			isolatedOrganisation: undefined, model: 'a/b', weightVersion: 1, allowedRegions: ['east'],
+		},
+		{
+			isolatedOrganisation: undefined, model: 'a/b', weightVersion: 1, allowedRegions: ['east', 'west'],
+		},
+		{
+			isolatedOrganisation: undefined, model: 'a/b', weightVersion: 1, allowedRegions: ['east+west/x'],
+		},
 	];
 	t.is(new Set(salts.map(one => formatSalt(one))).size, salts.length);
 
@@ -23,6 +32,8 @@
 	}
 
 	t.is(parseSalt('someone elses'), undefined);
+	t.is(parseSalt('shared/guide/2/elsewhere'), undefined);
+	t.is(formatSalt({isolatedOrganisation: undefined, model: 'guide', weightVersion: 2}), 'shared/guide/2');
 });
 
 test('parts of older weight versions are retired at once, and the least recently used parts where a store is full', t => {
--- a/packages/traffic/src/index.ts
+++ b/packages/traffic/src/index.ts
@@ -1,4 +1,7 @@
 export {checkTrafficConfig} from './check-config.js';
+export {
+	checkAllowedRegions, createZoneFilter, filterGateways, mergeAllowedRegions, type AllowedRegions, type GatewayLookup, type RegionsByZone,
+} from './regions.js';
 export {
 	buildRouteTable, chooseTarget, findRoute, type RouteTable,
 } from './route-table.js';
