--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -6,7 +6,7 @@
 	AnswerEnd, RunEvidence, RunFault, SuccessionObstacle, decideAnswerEnd, describeRunFault, findSuccessionObstacle, type BodyFraming,
 } from '@fescuestair/streams';
 import {
-	CallKind, chooseTarget, type Route, type Service,
+	CallKind, chooseTarget, createZoneFilter, mergeAllowedRegions, type Route, type Service,
 } from '@fescuestair/traffic';
 import {createActiveRuns, type RunEnd} from './active-runs.js';
 import {AttemptCompletion} from './attempt.js';
@@ -87,23 +87,26 @@
 			}
 		},
 	}, exchange);
+	const allowedRegions = mergeAllowedRegions(route, exchange.organisation);
+	const isAllowedZone = createZoneFilter(allowedRegions, options.regionsByZone);
 	const progress: ForwardingProgress = {
 		sentCount: 0, refused: 0, waits: 0, permitRefusals: 0, permit: undefined, isTrial: false, triedInstanceIds: new Set(), story: [],
-		isEligible: record => stream.findObstacle(() => describeRunOrigin(options.instancePool, record)) === undefined,
+		isEligible: record => isAllowedZone(record.availabilityZone) && stream.findObstacle(() => describeRunOrigin(options.instancePool, record)) === undefined,
 	};
 
 	if (service === undefined) {
-		sendLocalResponse(response, {status: unavailableStatus, message: 'the service is not declared', retryAfterMs: computeRetryAfterMs(0)});
+		return refuseUnplaced(exchange, 'the service is not declared', computeRetryAfterMs(0));
+	}
 
-		return {
-			outcome: ExchangeOutcome.Refused, status: unavailableStatus, reason: 'the service is not declared', story: progress.story,
-		};
+	// Only another configuration changes that, so the caller is not asked to return.
+	if (allowedRegions?.length === 0) {
+		return refuseUnplaced(exchange, 'the route and the organisation allow no common region');
 	}
 
 	const runs = createActiveRuns();
 	const ending: ForwardingContext['end'] = {isCallerGone: response.destroyed, isExpired: false, isAnswered: false};
 	const context: ForwardingContext = {
-		options, exchange, service, progress, runs, end: ending, stream, takeUp, isRetryable: canRetry(route),
+		options, exchange, service, progress, runs, end: ending, stream, takeUp, isAllowedZone, isRetryable: canRetry(route),
 		successor: {
 			isPreparing: false, preparation: Promise.resolve(), refused: 0, nextAtMs: 0,
 		},
@@ -152,6 +155,15 @@
 	return {...end, story: progress.story, streamEnd: {end: responseEnd, framing: begun.framing}};
 }
 
+// Refuses a request for which no instance was looked for.
+function refuseUnplaced({response}: Exchange, reason: string, retryAfterMs?: number): ForwardResult {
+	sendLocalResponse(response, {status: unavailableStatus, message: reason, retryAfterMs});
+
+	return {
+		outcome: ExchangeOutcome.Refused, status: unavailableStatus, reason, story: [],
+	};
+}
+
 // The rest of a stream is served by the service that began it, if the route still names that.
 function chooseService({targets}: Route, takeUp: TakeUp | undefined): string {
 	return targets.find(({service}) => service === takeUp?.origin?.service)?.service ?? chooseTarget(targets, Math.random()).service;
@@ -211,7 +223,7 @@
 	const refusal = checkTakeUp(context);
 
 	if (refusal !== undefined) {
-		return refuse(context, refusal.reason, refusal.canReturn ? computeRetryAfterMs(0) : undefined);
+		return refuseEvacuated(context) ?? refuse(context, refusal.reason, refusal.canReturn ? computeRetryAfterMs(0) : undefined);
 	}
 
 	if (end.isExpired || exchange.deadlineMs - options.clock.readMonotonicMs() < minTimeLeftMs) {
@@ -276,6 +288,12 @@
 	const {
 		options, exchange, service, progress, stream,
 	} = context;
+	const evacuated = refuseEvacuated(context);
+
+	if (evacuated !== undefined) {
+		return evacuated;
+	}
+
 	const nowMs = options.clock.readMonotonicMs();
 	const computeLeftMs = (endMs: number | undefined) => endMs === undefined ? undefined : Math.max(0, endMs - nowMs);
 	const isEligible: InstanceFilter = ({held}) => progress.isEligible(held.record);
@@ -305,6 +323,20 @@
 	return undefined;
 }
 
+// Refuses a request that only instances of evacuated zones could serve. Nobody knows when the operator ends that, so waiting would be in vain.
+function refuseEvacuated(context: ForwardingContext): ExchangeResult | undefined {
+	const {options, service, progress} = context;
+	const evacuated = options.instancePool.countOnlyEvacuated(service.name, ({held}) => progress.isEligible(held.record));
+
+	if (evacuated === undefined) {
+		return undefined;
+	}
+
+	progress.story.push({decision: WaitDecision.Refuse, evacuated, standings: options.instancePool.countStandings(service.name)});
+
+	return refuse(context, 'all instances that may serve the request are in evacuated availability zones', computeRetryAfterMs(Number.POSITIVE_INFINITY));
+}
+
 function refuseUnavailable(context: ForwardingContext, {restLeftMs, limitLeftMs}: Pick<ReopeningInput, 'restLeftMs' | 'limitLeftMs'>): ExchangeResult {
 	const {options, service} = context;
 
@@ -314,7 +346,12 @@
 		return refuse(context, reason, computeReturnDelayMs(options, service.name, Math.min(limitLeftMs, restLeftMs ?? limitLeftMs)));
 	}
 
-	return refuse(context, 'no instance of the service takes requests now', restLeftMs === undefined ? computeRetryAfterMs(0) : addJitter(restLeftMs));
+	const hasServing = options.instancePool.hasServing(service.name, ({held}) => context.isAllowedZone(held.record.availabilityZone));
+	const reason = hasServing || !options.instancePool.hasServing(service.name, () => true)
+		? 'no instance of the service takes requests now'
+		: 'no instance of the service serves in a region that the request may use';
+
+	return refuse(context, reason, restLeftMs === undefined ? computeRetryAfterMs(0) : addJitter(restLeftMs));
 }
 
 function computePatienceMs({deadlineMs, startedAtMs, route}: Exchange): number {
