Limit cold instances to what their service says, over all gateways

A cold instance got whatever gateways chose to send: 50 requests in a second were seen where 39.5 are allowed. While an instance is cold and its service names a rate, it now counts as limited to that rate, and its requests need permits of the leader as those of instances that name a limit do. Announcements, Cold-Ms of answers, refused connections and other daemons say that an instance is cold; the latest end counts. Gateways that reach no leader take hashed instants of their own. Renewals of announcements no longer prolong the cold time that the announcement named.

--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -19,7 +19,8 @@
 import {
 	createLinkFaultHandler, createPermitGrantor, openCommandListener, registerLinkMetrics, type Logger, type PrometheusMetrics,
 } from '@fescuestair/runtime';
-import {type StoreSettings, type TrafficConfig} from '@fescuestair/traffic';
+import {type ColdBound} from '@fescuestair/limits';
+import {type ColdSettings, type StoreSettings, type TrafficConfig} from '@fescuestair/traffic';
 import {createLinks} from '@fescuestair/transport';
 import {
 	describePublished, isPublishCommand, listTargetAges, PublishKind, type PublishAnswer, type PublishCommand, type PublishedState,
@@ -53,6 +54,8 @@
 	readonly fetchReport: WeightOrdersOptions['fetchReport'];
 	/** A new leader waits this long before its first order, so that no order of its predecessor can interleave with its own. */
 	readonly orderHandoverMs: number;
+	/** By how much a cold instance may be sent more than it accepts; absent if nobody sets a bound. */
+	readonly coldBound?: ColdBound | undefined;
 	/** Number of disks that can be lost at the same time without losing an accepted change. */
 	readonly lossesBorne?: number;
 	readonly clock?: Clock;
@@ -124,7 +127,7 @@
 	const {
 		name, availabilityZone, linkAddress, serviceAddress, dataFolder, getSeeds, isFirstStart, decodeConfig, orderHandoverMs,
 		storeClient,
-		lossesBorne = 1, clock = createSystemClock(), log, metrics,
+		coldBound, lossesBorne = 1, clock = createSystemClock(), log, metrics,
 	} = options;
 	const links = createLinks({getKeys: undefined});
 	const self: DaemonRecord = {
@@ -139,6 +142,7 @@
 	/** Leader's address as reported by other coordinators; used while this one is not a current member of the group. */
 	let hintedLeaderAddress: string | undefined;
 	let stores: readonly StoreSettings[] = [];
+	let coldTerms: ReadonlyMap<string, ColdSettings | undefined> = new Map();
 	const seeds = getSeeds();
 
 	const describe = (state: PublishedState, knownConfigVersion: number) => describePublished(state, {knownConfigVersion, getWeightsAgeMs: targetAges.getAgeMs});
@@ -146,6 +150,7 @@
 	const applyPublished = createCoalescer(({state, isLeading}: {readonly state: PublishedState; readonly isLeading: boolean}) => {
 		const config = state.configText === undefined ? undefined : decodeConfig(state.configText).config;
 		stores = (config?.services ?? []).flatMap(service => service.store?.isManaged === true ? [service.store] : []);
+		coldTerms = new Map(config?.services.map(({name: service, cold}) => [service, cold]));
 		log.info('published', {revision: state.revision, configVersion: state.configVersion, weights: Object.fromEntries(state.weights)});
 
 		// Only the leader sends the state to all daemons; a daemon that missed it gets it in the reply to its next hello.
@@ -289,6 +294,8 @@
 		log,
 		metrics,
 		commands,
+		getColdTerms: service => coldTerms.get(service),
+		coldBound,
 		listCoordinatorAddresses: () => [...getSeeds(), ...(replica.getState()?.members ?? []).map(member => member.address)],
 		describePublishedSince(revision, configVersion) {
 			const published = replica.getPublished();
--- a/packages/coordinator/src/fleet.ts
+++ b/packages/coordinator/src/fleet.ts
@@ -7,11 +7,12 @@
 	mergeDaemonRecord, recordHomeHello, recordHomeList, mergeInstanceRecord, applyRenewals, expireGateways, expireInstances, type DaemonRecord,
 	type DaemonTable, type RegisteredInstance, type Hello, type HelloReply, type InstanceUpdate, type InstanceRecord, type PublishedSnapshot,
 } from '@fescuestair/instances';
+import {type ColdBound, type ColdTerms} from '@fescuestair/limits';
 import {
 	callAndValidate, isName, LinkMessageKind, type LinkCommands, type LinkMessage, type LinkReply,
 } from '@fescuestair/protocol';
 import {
-	createHelloClient, createRequestLimits, type Logger, type PrometheusMetrics, type RequestLimits,
+	createColdInstances, createHelloClient, createRequestLimits, type Logger, type PrometheusMetrics, type RequestLimits,
 } from '@fescuestair/runtime';
 import {type Links} from '@fescuestair/transport';
 import {createCrashEvidenceHost} from './crash-evidence-host.js';
@@ -26,6 +27,9 @@
 	readonly log: Logger;
 	readonly metrics: PrometheusMetrics;
 	readonly commands: LinkCommands;
+	/** What the configuration in force says about cold instances of a service. */
+	readonly getColdTerms?: (service: string) => ColdTerms | undefined;
+	readonly coldBound?: ColdBound | undefined;
 	/** Link addresses of coordinators known from other sources: seeds and members of the group. */
 	readonly listCoordinatorAddresses: () => readonly string[];
 	/** Link addresses of the members of the group whose votes count; empty where there is no group yet. */
@@ -53,7 +57,7 @@
 
 /** The registry of instances and directory of gateways of a coordinator, which passes changes on to the other daemons. */
 export type Fleet = {
-	/** The limits that instances name in their answers, as gateways report them. */
+	/** The limits of instances: those that they name in their answers, as gateways report them, and those of cold ones. */
 	readonly requestLimits: RequestLimits;
 	/**
 	Records an announcement of an instance and forwards it to all daemons if it changes the registry. Resolves once it may be acknowledged: that an instance leaves has to be on the disks of
@@ -96,7 +100,7 @@
 export function createFleet(options: FleetOptions): Fleet {
 	const {
 		self, clock, links, log, metrics, commands, listCoordinatorAddresses, listVoterAddresses, departures, knownDepartures, describePublishedSince, getConfigVersion, isCurrent,
-		listTargetAges, getLeaderAddress, isLeader, findLeaderAddress, onLeaderReported, onRound,
+		listTargetAges, getLeaderAddress, isLeader, findLeaderAddress, onLeaderReported, onRound, getColdTerms = () => undefined, coldBound,
 	} = options;
 	const bootId = randomBytes(bootIdBytes).toString('hex');
 	const directoryReadyAtMs = clock.readMonotonicMs() + directoryWarmupMs;
@@ -107,7 +111,10 @@
 	let directory = createGatewayDirectory();
 	let sourceOffset = 0;
 
-	const requestLimits = createRequestLimits({clock, log});
+	const cold = createColdInstances({
+		clock, log, bound: coldBound, getTerms: getColdTerms, listInstances: () => registry.held.values(), findInstance: id => registry.held.get(id),
+	});
+	const requestLimits = createRequestLimits({clock, log, cold});
 
 	const getTimes = () => ({nowMs: clock.readMonotonicMs(), gatewayAgeMs, coordinatorAgeMs});
 
@@ -366,6 +373,7 @@
 
 	metrics.registerGauge('instances_known', 'Instances that announced themselves', () => registry.held.size);
 	metrics.registerGauge('gateways_known', 'Gateways that were heard lately', () => listGateways(directory, getTimes()).length);
+	metrics.registerGauge('instances_cold', 'Instances that are cold and get no more requests than their service says', cold.countCold);
 	metrics.registerGauge('gateways_at_home', 'Gateways that have this coordinator as a home', () => directory.homes.size);
 
 	const persister = createDeparturePersister({
--- a/packages/gateway/src/coordinator-client.ts
+++ b/packages/gateway/src/coordinator-client.ts
@@ -2,7 +2,7 @@
 import {
 	createInstanceRegistry, createInstanceUpdate, HelloKind, InstanceStage, setDraining, pickHomes, pickRecordKeepers, mergeInstanceRecord,
 	applyRenewals, expireInstances, type DaemonRecord, type FleetSummary, type GatewayPeers, type HelloReply,
-	type InstanceUpdate, type InstanceRecord, type InstanceRegistry, type PublishedSnapshot, type RequestLimitNote,
+	type InstanceUpdate, type InstanceRecord, type InstanceRegistry, type PublishedSnapshot, type RegisteredInstance, type RequestLimitNote,
 } from '@fescuestair/instances';
 import {callAndValidate, LinkMessageKind} from '@fescuestair/protocol';
 import {createHelloClient, type Logger} from '@fescuestair/runtime';
@@ -56,6 +56,8 @@
 	/** Whether a current coordinator has confirmed the configuration since the start. */
 	readonly isConfirmed: () => boolean;
 	readonly countGateways: () => number;
+	readonly findInstance: (id: string) => RegisteredInstance | undefined;
+	readonly listInstances: () => Iterable<RegisteredInstance>;
 	/** Link address of the primary home. */
 	readonly getHome: () => string | undefined;
 	/** Link addresses of the coordinators that keep the records of this gateway, in different availability zones if possible. */
@@ -392,6 +394,8 @@
 		isConfirmed: () => hasCurrent,
 		isCurrent: () => hasCurrent || (configVersion > 0 && clock.readMonotonicMs() - startedAtMs >= staleServingDelayMs),
 		countGateways: () => gatewayCount ?? 1,
+		findInstance: id => registry.held.get(id),
+		listInstances: () => registry.held.values(),
 		getHome: () => home,
 		listRecordKeepers: () => recordKeepers,
 		listCoordinators: listAddresses,
--- a/packages/gateway/src/describe-option.ts
+++ b/packages/gateway/src/describe-option.ts
@@ -74,7 +74,7 @@
 		load: entry.load,
 		failureShare: standing.health.failureShare,
 		isOutdated,
-		isCold: standing.coldDeadlineMs > nowMs,
+		coldLeftMs: Math.max(0, standing.coldDeadlineMs - nowMs),
 		cachedTokens,
 		fetchableTokens,
 		fetchMs,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,14 +7,14 @@
 	DaemonRole, isInstanceUpdates, isLoadUpdate, isPublishedSnapshot, isRequestLimitNotes, type DaemonRecord, type PublishedSnapshot,
 } from '@fescuestair/instances';
 import {
-	createRetryBudget, depositSuccess, type RetryBudget,
+	createRetryBudget, depositSuccess, type ColdBound, type RetryBudget,
 } from '@fescuestair/limits';
 import {
 	createLinkCommands, isName, LinkMessageKind, type LinkMessage,
 } from '@fescuestair/protocol';
 import {createChooser, PlacementPolicy} from '@fescuestair/routing';
 import {
-	createLinkFaultHandler, createPermitClient, createRequestLimits, openCommandListener, registerLinkMetrics, type Logger, type PrometheusMetrics,
+	createColdInstances, createLinkFaultHandler, createPermitClient, createRequestLimits, openCommandListener, registerLinkMetrics, type Logger, type PrometheusMetrics,
 } from '@fescuestair/runtime';
 import {
 	buildRouteTable, type RouteTable, type TrafficConfig,
@@ -61,6 +61,8 @@
 	readonly placement?: PlacementPolicy;
 	/** Time after a change of the target version in which requests may still begin on older weights. */
 	readonly oldWeightsMs: number;
+	/** By how much a cold instance may be sent more than it accepts; absent if nobody sets a bound. */
+	readonly coldBound?: ColdBound | undefined;
 	/** Time after which a stop ends, even if requests are still running. */
 	readonly stopTimeoutMs: number;
 	readonly clock?: Clock;
@@ -103,7 +105,7 @@
 */
 export async function createGateway(options: GatewayOptions): Promise<Gateway> {
 	const {
-		name, availabilityZone, linkAddress, listen, getSeeds, decodeConfig, callerCodec, upstreamCodec, fetchIncarnation, retryAllowance, stopTimeoutMs, oldWeightsMs,
+		name, availabilityZone, linkAddress, listen, getSeeds, decodeConfig, callerCodec, upstreamCodec, fetchIncarnation, retryAllowance, stopTimeoutMs, oldWeightsMs, coldBound,
 		placement = PlacementPolicy.LeastCost,
 		clock = createSystemClock(), log, metrics,
 	} = options;
@@ -221,9 +223,14 @@
 		linkAddress, links, clock, log, metrics, getHome: () => client.getHome(),
 	});
 
+	const cold = createColdInstances({
+		clock, log, bound: coldBound, getTerms: service => routeTable?.services.get(service)?.cold, listInstances: () => client.listInstances(), findInstance: id => client.findInstance(id),
+	});
+
 	const requestLimits = createRequestLimits({
 		clock,
 		log,
+		cold,
 		onChange(note, {isOwn}) {
 			permits.reopen(note.id);
 			const home = client.getHome();
@@ -237,7 +244,7 @@
 	});
 
 	const permits = createPermitClient({
-		clock, links, log, requestLimits, getGrantorAddress: () => client.getHome(), count: metrics.count,
+		clock, links, log, requestLimits, getGrantorAddress: () => client.getHome(), count: metrics.count, sharing: {daemon: name, countDaemons: countGateways},
 	});
 
 	const origins = createStreamOrigins({
@@ -316,6 +323,7 @@
 	metrics.registerGauge('bodies_buffered_bytes', 'Bytes of the bodies of requests in progress', bodies.countBytes);
 	metrics.registerGauge('connections_paced', 'Connections that wait for their share of the event loop, since they send very small pieces', processReadPacer.countHeld);
 	metrics.registerGauge('instances_limited', 'Instances that name a limit of requests', requestLimits.countLimited);
+	metrics.registerGauge('instances_cold', 'Instances that are cold and get no more requests than their service says', cold.countCold);
 	metrics.registerGauge('traits_held_back', 'Prompt parts and requests that are held back because instances crashed under them', crashDetector.countHeldBack);
 	metrics.registerGauge('stream_origins_unproven', 'Streams that may have been begun by other software than their instances had announced', unprovenOrigins.count);
 	metrics.registerGauge('gateways_known', 'Gateways that coordinators heard lately', countGateways);
@@ -335,6 +343,7 @@
 			unprovenOrigins.check();
 			crashDetector.applyRegistry(registry);
 			instancePool.applyLimits();
+			cold.countCold();
 		},
 		onRecordKeeperChange(address) {
 			origins.repeatRecords(address);
--- a/packages/gateway/src/pooled-instance.ts
+++ b/packages/gateway/src/pooled-instance.ts
@@ -59,7 +59,7 @@
 		isLeaving: isLeaving(record),
 		heardAtMs,
 		loadingDeadlineMs,
-		coldDeadlineMs: heardAtMs + Math.min(record.coldLeftMs, maxColdMs),
+		coldDeadlineMs: heardAtMs + Math.min(record.coldLeftMs ?? 0, maxColdMs),
 	};
 }
 
--- a/packages/gateway/src/start-run.ts
+++ b/packages/gateway/src/start-run.ts
@@ -221,7 +221,9 @@
 				instancePool.recordLeaving(entry, record);
 			}
 
-			requestLimits.recordAnswer(record, {perSecond: answer.requestsPerSecond, hasRun: !answer.isNotRun, sentAtMs: startedAtMs});
+			requestLimits.recordAnswer(record, {
+				perSecond: answer.requestsPerSecond, hasRun: !answer.isNotRun, sentAtMs: startedAtMs, coldLeftMs: answer.coldLeftMs,
+			});
 			recordFirstPiece();
 		},
 		...(isStreaming && {
@@ -407,7 +409,7 @@
 
 // An instance that rejects a request for lack of capacity is not at fault, and an attempt that this gateway cancelled says nothing about the health of
 // the instance, unless it was for what the instance sent.
-function recordResult({instancePool, crashes}: ForwardOptions, exchange: Exchange, {entry, result, fault, sentAtMs, streamed, firstPieceMs}: ResultInput): void {
+function recordResult({instancePool, crashes, requestLimits}: ForwardOptions, exchange: Exchange, {entry, result, fault, sentAtMs, streamed, firstPieceMs}: ResultInput): void {
 	if (!result.isSent && result.cancelledFor !== undefined) {
 		return;
 	}
@@ -415,7 +417,12 @@
 	if (result.isConnectionLost) {
 		crashes.recordBrokenConnection(exchange, entry, {sentAtMs, pieces: streamed.pieces, firstPieceAtMs: streamed.firstAtMs});
 	} else if (result.isUnreachable) {
-		crashes.recordUnreachable(entry, {isEnded: result.reason === 'ECONNREFUSED'});
+		const isEnded = result.reason === 'ECONNREFUSED';
+		crashes.recordUnreachable(entry, {isEnded});
+
+		if (isEnded) {
+			requestLimits.recordEnd(entry.held.record);
+		}
 	} else if (result.end === AttemptCompletion.Complete) {
 		crashes.recordCompletion(entry, sentAtMs);
 
--- a/packages/instances/src/message-guards.ts
+++ b/packages/instances/src/message-guards.ts
@@ -29,7 +29,7 @@
 /** Whether a record of an instance is within the limits that all daemons check, so that none refuses the messages that hold it. */
 export const isInstanceRecord: TypeGuard<InstanceRecord> = isObjectWith({
 	id: isName, service: isName, address: isName, availabilityZone: isName, softwareVersion: isOptional(isName), slots: isNonNegativeInteger, stage: isOneOf(Object.values(InstanceStage)),
-	coldLeftMs: isNumberInRange(-maxAgeMs, maxAgeMs), models: isArrayOf(isObjectWith({name: isName, version: isNonNegativeInteger}), maxModelsPerInstance),
+	coldLeftMs: isOptional(isNumberInRange(-maxAgeMs, maxAgeMs)), models: isArrayOf(isObjectWith({name: isName, version: isNonNegativeInteger}), maxModelsPerInstance),
 	incarnation: isNonNegativeInteger, sequence: isNonNegativeInteger,
 });
 
--- a/packages/instances/src/registry.ts
+++ b/packages/instances/src/registry.ts
@@ -35,6 +35,8 @@
 shorter than the duration of an order.
 */
 const loadingToleranceMs = 250;
+/** An instance that is cold for longer than was known by less than this announces the same as before. */
+const coldToleranceMs = 250;
 
 export type MergeOptions = {
 	readonly nowMs: number;
@@ -61,12 +63,13 @@
 	const held = new Map(registry.held);
 	const loadingDeadlineMs = loadingLeftMs === undefined ? (isSameIncarnation ? known.loadingDeadlineMs : 0) : nowMs + loadingLeftMs;
 	const heardAtMs = nowMs - ageMs;
-	const isChanged = known === undefined || !isSameIncarnation || encodeComparedFields(known.record) !== encodeComparedFields(record)
+	const isChanged = known === undefined || !isSameIncarnation || hasBecomeColder(record, known, heardAtMs) || encodeComparedFields(known.record) !== encodeComparedFields(record)
 		|| (known.loadingDeadlineMs > nowMs) !== (loadingDeadlineMs > nowMs);
 	const hasNewRevision = isChanged || known.loadingDeadlineMs !== loadingDeadlineMs;
 	const revision = hasNewRevision ? registry.revision + 1 : known.revision;
 	held.set(record.id, {
 		record, revision, loadingDeadlineMs, heardAtMs: isSameIncarnation ? Math.max(known.heardAtMs, heardAtMs) : heardAtMs,
+		...findRestart(known, {isSameIncarnation, heardAtMs}),
 	});
 
 	if (isChanged && record.stage !== InstanceStage.Gone) {
@@ -76,6 +79,19 @@
 	return {registry: {held, revision: Math.max(registry.revision, revision)}, news: isChanged ? MergeOutcome.Changed : MergeOutcome.Renewed};
 }
 
+// Daemons that send requests have to know at once that an instance bears less, and for how much longer.
+function hasBecomeColder({coldLeftMs = 0}: InstanceRecord, known: RegisteredInstance, heardAtMs: number): boolean {
+	return coldLeftMs > 0 && heardAtMs + coldLeftMs > known.heardAtMs + (known.record.coldLeftMs ?? 0) + coldToleranceMs;
+}
+
+function findRestart(known: RegisteredInstance | undefined, {isSameIncarnation, heardAtMs}: {
+	readonly isSameIncarnation: boolean; readonly heardAtMs: number;
+}): Pick<RegisteredInstance, 'restartedAtMs'> {
+	const restartedAtMs = isSameIncarnation ? known?.restartedAtMs : (known === undefined ? undefined : heardAtMs);
+
+	return restartedAtMs === undefined ? {} : {restartedAtMs};
+}
+
 function isStale(record: InstanceRecord, known: RegisteredInstance, times: Pick<MergeOptions, 'nowMs' | 'loadingLeftMs'>): boolean {
 	const comparison = compareRecords(record, known.record);
 
@@ -179,7 +195,12 @@
 		const known = held.get(id);
 
 		if (known?.record.incarnation === incarnation && nowMs - ageMs > known.heardAtMs) {
-			held.set(id, {...known, heardAtMs: nowMs - ageMs, record: {...known.record, sequence: Math.max(sequence, known.record.sequence)}});
+			const {record} = known;
+			// A renewal is sent for an announcement with the same content: what it names to be left has passed meanwhile.
+			const coldLeftMs = record.coldLeftMs && Math.max(0, record.coldLeftMs - (nowMs - ageMs - known.heardAtMs));
+			held.set(id, {
+				...known, heardAtMs: nowMs - ageMs, record: {...record, ...(coldLeftMs !== undefined && {coldLeftMs}), sequence: Math.max(sequence, record.sequence)},
+			});
 		}
 	}
 
--- a/packages/instances/src/types.ts
+++ b/packages/instances/src/types.ts
@@ -20,8 +20,8 @@
 	readonly softwareVersion?: string;
 	readonly slots: number;
 	readonly stage: InstanceStage;
-	/** Remaining warm-up time after its start, as of this announcement; 0 if it announced none. */
-	readonly coldLeftMs: number;
+	/** How much longer it is cold, as of this announcement; absent where the announcement does not tell. */
+	readonly coldLeftMs?: number;
 	readonly models: readonly LoadedModel[];
 	/** Wall-clock time of its start, in ms. */
 	readonly incarnation: number;
@@ -36,6 +36,8 @@
 	readonly heardAtMs: number;
 	/** Registry revision of the last change. An announcement with unchanged content does not advance it. */
 	readonly revision: number;
+	/** When this daemon first heard of this start, if it knew an earlier one. */
+	readonly restartedAtMs?: number;
 	/** An order to load other weights is in progress until this time at the latest; 0 or a past time means none. */
 	readonly loadingDeadlineMs: number;
 };
--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -21,4 +21,12 @@
 export {
 	maxReservationMs, minPermitsPerSecond, permitValidityMs, reservePermit, type PermitAccount, type PermitQuery, type Reservation,
 } from './reserve-permit.js';
+export {
+	coldBurstRequests, computeAnnouncedColdEnd, computeColdRate, computeUngrantedRate, findColdEnd, mergeColdEnd, noColdTime, recordColdAnswer,
+	recordEndedRun,
+	type ColdAnnouncement, type ColdBound, type ColdQuery, type ColdTerms, type ColdTime,
+} from './cold-time.js';
+export {
+	planSafeShare, type SafeShare, type SafeSharePlan, type SafeShareQuery,
+} from './safe-share.js';
 export {planReturn, type ReturnQuery} from './plan-return.js';
--- a/packages/limits/src/reserve-permit.ts
+++ b/packages/limits/src/reserve-permit.ts
@@ -15,6 +15,8 @@
 	readonly maxWaitMs: number;
 	/** No permit begins before this time. */
 	readonly openAtMs: number;
+	/** Requests that may be sent at once after a pause; by default those of a quarter of a second. */
+	readonly burstRequests?: number;
 };
 
 export type Reservation = {
@@ -58,10 +60,14 @@
 const {account, startAtMs} = reservePermit(undefined, {perSecond: 2, maxWaitMs: 500, openAtMs: 0}, 1000); //=> startAtMs: 1500
 ```
 */
-export function reservePermit(previous: PermitAccount | undefined, {perSecond, maxWaitMs, openAtMs}: PermitQuery, nowMs: number): Reservation {
-	const account = adjustAccount(previous, perSecond, nowMs);
+export function reservePermit(
+	previous: PermitAccount | undefined,
+	{perSecond, maxWaitMs, openAtMs, burstRequests = computeBurstRequests(perSecond)}: PermitQuery,
+	nowMs: number,
+): Reservation {
+	const account = adjustAccount(previous, {perSecond, burstRequests}, nowMs);
 	const intervalMs = computeIntervalMs(perSecond);
-	const advanceMs = (computeBurstRequests(perSecond) - 1) * intervalMs;
+	const advanceMs = (burstRequests - 1) * intervalMs;
 	const startAtMs = Math.max(nowMs, openAtMs, account.paidAtMs - advanceMs);
 
 	if (startAtMs - nowMs <= Math.min(maxWaitMs, maxReservationMs)) {
@@ -76,21 +82,20 @@
 }
 
 // A new account, and one whose limit has fallen, starts without a burst: the instance has just been sent more than it takes.
-function adjustAccount(previous: PermitAccount | undefined, perSecond: number, nowMs: number): PermitAccount {
+function adjustAccount(previous: PermitAccount | undefined, {perSecond, burstRequests}: Required<Pick<PermitQuery, 'perSecond' | 'burstRequests'>>, nowMs: number): PermitAccount {
 	if (previous?.perSecond === perSecond) {
 		return previous;
 	}
 
 	const intervalMs = computeIntervalMs(perSecond);
-	const emptyRequests = computeBurstRequests(perSecond);
 
 	if (previous === undefined) {
-		return {perSecond, paidAtMs: nowMs + (emptyRequests * intervalMs), referralMs: nowMs};
+		return {perSecond, paidAtMs: nowMs + (burstRequests * intervalMs), referralMs: nowMs};
 	}
 
 	const unpaidRequests = Math.max(0, previous.paidAtMs - nowMs) / computeIntervalMs(previous.perSecond);
 	// Permits from before a fall are void, so that only the burst is taken back.
-	const owedRequests = perSecond < previous.perSecond ? emptyRequests : unpaidRequests;
+	const owedRequests = perSecond < previous.perSecond ? burstRequests : unpaidRequests;
 
 	return {perSecond, paidAtMs: nowMs + (owedRequests * intervalMs), referralMs: nowMs};
 }
--- a/packages/routing/src/__tests__/unit/choose-instance.test.ts
+++ b/packages/routing/src/__tests__/unit/choose-instance.test.ts
@@ -5,7 +5,7 @@
 } from '../../index.js';
 
 const createOption = (id: string, overrides: Partial<InstanceOption> = {}): InstanceOption => ({
-	id, availabilityZone: 'north', slots: 64, load: createInstanceLoad(), failureShare: 0, isCold: false, isOutdated: false, cachedTokens: 0,
+	id, availabilityZone: 'north', slots: 64, load: createInstanceLoad(), failureShare: 0, isOutdated: false, cachedTokens: 0,
 	fetchableTokens: 0, fetchMs: 0, ...overrides,
 });
 const long: PromptSize = {
--- a/packages/routing/src/__tests__/unit/placement-policies.test.ts
+++ b/packages/routing/src/__tests__/unit/placement-policies.test.ts
@@ -4,7 +4,7 @@
 } from '../../index.js';
 
 const createOption = (id: string, own: number): InstanceOption => ({
-	id, availabilityZone: 'north', slots: 4, load: {...createInstanceLoad(), own}, failureShare: 0, isCold: false, isOutdated: false, cachedTokens: 0,
+	id, availabilityZone: 'north', slots: 4, load: {...createInstanceLoad(), own}, failureShare: 0, isOutdated: false, cachedTokens: 0,
 	fetchableTokens: 0, fetchMs: 0,
 });
 const options = [createOption('c', 3), createOption('a', 2), createOption('b', 0)];
--- a/packages/routing/src/choose-instance.ts
+++ b/packages/routing/src/choose-instance.ts
@@ -10,8 +10,8 @@
 	readonly load: InstanceLoad;
 	/** Share of recent requests that failed, from 0 to 1. */
 	readonly failureShare: number;
-	/** Whether it is slow because it has just started or runs a task that slows it. */
-	readonly isCold: boolean;
+	/** For how much longer it is slow because it has just started; 0 or absent where it is not. */
+	readonly coldLeftMs?: number;
 	/** Whether it serves old weights although newer ones were published some time ago; its answers are worth less. */
 	readonly isOutdated: boolean;
 	/** Prompt tokens that its cache is believed to hold. */
@@ -62,7 +62,9 @@
 const crossZoneCostMs = 3;
 /** Factor of the cost of failures, 10 × this × share², so that a failure share of 0.1 costs a tenth of it: a failed request is retried or lost. */
 const failureCostMs = 400;
-const coldStartCostMs = 150;
+/** Cost of each ms for which an instance is still cold, up to that of a long time: it is slower, the more so the longer it will be. */
+const coldCostShare = 0.05;
+const maxColdCostMs = 150;
 /** Cost of old weights, as the delay that lowers the worth of an answer as much: a fifth of a usual latency target. */
 const outdatedWeightsCostMs = 150;
 /** Time by which each running request slows a decoding step. */
@@ -125,7 +127,7 @@
 		memoryWaitMs: prompt !== undefined && isLarge(prompt) ? estimateMemoryWaitMs(option, prompt) : 0,
 		cost: expectedMs
 			+ (option.failureShare * failureCostMs * 10 * option.failureShare)
-			+ (option.isCold ? coldStartCostMs : 0)
+			+ Math.min(maxColdCostMs, coldCostShare * (option.coldLeftMs ?? 0))
 			+ (option.isOutdated ? outdatedWeightsCostMs : 0)
 			+ (option.availabilityZone === availabilityZone ? 0 : crossZoneCostMs),
 	};
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -14,6 +14,9 @@
 export {
 	createPermitClient, PermitOutcome, type PermitClient, type PermitClientOptions, type PermitOptions, type PermitResult,
 } from './permit-client.js';
+export {
+	createColdInstances, noColdInstances, type ColdInstances, type ColdInstancesOptions,
+} from './cold-instances.js';
 export {createPermitGrantor, type PermitGrantor, type PermitGrantorOptions} from './permit-grantor.js';
 export {
 	createRequestLimits, type InstanceRun, type RequestLimits, type RequestLimitsOptions,
--- a/packages/runtime/src/permit-client.ts
+++ b/packages/runtime/src/permit-client.ts
@@ -1,7 +1,7 @@
 import {type Clock} from '@fescuestair/core';
 import {
-	applyPermitAnswer, setClosedUntil, decidePermit, emptyPermitWallet, isPermitReplies, isPermitUsable, PermitDecision, clearClosedUntil, depositPermit, takeSparePermit,
-	type Permit, type PermitReply, type PermitWallet,
+	applyPermitAnswer, setClosedUntil, decidePermit, emptyPermitWallet, isPermitReplies, isPermitUsable, PermitDecision, clearClosedUntil, depositPermit,
+	maxReservationMs, permitValidityMs, planSafeShare, takeSparePermit, type Permit, type PermitReply, type PermitWallet, type SafeShare,
 } from '@fescuestair/limits';
 import {
 	callAndValidate, LinkMessageKind, requireValid, type LinkCaller,
@@ -16,6 +16,8 @@
 	readonly requestLimits: RequestLimits;
 	/** Link address of a replica of the group whose leader grants permits; `undefined` while none is known. */
 	readonly getGrantorAddress: () => string | undefined;
+	/** This daemon among those that share cold instances without a granting daemon; by default it sends them nothing then. */
+	readonly sharing?: {readonly daemon: string; readonly countDaemons: () => number};
 	/** Counts the outcomes of questions for permits. */
 	readonly count: (name: string, labels: Readonly<Record<string, string>>) => void;
 };
@@ -80,8 +82,9 @@
 */
 export function createPermitClient(options: PermitClientOptions): PermitClient {
 	const {
-		clock, links, log, requestLimits, getGrantorAddress, count,
+		clock, links, log, requestLimits, getGrantorAddress, sharing, count,
 	} = options;
+	const shares = new Map<string, SafeShare>();
 	const wallets = new Map<string, PermitWallet>();
 	let pending: PendingQuestion[] = [];
 	let timer: NodeJS.Timeout | undefined;
@@ -94,6 +97,34 @@
 		wallets.set(id, wallet);
 	};
 
+	// Where other daemons can't be asked, a cold instance still gets what is safe without knowing what they send.
+	const planShare = (run: InstanceRun, maxWaitMs: number) => {
+		const perSecond = requestLimits.getUngrantedPerSecond(run);
+
+		return sharing === undefined || perSecond === undefined
+			? undefined
+			: planSafeShare(shares.get(run.id), {
+				daemon: sharing.daemon, instance: run.id, daemons: sharing.countDaemons(), perSecond, maxWaitMs, nowMs: clock.readMonotonicMs(),
+			});
+	};
+
+	const takeShare = (run: InstanceRun, {maxWaitMs}: PermitOptions): PermitResult | undefined => {
+		const plan = planShare(run, Math.min(maxWaitMs, maxReservationMs));
+
+		if (plan?.share === undefined || plan.startAtMs === undefined) {
+			return undefined;
+		}
+
+		shares.set(run.id, plan.share);
+		count('safe_shares_total', {});
+
+		return {
+			outcome: PermitOutcome.Granted, permit: {perSecond: requestLimits.getPerSecond(run) ?? 0, startAtMs: plan.startAtMs, endAtMs: plan.startAtMs + permitValidityMs},
+		};
+	};
+
+	const isSilent = () => clock.readMonotonicMs() < silentUntilMs;
+
 	const settle = ({run, resolve}: PendingQuestion, reply: PermitReply, askedAtMs: number) => {
 		requestLimits.merge([reply.note]);
 		const perSecond = requestLimits.getPerSecond(run);
@@ -120,9 +151,9 @@
 			log.warn('no daemon grants permits for limited instances', {reason});
 		}
 
-		for (const {run, resolve} of questions) {
+		for (const {run, resolve, ...permitOptions} of questions) {
 			setWallet(run, setClosedUntil(getWallet(run), untilMs));
-			resolve({outcome: PermitOutcome.Unanswered});
+			resolve(takeShare(run, permitOptions) ?? {outcome: PermitOutcome.Unanswered});
 		}
 	};
 
@@ -201,11 +232,11 @@
 			}
 
 			case PermitDecision.Closed: {
-				return {outcome: PermitOutcome.Refused};
+				return (isSilent() ? takeShare(run, permitOptions) : undefined) ?? {outcome: PermitOutcome.Refused};
 			}
 
 			case PermitDecision.Ask: {
-				return query.nowMs < silentUntilMs ? {outcome: PermitOutcome.Unanswered} : askFor(run, permitOptions);
+				return isSilent() ? takeShare(run, permitOptions) ?? {outcome: PermitOutcome.Unanswered} : askFor(run, permitOptions);
 			}
 		}
 	};
@@ -215,7 +246,7 @@
 			const result = await decide(run, permitOptions);
 
 			if (result.outcome !== PermitOutcome.Unlimited) {
-				count('permits_total', {outcome: result.outcome});
+				count('permits_total', {outcome: result.outcome, reason: requestLimits.isCold(run) ? 'cold' : 'limit'});
 			}
 
 			return result;
@@ -228,7 +259,15 @@
 		release(run, permit) {
 			setWallet(run, depositPermit(getWallet(run), permit, clock.readMonotonicMs()));
 		},
-		getClosedUntilMs: run => requestLimits.getPerSecond(run) === undefined ? Number.NEGATIVE_INFINITY : Math.max(getWallet(run).closedUntilMs, silentUntilMs),
+		getClosedUntilMs(run) {
+			if (requestLimits.getPerSecond(run) === undefined) {
+				return Number.NEGATIVE_INFINITY;
+			}
+
+			const closedUntilMs = Math.max(getWallet(run).closedUntilMs, silentUntilMs);
+
+			return isSilent() ? Math.min(closedUntilMs, planShare(run, Number.POSITIVE_INFINITY)?.startAtMs ?? closedUntilMs) : closedUntilMs;
+		},
 		isUnanswered: () => unansweredSinceMs !== undefined,
 		isAnswerExpected: () => clock.readMonotonicMs() - (unansweredSinceMs ?? Number.POSITIVE_INFINITY) < leaderChangeMs,
 		reopen(id) {
--- a/packages/runtime/src/permit-grantor.ts
+++ b/packages/runtime/src/permit-grantor.ts
@@ -1,6 +1,6 @@
 import {isBoolean, isObjectWith, type Clock} from '@fescuestair/core';
 import {
-	isPermitQuestions, isPermitReplies, maxReservationMs, permitValidityMs, reservePermit, type PermitAccount, type PermitQuestion, type PermitReply,
+	coldBurstRequests, isPermitQuestions, isPermitReplies, maxReservationMs, permitValidityMs, reservePermit, type PermitAccount, type PermitQuestion, type PermitReply,
 } from '@fescuestair/limits';
 import {
 	callAndValidate, LinkMessageKind, requireValid, type LinkCaller, type LinkCommands, type LinkReply, type LinkReplyCallback,
@@ -83,9 +83,11 @@
 	};
 
 	const grant = ({id, incarnation, maxWaitMs}: PermitQuestion, nowMs: number): PermitReply => {
-		const note = requestLimits.describe({id, incarnation});
+		const run = {id, incarnation};
+		const note = requestLimits.describe(run);
+		const perSecond = requestLimits.getPerSecond(run);
 
-		if (note.perSecond === undefined) {
+		if (perSecond === undefined) {
 			accounts.delete(id);
 
 			return {note, startInMs: 0, retryInMs: 0};
@@ -93,7 +95,7 @@
 
 		const known = accounts.get(id);
 		const {account, startAtMs, retryAtMs} = reservePermit(known?.incarnation === incarnation ? known.account : undefined, {
-			perSecond: note.perSecond, maxWaitMs, openAtMs,
+			perSecond, maxWaitMs, openAtMs, ...(requestLimits.isCold(run) && {burstRequests: coldBurstRequests}),
 		}, nowMs);
 		accounts.set(id, {incarnation, account});
 
