--- a/packages/bench/src/model/simulate-limits.ts
+++ b/packages/bench/src/model/simulate-limits.ts
@@ -1,7 +1,8 @@
 import {
-	applyPermitAnswer, setClosedUntil, decidePermit, emptyPermitWallet, isLimitChange, isPermitUsable, maxReservationMs, mergeRequestLimits, minPermitsPerSecond, noRequestLimit, PermitDecision,
+	applyPermitAnswer, coldBurstRequests, planSafeShare, setClosedUntil, decidePermit, emptyPermitWallet, isLimitChange, isPermitUsable, maxReservationMs, mergeRequestLimits,
+	minPermitsPerSecond, noRequestLimit, PermitDecision,
 	permitValidityMs, recordRequestLimit, clearClosedUntil, reservePermit, depositPermit, planReturn, takeSparePermit, type Permit, type PermitAccount, type PermitWallet,
-	type RequestLimit,
+	type RequestLimit, type SafeShare,
 } from '@fescuestair/limits';
 import {type Span} from './limit-window.js';
 import {createScheduler} from './scheduler.js';
@@ -30,10 +31,23 @@
 	/** Gateways with lower numbers than this stop in these spans and then go on with what they were doing. */
 	readonly frozenGateways?: number;
 	readonly freezes?: readonly Span[];
+	/** Instances that are cold for a time, as all daemons learn by their announcements. */
+	readonly cold?: ColdInstancesModel;
 	/** The gateways send without regard to limits, for comparison. */
 	readonly isUnlimited?: boolean;
 };
 
+export type ColdInstancesModel = {
+	/** Instances with lower numbers than this are cold in these spans. */
+	readonly instances: number;
+	readonly spans: readonly Span[];
+	readonly perSecond: number;
+	/** Requests per second of all gateways that reach no granting daemon. */
+	readonly ungrantedPerSecond: number;
+	/** How many gateways a gateway takes to be there; default the true number. */
+	readonly countGateways?: (gateway: number) => number;
+};
+
 export type LimitSimulation = {
 	/** By instance, the times at which requests arrived. */
 	readonly arrivalsMs: ReadonlyArray<readonly number[]>;
@@ -53,6 +67,7 @@
 	readonly number: number;
 	readonly limits: RequestLimit[];
 	readonly wallets: PermitWallet[];
+	readonly shares: Array<SafeShare | undefined>;
 	nextReturnMs: number | undefined;
 	silentUntilMs: number;
 };
@@ -82,14 +97,14 @@
 export function simulateLimits(options: LimitSimulationOptions): LimitSimulation {
 	const {
 		seed, requestsPerSecond, activeGateways = options.gateways, instances, getLimit, durationMs, patienceMs = 1500, repeatShare = 0,
-		leaderLosses = [], cutGateways = 0, cuts = [], frozenGateways = 0, freezes = [], isUnlimited = false,
+		leaderLosses = [], cutGateways = 0, cuts = [], frozenGateways = 0, freezes = [], cold, isUnlimited = false,
 	} = options;
 	const random = createRandom(seed);
 	const scheduler = createScheduler();
 	const {getNowMs, schedule} = scheduler;
 	const gateways: Gateway[] = Array.from({length: options.gateways}, (_, number) => ({
 		number, limits: Array.from({length: instances}, () => noRequestLimit), wallets: Array.from({length: instances}, () => emptyPermitWallet),
-		nextReturnMs: undefined, silentUntilMs: 0,
+		shares: [], nextReturnMs: undefined, silentUntilMs: 0,
 	}));
 	const grantorLimits: RequestLimit[] = Array.from({length: instances}, () => noRequestLimit);
 	const accounts = new Map<number, PermitAccount>();
@@ -106,6 +121,22 @@
 	const isCut = ({number}: Gateway) => number < cutGateways && isWithin(cuts);
 	const findThawMs = ({number}: Gateway) => number < frozenGateways ? freezes.find(({fromMs, toMs}) => getNowMs() >= fromMs && getNowMs() < toMs)?.toMs : undefined;
 
+	const isCold = (instance: number) => cold !== undefined && instance < cold.instances
+		&& cold.spans.some(({fromMs, toMs}) => getNowMs() >= fromMs + noteMs && getNowMs() < toMs);
+	const getPerSecond = (instance: number, {perSecond}: RequestLimit) => isCold(instance) ? Math.min(cold!.perSecond, perSecond ?? cold!.perSecond) : perSecond;
+
+	const planShare = ({number, shares, limits}: Gateway, instance: number, maxWaitMs: number) => isCold(instance) && limits[instance]!.perSecond === undefined
+		? planSafeShare(shares[instance], {
+			daemon: `gateway-${number}`, instance: `i-${instance}`, daemons: cold?.countGateways?.(number) ?? gateways.length, perSecond: cold!.ungrantedPerSecond, maxWaitMs, nowMs: getNowMs(),
+		})
+		: undefined;
+
+	const findOpeningMs = (gateway: Gateway, instance: number) => {
+		const closedUntilMs = Math.max(gateway.wallets[instance]!.closedUntilMs, gateway.silentUntilMs);
+
+		return getNowMs() < gateway.silentUntilMs ? Math.min(closedUntilMs, planShare(gateway, instance, Number.POSITIVE_INFINITY)?.startAtMs ?? closedUntilMs) : closedUntilMs;
+	};
+
 	// A frozen gateway does what is due once it runs again.
 	const runAt = (gateway: Gateway, delayMs: number, run: () => void) => {
 		schedule(delayMs, () => {
@@ -192,13 +223,15 @@
 	};
 
 	const grant = (instance: number, maxWaitMs: number) => {
-		const {perSecond} = grantorLimits[instance]!;
+		const perSecond = getPerSecond(instance, grantorLimits[instance]!);
 
 		if (perSecond === undefined) {
 			return {startInMs: 0, retryInMs: 0};
 		}
 
-		const {account, startAtMs, retryAtMs} = reservePermit(accounts.get(instance), {perSecond, maxWaitMs, openAtMs}, getNowMs());
+		const {account, startAtMs, retryAtMs} = reservePermit(accounts.get(instance), {
+			perSecond, maxWaitMs, openAtMs, ...(isCold(instance) && {burstRequests: coldBurstRequests}),
+		}, getNowMs());
 		accounts.set(instance, account);
 
 		return {startInMs: startAtMs === undefined ? undefined : startAtMs - getNowMs(), retryInMs: retryAtMs - getNowMs()};
@@ -206,7 +239,7 @@
 
 	const useOrReturn = (request: SimulatedRequest, instance: number, permit: Permit) => {
 		const {gateway} = request;
-		const {perSecond} = gateway.limits[instance]!;
+		const perSecond = getPerSecond(instance, gateway.limits[instance]!);
 
 		if (perSecond === undefined || isPermitUsable(permit, {perSecond, nowMs: getNowMs()})) {
 			send(request, instance);
@@ -246,7 +279,7 @@
 				}
 
 				learn(gateway, instance, mergeRequestLimits(gateway.limits[instance]!, grantorLimits[instance]!));
-				const {perSecond} = gateway.limits[instance]!;
+				const perSecond = getPerSecond(instance, gateway.limits[instance]!);
 
 				if (perSecond === undefined) {
 					place(request);
@@ -273,7 +306,7 @@
 		const {gateway} = request;
 		const nowMs = getNowMs();
 		const reopeningMs = Math.max(gateway.silentUntilMs, Math.min(...gateway.wallets.map(({closedUntilMs}) => closedUntilMs)));
-		const perSecond = gateway.limits.reduce((sum, limit) => sum + Math.max(minPermitsPerSecond, limit.perSecond ?? 0), 0);
+		const perSecond = gateway.limits.reduce((sum, limit, instance) => sum + Math.max(minPermitsPerSecond, getPerSecond(instance, limit) ?? 0), 0);
 		const turnMs = msPerSecond * gateways.length / perSecond;
 		refuse(request, Math.max(nowMs, reopeningMs), turnMs);
 	};
@@ -281,8 +314,8 @@
 	const place = (request: SimulatedRequest) => {
 		const {gateway} = request;
 		const nowMs = getNowMs();
-		const listOpen = (horizonMs: number) => gateway.wallets.map((wallet, instance) => ({wallet, instance, perSecond: gateway.limits[instance]!.perSecond}))
-			.filter(({wallet, perSecond}) => perSecond === undefined || Math.max(wallet.closedUntilMs, gateway.silentUntilMs) <= horizonMs);
+		const listOpen = (horizonMs: number) => gateway.wallets.map((wallet, instance) => ({wallet, instance, perSecond: getPerSecond(instance, gateway.limits[instance]!)}))
+			.filter(({instance, perSecond}) => perSecond === undefined || findOpeningMs(gateway, instance) <= horizonMs);
 		const available = listOpen(nowMs);
 		const open = available.length > 0 ? available : listOpen(nowMs + maxReservationMs);
 		const choice = open[Math.floor(random() * open.length)];
@@ -302,6 +335,17 @@
 			gateway.wallets[instance] = takeSparePermit(wallet, {perSecond: perSecond!, nowMs});
 		}
 
+		const plan = getNowMs() < gateway.silentUntilMs && (decision === PermitDecision.Closed || decision === PermitDecision.Ask) ? planShare(gateway, instance, maxWaitMs) : undefined;
+
+		if (plan?.startAtMs !== undefined) {
+			gateway.shares[instance] = plan.share;
+			runAt(gateway, plan.startAtMs - nowMs, () => {
+				send(request, instance);
+			});
+
+			return;
+		}
+
 		if (decision === PermitDecision.Closed || (decision === PermitDecision.Ask && nowMs < gateway.silentUntilMs)) {
 			request.permitRefusals++;
 			runAt(gateway, Math.max(0, gateway.silentUntilMs - nowMs), () => {
--- a/packages/instances/src/__tests__/unit/registry.test.ts
+++ b/packages/instances/src/__tests__/unit/registry.test.ts
@@ -89,6 +89,29 @@
 	t.is(mergeInstanceRecord(other, createRecord({sequence: 6, stage: InstanceStage.Draining}), {nowMs: 7000}).news, MergeOutcome.Changed);
 });
 
+test('an instance that says to be cold for longer than was known is news, and the time passes with renewals', t => {
+	const initial = mergeInstanceRecord(createInstanceRegistry(), createRecord({coldLeftMs: 3000}), {nowMs: 0}).registry;
+	// It says what was known.
+	const later = mergeInstanceRecord(initial, createRecord({coldLeftMs: 2100, sequence: 5}), {nowMs: 1000});
+	t.is(later.news, MergeOutcome.Renewed);
+	// The gateways do not get that announcement, but its renewal.
+	const renewed = applyRenewals(initial, listRenewals(later.registry, 1000), 1000);
+	t.is(renewed.held.get('i-1')?.record.coldLeftMs, 2000);
+	const warm = mergeInstanceRecord(later.registry, createRecord({coldLeftMs: 0, sequence: 6}), {nowMs: 4000});
+	t.is(warm.news, MergeOutcome.Renewed);
+	t.is(mergeInstanceRecord(warm.registry, createRecord({coldLeftMs: 2000, sequence: 7}), {nowMs: 5000}).news, MergeOutcome.Changed);
+	t.is(applyRenewals(renewed, listRenewals(warm.registry, 4000), 4000).held.get('i-1')?.record.coldLeftMs, 0);
+});
+
+test('the restart of a known instance is kept until its next one, and a first start is none', t => {
+	const first = mergeInstanceRecord(createInstanceRegistry(), createRecord({}), {nowMs: 0}).registry;
+	t.is(first.held.get('i-1')?.restartedAtMs, undefined);
+	const restarted = mergeInstanceRecord(first, createRecord({incarnation: 2000}), {nowMs: 500, ageMs: 100}).registry;
+	const renewed = mergeInstanceRecord(restarted, createRecord({incarnation: 2000, sequence: 9}), {nowMs: 900}).registry;
+	t.is(renewed.held.get('i-1')?.restartedAtMs, 400);
+	t.is(applyRenewals(renewed, listRenewals(renewed, 950), 1000).held.get('i-1')?.restartedAtMs, 400);
+});
+
 test('a renewal revives neither an instance that is gone nor an earlier incarnation, and adds no unknown instance', t => {
 	const alive = mergeInstanceRecord(createInstanceRegistry(), createRecord({}), {nowMs: 0}).registry;
 	const renewals = listRenewals(alive, 0);
--- a/packages/runtime/src/cold-instances.ts
+++ b/packages/runtime/src/cold-instances.ts
@@ -99,13 +99,25 @@
 		};
 	};
 
+	// Asked for each instance that a request may go to: most have nothing that says that they are cold.
+	const mayBeCold = ({id}: InstanceRun) => {
+		const held = findInstance(id);
+
+		return knownById.has(id) || (held !== undefined
+			&& ((held.record.coldLeftMs ?? 0) > 0 || held.restartedAtMs !== undefined || getColdSinceMs(held.record.availabilityZone) !== undefined));
+	};
+
 	const getPerSecond = (run: InstanceRun) => {
+		if (!mayBeCold(run)) {
+			return undefined;
+		}
+
 		const {known, terms, leftMs} = findState(run);
 
 		return leftMs > 0 ? (terms === undefined ? known.notedPerSecond : computeColdRate(terms, bound)) : undefined;
 	};
 
-	const setTime = ({id, incarnation}: InstanceRun, known: Known, {time, notedPerSecond = known.notedPerSecond}: Partial<Pick<Known, 'notedPerSecond'>> & Pick<Known, 'time'>) => {
+	const setTime = ({id, incarnation}: InstanceRun, known: Known, {time, notedPerSecond = known.notedPerSecond}: Pick<Known, 'time'> & Partial<Pick<Known, 'notedPerSecond'>>) => {
 		const isLater = time.endMs > known.time.endMs;
 
 		if (time !== known.time) {
@@ -200,5 +212,6 @@
 
 /** Knows of no cold instance, as where no configuration names a rate. */
 export const noColdInstances: ColdInstances = {
-	getPerSecond: () => undefined, getUngrantedPerSecond: () => undefined, recordAnswer: () => false, recordEnd: () => false, merge: () => false, describe: () => ({}), list: () => [], countCold: () => 0,
+	getPerSecond: () => undefined, getUngrantedPerSecond: () => undefined, recordAnswer: () => false, recordEnd: () => false, merge: () => false, describe: () => ({}), list: () => [],
+	countCold: () => 0,
 };
