--- a/packages/routing/src/__tests__/unit/choose-instance.test.ts
+++ b/packages/routing/src/__tests__/unit/choose-instance.test.ts
@@ -32,6 +32,15 @@
 	return waits;
 };
 
+test('an instance costs more the longer it will be cold, up to a bound', t => {
+	const choose = (...coldTimes: readonly number[]) => chooseInstance({
+		options: coldTimes.map((coldLeftMs, index) => createOption(`i-${index}`, {coldLeftMs})), nowMs: 0, availabilityZone: 'north', prompt: undefined,
+	})!;
+	t.is(choose(2500, 500, 0).id, 'i-2');
+	t.is(choose(2500, 500, 2600).id, 'i-1');
+	t.is(choose(60_000).cost, choose(3000).cost);
+});
+
 test('a frequent part spreads over several instances before one is overloaded', t => {
 	const waits = replay(Array.from({length: 20}, (_, index) => ({atMs: index * 120, prompt: long})), 8);
 	t.true(new Set(waits.map(wait => wait.id)).size >= 4);
