--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -8,7 +8,7 @@
 	createFinding, createSystemClock, isOneOf, isObjectWith, type Clock, type Finding,
 } from '@fescuestair/core';
 import {
-	createEvacuationView, diffEvacuations, type EvacuationStep, isEvacuationZone, recordEvacuatedZones, type EvacuationView,
+	createEvacuationView, diffEvacuations, getEvacuationEndedAtMs, type EvacuationStep, isEvacuationZone, recordEvacuatedZones, type EvacuationView,
 } from '@fescuestair/evacuations';
 import {
 	DaemonRole, isPublishedSnapshot, type DaemonRecord, type InstanceRecord, type PublishedSnapshot, listGatewaysForCallers,
@@ -22,8 +22,9 @@
 import {
 	createLinkFaultHandler, createPermitGrantor, openCommandListener, registerLinkMetrics, type Logger, type PrometheusMetrics,
 } from '@fescuestair/runtime';
+import {type ColdBound} from '@fescuestair/limits';
 import {
-	checkAllowedRegions, filterGateways, type GatewayLookup, type RegionsByZone, type Route, type StoreSettings, type TrafficConfig,
+	checkAllowedRegions, filterGateways, type ColdSettings, type GatewayLookup, type RegionsByZone, type Route, type StoreSettings, type TrafficConfig,
 } from '@fescuestair/traffic';
 import {createLinks} from '@fescuestair/transport';
 import {
@@ -58,6 +59,8 @@
 	readonly fetchReport: WeightOrdersOptions['fetchReport'];
 	/** A new leader waits this long before its first order, so that no order of its predecessor can interleave with its own. */
 	readonly orderHandoverMs: number;
+	/** By how much a cold instance may be sent more than it accepts; absent if nobody sets a bound. */
+	readonly coldBound?: ColdBound | undefined;
 	/** Number of disks that can be lost at the same time without losing an accepted change. */
 	readonly lossesBorne?: number;
 	/** The region of each availability zone; where it names none, any zone can be evacuated. */
@@ -140,7 +143,7 @@
 	const {
 		name, availabilityZone, linkAddress, serviceAddress, dataFolder, getSeeds, isFirstStart, decodeConfig, orderHandoverMs,
 		storeClient,
-		lossesBorne = 1, regionsByZone = new Map(), clock = createSystemClock(), log, metrics,
+		coldBound, lossesBorne = 1, regionsByZone = new Map(), clock = createSystemClock(), log, metrics,
 	} = options;
 	const links = createLinks({getKeys: undefined});
 	const self: DaemonRecord = {
@@ -157,6 +160,7 @@
 	let stores: readonly StoreSettings[] = [];
 	let routes: readonly Route[] = [];
 	let evacuations = createEvacuationView();
+	let coldTerms: ReadonlyMap<string, ColdSettings | undefined> = new Map();
 	const seeds = getSeeds();
 
 	const describe = (state: PublishedState, knownConfigVersion: number) => describePublished(state, {knownConfigVersion, getWeightsAgeMs: targetAges.getAgeMs});
@@ -165,6 +169,7 @@
 		const config = state.configText === undefined ? undefined : decodeConfig(state.configText).config;
 		stores = (config?.services ?? []).flatMap(service => service.store?.isManaged === true ? [service.store] : []);
 		routes = config?.routes ?? routes;
+		coldTerms = new Map(config?.services.map(({name: service, cold}) => [service, cold]));
 		log.info('published', {
 			revision: state.revision, configVersion: state.configVersion, weights: Object.fromEntries(state.weights), evacuatedZones: state.evacuatedZones,
 		});
@@ -319,6 +324,9 @@
 		log,
 		metrics,
 		commands,
+		getColdTerms: service => coldTerms.get(service),
+		getColdSinceMs: zone => getEvacuationEndedAtMs(evacuations, zone, clock.readMonotonicMs()),
+		coldBound,
 		listCoordinatorAddresses: () => [...getSeeds(), ...(replica.getState()?.members ?? []).map(member => member.address)],
 		describePublishedSince(revision, configVersion) {
 			const published = replica.getPublished();
