Bound what callers make a process hold, at all of its listeners together

What callers saw: gateways and coordinators that ended, out of memory, or took several times the memory of their machine (figures in "Test callers that misbehave at each listener").

Cause: only the bodies at callers' routes were counted. The other listeners read bodies of up to 6 MB each without a common bound; requests sent ahead were all handled at once; answers that callers did not take were counted no longer, or evicted in the count only; heartbeats on links were answered without end; nothing bounded connections.

Change: packages/transport has one budget a process (caller-budget.ts) that all listeners draw on. Bodies (request-bodies.ts, moved from the gateway), answers not taken (hold-unsent.ts), requests sent ahead and very many fields (limit-requests-ahead.ts) and incomplete frames count in it; whoever comes on slowest gives way first, then the latest, never a small one. The memory of long bodies is reserved before they arrive. Two requests of a connection are handled at once; the reading of it stops where more come. Connections are bounded: the one that has waited longest for a request is closed, a new one only where all others are being served. Calls other than a change of the configuration take bodies of 64 KB. An evicted answer that is complete closes its connection; before, it was only counted no longer.

Limits follow from FESCUESTAIR_MEMORY_MB and the new FESCUESTAIR_MAX_DESCRIPTORS; MAX_CALLER_BYTES and MAX_CALLER_CONNECTIONS override them. Metrics caller_bytes, caller_connections, caller_evictions_total; one log line in 10 s at the most.

xo.config.js: request-bodies.ts keeps the exemption for buffers that it had in the gateway, under its new path. Its test and that of the memory budget moved with their files, unchanged.

--- a/packages/entry/src/caller-listener.ts
+++ b/packages/entry/src/caller-listener.ts
@@ -4,7 +4,7 @@
 import {RefusalCode, RefusalError} from '@fescuestair/protocol';
 import {listItems, ItemKind, type PublicState} from '@fescuestair/state';
 import {
-	createKeyRing, openHttpListener, registerClientErrors, registerIdleTimeouts, sendJson, sendRefusal, type Address, type KeyRing,
+	createKeyRing, limitRequestsAhead, openHttpListener, registerClientErrors, registerIdleTimeouts, sendJson, sendRefusal, type Address, type KeyRing,
 } from '@fescuestair/transport';
 import {handleCompletion} from './completions.js';
 import {handleService} from './services.js';
@@ -104,7 +104,8 @@
 
 	const server = http.createServer({
 		maxHeaderSize: maxHeaderBytes, headersTimeout: headersTimeoutMs, requestTimeout: 0, connectionsCheckingInterval: 2000,
-	}, async (request, response) => {
+	});
+	const handleRequest = async (request: IncomingMessage, response: ServerResponse) => {
 		// Its head was refused as late, or the answer before it closes the connection.
 		if (!request.socket.writable) {
 			services.log.info('a request is not handled, since its connection was ended before', {target: request.url});
@@ -129,7 +130,11 @@
 
 			sendRefusal(response, qualifyRefusal(services, request, refusal), requestId);
 		}
-	});
+	};
+
+	server.on('request', limitRequestsAhead((request, response) => {
+		void handleRequest(request, response);
+	}));
 	registerIdleTimeouts(server);
 	registerClientErrors(server, {
 		onError(reason, running) {
--- a/packages/entry/src/completions.ts
+++ b/packages/entry/src/completions.ts
@@ -44,7 +44,7 @@
 /** Serves `POST /v1/chat/completions` and `POST /v1/completions`. */
 export async function handleCompletion(services: EntryServices, caller: CallerRequest, isChat: boolean): Promise<void> {
 	const {request, response} = caller;
-	const parsed = parsePrompt(await readBody(request, {maxBytes: maxBodyBytes, timeoutMs: bodyTimeoutMs}), isChat);
+	const parsed = parsePrompt(await readBody(request, {maxBytes: maxBodyBytes, timeoutMs: bodyTimeoutMs}, {response}), isChat);
 	const preset = await requirePreset(services);
 	const promptTokens = estimateTokenCount(parsed.prompt);
 	const requestClass = promptTokens > preset.longFromTokens ? RequestClass.Long : RequestClass.Short;
--- a/packages/entry/src/services.ts
+++ b/packages/entry/src/services.ts
@@ -22,7 +22,7 @@
 /** Handles `/v1/services/{service}/...`: forwards the call to an instance of the service. */
 export async function handleService(services: EntryServices, caller: CallerRequest, {serviceName, path}: {serviceName: string; path: string}): Promise<void> {
 	const {request, response, requestId, organisation} = caller;
-	const body = await readBody(request, {maxBytes: maxBodyBytes, timeoutMs: bodyTimeoutMs});
+	const body = await readBody(request, {maxBytes: maxBodyBytes, timeoutMs: bodyTimeoutMs}, {response});
 	const preset = await requirePreset(services);
 	recordRequestStart(services, caller, {
 		requestClass: RequestClass.Service, target: `${request.method} ${serviceName}${path}`, promptTokens: 0, preset: preset.name,
--- a/packages/entry/src/upstream-listener.ts
+++ b/packages/entry/src/upstream-listener.ts
@@ -4,7 +4,7 @@
 	announceSchema, requireParsed, parseJsonBody, ExecutionStatus, RefusalCode, RefusalError, type Refusal,
 } from '@fescuestair/protocol';
 import {
-	openHttpListener, readBody, sendJson, sendRefusal, type Address, type KeyRing,
+	limitRequestsAhead, openHttpListener, readBody, sendJson, sendRefusal, type Address, type KeyRing,
 } from '@fescuestair/transport';
 import {type Logger} from '@fescuestair/runtime';
 import {type UpstreamRegistry} from './upstream-registry.js';
@@ -30,7 +30,7 @@
 		const withdrawnId = /^\/v1\/upstreams\/(?<id>[\w.\-]{1,63})$/v.exec(request.url ?? '')?.groups?.id;
 
 		if (request.method === 'POST' && request.url === '/v1/upstreams') {
-			const message = requireParsed(announceSchema.safeParse(parseJsonBody(await readBody(request, bodyLimits))));
+			const message = requireParsed(announceSchema.safeParse(parseJsonBody(await readBody(request, bodyLimits, {response}))));
 			sendJson(response, 200, registry.announce(message));
 		} else if (request.method === 'DELETE' && withdrawnId !== undefined) {
 			sendJson(response, registry.withdraw(withdrawnId) ? 200 : 404, {id: withdrawnId});
@@ -39,7 +39,7 @@
 		}
 	};
 
-	const server = http.createServer(async (request, response) => {
+	const answer = async (request: IncomingMessage, response: ServerResponse) => {
 		try {
 			await handle(request, response);
 		} catch (error) {
@@ -50,7 +50,11 @@
 			const refusal = error instanceof RefusalError ? error.refusal : createRefusalError(RefusalCode.Internal, 'internal error').refusal;
 			sendRefusal(response, refusal, createId('r', Date.now()));
 		}
-	});
+	};
+
+	const server = http.createServer(limitRequestsAhead((request, response) => {
+		void answer(request, response);
+	}));
 
 	return openHttpListener(server, listen);
 }
--- a/packages/gateway/src/__tests__/unit/forward.test.ts
+++ b/packages/gateway/src/__tests__/unit/forward.test.ts
@@ -12,13 +12,13 @@
 	createLogger, createPrometheusMetrics, createRequestLimits, PermitOutcome, type PermitClient, type PermitResult,
 } from '@fescuestair/runtime';
 import {CallKind, type Route} from '@fescuestair/traffic';
+import {createMemoryBudget, pickLargest} from '@fescuestair/transport';
 import {createCallerServer} from '../../caller-server.js';
 import {type UpstreamCodec} from '../../codecs.js';
 import {type Exchange} from '../../exchange.js';
 import {type ForwardOptions} from '../../forward-options.js';
 import {forwardExchange, type ForwardResult} from '../../forward.js';
 import {createInstancePool} from '../../instance-pool.js';
-import {createMemoryBudget, pickLargest} from '../../memory-budget.js';
 
 const clock = createSystemClock();
 const permit: Permit = {perSecond: 5, startAtMs: 0, endAtMs: Number.POSITIVE_INFINITY};
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -233,6 +233,10 @@
 			});
 		}
 
+		if (head.framing === BodyFraming.Length) {
+			collector.expect(Number(response.headers['content-length'] ?? 0));
+		}
+
 		onHead?.(head);
 
 		if (onData !== undefined && head.status >= 200 && head.status < 300 && !head.answer.isNotRun) {
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -2,7 +2,9 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type Logger} from '@fescuestair/runtime';
 import {type CallerLimits} from '@fescuestair/traffic';
-import {registerClientErrors, registerIdleTimeouts, waitForReads} from '@fescuestair/transport';
+import {
+	limitRequestsAhead, registerClientErrors, registerIdleTimeouts, waitForReads,
+} from '@fescuestair/transport';
 import {cancelResponse, sendLocalResponse} from './exchange.js';
 import {maxTimerMs} from './max-timer-ms.js';
 
@@ -64,7 +66,7 @@
 		},
 	});
 
-	server.on('request', (request, response) => {
+	server.on('request', limitRequestsAhead((request, response) => {
 		// Its head was refused as late, or the answer before it closes the connection.
 		if (!request.socket.writable) {
 			log.info('a request is not handled, since its connection was ended before', {target: request.url});
@@ -90,7 +92,7 @@
 				cancelResponse(response);
 			}
 		});
-	});
+	}));
 
 	return {
 		server,
--- a/packages/gateway/src/forward-options.ts
+++ b/packages/gateway/src/forward-options.ts
@@ -6,13 +6,13 @@
 	type Logger, type PermitClient, type PrometheusMetrics, type RequestLimits,
 } from '@fescuestair/runtime';
 import {type RouteTable} from '@fescuestair/traffic';
+import {type MemoryBudget} from '@fescuestair/transport';
 import {type CallerCodec, type UpstreamCodec} from './codecs.js';
 import {type FetchIncarnation} from './check-run-origin.js';
 import {type CrashDetector} from './crash-detector.js';
 import {type Exchange} from './exchange.js';
 import {type NewerTarget, type WeightsUse} from './target-version-history.js';
 import {type InstancePool} from './instance-pool.js';
-import {type MemoryBudget} from './memory-budget.js';
 import {type PartsClient} from './parts-client.js';
 import {type StartDeadlines} from './start-deadlines.js';
 import {type StreamOrigins} from './stream-origins.js';
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -20,18 +20,16 @@
 	buildRouteTable, type RouteTable, type TrafficConfig,
 } from '@fescuestair/traffic';
 import {
-	createLinks, openHttpListener, parseAddress, processReadPacer,
+	createLinks, createMemoryBudget, createRequestBodies, openHttpListener, parseAddress, pickLargest, processCallerBudget, processReadPacer, type CallerBudget,
 } from '@fescuestair/transport';
 import {type CallerCodec, type UpstreamCodec} from './codecs.js';
 import {type FetchIncarnation} from './check-run-origin.js';
 import {createCallerServer} from './caller-server.js';
-import {createRequestBodies} from './request-bodies.js';
 import {createRequestHandler} from './request-handler.js';
 import {createCoordinatorClient, type TargetSource} from './coordinator-client.js';
 import {createCrashDetector} from './crash-detector.js';
 import {type ForwardOptions} from './forward-options.js';
 import {createInstancePool} from './instance-pool.js';
-import {createMemoryBudget, pickLargest} from './memory-budget.js';
 import {
 	createTargetVersionHistory, classifyWeights, findNewerTarget, findStartDeadlineMs, recordTargetVersions,
 } from './target-version-history.js';
@@ -63,6 +61,10 @@
 	readonly oldWeightsMs: number;
 	/** Time after which a stop ends, even if requests are still running. */
 	readonly stopTimeoutMs: number;
+	/** What callers may make this process hold. */
+	readonly callerBudget?: CallerBudget;
+	/** Upper bound for the answers that are buffered until they are complete and their callers have taken them, together. */
+	readonly maxBufferedAnswerBytes?: number;
 	readonly clock?: Clock;
 	readonly log: Logger;
 	readonly metrics: PrometheusMetrics;
@@ -89,8 +91,7 @@
 /** Share of an instance's connections that all gateways use together. */
 const usableConnectionShare = 0.8;
 const minConnections = 4;
-/** Upper bound for the answers that are buffered, together. */
-const maxBufferedAnswerBytes = 64_000_000;
+const defaultMaxBufferedAnswerBytes = 64_000_000;
 
 /**
 Creates a gateway, which serves callers by the newest configuration and forwards their requests to instances.
@@ -104,7 +105,7 @@
 export async function createGateway(options: GatewayOptions): Promise<Gateway> {
 	const {
 		name, availabilityZone, linkAddress, listen, getSeeds, decodeConfig, callerCodec, upstreamCodec, fetchIncarnation, retryAllowance, stopTimeoutMs, oldWeightsMs,
-		placement = PlacementPolicy.LeastCost,
+		placement = PlacementPolicy.LeastCost, callerBudget = processCallerBudget, maxBufferedAnswerBytes = defaultMaxBufferedAnswerBytes,
 		clock = createSystemClock(), log, metrics,
 	} = options;
 	const links = createLinks({getKeys: undefined});
@@ -290,7 +291,7 @@
 		budgets.set(service, depositSuccess(budgets.get(service) ?? forwardOptions.createRetryBudget(service)));
 	};
 
-	const bodies = createRequestBodies();
+	const bodies = createRequestBodies({budget: callerBudget});
 	const answerCaller = createRequestHandler({
 		bodies,
 		forwardOptions, callerCodec, clock, log, metrics, depositRetryTokens: depositRequest, getTable: () => routeTable,
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -4,14 +4,13 @@
 import {
 	CallKind, findRoute, type CallerLimits, type Route, type RouteTable,
 } from '@fescuestair/traffic';
-import {canDiscardBody, dropBody} from '@fescuestair/transport';
+import {
+	BodyReadEnd, canDiscardBody, createRequestBodies, dropBody, type BodyRefusal, type RequestBodies,
+} from '@fescuestair/transport';
 import {type CallerCodec} from './codecs.js';
 import {ExchangeOutcome, sendLocalResponse, type ExchangeResult} from './exchange.js';
 import {forwardExchange, type ForwardResult} from './forward.js';
 import {type ForwardOptions} from './forward-options.js';
-import {
-	BodyReadEnd, createRequestBodies, type BodyRefusal, type RequestBodies,
-} from './request-bodies.js';
 
 export type RequestHandlerOptions = {
 	readonly forwardOptions: ForwardOptions;
@@ -53,6 +52,8 @@
 const unforwardablePattern = /[^\u0021-\u00FF]/v;
 /** About the time in which the body of another request is answered. */
 const noRoomRetryAfterMs = 500;
+/** What is read and discarded takes memory too, until that is collected: the connection of a longer body is closed where there is no room. */
+const maxBytesWithoutRoom = 262_144;
 
 /**
 Creates the handler of callers' requests. It checks a request against the configuration in force, reads its body, forwards it, and records it
@@ -70,10 +71,10 @@
 	} = options;
 	const {isLeaving} = forwardOptions;
 
-	const endBeforeForward = (response: ServerResponse, {outcome, ...local}: Pick<ExchangeResult, 'outcome'> & {
-		readonly status: number; readonly message: string; readonly retryAfterMs?: number;
+	const endBeforeForward = (response: ServerResponse, {outcome, maxDiscardedBytes, ...local}: Pick<ExchangeResult, 'outcome'> & {
+		readonly status: number; readonly message: string; readonly retryAfterMs?: number; readonly maxDiscardedBytes?: number;
 	}): ExchangeResult => {
-		sendLocalResponse(response, {...local, shouldClose: isLeaving() || !canDiscardBody(response.req)});
+		sendLocalResponse(response, {...local, shouldClose: isLeaving() || !canDiscardBody(response.req, maxDiscardedBytes)});
 		// The connection goes on behind the rest of the body.
 		dropBody(response);
 
@@ -189,6 +190,7 @@
 			case BodyReadEnd.NoRoom: {
 				return endBeforeForward(response, {
 					outcome: ExchangeOutcome.Refused, status: 503, message: 'the bodies of other requests leave no room for this one now', retryAfterMs: noRoomRetryAfterMs,
+					maxDiscardedBytes: maxBytesWithoutRoom,
 				});
 			}
 
--- a/packages/gateway/src/start-run.ts
+++ b/packages/gateway/src/start-run.ts
@@ -15,7 +15,7 @@
 import {
 	describeAttempt, DispatchKind, type RecordedSilence, type StreamedPieces,
 } from './describe-attempt.js';
-import {filterHeaders, type Exchange} from './exchange.js';
+import {cancelResponse, filterHeaders, type Exchange} from './exchange.js';
 import {type ForwardOptions, type ForwardingProgress} from './forward-options.js';
 import {recordCachedParts, type PooledInstance, type InFlightRequest} from './pooled-instance.js';
 import {describeRunOrigin} from './run-origin.js';
@@ -151,7 +151,12 @@
 	}
 
 	const buffered = options.answerMemory.open(() => {
-		attempt.cancel(RunEvidence.OutOfMemory);
+		if (hasEnded) {
+			// Its caller does not take it.
+			cancelResponse(response);
+		} else {
+			attempt.cancel(RunEvidence.OutOfMemory);
+		}
 	});
 
 	const forwardData = (bytes: Buffer, head: ResponseHead): boolean => {
--- a/packages/transport/src/byte-collector.ts
+++ b/packages/transport/src/byte-collector.ts
@@ -5,6 +5,9 @@
 	readonly maxBytes?: number;
 };
 
+/** Copies of less than this are not worth avoiding. */
+const minExpectedShareBytes = 65_536;
+
 /**
 Collects bytes that arrive in chunks of any size. Chunks are copied into one growing buffer, so that the memory in use is bounded by the number of bytes and not by the number of
 chunks.
@@ -12,6 +15,8 @@
 export type ByteCollector = {
 	/** Copies a chunk behind the bytes before it. Returns false, and takes nothing of it, where the limit would be exceeded. */
 	readonly push: (chunk: Uint8Array) => boolean;
+	/** Tells how many bytes are announced. Their memory is taken at once where a part of them has arrived, so that less is copied and left to be collected. */
+	readonly expect: (bytes: number) => void;
 	readonly countBytes: () => number;
 	/** Memory in use, in bytes. */
 	readonly countMemoryBytes: () => number;
@@ -36,9 +41,11 @@
 export function createByteCollector({maxBytes = Number.POSITIVE_INFINITY}: ByteCollectorOptions = {}): ByteCollector {
 	let memory: Buffer = emptyBuffer;
 	let size = 0;
+	let expectedBytes = 0;
 
 	const grow = (requiredBytes: number) => {
-		const grown = Buffer.allocUnsafe(Math.max(requiredBytes, Math.min(memory.length * 2, maxBytes)));
+		const wantedBytes = requiredBytes > minExpectedShareBytes && requiredBytes <= expectedBytes ? expectedBytes : memory.length * 2;
+		const grown = Buffer.allocUnsafe(Math.max(requiredBytes, Math.min(wantedBytes, maxBytes)));
 		memory.copy(grown, 0, 0, size);
 		memory = grown;
 	};
@@ -60,6 +67,9 @@
 
 			return true;
 		},
+		expect(bytes) {
+			expectedBytes = bytes;
+		},
 		countBytes: () => size,
 		countMemoryBytes: () => memory.length,
 		peek: () => memory.subarray(0, size),
--- a/packages/transport/src/http-listener.ts
+++ b/packages/transport/src/http-listener.ts
@@ -1,6 +1,7 @@
 import {type Server} from 'node:http';
 import {once} from 'node:events';
 import {type Address} from './address.js';
+import {processCallerBudget} from './caller-budget.js';
 import {waitForReads} from './wait-for-reads.js';
 
 /** A listening HTTP server. */
@@ -12,7 +13,7 @@
 };
 
 /**
-Starts an HTTP server listening on an address.
+Starts an HTTP server listening on an address. Its connections count in the budget of this process.
 
 @example
 ```
@@ -20,6 +21,7 @@
 ```
 */
 export async function openHttpListener(server: Server, {host, port}: Address): Promise<HttpListener> {
+	server.on('connection', processCallerBudget.connections.add);
 	server.listen(port, host);
 	await once(server, 'listening');
 	const address = server.address();
--- a/packages/transport/src/http.ts
+++ b/packages/transport/src/http.ts
@@ -3,8 +3,10 @@
 import {
 	formatRefusal, getRefusalStatus, headerNames, ExecutionStatus, RefusalCode, RefusalError, type Refusal,
 } from '@fescuestair/protocol';
-import {IncompleteMessageError, readMessage} from './read-message.js';
+import {processCallerBudget} from './caller-budget.js';
+import {holdUnsent} from './hold-unsent.js';
 import {processReadPacer} from './read-pacer.js';
+import {BodyReadEnd, createRequestBodies, type BodyRefusal} from './request-bodies.js';
 
 export type BodyLimits = {
 	readonly maxBytes: number;
@@ -12,6 +14,12 @@
 	readonly timeoutMs: number;
 };
 
+export type BodyReadOptions = {
+	/** The body counts until this has been sent. */
+	readonly response?: ServerResponse;
+};
+
+const bodies = createRequestBodies({budget: processCallerBudget});
 /** Twice the longest body that is accepted anywhere. */
 const maxDiscardedBytes = 32_000_000;
 
@@ -27,38 +35,53 @@
 const body = await readBody(request, {maxBytes: 1_000_000, timeoutMs: 10_000});
 ```
 */
-export async function readBody(request: IncomingMessage, {maxBytes, timeoutMs}: BodyLimits): Promise<Uint8Array> {
-	const contentLength = Number(request.headers['content-length'] ?? 0);
-
-	if (contentLength > maxBytes) {
-		throw createBodyRefusal(RefusalCode.TooLarge, `the body may have at most ${maxBytes} bytes`);
-	}
-
+export async function readBody(request: IncomingMessage, {maxBytes, timeoutMs}: BodyLimits, {response}: BodyReadOptions = {}): Promise<Uint8Array> {
 	const abort = new AbortController();
 	const timer = setTimeout(() => {
 		abort.abort(createBodyRefusal(RefusalCode.TooSlow, `the body did not arrive within ${timeoutMs} ms`));
 	}, timeoutMs);
 
 	try {
-		const body = await readMessage(request, {canTake: size => size <= maxBytes, signal: abort.signal});
+		const read = await bodies.read(request, maxBytes, abort.signal);
 
-		if (body === undefined) {
-			throw createBodyRefusal(RefusalCode.TooLarge, `the body may have at most ${maxBytes} bytes`);
+		if (read.end !== BodyReadEnd.Complete) {
+			throw describeRefusal(read.end, maxBytes);
 		}
 
-		return body;
-	} catch (error) {
-		throw error instanceof IncompleteMessageError ? createBodyRefusal(RefusalCode.BadRequest, 'the connection closed before the body had arrived') : error;
+		if (response === undefined || response.closed) {
+			read.release();
+		} else {
+			response.once('close', read.release);
+		}
+
+		return read.body;
 	} finally {
 		clearTimeout(timer);
 	}
 }
 
+function describeRefusal(end: BodyRefusal, maxBytes: number): RefusalError {
+	switch (end) {
+		case BodyReadEnd.TooLarge: {
+			return createBodyRefusal(RefusalCode.TooLarge, `the body may have at most ${maxBytes} bytes`);
+		}
+
+		case BodyReadEnd.NoRoom: {
+			return createBodyRefusal(RefusalCode.Overloaded, 'the bodies of other requests leave no room for this one now');
+		}
+
+		case BodyReadEnd.CallerGone: {
+			return createBodyRefusal(RefusalCode.BadRequest, 'the connection closed before the body had arrived');
+		}
+	}
+}
+
 /** Sends a JSON response. */
 export function sendJson(response: ServerResponse, status: number, value: unknown, headers: Readonly<Record<string, string>> = {}): void {
 	const body = Buffer.from(JSON.stringify(value));
 	response.writeHead(status, {'content-type': 'application/json', 'content-length': body.length, ...headers});
 	response.end(body);
+	holdUnsent(response);
 }
 
 /**
@@ -71,8 +94,11 @@
 dropBody(response);
 ```
 */
-export function canDiscardBody({complete, headers}: IncomingMessage): boolean {
-	return complete || Number(headers['content-length'] ?? 0) <= maxDiscardedBytes;
+export function canDiscardBody({complete, headers}: IncomingMessage, maxBytes = maxDiscardedBytes): boolean {
+	// How long one in chunks will be is not known: it is taken for ordinary, unless hardly anything may be read.
+	const announcedBytes = Number(headers['content-length'] ?? (headers['transfer-encoding'] === undefined ? 0 : maxDiscardedBytes));
+
+	return complete || announcedBytes <= maxBytes;
 }
 
 /**
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -8,7 +8,7 @@
 export {InvalidFrameError} from './link-frames.js';
 export {parseAddress, type Address} from './address.js';
 export {
-	canDiscardBody, dropBody, readBody, sendJson, sendRefusal, type BodyLimits,
+	canDiscardBody, dropBody, readBody, sendJson, sendRefusal, type BodyLimits, type BodyReadOptions,
 } from './http.js';
 export {createKeyRing, digestKey, type KeyRing} from './key-ring.js';
 export {createEventStreamParser, type ServerSentEvent} from './event-stream-parser.js';
@@ -24,6 +24,20 @@
 	createReadPacer, processReadPacer, type ReadPacer, type ReadPacerOptions,
 } from './read-pacer.js';
 export {IncompleteMessageError, readMessage, type MessageReadOptions} from './read-message.js';
+export {
+	createMemoryBudget, pickLargest, pickSlowest, type EvictionCandidate, type Holding, type MemoryBudget, type MemoryBudgetOptions, type VictimPicker,
+} from './memory-budget.js';
+export {
+	createConnectionLimit, pickConnectionToClose, type ConnectionLimit, type ConnectionLimitOptions, type LatestExchange, type OpenConnections,
+} from './connection-limit.js';
+export {
+	CallerEviction, createCallerBudget, processCallerBudget, type CallerBudget, type CallerBudgetLimits, type CallerBudgetOptions,
+} from './caller-budget.js';
+export {
+	BodyReadEnd, createRequestBodies, type BodyRead, type BodyRefusal, type RequestBodies, type RequestBodiesOptions,
+} from './request-bodies.js';
+export {limitRequestsAhead, type RequestsAheadOptions} from './limit-requests-ahead.js';
+export {holdUnsent} from './hold-unsent.js';
 export {watchInterimResponses} from './interim-responses.js';
 export {
 	createEventCollector, eventDelimiters, maxDelimiterBytes, type EventCollector,
--- a/packages/transport/src/link-frames.ts
+++ b/packages/transport/src/link-frames.ts
@@ -118,6 +118,7 @@
 
 		collector.push(rest);
 		requiredBytes = lengthBytes + (rest.length >= lengthBytes ? rest.readUInt32BE(0) : 0);
+		collector.expect(requiredBytes);
 	});
 
 	const uncork = () => {
--- a/packages/transport/src/link-server.ts
+++ b/packages/transport/src/link-server.ts
@@ -1,10 +1,13 @@
 import net, {type Socket} from 'node:net';
 import tls from 'node:tls';
 import {once} from 'node:events';
-import {FrameKind, openFrameChannel, type FrameChannel} from './link-frames.js';
+import {
+	FrameKind, InvalidFrameError, openFrameChannel, type FrameChannel,
+} from './link-frames.js';
 import {createLinkMonitor, type LinkMonitor} from './link-monitor.js';
 import {linkCiphers, maxIncompleteFrameBytes} from './link-constants.js';
 import {type Address} from './address.js';
+import {processCallerBudget} from './caller-budget.js';
 import {type ClusterKeys} from './cluster-keys.js';
 
 /** Handles a message; `reply` is `undefined` for a one-way message. */
@@ -19,6 +22,9 @@
 	readonly onError?: (error: Error, address: string | undefined) => void;
 };
 
+/** Replies that wait to be sent, beyond which a heartbeat is not answered. */
+const maxBacklogOfHeartbeatBytes = 65_536;
+
 export type LinkServer = {
 	readonly port: number;
 	readonly close: () => Promise<void>;
@@ -41,6 +47,7 @@
 	server.on(getKeys === undefined ? 'connection' : 'secureConnection', (socket: Socket) => {
 		const address = `${socket.remoteAddress}:${socket.remotePort}`;
 		sockets.add(socket);
+		processCallerBudget.connections.add(socket);
 		serveSocket(socket, {onMessage, monitor});
 		socket.on('close', () => {
 			sockets.delete(socket);
@@ -81,9 +88,17 @@
 
 function serveSocket(socket: Socket, {onMessage, monitor}: {readonly onMessage: LinkHandler; readonly monitor: LinkMonitor}): void {
 	socket.setNoDelay(true);
+	const incomplete = processCallerBudget.open(() => {
+		socket.destroy(new InvalidFrameError('there is no room for incomplete frames'));
+	});
+	socket.once('close', incomplete.release);
 	const channel: FrameChannel = openFrameChannel(socket, {
-		canBuffer: () => monitor.sumIncompleteBytes() <= maxIncompleteFrameBytes,
+		canBuffer: bytes => incomplete.resize(bytes) && monitor.sumIncompleteBytes() <= maxIncompleteFrameBytes,
 		onFrame([kind, callId, body]) {
+			incomplete.resize(0);
+			// From its first frame on, it counts as in use.
+			processCallerBudget.connections.markBusy(socket);
+
 			switch (kind) {
 				case FrameKind.Call: {
 					onMessage(body, answer => {
@@ -100,7 +115,10 @@
 				}
 
 				case FrameKind.Heartbeat: {
-					channel.write([FrameKind.Heartbeat, 0, undefined]);
+					// What is still being sent shows the peer as well that this side lives.
+					if (channel.getSendBacklogBytes() <= maxBacklogOfHeartbeatBytes) {
+						channel.write([FrameKind.Heartbeat, 0, undefined]);
+					}
 
 					break;
 				}
--- a/packages/transport/src/read-gate.ts
+++ b/packages/transport/src/read-gate.ts
@@ -6,6 +6,8 @@
 	Pace = 'pace',
 	/** Whoever receives what is read takes nothing more. */
 	Backpressure = 'backpressure',
+	/** The requests before it have not been answered. */
+	RequestsAhead = 'requests_ahead',
 }
 
 /** Stops and resumes the reading from a connection, for several reasons at once. */
--- a/packages/transport/src/read-message.ts
+++ b/packages/transport/src/read-message.ts
@@ -11,10 +11,16 @@
 	}
 }
 
+/** The longest body that callers and instances send. */
+const maxExpectedBytes = 16_000_000;
+const longBytes = 524_288;
+
 export type MessageReadOptions = {
-	/** Decides from the number of bytes so far, with those that have just arrived, whether to go on. */
-	readonly canTake: (size: number) => boolean;
+	/** Decides from the number of bytes so far, with those that have just arrived, and from the memory before they are taken, whether to go on. */
+	readonly canTake: (size: number, memoryBytes: number) => boolean;
 	readonly signal?: AbortSignal;
+	/** Bytes at the most. A long body whose length is not announced takes the memory of the longest one at once, so that it is not copied again and again. */
+	readonly maxBytes?: number;
 };
 
 /**
@@ -26,8 +32,14 @@
 const body = await readMessage(request, {canTake: size => size <= 4_194_304});
 ```
 */
-export async function readMessage(message: IncomingMessage, {canTake, signal}: MessageReadOptions): Promise<Buffer | undefined> {
+export async function readMessage(message: IncomingMessage, {canTake, signal, maxBytes = 0}: MessageReadOptions): Promise<Buffer | undefined> {
 	const collector = createByteCollector();
+	const announcedBytes = Number(message.headers['content-length'] ?? 0);
+
+	if (announcedBytes <= maxExpectedBytes) {
+		collector.expect(announcedBytes);
+	}
+
 	const recordPiece = processReadPacer.open(message.socket);
 
 	return new Promise((resolve, reject) => {
@@ -43,7 +55,11 @@
 		const onData = (chunk: Buffer) => {
 			recordPiece();
 
-			if (canTake(collector.countBytes() + chunk.length)) {
+			if (canTake(collector.countBytes() + chunk.length, collector.countMemoryBytes())) {
+				if (maxBytes > 0 && announcedBytes === 0 && collector.countBytes() >= longBytes) {
+					collector.expect(maxBytes);
+				}
+
 				collector.push(chunk);
 			} else {
 				message.pause();
--- a/xo.config.js
+++ b/xo.config.js
@@ -30,7 +30,7 @@
 		files: [
 			'packages/gateway/src/**/*.ts',
 			'packages/runtime/src/**/*.ts',
-			'packages/transport/src/{byte-collector,event-collector,message-pack-bounds,link-frames,read-message,__tests__/unit/frames.test}.ts',
+			'packages/transport/src/{byte-collector,event-collector,message-pack-bounds,link-frames,read-message,request-bodies,__tests__/unit/frames.test}.ts',
 			'platform/src/**/*.ts',
 		],
 		rules: {
