--- a/packages/control/src/operator-server.ts
+++ b/packages/control/src/operator-server.ts
@@ -1,7 +1,7 @@
 import http from 'node:http';
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
 import {
-	limitRequestsAhead, openHttpListener, sendJson, type Address, type KeyRing,
+	admitRequests, openHttpListener, sendJson, type Address, type KeyRing,
 } from '@fescuestair/transport';
 import {createOperatorRouter, type OperatorBackend} from './operator-router.js';
 
@@ -19,7 +19,7 @@
 		router: createOperatorRouter(backend),
 		createContext: ({req}) => ({actor: getKeys().findOwner(req.headers.authorization) ?? ''}),
 	});
-	const server = http.createServer(limitRequestsAhead((request, response) => {
+	const server = http.createServer(admitRequests((request, response) => {
 		if (request.url === '/healthz') {
 			sendJson(response, 200, {status: 'alive'});
 		} else if (request.url === '/readyz') {
--- a/packages/entry/src/__tests__/unit/service-call.test.ts
+++ b/packages/entry/src/__tests__/unit/service-call.test.ts
@@ -15,11 +15,15 @@
 const body = '{"booked":"k","number":1}';
 
 /** Relays the answer of a service; resolves to all that a caller of the entry got, or to how the call ended. */
-async function relay(answer: Answer, method = 'GET'): Promise<string> {
+async function relay(answer: Answer, method = 'GET', upload = new Uint8Array()): Promise<string> {
 	const agent = new Agent({keepAlive: true});
 	const received = createReceivedEvents();
 	const service = await openHttpListener(http.createServer((request, response) => {
-		request.resume();
+		// One that answers a long upload early reads no more of it.
+		if (upload.length === 0) {
+			request.resume();
+		}
+
 		answer(response, received);
 	}), {host: '127.0.0.1', port: 0});
 	const entry = await openHttpListener(http.createServer(async (_request, response) => {
@@ -27,7 +31,7 @@
 			const result = await callService({
 				agent, address: `127.0.0.1:${service.port}`, timeoutMs: 60_000, onResponseHead: received.add,
 			}, {
-				method, path: '/', headers: {}, body: new Uint8Array(),
+				method, path: '/', headers: {}, body: upload,
 			});
 			sendServiceResponse(response, {...result, isReplay: false}, 'r-1');
 		} catch (error) {
@@ -107,3 +111,26 @@
 		}
 	}
 });
+
+const longUpload = new Uint8Array(8_000_000);
+
+// Guards against a part that is taken for a whole answer since it ended while the call was still being written.
+test('an early answer without a length that is reset during a long upload is not relayed', async t => {
+	for (const text of ['', body.slice(0, 4), body]) {
+		t.regex(await relay(async (response, received) => {
+			response.socket!.write(`HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n${text}`);
+			await received.waitFor(1);
+			response.socket!.resetAndDestroy();
+		}, 'POST', longUpload), new RegExp(String.raw`^HTTP/1\.1 502 .*${AttemptOutcome.ConnectionLost}`, 'sv'));
+	}
+});
+
+// Guards against a status that no caller can be given, after the call may have run.
+test('an answer with a status that is none is invalid', async t => {
+	for (const status of ['000', '099']) {
+		for (const upload of [new Uint8Array(), longUpload]) {
+			const text = `HTTP/1.1 ${status} Odd\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
+			t.regex(await relay(response => response.socket!.write(text), 'POST', upload), new RegExp(String.raw`^HTTP/1\.1 502 .*${AttemptOutcome.Invalid}`, 'sv'));
+		}
+	}
+});
--- a/packages/entry/src/caller-listener.ts
+++ b/packages/entry/src/caller-listener.ts
@@ -4,7 +4,7 @@
 import {RefusalCode, RefusalError} from '@fescuestair/protocol';
 import {listItems, ItemKind, type PublicState} from '@fescuestair/state';
 import {
-	createKeyRing, limitRequestsAhead, openHttpListener, registerClientErrors, registerIdleTimeouts, sendJson, sendRefusal, type Address, type KeyRing,
+	createKeyRing, admitRequests, openHttpListener, registerClientErrors, registerIdleTimeouts, sendJson, sendRefusal, type Address, type KeyRing,
 } from '@fescuestair/transport';
 import {handleCompletion} from './completions.js';
 import {handleService} from './services.js';
@@ -132,7 +132,7 @@
 		}
 	};
 
-	server.on('request', limitRequestsAhead((request, response) => {
+	server.on('request', admitRequests((request, response) => {
 		void handleRequest(request, response);
 	}));
 	registerIdleTimeouts(server);
--- a/packages/entry/src/service-call.ts
+++ b/packages/entry/src/service-call.ts
@@ -36,6 +36,7 @@
 const connectTimeoutMs = 1500;
 /** The longest answer of a service. */
 const maxAnswerBytes = 16_000_000;
+const minFinalStatus = 200;
 const statusesWithoutBody = new Set([204, 304]);
 const forwardedHeaders = ['content-type', 'accept', 'accept-language', headerNames.idempotencyKey];
 
@@ -142,6 +143,14 @@
 			});
 			request.on('response', response => {
 				onHeard?.();
+
+				// Node's client takes any three digits.
+				if ((response.statusCode ?? 0) < minFinalStatus) {
+					failInvalid(`an answer with status ${response.statusCode}`);
+
+					return;
+				}
+
 				onResponseHead(response.statusCode ?? 0, response.headers);
 				readResponse(response, {
 					resolve: finish, failConnection, failInvalid, onHeard, isUnframed: isUnframed(method, response.statusCode ?? 0, response.headers),
--- a/packages/entry/src/upstream-listener.ts
+++ b/packages/entry/src/upstream-listener.ts
@@ -4,7 +4,7 @@
 	announceSchema, requireParsed, parseJsonBody, ExecutionStatus, RefusalCode, RefusalError, type Refusal,
 } from '@fescuestair/protocol';
 import {
-	limitRequestsAhead, openHttpListener, readBody, sendJson, sendRefusal, type Address, type KeyRing,
+	admitRequests, openHttpListener, readBody, sendJson, sendRefusal, type Address, type KeyRing,
 } from '@fescuestair/transport';
 import {type Logger} from '@fescuestair/runtime';
 import {type UpstreamRegistry} from './upstream-registry.js';
@@ -52,7 +52,7 @@
 		}
 	};
 
-	const server = http.createServer(limitRequestsAhead((request, response) => {
+	const server = http.createServer(admitRequests((request, response) => {
 		void answer(request, response);
 	}));
 
--- a/packages/gateway/src/__tests__/unit/attempt.test.ts
+++ b/packages/gateway/src/__tests__/unit/attempt.test.ts
@@ -119,6 +119,29 @@
 	t.like(await upstream.send(), {end: AttemptCompletion.Incomplete, isConnectionLost: true});
 });
 
+// Guards against a part that is taken for a whole answer since it ended while the request was still being written, for buffered answers and streams alike.
+test('an early response to a long upload is incomplete when it is reset without a length, and none where its status is none', async t => {
+	const body = Buffer.alloc(8_000_000);
+
+	for (const onData of [undefined, () => true]) {
+		const options = {body, ...(onData !== undefined && {onData})};
+		const early = await openUpstream(t, socket => {
+			socket.pause();
+			socket.write(`${head(['Connection: close'])}part`, () => {
+				setTimeout(() => {
+					socket.resetAndDestroy();
+				}, 20);
+			});
+		});
+		t.like(await early.send(options), {end: AttemptCompletion.Incomplete, isConnectionLost: true});
+		const odd = await openUpstream(t, socket => {
+			socket.write('HTTP/1.1 000 Odd\r\nX-Id: r1\r\nContent-Length: 4\r\n\r\ngood');
+		});
+		t.like(await odd.send(options), {end: AttemptCompletion.Incomplete, head: undefined});
+		t.like(await odd.send({...options, body: Buffer.alloc(0)}), {end: AttemptCompletion.Incomplete, head: undefined});
+	}
+});
+
 test('a response shorter than its Content-Length is incomplete', async t => {
 	const upstream = await openUpstream(t, socket => {
 		socket.end(`${head(['Content-Length: 40'])}too short`);
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -3,7 +3,7 @@
 import {type Logger} from '@fescuestair/runtime';
 import {type CallerLimits} from '@fescuestair/traffic';
 import {
-	limitRequestsAhead, registerClientErrors, registerIdleTimeouts, waitForReads,
+	admitRequests, registerClientErrors, registerIdleTimeouts, waitForReads,
 } from '@fescuestair/transport';
 import {cancelResponse, sendLocalResponse} from './exchange.js';
 import {maxTimerMs} from './max-timer-ms.js';
@@ -66,7 +66,7 @@
 		},
 	});
 
-	server.on('request', limitRequestsAhead((request, response) => {
+	server.on('request', admitRequests((request, response) => {
 		// Its head was refused as late, or the answer before it closes the connection.
 		if (!request.socket.writable) {
 			log.info('a request is not handled, since its connection was ended before', {target: request.url});
--- a/packages/runtime/src/prometheus-metrics.ts
+++ b/packages/runtime/src/prometheus-metrics.ts
@@ -3,7 +3,7 @@
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
 import {
-	holdUnsent, limitRequestsAhead, openHttpListener, parseAddress, type HttpListener,
+	countUnsent, admitRequests, openHttpListener, parseAddress, type HttpListener,
 } from '@fescuestair/transport';
 
 /** Counters, gauges and histograms of a process, exposed in the Prometheus text format. */
@@ -117,7 +117,7 @@
 
 /** Opens an HTTP listener that serves the metrics at `path` and 404 elsewhere. */
 export async function openMetricsListener(metrics: PrometheusMetrics, {listen, path, onError = () => undefined}: MetricsListenerOptions): Promise<HttpListener> {
-	const server = http.createServer(limitRequestsAhead((request, response) => {
+	const server = http.createServer(admitRequests((request, response) => {
 		if (request.url !== path) {
 			response.writeHead(404).end();
 
@@ -128,7 +128,7 @@
 			try {
 				const text = await metrics.renderText();
 				response.writeHead(200, {'content-type': 'text/plain; version=0.0.4'}).end(text);
-				holdUnsent(response);
+				countUnsent(response);
 			} catch (error) {
 				onError(error);
 				response.writeHead(500).end();
--- a/packages/transport/src/limit-requests-ahead.ts
+++ b/packages/transport/src/admit-requests.ts
@@ -4,7 +4,7 @@
 import {type Holding} from './memory-budget.js';
 import {getReadGate, ReadHold} from './read-gate.js';
 
-export type RequestsAheadOptions = {
+export type AdmitRequestsOptions = {
 	readonly budget?: CallerBudget;
 	/** Requests of one connection that are handled at once; the next one waits until the first of them has been answered and its answer taken. */
 	readonly maxRunning?: number;
@@ -33,12 +33,12 @@
 
 @example
 ```
-server.on('request', limitRequestsAhead(handleRequest));
+server.on('request', admitRequests(handleRequest));
 ```
 */
-export function limitRequestsAhead(handle: RequestListener, {
+export function admitRequests(handle: RequestListener, {
 	budget = processCallerBudget, maxRunning = defaultMaxRunning, maxWaiting = defaultMaxWaiting,
-}: RequestsAheadOptions = {}): RequestListener {
+}: AdmitRequestsOptions = {}): RequestListener {
 	const connections = new WeakMap<Socket, Connection>();
 
 	const addConnection = (socket: Socket): Connection => {
@@ -54,7 +54,7 @@
 		getReadGate(socket).release(ReadHold.RequestsAhead);
 	};
 
-	const holdFields = ({socket, rawHeaders}: IncomingMessage, response: ServerResponse) => {
+	const countFields = ({socket, rawHeaders}: IncomingMessage, response: ServerResponse) => {
 		if (rawHeaders.length > maxUncountedFieldParts) {
 			const holding = budget.open(() => {
 				socket.destroy();
@@ -70,7 +70,7 @@
 		const {socket} = request;
 		connection.running++;
 		budget.connections.markBusy(socket, {request, response});
-		holdFields(request, response);
+		countFields(request, response);
 		response.once('close', () => {
 			connection.running--;
 			startNext(socket, connection);
--- a/packages/transport/src/hold-unsent.ts
+++ b/packages/transport/src/count-unsent.ts
@@ -7,10 +7,10 @@
 @example
 ```
 response.end(body);
-holdUnsent(response);
+countUnsent(response);
 ```
 */
-export function holdUnsent(response: ServerResponse, budget: Pick<CallerBudget, 'open'> = processCallerBudget): void {
+export function countUnsent(response: ServerResponse, budget: Pick<CallerBudget, 'open'> = processCallerBudget): void {
 	const bytes = response.writableLength;
 
 	if (bytes === 0 || response.closed) {
--- a/packages/transport/src/http.ts
+++ b/packages/transport/src/http.ts
@@ -4,7 +4,7 @@
 	formatRefusal, getRefusalStatus, headerNames, ExecutionStatus, RefusalCode, RefusalError, type Refusal,
 } from '@fescuestair/protocol';
 import {processCallerBudget} from './caller-budget.js';
-import {holdUnsent} from './hold-unsent.js';
+import {countUnsent} from './count-unsent.js';
 import {processReadPacer} from './read-pacer.js';
 import {BodyReadEnd, createRequestBodies, type BodyRefusal} from './request-bodies.js';
 
@@ -81,7 +81,7 @@
 	const body = Buffer.from(JSON.stringify(value));
 	response.writeHead(status, {'content-type': 'application/json', 'content-length': body.length, ...headers});
 	response.end(body);
-	holdUnsent(response);
+	countUnsent(response);
 }
 
 /**
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -36,8 +36,8 @@
 export {
 	BodyReadEnd, createRequestBodies, type BodyRead, type BodyRefusal, type RequestBodies, type RequestBodiesOptions,
 } from './request-bodies.js';
-export {limitRequestsAhead, type RequestsAheadOptions} from './limit-requests-ahead.js';
-export {holdUnsent} from './hold-unsent.js';
+export {admitRequests, type AdmitRequestsOptions} from './admit-requests.js';
+export {countUnsent} from './count-unsent.js';
 export {watchInterimResponses} from './interim-responses.js';
 export {
 	createEventCollector, eventDelimiters, maxDelimiterBytes, type EventCollector,
