--- a/packages/transport/src/__tests__/unit/admit-requests.test.ts
+++ b/packages/transport/src/__tests__/unit/admit-requests.test.ts
@@ -4,6 +4,7 @@
 import test, {type ExecutionContext} from 'ava';
 import {CallerEviction, createCallerBudget} from '../../caller-budget.js';
 import {admitRequests} from '../../admit-requests.js';
+import {countUnsent} from '../../count-unsent.js';
 
 const formatRequest = (path: string, body = '') => `POST ${path} HTTP/1.1\r\nHost: h\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
 
@@ -22,6 +23,7 @@
 
 		responses.push(() => {
 			response.end(`${request.url!}${body};`);
+			countUnsent(response, budget);
 		});
 	}, {budget, maxRunning: 2, maxWaiting: 20}));
 	server.on('connection', budget.connections.add);
@@ -83,3 +85,15 @@
 	t.is(budget.countBytes(), 0);
 	t.is(budget.listEvictions().get(CallerEviction.RequestsAhead), 1);
 });
+
+// Guards against room that is lost for good with a caller that leaves.
+test('an answer that waits behind another counts no longer once its caller has left', async t => {
+	const {budget, responses, socket} = await openServer(t);
+	socket.write(formatRequest('/0') + formatRequest('/1', 'a'.repeat(70_000)));
+	await waitUntil(() => responses.length === 2);
+	responses[1]!();
+	t.true(budget.countBytes() > 70_000);
+	socket.destroy();
+	await waitUntil(() => budget.countConnections() === 0);
+	t.is(budget.countBytes(), 0);
+});
--- a/packages/transport/src/admit-requests.ts
+++ b/packages/transport/src/admit-requests.ts
@@ -13,7 +13,7 @@
 };
 
 type Connection = {
-	running: number;
+	readonly running: Set<ServerResponse>;
 	readonly waiting: Array<readonly [IncomingMessage, ServerResponse]>;
 	/** The memory of the requests that wait; `undefined` where none does. */
 	holding: Holding | undefined;
@@ -42,8 +42,15 @@
 	const connections = new WeakMap<Socket, Connection>();
 
 	const addConnection = (socket: Socket): Connection => {
-		const connection: Connection = {running: 0, waiting: [], holding: undefined};
+		const connection: Connection = {running: new Set(), waiting: [], holding: undefined};
 		connections.set(socket, connection);
+		// Node tells the response that is being sent; those that wait behind it learn nothing.
+		socket.once('close', () => {
+			for (const response of [...connection.running].filter(one => one.socket === null)) {
+				response.destroy();
+				response.emit('close');
+			}
+		});
 
 		return connection;
 	};
@@ -68,11 +75,11 @@
 
 	const start = (connection: Connection, request: IncomingMessage, response: ServerResponse) => {
 		const {socket} = request;
-		connection.running++;
+		connection.running.add(response);
 		budget.connections.markBusy(socket, {request, response});
 		countFields(request, response);
 		response.once('close', () => {
-			connection.running--;
+			connection.running.delete(response);
 			startNext(socket, connection);
 		});
 
@@ -86,7 +93,7 @@
 			connection.waiting.length = 0;
 		}
 
-		const next = connection.running < maxRunning ? connection.waiting.shift() : undefined;
+		const next = connection.running.size < maxRunning ? connection.waiting.shift() : undefined;
 
 		if (connection.waiting.length === 0 && connection.holding !== undefined) {
 			stopWaiting(socket, connection);
@@ -95,7 +102,7 @@
 		if (next !== undefined) {
 			connection.holding?.resize(sumWaitingBytes(connection));
 			start(connection, ...next);
-		} else if (connection.running === 0) {
+		} else if (connection.running.size === 0) {
 			budget.connections.markIdle(socket);
 		}
 	};
@@ -137,7 +144,7 @@
 
 		const connection = connections.get(socket) ?? addConnection(socket);
 
-		if (connection.running < maxRunning && connection.waiting.length === 0) {
+		if (connection.running.size < maxRunning && connection.waiting.length === 0) {
 			start(connection, request, response);
 		} else {
 			wait(connection, request, response);
