Let answers that callers do not take give way before those that are being read

Answers that a gateway buffers gave way by size alone, the first of the largest. Now a slow one gives way first, then the largest, and of several the latest.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -20,7 +20,7 @@
 	buildRouteTable, type RouteTable, type TrafficConfig,
 } from '@fescuestair/traffic';
 import {
-	createLinks, createMemoryBudget, createRequestBodies, openHttpListener, parseAddress, pickLargest, processCallerBudget, processReadPacer, type CallerBudget,
+	createLinks, createMemoryBudget, createRequestBodies, openHttpListener, parseAddress, pickSlowestOrLargest, processCallerBudget, processReadPacer, type CallerBudget,
 } from '@fescuestair/transport';
 import {type CallerCodec, type UpstreamCodec} from './codecs.js';
 import {type FetchIncarnation} from './check-run-origin.js';
@@ -284,7 +284,7 @@
 		isLeaving: () => isLeaving,
 		waiting: new Map(),
 		countGateways,
-		answerMemory: createMemoryBudget({maxBytes: maxBufferedAnswerBytes, pickVictim: pickLargest}),
+		answerMemory: createMemoryBudget({maxBytes: maxBufferedAnswerBytes, pickVictim: pickSlowestOrLargest}),
 	};
 
 	const depositRequest = (service: string) => {
--- a/packages/transport/src/__tests__/unit/caller-budget.test.ts
+++ b/packages/transport/src/__tests__/unit/caller-budget.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import {CallerEviction, createCallerBudget} from '../../caller-budget.js';
 import {pickConnectionToClose, type LatestExchange} from '../../connection-limit.js';
-import {createMemoryBudget, pickSlowest} from '../../memory-budget.js';
+import {createMemoryBudget, pickSlowest, pickSlowestOrLargest} from '../../memory-budget.js';
 
 const mebibyte = 1_048_576;
 
@@ -40,6 +40,16 @@
 	t.true(slow.resize(mebibyte));
 });
 
+// Replays callers that take no answers, beside others and an answer without end.
+test('answers that are not taken give way first, and else the latest of the largest', t => {
+	const candidates = [['not taken', 2, 0], ['small', 0.01, 0], ['large', 2, 1500], ['latest large', 2, 1600], ['latest', 1, 1700]].map(([name, size, advancedAtMs]) => ({
+		name: name as string, bytes: (size as number) * mebibyte, advancedAtMs: advancedAtMs as number,
+	}));
+	t.is(pickSlowestOrLargest(candidates, 2000)?.name, 'not taken');
+	t.is(pickSlowestOrLargest(candidates.slice(1), 2000)?.name, 'latest large');
+	t.is(pickSlowest(candidates.slice(1), 2000)?.name, 'latest');
+});
+
 const whole: LatestExchange = {request: {complete: true}, response: {writableEnded: false}};
 const untaken: LatestExchange = {request: {complete: true}, response: {writableEnded: true}};
 const incomplete: LatestExchange = {request: {complete: false}, response: {writableEnded: false}};
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -25,7 +25,7 @@
 } from './read-pacer.js';
 export {IncompleteMessageError, readMessage, type MessageReadOptions} from './read-message.js';
 export {
-	createMemoryBudget, pickLargest, pickSlowest, type EvictionCandidate, type Holding, type MemoryBudget, type MemoryBudgetOptions, type VictimPicker,
+	createMemoryBudget, pickLargest, pickSlowest, pickSlowestOrLargest, type EvictionCandidate, type Holding, type MemoryBudget, type MemoryBudgetOptions, type VictimPicker,
 } from './memory-budget.js';
 export {
 	createConnectionLimit, pickConnectionToClose, type ConnectionLimit, type ConnectionLimitOptions, type LatestExchange, type OpenConnections,
--- a/packages/transport/src/memory-budget.ts
+++ b/packages/transport/src/memory-budget.ts
@@ -47,12 +47,12 @@
 /** Nothing is gained where less gives way. */
 const minVictimBytes = 65_536;
 
-/** Picks the candidate with the most bytes, so that what does not end takes no memory from others. */
+/** Picks the candidate with the most bytes, so that what does not end takes no memory from others; of several, the one that was opened last. */
 export function pickLargest<Candidate extends EvictionCandidate>(candidates: readonly Candidate[]): Candidate | undefined {
 	let largest: Candidate | undefined;
 
 	for (const candidate of candidates) {
-		if (candidate.bytes > (largest?.bytes ?? 0)) {
+		if (candidate.bytes >= (largest?.bytes ?? 0)) {
 			largest = candidate;
 		}
 	}
@@ -67,22 +67,30 @@
 Load pattern: callers that stop short of the end of large bodies, or take no answers, beside others that send and read as fast as they can.
 */
 export function pickSlowest<Candidate extends EvictionCandidate>(candidates: readonly Candidate[], nowMs: number): Candidate | undefined {
+	return findSlowest(candidates, nowMs) ?? candidates.findLast(candidate => candidate.bytes >= minVictimBytes) ?? candidates.at(-1);
+}
+
+/**
+Picks the candidate that has not come on for the longest time. Where none is slow, picks the largest.
+
+Load pattern: answers that callers do not take, beside answers of instances that do not end.
+*/
+export function pickSlowestOrLargest<Candidate extends EvictionCandidate>(candidates: readonly Candidate[], nowMs: number): Candidate | undefined {
+	return findSlowest(candidates, nowMs) ?? pickLargest(candidates);
+}
+
+function findSlowest<Candidate extends EvictionCandidate>(candidates: readonly Candidate[], nowMs: number): Candidate | undefined {
 	let slowest: Candidate | undefined;
-	let latest: Candidate | undefined;
 
 	for (const candidate of candidates) {
-		if (candidate.bytes < minVictimBytes) {
-			continue;
-		}
-
-		latest = candidate;
+		const isSlow = candidate.bytes >= minVictimBytes && nowMs - candidate.advancedAtMs >= slowAfterMs;
 
-		if (nowMs - candidate.advancedAtMs >= slowAfterMs && candidate.advancedAtMs < (slowest?.advancedAtMs ?? Number.POSITIVE_INFINITY)) {
+		if (isSlow && candidate.advancedAtMs < (slowest?.advancedAtMs ?? Number.POSITIVE_INFINITY)) {
 			slowest = candidate;
 		}
 	}
 
-	return slowest ?? latest ?? candidates.at(-1);
+	return slowest;
 }
 
 /**
