Spread requests evenly where many gateways choose at the same moment, and use the pace that instances report

Callers saw: instances overrun in turns while others idle.

Gateways that stood still added a second's work of others as if it were new, and all sent to the few instances without any. The pace that instances report was not used.

Change: where other gateways are known, a gateway picks by a draw among the instances that the requests which it cannot see would raise to one level. An instance that reads more of the prompt again, is cold or lacks memory is none of these. Messages that arrived while the process stood still are passed over. The pace of an instance delays the estimate, with a weight that falls with age, and is told to the other gateways with the next message of work.

Existing fakes of two tests had to be completed: choose-place (countGateways of ForwardOptions was missing) and load-exchange (two new functions of the pool). No assertion was changed.

--- a/packages/bench/src/benchmarks.ts
+++ b/packages/bench/src/benchmarks.ts
@@ -5,6 +5,7 @@
 import {membershipBenchmark, membershipLargeBenchmark, membershipLoadsBenchmark} from './membership.js';
 import {originsBenchmark} from './origins.js';
 import {pathBenchmark} from './path.js';
+import {placementBenchmark} from './placement.js';
 import {routingBenchmark, routingFullBenchmark} from './routing.js';
 import {stateBenchmark} from './state.js';
 import {storesBenchmark} from './stores.js';
@@ -23,4 +24,5 @@
 	routingFullBenchmark,
 	capacityBenchmark,
 	originsBenchmark,
+	placementBenchmark,
 ];
--- a/packages/coordinator/src/load-relay-host.ts
+++ b/packages/coordinator/src/load-relay-host.ts
@@ -78,7 +78,7 @@
 	const unregister = commands.registerCommand(LinkMessageKind.Loads, isObjectWith({from: isName, loads: isLoadUpdate, isRelayed: isBoolean}), ({from, loads, isRelayed}) => {
 		const input = {note: loads, nowMs: clock.readMonotonicMs()};
 		relay = isRelayed ? addRelayUpdate(relay, from, input) : addGatewayUpdate(relay, from, input);
-		schedule(loads.work.length > 0 ? relayDelayMs : Math.max(relayDelayMs, relay.sharesDueMs - input.nowMs));
+		schedule(loads.work.length > 0 || loads.paces !== undefined ? relayDelayMs : Math.max(relayDelayMs, relay.sharesDueMs - input.nowMs));
 
 		return true;
 	});
--- a/packages/gateway/src/__tests__/unit/choose-place.test.ts
+++ b/packages/gateway/src/__tests__/unit/choose-place.test.ts
@@ -29,7 +29,7 @@
 });
 
 // Creates a gateway with two engines, on versions 1 and 2 of the weights; the test supplies the judgement of each version.
-const openGateway = (t: ExecutionContext, classifyWeights: ForwardOptions['classifyWeights']) => {
+const openGateway = (t: ExecutionContext, classifyWeights: ForwardOptions['classifyWeights'], gateways = 1) => {
 	const clock = createSystemClock();
 	const log = createLogger({instance: 'test', isTerminal: false, writeLine: () => true});
 	const instancePool = createInstancePool({
@@ -45,7 +45,7 @@
 			getView: () => createPartsView(), pollHome: () => undefined, recordUse: () => undefined, recordSave: () => undefined, countPendingTokens: () => 0,
 			isBeingSaved: () => false, stop: () => undefined,
 		},
-		getTable: () => ({stores: []}), listTargetModels: () => ['guide'],
+		getTable: () => ({stores: []}), listTargetModels: () => ['guide'], countGateways: () => gateways,
 		findNewerTarget: (model: string, version: number | undefined) => classifyWeights(model, version, Number.POSITIVE_INFINITY) === WeightsUse.Current ? undefined : {},
 	} as unknown as ForwardOptions;
 
@@ -131,3 +131,11 @@
 	t.deepEqual([...new Set(partIds.map(id => choose(id, isolated)?.entry.held.record.id))], ['i-2']);
 	t.is(new Set(partIds.map(id => choose(id)?.entry.held.record.id)).size, 2);
 });
+
+test('equal instances share the requests where other gateways choose too; alone, a gateway takes the first', t => {
+	for (const [gateways, expected] of [[1, 1], [3, 2]] as const) {
+		const {choose} = openGateway(t, () => WeightsUse.Current, gateways);
+		const chosen = new Set(Array.from({length: 60}, () => choose()?.entry.held.record.id));
+		t.is(chosen.size, expected);
+	}
+});
--- a/packages/gateway/src/__tests__/unit/instance-pool.test.ts
+++ b/packages/gateway/src/__tests__/unit/instance-pool.test.ts
@@ -275,3 +275,59 @@
 
 	t.deepEqual(listAvailable(), ['i-0']);
 });
+
+test('what others sent while this process stood still is not added as if it were new', t => {
+	const {pool, clock, check} = openPool(t, 2);
+	const getBusyMs = () => pool.get('i-1')!.load.work.busyUntilMs - clock.readMonotonicMs();
+	pool.begin(pool.get('i-0')!, createRequest());
+	clock.advance(100);
+	check();
+	pool.addPeerWork([['i-1', 200, 0]]);
+	t.is(getBusyMs(), 200);
+	t.is(pool.measureViewAgeMs(), 0);
+	const unseenBefore = pool.estimateUnseenRequests('app', 9);
+	clock.advance(1000);
+	check();
+	pool.addPeerWork([['i-1', 900, 0]]);
+	pool.recordPeerPaces([['i-1', 2.5]]);
+	t.is(getBusyMs(), -800);
+	t.is(pool.get('i-1')!.load.pace, undefined);
+	t.is(pool.measureViewAgeMs(), 1000);
+	t.true(pool.estimateUnseenRequests('app', 9) > 10 * unseenBefore);
+	clock.advance(100);
+	check();
+	pool.addPeerWork([['i-1', 300, 0]]);
+	t.is(getBusyMs(), 300);
+});
+
+test('other gateways are told that an instance is slow, and that it is no longer; what it told here is newer than what it told them', t => {
+	const {pool, clock} = openPool(t, 2);
+	const report = (slowdown?: number) => {
+		pool.recordLoad(pool.get('i-0')!, {
+			running: 1, waiting: 0, slots: 6, slowdown,
+		});
+
+		return pool.takeUnsentPaces();
+	};
+
+	t.deepEqual(report(1), []);
+	t.deepEqual(report(2.5), [['i-0', 2.5]]);
+	t.deepEqual(pool.takeUnsentPaces(), []);
+	t.deepEqual(report(), []);
+	t.is(pool.get('i-0')!.load.pace?.slowdown, 2.5);
+	t.deepEqual(report(1), [['i-0', 1]]);
+	pool.recordPeerPaces([['i-0', 2.5], ['i-1', 2.5], ['unknown', 2.5]]);
+	t.is(pool.get('i-0')!.load.pace?.slowdown, 1);
+	t.is(pool.get('i-1')!.load.pace?.slowdown, 2.5);
+	clock.advance(100);
+	pool.recordPeerPaces([['i-0', 2.5]]);
+	t.is(pool.get('i-0')!.load.pace?.slowdown, 2.5);
+});
+
+test('the spread of a service is that of the requests of all gateways', t => {
+	const {pool} = openPool(t, 4);
+	t.deepEqual(pool.computeSpreads(), [['app', 1]]);
+	pool.begin(pool.get('i-0')!, createRequest());
+	pool.setPeerLoads(new Map([['i-0', {requests: 2, heldTokens: 0}], ['i-1', {requests: 3, heldTokens: 0}]]));
+	t.deepEqual(pool.computeSpreads(), [['app', 2]]);
+});
--- a/packages/gateway/src/__tests__/unit/load-exchange.test.ts
+++ b/packages/gateway/src/__tests__/unit/load-exchange.test.ts
@@ -6,7 +6,8 @@
 
 const openExchange = (t: ExecutionContext) => {
 	const clock = createSystemClock();
-	const local = {own: 0, unsentWorkMs: 0};
+	const local = {own: 0, unsentWorkMs: 0, unsentPaces: [] as Array<readonly [string, number]>};
+	const peerPaces: unknown[] = [];
 	const peers: Array<ReadonlyMap<string, unknown>> = [];
 	const peerWork: unknown[] = [];
 	const sent: Array<{readonly address: string; readonly loads: LoadUpdate}> = [];
@@ -34,6 +35,10 @@
 			addPeerWork(work) {
 				peerWork.push(...work);
 			},
+			takeUnsentPaces: () => local.unsentPaces.splice(0),
+			recordPeerPaces(paces) {
+				peerPaces.push(...paces);
+			},
 		},
 	});
 	t.teardown(() => {
@@ -47,7 +52,7 @@
 	};
 
 	return {
-		local, clock, home, peers, peerWork, sent, share, waitFor,
+		local, clock, home, peers, peerWork, peerPaces, sent, share, waitFor,
 	};
 };
 
@@ -105,3 +110,14 @@
 	share.clearLoadsAt('before');
 	t.deepEqual(sent, [{address: 'before', loads: {shares: [], work: []}}]);
 });
+
+test('the pace of instances goes with the next message, and that of the home is applied', async t => {
+	const {local, peerPaces, sent, share, waitFor} = openExchange(t);
+	local.unsentPaces.push(['i-1', 2.5]);
+	share.recordWorkChange(0);
+	await waitFor(() => sent.length > 0);
+	t.deepEqual(sent[0]?.loads.paces, [['i-1', 2.5]]);
+	share.applyPeerLoads('home', {work: [], paces: [['i-2', 3]]});
+	share.applyPeerLoads('elsewhere', {work: [], paces: [['i-3', 3]]});
+	t.deepEqual(peerPaces, [['i-2', 3]]);
+});
--- a/packages/gateway/src/choose-place.ts
+++ b/packages/gateway/src/choose-place.ts
@@ -1,5 +1,5 @@
 import {
-	computeWaitMs, type InstanceOption, type Placement, type PromptPart, type PromptSize,
+	computeWaitMs, type InstanceOption, type LevelInput, type Placement, type PromptPart, type PromptSize,
 } from '@fescuestair/routing';
 import {maxReservationMs} from '@fescuestair/limits';
 import {
@@ -32,7 +32,7 @@
 	const openEntries = listOpenEntries(options, {service, progress});
 
 	return service.engine === undefined || prompt === undefined
-		? choosePlainInstance(options, service.engine === undefined ? openEntries : openEntries.filter(entry => !hasBarredWeights(options, entry)))
+		? choosePlainInstance(options, service.name, service.engine === undefined ? openEntries : openEntries.filter(entry => !hasBarredWeights(options, entry)))
 		: chooseEngineInstance(options, exchange, {service, openEntries, prompt});
 }
 
@@ -57,10 +57,12 @@
 	return instancePool.listLimited(service.name).filter(entry => isOpen(entry) && permits.getClosedUntilMs(entry.held.record) <= horizonMs);
 }
 
-function choosePlainInstance({instancePool, clock, availabilityZone, chooseInstance}: ForwardOptions, openEntries: readonly PooledInstance[]): InstanceChoice | undefined {
+function choosePlainInstance(options: ForwardOptions, service: string, openEntries: readonly PooledInstance[]): InstanceChoice | undefined {
+	const {instancePool, clock, availabilityZone, chooseInstance} = options;
 	const nowMs = clock.readMonotonicMs();
 	const placement = chooseInstance({
 		options: openEntries.map(entry => describeInstanceOption(entry, {nowMs, prompt: undefined, isOutdated: false})), nowMs, availabilityZone, prompt: undefined,
+		crowd: describeCrowd(options, service),
 	});
 
 	return placement && {
@@ -117,7 +119,7 @@
 	}
 
 	const placement = chooseInstance({
-		options: candidates, nowMs, availabilityZone, prompt: describePromptSize(exchange, {service, prefillTokensPerMs}),
+		options: candidates, nowMs, availabilityZone, prompt: describePromptSize(exchange, {service, prefillTokensPerMs}), crowd: describeCrowd(options, service.name),
 	});
 
 	if (placement === undefined) {
@@ -132,6 +134,13 @@
 	};
 }
 
+// The other gateways choose among the same instances, on much the same view of their load.
+function describeCrowd({instancePool, countGateways}: ForwardOptions, service: string): LevelInput | undefined {
+	const otherGateways = countGateways() - 1;
+
+	return otherGateways > 0 ? {draw: Math.random(), unseenRequests: instancePool.estimateUnseenRequests(service, otherGateways)} : undefined;
+}
+
 /** Whether the weights of the chosen instance have become too old since it was chosen, as during the wait for a permit. */
 export function hasBecomeBarred(options: ForwardOptions, {caller: {prompt}}: Exchange, {entry}: InstanceChoice): boolean {
 	return prompt !== undefined && options.classifyWeights(prompt.model, findVersion(entry, prompt.model)) === WeightsUse.Barred;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -318,6 +318,8 @@
 	metrics.registerGauge('instances_limited', 'Instances that name a limit of requests', requestLimits.countLimited);
 	metrics.registerGauge('traits_held_back', 'Prompt parts and requests that are held back because instances crashed under them', crashDetector.countHeldBack);
 	metrics.registerGauge('stream_origins_unproven', 'Streams that may have been begun by other software than their instances had announced', unprovenOrigins.count);
+	metrics.registerGauge('placement_view_age_ms', 'Time for which nothing was heard of the requests that other gateways send', instancePool.measureViewAgeMs);
+	metrics.registerLabelledGauge('placement_spread', 'Requests in flight at the busiest instance of a service, as a multiple of the mean', {label: 'service', read: instancePool.computeSpreads});
 	metrics.registerGauge('gateways_known', 'Gateways that coordinators heard lately', countGateways);
 	metrics.registerGauge('parts_known', 'Stored parts that requests may fetch', () => partsClient.getView().locations.size);
 
--- a/packages/gateway/src/instance-pool.ts
+++ b/packages/gateway/src/instance-pool.ts
@@ -1,10 +1,11 @@
 import {startInterval, type Clock} from '@fescuestair/core';
 import {
-	InstanceStage, type InstanceRecord, type InstanceRegistry, type InstanceShare, type WorkDelta,
+	InstanceStage, type InstanceRecord, type InstanceRegistry, type InstanceShare, maxSlowdown, type PaceNote, type WorkDelta,
 } from '@fescuestair/instances';
 import {
-	addWork, applyInstanceEvent, canSendTo, classifyInstance, computeCorrectionMs, computeWaitMs, correctBacklog, estimateWork, HealthEvent, isOverdue, isValidBackoff,
-	computeMovingAverage, endPause, noPeerLoad, recordFirstOutput, startPause, resetBacklog, InstanceStatus, InstanceEventKind, type PeerLoad, type InstanceEvent,
+	addWork, applyInstanceEvent, canSendTo, classifyInstance, computeCorrectionMs, computeLoadSpread, computeWaitMs, correctBacklog, createDispatchRate, estimateUnseenRequests,
+	estimateWork, HealthEvent, isOverdue, isValidBackoff, computeMovingAverage, endPause, noPeerLoad, recordDispatch, recordFirstOutput, startPause, resetBacklog,
+	InstanceStatus, InstanceEventKind, type DispatchRate, type PeerLoad, type InstanceEvent, type LoadReport,
 } from '@fescuestair/routing';
 import {type Logger, type PrometheusMetrics} from '@fescuestair/runtime';
 import {
@@ -28,6 +29,9 @@
 	readonly repeat?: (callback: () => void, intervalMs: number) => () => void;
 };
 
+/** Load that an instance reported just now. */
+export type ReportedLoad = Pick<LoadReport, 'running' | 'waiting' | 'slots'> & {readonly slowdown?: number | undefined};
+
 export type InstanceFilter = (instance: PooledInstance) => boolean;
 
 export type InstancePool = {
@@ -64,7 +68,19 @@
 	readonly listShares: () => readonly InstanceShare[];
 	/** Returns the work that has not been sent to the other gateways yet, and resets it. */
 	readonly takeUnsentWork: () => readonly WorkDelta[];
+	/** Returns the paces that have not been sent to the other gateways yet, and resets them. */
+	readonly takeUnsentPaces: () => readonly PaceNote[];
+	/** Records the pace of instances as they told it to other gateways a moment ago. */
+	readonly recordPeerPaces: (paces: readonly PaceNote[]) => void;
 	readonly addPeerWork: (shares: readonly WorkDelta[]) => void;
+	/** Records the load that an instance reports with a response, and its pace where it tells that. */
+	readonly recordLoad: (instance: PooledInstance, load: ReportedLoad) => void;
+	/** Estimates the requests of that many other gateways to a service that this one does not know of yet. */
+	readonly estimateUnseenRequests: (service: string, otherGateways: number) => number;
+	/** Measures for how long nothing was heard of the requests of other gateways. */
+	readonly measureViewAgeMs: () => number;
+	/** Computes for each service with requests in flight how many of them the busiest instance has, as a multiple of the mean. */
+	readonly computeSpreads: () => ReadonlyArray<readonly [service: string, busiestToMean: number]>;
 	/** Prefill rate of the engines of a service in prompt tokens per ms, estimated from their response times. */
 	readonly getPrefillTokensPerMs: (service: string) => number;
 	/** Replaces the in-flight load that the other gateways report. */
@@ -79,6 +95,12 @@
 const checkIntervalMs = 100;
 /** A check that is later than this shows that the process stood still. Later than on a busy machine, where silence has to be noticed too. */
 const stallMs = 500;
+/** An instance that is slower by this factor delays callers; the other gateways are told, and when it is over. */
+const minSlowPace = 1.25;
+/** Time that a pace takes from one gateway to the others: what an instance told here later is newer. */
+const paceRelayMs = 30;
+/** Time in which a process that stood still reads what had arrived meanwhile. */
+const oldMessagesMs = 50;
 /** Peers report their in-flight requests later than their work: an instance counts as idle only if no work was reported for this long. */
 const peerWorkGraceMs = 1500;
 /** Only prompts with at least this much estimated prefill time are checked for being overdue. */
@@ -103,6 +125,8 @@
 	/** Index of the instances by service: each request chooses among those of one. */
 	let byService = new Map<string, readonly PooledInstance[]>();
 	const prefillRates = createPrefillRates();
+	const dispatchRates = new Map<string, DispatchRate>();
+	let heardPeersAtMs = clock.readMonotonicMs();
 	let inFlightCount = 0;
 	let nextCheckMs = Number.POSITIVE_INFINITY;
 	/** End of the latest time in which this process stood still, and read nothing. */
@@ -144,6 +168,10 @@
 		return readingSinceMs === undefined ? 0 : clock.readMonotonicMs() - Math.max(readingSinceMs, standing.answeredAtMs, stallEndedMs);
 	};
 
+	// Instances have done most of the work that others sent while this process stood still. Added as if it were new, it would leave only those
+	// instances idle that nobody had chosen, and all who stood still would send to these.
+	const isReadingOld = () => clock.readMonotonicMs() - stallEndedMs < oldMessagesMs;
+
 	const isSilent = (instance: PooledInstance, request: InFlightRequest) => measureSilenceMs(instance, request) >= request.silenceTimeoutMs;
 
 	// Requests that are kept at a silent instance do not stand in the way of a trial.
@@ -313,7 +341,9 @@
 		begin(instance, request) {
 			const nowMs = clock.readMonotonicMs();
 			const wasIdle = computeWaitMs(instance.load.work, nowMs) === 0;
+			const {service} = instance.held.record;
 			inFlightCount++;
+			dispatchRates.set(service, recordDispatch(dispatchRates.get(service) ?? createDispatchRate(), nowMs));
 
 			if (endChecks === undefined) {
 				nextCheckMs = nowMs + checkIntervalMs;
@@ -426,6 +456,12 @@
 			return unsent;
 		},
 		addPeerWork(shares) {
+			if (isReadingOld()) {
+				return;
+			}
+
+			heardPeersAtMs = clock.readMonotonicMs();
+
 			for (const [id, workMs, correctionMs] of shares) {
 				const instance = instances.get(id);
 
@@ -436,9 +472,50 @@
 				}
 			}
 		},
+		recordLoad(instance, {slowdown, ...report}) {
+			const nowMs = clock.readMonotonicMs();
+			const known = instance.load.pace?.slowdown ?? 1;
+			instance.load = {
+				...instance.load, report: {...report, atMs: nowMs, ownAtReport: instance.load.own}, ...(slowdown !== undefined && {pace: {slowdown, atMs: nowMs}}),
+			};
+
+			if (slowdown !== undefined && Math.max(slowdown, known) >= minSlowPace) {
+				instance.unsentPace = Math.min(maxSlowdown, slowdown);
+				onWorkChange(0);
+			}
+		},
+		takeUnsentPaces() {
+			const unsent: PaceNote[] = [];
+
+			for (const [id, instance] of instances) {
+				if (instance.unsentPace !== undefined) {
+					unsent.push([id, instance.unsentPace]);
+					instance.unsentPace = undefined;
+				}
+			}
+
+			return unsent;
+		},
+		recordPeerPaces(paces) {
+			const nowMs = clock.readMonotonicMs();
+
+			for (const [id, slowdown] of isReadingOld() ? [] : paces) {
+				const instance = instances.get(id);
+
+				if (instance !== undefined && nowMs - (instance.load.pace?.atMs ?? Number.NEGATIVE_INFINITY) >= paceRelayMs) {
+					instance.load = {...instance.load, pace: {slowdown, atMs: nowMs}};
+				}
+			}
+		},
+		estimateUnseenRequests: (service, otherGateways) => estimateUnseenRequests({
+			rate: dispatchRates.get(service) ?? createDispatchRate(), otherGateways, heardAtMs: heardPeersAtMs, nowMs: clock.readMonotonicMs(),
+		}),
+		measureViewAgeMs: () => clock.readMonotonicMs() - heardPeersAtMs,
+		computeSpreads: () => [...byService].map(([service, list]) => [service, computeLoadSpread(list.map(({load}) => load))]),
 		getPrefillTokensPerMs: prefillRates.get,
 		setPeerLoads(peers) {
 			const nowMs = clock.readMonotonicMs();
+			heardPeersAtMs = isReadingOld() ? heardPeersAtMs : nowMs;
 
 			for (const [id, instance] of instances) {
 				const peerLoad = peers.get(id) ?? noPeerLoad;
--- a/packages/gateway/src/load-exchange.ts
+++ b/packages/gateway/src/load-exchange.ts
@@ -8,7 +8,7 @@
 	readonly linkAddress: string;
 	readonly links: Pick<Links, 'send'>;
 	readonly clock: Clock;
-	readonly instancePool: Pick<InstancePool, 'addPeerWork' | 'listShares' | 'setPeerLoads' | 'takeUnsentWork'>;
+	readonly instancePool: Pick<InstancePool, 'addPeerWork' | 'listShares' | 'recordPeerPaces' | 'setPeerLoads' | 'takeUnsentPaces' | 'takeUnsentWork'>;
 	/** Link address of the primary home, which relays updates to the other gateways. */
 	readonly getHome: () => string | undefined;
 };
@@ -65,8 +65,9 @@
 		timerDueMs = Number.POSITIVE_INFINITY;
 		const nowMs = clock.readMonotonicMs();
 		const isDue = nowMs >= sharesDueMs - timerSlackMs;
-		const note: LoadUpdate = {work: instancePool.takeUnsentWork(), ...(isDue && {shares: instancePool.listShares()})};
-		const hasNothing = note.work.length === 0 && (note.shares ?? []).length === 0;
+		const paces = instancePool.takeUnsentPaces();
+		const note: LoadUpdate = {work: instancePool.takeUnsentWork(), ...(isDue && {shares: instancePool.listShares()}), ...(paces.length > 0 && {paces})};
+		const hasNothing = note.work.length === 0 && paces.length === 0 && (note.shares ?? []).length === 0;
 		unsentWorkMs = 0;
 		lastSentAtMs = nowMs;
 
@@ -94,13 +95,14 @@
 	};
 
 	return {
-		applyPeerLoads(from, {shares, work}) {
+		applyPeerLoads(from, {shares, work, paces = []}) {
 			// A former home may go on sending for a moment.
 			if (from !== getHome()) {
 				return;
 			}
 
 			instancePool.addPeerWork(work);
+			instancePool.recordPeerPaces(paces);
 
 			if (shares !== undefined) {
 				lastHeardAtMs = clock.readMonotonicMs();
--- a/packages/gateway/src/pooled-instance.ts
+++ b/packages/gateway/src/pooled-instance.ts
@@ -45,6 +45,8 @@
 	/** Work added, and corrections made, since the last message to the other gateways. */
 	unsentWorkMs: number;
 	unsentCorrectionMs: number;
+	/** Pace that the instance told since the last message, where the other gateways have to know it. */
+	unsentPace: number | undefined;
 	/** When another gateway last reported work at this instance. */
 	lastPeerWorkAtMs: number;
 };
@@ -76,6 +78,7 @@
 		silentRequests: new Set(),
 		unsentWorkMs: 0,
 		unsentCorrectionMs: 0,
+		unsentPace: undefined,
 		lastPeerWorkAtMs: Number.NEGATIVE_INFINITY,
 	};
 }
--- a/packages/gateway/src/start-run.ts
+++ b/packages/gateway/src/start-run.ts
@@ -214,7 +214,7 @@
 			}
 
 			if (answer.load !== undefined) {
-				entry.load = {...entry.load, report: {...answer.load, atMs: clock.readMonotonicMs(), ownAtReport: entry.load.own}};
+				instancePool.recordLoad(entry, answer.load);
 			}
 
 			if (answer.isLeaving) {
--- a/packages/instances/src/__tests__/unit/load-relay.test.ts
+++ b/packages/instances/src/__tests__/unit/load-relay.test.ts
@@ -150,3 +150,17 @@
 	t.deepEqual(fleet.messageCounts, messageCounts);
 	t.false(hasPendingLoad(fleet.relays[0]!));
 });
+
+test('the newest pace of an instance reaches the gateways of all relays once', t => {
+	const note = (slowdown: number): LoadUpdate => ({work: [], paces: [['i-1', slowdown]]});
+	const first = addGatewayUpdate(addGatewayUpdate(createLoadRelay(), 'g0', {note: note(2.5), nowMs: 0}), 'g1', {note: note(1), nowMs: 1});
+	t.true(hasPendingLoad(first));
+	const round = relayLoads(first, {gateways: ['g0', 'g1'], nowMs: 15});
+	t.deepEqual(round.toRelays?.paces, [['i-1', 1]]);
+	t.deepEqual(round.toGateways.map(([, {paces}]) => paces), [[['i-1', 1]], [['i-1', 1]]]);
+	const second = addRelayUpdate(createLoadRelay(), 'r0', {note: round.toRelays!, nowMs: 16});
+	const relayed = relayLoads(second, {gateways: ['g2'], nowMs: 30});
+	t.deepEqual(relayed.toGateways.map(([, {paces}]) => paces), [[['i-1', 1]]]);
+	t.is(relayed.toRelays?.paces, undefined);
+	t.deepEqual(relayLoads(relayed.relay, {gateways: ['g2'], nowMs: 45}).toGateways, []);
+});
--- a/packages/instances/src/index.ts
+++ b/packages/instances/src/index.ts
@@ -18,13 +18,13 @@
 export {isLeaving} from './is-leaving.js';
 export {pickHomes, pickRecordKeepers, type HomeCandidate} from './pick-homes.js';
 export {
-	sumShares, sumWork, type InstanceShare, type LoadUpdate, type WorkDelta,
+	sumShares, sumWork, type InstanceShare, type LoadUpdate, type PaceNote, type WorkDelta,
 } from './load-update.js';
 export {
 	createLoadRelay, hasPendingLoad, relayLoads, sharesIntervalMs, maxSharesAgeMs, addGatewayUpdate, addRelayUpdate, type LoadRelay, type RelayRound,
 } from './load-relay.js';
 export {
-	isHello, isHelloReply, isInstanceRecord, isInstanceUpdates, isLoadUpdate, isPublishedSnapshot,
+	maxSlowdown, isHello, isHelloReply, isInstanceRecord, isInstanceUpdates, isLoadUpdate, isPublishedSnapshot,
 } from './message-guards.js';
 export {
 	isRequestLimitNote, isRequestLimitNotes, requestLimitNoteGuards, type RequestLimitNote,
--- a/packages/instances/src/load-relay.ts
+++ b/packages/instances/src/load-relay.ts
@@ -1,5 +1,5 @@
 import {
-	sumShares, sumWork, type InstanceShare, type LoadUpdate, type WorkDelta,
+	sumShares, sumWork, type InstanceShare, type LoadUpdate, type PaceNote, type WorkDelta,
 } from './load-update.js';
 
 type ReceivedShares = {readonly shares: readonly InstanceShare[]; readonly atMs: number};
@@ -14,6 +14,9 @@
 	readonly gatewayWork: ReadonlyMap<string, readonly WorkDelta[]>;
 	/** Work reported by other relays since the previous round. */
 	readonly relayWork: readonly WorkDelta[];
+	/** Newest pace by instance, from the gateways and from the other relays, since the previous round. */
+	readonly gatewayPaces: ReadonlyMap<string, number>;
+	readonly relayPaces: ReadonlyMap<string, number>;
 	/** When shares are relayed next. */
 	readonly sharesDueMs: number;
 	/** Whether the previous round had no shares to relay. An empty list is relayed once, then nothing. */
@@ -34,7 +37,7 @@
 
 export function createLoadRelay(): LoadRelay {
 	return {
-		gateways: new Map(), relays: new Map(), gatewayWork: new Map(), relayWork: [], sharesDueMs: 0, wasIdle: true,
+		gateways: new Map(), relays: new Map(), gatewayWork: new Map(), relayWork: [], gatewayPaces: new Map(), relayPaces: new Map(), sharesDueMs: 0, wasIdle: true,
 	};
 }
 
@@ -46,6 +49,7 @@
 		gatewayWork: note.work.length === 0
 			? relay.gatewayWork
 			: new Map(relay.gatewayWork).set(from, sumWork([relay.gatewayWork.get(from) ?? [], note.work])),
+		gatewayPaces: mergePaces(relay.gatewayPaces, note.paces),
 	};
 }
 
@@ -55,12 +59,13 @@
 		...relay,
 		relays: note.shares === undefined ? relay.relays : new Map(relay.relays).set(from, {shares: note.shares, atMs: nowMs}),
 		relayWork: note.work.length === 0 ? relay.relayWork : sumWork([relay.relayWork, note.work]),
+		relayPaces: mergePaces(relay.relayPaces, note.paces),
 	};
 }
 
 /** Returns whether a coming round has anything to send. */
-export function hasPendingLoad({gateways, relays, gatewayWork, relayWork, wasIdle}: LoadRelay): boolean {
-	return gatewayWork.size > 0 || relayWork.length > 0 || gateways.size > 0 || relays.size > 0 || !wasIdle;
+export function hasPendingLoad({gateways, relays, gatewayWork, relayWork, gatewayPaces, relayPaces, wasIdle}: LoadRelay): boolean {
+	return gatewayWork.size > 0 || relayWork.length > 0 || gatewayPaces.size > 0 || relayPaces.size > 0 || gateways.size > 0 || relays.size > 0 || !wasIdle;
 }
 
 /**
@@ -83,9 +88,13 @@
 	const gatewayShares = hasShares ? sumShares([...sharesByGateway.values()].map(one => one.shares)) : undefined;
 	const allShares = hasShares ? sumShares([gatewayShares!, ...[...sharesByRelay.values()].map(one => one.shares)]) : undefined;
 
+	const gatewayPaces = [...previous.gatewayPaces];
+	const allPaces = [...mergePaces(previous.gatewayPaces, [...previous.relayPaces])];
+
 	const createUpdateFor = (address: string): LoadUpdate => ({
 		...(allShares !== undefined && {shares: removeOwnShares(allShares, sharesByGateway.get(address)?.shares ?? [])}),
 		work: sumWork([gatewayWorkSum, previous.relayWork, computeInverseWork(previous.gatewayWork.get(address) ?? [])]),
+		...(allPaces.length > 0 && {paces: allPaces}),
 	});
 
 	return {
@@ -94,14 +103,22 @@
 			relays: sharesByRelay,
 			gatewayWork: new Map(),
 			relayWork: [],
+			gatewayPaces: new Map(),
+			relayPaces: new Map(),
 			sharesDueMs: isDue ? nowMs + sharesIntervalMs : previous.sharesDueMs,
 			wasIdle: isIdle,
 		},
-		toRelays: gatewayWorkSum.length > 0 || hasShares ? {...(gatewayShares !== undefined && {shares: gatewayShares}), work: gatewayWorkSum} : undefined,
-		toGateways: gateways.map(address => [address, createUpdateFor(address)] as const).filter(([, {shares, work}]) => shares !== undefined || work.length > 0),
+		toRelays: gatewayWorkSum.length > 0 || hasShares || gatewayPaces.length > 0
+			? {...(gatewayShares !== undefined && {shares: gatewayShares}), work: gatewayWorkSum, ...(gatewayPaces.length > 0 && {paces: gatewayPaces})}
+			: undefined,
+		toGateways: gateways.map(address => [address, createUpdateFor(address)] as const).filter(([, {shares, work, paces}]) => shares !== undefined || work.length > 0 || paces !== undefined),
 	};
 }
 
+function mergePaces(known: ReadonlyMap<string, number>, news: readonly PaceNote[] = []): ReadonlyMap<string, number> {
+	return news.length === 0 ? known : new Map([...known, ...news]);
+}
+
 function filterUnexpired(received: ReadonlyMap<string, ReceivedShares>, nowMs: number): ReadonlyMap<string, ReceivedShares> {
 	return new Map([...received].filter(([, {atMs}]) => nowMs - atMs < maxSharesAgeMs));
 }
--- a/packages/instances/src/load-update.ts
+++ b/packages/instances/src/load-update.ts
@@ -7,12 +7,17 @@
 */
 export type WorkDelta = readonly [instanceId: string, workMs: number, correctionMs: number];
 
+/** Factor of the time that work takes at an instance now, as one of its responses told. */
+export type PaceNote = readonly [instanceId: string, slowdown: number];
+
 /** Load that gateways put on instances, as sent between gateways and coordinators. */
 export type LoadUpdate = {
 	/** Complete current shares; omitted from updates that only carry work, which are frequent. */
 	readonly shares?: readonly InstanceShare[];
 	/** Changes since the previous update. */
 	readonly work: readonly WorkDelta[];
+	/** Instances that were found slow since the previous update, and those that are no longer. */
+	readonly paces?: readonly PaceNote[];
 };
 
 /**
--- a/packages/instances/src/message-guards.ts
+++ b/packages/instances/src/message-guards.ts
@@ -22,6 +22,8 @@
 /** Limits of the requests in flight at one instance, and of the tokens that they hold. */
 const maxRequests = 1_000_000;
 const maxHeldTokens = 1e12;
+/** Limit of the factor of time that work takes at an instance, far above that of one which still serves. */
+export const maxSlowdown = 1000;
 
 const isName = isStringUpTo(maxNameLength);
 const isAgeMs = isNumberInRange(0, maxAgeMs);
@@ -74,4 +76,5 @@
 export const isLoadUpdate = isObjectWith({
 	shares: isOptional(isArrayOf(isTupleOf(isName, isNumberInRange(0, maxRequests), isNumberInRange(0, maxHeldTokens)), maxListLength)),
 	work: isArrayOf(isTupleOf(isName, isNumberInRange(-maxWorkMs, maxWorkMs), isNumberInRange(-maxWorkMs, maxWorkMs)), maxListLength),
+	paces: isOptional(isArrayOf(isTupleOf(isName, isNumberInRange(0, maxSlowdown)), maxListLength)),
 }) as TypeGuard<unknown> as TypeGuard<LoadUpdate>;
--- a/packages/routing/src/__tests__/unit/choose-instance.test.ts
+++ b/packages/routing/src/__tests__/unit/choose-instance.test.ts
@@ -138,3 +138,66 @@
 	// twelve seconds.
 	t.true(longSent >= 6 * 6 * 3, `${longSent}`);
 });
+
+const draws = Array.from({length: 100}, (_, index) => (index * 0.618_034) % 1);
+const chooseInCrowd = (options: readonly InstanceOption[], prompt: PromptSize, unseenRequests = 10) => draws.map(draw => chooseInstance({
+	options, nowMs: 0, availabilityZone: 'north', prompt, crowd: {draw, unseenRequests},
+})!.id);
+const countMost = (ids: readonly string[]) => Math.max(...[...new Set(ids)].map(id => ids.filter(one => one === id).length));
+
+test('gateways that choose on the same view spread over the instances that cost about the same', t => {
+	const options = Array.from({length: 20}, (_, index) => createOption(`i-${index}`, {load: {...createInstanceLoad(), own: index % 3}}));
+	const unrelated = {...short, affinityKey: undefined};
+	t.true(countMost(chooseInCrowd(options, unrelated)) <= 12);
+	t.true(countMost(chooseInCrowd(options, {...long, affinityKey: undefined})) <= 14);
+	// Those left free for short prompts are others each time, since all are equally idle.
+	t.is(new Set(chooseInCrowd(options.map(option => ({...option, load: createInstanceLoad()})), {...long, affinityKey: undefined})).size, 20);
+	const alone = draws.map(() => chooseInstance({
+		options, nowMs: 0, availabilityZone: 'north', prompt: unrelated,
+	})!.id);
+	t.is(countMost(alone), 100);
+});
+
+test('in a crowd, an overloaded, failing or cold instance is not among the equals', t => {
+	const busy: WorkBacklog = addWork(createWorkBacklog(), 900, 0);
+	const options = [
+		createOption('busy', {load: {...createInstanceLoad(), work: busy}}),
+		createOption('failing', {failureShare: 0.6}),
+		createOption('cold', {isCold: true}),
+		...['a', 'b', 'c'].map(id => createOption(id)),
+	];
+	t.deepEqual([...new Set(chooseInCrowd(options, {...short, affinityKey: undefined}))].toSorted(), ['a', 'b', 'c']);
+});
+
+test('in a crowd, neither a cold instance nor one without memory for the prompt is among the equals, however old the view is', t => {
+	const options = [
+		createOption('cold', {isCold: true}),
+		createOption('full', {load: {...createInstanceLoad(), ownHeldTokens: 60_000}}),
+		...['a', 'b', 'c', 'd'].map(id => createOption(id)),
+	];
+	t.deepEqual([...new Set(chooseInCrowd(options, {...long, affinityKey: undefined}, 10_000))].toSorted(), ['a', 'b', 'c', 'd']);
+	t.true(chooseInCrowd(options.slice(0, 1), {...long, affinityKey: undefined}).includes('cold'));
+});
+
+test('in a crowd, prompts still go where their shared part is cached while there is room', t => {
+	const options = Array.from({length: 20}, (_, index) => createOption(`i-${index}`, index === 0 ? {cachedTokens: long.sharedTokens} : {}));
+	t.deepEqual([...new Set(chooseInCrowd(options, {...long, affinityKey: undefined}))], ['i-0']);
+	const busy = options.map(option => option.cachedTokens > 0 ? {...option, load: {...option.load, work: addWork(createWorkBacklog(), 2000, 0)}} : option);
+	t.false(chooseInCrowd(busy, {...long, affinityKey: undefined}).includes('i-0'));
+});
+
+test('an instance that reports to be slow costs more, less so the older the report is, and no more than the rest of its slowness takes', t => {
+	const createSlow = (atMs: number, workMs = 0) => createOption('slow', {load: {...createInstanceLoad(), work: addWork(createWorkBacklog(), workMs, 0), pace: {slowdown: 2.5, atMs}}});
+	const estimate = (option: InstanceOption) => chooseInstance({
+		options: [option], nowMs: 0, availabilityZone: 'north', prompt: {...long, affinityKey: undefined},
+	})!;
+	const usualMs = estimate(createOption('usual')).expectedMs;
+	const extras = [0, -300, -600, -3000].map(atMs => estimate(createSlow(atMs)).expectedMs - usualMs);
+	t.deepEqual(extras, extras.toSorted((a, b) => b - a));
+	t.true(extras[0]! > 300 && extras[3]! < 5, `${extras.join(' ')}`);
+	// Its backlog takes longer too, but not beyond the spell.
+	t.true(estimate(createSlow(0, 5000)).expectedMs - usualMs - 5000 <= 360);
+	t.is(chooseInstance({
+		options: [createSlow(0), createOption('usual', {availabilityZone: 'south'})], nowMs: 0, availabilityZone: 'north', prompt: {...long, affinityKey: undefined},
+	})!.id, 'usual');
+});
--- a/packages/routing/src/choose-instance.ts
+++ b/packages/routing/src/choose-instance.ts
@@ -1,5 +1,6 @@
 import {pickByRendezvous} from '@fescuestair/core';
-import {estimateOtherRequests, type InstanceLoad} from './instance-load.js';
+import {estimateOtherRequests, estimateSlownessMs, type InstanceLoad} from './instance-load.js';
+import {pickByLevel, type LevelInput} from './pick-by-level.js';
 import {computeWaitMs} from './work-backlog.js';
 
 /** An instance that a request may be sent to. */
@@ -27,6 +28,8 @@
 	readonly availabilityZone: string;
 	/** Undefined for a call of a plain service. */
 	readonly prompt: PromptSize | undefined;
+	/** Set where several gateways choose at the same moment; without it the least cost decides. */
+	readonly crowd?: LevelInput | undefined;
 };
 
 export type PromptSize = {
@@ -58,6 +61,10 @@
 /** Share of the instances that is reserved for short prompts. With fewer than `minInstancesForReserve` instances none can be spared. */
 const reservedInstanceShare = 0.2;
 const minInstancesForReserve = 3;
+/** The digits of a draw behind the first ones serve as another draw. */
+const independentDraws = 1000;
+/** Prefill times that differ by less count as equal: as long as a round trip between availability zones. */
+const equalReadMs = 3;
 /** Cost of another availability zone: the round trip and the price of traffic between zones. */
 const crossZoneCostMs = 3;
 /** Factor of the cost of failures, 10 × this × share², so that a failure share of 0.1 costs a tenth of it: a failed request is retried or lost. */
@@ -67,6 +74,8 @@
 const outdatedWeightsCostMs = 150;
 /** Time by which each running request slows a decoding step. */
 const stepMsPerRequest = 0.4;
+/** Weight of the load of a plain instance that has free slots. */
+const callLoadWeight = 0.2;
 /** Mean service time that is assumed for a plain service until one has been measured. */
 const defaultServiceTimeMs = 60;
 /**
@@ -94,23 +103,58 @@
 ```
 */
 export function chooseInstance(input: PlacementInput): Placement | undefined {
-	let best: Placement | undefined;
 	const preferredId = findPreferredId(input);
-	const reservedIds = listReservedIds(input);
+	const reservedIds = listReservedIds(input, preferredId);
+	const placements: OptionPlacement[] = [];
+	let best: OptionPlacement | undefined;
 
 	for (const option of input.options) {
 		if (reservedIds.has(option.id)) {
 			continue;
 		}
 
-		const placement = estimatePlacement(input, option, option.id === preferredId);
+		const placement = {option, ...estimatePlacement(input, option, option.id === preferredId)};
+		placements.push(placement);
 
 		if (best === undefined || placement.cost < best.cost) {
 			best = placement;
 		}
 	}
 
-	return best;
+	return best === undefined || input.crowd === undefined
+		? best
+		: chooseInCrowd(input, {
+			best, placements, preferredId, crowd: input.crowd,
+		});
+}
+
+type OptionPlacement = Placement & {readonly option: InstanceOption};
+type CrowdInput = {
+	readonly best: OptionPlacement; readonly placements: readonly OptionPlacement[]; readonly preferredId: string | undefined; readonly crowd: LevelInput;
+};
+
+// Other gateways see much the same costs at this moment. An instance that would read more of the prompt again is none of the equals, so that prompts
+// with a shared part go on meeting where it is cached; nor is one that is cold or lacks memory for the prompt, however old the view is.
+function chooseInCrowd({prompt}: PlacementInput, {best, placements, preferredId, crowd}: CrowdInput): Placement {
+	const computeReadMs = ({option}: OptionPlacement) => prompt === undefined ? 0 : computeUncachedTokens(option, prompt, option.id === preferredId) / prompt.prefillTokensPerMs;
+	const maxReadMs = computeReadMs(best) + equalReadMs;
+
+	const isEqual = (placement: OptionPlacement) => computeReadMs(placement) <= maxReadMs && placement.memoryWaitMs <= best.memoryWaitMs
+		&& (best.option.isCold || !placement.option.isCold);
+
+	return pickByLevel(
+		placements
+			.filter(placement => isEqual(placement))
+			.map(placement => Object.assign(placement, {costPerRequest: computeCostPerRequest(placement.option, prompt)})),
+		crowd,
+	)!;
+}
+
+// Of the requests that others send, few are long.
+function computeCostPerRequest(option: InstanceOption, prompt: PromptSize | undefined): number {
+	return prompt === undefined
+		? callLoadWeight * (option.load.meanMs ?? defaultServiceTimeMs) / option.slots
+		: Math.min(minLongWorkMs, computeWorkMs(option, prompt)) + stepMsPerRequest;
 }
 
 /** Estimates waiting time, prefill time and cost of a request at one instance. */
@@ -132,8 +176,8 @@
 }
 
 // A long prefill delays every short prompt behind it. The instances with the shortest backlog are reserved for short prompts;
-// on the others long prompts wait for each other.
-function listReservedIds({options, prompt, nowMs}: PlacementInput): ReadonlySet<string> {
+// on the others long prompts wait for each other. Of those that are equally idle, each prompt leaves others free, and not the ones where it is cached.
+function listReservedIds({options, prompt, nowMs, crowd}: PlacementInput, preferredId: string | undefined): ReadonlySet<string> {
 	if (prompt === undefined || options.length < minInstancesForReserve) {
 		return new Set();
 	}
@@ -145,11 +189,21 @@
 	}
 
 	const count = Math.max(1, Math.round(options.length * reservedInstanceShare));
-	const ranked = options.toSorted((a, b) => computeWaitMs(a.load.work, nowMs) - computeWaitMs(b.load.work, nowMs) || (a.id < b.id ? -1 : 1));
+	const compareWaits = (a: InstanceOption, b: InstanceOption) => computeWaitMs(a.load.work, nowMs) - computeWaitMs(b.load.work, nowMs);
+	const computeUncached = (option: InstanceOption) => computeUncachedTokens(option, prompt, option.id === preferredId);
+	const ranked = crowd === undefined
+		? options.toSorted((a, b) => compareWaits(a, b) || (a.id < b.id ? -1 : 1))
+		: sliceFrom(options, (crowd.draw * independentDraws) % 1).toSorted((a, b) => compareWaits(a, b) || computeUncached(b) - computeUncached(a));
 
 	return new Set(ranked.slice(0, count).map(option => option.id));
 }
 
+function sliceFrom<Item>(items: readonly Item[], share: number): readonly Item[] {
+	const start = Math.floor(items.length * share);
+
+	return [...items.slice(start), ...items.slice(0, start)];
+}
+
 // By rendezvous hashing all daemons prefer the same instance for a shared part, without exchanging messages.
 function findPreferredId({options, prompt}: PlacementInput): string | undefined {
 	if (prompt?.affinityKey === undefined) {
@@ -182,19 +236,25 @@
 	const waiting = Math.max(0, total + 1 - slots);
 
 	// With a free slot a call does not wait; the last term still prefers the instance with the lower load.
-	return serviceTimeMs * (1 + (waiting / slots) + (0.2 * total / slots));
+	return serviceTimeMs * (1 + (waiting / slots) + (callLoadWeight * total / slots));
 }
 
 type FirstPieceInput = {readonly nowMs: number; readonly isPreferred: boolean};
 
 function estimateFirstPieceMs(option: InstanceOption, prompt: PromptSize, {nowMs, isPreferred}: FirstPieceInput): number {
 	const {load} = option;
-	const assumedTokens = isPreferred ? prompt.sharedTokens * assumedCachedShare : 0;
-	const uncachedTokens = Math.max(0, prompt.promptTokens - Math.max(option.cachedTokens + option.fetchableTokens, assumedTokens));
 	const others = estimateOtherRequests(load, nowMs);
 	const memoryWaitMs = estimateMemoryWaitMs(option, prompt);
 	const slotWaitMs = Math.max(0, load.own + others + 1 - option.slots) * slotHoldMs / option.slots;
 	const waitMs = Math.max(option.fetchMs, computeWaitMs(load.work, nowMs));
 
-	return waitMs + (uncachedTokens / prompt.prefillTokensPerMs) + memoryWaitMs + slotWaitMs + (stepMsPerRequest * (load.own + others));
+	const readMs = computeUncachedTokens(option, prompt, isPreferred) / prompt.prefillTokensPerMs;
+
+	return waitMs + readMs + estimateSlownessMs(load, {busyMs: waitMs + readMs, nowMs}) + memoryWaitMs + slotWaitMs + (stepMsPerRequest * (load.own + others));
+}
+
+function computeUncachedTokens({cachedTokens, fetchableTokens}: InstanceOption, {promptTokens, sharedTokens}: PromptSize, isPreferred: boolean): number {
+	const assumedTokens = isPreferred ? sharedTokens * assumedCachedShare : 0;
+
+	return Math.max(0, promptTokens - Math.max(cachedTokens + fetchableTokens, assumedTokens));
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -13,7 +13,7 @@
 	Priority, type EngineCandidate, type EngineView, type PromptPlan, type StoreView, type Weights,
 } from './types.js';
 export {
-	createInstanceLoad, estimateOtherRequests, computeMovingAverage, noPeerLoad, type InstanceLoad, type LoadReport, type PeerLoad,
+	createInstanceLoad, estimateOtherRequests, estimateSlownessMs, computeLoadSpread, computeMovingAverage, noPeerLoad, type InstanceLoad, type LoadReport, type Pace, type PeerLoad,
 } from './instance-load.js';
 export {
 	canTakeRequests, createInstanceHealth, HealthEvent, recordHealthEvent, type InstanceHealth,
@@ -36,3 +36,7 @@
 export {
 	endPause, noPauses, recordFirstOutput, startPause, type Pauses,
 } from './pauses.js';
+export {pickByLevel, type LevelInput, type LeveledOption} from './pick-by-level.js';
+export {
+	createDispatchRate, estimateUnseenRequests, recordDispatch, type DispatchRate,
+} from './unseen-requests.js';
--- a/packages/routing/src/instance-load.ts
+++ b/packages/routing/src/instance-load.ts
@@ -10,6 +10,9 @@
 	readonly ownAtReport: number;
 };
 
+/** Factor of the time that work takes on an instance's machine, as a response told. */
+export type Pace = {readonly slowdown: number; readonly atMs: number};
+
 /** Requests of other daemons at an instance. */
 export type PeerLoad = {readonly requests: number; readonly heldTokens: number};
 
@@ -26,12 +29,16 @@
 	readonly report: LoadReport | undefined;
 	/** Load that the other gateways reported. */
 	readonly peers: PeerLoad;
+	/** The newest that a response told, to this gateway or to another. */
+	readonly pace?: Pace | undefined;
 	/** Mean time from sending a request to the first streamed piece, or to the whole answer if it is not streamed. */
 	readonly meanMs: number | undefined;
 };
 
 /** Age at which a report no longer counts: a few times the duration of a request. */
 const reportValidityMs = 1500;
+/** Mean time for which a machine goes on at a pace that it reported. */
+const paceHoldMs = 600;
 /** Weight of the newest sample in the moving average. */
 const smoothingFactor = 0.2;
 
@@ -65,3 +72,38 @@
 export function computeMovingAverage(mean: number | undefined, sample: number): number {
 	return mean === undefined ? sample : mean + (smoothingFactor * (sample - mean));
 }
+
+/**
+Estimates by how much the instance's pace delays work that keeps it busy for some time at its usual pace. A report loses its weight with its
+age, and slowness ends in the middle of long work.
+
+@example
+```
+estimateSlownessMs({...load, pace: {slowdown: 2.5, atMs: nowMs}}, {busyMs: 100, nowMs}); //=> 150
+```
+*/
+export function estimateSlownessMs({pace}: InstanceLoad, {busyMs, nowMs}: {readonly busyMs: number; readonly nowMs: number}): number {
+	if (pace === undefined || pace.slowdown <= 1) {
+		return 0;
+	}
+
+	const {slowdown, atMs} = pace;
+	const extraMs = Math.min(busyMs * (slowdown - 1), paceHoldMs * (1 - (1 / slowdown)));
+
+	return extraMs * Math.exp((atMs - nowMs) / paceHoldMs);
+}
+
+/**
+Computes the requests in flight at the busiest of some instances, as a multiple of the mean; 1 where none has any.
+
+@example
+```
+computeLoadSpread([busy, idle]); //=> 2
+```
+*/
+export function computeLoadSpread(loads: readonly InstanceLoad[]): number {
+	const counts = loads.map(({own, peers}) => own + peers.requests);
+	const sum = counts.reduce((total, count) => total + count, 0);
+
+	return sum === 0 ? 1 : Math.max(...counts) * counts.length / sum;
+}
