--- a/packages/gateway/src/__tests__/unit/choose-place.test.ts
+++ b/packages/gateway/src/__tests__/unit/choose-place.test.ts
@@ -29,8 +29,8 @@
 });
 
 // Creates a gateway with two engines, on versions 1 and 2 of the weights; the test supplies the judgement of each version.
-const openGateway = (t: ExecutionContext, classifyWeights: ForwardOptions['classifyWeights'], {stores = [], view = createPartsView()}: {
-	readonly stores?: readonly StoreSettings[]; readonly view?: ReturnType<typeof createPartsView>;
+const openGateway = (t: ExecutionContext, classifyWeights: ForwardOptions['classifyWeights'], {stores = [], view = createPartsView(), gateways = 1}: {
+	readonly gateways?: number; readonly stores?: readonly StoreSettings[]; readonly view?: ReturnType<typeof createPartsView>;
 } = {}) => {
 	const clock = createSystemClock();
 	const log = createLogger({instance: 'test', isTerminal: false, writeLine: () => true});
@@ -47,7 +47,7 @@
 			getView: () => view, pollHome: () => undefined, recordUse: () => undefined, recordSave: () => undefined, countPendingTokens: () => 0,
 			isBeingSaved: () => false, stop: () => undefined,
 		},
-		countGateways: () => 1, getTable: () => ({stores}), regionsByZone: new Map([['north', 'east'], ['south', 'west']]), listTargetModels: () => ['guide'],
+		countGateways: () => gateways, getTable: () => ({stores}), regionsByZone: new Map([['north', 'east'], ['south', 'west']]), listTargetModels: () => ['guide'],
 		findNewerTarget: (model: string, version: number | undefined) => classifyWeights(model, version, Number.POSITIVE_INFINITY) === WeightsUse.Current ? undefined : {},
 	} as unknown as ForwardOptions;
 
@@ -173,3 +173,11 @@
 	t.is(new Set(partIds.map(id => describe(id).save)).size, 3);
 	t.is(describe('new', ['far']).save, undefined);
 });
+
+test('equal instances share the requests where other gateways choose too; alone, a gateway takes the first', t => {
+	for (const [gateways, expected] of [[1, 1], [3, 2]] as const) {
+		const {choose} = openGateway(t, () => WeightsUse.Current, {gateways});
+		const chosen = new Set(Array.from({length: 60}, () => choose()?.entry.held.record.id));
+		t.is(chosen.size, expected);
+	}
+});
