Logs and metrics: who told a configuration, how old that was, and by what a request was refused

Change, of what is logged only: at a coordinator the moments at which it begins and ceases to count as current, with its role, term, leader and commit index, and the gauge state_age_ms; at a gateway who told each version, for how long that coordinator had known it and how long the hello was under way, each confirmation that is the first, of another version or after a gap, and at each refusal by the configuration the version that was confirmed last, by whom and how long ago; gauge config_confirmed_age_ms, histogram config_in_force_ms. Hellos carry the age of the coordinator's state, what is published the time for which the sender has held it; both are optional, so other builds take them. The record of when a replica was current moved from coordinator.ts to freshness.ts, as it was.

--- a/packages/coordinator/src/__tests__/unit/fleet.test.ts
+++ b/packages/coordinator/src/__tests__/unit/fleet.test.ts
@@ -70,7 +70,8 @@
 			retain: () => undefined,
 		},
 		knownDepartures, listVoterAddresses: () => ['core-1', ...others, ...unknownVoters].map(name => `${name}:7200`),
-		listCoordinatorAddresses: () => [], describePublishedSince: () => undefined, getConfigVersion: () => 0, isCurrent: () => true, getLeaderAddress: () => undefined,
+		listCoordinatorAddresses: () => [], describePublishedSince: () => undefined, getConfigVersion: () => 0, getStateAgeMs: () => undefined,
+		isCurrent: () => true, getLeaderAddress: () => undefined,
 		isLeader: () => false, findLeaderAddress: () => undefined, onLeaderReported: () => undefined, onRound: () => undefined,
 	});
 	t.teardown(() => {
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -2,7 +2,7 @@
 import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	isPeerMessage, PeerMessageKind, planMembershipChange, type PeerMessage, type ReplicaTiming,
+	getLastIndex, isPeerMessage, planMembershipChange, type ReplicaTiming,
 } from '@fescuestair/agreement';
 import {
 	createFinding, createSystemClock, isOneOf, isObjectWith, type Clock, type Finding,
@@ -33,6 +33,7 @@
 import {computeRequiredVoters, waitForVoters} from './group-size.js';
 import {createDepartureStore} from './departure-store.js';
 import {createFleet} from './fleet.js';
+import {createFreshness} from './freshness.js';
 import {createCoalescer} from './coalescer.js';
 import {createPartsIndexHost, type StoreClient} from './parts-index-host.js';
 import {createPartsMirrorHost} from './parts-mirror-host.js';
@@ -110,8 +111,6 @@
 const membersCheckIntervalMs = 250;
 /** A voter that has acknowledged nothing for this long may be replaced. */
 const voterTimeoutMs = 2500;
-/** A replica counts as current if it received a message from the leader within this time and lacked nothing that was committed, or led itself. */
-const leaderTimeoutMs = 1500;
 const leadershipTransferMs = 200;
 /** Longest time that the end waits for the disk. */
 const flushMs = 500;
@@ -150,10 +149,20 @@
 		name, role: DaemonRole.Coordinator, incarnation: clock.readWallMs(), linkAddress, serviceAddress, availabilityZone, isReady: true, sequence: 0,
 	};
 	const startedAtMs = clock.readMonotonicMs();
-	let leaderHeardAtMs = Number.NEGATIVE_INFINITY;
-	const targetAges = createTargetAges({clock, getCurrentAtMs: () => Number.isFinite(leaderHeardAtMs) ? leaderHeardAtMs : undefined});
-	/** The last entry that is committed, as the last message of a leader stated. */
-	let statedCommitIndex = Number.POSITIVE_INFINITY;
+	const freshness = createFreshness({
+		clock, log, metrics, getLeadingTerm: () => replica.getLeadingTerm(),
+		hasApplied: index => replica.getRunner()?.hasApplied(index) === true,
+		describeGroup() {
+			const state = replica.getState();
+
+			return {
+				role: state?.role, term: state?.term, leader: state?.leaderId, commitIndex: state?.commitIndex, lastIndex: state && getLastIndex(state.log),
+				isMember: state?.members.some(member => member.id === state.id), revision: replica.getPublished().revision, configVersion: replica.getPublished().configVersion,
+			};
+		},
+	});
+	const {isCurrent} = freshness;
+	const targetAges = createTargetAges({clock, getCurrentAtMs: freshness.getKnownAtMs});
 	let leadingSinceMs: number | undefined;
 	/** Leader's address as reported by other coordinators; used while this one is not a current member of the group. */
 	let hintedLeaderAddress: string | undefined;
@@ -163,7 +172,11 @@
 	let coldTerms: ReadonlyMap<string, ColdSettings | undefined> = new Map();
 	const seeds = getSeeds();
 
-	const describe = (state: PublishedState, knownConfigVersion: number) => describePublished(state, {knownConfigVersion, getWeightsAgeMs: targetAges.getAgeMs});
+	let publishedAtMs = clock.readMonotonicMs();
+
+	const describe = (state: PublishedState, knownConfigVersion: number) => ({
+		...describePublished(state, {knownConfigVersion, getWeightsAgeMs: targetAges.getAgeMs}), heldMs: clock.readMonotonicMs() - publishedAtMs,
+	});
 
 	const applyPublished = createCoalescer(({state, isLeading}: {readonly state: PublishedState; readonly isLeading: boolean}) => {
 		const config = state.configText === undefined ? undefined : decodeConfig(state.configText).config;
@@ -171,7 +184,7 @@
 		routes = config?.routes ?? routes;
 		coldTerms = new Map(config?.services.map(({name: service, cold}) => [service, cold]));
 		log.info('published', {
-			revision: state.revision, configVersion: state.configVersion, weights: Object.fromEntries(state.weights), evacuatedZones: state.evacuatedZones,
+			revision: state.revision, configVersion: state.configVersion, isLeading, weights: Object.fromEntries(state.weights), evacuatedZones: state.evacuatedZones,
 		});
 
 		// Only the leader sends the state to all daemons; a daemon that missed it gets it in the reply to its next hello.
@@ -187,6 +200,7 @@
 			});
 		}
 
+		publishedAtMs = clock.readMonotonicMs();
 		const {begun, ended} = diffEvacuations(evacuations, state.evacuatedZones);
 		evacuations = recordEvacuatedZones(evacuations, state.evacuatedZones, clock.readMonotonicMs());
 
@@ -210,28 +224,6 @@
 		return address === linkAddress ? undefined : address;
 	};
 
-	// A leader whose lease has lapsed stays current for as long as a follower that receives no messages from a leader.
-	const isCurrent = () => {
-		if (replica.getLeadingTerm() !== undefined) {
-			leaderHeardAtMs = clock.readMonotonicMs();
-		}
-
-		return clock.readMonotonicMs() - leaderHeardAtMs < leaderTimeoutMs;
-	};
-
-	const recordLeaderMessage = (message: PeerMessage) => {
-		if (message.kind !== PeerMessageKind.Append) {
-			return;
-		}
-
-		// What the message before stated had the time to be applied, unless this replica lags, as after a start.
-		if (replica.getRunner()?.hasApplied(statedCommitIndex) === true) {
-			leaderHeardAtMs = clock.readMonotonicMs();
-		}
-
-		statedCommitIndex = message.commitIndex;
-	};
-
 	const requiredVoters = computeRequiredVoters(lossesBorne);
 
 	const proposeHere = async (command: PublishCommand) => {
@@ -270,7 +262,7 @@
 		const state = replica.getState();
 
 		if (state?.leaderId === message.fromId) {
-			recordLeaderMessage(message.message);
+			freshness.recordLeaderMessage(message.message);
 		}
 
 		return true;
@@ -335,6 +327,7 @@
 		},
 		getConfigVersion: () => replica.getPublished().configVersion,
 		isCurrent,
+		getStateAgeMs: freshness.getAgeMs,
 		listTargetAges() {
 			const state = replica.getPublished();
 
@@ -483,6 +476,8 @@
 	metrics.registerGauge('zones_evacuated', 'Availability zones to whose instances nothing is to be sent', () => replica.getPublished().evacuatedZones.length);
 	metrics.registerGauge('leads', 'Whether this replica leads the group', () => replica.getLeadingTerm() === undefined ? 0 : 1);
 	const timer = setInterval(() => {
+		// Logs when that changes, also where nobody asks.
+		isCurrent();
 		grantor.refresh();
 		void adjustMembers();
 		void recordTargetAges();
--- a/packages/coordinator/src/fleet.ts
+++ b/packages/coordinator/src/fleet.ts
@@ -43,6 +43,8 @@
 	readonly describePublishedSince: (revision: number, configVersion: number) => PublishedSnapshot | undefined;
 	readonly getConfigVersion: () => number;
 	readonly isCurrent: () => boolean;
+	/** Time since this replica knew all that was committed; `undefined` where it has not since its start. */
+	readonly getStateAgeMs: () => number | undefined;
 	/** Lists the target versions of weights with their ages; `undefined` where this replica is not current, or no target is young. */
 	readonly listTargetAges: () => PublishedSnapshot['weights'] | undefined;
 	/** Link address of the leader, which may be this replica. */
@@ -101,7 +103,7 @@
 */
 export function createFleet(options: FleetOptions): Fleet {
 	const {
-		self, clock, links, log, metrics, commands, listCoordinatorAddresses, listVoterAddresses, departures, knownDepartures, describePublishedSince, getConfigVersion, isCurrent,
+		self, clock, links, log, metrics, commands, listCoordinatorAddresses, listVoterAddresses, departures, knownDepartures, describePublishedSince, getConfigVersion, isCurrent, getStateAgeMs,
 		listTargetAges, getLeaderAddress, isLeader, findLeaderAddress, onLeaderReported, onRound, getColdTerms = () => undefined, getColdSinceMs, coldBound,
 	} = options;
 	const bootId = randomBytes(bootIdBytes).toString('hex');
@@ -239,6 +241,7 @@
 			published: describePublishedSince(hello.publishedRevision, hello.configVersion),
 			leaderAddress: getLeaderAddress(),
 			isCurrent: isCurrent(),
+			stateAgeMs: getStateAgeMs(),
 			targetAges: listTargetAges(),
 			// Until all gateways had time to send a hello, the few known ones would be taken for all.
 			...(isGatewayLeaving && isCurrent() && nowMs >= directoryReadyAtMs && {peers: describePeers(listGateways(directory, getTimes()), hello.card)}),
--- a/packages/gateway/src/adjust-target-ages.ts
+++ b/packages/gateway/src/adjust-target-ages.ts
@@ -10,7 +10,7 @@
 };
 
 /** A coordinator counts as current for this long after it has heard the leader. */
-const coordinatorStalenessMs = 1500;
+export const coordinatorStalenessMs = 1500;
 
 /**
 Adjusts the ages of targets, as a coordinator tells them, to what this gateway knows. A target is as much older as the message was under way. One of unknown age, of which this gateway hears
--- a/packages/gateway/src/coordinator-client.ts
+++ b/packages/gateway/src/coordinator-client.ts
@@ -7,7 +7,8 @@
 import {callAndValidate, LinkMessageKind} from '@fescuestair/protocol';
 import {createHelloClient, type Logger} from '@fescuestair/runtime';
 import {type Links} from '@fescuestair/transport';
-import {adjustTargetAges} from './adjust-target-ages.js';
+import {adjustTargetAges, coordinatorStalenessMs} from './adjust-target-ages.js';
+import {recordConfirmation, type ConfigConfirmation} from './config-confirmation.js';
 
 /** Where a gateway heard target versions of weights. */
 export type TargetSource = {
@@ -15,6 +16,8 @@
 	readonly toldBy: string | undefined;
 	/** Whether the coordinator had contact with a leader recently. */
 	readonly isCurrent: boolean;
+	/** For how long the hello or push may have been under way; 0 where that is not known. */
+	readonly transitMs: number;
 };
 
 export type CoordinatorClientOptions = {
@@ -55,6 +58,8 @@
 	readonly isCurrent: () => boolean;
 	/** Whether a current coordinator has confirmed the configuration since the start. */
 	readonly isConfirmed: () => boolean;
+	/** The last confirmation; `undefined` where there is none since the start. */
+	readonly getConfirmation: () => ConfigConfirmation | undefined;
 	readonly countGateways: () => number;
 	readonly findInstance: (id: string) => RegisteredInstance | undefined;
 	readonly listInstances: () => Iterable<RegisteredInstance>;
@@ -117,6 +122,7 @@
 	let revision = 0;
 	let configVersion = 0;
 	let hasCurrent = false;
+	let confirmation: ConfigConfirmation | undefined;
 	let gatewayCount: number | undefined;
 	let leaderAddress: string | undefined;
 	let home: string | undefined;
@@ -150,7 +156,7 @@
 	};
 
 	const applyPublishedReply = (address: string, {published, targetAges, isCurrent}: HelloReply, roundTripMs: number) => {
-		const source: TargetSource = {toldBy: address, isCurrent};
+		const source: TargetSource = {toldBy: address, isCurrent, transitMs: roundTripMs};
 		const transit = {isCurrent, transitMs: roundTripMs};
 
 		if (published !== undefined) {
@@ -269,6 +275,13 @@
 
 		leaderAddress = reply.isCurrent ? reply.leaderAddress ?? leaderAddress : leaderAddress;
 		hasCurrent ||= reply.isCurrent && configVersion > 0;
+
+		if (reply.isCurrent && configVersion > 0) {
+			const nowMs = clock.readMonotonicMs();
+			confirmation = recordConfirmation(confirmation, {
+				version: configVersion, toldBy: address, knownAtMs: nowMs - roundTripMs - (reply.stateAgeMs ?? coordinatorStalenessMs),
+			}, {nowMs, log});
+		}
 	};
 
 	const helloClient = createHelloClient({
@@ -382,7 +395,7 @@
 	return {
 		applyPublished(published) {
 			// A leader may send what it has just replayed, of which it cannot tell the age yet.
-			applyPublished({...published, weights: adjustAges(published.weights, {isCurrent: false, transitMs: 0})}, {toldBy: undefined, isCurrent: false});
+			applyPublished({...published, weights: adjustAges(published.weights, {isCurrent: false, transitMs: 0})}, {toldBy: undefined, isCurrent: false, transitMs: 0});
 		},
 		applyInstanceUpdates: applyInstanceNotes,
 		reportLeaving({id, incarnation}) {
@@ -392,6 +405,7 @@
 			void sendLeavingReport();
 		},
 		isConfirmed: () => hasCurrent,
+		getConfirmation: () => confirmation,
 		isCurrent: () => hasCurrent || (configVersion > 0 && clock.readMonotonicMs() - startedAtMs >= staleServingDelayMs),
 		countGateways: () => gatewayCount ?? 1,
 		findInstance: id => registry.held.get(id),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -29,6 +29,7 @@
 import {type FetchIncarnation} from './check-run-origin.js';
 import {createCallerServer} from './caller-server.js';
 import {createRequestHandler} from './request-handler.js';
+import {describeConfirmation} from './config-confirmation.js';
 import {createCoordinatorClient, type TargetSource} from './coordinator-client.js';
 import {createCrashDetector} from './crash-detector.js';
 import {type ForwardOptions} from './forward-options.js';
@@ -190,6 +191,7 @@
 	};
 
 	const onPublished = (published: PublishedSnapshot, source: TargetSource) => {
+		const before = routeTable?.config.version;
 		recordTargets(published.weights, source);
 		recordEvacuations(published, source);
 
@@ -205,7 +207,15 @@
 			instancePool.applyLimits();
 		}
 
-		log.info('configuration in force', {version: published.configVersion, revision: published.revision, weights: published.weights});
+		log.info('configuration in force', {
+			version: published.configVersion, before, revision: published.revision, weights: published.weights,
+			toldBy: source.toldBy ?? 'push', isCurrent: source.isCurrent, heldMs: published.heldMs, transitMs: Math.round(source.transitMs),
+		});
+
+		// The first configuration after a start was accepted before it.
+		if (before !== undefined && before !== published.configVersion && published.heldMs !== undefined) {
+			metrics.observeMs('config_in_force_ms', {}, published.heldMs + source.transitMs);
+		}
 	};
 
 	const planned = createPlannedStop({
@@ -324,7 +334,8 @@
 	const answerCaller = createRequestHandler({
 		bodies,
 		forwardOptions, callerCodec, clock, log, metrics, depositRetryTokens: depositRequest, getTable: () => routeTable,
-		isConfigConfirmed: () => client.isConfirmed(), findStopRefusal: planned.findRefusal, recordLength: planned.recordLength,
+		isConfigConfirmed: () => client.isConfirmed(), describeConfirmation: () => describeConfirmation(client.getConfirmation(), clock.readMonotonicMs()),
+		findStopRefusal: planned.findRefusal, recordLength: planned.recordLength,
 	});
 
 	const callerServer = createCallerServer({
@@ -339,6 +350,11 @@
 	const {server, activeResponses} = callerServer;
 
 	metrics.registerGauge('config_version', 'Version of the configuration in force', () => routeTable?.config.version ?? 0);
+	metrics.registerGauge('config_confirmed_age_ms', 'Time since it was known that no later configuration had been accepted; -1 where it has not been since the start', () => {
+		const confirmation = client.getConfirmation();
+
+		return confirmation === undefined ? -1 : clock.readMonotonicMs() - confirmation.knownAtMs;
+	});
 	metrics.registerGauge('requests_running', 'Requests that have no final answer yet', () => activeResponses.size);
 	metrics.registerGauge('requests_waiting', 'Requests that wait here for a free instance', () => forwardOptions.waiting.size);
 	metrics.registerGauge('runs_to_begin', 'Runs at engines that have been sent and have not begun', startDeadlines.countWaiting);
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -22,6 +22,8 @@
 	readonly getTable: () => RouteTable | undefined;
 	/** Whether the configuration is known to be the newest one that was accepted, or was since the start. */
 	readonly isConfigConfirmed: () => boolean;
+	/** Fields of the log line of a request that is refused by the configuration: who confirmed that, and how long ago that was true. */
+	readonly describeConfirmation?: () => Readonly<Record<string, unknown>>;
 	/** Decides whether a request is refused because the gateway stops. `limitMs` is the time that its caller and route leave it. */
 	readonly findStopRefusal: (request: {readonly route: string; readonly limitMs: number}) => StopRefusal | undefined;
 	/** Called for each request that ended with an answer of an instance, or failed. */
@@ -67,7 +69,8 @@
 */
 export function createRequestHandler(options: RequestHandlerOptions): (request: IncomingMessage, response: ServerResponse) => Promise<void> {
 	const {
-		forwardOptions, callerCodec, clock, log, metrics, getTable, isConfigConfirmed, findStopRefusal, recordLength, depositRetryTokens, bodies = createRequestBodies(),
+		forwardOptions, callerCodec, clock, log, metrics, getTable, isConfigConfirmed, describeConfirmation = () => ({}), findStopRefusal, recordLength, depositRetryTokens,
+		bodies = createRequestBodies(),
 	} = options;
 	const {isLeaving} = forwardOptions;
 
@@ -122,7 +125,7 @@
 		const route = findRoute(table, request.headers.host ?? '', request.url ?? '');
 
 		if (route === undefined) {
-			return {...rejectByConfig(response, 404, 'no route'), fields};
+			return {...rejectByConfig(response, 404, 'no route'), fields: {...fields, ...describeConfirmation()}};
 		}
 
 		const limitMs = Math.min(route.timeoutMs, caller.timeLeftMs ?? defaultTimeoutMs);
@@ -135,13 +138,13 @@
 		const fault = findVersionFault(route, response) ?? findHeadFault(request, table.config.limits);
 
 		if (fault !== undefined) {
-			return {...(fault.status === headTooLargeStatus ? rejectByConfig : reject)(response, fault.status, fault.message), fields};
+			return {...(fault.status === headTooLargeStatus ? rejectByConfig : reject)(response, fault.status, fault.message), fields: {...fields, ...describeConfirmation()}};
 		}
 
 		const organisation = caller.key === undefined ? undefined : table.organisationsByKey.get(caller.key);
 
 		if (table.config.organisations.length > 0 && !route.isPublic && organisation === undefined) {
-			return {...rejectByConfig(response, 401, 'the key is not known'), fields};
+			return {...rejectByConfig(response, 401, 'the key is not known'), fields: {...fields, route: route.name, ...describeConfirmation()}};
 		}
 
 		if (caller.requestId === undefined) {
@@ -151,7 +154,7 @@
 		const read = await bodies.read(request, table.config.limits.maxBodyBytes);
 
 		if (read.end !== BodyReadEnd.Complete) {
-			return {...refuseBody(response, read.end), fields};
+			return {...refuseBody(response, read.end), fields: {...fields, ...describeConfirmation()}};
 		}
 
 		const {body, release} = read;
--- a/packages/instances/src/daemons.ts
+++ b/packages/instances/src/daemons.ts
@@ -60,6 +60,8 @@
 	readonly weights: ReadonlyArray<readonly [model: string, version: number, ageMs: number]>;
 	/** Availability zones to whose instances nothing is to be sent; absent from a coordinator whose software knows no evacuations. */
 	readonly evacuatedZones?: readonly string[] | undefined;
+	/** For how long the sender has known that this was accepted; absent from one of older software. */
+	readonly heldMs?: number | undefined;
 };
 
 /** The relation of the sender of a hello to the coordinator that receives it. */
@@ -107,6 +109,8 @@
 	readonly leaderAddress: string | undefined;
 	/** Whether the coordinator had contact with a leader recently, so that its state is current. */
 	readonly isCurrent: boolean;
+	/** From a current coordinator: the time since it knew all that was accepted; absent from one of older software. */
+	readonly stateAgeMs?: number | undefined;
 	/** From a current coordinator: the target weight versions with their ages, while one of them is young. */
 	readonly targetAges?: PublishedSnapshot['weights'] | undefined;
 	/** Version of the sender's home list that the coordinator holds. */
--- a/packages/instances/src/message-guards.ts
+++ b/packages/instances/src/message-guards.ts
@@ -50,7 +50,7 @@
 
 export const isPublishedSnapshot = isObjectWith({
 	revision: isNonNegativeInteger, configVersion: isNonNegativeInteger, configText: isOptional(isStringUpTo(maxConfigLength)), weights: isTargetAges,
-	evacuatedZones: isOptional(isArrayOf(isName, maxListLength)),
+	evacuatedZones: isOptional(isArrayOf(isName, maxListLength)), heldMs: isOptional(isNumberInRange(0, Number.MAX_SAFE_INTEGER)),
 }) as TypeGuard<unknown> as TypeGuard<PublishedSnapshot>;
 
 export const isHello = isObjectWith({
@@ -67,6 +67,7 @@
 	published: isOptional(isPublishedSnapshot),
 	leaderAddress: isOptional(isName),
 	isCurrent: isBoolean,
+	stateAgeMs: isOptional(isNumberInRange(0, Number.MAX_SAFE_INTEGER)),
 	targetAges: isOptional(isTargetAges),
 	heldHomes: isOptional(isObjectWith({incarnation: isNonNegativeInteger, revision: isNonNegativeInteger})),
 	peers: isOptional(isObjectWith({
