Tell how old a replica's state is by the moment for which it is known, not by when a message was read

Cause: a coordinator counted as current for 1.5 s from the moment at which it handled a message of the leader. A message that had waited in a socket, in a queue or in a process that stood still counted as just sent, so a replica that had missed changes told what it held as the newest. A deposed leader did the same for the followers that it still reached.

Change: a follower's replies carry a reading of its own clock, the leader returns the last one it had when it sends, with the time since a majority last followed it. The follower then knows a moment of its own clock for which it holds all that had been committed, once it has applied the commit index of that message. Readings of another run of the process do not count, a message of older software confirms nothing. A replica is current while that moment is younger than 2 s, which is in all no longer than before (1.5 s after a message, and the lease and age of that message).

While nothing fails the moment is younger than three heartbeats and the ways there and back. The test of hasApplied in replica-runner.test.ts is replaced by one of the moment that checks the same and the reading: hasApplied is gone.

--- a/packages/agreement/src/check-message.ts
+++ b/packages/agreement/src/check-message.ts
@@ -15,6 +15,7 @@
 	id: isName, name: isName, address: isName, isVoter: isBoolean, replaces: isOptional(isName),
 });
 const isMembers = isArrayOf(isMember, maxMembers);
+const isClockReading = isObjectWith({clockId: isName, atMs: isFiniteNumber});
 const isPayload = isAnyOf(
 	isObjectWith({kind: isOneOf([EntryKind.Noop])}),
 	isObjectWith({kind: isOneOf([EntryKind.Members]), members: isMembers}),
@@ -26,10 +27,11 @@
 export const isPeerMessage = isAnyOf(
 	isObjectWith({
 		kind: isOneOf([PeerMessageKind.Append]), term: isNonNegativeInteger, previousIndex: isNonNegativeInteger, previousTerm: isNonNegativeInteger, entries: isArrayOf(isEntry, maxEntries),
-		commitIndex: isNonNegativeInteger, sentAtMs: isFiniteNumber,
+		commitIndex: isNonNegativeInteger, sentAtMs: isFiniteNumber, confirmedForMs: isOptional(isFiniteNumber), reading: isOptional(isClockReading),
 	}),
 	isObjectWith({
 		kind: isOneOf([PeerMessageKind.AppendReply]), term: isNonNegativeInteger, isAccepted: isBoolean, index: isNonNegativeInteger, rejectedIndex: isNonNegativeInteger, sentAtMs: isFiniteNumber,
+		reading: isOptional(isClockReading),
 	}),
 	isObjectWith({
 		kind: isOneOf([PeerMessageKind.VoteRequest]), term: isNonNegativeInteger, lastIndex: isNonNegativeInteger, lastTerm: isNonNegativeInteger, isPreVote: isBoolean, isTransfer: isBoolean,
--- a/packages/agreement/src/create.ts
+++ b/packages/agreement/src/create.ts
@@ -8,6 +8,8 @@
 export type ReplicaOptions = {
 	readonly id: string;
 	readonly nowMs: number;
+	/** Identifies the clock that `nowMs` is read from; has to be another one for each run. The id by default. */
+	readonly clockId?: string;
 	readonly timing?: ReplicaTiming;
 	readonly hardState?: {readonly term: number; readonly votedFor: string | undefined};
 	readonly snapshot?: SnapshotMetadata;
@@ -27,7 +29,7 @@
 */
 export function createReplica(options: ReplicaOptions): ReplicaState {
 	const {
-		id, nowMs, timing = defaultTiming, hardState = {term: 0, votedFor: undefined}, snapshot = emptySnapshot, entries = [],
+		id, nowMs, clockId = id, timing = defaultTiming, hardState = {term: 0, votedFor: undefined}, snapshot = emptySnapshot, entries = [],
 	} = options;
 	invariant(timing.leaseMs < timing.electionTimeoutMs, 'the lease must end before the election timeout, since another leader may be elected then');
 	const log = {snapshot, entries};
@@ -35,6 +37,7 @@
 
 	return {
 		id,
+		clockId,
 		timing,
 		role: ReplicaRole.Follower,
 		term: hardState.term,
@@ -53,5 +56,6 @@
 		progress: new Map(),
 		lostLogIds: new Set(),
 		leaseDeadlineMs: Number.NEGATIVE_INFINITY,
+		receivedConfirmation: undefined,
 	};
 }
--- a/packages/agreement/src/follower.ts
+++ b/packages/agreement/src/follower.ts
@@ -1,10 +1,11 @@
 import {type Step} from '@fescuestair/core';
+import {receiveConfirmation} from './confirmation.js';
 import {becomeFollower, createHardStateEffects} from './roles.js';
 import {
 	appendEntries, findLatestMembers, getLastIndex, getTermAt, sliceEntries,
 } from './log.js';
 import {
-	EffectKind, PeerMessageKind, type AppendMessage, type Effect, type Entry, type PeerMessage, type ReplicaState,
+	EffectKind, PeerMessageKind, type AppendMessage, type ClockReading, type Effect, type Entry, type PeerMessage, type ReplicaState,
 } from './types.js';
 
 type ReplicaStep = Step<ReplicaState, Effect>;
@@ -20,15 +21,16 @@
 		};
 	}
 
-	const followerState = followLeader(state, from, message.term, nowMs);
+	const followerState: ReplicaState = {...followLeader(state, from, message.term, nowMs), receivedConfirmation: receiveConfirmation(state, message, nowMs)};
 	const hardStateEffects = createHardStateEffects(state, followerState);
+	const reading: ClockReading = {clockId: state.clockId, atMs: nowMs};
 
 	if (!hasMatchingPreviousEntry(followerState, message)) {
 		const index = findRetryIndex(followerState, message);
 
 		return {
 			state: followerState, effects: [...hardStateEffects, createAppendReply(from, {
-				term: message.term, isAccepted: false, index, message,
+				term: message.term, isAccepted: false, index, message, reading,
 			})],
 		};
 	}
@@ -44,7 +46,7 @@
 			...hardStateEffects,
 			...persistStep.effects,
 			createAppendReply(from, {
-				term: message.term, isAccepted: true, index: matchIndex, message,
+				term: message.term, isAccepted: true, index: matchIndex, message, reading,
 			}),
 			...committed.effects,
 		],
@@ -118,7 +120,7 @@
 		kind: EffectKind.Send,
 		to: from,
 		message: {
-			kind: PeerMessageKind.AppendReply, term, isAccepted, index, rejectedIndex: 0, sentAtMs: message.sentAtMs,
+			kind: PeerMessageKind.AppendReply, term, isAccepted, index, rejectedIndex: 0, sentAtMs: message.sentAtMs, reading: {clockId: state.clockId, atMs: nowMs},
 		},
 		canSendBeforeSync: false,
 	});
@@ -153,9 +155,10 @@
 	readonly isAccepted: boolean;
 	readonly index: number;
 	readonly message: AppendMessage;
+	readonly reading?: ClockReading;
 };
 
-function createAppendReply(to: string, {term, isAccepted, index, message}: AppendReplyInput): Effect {
+function createAppendReply(to: string, {term, isAccepted, index, message, reading}: AppendReplyInput): Effect {
 	return {
 		kind: EffectKind.Send,
 		to,
@@ -166,6 +169,7 @@
 			index,
 			rejectedIndex: message.previousIndex,
 			sentAtMs: message.sentAtMs,
+			...(reading && {reading}),
 		},
 		canSendBeforeSync: false,
 	};
--- a/packages/agreement/src/leader.ts
+++ b/packages/agreement/src/leader.ts
@@ -5,6 +5,7 @@
 import {
 	appendEntries, findLatestMembers, getLastIndex, getTermAt, sliceEntries,
 } from './log.js';
+import {chooseReading, describeConfirmation} from './confirmation.js';
 import {becomeFollower, createHardStateEffects} from './roles.js';
 import {sliceByTextLength} from './slice-by-text-length.js';
 import {
@@ -46,7 +47,7 @@
 
 function createProgress(nextIndex: number): Progress {
 	return {
-		matchIndex: 0, matchedAtMs: Number.NEGATIVE_INFINITY, nextIndex, ackedSentAtMs: Number.NEGATIVE_INFINITY, snapshotRetryAtMs: 0,
+		matchIndex: 0, matchedAtMs: Number.NEGATIVE_INFINITY, nextIndex, ackedSentAtMs: Number.NEGATIVE_INFINITY, reading: undefined, snapshotRetryAtMs: 0,
 	};
 }
 
@@ -123,6 +124,7 @@
 				entries,
 				commitIndex: state.commitIndex,
 				sentAtMs: nowMs,
+				...describeConfirmation(state, progress.reading, nowMs),
 			},
 			canSendBeforeSync: true,
 		},
@@ -155,7 +157,8 @@
 	return {state: committed.state, effects: [...backlogStep.effects, ...committed.effects]};
 }
 
-function applyAppendReply(previousProgress: Progress, reply: AppendReply, nowMs: number): Progress {
+function applyAppendReply(known: Progress, reply: AppendReply, nowMs: number): Progress {
+	const previousProgress: Progress = {...known, reading: chooseReading(known.reading, reply.reading)};
 	const ackedSentAtMs = Math.max(previousProgress.ackedSentAtMs, reply.sentAtMs);
 
 	if (reply.isAccepted) {
--- a/packages/agreement/src/types.ts
+++ b/packages/agreement/src/types.ts
@@ -38,6 +38,17 @@
 	readonly entries: readonly Entry[];
 };
 
+/** A reading of the monotonic clock of one run of a replica; those of different runs cannot be compared. */
+export type ClockReading = {readonly clockId: string; readonly atMs: number};
+
+/** What a replica knows of what was committed by a moment. */
+export type Confirmation = {
+	/** Time on this replica's clock. */
+	readonly knownAtMs: number;
+	/** All that was committed by then has this index or a lower one. */
+	readonly commitIndex: number;
+};
+
 /** Replication progress of one other member, as tracked by the leader. */
 export type Progress = {
 	readonly matchIndex: number;
@@ -46,6 +57,8 @@
 	readonly nextIndex: number;
 	/** Send time, on the leader's clock, of the latest message that the member has acknowledged. */
 	readonly ackedSentAtMs: number;
+	/** The member's own clock, as its latest reply names it. */
+	readonly reading: ClockReading | undefined;
 	/** Earliest time at which a snapshot is sent to the member again. */
 	readonly snapshotRetryAtMs: number;
 };
@@ -65,6 +78,8 @@
 
 export type ReplicaState = {
 	readonly id: string;
+	/** Identifies the clock that `nowMs` is read from. */
+	readonly clockId: string;
 	readonly timing: ReplicaTiming;
 	readonly role: ReplicaRole;
 	readonly term: number;
@@ -84,6 +99,8 @@
 	/** Members that no longer hold entries that they acknowledged to this replica. Neither their votes nor their acknowledgements count. */
 	readonly lostLogIds: ReadonlySet<string>;
 	readonly leaseDeadlineMs: number;
+	/** The latest confirmation that a leader sent; a leader computes its own. */
+	readonly receivedConfirmation: Confirmation | undefined;
 };
 
 export enum PeerMessageKind {
@@ -104,6 +121,12 @@
 	readonly commitIndex: number;
 	/** Time on the leader's clock; returned unchanged in the reply. */
 	readonly sentAtMs: number;
+	/**
+	For how long, when this was sent, the leader had not known that nobody else led: all that was committed before is within `commitIndex`. Absent where that is not known, and from older software.
+	*/
+	readonly confirmedForMs?: number | undefined;
+	/** The receiver's clock as of its latest reply that the leader had when it sent this. */
+	readonly reading?: ClockReading | undefined;
 };
 
 export type PeerMessage
@@ -128,6 +151,8 @@
 		/** `previousIndex` of the append that this reply answers; 0 in the reply to a snapshot. */
 		readonly rejectedIndex: number;
 		readonly sentAtMs: number;
+		/** The replying member's clock; absent from older software. */
+		readonly reading?: ClockReading | undefined;
 	}
 	| {readonly kind: PeerMessageKind.Snapshot; readonly term: number; readonly mark: SnapshotMetadata; readonly data: unknown; readonly sentAtMs: number}
 	| {readonly kind: PeerMessageKind.TimeoutNow; readonly term: number};
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -149,9 +149,10 @@
 		name, role: DaemonRole.Coordinator, incarnation: clock.readWallMs(), linkAddress, serviceAddress, availabilityZone, isReady: true, sequence: 0,
 	};
 	const startedAtMs = clock.readMonotonicMs();
+	// What the replica loads while it opens is published before it is there.
+	let readKnownAtMs: () => number | undefined = () => undefined;
 	const freshness = createFreshness({
-		clock, log, metrics, getLeadingTerm: () => replica.getLeadingTerm(),
-		hasApplied: index => replica.getRunner()?.hasApplied(index) === true,
+		clock, log, metrics, readKnownAtMs: () => readKnownAtMs(),
 		describeGroup() {
 			const state = replica.getState();
 
@@ -217,6 +218,7 @@
 		name, linkAddress, dataFolder, clock, links, log, timing, onPublished, onAgesRecorded: targetAges.record,
 		firstGroup: isFirstStart && seeds.includes(linkAddress) ? {ownAddress: linkAddress, addresses: seeds} : undefined,
 	});
+	readKnownAtMs = () => replica.getRunner()?.getKnownAtMs();
 
 	const findLeaderAddress = () => {
 		const address = isCurrent() ? replica.findLeaderAddress() : replica.findLeaderAddress() ?? hintedLeaderAddress;
@@ -259,11 +261,6 @@
 	});
 	commands.registerCommand(LinkMessageKind.Agreement, isPeerAgreement, message => {
 		replica.receive(message);
-		const state = replica.getState();
-
-		if (state?.leaderId === message.fromId) {
-			freshness.recordLeaderMessage(message.message);
-		}
 
 		return true;
 	});
--- a/packages/coordinator/src/freshness.ts
+++ b/packages/coordinator/src/freshness.ts
@@ -1,16 +1,13 @@
-import {PeerMessageKind, type PeerMessage} from '@fescuestair/agreement';
 import {type Clock} from '@fescuestair/core';
 import {type Logger, type PrometheusMetrics} from '@fescuestair/runtime';
 
 /** Up to when this replica knows all that was committed. */
 export type Freshness = {
-	/** Records a message of the leader that this replica follows. */
-	readonly recordLeaderMessage: (message: PeerMessage) => void;
 	/** Whether what this replica knows may be told as the newest. */
 	readonly isCurrent: () => boolean;
-	/** Latest time, on the monotonic clock, at which this replica knew all that was committed; `undefined` where it has not since its start. */
+	/** Latest time, on the monotonic clock, for which this replica has applied all that had been committed by then; `undefined` where there is none since its start. */
 	readonly getKnownAtMs: () => number | undefined;
-	/** Time since then; `undefined` where it has not since its start. */
+	/** Time since then; `undefined` where there is none since the start. */
 	readonly getAgeMs: () => number | undefined;
 };
 
@@ -18,75 +15,59 @@
 	readonly clock: Pick<Clock, 'readMonotonicMs'>;
 	readonly log: Logger;
 	readonly metrics: Pick<PrometheusMetrics, 'registerGauge'>;
-	readonly getLeadingTerm: () => number | undefined;
-	/** Whether this replica has applied all entries up to an index, and all that was committed before the current term. */
-	readonly hasApplied: (index: number) => boolean;
+	/** The same time for the replica that is open now; `undefined` also while its disk fails. */
+	readonly readKnownAtMs: () => number | undefined;
 	readonly describeGroup: () => Readonly<Record<string, unknown>>;
 };
 
-/** A replica counts as current if it received a message from the leader within this time and lacked nothing that was committed, or led itself. */
-const leaderTimeoutMs = 1500;
+/** A replica counts as current while its state is younger than this: more than it takes to replace a lost leader and to hear from the next one. */
+const maxStateAgeMs = 2000;
 
 /**
 Creates the record of how fresh the state of a replica is.
 
 @example
 ```
-const freshness = createFreshness({clock, log, metrics, getLeadingTerm, hasApplied, describeGroup});
-freshness.recordLeaderMessage(message);
+const freshness = createFreshness({clock, log, metrics, readKnownAtMs: () => runner.getKnownAtMs(), describeGroup});
 freshness.isCurrent(); //=> true
 ```
 */
-export function createFreshness({clock, log, metrics, getLeadingTerm, hasApplied, describeGroup}: FreshnessOptions): Freshness {
-	let leaderHeardAtMs = Number.NEGATIVE_INFINITY;
-	/** The last entry that is committed, as the last message of a leader stated. */
-	let statedCommitIndex = Number.POSITIVE_INFINITY;
+export function createFreshness({clock, log, metrics, readKnownAtMs, describeGroup}: FreshnessOptions): Freshness {
+	let knownAtMs: number | undefined;
 	let wasCurrent = false;
 
-	const getKnownAtMs = () => Number.isFinite(leaderHeardAtMs) ? leaderHeardAtMs : undefined;
+	const getKnownAtMs = () => {
+		const readMs = readKnownAtMs();
 
-	const getAgeMs = () => {
-		const knownAtMs = getKnownAtMs();
-
-		return knownAtMs === undefined ? undefined : clock.readMonotonicMs() - knownAtMs;
-	};
-
-	// A leader whose lease has lapsed stays current for as long as a follower that receives no messages from a leader.
-	const isCurrent = () => {
-		const nowMs = clock.readMonotonicMs();
-
-		if (getLeadingTerm() !== undefined) {
-			leaderHeardAtMs = nowMs;
+		if (readMs !== undefined) {
+			knownAtMs = Math.max(knownAtMs ?? Number.NEGATIVE_INFINITY, readMs);
 		}
 
-		const isCurrentNow = nowMs - leaderHeardAtMs < leaderTimeoutMs;
+		return knownAtMs;
+	};
 
-		if (isCurrentNow !== wasCurrent) {
-			wasCurrent = isCurrentNow;
-			log.info(isCurrentNow ? 'knows all that was committed' : 'may lack what was committed', {
-				knownAgeMs: Math.round(nowMs - leaderHeardAtMs), statedCommitIndex, ...describeGroup(),
-			});
-		}
+	const getAgeMs = () => {
+		const latestMs = getKnownAtMs();
 
-		return isCurrentNow;
+		return latestMs === undefined ? undefined : clock.readMonotonicMs() - latestMs;
 	};
 
 	metrics.registerGauge('state_age_ms', 'Time since this replica knew all that was committed; -1 where it has not since its start', () => getAgeMs() ?? -1);
 
 	return {
-		recordLeaderMessage(message) {
-			if (message.kind !== PeerMessageKind.Append) {
-				return;
-			}
-
-			// What the message before stated had the time to be applied, unless this replica lags, as after a start.
-			if (hasApplied(statedCommitIndex)) {
-				leaderHeardAtMs = clock.readMonotonicMs();
+		isCurrent() {
+			const ageMs = getAgeMs();
+			const isCurrent = ageMs !== undefined && ageMs < maxStateAgeMs;
+
+			if (isCurrent !== wasCurrent) {
+				wasCurrent = isCurrent;
+				log.info(isCurrent ? 'knows all that was committed' : 'may lack what was committed', {
+					knownAgeMs: ageMs === undefined ? undefined : Math.round(ageMs), ...describeGroup(),
+				});
 			}
 
-			statedCommitIndex = message.commitIndex;
+			return isCurrent;
 		},
-		isCurrent,
 		getKnownAtMs,
 		getAgeMs,
 	};
--- a/packages/replication/src/__tests__/unit/replica-runner.test.ts
+++ b/packages/replication/src/__tests__/unit/replica-runner.test.ts
@@ -1,7 +1,7 @@
 import {setImmediate} from 'node:timers/promises';
 import test from 'ava';
 import {
-	EntryKind, PeerMessageKind, ReplicaRole, type Entry, type Member, type PeerMessage,
+	EntryKind, PeerMessageKind, ReplicaRole, type AppendMessage, type Entry, type Member, type PeerMessage,
 } from '@fescuestair/agreement';
 import {createManualClock} from '@fescuestair/core';
 import {type ProposalError} from '@fescuestair/protocol';
@@ -22,8 +22,13 @@
 
 /** Opens a replica whose other members are played by the test, and makes it the leader of term 1. */
 const openLeader = async () => {
+	const clock = createManualClock();
+	const sent: PeerMessage[] = [];
 	const runner = await createReplicaRunner({
-		id: 'a', clock: createManualClock(), store, machine: {apply: command => command, encode: () => undefined, decode: () => undefined}, send: () => undefined,
+		id: 'a', clock, store, machine: {apply: command => command, encode: () => undefined, decode: () => undefined},
+		send(_to, message) {
+			sent.push(message);
+		},
 		onFailure(error) {
 			throw error;
 		},
@@ -42,8 +47,8 @@
 		});
 	};
 
-	const follow = async (entries: readonly Entry[], commitIndex: number) => receive({
-		kind: PeerMessageKind.Append, term: 2, previousIndex: 0, previousTerm: 0, entries, commitIndex, sentAtMs: 0,
+	const follow = async (entries: readonly Entry[], commitIndex: number, confirmation: Pick<AppendMessage, 'confirmedForMs' | 'reading'> = {}) => receive({
+		kind: PeerMessageKind.Append, term: 2, previousIndex: 0, previousTerm: 0, entries, commitIndex, sentAtMs: 0, ...confirmation,
 	});
 
 	const settled: string[] = [];
@@ -55,7 +60,7 @@
 	await lead(1);
 
 	return {
-		runner, receive, lead, follow, settled, propose,
+		runner, clock, sent, receive, lead, follow, settled, propose,
 	};
 };
 
@@ -89,12 +94,24 @@
 	await runner.stop();
 });
 
-test('a replica that hears a leader lacks what was committed before, until it has applied an entry of the leader\'s term', async t => {
-	const {runner, follow} = await openLeader();
+test('a replica that hears a leader lacks what was committed before, until it has applied what a confirmed message of the leader states', async t => {
+	const {runner, clock, sent, follow} = await openLeader();
+	clock.advance(1000);
 	await follow([noop], 0);
-	t.false(runner.hasApplied(0));
+	t.is(runner.getKnownAtMs(), undefined);
+	const reply = sent.findLast(message => message.kind === PeerMessageKind.AppendReply);
+	const reading = reply?.kind === PeerMessageKind.AppendReply ? reply.reading : undefined;
+	t.is(reading?.atMs, 1000);
+	clock.advance(200);
+	await follow([noop], 2, {confirmedForMs: 50, reading});
+	t.is(runner.getKnownAtMs(), undefined);
 	await follow([noop], 1);
-	t.true(runner.hasApplied(1));
-	t.false(runner.hasApplied(2));
+	t.is(runner.getKnownAtMs(), undefined);
+	await follow([noop], 1, {confirmedForMs: 40, reading: {clockId: 'clock-of-another-run', atMs: 1000}});
+	t.is(runner.getKnownAtMs(), undefined);
+	await follow([noop], 1, {confirmedForMs: 40, reading});
+	t.is(runner.getKnownAtMs(), 960);
+	clock.advance(5000);
+	t.is(runner.getKnownAtMs(), 960);
 	await runner.stop();
 });
--- a/packages/replication/src/replica-runner.ts
+++ b/packages/replication/src/replica-runner.ts
@@ -1,5 +1,5 @@
 import {
-	createSnapshotMetadata, createReplica, EffectKind, EntryKind, getTermAt, isLeaseHeld, isReadConfirmed, MessageKind, PeerMessageKind, ReplicaRole,
+	createSnapshotMetadata, createReplica, EffectKind, EntryKind, findConfirmation, getTermAt, isLeaseHeld, isReadConfirmed, MessageKind, PeerMessageKind, ReplicaRole,
 	stepReplica, type Effect, type Entry, type Member, type Message,
 	type PeerMessage, type ReplicaState, type ReplicaTiming,
 } from '@fescuestair/agreement';
@@ -44,8 +44,8 @@
 	readonly getState: () => ReplicaState;
 	/** Whether this replica holds the leader's lease and its applied state is the latest. */
 	readonly canServeReads: () => boolean;
-	/** Whether this replica has applied all entries up to an index, and all that was committed before the current term. */
-	readonly hasApplied: (index: number) => boolean;
+	/** The latest time for which this replica has applied all that had been committed by then; `undefined` where there is none since its start. */
+	readonly getKnownAtMs: () => number | undefined;
 	/**
 	Resolves once a majority has confirmed, after the call, that this replica leads. Its applied state then includes everything that was
 	committed before the call.
@@ -93,6 +93,7 @@
 	let isDraining = false;
 	let queueDrained = Promise.resolve();
 	let isStopped = false;
+	let knownAtMs: number | undefined;
 
 	if (snapshotData !== undefined) {
 		machine.decode(snapshotData.machine);
@@ -102,7 +103,7 @@
 	const firstMark = firstMembers === undefined ? undefined : {index: 0, term: 0, members: firstMembers};
 	const actor = createActor<ReplicaState, Message, Effect>({
 		initialState: createReplica({
-			id, nowMs: clock.readMonotonicMs(), timing, hardState: loaded.hardState, snapshot: snapshotData?.mark ?? firstMark, entries,
+			id, nowMs: clock.readMonotonicMs(), clockId: createId('clock', 0), timing, hardState: loaded.hardState, snapshot: snapshotData?.mark ?? firstMark, entries,
 		}),
 		clock,
 		transition: stepReplica,
@@ -143,6 +144,7 @@
 
 				await handleEffects(effects.splice(0));
 				resolveReads();
+				recordKnown();
 			}
 		} catch (error) {
 			stopAfterFailure(error);
@@ -176,6 +178,15 @@
 		}
 	};
 
+	// A confirmation counts once its index is applied, and is replaced by the next one: it is looked at after each batch.
+	const recordKnown = () => {
+		const confirmation = findConfirmation(actor.getState(), clock.readMonotonicMs());
+
+		if (confirmation !== undefined && appliedIndex >= confirmation.commitIndex) {
+			knownAtMs = Math.max(knownAtMs ?? Number.NEGATIVE_INFINITY, confirmation.knownAtMs);
+		}
+	};
+
 	const handleEffects = async (batch: readonly Effect[]) => {
 		// A message may be sent before the sync only if the batch persists no new term or vote.
 		const hasHardState = batch.some(effect => effect.kind === EffectKind.Persist && effect.hardState !== undefined);
@@ -368,7 +379,11 @@
 		canServeReads() {
 			return isLeaseHeld(actor.getState(), clock.readMonotonicMs()) && hasAppliedCurrentTerm();
 		},
-		hasApplied: index => appliedIndex >= index && hasAppliedCurrentTerm(),
+		getKnownAtMs() {
+			recordKnown();
+
+			return knownAtMs;
+		},
 		async confirmRead() {
 			if (isStopped || actor.getState().role !== ReplicaRole.Leader) {
 				throw new ProposalError(true, 'not_leader');
