Refuse for good only by a configuration that was known to be the newest lately, and since the start

Cause: a gateway believed the first confirmation by a coordinator for as long as it ran. Without coordinators, or after it had stood still, it went on to refuse for good by what it held.

Change: the age of a coordinator's state and the time of the hello give the moment for which the configuration in force was the newest. What the configuration allows is served as before. Ages of weight targets use the same moment, in place of the time of the hello and 1.5 s.

--- a/packages/gateway/src/__tests__/unit/gateway.test.ts
+++ b/packages/gateway/src/__tests__/unit/gateway.test.ts
@@ -174,8 +174,8 @@
 
 			return {status, hasReturn: headers.has('retry-after')};
 		},
-		async waitForLine(message: string) {
-			while (!lines.some(line => line.message === message)) {
+		async waitForLine(message: string, version: number) {
+			while (!lines.some(line => line.message === message && line.version === version)) {
 				await sleep(10);
 			}
 		},
@@ -193,7 +193,7 @@
 // Issue 67: one confirmation was believed for ever.
 test('a request without a route is refused for good only while it is known that no newer configuration adds one', async t => {
 	const gateway = await openGateway(t, '127.0.30.1:17803', {version: 1});
-	await gateway.waitForLine('configuration confirmed');
+	await gateway.waitForLine('configuration confirmed', 1);
 	t.like(await gateway.sendRequest(), {status: 404});
 	gateway.tell(undefined);
 	gateway.passTime(30_000);
@@ -202,18 +202,18 @@
 
 test('a coordinator that has not known the newest configuration for long confirms none', async t => {
 	const gateway = await openGateway(t, '127.0.30.2:17803', {version: 1, stateAgeMs: 30_000});
-	await gateway.waitForLine('configuration in force');
+	await gateway.waitForLine('configuration in force', 1);
 	await sleep(300);
 	t.deepEqual(await gateway.sendRequest(), refusal);
 });
 
 test('what a configuration does not allow is not refused for good while a newer one cannot be used', async t => {
 	const gateway = await openGateway(t, '127.0.30.3:17803', {version: 1});
-	await gateway.waitForLine('configuration confirmed');
+	await gateway.waitForLine('configuration confirmed', 1);
 	gateway.tell({version: 2});
-	await gateway.waitForLine('configuration cannot be used');
+	await gateway.waitForLine('configuration cannot be used', 2);
 	t.deepEqual(await gateway.sendRequest(), refusal);
 	gateway.tell({version: 3});
-	await sleep(1000);
+	await gateway.waitForLine('configuration confirmed', 3);
 	t.like(await gateway.sendRequest(), {status: 404});
 });
--- a/packages/gateway/src/__tests__/unit/request-handler.test.ts
+++ b/packages/gateway/src/__tests__/unit/request-handler.test.ts
@@ -50,7 +50,8 @@
 			},
 			isForwarded: () => true,
 		},
-		clock, log, metrics, getTable: getCurrentTable, isConfigConfirmed: () => isConfigConfirmed, findStopRefusal: () => undefined, recordLength: () => undefined,
+		clock, log, metrics, getTable: getCurrentTable,
+		decideRefusal: () => isConfigConfirmed ? {isFinal: true} : {isFinal: false, retryAfterMs: 500}, findStopRefusal: () => undefined, recordLength: () => undefined,
 		depositRetryTokens: () => undefined,
 	});
 	const server = http.createServer((request, response) => {
--- a/packages/gateway/src/coordinator-client.ts
+++ b/packages/gateway/src/coordinator-client.ts
@@ -7,7 +7,7 @@
 import {callAndValidate, LinkMessageKind} from '@fescuestair/protocol';
 import {createHelloClient, type Logger} from '@fescuestair/runtime';
 import {type Links} from '@fescuestair/transport';
-import {adjustTargetAges, coordinatorStalenessMs} from './adjust-target-ages.js';
+import {adjustTargetAges} from './adjust-target-ages.js';
 import {recordConfirmation, type ConfigConfirmation} from './config-confirmation.js';
 
 /** Where a gateway heard target versions of weights. */
@@ -56,9 +56,7 @@
 	start.
 	*/
 	readonly isCurrent: () => boolean;
-	/** Whether a current coordinator has confirmed the configuration since the start. */
-	readonly isConfirmed: () => boolean;
-	/** The last confirmation; `undefined` where there is none since the start. */
+	/** The last confirmation of the configuration in force; `undefined` where there is none since the start. */
 	readonly getConfirmation: () => ConfigConfirmation | undefined;
 	readonly countGateways: () => number;
 	readonly findInstance: (id: string) => RegisteredInstance | undefined;
@@ -96,6 +94,9 @@
 */
 const staleServingDelayMs = 2000;
 
+/** Age of the state of a coordinator of older software at most, which says only that it is current. */
+const legacyStateAgeMs = 1500;
+
 type KnownCoordinator = {
 	readonly availabilityZone: string | undefined;
 	/** When it last answered, or was first listed by another coordinator. */
@@ -136,11 +137,11 @@
 	/** Incarnations of leaving instances, by id, that have not been reported to a home yet. */
 	const unreportedLeaving = new Map<string, number>();
 
-	/** When the latest hello was sent that a current coordinator has answered, and by which this gateway has learnt all that it lacked. */
-	let currentAtMs: number | undefined;
+	/** The latest time for which this gateway has learnt all that had been accepted by then. */
+	let knownAtMs: number | undefined;
 
 	const adjustAges = (weights: PublishedSnapshot['weights'], {isCurrent, transitMs}: {readonly isCurrent: boolean; readonly transitMs: number}) => adjustTargetAges(weights, {
-		isCurrent, transitMs, sinceCurrentMs: currentAtMs === undefined ? undefined : clock.readMonotonicMs() - currentAtMs,
+		isCurrent, transitMs, sinceKnownMs: knownAtMs === undefined ? undefined : clock.readMonotonicMs() - knownAtMs,
 	});
 
 	const applyPublished = (published: PublishedSnapshot, source: TargetSource) => {
@@ -155,7 +156,15 @@
 		onPublished(published, source);
 	};
 
-	const applyPublishedReply = (address: string, {published, targetAges, isCurrent}: HelloReply, roundTripMs: number) => {
+	const recordKnown = (toldBy: string, atMs: number) => {
+		knownAtMs = Math.max(knownAtMs ?? Number.NEGATIVE_INFINITY, atMs);
+
+		if (configVersion > 0) {
+			confirmation = recordConfirmation(confirmation, {version: configVersion, toldBy, knownAtMs: atMs}, {nowMs: clock.readMonotonicMs(), log});
+		}
+	};
+
+	const applyPublishedReply = (address: string, {published, targetAges, isCurrent, stateAgeMs = isCurrent ? legacyStateAgeMs : undefined}: HelloReply, roundTripMs: number) => {
 		const source: TargetSource = {toldBy: address, isCurrent, transitMs: roundTripMs};
 		const transit = {isCurrent, transitMs: roundTripMs};
 
@@ -167,8 +176,8 @@
 			onTargetAges(adjustAges(targetAges, transit), source);
 		}
 
-		if (isCurrent && (published === undefined || published.revision <= revision)) {
-			currentAtMs = Math.max(currentAtMs ?? Number.NEGATIVE_INFINITY, clock.readMonotonicMs() - roundTripMs);
+		if (stateAgeMs !== undefined && (published === undefined || published.revision <= revision)) {
+			recordKnown(address, clock.readMonotonicMs() - roundTripMs - stateAgeMs);
 		}
 	};
 
@@ -275,13 +284,6 @@
 
 		leaderAddress = reply.isCurrent ? reply.leaderAddress ?? leaderAddress : leaderAddress;
 		hasCurrent ||= reply.isCurrent && configVersion > 0;
-
-		if (reply.isCurrent && configVersion > 0) {
-			const nowMs = clock.readMonotonicMs();
-			confirmation = recordConfirmation(confirmation, {
-				version: configVersion, toldBy: address, knownAtMs: nowMs - roundTripMs - (reply.stateAgeMs ?? coordinatorStalenessMs),
-			}, {nowMs, log});
-		}
 	};
 
 	const helloClient = createHelloClient({
@@ -404,7 +406,6 @@
 			onRegistryUpdate(registry);
 			void sendLeavingReport();
 		},
-		isConfirmed: () => hasCurrent,
 		getConfirmation: () => confirmation,
 		isCurrent: () => hasCurrent || (configVersion > 0 && clock.readMonotonicMs() - startedAtMs >= staleServingDelayMs),
 		countGateways: () => gatewayCount ?? 1,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -33,6 +33,7 @@
 import {createCoordinatorClient, type TargetSource} from './coordinator-client.js';
 import {createCrashDetector} from './crash-detector.js';
 import {type ForwardOptions} from './forward-options.js';
+import {decideConfigRefusal} from './decide-config-refusal.js';
 import {createInstancePool} from './instance-pool.js';
 import {
 	createTargetVersionHistory, classifyWeights, findNewerTarget, findStartDeadlineMs, recordTargetVersions,
@@ -65,6 +66,8 @@
 	readonly placement?: PlacementPolicy;
 	/** Time after a change of the target version in which requests may still begin on older weights. */
 	readonly oldWeightsMs: number;
+	/** Time within which an accepted configuration has to be in force; for longer, nothing is refused for good by one that may have been replaced. */
+	readonly configApplyMs?: number;
 	/** By how much a cold instance may be sent more than it accepts; absent if nobody sets a bound. */
 	readonly coldBound?: ColdBound | undefined;
 	/** Time after which a stop ends, even if requests are still running. */
@@ -99,6 +102,8 @@
 /** Share of an instance's connections that all gateways use together. */
 const usableConnectionShare = 0.8;
 const minConnections = 4;
+/** Less than what operators are promised: a gateway knows what is the newest configuration as of some 0.4 to 1.2 s before. */
+const defaultConfigApplyMs = 2000;
 const defaultMaxBufferedAnswerBytes = 64_000_000;
 
 /**
@@ -113,12 +118,14 @@
 export async function createGateway(options: GatewayOptions): Promise<Gateway> {
 	const {
 		name, availabilityZone, linkAddress, listen, getSeeds, decodeConfig, callerCodec, upstreamCodec, fetchIncarnation, retryAllowance, stopTimeoutMs, oldWeightsMs, coldBound,
+		configApplyMs = defaultConfigApplyMs,
 		regionsByZone = new Map(),
 		placement = PlacementPolicy.LeastCost, callerBudget = processCallerBudget, maxBufferedAnswerBytes = defaultMaxBufferedAnswerBytes,
 		clock = createSystemClock(), log, metrics,
 	} = options;
 	const links = createLinks({getKeys: undefined});
 	const incarnation = clock.readWallMs();
+	const startedAtMs = clock.readMonotonicMs();
 	let routeTable: RouteTable | undefined;
 	let targetVersionHistory = createTargetVersionHistory();
 	let evacuations = createEvacuationView();
@@ -334,7 +341,10 @@
 	const answerCaller = createRequestHandler({
 		bodies,
 		forwardOptions, callerCodec, clock, log, metrics, depositRetryTokens: depositRequest, getTable: () => routeTable,
-		isConfigConfirmed: () => client.isConfirmed(), describeConfirmation: () => describeConfirmation(client.getConfirmation(), clock.readMonotonicMs()),
+		decideRefusal: () => decideConfigRefusal({
+			nowMs: clock.readMonotonicMs(), knownAtMs: client.getConfirmation()?.knownAtMs, startedAtMs, configApplyMs,
+		}),
+		describeConfirmation: () => describeConfirmation(client.getConfirmation(), clock.readMonotonicMs()),
 		findStopRefusal: planned.findRefusal, recordLength: planned.recordLength,
 	});
 
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -10,6 +10,7 @@
 import {type CallerCodec} from './codecs.js';
 import {ExchangeOutcome, sendLocalResponse, type ExchangeResult} from './exchange.js';
 import {forwardExchange, type ForwardResult} from './forward.js';
+import {type ConfigRefusal} from './decide-config-refusal.js';
 import {type ForwardOptions} from './forward-options.js';
 
 export type RequestHandlerOptions = {
@@ -20,8 +21,8 @@
 	readonly metrics: PrometheusMetrics;
 	/** The configuration in force; `undefined` before one is known. */
 	readonly getTable: () => RouteTable | undefined;
-	/** Whether the configuration is known to be the newest one that was accepted, or was since the start. */
-	readonly isConfigConfirmed: () => boolean;
+	/** Decides whether a request that the configuration does not allow is refused for good, or until it is known that none allows it. */
+	readonly decideRefusal: () => ConfigRefusal;
 	/** Fields of the log line of a request that is refused by the configuration: who confirmed that, and how long ago that was true. */
 	readonly describeConfirmation?: () => Readonly<Record<string, unknown>>;
 	/** Decides whether a request is refused because the gateway stops. `limitMs` is the time that its caller and route leave it. */
@@ -63,13 +64,13 @@
 
 @example
 ```
-const handleRequest = createRequestHandler({forwardOptions, callerCodec, clock, log, metrics, getTable, isConfigConfirmed, findStopRefusal, recordLength, depositRetryTokens});
+const handleRequest = createRequestHandler({forwardOptions, callerCodec, clock, log, metrics, getTable, decideRefusal, findStopRefusal, recordLength, depositRetryTokens});
 server.on('request', handleRequest);
 ```
 */
 export function createRequestHandler(options: RequestHandlerOptions): (request: IncomingMessage, response: ServerResponse) => Promise<void> {
 	const {
-		forwardOptions, callerCodec, clock, log, metrics, getTable, isConfigConfirmed, describeConfirmation = () => ({}), findStopRefusal, recordLength, depositRetryTokens,
+		forwardOptions, callerCodec, clock, log, metrics, getTable, decideRefusal, describeConfirmation = () => ({}), findStopRefusal, recordLength, depositRetryTokens,
 		bodies = createRequestBodies(),
 	} = options;
 	const {isLeaving} = forwardOptions;
@@ -86,12 +87,15 @@
 
 	const reject = (response: ServerResponse, status: number, message: string) => endBeforeForward(response, {outcome: ExchangeOutcome.Rejected, status, message});
 
-	// After a loss of all power, the first configuration that is heard may be older than the newest one that was accepted, which may allow the request.
-	const rejectByConfig = (response: ServerResponse, status: number, message: string) => isConfigConfirmed()
-		? reject(response, status, message)
-		: endBeforeForward(response, {
-			outcome: ExchangeOutcome.Refused, status: 503, message: `${message} in a configuration that may be out of date`, retryAfterMs: notReadyRetryAfterMs,
-		});
+	const rejectByConfig = (response: ServerResponse, status: number, message: string) => {
+		const refusal = decideRefusal();
+
+		return refusal.isFinal
+			? reject(response, status, message)
+			: endBeforeForward(response, {
+				outcome: ExchangeOutcome.Refused, status: 503, message: `${message} in a configuration that may be out of date`, retryAfterMs: refusal.retryAfterMs,
+			});
+	};
 
 	const describeForwarded = ({story, streamEnd, ...end}: ForwardResult, {route, startedAtMs, fields}: {
 		readonly route: Route; readonly startedAtMs: number; readonly fields: RequestResult['fields'];
