Refuse nothing for good while a newer configuration is known that cannot be used

It needs software of different versions at coordinators and gateways; a deployment of one version does not reach it, since both decode alike.

Cause: a gateway notes the version that it was told before it has built its table. Where that fails it keeps the table before, and took the next hello for a confirmation of it.

Change: a confirmation counts only for the version that requests are checked against; where a newer one was heard, there is none. Refusals are then 503 with a time to return, until a version that can be used arrives.

--- a/packages/gateway/src/coordinator-client.ts
+++ b/packages/gateway/src/coordinator-client.ts
@@ -28,6 +28,8 @@
 	readonly log: Logger;
 	/** Called with each published snapshot whose revision is higher than that of the one before. */
 	readonly onPublished: (published: PublishedSnapshot, source: TargetSource) => void;
+	/** Version of the configuration that requests are checked against; 0 before there is one. */
+	readonly getVersionInForce: () => number;
 	/** Called with the target versions of weights and their ages, as coordinators tell them while a target is young. */
 	readonly onTargetAges: (weights: PublishedSnapshot['weights'], source: TargetSource) => void;
 	/** Called with what a coordinator tells of the other gateways, once this one stops. */
@@ -56,7 +58,7 @@
 	start.
 	*/
 	readonly isCurrent: () => boolean;
-	/** The last confirmation of the configuration in force; `undefined` where there is none since the start. */
+	/** The last confirmation of the configuration in force; `undefined` where there is none since the start, or a newer one was heard that cannot be used. */
 	readonly getConfirmation: () => ConfigConfirmation | undefined;
 	readonly countGateways: () => number;
 	readonly findInstance: (id: string) => RegisteredInstance | undefined;
@@ -115,7 +117,8 @@
 */
 export function createCoordinatorClient(options: CoordinatorClientOptions): CoordinatorClient {
 	const {
-		getDaemonRecord, getSeeds, links, clock, log, onPublished, onTargetAges, onPeers, onRegistryUpdate, onRequestLimits, onQuarantine, onRound, onHomeChange, onRecordKeeperChange,
+		getDaemonRecord, getSeeds, links, clock, log, onPublished, getVersionInForce, onTargetAges, onPeers, onRegistryUpdate, onRequestLimits, onQuarantine, onRound, onHomeChange,
+		onRecordKeeperChange,
 	} = options;
 	const coordinators = new Map<string, KnownCoordinator>();
 	const startedAtMs = clock.readMonotonicMs();
@@ -159,7 +162,8 @@
 	const recordKnown = (toldBy: string, atMs: number) => {
 		knownAtMs = Math.max(knownAtMs ?? Number.NEGATIVE_INFINITY, atMs);
 
-		if (configVersion > 0) {
+		// A version that cannot be used leaves an older one in force.
+		if (configVersion > 0 && getVersionInForce() >= configVersion) {
 			confirmation = recordConfirmation(confirmation, {version: configVersion, toldBy, knownAtMs: atMs}, {nowMs: clock.readMonotonicMs(), log});
 		}
 	};
@@ -406,7 +410,7 @@
 			onRegistryUpdate(registry);
 			void sendLeavingReport();
 		},
-		getConfirmation: () => confirmation,
+		getConfirmation: () => getVersionInForce() >= configVersion ? confirmation : undefined,
 		isCurrent: () => hasCurrent || (configVersion > 0 && clock.readMonotonicMs() - startedAtMs >= staleServingDelayMs),
 		countGateways: () => gatewayCount ?? 1,
 		findInstance: id => registry.held.get(id),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -382,7 +382,7 @@
 	metrics.registerGauge('parts_known', 'Stored parts that requests may fetch', () => partsClient.getView().locations.size);
 
 	const client = createCoordinatorClient({
-		getDaemonRecord, getSeeds, links, clock, log, onPublished, onTargetAges: recordTargets, onPeers: planned.recordPeers,
+		getDaemonRecord, getSeeds, links, clock, log, onPublished, getVersionInForce: () => routeTable?.config.version ?? 0, onTargetAges: recordTargets, onPeers: planned.recordPeers,
 		onRequestLimits: requestLimits.merge,
 		onQuarantine(address, quarantine) {
 			// A coordinator of an older version names none.
