Refuse a configuration in which two organisations of the same name share a key

What callers would see: a key that stands for two organisations, whose isolation and priority may differ.

Cause: the check compared the names of the owners, not the owners.

Evidence: 'two organisations that share a key are found though they have the same name ...', failed before (no finding). A key that one organisation names twice is still taken.

--- a/packages/traffic/src/__tests__/unit/traffic.test.ts
+++ b/packages/traffic/src/__tests__/unit/traffic.test.ts
@@ -61,6 +61,13 @@
 	t.deepEqual(findings.map(finding => finding.place), ['routes[0]', 'routes[0]', 'routes[0]', 'routes[1]', 'organisations[1]']);
 });
 
+test('two organisations that share a key are found though they have the same name, and one that names a key twice is none', t => {
+	const organisation = {
+		name: 'a', keys: ['k'], priority: undefined, isIsolated: false,
+	};
+	t.deepEqual(checkTrafficConfig(createConfig({organisations: [organisation, organisation, {...organisation, keys: ['other', 'other']}]})).map(finding => finding.place), ['organisations[1]']);
+});
+
 test('targets are chosen in proportion to their weights, and targets with weight 0 never', t => {
 	const targets = [{service: 'a', weight: 90}, {service: 'b', weight: 10}, {service: 'c', weight: 0}];
 	t.is(chooseTarget(targets, 0.5).service, 'a');
--- a/packages/traffic/src/check-config.ts
+++ b/packages/traffic/src/check-config.ts
@@ -63,18 +63,19 @@
 }
 
 function findSharedOrganisationKeys(organisations: readonly Organisation[]): readonly Finding[] {
-	const owners = new Map<string, string>();
+	/** Position of the first organisation that holds each key; two of them may have the same name. */
+	const owners = new Map<string, number>();
 	const findings: Finding[] = [];
 
-	for (const [position, organisation] of organisations.entries()) {
-		for (const key of organisation.keys) {
+	for (const [position, {keys}] of organisations.entries()) {
+		for (const key of keys) {
 			const owner = owners.get(key);
 
-			if (owner !== undefined && owner !== organisation.name) {
-				findings.push(createFinding(`organisations[${position}]`, `shares a key with organisation "${owner}"`));
+			if (owner !== undefined && owner !== position) {
+				findings.push(createFinding(`organisations[${position}]`, `shares a key with organisations[${owner}], "${organisations[owner]!.name}"`));
 			}
 
-			owners.set(key, organisation.name);
+			owners.set(key, owner ?? position);
 		}
 	}
 
