Check a configuration before it is sent

Errors are found by the functions that coordinators use (decodeConfig, checkTrafficConfig, checkAllowedRegions); warnings and differences are pure functions of packages/traffic (find-config-warnings.ts, diff-configs.ts). Nothing that coordinators accept or refuse changes. Keys are never printed.

--- /dev/null
+++ b/packages/traffic/src/find-config-warnings.ts
@@ -0,0 +1,109 @@
+import {createFinding, type Finding} from '@fescuestair/core';
+import {mergeAllowedRegions} from './regions.js';
+import {
+	CallKind, type CallerLimits, type Organisation, type Route, type Service, type TrafficConfig,
+} from './types.js';
+
+/**
+Finds what a valid configuration says in vain or against itself: entries that no request can match, and limits that contradict each other. It is accepted all the same.
+
+@example
+```
+findConfigWarnings(config).map(formatFinding); //=> ['services[2]: no route leads to it']
+```
+*/
+export function findConfigWarnings(config: TrafficConfig): readonly Finding[] {
+	const services = new Map(config.services.map(service => [service.name, service]));
+
+	return [
+		...config.routes.flatMap((route, position) => findRouteWarnings(route, {place: `routes[${position}]`, services, organisations: config.organisations})),
+		...config.services.flatMap((service, position) => findServiceWarnings(service, `services[${position}]`, config.routes)),
+		...config.organisations.flatMap((organisation, position) => findOrganisationWarnings(organisation, `organisations[${position}]`)),
+		...findLimitWarnings(config.limits),
+	];
+}
+
+type RouteContext = {readonly place: string; readonly services: ReadonlyMap<string, Service>; readonly organisations: readonly Organisation[]};
+
+function findRouteWarnings(route: Route, {place, services, organisations}: RouteContext): readonly Finding[] {
+	const {host, pathPrefix, timeoutMs, targetMs, maxAttempts, kind, isResumable, isPublic, targets} = route;
+	const list = createWarnings(place);
+
+	list.add(host === '', 'no request matches it: its host is empty');
+	list.add(/:\d+$/v.test(host), `no request matches it: the port is left out of a request's host, and "${host}" has one`);
+	list.add(/[?#\s]/v.test(pathPrefix), `no request matches it: a path has no query, fragment or space, and "${pathPrefix}" has`);
+	list.add(targetMs > timeoutMs, `its target of ${targetMs} ms is past its timeout of ${timeoutMs} ms`);
+	list.add(maxAttempts > 1 && !mayRunAgain(kind, isResumable), `its ${maxAttempts} attempts are never used: its requests run once at most`);
+	list.add(isResumable && kind !== CallKind.Streaming, 'only streams can be resumable');
+
+	for (const {service, weight} of targets) {
+		list.add(weight < 0, `the weight of service "${service}" is below 0`);
+		list.add(weight === 0, `service "${service}" is never chosen: its weight is 0`);
+		list.add(services.get(service)?.store !== undefined, `service "${service}" is a store, which serves no requests`);
+	}
+
+	for (const organisation of isPublic ? [] : organisations) {
+		list.add(
+			mergeAllowedRegions(route, organisation)?.length === 0,
+			`requests of organisation "${organisation.name}" can be served nowhere: it and the route allow no region in common`,
+		);
+	}
+
+	return list.warnings;
+}
+
+function mayRunAgain(kind: CallKind, isResumable: boolean): boolean {
+	return kind === CallKind.Safe || (kind === CallKind.Streaming && isResumable);
+}
+
+function findServiceWarnings({name, maxConnections, engine, store}: Service, place: string, routes: readonly Route[]): readonly Finding[] {
+	const list = createWarnings(place);
+
+	if (store !== undefined) {
+		list.add(store.capacityTokens <= 0, `store "${name}" has room for nothing`);
+
+		return list.warnings;
+	}
+
+	list.add(!routes.some(({targets}) => targets.some(target => target.service === name && target.weight > 0)), `no route leads to service "${name}"`);
+	list.add(maxConnections <= 0, `service "${name}" accepts no connections`);
+
+	if (engine !== undefined) {
+		list.add(engine.slots <= 0 || engine.cacheTokens <= 0, `the engines of service "${name}" have no slots, or memory for no token`);
+		list.add(maxConnections > 0 && maxConnections < engine.slots, `service "${name}" accepts ${maxConnections} connections, fewer than its ${engine.slots} slots`);
+	}
+
+	return list.warnings;
+}
+
+function findOrganisationWarnings({name, keys}: Organisation, place: string): readonly Finding[] {
+	const list = createWarnings(place);
+	list.add(keys.length === 0, `no request can be of organisation "${name}": it has no key`);
+	list.add(keys.includes(''), `organisation "${name}" has an empty key`);
+	list.add(new Set(keys).size < keys.length, `organisation "${name}" has a key twice`);
+
+	return list.warnings;
+}
+
+function findLimitWarnings({maxHeaderBytes, maxBodyBytes, headerTimeoutMs, idleTimeoutMs}: CallerLimits): readonly Finding[] {
+	const list = createWarnings('limits');
+	list.add(maxHeaderBytes <= 0, 'no request has so few bytes of headers');
+	list.add(maxBodyBytes <= 0, 'no request with a body is accepted');
+	list.add(headerTimeoutMs <= 0, 'no request can be sent within its time for headers');
+	list.add(idleTimeoutMs <= 0, 'connections are closed as soon as they are idle');
+
+	return list.warnings;
+}
+
+function createWarnings(place: string) {
+	const warnings: Finding[] = [];
+
+	return {
+		warnings,
+		add(applies: boolean, message: string) {
+			if (applies) {
+				warnings.push(createFinding(place, message));
+			}
+		},
+	};
+}
--- a/packages/traffic/src/index.ts
+++ b/packages/traffic/src/index.ts
@@ -1,4 +1,8 @@
 export {checkTrafficConfig} from './check-config.js';
+export {
+	ChangeKind, diffConfigs, type ConfigChange, type FieldChange,
+} from './diff-configs.js';
+export {findConfigWarnings} from './find-config-warnings.js';
 export {
 	checkAllowedRegions, createZoneFilter, filterGateways, mergeAllowedRegions, type AllowedRegions, type GatewayLookup, type RegionsByZone,
 } from './regions.js';
