--- a/packages/agreement/src/confirmation.ts
+++ b/packages/agreement/src/confirmation.ts
@@ -31,7 +31,7 @@
 }
 
 /** Takes the confirmation of a leader's message, unless a later one is known, or the message answers another run of this replica. */
-export function receiveConfirmation(state: ReplicaState, {commitIndex, confirmedForMs, reading}: AppendMessage, nowMs: number): Confirmation | undefined {
+export function takeConfirmation(state: ReplicaState, {commitIndex, confirmedForMs, reading}: AppendMessage, nowMs: number): Confirmation | undefined {
 	const previous = state.receivedConfirmation;
 
 	if (confirmedForMs === undefined || confirmedForMs < 0 || reading?.clockId !== state.clockId || reading.atMs > nowMs) {
--- a/packages/agreement/src/follower.ts
+++ b/packages/agreement/src/follower.ts
@@ -1,5 +1,5 @@
 import {type Step} from '@fescuestair/core';
-import {receiveConfirmation} from './confirmation.js';
+import {takeConfirmation} from './confirmation.js';
 import {becomeFollower, createHardStateEffects} from './roles.js';
 import {
 	appendEntries, findLatestMembers, getLastIndex, getTermAt, sliceEntries,
@@ -21,7 +21,7 @@
 		};
 	}
 
-	const followerState: ReplicaState = {...followLeader(state, from, message.term, nowMs), receivedConfirmation: receiveConfirmation(state, message, nowMs)};
+	const followerState: ReplicaState = {...followLeader(state, from, message.term, nowMs), receivedConfirmation: takeConfirmation(state, message, nowMs)};
 	const hardStateEffects = createHardStateEffects(state, followerState);
 	const reading: ClockReading = {clockId: state.clockId, atMs: nowMs};
 
--- a/packages/traffic/src/__tests__/unit/config-warnings.test.ts
+++ b/packages/traffic/src/__tests__/unit/config-warnings.test.ts
@@ -44,7 +44,8 @@
 	['a weight below 0', {routes: [{...route, targets: [{service: 'app', weight: 2}, {service: 'app', weight: -1}]}]}, /^routes\[0\]: the weight of service "app" is below 0/v],
 	['a store as target', {services: [{...service, store}]}, /^routes\[0\]: service "app" is a store/v],
 	[
-		'regions without a common one', {routes: [{...route, allowedRegions: ['east']}], organisations: [{...organisation, allowedRegions: ['west']}]},
+		'regions without a common one',
+		{routes: [{...route, allowedRegions: ['east']}], organisations: [{...organisation, allowedRegions: ['west']}]},
 		/^routes\[0\]: requests of organisation "o" can be served nowhere/v,
 	],
 	['a service without a route', {services: [service, {...service, name: 'other'}]}, /^services\[1\]: no route leads to service "other"/v],
--- a/packages/traffic/src/find-config-warnings.ts
+++ b/packages/traffic/src/find-config-warnings.ts
@@ -33,7 +33,7 @@
 	list.add(/:\d+$/v.test(host), `no request matches it: the port is left out of a request's host, and "${host}" has one`);
 	list.add(/[?#\s]/v.test(pathPrefix), `no request matches it: a path has no query, fragment or space, and "${pathPrefix}" has`);
 	list.add(targetMs > timeoutMs, `its target of ${targetMs} ms is past its timeout of ${timeoutMs} ms`);
-	list.add(maxAttempts > 1 && !mayRunAgain(kind, isResumable), `its ${maxAttempts} attempts are never used: its requests run once at most`);
+	list.add(maxAttempts > 1 && !canRunAgain(kind, isResumable), `its ${maxAttempts} attempts are never used: its requests run once at most`);
 	list.add(isResumable && kind !== CallKind.Streaming, 'only streams can be resumable');
 
 	for (const {service, weight} of targets) {
@@ -52,7 +52,7 @@
 	return list.warnings;
 }
 
-function mayRunAgain(kind: CallKind, isResumable: boolean): boolean {
+function canRunAgain(kind: CallKind, isResumable: boolean): boolean {
 	return kind === CallKind.Safe || (kind === CallKind.Streaming && isResumable);
 }
 
