--- a/packages/traffic/src/__tests__/unit/config-warnings.test.ts
+++ b/packages/traffic/src/__tests__/unit/config-warnings.test.ts
@@ -71,6 +71,11 @@
 	});
 }
 
+test('a limit of bodies above what a gateway holds is a warning', t => {
+	t.deepEqual(findConfigWarnings(config, {maxCallerBytes: 4_000_000}), []);
+	t.regex(findConfigWarnings(config, {maxCallerBytes: 3_999_999})[0]!.message, /^bodies may have 4000000 bytes/v);
+});
+
 test('what differs between two configurations is listed by route, service and organisation, and no key is shown', t => {
 	const changes = diffConfigs(config, {
 		...config,
