--- a/packages/agreement/src/confirmation.ts
+++ b/packages/agreement/src/confirmation.ts
@@ -24,7 +24,7 @@
 }
 
 /** The fields of a message by which a leader confirms to a member what was committed. */
-export function describeConfirmation(state: ReplicaState, reading: ClockReading | undefined, nowMs: number): Pick<AppendMessage, 'confirmedForMs' | 'reading'> {
+export function createConfirmationFields(state: ReplicaState, reading: ClockReading | undefined, nowMs: number): Pick<AppendMessage, 'confirmedForMs' | 'reading'> {
 	const own = reading === undefined ? undefined : computeOwnConfirmation(state, nowMs);
 
 	return own === undefined ? {} : {confirmedForMs: nowMs - own.knownAtMs, reading};
--- a/packages/agreement/src/leader.ts
+++ b/packages/agreement/src/leader.ts
@@ -5,7 +5,7 @@
 import {
 	appendEntries, findLatestMembers, getLastIndex, getTermAt, sliceEntries,
 } from './log.js';
-import {chooseReading, describeConfirmation} from './confirmation.js';
+import {chooseReading, createConfirmationFields} from './confirmation.js';
 import {becomeFollower, createHardStateEffects} from './roles.js';
 import {sliceByTextLength} from './slice-by-text-length.js';
 import {
@@ -124,7 +124,7 @@
 				entries,
 				commitIndex: state.commitIndex,
 				sentAtMs: nowMs,
-				...describeConfirmation(state, progress.reading, nowMs),
+				...createConfirmationFields(state, progress.reading, nowMs),
 			},
 			canSendBeforeSync: true,
 		},
--- a/packages/instances/src/daemons.ts
+++ b/packages/instances/src/daemons.ts
@@ -107,9 +107,9 @@
 	readonly published: PublishedSnapshot | undefined;
 	/** The leader of the group, as far as the coordinator knows. */
 	readonly leaderAddress: string | undefined;
-	/** Whether the coordinator had contact with a leader recently, so that its state is current. */
+	/** Whether the coordinator knew all that had been accepted a moment ago, so that what it says of others may be used. */
 	readonly isCurrent: boolean;
-	/** From a current coordinator: the time since it knew all that was accepted; absent from one of older software. */
+	/** Time since the coordinator knew all that had been accepted; absent where it has not since its start, and from one of older software. */
 	readonly stateAgeMs?: number | undefined;
 	/** From a current coordinator: the target weight versions with their ages, while one of them is young. */
 	readonly targetAges?: PublishedSnapshot['weights'] | undefined;
