--- a/packages/gateway/src/coordinator-client.ts
+++ b/packages/gateway/src/coordinator-client.ts
@@ -10,8 +10,8 @@
 import {adjustTargetAges} from './adjust-target-ages.js';
 import {recordConfirmation, type ConfigConfirmation} from './config-confirmation.js';
 
-/** Where a gateway heard target versions of weights. */
-export type TargetSource = {
+/** Where a gateway heard the published state, or target versions of weights. */
+export type StateSource = {
 	/** Link address of the coordinator; `undefined` where it was a push of the leader. */
 	readonly toldBy: string | undefined;
 	/** Whether the coordinator had contact with a leader recently. */
@@ -27,11 +27,11 @@
 	readonly clock: Clock;
 	readonly log: Logger;
 	/** Called with each published snapshot whose revision is higher than that of the one before. */
-	readonly onPublished: (published: PublishedSnapshot, source: TargetSource) => void;
+	readonly onPublished: (published: PublishedSnapshot, source: StateSource) => void;
 	/** Version of the configuration that requests are checked against; 0 before there is one. */
 	readonly getVersionInForce: () => number;
 	/** Called with the target versions of weights and their ages, as coordinators tell them while a target is young. */
-	readonly onTargetAges: (weights: PublishedSnapshot['weights'], source: TargetSource) => void;
+	readonly onTargetAges: (weights: PublishedSnapshot['weights'], source: StateSource) => void;
 	/** Called with what a coordinator tells of the other gateways, once this one stops. */
 	readonly onPeers: (peers: GatewayPeers) => void;
 	readonly onRegistryUpdate: (registry: InstanceRegistry) => void;
@@ -147,7 +147,7 @@
 		isCurrent, transitMs, sinceKnownMs: knownAtMs === undefined ? undefined : clock.readMonotonicMs() - knownAtMs,
 	});
 
-	const applyPublished = (published: PublishedSnapshot, source: TargetSource) => {
+	const applyPublished = (published: PublishedSnapshot, source: StateSource) => {
 		const lacksText = published.configText === undefined && published.configVersion > configVersion;
 
 		if (published.revision <= revision || lacksText) {
@@ -169,7 +169,7 @@
 	};
 
 	const applyPublishedReply = (address: string, {published, targetAges, isCurrent, stateAgeMs = isCurrent ? legacyStateAgeMs : undefined}: HelloReply, roundTripMs: number) => {
-		const source: TargetSource = {toldBy: address, isCurrent, transitMs: roundTripMs};
+		const source: StateSource = {toldBy: address, isCurrent, transitMs: roundTripMs};
 		const transit = {isCurrent, transitMs: roundTripMs};
 
 		if (published !== undefined) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -30,7 +30,7 @@
 import {createCallerServer} from './caller-server.js';
 import {createRequestHandler} from './request-handler.js';
 import {describeConfirmation} from './config-confirmation.js';
-import {createCoordinatorClient, type TargetSource} from './coordinator-client.js';
+import {createCoordinatorClient, type StateSource} from './coordinator-client.js';
 import {createCrashDetector} from './crash-detector.js';
 import {type ForwardOptions} from './forward-options.js';
 import {decideConfigRefusal} from './decide-config-refusal.js';
@@ -171,7 +171,7 @@
 		}
 	};
 
-	const recordTargets = (weights: PublishedSnapshot['weights'], {toldBy, isCurrent}: TargetSource) => {
+	const recordTargets = (weights: PublishedSnapshot['weights'], {toldBy, isCurrent}: StateSource) => {
 		const before = targetVersionHistory;
 		targetVersionHistory = recordTargetVersions(before, weights, {nowMs: clock.readMonotonicMs(), toldBy, isCurrent});
 
@@ -186,7 +186,7 @@
 		startDeadlines.applyTargets();
 	};
 
-	const recordEvacuations = ({revision, evacuatedZones = [...evacuations.zones]}: PublishedSnapshot, {toldBy}: TargetSource) => {
+	const recordEvacuations = ({revision, evacuatedZones = [...evacuations.zones]}: PublishedSnapshot, {toldBy}: StateSource) => {
 		const {begun, ended} = diffEvacuations(evacuations, evacuatedZones);
 		evacuations = recordEvacuatedZones(evacuations, evacuatedZones, clock.readMonotonicMs());
 
@@ -197,7 +197,7 @@
 		}
 	};
 
-	const onPublished = (published: PublishedSnapshot, source: TargetSource) => {
+	const onPublished = (published: PublishedSnapshot, source: StateSource) => {
 		const before = routeTable?.config.version;
 		recordTargets(published.weights, source);
 		recordEvacuations(published, source);
