Revert "Ask an instance again whose calls once took long, and one that has not been asked"

An instance without a sample counted as fast as the fastest, which is the one that was asked; with one gateway, equal costs go to the first of the list, so that it got every call. The unit tests of that commit had no such case: they chose among several gateways, where equals are drawn at random.

The fault that it was to mend stays (KNOWN-RED 29): the two tests of it land as failing ones. The case that the mend broke has a test that passes.

--- a/packages/gateway/src/instance-pool.ts
+++ b/packages/gateway/src/instance-pool.ts
@@ -4,7 +4,7 @@
 } from '@fescuestair/instances';
 import {
 	addWork, applyInstanceEvent, canSendTo, classifyInstance, computeCorrectionMs, computeLoadSpread, computeWaitMs, correctBacklog, createDispatchRate, estimateUnseenRequests,
-	estimateWork, HealthEvent, isOverdue, isValidBackoff, endPause, noPeerLoad, recordDispatch, recordFirstOutput, recordRequestTime, startPause, resetBacklog,
+	estimateWork, HealthEvent, isOverdue, isValidBackoff, computeMovingAverage, endPause, noPeerLoad, recordDispatch, recordFirstOutput, startPause, resetBacklog,
 	InstanceStatus, InstanceEventKind, type DispatchRate, type PeerLoad, type InstanceEvent, type LoadReport,
 } from '@fescuestair/routing';
 import {type Logger, type PrometheusMetrics} from '@fescuestair/runtime';
@@ -399,7 +399,7 @@
 			instance.pauses = pauses;
 
 			if (isRepresentative) {
-				instance.load = {...instance.load, ...recordRequestTime(instance.load, {tookMs: nowMs - request.startedAtMs, nowMs})};
+				instance.load = {...instance.load, meanMs: computeMovingAverage(instance.load.meanMs, nowMs - request.startedAtMs)};
 			}
 
 			if (estimate === undefined) {
--- a/packages/routing/src/__tests__/unit/choose-instance.test.ts
+++ b/packages/routing/src/__tests__/unit/choose-instance.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import {
-	addWork, chooseInstance, computeWaitMs, createInstanceLoad, createWorkBacklog, decideWait, recordRequestTime, WaitDecision, type InstanceOption, type PromptSize,
+	addWork, chooseInstance, computeMovingAverage, computeWaitMs, createInstanceLoad, createWorkBacklog, decideWait, WaitDecision, type InstanceOption, type PromptSize,
 	type WorkBacklog,
 } from '../../index.js';
 
@@ -212,10 +212,8 @@
 });
 
 /** Sends calls one after the other; each instance takes its time for each, and its mean is kept as a gateway keeps it. Returns where they went. */
-const replayCalls = (count: number, {intervalMs, means, getTookMs}: {
-	readonly intervalMs: number; readonly means: ReadonlyArray<number | undefined>; readonly getTookMs: (position: number) => number;
-}) => {
-	const loads = means.map(meanMs => ({...createInstanceLoad(), meanMs, meanAtMs: 0}));
+const replayCalls = (count: number, {intervalMs, means, tookMs}: {readonly intervalMs: number; readonly means: ReadonlyArray<number | undefined>; readonly tookMs: number}) => {
+	const loads = means.map(meanMs => ({...createInstanceLoad(), meanMs}));
 	const chosen: number[] = [];
 
 	for (let nowMs = 0; chosen.length < count; nowMs += intervalMs) {
@@ -224,7 +222,7 @@
 			crowd: {unseenRequests: 0, draw: (chosen.length * 0.37) % 1},
 		})!;
 		const position = Number(id);
-		loads[position] = {...loads[position]!, ...recordRequestTime(loads[position]!, {tookMs: getTookMs(position), nowMs})};
+		loads[position] = {...loads[position]!, meanMs: computeMovingAverage(loads[position]!.meanMs, tookMs)};
 		chosen.push(position);
 	}
 
@@ -232,20 +230,19 @@
 };
 
 // KNOWN-RED 29: for 30 s and 17,000 calls a gateway did not ask one of three sound instances.
-test('an instance whose calls once took long is asked again, though others are faster', t => {
-	const chosen = replayCalls(400, {intervalMs: 50, means: [4, 4, 300], getTookMs: () => 4});
-	t.false(chosen.slice(0, 40).includes(2));
-	t.true(chosen.includes(2));
-	t.true(chosen.slice(300).filter(position => position === 2).length > 10);
+test.failing('an instance whose calls once took long is asked again, though others are faster', t => {
+	t.true(replayCalls(400, {intervalMs: 50, means: [4, 4, 300], tookMs: 4}).includes(2));
 });
 
-test('an instance that has not been asked yet is asked, though the others take less than is assumed of it', t => {
-	t.true(replayCalls(40, {intervalMs: 50, means: [4, 4, undefined], getTookMs: () => 4}).includes(2));
+test.failing('an instance that has not been asked yet is asked, though the others take less than is assumed of it', t => {
+	t.true(replayCalls(40, {intervalMs: 50, means: [4, 4, undefined], tookMs: 4}).includes(2));
 });
 
-test('an instance that stays slow gets a call now and then', t => {
-	const chosen = replayCalls(2400, {intervalMs: 25, means: [40, 40, 400], getTookMs: position => position === 2 ? 400 : 40});
-	const slow = chosen.filter(position => position === 2).length;
-	t.true(slow >= 3);
-	t.true(slow <= 24);
+// A first mend of the two above took an instance without a sample for as fast as the fastest, and then asked only the first of the list.
+test('without other gateways, instances that have not been asked are asked while the one that was takes longer than is assumed of them', t => {
+	const choose = (means: ReadonlyArray<number | undefined>) => chooseInstance({
+		options: means.map((meanMs, position) => createOption(String(position), {slots: 6, load: {...createInstanceLoad(), meanMs}})), nowMs: 0, availabilityZone: 'north', prompt: undefined,
+	})!.id;
+	t.is(choose([100, undefined, undefined]), '1');
+	t.is(choose([100, 100, undefined]), '2');
 });
--- a/packages/routing/src/choose-instance.ts
+++ b/packages/routing/src/choose-instance.ts
@@ -1,7 +1,5 @@
 import {pickByRendezvous} from '@fescuestair/core';
-import {
-	estimateMeanMs, estimateOtherRequests, estimateSlownessMs, type InstanceLoad,
-} from './instance-load.js';
+import {estimateOtherRequests, estimateSlownessMs, type InstanceLoad} from './instance-load.js';
 import {pickByLevel, type LevelInput} from './pick-by-level.js';
 import {computeWaitMs} from './work-backlog.js';
 
@@ -109,7 +107,6 @@
 export function chooseInstance(input: PlacementInput): Placement | undefined {
 	const preferredId = findPreferredId(input);
 	const reservedIds = listReservedIds(input, preferredId);
-	const leastMeanMs = findLeastMeanMs(input);
 	const placements: OptionPlacement[] = [];
 	let best: OptionPlacement | undefined;
 
@@ -118,7 +115,7 @@
 			continue;
 		}
 
-		const placement = {option, ...estimatePlacement(input, option, {isPreferred: option.id === preferredId, leastMeanMs})};
+		const placement = {option, ...estimatePlacement(input, option, option.id === preferredId)};
 		placements.push(placement);
 
 		if (best === undefined || placement.cost < best.cost) {
@@ -129,19 +126,18 @@
 	return best === undefined || input.crowd === undefined
 		? best
 		: chooseInCrowd(input, {
-			best, placements, preferredId, leastMeanMs, crowd: input.crowd,
+			best, placements, preferredId, crowd: input.crowd,
 		});
 }
 
 type OptionPlacement = Placement & {readonly option: InstanceOption};
 type CrowdInput = {
 	readonly best: OptionPlacement; readonly placements: readonly OptionPlacement[]; readonly preferredId: string | undefined; readonly crowd: LevelInput;
-	readonly leastMeanMs: number | undefined;
 };
 
 // Other gateways see much the same costs at this moment. An instance that would read more of the prompt again is none of the equals, so that prompts
 // with a shared part go on meeting where it is cached; nor is one that is cold or lacks memory for the prompt, however old the view is.
-function chooseInCrowd({prompt, nowMs}: PlacementInput, {best, placements, preferredId, leastMeanMs, crowd}: CrowdInput): Placement {
+function chooseInCrowd({prompt}: PlacementInput, {best, placements, preferredId, crowd}: CrowdInput): Placement {
 	const computeReadMs = ({option}: OptionPlacement) => prompt === undefined ? 0 : computeUncachedTokens(option, prompt, option.id === preferredId) / prompt.prefillTokensPerMs;
 	const maxReadMs = computeReadMs(best) + equalReadMs;
 
@@ -151,7 +147,7 @@
 	return pickByLevel(
 		placements
 			.filter(placement => isEqual(placement))
-			.map(placement => Object.assign(placement, {costPerRequest: computeCostPerRequest(placement.option, {prompt, leastMeanMs, nowMs})})),
+			.map(placement => Object.assign(placement, {costPerRequest: computeCostPerRequest(placement.option, prompt)})),
 		crowd,
 	)!;
 }
@@ -160,29 +156,16 @@
 	return coldLeftMs > 0;
 }
 
-type CostContext = Pick<PlacementInput, 'prompt' | 'nowMs'> & {readonly leastMeanMs: number | undefined};
-
 // Of the requests that others send, few are long.
-function computeCostPerRequest(option: InstanceOption, {prompt, leastMeanMs, nowMs}: CostContext): number {
+function computeCostPerRequest(option: InstanceOption, prompt: PromptSize | undefined): number {
 	return prompt === undefined
-		? callLoadWeight * estimateMeanMs(option.load, {leastMeanMs: leastMeanMs ?? defaultServiceTimeMs, nowMs}) / option.slots
+		? callLoadWeight * (option.load.meanMs ?? defaultServiceTimeMs) / option.slots
 		: Math.min(minLongWorkMs, computeWorkMs(option, prompt)) + stepMsPerRequest;
 }
 
-type PlacementContext = {
-	/** All daemons prefer it for the shared part of this prompt. */
-	readonly isPreferred?: boolean;
-	/** Mean time of calls at the fastest instance; by default old samples count like new ones. */
-	readonly leastMeanMs?: number;
-};
-
 /** Estimates waiting time, prefill time and cost of a request at one instance. */
-export function estimatePlacement({prompt, nowMs, availabilityZone}: PlacementInput, option: InstanceOption, {isPreferred = false, leastMeanMs}: PlacementContext = {}): Placement {
-	const meanMs = option.load.meanMs ?? defaultServiceTimeMs;
-	const expectedMs = prompt === undefined ? estimateCallMs(option, meanMs, nowMs) : estimateFirstPieceMs(option, prompt, {nowMs, isPreferred});
-	const comparedMs = prompt === undefined && leastMeanMs !== undefined
-		? estimateCallMs(option, estimateMeanMs(option.load, {leastMeanMs, nowMs}), nowMs)
-		: expectedMs;
+export function estimatePlacement({prompt, nowMs, availabilityZone}: PlacementInput, option: InstanceOption, isPreferred = false): Placement {
+	const expectedMs = prompt === undefined ? estimateCallMs(option, nowMs) : estimateFirstPieceMs(option, prompt, {nowMs, isPreferred});
 
 	return {
 		id: option.id,
@@ -190,7 +173,7 @@
 		queueMs: prompt === undefined ? 0 : computeWaitMs(option.load.work, nowMs),
 		workMs: prompt === undefined ? 0 : computeWorkMs(option, prompt),
 		memoryWaitMs: prompt !== undefined && isLarge(prompt) ? estimateMemoryWaitMs(option, prompt) : 0,
-		cost: comparedMs
+		cost: expectedMs
 			+ (option.failureShare * failureCostMs * 10 * option.failureShare)
 			+ Math.min(maxColdCostMs, coldCostShare * (option.coldLeftMs ?? 0))
 			+ (option.isOutdated ? outdatedWeightsCostMs : 0)
@@ -253,13 +236,8 @@
 	return overflow <= 0 || held === 0 ? 0 : overflow / cacheTokens * memoryTurnoverMs;
 }
 
-function findLeastMeanMs({options, prompt}: PlacementInput): number | undefined {
-	const means = prompt === undefined ? options.flatMap(({load}) => load.meanMs ?? []) : [];
-
-	return means.length === 0 ? undefined : Math.min(...means);
-}
-
-function estimateCallMs({load, slots}: InstanceOption, serviceTimeMs: number, nowMs: number): number {
+function estimateCallMs({load, slots}: InstanceOption, nowMs: number): number {
+	const serviceTimeMs = load.meanMs ?? defaultServiceTimeMs;
 	const total = load.own + estimateOtherRequests(load, nowMs);
 	const waiting = Math.max(0, total + 1 - slots);
 
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -13,7 +13,7 @@
 	Priority, type EngineCandidate, type EngineView, type PromptPlan, type StoreView, type Weights,
 } from './types.js';
 export {
-	createInstanceLoad, estimateOtherRequests, estimateSlownessMs, computeLoadSpread, noPeerLoad, recordRequestTime, type InstanceLoad, type LoadReport, type Pace, type PeerLoad,
+	createInstanceLoad, estimateOtherRequests, estimateSlownessMs, computeLoadSpread, computeMovingAverage, noPeerLoad, type InstanceLoad, type LoadReport, type Pace, type PeerLoad,
 } from './instance-load.js';
 export {
 	canTakeRequests, createInstanceHealth, HealthEvent, recordHealthEvent, type InstanceHealth,
--- a/packages/routing/src/instance-load.ts
+++ b/packages/routing/src/instance-load.ts
@@ -33,8 +33,6 @@
 	readonly pace?: Pace | undefined;
 	/** Mean time from sending a request to the first streamed piece, or to the whole answer if it is not streamed. */
 	readonly meanMs: number | undefined;
-	/** When the latest of the samples of that mean was taken; absent where that is not known. */
-	readonly meanAtMs?: number | undefined;
 };
 
 /** Age at which a report no longer counts: a few times the duration of a request. */
@@ -70,54 +68,9 @@
 	return Math.max(peers.requests, others * (1 - ((nowMs - report.atMs) / reportValidityMs)));
 }
 
-/** For how long a mean is taken as it is after its latest sample. */
-const meanHoldMs = 2000;
-/** Time in which its excess over the least mean then halves. */
-const meanHalfLifeMs = 1000;
-/** Means whose difference is a smaller share of the least one count as equal. */
-const equalMeanShare = 0.1;
-
-/**
-Estimates the mean time of an instance's requests by samples that may be old. An instance that is slower than others gets no requests, and so no samples: what it once took loses its weight, until it is asked
-again. One without a sample counts as the fastest.
-
-@example
-```
-estimateMeanMs({meanMs: 200, meanAtMs: 0}, {leastMeanMs: 40, nowMs: 4000}); //=> 80
-```
-*/
-export function estimateMeanMs({meanMs, meanAtMs}: Pick<InstanceLoad, 'meanMs' | 'meanAtMs'>, {leastMeanMs, nowMs}: {readonly leastMeanMs: number; readonly nowMs: number}): number {
-	if (meanMs === undefined || meanMs <= leastMeanMs || meanAtMs === undefined) {
-		return meanMs ?? leastMeanMs;
-	}
-
-	const excessMs = (meanMs - leastMeanMs) * computeMeanWeight(meanAtMs, nowMs);
-
-	return excessMs < leastMeanMs * equalMeanShare ? leastMeanMs : leastMeanMs + excessMs;
-}
-
-/**
-Adds the time of a request to the mean of its instance. What is older than the mean is held counts less.
-
-@example
-```
-recordRequestTime({meanMs: 200, meanAtMs: 0}, {tookMs: 40, nowMs: 100}); //=> {meanMs: 168, meanAtMs: 100}
-```
-*/
-export function recordRequestTime({meanMs, meanAtMs}: Pick<InstanceLoad, 'meanMs' | 'meanAtMs'>, {tookMs, nowMs}: {
-	readonly tookMs: number; readonly nowMs: number;
-}): Pick<InstanceLoad, 'meanMs' | 'meanAtMs'> {
-	if (meanMs === undefined) {
-		return {meanMs: tookMs, meanAtMs: nowMs};
-	}
-
-	const weight = (1 - smoothingFactor) * (meanAtMs === undefined ? 1 : computeMeanWeight(meanAtMs, nowMs));
-
-	return {meanMs: tookMs + (weight * (meanMs - tookMs)), meanAtMs: nowMs};
-}
-
-function computeMeanWeight(meanAtMs: number, nowMs: number): number {
-	return 1 / (2 ** (Math.max(0, nowMs - meanAtMs - meanHoldMs) / meanHalfLifeMs));
+/** Adds a sample to an exponential moving average. */
+export function computeMovingAverage(mean: number | undefined, sample: number): number {
+	return mean === undefined ? sample : mean + (smoothingFactor * (sample - mean));
 }
 
 /**
