Find what a majority has acknowledged in one place, for reads and for confirmations

computeOwnConfirmation wrote the check of isReadConfirmed again: that the replica leads, has committed in its own term, and what a majority has acknowledged. Both call findConfirmedAtMs now.

--- a/packages/agreement/src/confirm-read.ts
+++ b/packages/agreement/src/confirm-read.ts
@@ -13,14 +13,20 @@
 ```
 */
 export function isReadConfirmed(state: ReplicaState, requestedAtMs: number): boolean {
+	return findConfirmedAtMs(state) > requestedAtMs;
+}
+
+/**
+Finds when the latest messages were sent that a majority has acknowledged to this leader: its commit index holds all that had been committed by then. -Infinity where it does not lead, or has committed no entry
+of its own term, which those of earlier leaders come before; Infinity where it is the only voter.
+*/
+export function findConfirmedAtMs(state: ReplicaState): number {
 	if (state.role !== ReplicaRole.Leader || getTermAt(state.log, state.commitIndex) !== state.term) {
-		return false;
+		return Number.NEGATIVE_INFINITY;
 	}
 
-	const majorityAckedSentAtMs = findMajorityValue(
+	return findMajorityValue(
 		state.members,
 		id => id === state.id ? Number.POSITIVE_INFINITY : state.progress.get(id)?.ackedSentAtMs ?? Number.NEGATIVE_INFINITY,
 	);
-
-	return majorityAckedSentAtMs > requestedAtMs;
 }
--- a/packages/agreement/src/confirmation.ts
+++ b/packages/agreement/src/confirmation.ts
@@ -1,7 +1,6 @@
-import {findMajorityValue} from './members.js';
-import {getTermAt} from './log.js';
+import {findConfirmedAtMs} from './confirm-read.js';
 import {
-	ReplicaRole, type AppendMessage, type ClockReading, type Confirmation, type ReplicaState,
+	type AppendMessage, type ClockReading, type Confirmation, type ReplicaState,
 } from './types.js';
 
 /**
@@ -48,16 +47,8 @@
 	return next === undefined || (previous?.clockId === next.clockId && previous.atMs >= next.atMs) ? previous : next;
 }
 
-// What was committed under earlier leaders is within the commit index once that has reached an entry of this leader's own term.
 function computeOwnConfirmation(state: ReplicaState, nowMs: number): Confirmation | undefined {
-	if (state.role !== ReplicaRole.Leader || getTermAt(state.log, state.commitIndex) !== state.term) {
-		return undefined;
-	}
-
-	const ackedSentAtMs = findMajorityValue(
-		state.members,
-		id => id === state.id ? Number.POSITIVE_INFINITY : state.progress.get(id)?.ackedSentAtMs ?? Number.NEGATIVE_INFINITY,
-	);
+	const confirmedAtMs = findConfirmedAtMs(state);
 
-	return ackedSentAtMs === Number.NEGATIVE_INFINITY ? undefined : {knownAtMs: Math.min(ackedSentAtMs, nowMs), commitIndex: state.commitIndex};
+	return confirmedAtMs === Number.NEGATIVE_INFINITY ? undefined : {knownAtMs: Math.min(confirmedAtMs, nowMs), commitIndex: state.commitIndex};
 }
