Record no age of a target of weights before the first confirmation after a start

Cause, shown by a unit test: since a replica is current by the moment for which it knows all that was committed, which lies up to one heartbeat back. Between the commit of a new leader's first entry and the next confirmation the leader counts as current, but does not know the age of a target that it replayed. If it looked for due records just then (each 250 ms), it recorded 60 s, which is final: every engine on older weights was barred for good.

Change: while the age will be known with the next confirmation, nothing is recorded. A target that older software set, of which nothing will be known, is recorded as before.

Evidence: target-ages.test.ts, "a leader that knows all that was committed up to a moment before it replayed its log ..." failed before ([{ageMs: 60000}], expected []). 59 unit tests of coordinator pass.

--- a/packages/coordinator/src/__tests__/unit/target-ages.test.ts
+++ b/packages/coordinator/src/__tests__/unit/target-ages.test.ts
@@ -96,6 +96,20 @@
 	t.deepEqual(decodePublishedState(structuredClone(encodePublishedState(state))), state);
 });
 
+// After a loss of all processes the leader recorded for good that nothing is known of the age of a target, so that all engines on older weights were barred.
+test('a leader that knows all that was committed up to a moment before it replayed its log records no age until it knows one', t => {
+	const {clock, ages, replica, getAgeMs} = openReplica();
+	clock.advance(1000);
+	const state = name(name(createPublishedState(), 2, 0), 2, 500);
+	ages.record(state);
+	replica.currentAtMs = clock.readMonotonicMs() - 40;
+	t.deepEqual(ages.listDueRecords(state), []);
+	clock.advance(heartbeatMs);
+	replica.currentAtMs = clock.readMonotonicMs();
+	t.true(getAgeMs(2) < 2500);
+	t.deepEqual(ages.listDueRecords(state).map(({ageMs}) => ageMs), [getAgeMs(2)]);
+});
+
 test('an instance several versions behind is judged by the first newer target, which a restart keeps', t => {
 	const {clock, ages, replica, getAgeMs} = openReplica();
 	ages.record(name(name(name(createPublishedState(), 2, 0), 2, 7000), 3, 0));
--- a/packages/coordinator/src/target-ages.ts
+++ b/packages/coordinator/src/target-ages.ts
@@ -49,15 +49,24 @@
 	/** By model and version. */
 	const knownTargets = new Map<string, KnownTarget>();
 
+	const isCurrentSince = (atMs: number) => (getCurrentAtMs() ?? Number.NEGATIVE_INFINITY) >= atMs;
+
 	// A replica that is current after it has applied a record knows that no later one was committed before.
 	const applyRecord = (known: KnownTarget) => {
 		const {notBeforeMs, recorded} = known;
 
-		if (recorded !== undefined && (getCurrentAtMs() ?? Number.NEGATIVE_INFINITY) >= recorded.atMs) {
+		if (recorded !== undefined && isCurrentSince(recorded.atMs)) {
 			known.notBeforeMs = Math.max(notBeforeMs ?? Number.NEGATIVE_INFINITY, recorded.atMs - recorded.ageMs - recordIntervalMs - recordDelayMs);
 		}
 	};
 
+	// The age is not known yet, but will be with the next confirmation.
+	const isAgeAwaited = (model: string, version: number) => {
+		const known = knownTargets.get(createKey(model, version));
+
+		return known?.recorded !== undefined && known.notBeforeMs === undefined && !isCurrentSince(known.recorded.atMs);
+	};
+
 	const getAgeMs = (model: string, version: number) => {
 		const known = knownTargets.get(createKey(model, version));
 
@@ -104,7 +113,7 @@
 		listDueRecords: ({targets}) => [...targets].flatMap(([model, list]) => list.flatMap(({version, ageMs: recordedMs}) => {
 			const ageMs = Math.floor(getAgeMs(model, version));
 			const isFinal = recordedMs !== undefined && recordedMs >= unknownTargetAgeMs;
-			const isDue = !isFinal && ageMs >= (recordedMs ?? 0) + recordIntervalMs;
+			const isDue = !isFinal && !isAgeAwaited(model, version) && ageMs >= (recordedMs ?? 0) + recordIntervalMs;
 
 			return isDue
 				? [{
