Refuse declarations by which two organisations would share a key

What callers would see: the requests of one organisation count as those of another, with its limits and claims: of two organisations with the same key the one that comes last in the list has it, without a word.

Cause: each item is checked by itself, and nothing looks at all of them together; nor whether an item lies under its own name.

Change: `parseDeclarations` reports it with the places of both, so that `config apply` sends nothing. Control replicas refuse a change by which it would come about, against the version that it names, before they propose it; the replicated state machine decides as before, so that replicas of different versions go on agreeing.

--- a/packages/control/src/operator-router.ts
+++ b/packages/control/src/operator-router.ts
@@ -3,7 +3,7 @@
 import {BaseError} from '@fescuestair/core';
 import {type RequestHistory} from '@fescuestair/protocol';
 import {
-	type CommandResponse, CommandKind, itemSchemas, type ConfigItem, type HistoryEntry, type CommandRequest,
+	type CommandResponse, CommandKind, CommandResponseKind, findInvalidItems, itemSchemas, type ConfigItem, type HistoryEntry, type CommandRequest,
 } from '@fescuestair/state';
 import {type InstanceRow, type StatusReport} from './reports.js';
 
@@ -57,9 +57,13 @@
 		config: procedure.query(() => backend.getConfig()),
 		history: procedure.query(() => backend.getHistory()),
 		trace: procedure.input(z.object({requestId: z.string().max(100)})).query(async ({input}) => runProcedure(async () => backend.traceRequest(input.requestId))),
-		change: procedure.input(changeSchema).mutation(async ({input, ctx}) => runProcedure(async () => backend.propose({
-			kind: CommandKind.ChangeConfig, ...input, actor: ctx.actor,
-		}))),
+		change: procedure.input(changeSchema).mutation(async ({input, ctx}) => runProcedure(async () => {
+			const {version, items} = backend.getConfig();
+			// A change of another version is refused by the group, or was accepted before.
+			const reason = input.expectedVersion === version ? findInvalidItems(items, input) : undefined;
+
+			return reason === undefined ? backend.propose({kind: CommandKind.ChangeConfig, ...input, actor: ctx.actor}) : {kind: CommandResponseKind.Invalid, reason};
+		})),
 		initialize: procedure.mutation(async () => runProcedure(backend.initialize)),
 		addReplica: procedure.input(z.object({name: z.string(), replacesName: z.string().optional()}))
 			.mutation(async ({input}) => runProcedure(async () => backend.addReplica(input.name, input.replacesName))),
--- a/packages/state/src/declarations.ts
+++ b/packages/state/src/declarations.ts
@@ -3,6 +3,7 @@
 } from 'yaml';
 import {type z} from 'zod';
 import {createFinding, type Finding} from '@fescuestair/core';
+import {getItemKey, listSharedKeys} from './check-items.js';
 import {itemSchemas, ItemKind, type ConfigItem} from './config-items.js';
 
 /** A declaration file and its content. */
@@ -15,6 +16,8 @@
 export type Declarations = {
 	readonly items: ReadonlyMap<string, ConfigItem>;
 	readonly findings: readonly Finding[];
+	/** File and line of each item. */
+	readonly places: ReadonlyMap<string, string>;
 };
 
 type ParsedDocument = Document.Parsed;
@@ -45,7 +48,7 @@
 				continue;
 			}
 
-			const key = `${parsed.item.kind}/${parsed.item.name}`;
+			const key = getItemKey(parsed.item);
 			const earlierLocation = locationsByKey.get(key);
 
 			if (earlierLocation !== undefined) {
@@ -57,7 +60,12 @@
 		}
 	}
 
-	return {items, findings};
+	for (const {organisation, other} of listSharedKeys(items.values())) {
+		const [place, otherPlace] = [organisation, other].map(name => locationsByKey.get(`${ItemKind.Organisation}/${name}`)!);
+		findings.push(createFinding(place!, `${ItemKind.Organisation}/${organisation} shares a key with ${ItemKind.Organisation}/${other}, declared at ${otherPlace}`));
+	}
+
+	return {items, findings, places: locationsByKey};
 }
 
 type ParsedItem = {readonly item: ConfigItem | undefined; readonly place: string; readonly findings: readonly Finding[]};
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -3,6 +3,9 @@
 export {
 	ItemKind, itemSchemas, RequestClass, type ConfigItem, type ModelItem, type OrganisationItem, type PresetItem, type ServiceItem, type UpstreamPolicyItem,
 } from './config-items.js';
+export {
+	findInvalidItems, findItemWarnings, getItemKey, listSharedKeys, type SharedKey,
+} from './check-items.js';
 export {parseDeclarations, type DeclarationFile, type Declarations} from './declarations.js';
 export {diffItems, formatDiff, type ItemDiff} from './diff.js';
 export {
