--- a/packages/cli/src/config-commands.ts
+++ b/packages/cli/src/config-commands.ts
@@ -1,4 +1,6 @@
-import {type Command} from 'commander';
+import {isIPv4} from 'node:net';
+import {type Command, Option} from 'commander';
+import {createFinding, FindingsError} from '@fescuestair/core';
 import {
 	CommandResponseKind, diffItems, formatDiff, ItemKind, type ConfigItem, type HistoryEntry,
 } from '@fescuestair/state';
@@ -6,14 +8,22 @@
 import {describeAnswer, sendChange} from './change-config.js';
 import {ExitCode} from './exit-codes.js';
 import {formatTable} from './tables.js';
-import {loadDeclarations} from './declaration-files.js';
-import {addCommonOptions, runCommand} from './run-command.js';
+import {checkDeclarations, formatDeclarationCheck, type OtherItems} from './check-declarations.js';
+import {loadDeclarations, readDeclarationFiles} from './declaration-files.js';
+import {addCommonOptions, runCommand, runLocalCommand} from './run-command.js';
+
+type CheckFlags = {readonly against?: string; readonly strict?: boolean; readonly key?: string; readonly json?: boolean; readonly output: OutputFormat};
+
+enum OutputFormat {
+	Text = 'text',
+	Json = 'json',
+}
 
 function isDeclared(item: ConfigItem): boolean {
 	return item.kind !== ItemKind.Drain;
 }
 
-/** Adds `config show`, `config history` and `config apply`. */
+/** Adds `config show`, `config history`, `config check` and `config apply`. */
 export function addConfigCommands(program: Command): void {
 	const config = program.command('config').description('manages the configuration, which is declared in files');
 
@@ -34,6 +44,22 @@
 		});
 	});
 
+	addCommonOptions(config.command('check <paths...>'))
+		.description('checks declarations before they are applied, and changes nothing: errors, what is declared in vain or contradicts itself, and what differs from the configuration in force')
+		.option('--against <path|address>', 'other declarations, or the operator address of a control replica: shows what differs')
+		.option('--strict', 'ends with 1 if there are warnings')
+		.addOption(new Option('--output <format>', 'json is the same as --json').choices(Object.values(OutputFormat)).default(OutputFormat.Text))
+		.action(async (paths: string[], {strict = false}: CheckFlags, command: Command) => {
+			const {against, key, json = false, output} = command.optsWithGlobals<CheckFlags>();
+
+			await runLocalCommand(json || output === OutputFormat.Json, async () => {
+				const check = checkDeclarations(await readDeclarationFiles(paths), against === undefined ? undefined : await readOther(against, key));
+				const warningsExitCode = strict && check.warnings.length > 0 ? ExitCode.Failed : ExitCode.Done;
+
+				return {text: formatDeclarationCheck(check), value: check, exitCode: check.isValid ? warningsExitCode : ExitCode.Usage};
+			});
+		});
+
 	addCommonOptions(config.command('apply <paths...>'))
 		.description('replaces the configuration by the declarations in the files')
 		.option('--dry-run', 'show the changes without applying them')
@@ -63,3 +89,25 @@
 			});
 		});
 }
+
+async function readOther(place: string, key: string | undefined): Promise<OtherItems> {
+	if (!isAddress(place)) {
+		const items = await loadDeclarations([place]);
+
+		return {name: place, items: [...items.values()]};
+	}
+
+	if (key === undefined) {
+		throw new FindingsError([createFinding('--key', 'is needed to read the configuration in force; or set FESCUESTAIR_OPERATOR_KEY')]);
+	}
+
+	const {version, items, inForce} = await callControl({addresses: [place], key}, async client => client.config.query());
+
+	return {name: `configuration version ${version}`, items, presetInForce: inForce};
+}
+
+function isAddress(place: string): boolean {
+	const [host = '', port = '', ...rest] = place.split(':');
+
+	return rest.length === 0 && (isIPv4(host) || host === 'localhost') && /^\d{1,5}$/v.test(port);
+}
--- a/packages/cli/src/declaration-files.ts
+++ b/packages/cli/src/declaration-files.ts
@@ -3,11 +3,16 @@
 import {createFinding, FindingsError} from '@fescuestair/core';
 import {parseDeclarations, type ConfigItem, type DeclarationFile} from '@fescuestair/state';
 
+/** Reads declaration files, and those of folders; throws a `FindingsError` where one can't be read. */
+export async function readDeclarationFiles(paths: readonly string[]): Promise<readonly DeclarationFile[]> {
+	const filesByPath = await Promise.all(paths.map(async one => listFiles(one)));
+
+	return Promise.all(filesByPath.flat().map(async file => readDeclarationFile(file)));
+}
+
 /** Loads declarations from files and folders; throws a `FindingsError` with the findings of all of them. */
 export async function loadDeclarations(paths: readonly string[]): Promise<ReadonlyMap<string, ConfigItem>> {
-	const filesByPath = await Promise.all(paths.map(async one => listFiles(one)));
-	const files = await Promise.all(filesByPath.flat().map(async file => readDeclarationFile(file)));
-	const {items, findings} = parseDeclarations(files);
+	const {items, findings} = parseDeclarations(await readDeclarationFiles(paths));
 
 	if (findings.length > 0) {
 		throw new FindingsError(findings);
--- a/packages/cli/src/exit-codes.ts
+++ b/packages/cli/src/exit-codes.ts
@@ -1,7 +1,7 @@
 /** Exit codes of the command line. */
 export enum ExitCode {
 	Done = 0,
-	/** No control replica could be reached, or it answered with an error. */
+	/** No control replica could be reached, or it answered with an error; or a strict check has warnings. */
 	Failed = 1,
 	/** A flag, file or declaration is invalid. */
 	Usage = 2,
--- a/packages/cli/src/run-command.ts
+++ b/packages/cli/src/run-command.ts
@@ -32,8 +32,13 @@
 		return;
 	}
 
+	await runLocalCommand(json, async () => run({addresses: control.split(','), key}));
+}
+
+/** The same for a command that needs no operator key. */
+export async function runLocalCommand(json: boolean, run: () => Promise<CommandResult>): Promise<void> {
 	try {
-		const result = await run({addresses: control.split(','), key});
+		const result = await run();
 		console.log(json ? JSON.stringify(result.value) : result.text);
 		process.exitCode = result.exitCode ?? ExitCode.Done;
 	} catch (error) {
--- a/packages/demo/src/__tests__/integration/state.test.ts
+++ b/packages/demo/src/__tests__/integration/state.test.ts
@@ -368,6 +368,18 @@
 		t.regex(bad.output, /bad\.yaml:6/v);
 		const dry = await system.runCli(['config', 'apply', `${system.folder}/declarations.yaml`, '--dry-run']);
 		t.is(dry.output, 'no change');
+		const against = ['--against', system.controls[0]!.operatorAddress];
+		const checked = await system.runCli(['config', 'check', `${system.folder}/declarations.yaml`, ...against]);
+		t.deepEqual(checked, {code: 0, output: 'the declarations would be accepted\nnothing differs from configuration version 1'});
+		const badCheck = await system.runCli(['config', 'check', file, ...against]);
+		t.is(badCheck.code, 2);
+		t.is(badCheck.output.slice(badCheck.output.indexOf('\n') + 1).replaceAll('  ', ''), bad.output);
+		const emptyCheck = await system.runCli(['config', 'check', '/dev/null', '--strict', ...against]);
+		t.is(emptyCheck.code, 2);
+		t.regex(emptyCheck.output, /preset\/ordinary: is in force and cannot be removed/v);
+		const strict = await system.runCli(['config', 'check', '/dev/null', '--strict', '--output', 'json']);
+		t.is(strict.code, 1);
+		t.is((JSON.parse(strict.output) as {readonly warnings: readonly unknown[]}).warnings.length, 2);
 		const removal = await system.runCli(['config', 'apply', '/dev/null']);
 		t.is(removal.code, 2, 'the preset in force cannot be removed');
 		const unknown = await system.runCli(['trace', 'r-000000000-0000000000000000']);
--- a/packages/traffic/src/__tests__/unit/config-warnings.test.ts
+++ b/packages/traffic/src/__tests__/unit/config-warnings.test.ts
@@ -76,6 +76,15 @@
 	t.regex(findConfigWarnings(config, {maxCallerBytes: 3_999_999})[0]!.message, /^bodies may have 4000000 bytes/v);
 });
 
+test('more attempts than a service has instances are a warning, where that number is known', t => {
+	const listFor = (count: number, overrides: Partial<Route> = {}) => findConfigWarnings({...config, routes: [{...route, ...overrides}]}, {instancesByService: new Map([['app', count]])});
+	t.deepEqual(listFor(2), []);
+	t.deepEqual(listFor(1), [{
+		place: 'routes[0]', message: 'its 2 attempts are never all used: each goes to another instance, and service "app" has 1; allow fewer, or add instances',
+	}]);
+	t.is(listFor(1, {kind: CallKind.Streaming, isResumable: true}).length, 1);
+});
+
 test('what differs between two configurations is listed by route, service and organisation, and no key is shown', t => {
 	const changes = diffConfigs(config, {
 		...config,
--- a/packages/traffic/src/find-config-warnings.ts
+++ b/packages/traffic/src/find-config-warnings.ts
@@ -7,6 +7,8 @@
 export type WarningOptions = {
 	/** What callers may make a gateway hold; infinite by default. */
 	readonly maxCallerBytes?: number | undefined;
+	/** How many instances services have; those that are not named may have any number. */
+	readonly instancesByService?: ReadonlyMap<string, number>;
 };
 
 /**
@@ -17,20 +19,24 @@
 formatFindings(findConfigWarnings(config)); //=> 'services[2]: no route leads to service "app"; add a route, or leave the service out'
 ```
 */
-export function findConfigWarnings(config: TrafficConfig, {maxCallerBytes = Number.POSITIVE_INFINITY}: WarningOptions = {}): readonly Finding[] {
+export function findConfigWarnings(config: TrafficConfig, {maxCallerBytes = Number.POSITIVE_INFINITY, instancesByService = new Map()}: WarningOptions = {}): readonly Finding[] {
 	const services = new Map(config.services.map(service => [service.name, service]));
 
 	return [
-		...config.routes.flatMap((route, position) => findRouteWarnings(route, {place: `routes[${position}]`, services, organisations: config.organisations})),
+		...config.routes.flatMap((route, position) => findRouteWarnings(route, {
+			place: `routes[${position}]`, services, organisations: config.organisations, instancesByService,
+		})),
 		...config.services.flatMap((service, position) => findServiceWarnings(service, `services[${position}]`, config.routes)),
 		...config.organisations.flatMap((organisation, position) => findOrganisationWarnings(organisation, `organisations[${position}]`)),
 		...findLimitWarnings(config.limits, maxCallerBytes),
 	];
 }
 
-type RouteContext = {readonly place: string; readonly services: ReadonlyMap<string, Service>; readonly organisations: readonly Organisation[]};
+type RouteContext = {
+	readonly place: string; readonly services: ReadonlyMap<string, Service>; readonly organisations: readonly Organisation[]; readonly instancesByService: ReadonlyMap<string, number>;
+};
 
-function findRouteWarnings(route: Route, {place, services, organisations}: RouteContext): readonly Finding[] {
+function findRouteWarnings(route: Route, {place, services, organisations, instancesByService}: RouteContext): readonly Finding[] {
 	const {host, pathPrefix, timeoutMs, targetMs, maxAttempts, kind, isResumable, isPublic, targets} = route;
 	const list = createWarnings(place);
 
@@ -44,6 +50,11 @@
 	for (const {service, weight} of targets) {
 		list.add(weight < 0, `the weight of service "${service}" is below 0; use 0 or more`);
 		list.add(weight === 0, `service "${service}" is never chosen: its weight is 0; leave it out if that is meant`);
+		const instances = instancesByService.get(service) ?? Number.POSITIVE_INFINITY;
+		list.add(
+			canRunAgain(kind, isResumable) && maxAttempts > instances,
+			`its ${maxAttempts} attempts are never all used: each goes to another instance, and service "${service}" has ${instances}; allow fewer, or add instances`,
+		);
 		list.add(services.get(service)?.store !== undefined, `service "${service}" is a store, which serves no requests; name another`);
 	}
 
