Count connections to links before their TLS handshake, and close them with the listener

A stop waited for them too, up to the handshake's time limit.

Cause: a link was counted once its handshake was done. The links of a platform's daemons have none, so its tests did not see it.

Change: each connection counts from its acceptance on; what marks it as in use is the first frame of the link above it. The listener closes all that it accepted.

--- a/packages/transport/src/__tests__/unit/links.test.ts
+++ b/packages/transport/src/__tests__/unit/links.test.ts
@@ -4,7 +4,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import test from 'ava';
 import {
-	createLinks, createLinkServer, LinkLostError, parseClusterKeys, type LinkHandler,
+	createLinks, createLinkServer, LinkLostError, parseClusterKeys, processCallerBudget, type LinkHandler,
 } from '../../index.js';
 import {livenessTimeoutMs} from '../../link-constants.js';
 
@@ -40,6 +40,41 @@
 	await server.close();
 });
 
+// 700 connections that stopped before their handshake took as many descriptors, and delayed the stop.
+test.serial('connections that do not begin a handshake count, give way to others, and do not delay the close', async t => {
+	const maxConnections = 5;
+	processCallerBudget.setLimits({maxConnections});
+	t.teardown(() => {
+		processCallerBudget.setLimits({maxConnections: 8000});
+	});
+	const server = await startServer();
+	const clients = await Promise.all(Array.from({length: 20}, async () => {
+		const client = net.connect(server.port, '127.0.0.1').on('error', () => undefined);
+		await once(client, 'connect');
+		client.resume();
+
+		return client;
+	}));
+	const links = createLinks({getKeys: () => oldKeys});
+	t.deepEqual(await links.call(`127.0.0.1:${server.port}`, 1, 5000), {echoed: 1});
+	t.true(processCallerBudget.countConnections() <= maxConnections);
+	// One with a frame is in use, and stays beside others that come.
+	const later = net.connect(server.port, '127.0.0.1').on('error', () => undefined);
+	await once(later, 'connect');
+	t.deepEqual(await links.call(`127.0.0.1:${server.port}`, 2, 5000), {echoed: 2});
+	links.close();
+	await server.close();
+
+	for (const client of [...clients, later]) {
+		client.destroy();
+	}
+
+	// The sockets of this side close a moment later.
+	while (processCallerBudget.countConnections() > 0) {
+		await sleep(10);
+	}
+});
+
 test('keys are rotated without a restart', async t => {
 	let keys = oldKeys;
 	const server = await createLinkServer({listen: {host: '127.0.0.1', port: 0}, getKeys: () => keys, onMessage: echo});
--- a/packages/transport/src/link-server.ts
+++ b/packages/transport/src/link-server.ts
@@ -43,12 +43,21 @@
 	const sockets = new Set<Socket>();
 	const monitor = createLinkMonitor();
 	const server = getKeys === undefined ? net.createServer() : createTlsServer(getKeys);
-
+	/** What each connection is counted by, also before its handshake. */
+	const acceptedByAddress = new Map<string, Socket>();
+
+	server.on('connection', (socket: Socket) => {
+		const address = formatPeerAddress(socket);
+		acceptedByAddress.set(address, socket);
+		socket.once('close', () => {
+			acceptedByAddress.delete(address);
+		});
+		processCallerBudget.connections.add(socket);
+	});
 	server.on(getKeys === undefined ? 'connection' : 'secureConnection', (socket: Socket) => {
-		const address = `${socket.remoteAddress}:${socket.remotePort}`;
+		const address = formatPeerAddress(socket);
 		sockets.add(socket);
-		processCallerBudget.connections.add(socket);
-		serveSocket(socket, {onMessage, monitor});
+		serveSocket(socket, {onMessage, monitor, accepted: acceptedByAddress.get(address) ?? socket});
 		socket.on('close', () => {
 			sockets.delete(socket);
 		});
@@ -69,7 +78,7 @@
 			const closed = once(server, 'close');
 			server.close();
 
-			for (const socket of sockets) {
+			for (const socket of [...sockets, ...acceptedByAddress.values()]) {
 				socket.destroy();
 			}
 
@@ -86,7 +95,18 @@
 	});
 }
 
-function serveSocket(socket: Socket, {onMessage, monitor}: {readonly onMessage: LinkHandler; readonly monitor: LinkMonitor}): void {
+function formatPeerAddress({remoteAddress, remotePort}: Socket): string {
+	return `${remoteAddress}:${remotePort}`;
+}
+
+type ServeOptions = {
+	readonly onMessage: LinkHandler;
+	readonly monitor: LinkMonitor;
+	/** The connection below the link. */
+	readonly accepted: Socket;
+};
+
+function serveSocket(socket: Socket, {onMessage, monitor, accepted}: ServeOptions): void {
 	socket.setNoDelay(true);
 	const incomplete = processCallerBudget.open(() => {
 		socket.destroy(new InvalidFrameError('there is no room for incomplete frames'));
@@ -97,7 +117,7 @@
 		onFrame([kind, callId, body]) {
 			incomplete.resize(0);
 			// From its first frame on, it counts as in use.
-			processCallerBudget.connections.markBusy(socket);
+			processCallerBudget.connections.markBusy(accepted);
 
 			switch (kind) {
 				case FrameKind.Call: {
