--- a/packages/daemon/src/daemon-settings.ts
+++ b/packages/daemon/src/daemon-settings.ts
@@ -32,6 +32,8 @@
 	readonly logLevel: number;
 	readonly snapshotEvery: number;
 	readonly orderKeyFile: string | undefined;
+	readonly maxCallerBytes: number;
+	readonly maxCallerConnections: number;
 };
 
 const addressSchema = z.string('is missing').refine(text => isAddress(text), 'must be an IP address and a port, such as 127.0.0.1:7000');
@@ -56,6 +58,10 @@
 	defineSetting('join-keys-file', {description: 'file with lines of name:sha256, digests of the keys of upstreams (entry); read again on SIGHUP', schema: optionalPathSchema}),
 	defineSetting('operator-keys-file', {description: 'file with lines of name:sha256, digests of operator keys (control); read again on SIGHUP', schema: optionalPathSchema}),
 	defineSetting('order-key-file', {description: 'file with the key that authenticates load orders to upstreams that check their sender (control)', schema: optionalPathSchema}),
+	defineSetting('max-caller-bytes', {
+		description: 'bytes that others may make this process hold, at all listeners; beyond them the slowest give way', schema: z.coerce.number().int().positive(), defaultValue: '64000000',
+	}),
+	defineSetting('max-caller-connections', {description: 'connections that others may have open, at all listeners', schema: z.coerce.number().int().positive(), defaultValue: '8000'}),
 	defineSetting('keep-entries-ms', {description: 'how long callers may cache the list of entries', schema: msSchema, defaultValue: '5000'}),
 	defineSetting('upstream-lease-ms', {description: 'an upstream that has not renewed its lease for this long is considered dead', schema: msSchema, defaultValue: '3000'}),
 	defineSetting('stop-timeout-ms', {description: 'time limit of a graceful stop', schema: msSchema, defaultValue: '120000'}),
--- a/packages/daemon/src/run-daemon.ts
+++ b/packages/daemon/src/run-daemon.ts
@@ -3,7 +3,9 @@
 import {createSystemClock, FindingsError} from '@fescuestair/core';
 import {createEntry} from '@fescuestair/entry';
 import {createLogger, createStatsdMetrics, type StatsdMetrics} from '@fescuestair/runtime';
-import {createKeyRing, loadClusterKeys, parseAddress} from '@fescuestair/transport';
+import {
+	createKeyRing, loadClusterKeys, parseAddress, processCallerBudget,
+} from '@fescuestair/transport';
 import {loadKeyRing, loadSecret} from './key-files.js';
 import {Role, type DaemonSettings} from './daemon-settings.js';
 
@@ -25,6 +27,12 @@
 
 	process.on('uncaughtException', onFailure);
 	process.on('unhandledRejection', onFailure);
+	processCallerBudget.setLimits({maxBytes: settings.maxCallerBytes, maxConnections: settings.maxCallerConnections});
+	processCallerBudget.registerReporter(evictions => {
+		log.warn('callers gave way for want of room', {
+			...Object.fromEntries(evictions), bytesHeld: processCallerBudget.countBytes(), connectionsOpen: processCallerBudget.countConnections(),
+		});
+	});
 	const commonOptions = {
 		name: settings.name,
 		incarnation: clock.readWallMs(),
--- a/packages/demo/src/index.ts
+++ b/packages/demo/src/index.ts
@@ -1,4 +1,4 @@
 export {startProcess, type ChildProcess} from './child-process.js';
 export {
-	startSystem, type System, type SystemOptions, type UpstreamProcess,
+	startSystem, type EntryProcess, type System, type SystemOptions, type UpstreamProcess,
 } from './system.js';
--- a/packages/demo/src/system.ts
+++ b/packages/demo/src/system.ts
@@ -18,6 +18,7 @@
 	readonly services?: number;
 	readonly stores?: number;
 	readonly entryFlags?: readonly string[];
+	readonly entryEnvironment?: Readonly<Record<string, string>>;
 	readonly controlFlags?: readonly string[];
 	readonly engineFlags?: readonly string[];
 	readonly serviceFlags?: readonly string[];
@@ -73,7 +74,7 @@
 export async function startSystem(options: SystemOptions = {}): Promise<System> {
 	const {
 		entries: entryCount = 2, controls: controlCount = 1, engines: engineCount = 1, services: serviceCount = 1, stores: storeCount = 0,
-		entryFlags = [], controlFlags = [], engineFlags = [], serviceFlags = [], storeFlags = [],
+		entryFlags = [], entryEnvironment = {}, controlFlags = [], engineFlags = [], serviceFlags = [], storeFlags = [],
 	} = options;
 	const folder = await fs.mkdtemp(path.join(os.tmpdir(), 'fescuestair-'));
 	const organisationKey = createKey();
@@ -171,7 +172,7 @@
 			'--keep-entries-ms',
 			'1000',
 			...entryFlags,
-		]);
+		], entryEnvironment);
 		const started = {...addresses, process: child, name};
 		entries[index] = started;
 
