--- a/packages/routing/src/find-stale-instance.ts
+++ b/packages/routing/src/find-stale-instance.ts
@@ -18,15 +18,6 @@
 const timeLeftFactor = 2;
 const maxFailureShare = 0.05;
 
-/** Whether no call has been sent to an instance for so long that its mean time is no reason any more to leave it out. */
-export function isStale({load, slots, failureShare, coldLeftMs = 0}: InstanceOption, nowMs: number): boolean {
-	const unaskedMs = nowMs - (load.lastCallAtMs ?? Number.NEGATIVE_INFINITY);
-
-	return load.own === 0 && coldLeftMs === 0 && estimateOtherRequests(load, nowMs) < slots
-		&& unaskedMs >= Math.max(minUnaskedMs, unaskedFactor * estimateBelievedMs({load}, nowMs))
-		&& failureShare * computeSampleWeight(load.lastCallAtMs, nowMs) <= maxFailureShare;
-}
-
 /**
 Finds the instance that has been without calls for longest, of those that are to be asked again: the mean time of an instance's calls, and the share that
 failed, change only by its own answers, so that one that was slow once would stay out of use for good.
@@ -41,15 +32,15 @@
 		return undefined;
 	}
 
-	const getLastCallMs = ({load}: InstanceOption) => load.lastCallAtMs ?? Number.NEGATIVE_INFINITY;
+	let longestMs = Math.min(...options.map(option => measureUnaskedMs(option, nowMs)));
 	let stale: InstanceOption | undefined;
 
 	for (const option of options) {
-		// Others have been preferred to it.
-		const isLeftOut = options.some(other => getLastCallMs(other) > getLastCallMs(option));
-		const isLonger = stale === undefined || getLastCallMs(option) < getLastCallMs(stale);
+		const unaskedMs = measureUnaskedMs(option, nowMs);
 
-		if (isLeftOut && isLonger && timeLeftMs >= timeLeftFactor * estimateBelievedMs(option, nowMs) && isStale(option, nowMs)) {
+		// Others have been preferred to it.
+		if (unaskedMs > longestMs && canBeAsked(option, nowMs) && timeLeftMs >= timeLeftFactor * estimateBelievedMs(option, nowMs)) {
+			longestMs = unaskedMs;
 			stale = option;
 		}
 	}
@@ -57,6 +48,19 @@
 	return stale;
 }
 
+function measureUnaskedMs({load}: InstanceOption, nowMs: number): number {
+	return nowMs - (load.lastCallAtMs ?? Number.NEGATIVE_INFINITY);
+}
+
+// Whether no call has been sent there for so long that what was seen is no reason any more to leave it out.
+function canBeAsked(option: InstanceOption, nowMs: number): boolean {
+	const {load, slots, failureShare, coldLeftMs = 0} = option;
+
+	return load.own === 0 && coldLeftMs === 0 && estimateOtherRequests(load, nowMs) < slots
+		&& measureUnaskedMs(option, nowMs) >= Math.max(minUnaskedMs, unaskedFactor * estimateBelievedMs(option, nowMs))
+		&& failureShare * computeSampleWeight(load.lastCallAtMs, nowMs) <= maxFailureShare;
+}
+
 /** Estimates the time of a call at an instance by samples that may be old. */
 export function estimateBelievedMs({load}: Pick<InstanceOption, 'load'>, nowMs: number): number {
 	return (load.meanMs ?? defaultServiceTimeMs) * computeSampleWeight(load.meanAtMs, nowMs);
