--- a/packages/state/src/check-items.ts
+++ b/packages/state/src/check-items.ts
@@ -2,6 +2,7 @@
 import {
 	ItemKind, RequestClass, type ConfigItem, type OrganisationItem, type PresetItem, type ServiceItem,
 } from './config-items.js';
+import {changeItems} from './public-state.js';
 
 /** A key that two organisations hold, so that nothing tells whose its requests are. */
 export type SharedKey = {readonly organisation: string; readonly other: string; readonly digest: string};
@@ -43,25 +44,16 @@
 findInvalidItems(itemsInForce, {upserts: [['organisation/b', item]], removals: []}); //=> 'organisation/b shares a key with organisation/a'
 ```
 */
-export function findInvalidItems(before: Iterable<ConfigItem>, {upserts, removals}: {
+export function findInvalidItems(before: readonly ConfigItem[], change: {
 	readonly upserts: ReadonlyArray<readonly [string, ConfigItem]>; readonly removals: readonly string[];
 }): string | undefined {
-	const misnamed = upserts.find(([key, item]) => key !== getItemKey(item));
+	const misnamed = change.upserts.find(([key, item]) => key !== getItemKey(item));
 
 	if (misnamed !== undefined) {
 		return `${misnamed[0]} holds ${getItemKey(misnamed[1])}`;
 	}
 
-	const items = new Map([...before].map(item => [getItemKey(item), item]));
-
-	for (const [key, item] of upserts) {
-		items.set(key, item);
-	}
-
-	for (const key of removals) {
-		items.delete(key);
-	}
-
+	const items = changeItems(before.map(item => [getItemKey(item), item] as const), change);
 	const [shared] = listSharedKeys(items.values());
 
 	return shared && `${ItemKind.Organisation}/${shared.organisation} shares a key with ${ItemKind.Organisation}/${shared.other}`;
--- a/packages/state/src/public-state.ts
+++ b/packages/state/src/public-state.ts
@@ -40,17 +40,24 @@
 		return state;
 	}
 
-	const items = new Map(state.items);
+	return {version: change.version, items: changeItems(state.items, change)};
+}
+
+/** Applies the upserts, then the removals, of a change. */
+export function changeItems<Item>(items: Iterable<readonly [string, Item]>, {upserts, removals}: {
+	readonly upserts: ReadonlyArray<readonly [string, Item]>; readonly removals: readonly string[];
+}): ReadonlyMap<string, Item> {
+	const changed = new Map(items);
 
-	for (const [key, value] of change.upserts) {
-		items.set(key, value);
+	for (const [key, item] of upserts) {
+		changed.set(key, item);
 	}
 
-	for (const key of change.removals) {
-		items.delete(key);
+	for (const key of removals) {
+		changed.delete(key);
 	}
 
-	return {version: change.version, items};
+	return changed;
 }
 
 /** Update from an older version of the public state, as changes or as the full state. */
