Find what a majority has acknowledged in one place, also for the lease

renewLease asked the same majority as findConfirmedAtMs, without its check of the term; both call findMajorityAckedAtMs now. No behaviour changes.

--- a/packages/agreement/src/confirm-read.ts
+++ b/packages/agreement/src/confirm-read.ts
@@ -25,8 +25,10 @@
 		return Number.NEGATIVE_INFINITY;
 	}
 
-	return findMajorityValue(
-		state.members,
-		id => id === state.id ? Number.POSITIVE_INFINITY : state.progress.get(id)?.ackedSentAtMs ?? Number.NEGATIVE_INFINITY,
-	);
+	return findMajorityAckedAtMs(state);
+}
+
+/** Finds when the latest messages were sent that a majority has acknowledged to this leader; Infinity where it is the only voter, which needs no acknowledgement. */
+export function findMajorityAckedAtMs({id: ownId, members, progress}: ReplicaState): number {
+	return findMajorityValue(members, id => id === ownId ? Number.POSITIVE_INFINITY : progress.get(id)?.ackedSentAtMs ?? Number.NEGATIVE_INFINITY);
 }
--- a/packages/agreement/src/leader.ts
+++ b/packages/agreement/src/leader.ts
@@ -5,6 +5,7 @@
 import {
 	appendEntries, findLatestMembers, getLastIndex, getTermAt, sliceEntries,
 } from './log.js';
+import {findMajorityAckedAtMs} from './confirm-read.js';
 import {chooseReading, createConfirmationFields} from './confirmation.js';
 import {becomeFollower, createHardStateEffects} from './roles.js';
 import {sliceByTextLength} from './slice-by-text-length.js';
@@ -198,13 +199,7 @@
 }
 
 function renewLease(state: ReplicaState, nowMs: number): ReplicaState {
-	const sentAtMs = findMajorityValue(
-		state.members,
-		id => id === state.id ? Number.POSITIVE_INFINITY : state.progress.get(id)?.ackedSentAtMs ?? Number.NEGATIVE_INFINITY,
-	);
-
-	// The send time is infinite if this replica is the only voter, which needs no acknowledgement.
-	const confirmedAtMs = Math.min(sentAtMs, nowMs);
+	const confirmedAtMs = Math.min(findMajorityAckedAtMs(state), nowMs);
 
 	return {...state, leaseDeadlineMs: Math.max(state.leaseDeadlineMs, confirmedAtMs + state.timing.leaseMs)};
 }
