--- a/packages/gateway/src/choose-place.ts
+++ b/packages/gateway/src/choose-place.ts
@@ -10,7 +10,7 @@
 } from '@fescuestair/traffic';
 import {type CacheInstructions, type PromptDescription} from './codecs.js';
 import {describeInstanceOption, planPromptFetch, type PromptFetchPlan} from './describe-option.js';
-import {type Exchange} from './exchange.js';
+import {computeTimeLeftMs, type Exchange} from './exchange.js';
 import {type ForwardOptions, type ForwardingProgress} from './forward-options.js';
 import {isOpenTo} from './forwarding-context.js';
 import {type PooledInstance} from './pooled-instance.js';
@@ -78,10 +78,6 @@
 	};
 }
 
-function computeTimeLeftMs({deadlineMs, startedAtMs, route}: Exchange, nowMs: number): number {
-	return Math.min(deadlineMs, startedAtMs + (route.patienceMs ?? Number.POSITIVE_INFINITY)) - nowMs;
-}
-
 // A request that does not say which model it is for may run on any of those that its engine holds. An engine that names none may hold any, on any version.
 function hasBarredWeights({classifyWeights, listTargetModels}: ForwardOptions, {held: {record: {models}}}: PooledInstance): boolean {
 	return models.length > 0
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -30,6 +30,16 @@
 	readonly deadlineMs: number;
 };
 
+/** Computes how long a caller waits in all: until its deadline, or until it leaves for want of a first piece. */
+export function computePatienceMs({deadlineMs, startedAtMs, route}: Exchange): number {
+	return Math.min(deadlineMs - startedAtMs, route.patienceMs ?? Number.POSITIVE_INFINITY);
+}
+
+/** Computes how much of that time is left. */
+export function computeTimeLeftMs(exchange: Exchange, nowMs: number): number {
+	return computePatienceMs(exchange) - (nowMs - exchange.startedAtMs);
+}
+
 export type ExchangeResult = {
 	readonly outcome: ExchangeOutcome;
 	readonly status: number;
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -13,7 +13,7 @@
 import {createCallerStream} from './caller-stream.js';
 import {chooseInstanceForRequest, hasBecomeBarred, type InstanceChoice} from './choose-place.js';
 import {
-	ExchangeOutcome, ResponseEnd, sendLocalResponse, type Exchange, type ExchangeResult,
+	computePatienceMs, computeTimeLeftMs, ExchangeOutcome, ResponseEnd, sendLocalResponse, type Exchange, type ExchangeResult,
 } from './exchange.js';
 import {type ForwardOptions, type ForwardingProgress} from './forward-options.js';
 import {type InstanceFilter} from './instance-pool.js';
@@ -260,7 +260,7 @@
 	}
 
 	options.waiting.delete(exchange);
-	const timeLeftMs = computePatienceMs(exchange) - (options.clock.readMonotonicMs() - exchange.startedAtMs);
+	const timeLeftMs = computeTimeLeftMs(exchange, options.clock.readMonotonicMs());
 
 	if (!await requestPermit(options, exchange, {
 		service, progress, choice, timeLeftMs, isUnderWay: progress.sentCount > 0 || stream.hasStarted(),
@@ -354,10 +354,6 @@
 	return refuse(context, reason, restLeftMs === undefined ? computeRetryAfterMs(0) : addJitter(restLeftMs));
 }
 
-function computePatienceMs({deadlineMs, startedAtMs, route}: Exchange): number {
-	return Math.min(deadlineMs - startedAtMs, route.patienceMs ?? Number.POSITIVE_INFINITY);
-}
-
 /** Computes the delay after which a waiting request is evaluated again. */
 function computeRecheckMs(queueMs: number): number {
 	return Math.min(maxRecheckMs, Math.max(minRecheckMs, queueMs - maxIdleQueueMs));
