Keep one record of the connections of a link listener

The set of links beside the map of accepted connections was only used to close them; closing the connection below closes the link. No behaviour changes.

--- a/packages/transport/src/link-server.ts
+++ b/packages/transport/src/link-server.ts
@@ -40,10 +40,9 @@
 */
 export async function createLinkServer(options: LinkServerOptions): Promise<LinkServer> {
 	const {listen, getKeys, onMessage, onError = () => undefined} = options;
-	const sockets = new Set<Socket>();
 	const monitor = createLinkMonitor();
 	const server = getKeys === undefined ? net.createServer() : createTlsServer(getKeys);
-	/** What each connection is counted by, also before its handshake. */
+	/** By the address of its peer, the connection below each link, which is counted and closed. */
 	const acceptedByAddress = new Map<string, Socket>();
 
 	server.on('connection', (socket: Socket) => {
@@ -56,11 +55,7 @@
 	});
 	server.on(getKeys === undefined ? 'connection' : 'secureConnection', (socket: Socket) => {
 		const address = formatPeerAddress(socket);
-		sockets.add(socket);
 		serveSocket(socket, {onMessage, monitor, accepted: acceptedByAddress.get(address) ?? socket});
-		socket.on('close', () => {
-			sockets.delete(socket);
-		});
 		socket.on('error', error => {
 			onError(error, address);
 		});
@@ -78,7 +73,7 @@
 			const closed = once(server, 'close');
 			server.close();
 
-			for (const socket of [...sockets, ...acceptedByAddress.values()]) {
+			for (const socket of acceptedByAddress.values()) {
 				socket.destroy();
 			}
 
