--- a/packages/cli/src/check-declarations.ts
+++ b/packages/cli/src/check-declarations.ts
@@ -1,4 +1,6 @@
-import {createFinding, formatFindings, type Finding} from '@fescuestair/core';
+import {
+	createFinding, formatFindings, formatIndented, type Finding,
+} from '@fescuestair/core';
 import {
 	diffItems, findItemWarnings, formatDiff, getItemKey, ItemKind, parseDeclarations, type ConfigItem, type DeclarationFile, type ItemDiff,
 } from '@fescuestair/state';
@@ -53,8 +55,8 @@
 	].join('\n');
 }
 
-// Drains are set by a command of their own, and stay when declarations are applied.
-function listDeclared(items: readonly ConfigItem[]): ReadonlyMap<string, ConfigItem> {
+/** Lists, by their keys, the items that files declare. Drains are set by a command of their own, and stay when declarations are applied. */
+export function listDeclared(items: readonly ConfigItem[]): ReadonlyMap<string, ConfigItem> {
 	return new Map(items.filter(({kind}) => kind !== ItemKind.Drain).map(item => [getItemKey(item), item]));
 }
 
@@ -69,7 +71,3 @@
 
 	return createFinding(file === undefined ? place : `${file}: ${place}`, message);
 }
-
-function formatIndented(text: string): string {
-	return text.split('\n').map(line => `  ${line}`).join('\n');
-}
--- a/packages/cli/src/config-commands.ts
+++ b/packages/cli/src/config-commands.ts
@@ -2,13 +2,15 @@
 import {type Command, Option} from 'commander';
 import {createFinding, FindingsError} from '@fescuestair/core';
 import {
-	CommandResponseKind, diffItems, formatDiff, ItemKind, type ConfigItem, type HistoryEntry,
+	CommandResponseKind, diffItems, formatDiff, type HistoryEntry,
 } from '@fescuestair/state';
 import {callControl} from './client.js';
 import {describeAnswer, sendChange} from './change-config.js';
 import {ExitCode} from './exit-codes.js';
 import {formatTable} from './tables.js';
-import {checkDeclarations, formatDeclarationCheck, type OtherItems} from './check-declarations.js';
+import {
+	checkDeclarations, formatDeclarationCheck, listDeclared, type OtherItems,
+} from './check-declarations.js';
 import {loadDeclarations, readDeclarationFiles} from './declaration-files.js';
 import {addCommonOptions, runCommand, runLocalCommand} from './run-command.js';
 
@@ -19,10 +21,6 @@
 	Json = 'json',
 }
 
-function isDeclared(item: ConfigItem): boolean {
-	return item.kind !== ItemKind.Drain;
-}
-
 /** Adds `config show`, `config history`, `config check` and `config apply`. */
 export function addConfigCommands(program: Command): void {
 	const config = program.command('config').description('manages the configuration, which is declared in files');
@@ -68,8 +66,7 @@
 			await runCommand(command, async options => {
 				const declared = await loadDeclarations(paths);
 				const current = await callControl(options, async client => client.config.query());
-				const before = new Map((current.items).filter(item => isDeclared(item)).map(item => [`${item.kind}/${item.name}`, item]));
-				const diff = diffItems(before, declared);
+				const diff = diffItems(listDeclared(current.items), declared);
 				const text = formatDiff(diff);
 
 				if (flags.dryRun === true || (diff.lines.length === 0 && flags.preset === undefined)) {
--- a/packages/core/src/findings.ts
+++ b/packages/core/src/findings.ts
@@ -30,6 +30,18 @@
 	return findings.map(finding => `${finding.place}: ${finding.message}`).join('\n');
 }
 
+/**
+Indents each line, for a part of a text below its heading.
+
+@example
+```
+formatIndented('a\nb'); //=> '  a\n  b'
+```
+*/
+export function formatIndented(text: string): string {
+	return text.split('\n').map(line => `  ${line}`).join('\n');
+}
+
 /** Reports several findings in one error. */
 export class FindingsError extends BaseError {
 	constructor(readonly findings: readonly Finding[]) {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -9,7 +9,7 @@
 } from './commands.js';
 export {BaseError, InvariantError} from './errors.js';
 export {
-	createFinding, formatFindings, FindingsError, type Finding,
+	createFinding, formatFindings, formatIndented, FindingsError, type Finding,
 } from './findings.js';
 export {
 	isAnyOf, isUnknown, isNonNegativeInteger, isFiniteNumber, isBoolean, isArrayOf, isNumberInRange, isOneOf, isOptional, isObjectWith, isStringUpTo, isTupleOf, type TypeGuard,
