--- a/packages/daemon/src/run-daemon.ts
+++ b/packages/daemon/src/run-daemon.ts
@@ -2,7 +2,9 @@
 import {createControlReplica, type ControlReplicaOptions} from '@fescuestair/control';
 import {createSystemClock, FindingsError} from '@fescuestair/core';
 import {createEntry} from '@fescuestair/entry';
-import {createLogger, createStatsdMetrics, type StatsdMetrics} from '@fescuestair/runtime';
+import {
+	createLogger, createStatsdMetrics, reportCallerEvictions, type StatsdMetrics,
+} from '@fescuestair/runtime';
 import {
 	createKeyRing, loadClusterKeys, parseAddress, processCallerBudget,
 } from '@fescuestair/transport';
@@ -28,11 +30,7 @@
 	process.on('uncaughtException', onFailure);
 	process.on('unhandledRejection', onFailure);
 	processCallerBudget.setLimits({maxBytes: settings.maxCallerBytes, maxConnections: settings.maxCallerConnections});
-	processCallerBudget.registerReporter(evictions => {
-		log.warn('callers gave way for want of room', {
-			...Object.fromEntries(evictions), bytesHeld: processCallerBudget.countBytes(), connectionsOpen: processCallerBudget.countConnections(),
-		});
-	});
+	reportCallerEvictions(log);
 	const commonOptions = {
 		name: settings.name,
 		incarnation: clock.readWallMs(),
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -18,6 +18,7 @@
 	createColdInstances, noColdInstances, type ColdInstances, type ColdInstancesOptions,
 } from './cold-instances.js';
 export {createPermitGrantor, type PermitGrantor, type PermitGrantorOptions} from './permit-grantor.js';
+export {reportCallerEvictions} from './report-caller-evictions.js';
 export {
 	createRequestLimits, type InstanceRun, type RequestLimits, type RequestLimitsOptions,
 } from './request-limits.js';
