--- a/packages/demo/src/__tests__/integration/callers-that-misbehave.test.ts
+++ b/packages/demo/src/__tests__/integration/callers-that-misbehave.test.ts
@@ -1,7 +1,6 @@
-import fs from 'node:fs/promises';
 import test from 'ava';
 import {
-	kinds, linkKinds, sendCrowd, type Head, type Kind,
+	countDescriptors, kinds, linkKinds, readPeakMegabytes, sendCrowd, type Head, type Kind,
 } from '@fescuestair/standins';
 import {type EntryProcess, type System} from '../../index.js';
 import {sendRequest, waitUntil, withSystem} from './test-helpers.js';
@@ -15,7 +14,6 @@
 const ownMegabytes = 160;
 /** Of the rest, two fifths are for what others make it hold, and as much again for copies and what has not been collected. */
 const limits = {bytes: (memoryMegabytes - ownMegabytes) * 400_000, connections: 160};
-const kibibytesPerMegabyte = 1000 / 1.024;
 const descriptorPollMs = 50;
 
 type Listener = {
@@ -44,18 +42,6 @@
 	},
 ];
 
-const readPeakMegabytes = async ({process: {pid}}: EntryProcess) => {
-	const status = await fs.readFile(`/proc/${pid}/status`, 'utf8');
-
-	return Number(/^VmHWM:\s+(?<size>\d+) kB$/mv.exec(status)!.groups!.size) / kibibytesPerMegabyte;
-};
-
-const countDescriptors = async ({process: {pid}}: EntryProcess) => {
-	const descriptors = await fs.readdir(`/proc/${pid}/fd`);
-
-	return descriptors.length;
-};
-
 const isAnswered = async ({entries, organisationKey}: System) => {
 	const response = await sendRequest(`http://${entries[0]!.address}/v1/services/work-orders/orders`, {key: organisationKey}).catch(() => undefined);
 
@@ -75,7 +61,7 @@
 				const head = createHead(system);
 				let mostDescriptors = 0;
 				const poll = setInterval(async () => {
-					mostDescriptors = Math.max(mostDescriptors, await countDescriptors(entry).catch(() => 0));
+					mostDescriptors = Math.max(mostDescriptors, await countDescriptors(entry.process.pid).catch(() => 0));
 				}, descriptorPollMs);
 				const crowd = sendCrowd({
 					...kind, host: host!, port: Number(port), script: connection => kind.write(head, connection),
@@ -86,7 +72,7 @@
 				});
 				await crowd.settle();
 				t.true(entry.process.isRunning(), 'the process lives');
-				const peakMegabytes = await readPeakMegabytes(entry);
+				const peakMegabytes = await readPeakMegabytes(entry.process.pid);
 				t.log(`${Math.round(peakMegabytes)} MB, ${mostDescriptors} descriptors`);
 				t.true(peakMegabytes <= memoryMegabytes, `${peakMegabytes} MB were resident`);
 				t.true(mostDescriptors <= maxDescriptors, `${mostDescriptors} descriptors were open`);
