--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -11,7 +11,7 @@
 /**
 Starts a worker. `run` gets the request with its body and the response, and answers; it is called once the worker begins to work on a request.
 */
-export async function startWorker({system, ip, id = `i-${randomBytes(4).toString('hex')}`, service, zone = 'windhoek-north', slots = 64, version = 'v1', models, run, record = () => undefined}) {
+export async function startWorker({system, ip, id = `i-${randomBytes(4).toString('hex')}`, service, zone = 'windhoek-north', slots = 64, version = 'v1', models, port = 0, firstPingDelayMs = 0, run, record = () => undefined}) {
 	const born = Date.now();
 	let sequence = 0;
 	let state = 'ready';
@@ -75,7 +75,7 @@
 		});
 	};
 
-	server.listen(0, ip);
+	server.listen(port, ip);
 	await once(server, 'listening');
 	const address = `${ip}:${server.address().port}`;
 	let next = 0;
@@ -105,8 +105,12 @@
 		}
 	};
 
-	void announce();
-	const timer = setInterval(announce, announceMs);
+	const first = setTimeout(announce, firstPingDelayMs);
+	const timer = setInterval(() => {
+		if (Date.now() - born >= firstPingDelayMs) {
+			void announce();
+		}
+	}, announceMs);
 
 	return {
 		id, address, runs,
@@ -115,6 +119,7 @@
 		},
 		announce,
 		async stop() {
+			clearTimeout(first);
 			clearInterval(timer);
 			server.close();
 			server.closeAllConnections();
--- /dev/null
+++ b/review/n/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+cd "$(dirname "$0")" && exec node run.mjs
