--- a/review/n/run.mjs
+++ b/review/n/run.mjs
@@ -9,7 +9,7 @@
 import {startWorker} from '../lib-2/worker.mjs';
 
 const workers = 6;
-const watchMs = 45_000;
+const watchMs = 85_000;
 const perSecond = 120;
 const events = 12;
 const gapMs = 100;
@@ -74,6 +74,7 @@
 		while (!frame.isOver) {
 			await worker.stop();
 			frame.crashes++;
+			note('a worker crashes', {place});
 			await sleep(downMs);
 
 			if (frame.isOver) {
@@ -82,6 +83,7 @@
 
 			boot += hasTrouble ? 1 : 0;
 			worker = await startBoot(place, {version: `v${1 + (boot % 2)}`, port, firstPingDelayMs: pingLateMs});
+			note('a worker is back', {place, version: `v${1 + (boot % 2)}`});
 			await sleep(pingLateMs + upMs);
 		}
 
@@ -96,6 +98,7 @@
 			if (!frame.isOver) {
 				const gateway = system.gateways[next % 2];
 				await system.kill(gateway);
+				note('a gateway is killed', {name: gateway.name});
 				await sleep(200);
 				system.start(gateway);
 			}
@@ -128,6 +131,7 @@
 	frame.isOver = true;
 	await Promise.all([...places, killing]);
 	const mixed = streams.filter(({versions}) => new Set(versions).size > 1);
+	note('streams of two versions', mixed.map(({number}) => number));
 	const statuses = new Map();
 
 	for (const {status} of streams) {
@@ -138,8 +142,8 @@
 		sent: streams.length, crashes: frame.crashes, statuses: Object.fromEntries(statuses), ofTwoVersions: mixed.length,
 	});
 
-	for (const {number, versions} of mixed.slice(0, 10)) {
-		note(`stream r-${number}`, {versions: versions.join(' ')});
+	for (const {number, status, versions} of streams) {
+		note(`stream r-${number}`, {answered: status, versions: versions.join('')});
 	}
 
 	return mixed.length > maxMixed;
