--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -11,7 +11,10 @@
 /**
 Starts a worker. `run` gets the request with its body and the response, and answers; it is called once the worker begins to work on a request.
 */
-export async function startWorker({system, ip, id = `i-${randomBytes(4).toString('hex')}`, service, zone = 'windhoek-north', slots = 64, version = 'v1', models, port = 0, firstPingDelayMs = 0, run, record = () => undefined}) {
+export async function startWorker({
+	system, ip, id = `i-${randomBytes(4).toString('hex')}`, service, zone = 'windhoek-north', slots = 64, version = 'v1', models, port = 0, firstPingDelayMs = 0, run,
+	record = () => undefined,
+}) {
 	const born = Date.now();
 	let sequence = 0;
 	let state = 'ready';
--- a/review/n/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/bin/sh
-cd "$(dirname "$0")" && exec node run.mjs
