--- a/review/lib-2/case.mjs
+++ b/review/lib-2/case.mjs
@@ -1,18 +1,17 @@
 /* eslint-disable no-await-in-loop, no-void, unicorn/no-process-exit */
-// Frame of a script case: writes record.txt beside the script and ends with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+// Frame of a script case: writes its record line by line, so that a case that is cut off leaves one too, and ends with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 import fs from 'node:fs';
-import path from 'node:path';
 import process from 'node:process';
 
 export const hasTrouble = process.env.TROUBLE !== '0';
 const limitMs = 115_000;
 
-export async function runCase(folder, play) {
+export async function runCase(recordFile, play) {
 	const startedAtMs = Date.now();
-	const lines = [];
 	const cleanups = [];
+	fs.writeFileSync(recordFile, '');
 	const note = (text, fields) => {
-		lines.push(`${String(Date.now() - startedAtMs).padStart(6)} ms  ${text}${fields === undefined ? '' : ` ${JSON.stringify(fields)}`}`);
+		fs.appendFileSync(recordFile, `${String(Date.now() - startedAtMs).padStart(6)} ms  ${text}${fields === undefined ? '' : ` ${JSON.stringify(fields)}`}\n`);
 	};
 
 	let code = 2;
@@ -25,7 +24,6 @@
 			}
 		}
 
-		fs.writeFileSync(path.join(folder, 'record.txt'), `${lines.join('\n')}\n`);
 		process.exit(code);
 	};
 
